--- /dev/null
+++ b/src/dotterelstand/connection/wire.py
@@ -0,0 +1,289 @@
+"""Messages between entry hosts and their CBOR form."""
+
+from typing import ClassVar
+
+import cbor2
+from returns.result import Failure, Result, Success
+
+
+class Message:
+    """A message; on the wire a CBOR array of its type number and its fields in order."""
+
+    __slots__: ClassVar[tuple[str, ...]] = ()
+    TYPE: ClassVar[int] = 0
+
+    def __init__(self, *values: object) -> None:
+        assert len(values) == len(self.__slots__), (type(self).__name__, values)
+        for name, value in zip(self.__slots__, values, strict=True):
+            setattr(self, name, value)
+
+    def __eq__(self, other: object) -> bool:
+        return type(self) is type(other) and self.as_list() == other.as_list()  # type: ignore
+
+    def __repr__(self) -> str:
+        return f"{type(self).__name__}({', '.join(map(repr, self.as_list()[1:]))})"
+
+    def as_list(self) -> list[object]:
+        """Type number followed by the fields."""
+        return [self.TYPE, *(getattr(self, name) for name in self.__slots__)]
+
+
+class Hello(Message):
+    """First message on a link: who the sender is."""
+
+    __slots__ = ("address", "availability_zone", "host", "incarnation", "port", "region")
+    TYPE = 1
+    host: str
+    region: str
+    availability_zone: str
+    address: str
+    port: int
+    incarnation: int
+
+
+class Beat(Message):
+    """Heartbeat: document version in force, and whether the sender is leaving."""
+
+    __slots__ = ("leaving", "version")
+    TYPE = 2
+    version: int
+    leaving: bool
+
+
+class Announce(Message):
+    """A document version that the sender holds."""
+
+    __slots__ = ("digest", "version")
+    TYPE = 3
+    version: int
+    digest: str
+
+
+class Fetch(Message):
+    """Request for the manifest (empty digests) or for sections by digest."""
+
+    __slots__ = ("digests", "version")
+    TYPE = 4
+    version: int
+    digests: list[str]
+
+
+class Manifest(Message):
+    """A manifest in its stored form."""
+
+    __slots__ = ("body", "version")
+    TYPE = 5
+    version: int
+    body: bytes
+
+
+class Section(Message):
+    """A section body."""
+
+    __slots__ = ("body", "digest")
+    TYPE = 6
+    digest: str
+    body: bytes
+
+
+class Acquire(Message):
+    """Request to the dispatcher of a service for one slot."""
+
+    __slots__ = ("call", "klass", "remaining_ms", "service", "tenant")
+    TYPE = 7
+    call: int
+    service: str
+    klass: int
+    tenant: int
+    remaining_ms: int
+
+
+class Grant(Message):
+    """A slot on a target, given to one call."""
+
+    __slots__ = ("call", "target")
+    TYPE = 8
+    call: int
+    target: int
+
+
+class Release(Message):
+    """The end of a granted call: outcome number and duration in milliseconds."""
+
+    __slots__ = ("call", "duration_ms", "outcome")
+    TYPE = 9
+    call: int
+    outcome: int
+    duration_ms: int
+
+
+class Refuse(Message):
+    """The dispatcher's refusal of a call, by result code."""
+
+    __slots__ = ("call", "code")
+    TYPE = 10
+    call: int
+    code: int
+
+
+class Intent(Message):
+    """A non-idempotent request with a key that asks to run."""
+
+    __slots__ = ("body_digest", "call", "key", "service")
+    TYPE = 11
+    call: int
+    key: bytes
+    body_digest: bytes
+    service: str
+
+
+class Go(Message):
+    """Permission to send the request of an intent to a target, given once."""
+
+    __slots__ = ("call", "epoch")
+    TYPE = 12
+    call: int
+    epoch: int
+
+
+class Verdict(Message):
+    """Answer to an intent that may not run: result code, and the recorded answer if any."""
+
+    __slots__ = ("body", "call", "code", "headers", "status")
+    TYPE = 13
+    call: int
+    code: int
+    status: int
+    headers: list[list[bytes]]
+    body: bytes
+
+
+class Outcome(Message):
+    """How a permitted request ended; status 0 with result not run frees the key."""
+
+    __slots__ = ("body", "code", "epoch", "headers", "key", "status")
+    TYPE = 14
+    key: bytes
+    epoch: int
+    code: int
+    status: int
+    headers: list[list[bytes]]
+    body: bytes
+
+
+class Strike(Message):
+    """A target died while it ran a request with this fingerprint."""
+
+    __slots__ = ("fingerprint", "number", "target")
+    TYPE = 15
+    fingerprint: bytes
+    target: str
+    number: int
+
+
+class StrikeConfirmed(Message):
+    """The receiver recorded a strike."""
+
+    __slots__ = ("number",)
+    TYPE = 16
+    number: int
+
+
+class TargetLeaving(Message):
+    """A target takes no new work from now on."""
+
+    __slots__ = ("target",)
+    TYPE = 17
+    target: str
+
+
+class LiftQuarantine(Message):
+    """An operator lifted a quarantine, or a success cleared its strikes."""
+
+    __slots__ = ("fingerprint",)
+    TYPE = 18
+    fingerprint: bytes
+
+
+class Goodbye(Message):
+    """The sender stops now."""
+
+    __slots__ = ()
+    TYPE = 19
+
+
+class SuspectBegin(Message):
+    """Request to the arbiter of a fingerprint to run it once."""
+
+    __slots__ = ("call", "fingerprint")
+    TYPE = 20
+    fingerprint: bytes
+    call: int
+
+
+class SuspectEnd(Message):
+    """Answer to `SuspectBegin` (allowed or not), or the end of a permitted run."""
+
+    __slots__ = ("allowed", "call", "fingerprint")
+    TYPE = 21
+    fingerprint: bytes
+    call: int
+    allowed: bool
+
+
+def _message_types() -> dict[int, type[Message]]:
+    return {kind.TYPE: kind for kind in Message.__subclasses__()}
+
+
+_TYPES = _message_types()
+
+# Field types that a decoded message must have, by annotation name.
+_CHECKS: dict[str, type | tuple[type, ...]] = {
+    "int": int,
+    "str": str,
+    "bytes": bytes,
+    "bool": bool,
+}
+
+
+def encode_messages(messages: list[Message]) -> bytes:
+    """CBOR form of the messages that share one frame."""
+    return cbor2.dumps([message.as_list() for message in messages])
+
+
+def decode_messages(data: bytes) -> Result[list[Message], str]:
+    """Messages of one frame; fails with a description of what is malformed."""
+    try:
+        items = cbor2.loads(data)
+    except (cbor2.CBORDecodeError, ValueError, RecursionError, OverflowError) as error:
+        return Failure(f"not CBOR: {error}")
+    if not isinstance(items, list):
+        return Failure("not an array of messages")
+    messages: list[Message] = []
+    for item in items:
+        message = _decode_message(item)
+        if message is None:
+            return Failure(f"malformed message {str(item)[:80]}")
+        messages.append(message)
+    return Success(messages)
+
+
+def _decode_message(item: object) -> Message | None:
+    if not isinstance(item, list) or not item or not isinstance(item[0], int):
+        return None
+    kind = _TYPES.get(item[0])
+    if kind is None or len(item) != len(kind.__slots__) + 1:
+        return None
+    for name, value in zip(kind.__slots__, item[1:], strict=True):
+        annotation = kind.__annotations__[name]
+        if not _has_type(value, getattr(annotation, "__name__", str(annotation))):
+            return None
+    return kind(*item[1:])
+
+
+def _has_type(value: object, name: str) -> bool:
+    if name == "list":
+        return isinstance(value, list)
+    if name == "int" and isinstance(value, bool):
+        return False
+    return isinstance(value, _CHECKS[name])
--- /dev/null
+++ b/src/dotterelstand/process/mesh.py
@@ -0,0 +1,47 @@
+"""What the parts of a process need from the links to other entry hosts."""
+
+from collections.abc import Callable
+from typing import Protocol, TypeVar
+
+from dotterelstand.connection.wire import Message
+
+M = TypeVar("M", bound=Message)
+
+
+class Member:
+    """A live entry host."""
+
+    __slots__ = ("availability_zone", "host", "leaving", "region")
+
+    def __init__(self, host: str, region: str, availability_zone: str, leaving: bool) -> None:
+        self.host = host
+        self.region = region
+        self.availability_zone = availability_zone
+        self.leaving = leaving
+
+
+class Mesh(Protocol):
+    """Sends messages to other entry hosts and knows which of them live."""
+
+    @property
+    def host(self) -> str:
+        """Name of this host."""
+
+    @property
+    def region(self) -> str:
+        """Region of this host."""
+
+    def members(self) -> tuple[Member, ...]:
+        """Live entry hosts, this one included, sorted by name."""
+
+    def send(self, host: str, message: Message) -> bool:
+        """Queue a message for a host; False if there is no link or its queue is full.
+
+        A message to this host itself is handed to its subscribers.
+        """
+
+    def broadcast(self, message: Message) -> int:
+        """Queue a message for every other linked host; returns how many."""
+
+    def subscribe(self, kind: type[M], handler: Callable[[str, M], None]) -> None:
+        """Call `handler(sender, message)` for each message of a type."""
--- /dev/null
+++ b/src/dotterelstand/request/head.py
@@ -0,0 +1,120 @@
+"""Checked head of a caller's request."""
+
+import h11
+from returns.result import Failure, Result, Success
+
+from dotterelstand.codes import Result as ResultCode
+
+DEADLINE_HEADER = b"dotterelstand-deadline-ms"
+TENANT_HEADER = b"dotterelstand-tenant"
+KEY_HEADER = b"idempotency-key"
+RUN_HEADER = b"dotterelstand-run"
+RESULT_HEADER = b"dotterelstand-result"
+LOAD_HEADER = b"dotterelstand-load"
+DRAINING_HEADER = b"dotterelstand-draining"
+
+MAX_KEY_BYTES = 255
+MAX_TENANT_BYTES = 64
+
+# RFC 9110 section 7.6.1 and fields that only dotterelstand may set.
+_NOT_FORWARDED = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"upgrade",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"expect",
+        DEADLINE_HEADER,
+        RESULT_HEADER,
+        RUN_HEADER,
+    }
+)
+
+Headers = list[tuple[bytes, bytes]]
+
+
+class RequestHead:
+    """Fields of a request head that dotterelstand acts on."""
+
+    __slots__ = ("deadline_s", "expects_continue", "headers", "key", "method", "path", "tenant")
+
+    def __init__(
+        self,
+        method: str,
+        path: str,
+        headers: Headers,
+        key: bytes | None,
+        tenant: str,
+        deadline_s: float | None,
+        expects_continue: bool,
+    ) -> None:
+        self.method = method
+        self.path = path
+        self.headers = headers
+        self.key = key
+        self.tenant = tenant
+        self.deadline_s = deadline_s
+        self.expects_continue = expects_continue
+
+    def has_body(self) -> bool:
+        """Whether the head announces a body."""
+        return any(
+            name == b"transfer-encoding" or (name == b"content-length" and value.strip() != b"0")
+            for name, value in self.headers
+        )
+
+
+def read_head(request: h11.Request) -> Result[RequestHead, ResultCode]:
+    """Check a parsed head; fails with the result code of the refusal."""
+    headers: Headers = [(bytes(name), bytes(value)) for name, value in request.headers]
+    names = [name for name, _ in headers]
+    if b"transfer-encoding" in names and b"content-length" in names:
+        # Both together are the classic request smuggling vector (RFC 9112 section 6.3).
+        return Failure(ResultCode.BAD_REQUEST)
+    values = dict(headers)
+    if names.count(KEY_HEADER) > 1 or len(values.get(KEY_HEADER, b"")) > MAX_KEY_BYTES:
+        return Failure(ResultCode.BAD_REQUEST)
+    tenant = values.get(TENANT_HEADER, b"")[:MAX_TENANT_BYTES].decode("latin-1") or "default"
+    deadline_s: float | None = None
+    if DEADLINE_HEADER in values:
+        text = values[DEADLINE_HEADER]
+        if not text.isdigit() or len(text) > 9:
+            return Failure(ResultCode.BAD_REQUEST)
+        deadline_s = int(text) / 1000
+    target = bytes(request.target)
+    if not target.startswith(b"/"):
+        return Failure(ResultCode.BAD_REQUEST)
+    return Success(
+        RequestHead(
+            bytes(request.method).decode("ascii"),
+            target.decode("latin-1"),
+            headers,
+            values.get(KEY_HEADER),
+            tenant,
+            deadline_s,
+            values.get(b"expect", b"").lower() == b"100-continue",
+        )
+    )
+
+
+def forwarded_headers(head: RequestHead, remaining_s: float) -> Headers:
+    """Headers of the request to a target, with the deadline counted down."""
+    dropped = set(_NOT_FORWARDED)
+    for name, value in head.headers:
+        if name == b"connection":
+            dropped.update(token.strip().lower() for token in value.split(b","))
+    headers = [(name, value) for name, value in head.headers if name not in dropped]
+    headers.append((DEADLINE_HEADER, b"%d" % max(1, int(remaining_s * 1000))))
+    return headers
+
+
+def returned_headers(headers: Headers) -> Headers:
+    """Headers of a target's answer that go on to the caller."""
+    return [(name, value) for name, value in headers if name not in _NOT_RETURNED]
+
+
+_NOT_RETURNED = _NOT_FORWARDED | {LOAD_HEADER, DRAINING_HEADER}
