Count results and record latencies in bounded memory

Cause: no part could count what it did, and latencies were not kept by service, class and tenant.

Ruled out: one statsd datagram per increment, because a system call per counter and request costs more than the request path can spare; three significant digits, because a series would take 139 kB.

Change: Metrics keeps counters and HDR histograms, with one overflow series beyond metrics.max_series. A statsd sink sends increments each metrics.flush_interval_s over a non-blocking UDP socket and counts what it drops. The daemon counts result codes and records latencies.

Conclusion: other parts can count through Metrics.count.

--- a/src/dotterelstand/process/daemon.py
+++ b/src/dotterelstand/process/daemon.py
@@ -14,8 +14,10 @@
 from dotterelstand.connection.target import close_now
 from dotterelstand.events import Event, log
 from dotterelstand.process.balancer import LocalBalancer
+from dotterelstand.process.metrics import build_metrics
 from dotterelstand.process.store import StoreClient
 from dotterelstand.request.exchange import Exchange
+from dotterelstand.request.head import RequestHead
 from dotterelstand.settings import Settings
 from dotterelstand.version.document import Document, build_document
 
@@ -26,6 +28,7 @@
     __slots__ = (
         "_balancer",
         "_document",
+        "_metrics",
         "_network",
         "_pool",
         "_settings",
@@ -38,6 +41,7 @@
         self._settings = settings
         self._network = network
         self._document: Document | None = None
+        self._metrics = build_metrics(settings)
         self._stopping = trio.Event()
         self._balancer = LocalBalancer(rng)
         self._pool = TargetPool(
@@ -65,6 +69,7 @@
         log(Event.DAEMON_STARTED, port=self.port)
         async with trio.open_nursery() as background:
             background.start_soon(self._follow_document)
+            background.start_soon(self._flush_metrics)
             async with trio.open_nursery() as callers:
                 accepting = trio.CancelScope()
                 callers.start_soon(self._accept, listener, callers, accepting)
@@ -73,6 +78,7 @@
                 await trio.sleep(self._settings.number("listen", "close_grace_s"))
                 accepting.cancel()
             background.cancel_scope.cancel()
+        self._metrics.flush()
         log(Event.DAEMON_STOPPED)
 
     async def serve_caller(self, stream: trio.abc.Stream) -> None:
@@ -94,16 +100,33 @@
         if head is None:
             return False
         if isinstance(head, ResultCode):
+            self._metrics.count(f"requests.result.{head:d}")
             await connection.refuse(head)
             return False
         if self._document is None:
+            self._metrics.count(f"requests.result.{ResultCode.NO_CONFIGURATION:d}")
             await connection.refuse(ResultCode.NO_CONFIGURATION)
             return False
+        started = trio.current_time()
         exchange = Exchange(connection, head, self._document, self._pool, self._balancer)
         code = await exchange.run()
+        self._record_request(self._document, head, code, trio.current_time() - started)
         log(Event.REQUEST_ENDED, code=code, path=head.path)
         return connection.start_next_cycle()
 
+    def _record_request(
+        self, document: Document, head: RequestHead, code: ResultCode, seconds: float
+    ) -> None:
+        self._metrics.count(f"requests.result.{code:d}")
+        route = document.find_route(head.path, head.method)
+        if route is not None:
+            self._metrics.record_latency(route.service, route.klass, head.tenant, seconds)
+
+    async def _flush_metrics(self) -> None:
+        while True:
+            await trio.sleep(self._settings.number("metrics", "flush_interval_s"))
+            self._metrics.flush()
+
     async def _accept(
         self, listener: Listener, callers: trio.Nursery, accepting: trio.CancelScope
     ) -> None:
--- /dev/null
+++ b/tests/test_metrics.py
@@ -0,0 +1,63 @@
+"""Counters and histograms stay within their bounds and merge over hosts."""
+
+import socket
+
+import pytest
+
+from dotterelstand.process.metrics import OVERFLOW, Metrics, Series, StatsdSink, merge_series
+
+
+def test_series_stay_within_bound() -> None:
+    """Guards against memory growth when callers send ever new tenant names."""
+    metrics = Metrics(max_series=4)
+    for index in range(100):
+        metrics.record_latency("quote", "bulk", f"tenant-{index}", 0.001)
+        metrics.count(f"requests.result.{index}")
+    merged = merge_series([metrics.snapshot().series])
+    assert len(merged) == 4
+    assert merged[OVERFLOW].total_count == 97
+    assert len(metrics.snapshot().counters) <= 5
+
+
+def test_histograms_merge_over_hosts() -> None:
+    """Guards against quantiles averaged over hosts instead of taken from merged counts."""
+    slow, fast = Metrics(8), Metrics(8)
+    slow.record_latency("quote", "bulk", "a", 1.0)
+    for _ in range(99):
+        fast.record_latency("quote", "bulk", "a", 0.001)
+    merged = merge_series([slow.snapshot().series, fast.snapshot().series])
+    histogram = merged["quote", "bulk", "a"]
+    assert histogram.total_count == 100
+    assert histogram.get_value_at_percentile(50) == pytest.approx(1000, rel=0.01)
+    assert histogram.get_value_at_percentile(100) == pytest.approx(1_000_000, rel=0.01)
+
+
+def test_merge_names_bad_encoding() -> None:
+    """Guards against a crash of the tool on a damaged answer."""
+    with pytest.raises(ValueError, match="not an encoded histogram"):
+        merge_series([[Series("quote", "bulk", "a", "no histogram")]])
+
+
+def test_statsd_gets_increments_once() -> None:
+    """Guards against totals sent as increments, which statsd would add up again."""
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as receiver:
+        receiver.bind(("127.0.0.1", 0))
+        receiver.settimeout(5)
+        port = receiver.getsockname()[1]
+        with Metrics(8, StatsdSink("127.0.0.1", port, "edge")) as metrics:
+            metrics.count("requests.result.1000", 3)
+            metrics.flush()
+            metrics.flush()
+            metrics.count("requests.result.1000", 2)
+        assert receiver.recv(600) == b"edge.requests.result.1000:3|c"
+        assert receiver.recv(600) == b"edge.requests.result.1000:2|c"
+
+
+def test_blocked_statsd_is_counted() -> None:
+    """Guards against a loop that blocks or fails because statsd cannot be reached."""
+    metrics = Metrics(8, StatsdSink("127.0.0.1", 1, "edge"))
+    assert metrics._sink is not None
+    metrics._sink._client._sock.close()
+    metrics.count("requests.result.1000")
+    metrics.flush()
+    assert metrics.value("metrics.datagrams_dropped") == 1
