Add the control port

Cause: operators could not see the state of a host or ask it to drain.

Ruled out: reusing the stand-ins' HTTP server, which keeps whole bodies of any size and has no timeout; one method per page on the daemon, because parts of other areas register later.

Change: ControlRegistry holds providers, readiness checks and actions by name; ControlPort serves them as JSON over h11 on the Network interface. Tokens are compared in constant time, and health and readiness are open. Connections, body size and time per call are bounded by settings. A page that fails is logged (event 121) and answered with 500 and code 4205.

Conclusion: parts register as the docstring of process/control.py says.

--- a/src/dotterelstand/events.py
+++ b/src/dotterelstand/events.py
@@ -7,13 +7,15 @@
 
 
 class Event(IntEnum):
-    """Number of a log event; docs/events.md describes each."""
+    """Number of a log event; docs/log-events.md describes each."""
 
     DAEMON_STARTED = 100
     DAEMON_READY = 101
     DAEMON_STOPPING = 102
     DAEMON_STOPPED = 103
     SETTINGS_INVALID = 110
+    CONTROL_ACTION = 120
+    CONTROL_FAILED = 121
     INVARIANT_BROKEN = 190
 
     REQUEST_ENDED = 200
@@ -29,6 +31,7 @@
 _WARNINGS = frozenset(
     {
         Event.SETTINGS_INVALID,
+        Event.CONTROL_FAILED,
         Event.REQUEST_REJECTED,
         Event.DOCUMENT_REJECTED,
         Event.STORE_UNAVAILABLE,
--- a/src/dotterelstand/process/daemon.py
+++ b/src/dotterelstand/process/daemon.py
@@ -14,7 +14,9 @@
 from dotterelstand.connection.target import close_now
 from dotterelstand.events import Event, log
 from dotterelstand.process.balancer import LocalBalancer
+from dotterelstand.process.control import ControlPort, ControlRegistry
 from dotterelstand.process.metrics import build_metrics
+from dotterelstand.process.pages import DaemonState, register_pages
 from dotterelstand.process.store import StoreClient
 from dotterelstand.request.exchange import Exchange
 from dotterelstand.request.head import RequestHead
@@ -27,13 +29,17 @@
 
     __slots__ = (
         "_balancer",
+        "_control",
         "_document",
         "_metrics",
         "_network",
         "_pool",
+        "_registry",
         "_settings",
+        "_state",
         "_stopping",
         "_store",
+        "control_port",
         "port",
     )
 
@@ -54,7 +60,12 @@
         self._store = StoreClient(
             url.hostname or "", url.port or 80, network, settings.number("store", "timeout_s")
         )
+        self._registry = ControlRegistry()
+        self._state = DaemonState(lambda: self._document, self._stopping.is_set, self.stop)
+        register_pages(self._registry, settings, self._metrics, self._state)
+        self._control = ControlPort(settings, self._registry, self._metrics)
         self.port = 0
+        self.control_port = 0
 
     def stop(self) -> None:
         """Begin a graceful stop."""
@@ -67,7 +78,11 @@
         )
         self.port = listener.port
         log(Event.DAEMON_STARTED, port=self.port)
+        control = await self._control.listen(self._network)
+        self.control_port = control.port
+        self._state.started_s = trio.current_time()
         async with trio.open_nursery() as background:
+            background.start_soon(self._control.serve, control)
             background.start_soon(self._follow_document)
             background.start_soon(self._flush_metrics)
             async with trio.open_nursery() as callers:
