Add the command-line tool over the control ports

Cause: the control port had no client, and histograms of several hosts could not be read together.

Change: cli/ has a control port client that calls all hosts at once, tables and JSON, histograms merged over hosts with a PNG plot, quarantine, drain and settings commands. ExitCode numbers the exit codes and docs/exit-codes.md describes them.

--- a/src/dotterelstand/process/main.py
+++ b/src/dotterelstand/process/main.py
@@ -11,11 +11,10 @@
 from returns.pipeline import is_successful
 
 from dotterelstand.connection.network import TcpNetwork
+from dotterelstand.exits import ExitCode
 from dotterelstand.process.daemon import Daemon
 from dotterelstand.settings import Settings, load_settings
 
-EXIT_SETTINGS = 3
-
 
 def run_daemon(settings: str) -> None:
     """Run one entry daemon with a TOML settings file."""
@@ -23,7 +22,7 @@
     if not is_successful(result):
         for error in result.failure():
             print(error, file=sys.stderr)
-        sys.exit(EXIT_SETTINGS)
+        sys.exit(ExitCode.SETTINGS_INVALID)
     logging.set_verbosity(logging.INFO)
     logging.use_absl_handler()
     trio.run(_serve, result.unwrap())
--- a/tests/support_operation.py
+++ b/tests/support_operation.py
@@ -1,10 +1,21 @@
 """Shared helpers for the tests of what operators use."""
 
 import json
+import queue
+import threading
+from collections.abc import Iterator
+from contextlib import contextmanager
 
 import h11
+import pytest
 import trio
 
+from dotterelstand.cli.main import run_tool
+from dotterelstand.connection.network import TcpNetwork
+from dotterelstand.process.control import ControlPort, ControlRegistry
+from dotterelstand.process.metrics import Metrics
+from dotterelstand.settings import parse_settings
+
 TOKEN = "operator-token-1"
 TOKEN_SETTINGS = f'[control]\ntokens = ["{TOKEN}"]\nport = 0\n'
 
@@ -29,3 +40,36 @@
         elif isinstance(event, h11.Data):
             parts.append(bytes(event.data))
     return status, json.loads(b"".join(parts))
+
+
+@contextmanager
+def control_port_thread(registry: ControlRegistry) -> Iterator[int]:
+    """Serve a control port on a free TCP port from a thread; yields the port."""
+    ports: queue.Queue[tuple[int, trio.lowlevel.TrioToken, trio.CancelScope]] = queue.Queue()
+
+    async def main() -> None:
+        control = ControlPort(parse_settings(TOKEN_SETTINGS, "t").unwrap(), registry, Metrics(8))
+        listener = await control.listen(TcpNetwork())
+        with trio.CancelScope() as scope:
+            ports.put((control.port, trio.lowlevel.current_trio_token(), scope))
+            await control.serve(listener)
+
+    thread = threading.Thread(target=trio.run, args=(main,))
+    thread.start()
+    port, token, scope = ports.get()
+    try:
+        yield port
+    finally:
+        trio.from_thread.run_sync(scope.cancel, trio_token=token)
+        thread.join()
+
+
+def run_command(capsys: pytest.CaptureFixture[str], *command: str) -> tuple[int, str, str]:
+    """Exit code, output and errors of one command line."""
+    try:
+        run_tool(list(command))
+        code = 0
+    except SystemExit as end:
+        code = int(end.code or 0)
+    out, err = capsys.readouterr()
+    return code, out, err
