Check ranges of settings and the completeness of the reference tables

Cause: settings were checked for types only, and nothing showed a code, event, counter or setting that the reference pages leave out.

Ruled out: ranges by the suffix of a key, because a wrong suffix would silently give a wrong range.

Change: settings_rules.py holds a rule per key and the checks between keys. docs/ describes settings, counters, error, exit and result codes; tests/test_docs.py compares each page with the code, fields of log events and defaults of settings included.

Conclusion: a new key, code, event or counter fails test_docs.py until its row is written.

--- a/src/dotterelstand/process/metrics.py
+++ b/src/dotterelstand/process/metrics.py
@@ -80,7 +80,8 @@
     def __init__(self, max_series: int, sink: StatsdSink | None = None) -> None:
         self._max_series = max_series
         self._sink = sink
-        self._counters: dict[str, int] = {}
+        # Present from the start, so that counting what does not fit always has room.
+        self._counters: dict[str, int] = {"metrics.counters_overflowed": 0}
         self._sent: dict[str, int] = {}
         self._series: dict[SeriesKey, HdrHistogram] = {}
 
@@ -101,7 +102,8 @@
         """Add to a counter; docs/counters.md lists the names."""
         assert amount >= 0, (name, amount)
         if name not in self._counters and len(self._counters) >= self._max_series:
-            name = "metrics.counters_overflowed"
+            self.count("metrics.counters_overflowed", amount)
+            return
         self._counters[name] = self._counters.get(name, 0) + amount
 
     def record_latency(self, service: str, klass: str, tenant: str, seconds: float) -> None:
--- a/src/dotterelstand/settings.py
+++ b/src/dotterelstand/settings.py
@@ -7,6 +7,8 @@
 
 from returns.result import Failure, Result, Success
 
+from dotterelstand.settings_rules import RULES, find_conflicts
+
 
 class SettingsError:
     """A settings key with a value that is not allowed."""
@@ -28,6 +30,8 @@
 UNKNOWN_KEY = 4002
 WRONG_TYPE = 4003
 UNREADABLE = 4004
+NOT_ALLOWED = 4005
+CONFLICTING = 4006
 
 
 class Settings:
@@ -100,6 +104,8 @@
                 values[section][key] = value
             else:
                 errors.append(problem)
+    if not errors:
+        errors.extend(_check_together(values, source))
     return Failure(errors) if errors else Success(Settings(values))
 
 
@@ -116,13 +122,24 @@
         allowed = "one of the keys " + ", ".join(defaults)
         return SettingsError(UNKNOWN_KEY, source, name, value, allowed)
     default = defaults[key]
-    if isinstance(default, float) and isinstance(value, int) and not isinstance(value, bool):
-        return None
-    if type(value) is not type(default):
+    whole = isinstance(value, int) and not isinstance(value, bool)
+    if type(value) is not type(default) and not (isinstance(default, float) and whole):
         allowed = f"a value like {default!r}"
         return SettingsError(WRONG_TYPE, source, name, value, allowed)
     if isinstance(value, list) and not all(isinstance(item, str) for item in value):
         return SettingsError(WRONG_TYPE, source, name, value, "a list of strings")
-    if isinstance(value, int | float) and not isinstance(value, bool) and value < 0:
-        return SettingsError(WRONG_TYPE, source, name, value, "a number that is not negative")
+    rule = RULES.get(section, {}).get(key)
+    if rule is not None and not rule.accepts(value):
+        if name == "control.tokens":
+            value = "(hidden)"
+        return SettingsError(NOT_ALLOWED, source, name, value, rule.allowed)
     return None
+
+
+def _check_together(values: dict[str, dict[str, Any]], source: str) -> list[SettingsError]:
+    errors = []
+    for conflict in find_conflicts(values):
+        section, _, key = conflict.key.partition(".")
+        found = values[section][key]
+        errors.append(SettingsError(CONFLICTING, source, conflict.key, found, conflict.allowed))
+    return errors
--- /dev/null
+++ b/tests/test_docs.py
@@ -0,0 +1,149 @@
+"""The reference tables in docs/ are complete and say what the code says."""
+
+import ast
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from dotterelstand.codes import Result
+from dotterelstand.events import Event
+from dotterelstand.exits import ExitCode
+from dotterelstand.settings import default_settings
+from dotterelstand.settings_rules import RULES
+
+ROOT = Path(__file__).parent.parent
+SOURCES = sorted((ROOT / "src").rglob("*.py"))
+PAGES = sorted([*ROOT.glob("*.md"), *(ROOT / "docs").glob("*.md")])
+
+
+def _rows(name: str) -> dict[str, list[str]]:
+    """Rows of the tables of a page by their first cell, without quotes."""
+    rows: dict[str, list[str]] = {}
+    lines = (ROOT / "docs" / name).read_text(encoding="utf-8").splitlines()
+    for line, following in zip(lines, [*lines[1:], ""], strict=True):
+        is_head = following.startswith("| --")
+        if not line.startswith("| ") or line.startswith("| --") or is_head:
+            continue
+        cells = [cell.strip().strip("`") for cell in line.strip().strip("|").split(" | ")]
+        assert cells[0] not in rows, f"{name}: two rows for {cells[0]}"
+        rows[cells[0]] = cells
+    return rows
+
+
+def _calls() -> Iterator[tuple[Path, ast.Call]]:
+    for path in SOURCES:
+        for node in ast.walk(ast.parse(path.read_text(encoding="utf-8"))):
+            if isinstance(node, ast.Call):
+                yield path, node
+
+
+def _name_pattern(node: ast.expr) -> str | None:
+    """Counter name of an argument, with `<>` for each value that is filled in."""
+    if isinstance(node, ast.Constant) and isinstance(node.value, str):
+        return node.value
+    if isinstance(node, ast.JoinedStr):
+        parts = [part.value if isinstance(part, ast.Constant) else "<>" for part in node.values]
+        return "".join(map(str, parts))
+    return None
+
+
+def _counted_names() -> set[str]:
+    names = set()
+    for path, call in _calls():
+        function = call.func
+        if not isinstance(function, ast.Attribute) or function.attr != "count" or not call.args:
+            continue
+        receiver = ast.unparse(function.value).lower()
+        if "metrics" not in receiver and (path.name, receiver) != ("metrics.py", "self"):
+            continue
+        choices = [call.args[0]]
+        if isinstance(choices[0], ast.IfExp):
+            choices = [choices[0].body, choices[0].orelse]
+        for choice in choices:
+            name = _name_pattern(choice)
+            assert name is not None, f"{path.name}:{call.lineno}: counter name is no literal"
+            names.add(name)
+    return names
+
+
+def test_result_codes_are_described() -> None:
+    """Guards against a result code that a caller cannot look up."""
+    rows = _rows("result-codes.md")
+    assert set(rows) == {str(int(code)) for code in Result}
+    for code in Result:
+        _, name, run, status, *_ = rows[str(int(code))]
+        shown = "of the target" if code < 2000 else str(code.http_status)
+        assert (name, run, status) == (code.name.lower(), code.run.value, shown)
+
+
+def test_log_events_are_described() -> None:
+    """Guards against a log line whose number or fields an operator cannot look up."""
+    rows = _rows("log-events.md")
+    assert set(rows) == {str(int(event)) for event in Event}
+    assert {row[1] for row in rows.values()} == {event.name.lower() for event in Event}
+    for path, call in _calls():
+        if not isinstance(call.func, ast.Name) or call.func.id != "log" or not call.args:
+            continue
+        name = ast.unparse(call.args[0])
+        if not name.startswith("Event."):
+            continue
+        row = rows[str(int(Event[name.removeprefix("Event.")]))]
+        described = {field.strip() for field in row[3].split(",")} if len(row) > 3 else set()
+        used = {keyword.arg for keyword in call.keywords if keyword.arg}
+        assert used <= described, f"{path.name}:{call.lineno}: {name}: {used - described}"
+
+
+def test_exit_codes_are_described() -> None:
+    """Guards against an exit code that a script cannot interpret."""
+    rows = _rows("exit-codes.md")
+    assert set(rows) == {str(int(code)) for code in ExitCode}
+    assert all(rows[str(int(code))][1] == code.name.lower() for code in ExitCode)
+
+
+def test_counters_are_described() -> None:
+    """Guards against a counter that an operator cannot look up, and a row for one that is gone."""
+    described = set()
+    for name in _rows("counters.md"):
+        parts = name.replace(">", "<").split("<")
+        described.add("<>".join(parts[::2]))
+    assert described == _counted_names()
+
+
+def test_error_codes_are_described() -> None:
+    """Guards against a numbered error message that an operator cannot look up."""
+    found: dict[str, str] = {}
+    for path in SOURCES:
+        for node in ast.parse(path.read_text(encoding="utf-8")).body:
+            if not isinstance(node, ast.Assign) or not isinstance(node.targets[0], ast.Name):
+                continue
+            value = node.value.value if isinstance(node.value, ast.Constant) else None
+            if isinstance(value, int) and 4000 < value < 6000 and value % 1000:
+                assert str(value) not in found, f"{path.name}: {value} is used twice"
+                found[str(value)] = node.targets[0].id.lower()
+    rows = _rows("error-codes.md")
+    assert {code: row[1] for code, row in rows.items()} == found
+
+
+@pytest.mark.parametrize("section", sorted(default_settings().as_dict()))
+def test_settings_are_described(section: str) -> None:
+    """Guards against a setting without a range or with a stale reference entry."""
+    rows = {name: row for name, row in _rows("settings.md").items() if "." in name}
+    values = default_settings().as_dict()[section]
+    documented = {name for name in rows if name.startswith(section + ".")}
+    assert documented == {f"{section}.{key}" for key in values}
+    assert set(RULES[section]) == set(values)
+    for key, value in values.items():
+        rule = RULES[section][key]
+        assert rule.accepts(value), f"{section}.{key}: default {value!r}; {rule.allowed}"
+        shown = str(value).lower() if isinstance(value, bool) else str(value) or '""'
+        assert rows[f"{section}.{key}"][1:3] == [shown, rule.allowed], f"{section}.{key}"
+
+
+@pytest.mark.parametrize("page", PAGES, ids=lambda page: page.name)
+def test_links_lead_somewhere(page: Path) -> None:
+    """Guards against a reader who follows a link to a page that is gone."""
+    text = page.read_text(encoding="utf-8")
+    for target in [part.split(")")[0] for part in text.split("](")[1:]]:
+        if not target.startswith(("http:", "https:", "#")):
+            assert (page.parent / target.split("#")[0]).exists(), target
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -16,7 +16,7 @@
     merged = merge_series([metrics.snapshot().series])
     assert len(merged) == 4
     assert merged[OVERFLOW].total_count == 97
-    assert len(metrics.snapshot().counters) <= 5
+    assert len(metrics.snapshot().counters) == 4
 
 
 def test_histograms_merge_over_hosts() -> None:
