Link entry hosts over websockets and keep their membership

Cause: announcements, grants and strikes need links between entry hosts, and every other part waits for an implementation of Mesh. Ruled out: the I/O of websockets, which is asyncio; incarnations from the wall clock, since a clock set back would make a new host look older, so a random number names each run and replaced ones are remembered. Change: PeerLink (sans-I/O websockets, bounded queue, one frame for all ready messages), Peers (Mesh, heartbeat, redial with jittered back-off, one link per pair), Membership, a full mesh to 24 hosts and a ring overlay above. Fields of wire messages are checked to the element type of lists. The host list is not read yet.

--- a/src/dotterelstand/connection/wire.py
+++ b/src/dotterelstand/connection/wire.py
@@ -1,6 +1,6 @@
 """Messages between entry hosts and their CBOR form."""
 
-from typing import ClassVar
+from typing import Any, ClassVar, get_args, get_origin
 
 import cbor2
 from returns.result import Failure, Result, Success
@@ -237,13 +237,18 @@
 
 _TYPES = _message_types()
 
-# Field types that a decoded message must have, by annotation name.
-_CHECKS: dict[str, type | tuple[type, ...]] = {
-    "int": int,
-    "str": str,
-    "bytes": bytes,
-    "bool": bool,
-}
+# Integers outside this range are refused, since CBOR allows numbers of any length.
+_INTEGER_LIMIT = 2**63
+
+
+def encode_message(message: Message) -> bytes:
+    """CBOR form of one message."""
+    return cbor2.dumps(message.as_list())
+
+
+def join_messages(parts: list[bytes]) -> bytes:
+    """One frame of messages that are already encoded: a CBOR array of indefinite length."""
+    return b"\x9f" + b"".join(parts) + b"\xff"
 
 
 def encode_messages(messages: list[Message]) -> bytes:
@@ -255,7 +260,7 @@
     """Messages of one frame; fails with a description of what is malformed."""
     try:
         items = cbor2.loads(data)
-    except (cbor2.CBORDecodeError, ValueError, RecursionError, OverflowError) as error:
+    except (cbor2.CBORError, ValueError, TypeError, RecursionError, OverflowError) as error:
         return Failure(f"not CBOR: {error}")
     if not isinstance(items, list):
         return Failure("not an array of messages")
@@ -275,15 +280,15 @@
     if kind is None or len(item) != len(kind.__slots__) + 1:
         return None
     for name, value in zip(kind.__slots__, item[1:], strict=True):
-        annotation = kind.__annotations__[name]
-        if not _has_type(value, getattr(annotation, "__name__", str(annotation))):
+        if not _has_type(value, kind.__annotations__[name]):
             return None
     return kind(*item[1:])
 
 
-def _has_type(value: object, name: str) -> bool:
-    if name == "list":
-        return isinstance(value, list)
-    if name == "int" and isinstance(value, bool):
-        return False
-    return isinstance(value, _CHECKS[name])
+def _has_type(value: object, expected: Any) -> bool:
+    if get_origin(expected) is list:
+        (element,) = get_args(expected)
+        return isinstance(value, list) and all(_has_type(item, element) for item in value)
+    if expected is int:
+        return type(value) is int and abs(value) < _INTEGER_LIMIT
+    return isinstance(value, expected)
--- a/src/dotterelstand/process/daemon.py
+++ b/src/dotterelstand/process/daemon.py
@@ -14,6 +14,7 @@
 from dotterelstand.connection.target import close_now
 from dotterelstand.events import Event, log
 from dotterelstand.process.balancer import LocalBalancer
+from dotterelstand.process.peers import Peers
 from dotterelstand.process.store import StoreClient
 from dotterelstand.request.exchange import Exchange
 from dotterelstand.settings import Settings
@@ -27,6 +28,7 @@
         "_balancer",
         "_document",
         "_network",
+        "_peers",
         "_pool",
         "_settings",
         "_stopping",
@@ -50,8 +52,14 @@
         self._store = StoreClient(
             url.hostname or "", url.port or 80, network, settings.number("store", "timeout_s")
         )
+        self._peers = Peers(settings, network, rng)
         self.port = 0
 
+    @property
+    def peers(self) -> Peers:
+        """Links to the other entry hosts."""
+        return self._peers
+
     def stop(self) -> None:
         """Begin a graceful stop."""
         self._stopping.set()
@@ -64,14 +72,17 @@
         self.port = listener.port
         log(Event.DAEMON_STARTED, port=self.port)
         async with trio.open_nursery() as background:
+            await background.start(self._peers.run)
             background.start_soon(self._follow_document)
             async with trio.open_nursery() as callers:
                 accepting = trio.CancelScope()
                 callers.start_soon(self._accept, listener, callers, accepting)
                 await self._stopping.wait()
                 log(Event.DAEMON_STOPPING)
+                self._peers.leave()
                 await trio.sleep(self._settings.number("listen", "close_grace_s"))
                 accepting.cancel()
+            await self._peers.say_goodbye()
             background.cancel_scope.cancel()
         log(Event.DAEMON_STOPPED)
 
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,92 @@
+"""Links between entry hosts."""
+
+import pytest
+import trio
+from fleet import PeerFleet
+
+from dotterelstand.connection.wire import Announce, StrikeConfirmed, TargetLeaving
+from dotterelstand.process.overlay import choose_peers
+from dotterelstand.standin.virtual import run_virtual
+
+
+async def _mesh(seed: int) -> None:
+    async with trio.open_nursery() as nursery:
+        fleet = PeerFleet(nursery, 16, seed)
+        for name in fleet.hosts:
+            await fleet.start(name)
+        await trio.sleep(2)
+        for peers in fleet.peers.values():
+            assert len(peers.linked()) == 15
+            assert [member.host for member in peers.members()] == sorted(fleet.hosts)
+        got: list[str] = []
+        for name, peers in fleet.peers.items():
+            peers.subscribe(TargetLeaving, lambda sender, _, name=name: got.append(name))
+        assert fleet.peers["entry-00"].broadcast(TargetLeaving("t-1")) == 15
+        await trio.sleep(0.1)
+        assert sorted(got) == sorted(set(fleet.hosts) - {"entry-00"})
+        counts = fleet.peers["entry-00"].counters()
+        assert counts["peers.sent_bytes.local"] > 0 and counts["peers.sent_bytes.other"] > 0
+        nursery.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_hosts_that_dial_each_other_end_with_one_link_per_pair(seed: int) -> None:
+    """Guards against two links, or none, after both ends dialled at the same time."""
+    run_virtual(_mesh, seed, seed=seed)
+
+
+async def _parting(seed: int) -> None:
+    async with trio.open_nursery() as nursery:
+        fleet = PeerFleet(nursery, 2, seed)
+        one, other = [await fleet.start(name) for name in fleet.hosts]
+        await trio.sleep(2)
+        fleet.network.part(*fleet.hosts.values())
+        await trio.sleep(5)
+        assert one.linked() == other.linked() == ()
+        assert [member.host for member in one.members()] == ["entry-00"]
+        fleet.network.heal(*fleet.hosts.values())
+        await trio.sleep(6)
+        assert one.linked() == ("entry-01",) and other.linked() == ("entry-00",)
+        nursery.cancel_scope.cancel()
+
+
+def test_silent_link_is_closed_and_opened_again() -> None:
+    """Guards against a link that stays silent for ever after a parting."""
+    run_virtual(_parting, 1, seed=1)
+
+
+async def _overfull(seed: int) -> None:
+    async with trio.open_nursery() as nursery:
+        fleet = PeerFleet(nursery, 2, seed)
+        one, other = [await fleet.start(name) for name in fleet.hosts]
+        await trio.sleep(2)
+        assert not one.send("entry-01", Announce("x" * 1_048_576, 1))
+        sent = sum(one.send("entry-01", StrikeConfirmed(n)) for n in range(5000))
+        assert sent == 1024
+        got: list[int] = []
+        other.subscribe(StrikeConfirmed, lambda _, message: got.append(message.number))
+        await trio.sleep(1)
+        assert got == list(range(1024))
+        assert one.counters()["peers.dropped"] == 5000 - 1024 + 1
+        nursery.cancel_scope.cancel()
+
+
+def test_queue_and_message_size_are_bounded() -> None:
+    """Guards against memory that grows with a peer that does not read."""
+    run_virtual(_overfull, 1, seed=1)
+
+
+@pytest.mark.parametrize("count", [2, 24, 25, 60, 150, 400])
+def test_overlay_is_symmetric_connected_and_sparse(count: int) -> None:
+    """Guards against hosts that no announcement reaches, and against links without bound."""
+    regions = {f"h{n}": f"r{n % 4}" for n in range(count)}
+    links = {host: choose_peers(host, regions) for host in regions}
+    assert all(host in links[peer] for host in links for peer in links[host])
+    reached, hops = {"h0"}, 0
+    while len(reached) < count:
+        grown = reached | {peer for host in reached for peer in links[host]}
+        assert grown > reached
+        reached, hops = grown, hops + 1
+    assert hops <= (1 if count <= 24 else 5)
+    if count > 24:
+        assert max(map(len, links.values())) <= 8 + 3 * 4
