Read the platform's host list and test the loss of hosts

Cause: members were known from heartbeats and seeds only. Ruled out: trusting the list alone, since it lags and keeps dead hosts.

--- a/src/dotterelstand/process/daemon.py
+++ b/src/dotterelstand/process/daemon.py
@@ -14,6 +14,7 @@
 from dotterelstand.connection.target import close_now
 from dotterelstand.events import Event, log
 from dotterelstand.process.balancer import LocalBalancer
+from dotterelstand.process.hostlist import HostListReader
 from dotterelstand.process.peers import Peers
 from dotterelstand.process.store import StoreClient
 from dotterelstand.request.exchange import Exchange
@@ -27,6 +28,7 @@
     __slots__ = (
         "_balancer",
         "_document",
+        "_hosts",
         "_network",
         "_peers",
         "_pool",
@@ -53,6 +55,13 @@
             url.hostname or "", url.port or 80, network, settings.number("store", "timeout_s")
         )
         self._peers = Peers(settings, network, rng)
+        self._hosts = HostListReader(
+            self._store,
+            self._peers,
+            settings.number("peers", "host_list_interval_s"),
+            settings.integer("peers", "port"),
+            rng,
+        )
         self.port = 0
 
     @property
@@ -73,6 +82,7 @@
         log(Event.DAEMON_STARTED, port=self.port)
         async with trio.open_nursery() as background:
             await background.start(self._peers.run)
+            background.start_soon(self._hosts.run)
             background.start_soon(self._follow_document)
             async with trio.open_nursery() as callers:
                 accepting = trio.CancelScope()
--- a/src/dotterelstand/process/membership.py
+++ b/src/dotterelstand/process/membership.py
@@ -141,9 +141,15 @@
             known_or_none = self._entry(item.host) if item.host != self._self.host else None
             if known_or_none is not None:
                 self._record_listed(known_or_none, item)
-        self._forget(now)
+        self.tidy(now)
         self._changed()
 
+    def tidy(self, now: float) -> None:
+        """Forget hosts that are neither listed nor heard, so that the table stays small."""
+        for host, known in list(self._known.items()):
+            if not known.listed and (known.gone or now >= self._expiry_s(known)):
+                del self._known[host]
+
     def expect(self, hosts: frozenset[str], now: float) -> None:
         """Name the hosts whose heartbeats this host should hear; others are never suspected."""
         for known in self._known.values():
@@ -215,10 +221,5 @@
         while len(self._retired) > self._max_members:
             self._retired.popitem(last=False)
 
-    def _forget(self, now: float) -> None:
-        for host, known in list(self._known.items()):
-            if not known.listed and (known.gone or now >= self._expiry_s(known)):
-                del self._known[host]
-
     def _changed(self) -> None:
         self._cached_until_s = -1.0
--- a/src/dotterelstand/process/peers.py
+++ b/src/dotterelstand/process/peers.py
@@ -345,6 +345,7 @@
         while True:
             self.broadcast(self._beat_message())
             now = trio.current_time()
+            self._membership.tidy(now)
             for link in tuple(self._links.values()):
                 if now - link.last_heard_s > self._silent_after_s:
                     link.close("silent")
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -1,15 +1,22 @@
 """Entry hosts over the in-memory network, shared by the tests of links and documents."""
 
+import random
+
 import trio
 
+from dotterelstand.process.hostlist import HostListReader, parse_host_list
 from dotterelstand.process.membership import ListedHost
 from dotterelstand.process.peers import Peers
+from dotterelstand.process.store import StoreClient
 from dotterelstand.settings import Settings, default_settings
+from dotterelstand.standin.httpd import serve_http
 from dotterelstand.standin.network import FakeNetwork
+from dotterelstand.standin.platform import ObjectStore
 from dotterelstand.standin.virtual import seeded_random
 
 REGIONS = ("tema", "kumasi", "takoradi")
 PEER_PORT = 8090
+STORE_ADDRESS, STORE_PORT = "tema/store", 8060
 
 
 def latency_s(source: str, destination: str) -> float:
@@ -35,16 +42,32 @@
 
 def listed(hosts: dict[str, str]) -> list[ListedHost]:
     """Host list that names every host as live."""
+    return parse_host_list(host_list(hosts), PEER_PORT)
+
+
+def host_list(hosts: dict[str, str]) -> list[dict[str, str]]:
+    """The same in the form in which the platform serves it."""
     return [
-        ListedHost(name, address, PEER_PORT, False, address.split("/")[0])
+        {"host": name, "address": f"{address}:{PEER_PORT}", "role": "entry", "state": "live"}
+        | {"region": address.split("/")[0]}
         for name, address in hosts.items()
     ]
 
 
-class PeerFleet:
-    """Peers of several hosts, each cancelled and replaced on its own."""
+async def serve_store(network: FakeNetwork, store: ObjectStore, nursery: trio.Nursery) -> None:
+    """Serve the stand-in of the platform's store until cancelled."""
+
+    async def handle(stream: trio.abc.Stream) -> None:
+        await serve_http(stream, store.handle)
+
+    listener = await network.at(STORE_ADDRESS).listen(STORE_ADDRESS, STORE_PORT)
+    await listener.serve(handle, nursery)
 
-    __slots__ = ("hosts", "network", "nursery", "peers", "scopes", "seed", "starts")
+
+class Fleet:
+    """Entry hosts with links and host lists, each crashed and replaced on its own."""
+
+    __slots__ = ("hosts", "network", "nursery", "peers", "scopes", "seed", "starts", "store")
 
     def __init__(self, nursery: trio.Nursery, count: int, seed: int) -> None:
         self.network = FakeNetwork(latency_s)
@@ -54,6 +77,14 @@
         self.scopes: dict[str, trio.CancelScope] = {}
         self.seed = seed
         self.starts = 0
+        self.store = ObjectStore()
+        self.store.hosts = host_list(self.hosts)
+        nursery.start_soon(serve_store, self.network, self.store, nursery)
+
+    async def start_all(self) -> None:
+        """Start every host at once."""
+        for name in self.hosts:
+            await self.start(name)
 
     async def start(self, name: str) -> Peers:
         """Start a host, as another incarnation each time."""
@@ -63,16 +94,29 @@
         peers = Peers(host_settings(name, address), self.network.at(address), rng)
         self.peers[name] = peers
         self.scopes[name] = trio.CancelScope()
-        await self.nursery.start(self._run, name, peers)
-        peers.read_host_list(listed(self.hosts))
+        await self.nursery.start(self._run, name, peers, rng)
         return peers
 
+    def store_client(self, name: str) -> StoreClient:
+        """Store client of a host."""
+        return StoreClient(STORE_ADDRESS, STORE_PORT, self.network.at(self.hosts[name]), 1.0)
+
     def crash(self, name: str) -> None:
         """End a host without a goodbye."""
         self.scopes[name].cancel()
         self.network.crash(self.hosts[name])
         del self.peers[name]
 
-    async def _run(self, name: str, peers: Peers, task_status: trio.TaskStatus[None]) -> None:
+    def views(self) -> list[list[str]]:
+        """Names of the live members as each running host sees them."""
+        return [[member.host for member in peers.members()] for peers in self.peers.values()]
+
+    async def _run(
+        self, name: str, peers: Peers, rng: random.Random, task_status: trio.TaskStatus[None]
+    ) -> None:
         with self.scopes[name]:
-            await peers.run(task_status=task_status)
+            async with trio.open_nursery() as nursery:
+                await nursery.start(peers.run)
+                reader = HostListReader(self.store_client(name), peers, 5.0, PEER_PORT, rng)
+                nursery.start_soon(reader.run)
+                task_status.started()
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -2,7 +2,7 @@
 
 import pytest
 import trio
-from fleet import PeerFleet
+from fleet import Fleet
 
 from dotterelstand.connection.wire import Announce, StrikeConfirmed, TargetLeaving
 from dotterelstand.process.overlay import choose_peers
@@ -11,9 +11,8 @@
 
 async def _mesh(seed: int) -> None:
     async with trio.open_nursery() as nursery:
-        fleet = PeerFleet(nursery, 16, seed)
-        for name in fleet.hosts:
-            await fleet.start(name)
+        fleet = Fleet(nursery, 16, seed)
+        await fleet.start_all()
         await trio.sleep(2)
         for peers in fleet.peers.values():
             assert len(peers.linked()) == 15
@@ -37,7 +36,7 @@
 
 async def _parting(seed: int) -> None:
     async with trio.open_nursery() as nursery:
-        fleet = PeerFleet(nursery, 2, seed)
+        fleet = Fleet(nursery, 2, seed)
         one, other = [await fleet.start(name) for name in fleet.hosts]
         await trio.sleep(2)
         fleet.network.part(*fleet.hosts.values())
@@ -57,7 +56,7 @@
 
 async def _overfull(seed: int) -> None:
     async with trio.open_nursery() as nursery:
-        fleet = PeerFleet(nursery, 2, seed)
+        fleet = Fleet(nursery, 2, seed)
         one, other = [await fleet.start(name) for name in fleet.hosts]
         await trio.sleep(2)
         assert not one.send("entry-01", Announce("x" * 1_048_576, 1))
