Select targets through a slot broker

Cause: two choices with local knowledge collide between entry hosts, since an instance has only 2 or 4 slots. Ruled out: names in slot messages, since indexes and packed integers carry the same in one or two bytes. Change: SlotBroker with its decision classes (queue, health, slot index, choosers, dispatcher, measuring budget); the exchange and the daemon use it.

--- a/src/dotterelstand/connection/wire.py
+++ b/src/dotterelstand/connection/wire.py
@@ -87,19 +87,21 @@
 
 
 class Acquire(Message):
-    """Request to the dispatcher of a service for one slot."""
+    """Request to the dispatcher of a service for one slot.
 
-    __slots__ = ("call", "klass", "remaining_ms", "service", "tenant")
+    `service` is the index in the sorted service names of the document; `need` packs class, tenant
+    and deadline (`process/slotcodec.py`).
+    """
+
+    __slots__ = ("call", "need", "service")
     TYPE = 7
     call: int
-    service: str
-    klass: int
-    tenant: int
-    remaining_ms: int
+    need: int
+    service: int
 
 
 class Grant(Message):
-    """A slot on a target, given to one call."""
+    """A slot on a target (index in the service's targets), given to one call."""
 
     __slots__ = ("call", "target")
     TYPE = 8
@@ -108,13 +110,12 @@
 
 
 class Release(Message):
-    """The end of a granted call: outcome number and duration in milliseconds."""
+    """The end of a granted or waiting call; `result` packs outcome and duration."""
 
-    __slots__ = ("call", "duration_ms", "outcome")
+    __slots__ = ("call", "result")
     TYPE = 9
     call: int
-    outcome: int
-    duration_ms: int
+    result: int
 
 
 class Refuse(Message):
--- a/src/dotterelstand/process/balancer.py
+++ b/src/dotterelstand/process/balancer.py
@@ -1,38 +1,77 @@
-"""Chooses a target from what one entry host knows by itself."""
+"""Choosers of a target: the dispatcher's, the local two choices, and simple baselines."""
 
 import random
+from typing import Protocol
 
-from dotterelstand.version.document import Service, Target
+from dotterelstand.process.health import HealthTable
 
 
-class LocalBalancer:
-    """Two random choices, compared by own requests in flight and reported load."""
+class Chooser(Protocol):
+    """Picks the position of an open target that is not excluded, or None."""
 
-    __slots__ = ("_in_flight", "_random", "_reported")
+    def choose(self, table: HealthTable, excluded: frozenset[int], now: float) -> int | None:
+        """Position in the table; `now` in seconds."""
+
+
+class LeastOccupied:
+    """Least occupied of all open targets, ties broken at random."""
+
+    __slots__ = ("_random",)
+
+    def __init__(self, rng: random.Random) -> None:
+        self._random = rng
+
+    def choose(self, table: HealthTable, excluded: frozenset[int], now: float) -> int | None:
+        """See `Chooser`."""
+        return table.index.least(self._random, excluded)
+
+
+class TwoChoices:
+    """Less loaded of two random targets, by own requests and reported load."""
+
+    __slots__ = ("_random",)
 
     def __init__(self, rng: random.Random) -> None:
         self._random = rng
-        self._in_flight: dict[str, int] = {}
-        self._reported: dict[str, int] = {}
 
-    def choose(self, service: Service, excluded: frozenset[str]) -> Target | None:
-        """Less loaded of two random targets that are not excluded, or None."""
-        usable = [target for target in service.targets if target.name not in excluded]
-        if not usable:
+    def choose(self, table: HealthTable, excluded: frozenset[int], now: float) -> int | None:
+        """See `Chooser`."""
+        first = table.index.open.pick(self._random, excluded)
+        if first is None:
             return None
-        first, second = self._random.choice(usable), self._random.choice(usable)
-        return first if self._load(first) <= self._load(second) else second
-
-    def start(self, target: Target) -> None:
-        """Count a request that is sent to a target."""
-        self._in_flight[target.name] = self._in_flight.get(target.name, 0) + 1
-
-    def finish(self, target: Target, reported: int | None) -> None:
-        """Count the end of a request, with the load that the answer reported."""
-        self._in_flight[target.name] -= 1
-        if reported is not None:
-            self._reported[target.name] = reported
-
-    def _load(self, target: Target) -> float:
-        own = self._in_flight.get(target.name, 0)
-        return max(own, self._reported.get(target.name, 0)) / target.slots
+        second = table.index.open.pick(self._random, excluded | {first})
+        if second is None:
+            return first
+        return first if table.load(first, now) <= table.load(second, now) else second
+
+
+class RandomChoice:
+    """Baseline: any open target."""
+
+    __slots__ = ("_random",)
+
+    def __init__(self, rng: random.Random) -> None:
+        self._random = rng
+
+    def choose(self, table: HealthTable, excluded: frozenset[int], now: float) -> int | None:
+        """See `Chooser`."""
+        return table.index.open.pick(self._random, excluded)
+
+
+class RoundRobin:
+    """Baseline: open targets in turn."""
+
+    __slots__ = ("_next",)
+
+    def __init__(self, rng: random.Random) -> None:
+        self._next = rng.randrange(1 << 16)
+
+    def choose(self, table: HealthTable, excluded: frozenset[int], now: float) -> int | None:
+        """See `Chooser`."""
+        targets = table.index.open
+        for _ in range(min(len(targets), len(excluded) + 1)):
+            self._next += 1
+            position = targets.at(self._next)
+            if position not in excluded:
+                return position
+        return None
--- a/src/dotterelstand/process/daemon.py
+++ b/src/dotterelstand/process/daemon.py
@@ -13,7 +13,8 @@
 from dotterelstand.connection.pool import TargetPool
 from dotterelstand.connection.target import close_now
 from dotterelstand.events import Event, log
-from dotterelstand.process.balancer import LocalBalancer
+from dotterelstand.process.lonemesh import LoneMesh
+from dotterelstand.process.slots import SlotBroker, make_broker
 from dotterelstand.process.store import StoreClient
 from dotterelstand.request.exchange import Exchange
 from dotterelstand.settings import Settings
@@ -24,10 +25,11 @@
     """All parts of one entry host."""
 
     __slots__ = (
-        "_balancer",
+        "_broker",
         "_document",
         "_network",
         "_pool",
+        "_random",
         "_settings",
         "_stopping",
         "_store",
@@ -39,7 +41,8 @@
         self._network = network
         self._document: Document | None = None
         self._stopping = trio.Event()
-        self._balancer = LocalBalancer(rng)
+        self._random = rng
+        self._broker: SlotBroker | None = None
         self._pool = TargetPool(
             network,
             settings.integer("targets", "max_idle_connections"),
@@ -58,12 +61,19 @@
 
     async def run(self) -> None:
         """Serve callers until `stop` is called and every request has ended."""
+        mesh = LoneMesh(
+            self._settings.text("host", "name"),
+            self._settings.text("host", "region"),
+            self._settings.text("host", "availability_zone"),
+        )
+        self._broker = make_broker(mesh, self._settings, self._random)
         listener = await self._network.listen(
             self._settings.text("listen", "address"), self._settings.integer("listen", "port")
         )
         self.port = listener.port
         log(Event.DAEMON_STARTED, port=self.port)
         async with trio.open_nursery() as background:
+            background.start_soon(self._broker.run)
             background.start_soon(self._follow_document)
             async with trio.open_nursery() as callers:
                 accepting = trio.CancelScope()
@@ -96,10 +106,10 @@
         if isinstance(head, ResultCode):
             await connection.refuse(head)
             return False
-        if self._document is None:
+        if self._document is None or self._broker is None:
             await connection.refuse(ResultCode.NO_CONFIGURATION)
             return False
-        exchange = Exchange(connection, head, self._document, self._pool, self._balancer)
+        exchange = Exchange(connection, head, self._document, self._pool, self._broker)
         code = await exchange.run()
         log(Event.REQUEST_ENDED, code=code, path=head.path)
         return connection.start_next_cycle()
@@ -131,6 +141,8 @@
         document = build_document(manifest["number"], bodies)
         if is_successful(document):
             self._document = document.unwrap()
+            assert self._broker is not None
+            self._broker.apply(self._document)
             log(Event.DOCUMENT_APPLIED, number=manifest["number"])
         else:
             errors = [str(error) for error in document.failure()]
--- /dev/null
+++ b/src/dotterelstand/process/health.py
@@ -0,0 +1,286 @@
+"""Trust in the targets of one service, derived from the outcomes of requests."""
+
+import heapq
+
+from dotterelstand.process.outcome import AttemptOutcome
+from dotterelstand.process.slotindex import SlotIndex
+from dotterelstand.process.tuning import SelectionTuning
+from dotterelstand.version.document import Target
+
+# Weight of the newest outcome: three failures in a row exceed a failure bound of 0.5.
+FAILURE_WEIGHT = 0.25
+# Weight of the newest duration; ten times the usual is found after three answers.
+DURATION_WEIGHT = 0.1
+# Durations count up to this multiple of the usual one, so that one long call ejects nobody.
+LONGEST_MULTIPLE = 10.0
+USUAL_WEIGHT = 0.01
+INITIAL_USUAL_S = 0.005
+# Seconds after which a reported load has lost half of its weight: about two lookups.
+REPORT_HALF_LIFE_S = 0.01
+# Time in use after which a target's ejections are forgotten, as a multiple of the last period.
+FORGIVE_MULTIPLE = 10.0
+
+
+class TargetHealth:
+    """State of one target; `allowance` is the number of slots it may use now."""
+
+    __slots__ = (
+        "allowance",
+        "duration_s",
+        "ejected_until",
+        "ejections",
+        "failures",
+        "in_flight",
+        "leaving",
+        "name",
+        "probation",
+        "reported",
+        "reported_at",
+        "returned_at",
+        "slots",
+        "successes",
+    )
+
+    def __init__(self, name: str, slots: int) -> None:
+        self.name = name
+        self.slots = slots
+        self.allowance = slots
+        self.in_flight = 0
+        self.failures = 0.0
+        self.duration_s = 0.0
+        self.ejections = 0
+        self.ejected_until: float | None = None
+        self.returned_at = 0.0
+        self.probation = False
+        self.leaving = False
+        self.successes = 0
+        self.reported = 0.0
+        self.reported_at = 0.0
+
+    @property
+    def usable(self) -> bool:
+        """Whether the target may receive new work."""
+        return not self.leaving and self.ejected_until is None
+
+    def make_cold(self) -> None:
+        """Reduce the target to one slot, which successes extend."""
+        self.allowance = 1
+        self.successes = 0
+
+
+class HealthTable:
+    """Targets of one service in one region: occupancy, ejection and gentle start.
+
+    Outcomes lower and restore trust; load reports and health endpoints only lower it.
+    """
+
+    __slots__ = (
+        "_due",
+        "_ejected",
+        "_tuning",
+        "_usual_samples",
+        "allowances",
+        "ejections",
+        "index",
+        "targets",
+        "usable",
+        "usual_s",
+    )
+
+    def __init__(self, targets: list[Target], tuning: SelectionTuning) -> None:
+        self._tuning = tuning
+        self.targets = [TargetHealth(target.name, target.slots) for target in targets]
+        self.index = SlotIndex()
+        # Ends of ejections, and ends of holds after fast failures, as (time, position, is_hold).
+        self._due: list[tuple[float, int, bool]] = []
+        self._ejected = 0
+        self.usable = len(self.targets)
+        self.allowances = sum(target.slots for target in self.targets)
+        self.usual_s = INITIAL_USUAL_S
+        self._usual_samples = 0
+        self.ejections = 0
+        for position in range(len(self.targets)):
+            self._place(position)
+
+    def start(self, position: int) -> None:
+        """Count an attempt that is sent to a target."""
+        self.targets[position].in_flight += 1
+        self._place(position)
+
+    def finish(self, position: int, kind: AttemptOutcome, duration_s: float, now: float) -> None:
+        """Count the end of an attempt and learn from it."""
+        target = self.targets[position]
+        if kind.is_failure and duration_s < self.usual_s and target.usable:
+            # A fast failure keeps its slot for the usual time: rejecting is not being idle.
+            heapq.heappush(self._due, (now + self.usual_s - duration_s, position, True))
+        else:
+            target.in_flight -= 1
+        assert target.in_flight >= 0, "more attempts ended than started"
+        if kind is AttemptOutcome.OK:
+            self._learn_success(position, duration_s, now)
+        elif kind.is_failure:
+            self._learn_failure(position, now)
+        self._place(position)
+
+    def report_load(self, position: int, load: int, now: float) -> None:
+        """Note a load report; it counts only as far as it exceeds our own requests."""
+        target = self.targets[position]
+        target.reported = max(0.0, float(load - target.in_flight))
+        target.reported_at = now
+
+    def load(self, position: int, now: float) -> float:
+        """Own requests plus what is left of the reported load of others, per slot."""
+        target = self.targets[position]
+        foreign = 0.0
+        if target.reported:
+            foreign = target.reported * 0.5 ** ((now - target.reported_at) / REPORT_HALF_LIFE_S)
+        return (target.in_flight + foreign) / target.allowance
+
+    def mark_leaving(self, position: int) -> None:
+        """Give the target no new work until `mark_returned`."""
+        if not self.targets[position].leaving:
+            self._change_use(position, lambda target: setattr(target, "leaving", True))
+
+    def mark_returned(self, position: int) -> None:
+        """A target that was leaving is live again; it starts with one slot."""
+        if self.targets[position].leaving:
+            self._change_use(position, _return_cold)
+
+    def mark_cold(self, position: int) -> None:
+        """Start a new target with one slot."""
+        self._change_use(position, TargetHealth.make_cold)
+
+    def advance(self, now: float) -> None:
+        """End the ejections and holds that are due."""
+        while self._due and self._due[0][0] <= now:
+            _, position, is_hold = heapq.heappop(self._due)
+            target = self.targets[position]
+            if is_hold:
+                target.in_flight -= 1
+                self._place(position)
+            elif target.ejected_until is not None:
+                self._change_use(position, lambda target: _end_ejection(target, now))
+
+    def next_due(self) -> float | None:
+        """Time of the next change by `advance`, or None."""
+        return self._due[0][0] if self._due else None
+
+    def inherit(self, old: "HealthTable") -> None:
+        """Take over what another table knows of targets with the same names."""
+        known = {target.name: target for target in old.targets}
+        self.usual_s, self._usual_samples = old.usual_s, old._usual_samples
+        for position, target in enumerate(self.targets):
+            before = known.get(target.name)
+            if before is None:
+                self.mark_cold(position)
+                continue
+            target.failures, target.duration_s = before.failures, before.duration_s
+            target.ejections = before.ejections
+            if before.leaving:
+                self.mark_leaving(position)
+            if before.ejected_until is not None or before.allowance < before.slots:
+                self.mark_cold(position)
+
+    def _learn_success(self, position: int, duration_s: float, now: float) -> None:
+        target = self.targets[position]
+        target.failures *= 1 - FAILURE_WEIGHT
+        usual_s = self.usual_s
+        counted_s = min(duration_s, LONGEST_MULTIPLE * usual_s)
+        if target.probation and duration_s > self._tuning.slow_factor * usual_s:
+            self._eject(position, now)
+            return
+        target.probation = False
+        weight = max(USUAL_WEIGHT, 1 / (self._usual_samples + 1))
+        self._usual_samples += 1
+        self.usual_s += weight * (min(counted_s, 4 * usual_s) - usual_s)
+        if not target.duration_s:
+            target.duration_s = usual_s
+        target.duration_s += DURATION_WEIGHT * (counted_s - target.duration_s)
+        if target.duration_s > self._tuning.slow_factor * self.usual_s:
+            self._eject(position, now)
+            return
+        if target.allowance < target.slots:
+            self._warm(position)
+        self._forgive(target, now)
+
+    def _learn_failure(self, position: int, now: float) -> None:
+        target = self.targets[position]
+        target.failures += FAILURE_WEIGHT * (1 - target.failures)
+        if target.probation or target.failures > self._tuning.failure_bound:
+            self._eject(position, now)
+
+    def _warm(self, position: int) -> None:
+        target = self.targets[position]
+        target.successes += 1
+        if target.successes >= self._tuning.successes_per_slot:
+            target.successes = 0
+            self._change_use(position, _add_slot)
+
+    def _forgive(self, target: TargetHealth, now: float) -> None:
+        if target.ejections:
+            period_s = self._period_s(target.ejections)
+            if now - target.returned_at > FORGIVE_MULTIPLE * period_s:
+                target.ejections = 0
+
+    def _eject(self, position: int, now: float) -> None:
+        target = self.targets[position]
+        if not target.usable:
+            return
+        if self._ejected + 1 > int(self._tuning.eject_share * len(self.targets)):
+            # Too many are out already: the target stays in use with one slot.
+            self._change_use(position, TargetHealth.make_cold)
+            return
+        target.ejections += 1
+        self.ejections += 1
+        until = now + self._period_s(target.ejections)
+        self._change_use(position, lambda target: setattr(target, "ejected_until", until))
+        heapq.heappush(self._due, (until, position, False))
+
+    def _period_s(self, ejections: int) -> float:
+        longest_s = self._tuning.eject_longest_s
+        return min(longest_s, self._tuning.eject_first_s * 2 ** min(20, ejections - 1))
+
+    def _change_use(self, position: int, change) -> None:  # type: ignore[no-untyped-def]
+        """Apply a change to a target and keep the totals and the index in step."""
+        target = self.targets[position]
+        self._count(target, -1)
+        change(target)
+        self._count(target, 1)
+        limit = int(self._tuning.eject_share * len(self.targets))
+        assert 0 <= self._ejected <= limit, "too many targets ejected"
+        self._place(position)
+
+    def _count(self, target: TargetHealth, sign: int) -> None:
+        if target.usable:
+            self.usable += sign
+            self.allowances += sign * target.allowance
+        if target.ejected_until is not None:
+            self._ejected += sign
+
+    def _place(self, position: int) -> None:
+        target = self.targets[position]
+        if not target.usable:
+            self.index.withdraw(position)
+            return
+        limit = target.allowance
+        if target.allowance == target.slots:
+            limit += self._tuning.lookahead
+        self.index.place(position, target.in_flight, target.allowance, limit)
+
+
+def _return_cold(target: TargetHealth) -> None:
+    target.leaving = False
+    target.make_cold()
+
+
+def _end_ejection(target: TargetHealth, now: float) -> None:
+    target.ejected_until = None
+    target.returned_at = now
+    target.probation = True
+    target.failures = 0.0
+    target.duration_s = 0.0
+    target.make_cold()
+
+
+def _add_slot(target: TargetHealth) -> None:
+    target.allowance += 1
--- /dev/null
+++ b/src/dotterelstand/process/slotcore.py
@@ -0,0 +1,390 @@
+"""Slot requests of one entry host, and its duty as dispatcher, without I/O or clock."""
+
+import heapq
+import random
+from collections.abc import Callable
+
+from dotterelstand.codes import Result as ResultCode
+from dotterelstand.codes import Run
+from dotterelstand.connection.wire import Acquire, Grant, Refuse, Release
+from dotterelstand.process.balancer import LeastOccupied, TwoChoices
+from dotterelstand.process.dispatcher import Decision, Dispatcher, Granted
+from dotterelstand.process.measuredmesh import MeasuredMesh
+from dotterelstand.process.outcome import AttemptOutcome, SlotCall, SlotGrant, SlotOutcome
+from dotterelstand.process.queue import WaitingCall
+from dotterelstand.process.rendezvous import DispatcherMap
+from dotterelstand.process.servicestate import ServiceState
+from dotterelstand.process.slotcodec import TENANTS, pack_need, pack_result
+from dotterelstand.process.slotduty import SlotDuty
+from dotterelstand.process.ticket import Ticket, TicketState
+from dotterelstand.process.tuning import SelectionTuning
+from dotterelstand.version.document import Document, Service
+
+# A deadline closer than this many usual durations is sent along, else it cannot matter.
+URGENT_MULTIPLE = 20.0
+MAX_LEAVING = 8192
+
+
+class SlotCounters:
+    """Totals since the start."""
+
+    __slots__ = (
+        "ask_failed",
+        "asked",
+        "duty",
+        "fallback_timeout",
+        "local",
+        "table_full",
+        "unusable",
+    )
+
+    def __init__(self) -> None:
+        self.asked = 0
+        self.duty = 0
+        self.local = 0
+        self.fallback_timeout = 0
+        self.ask_failed = 0
+        self.unusable = 0
+        self.table_full = 0
+
+
+class SlotCore:
+    """Decides for each call between the service's dispatcher and local choice.
+
+    Times are passed in as `now` (seconds, monotonic). `Ticket.resolve` is called once per ticket,
+    when its grant or refusal is known; it must not call back into the core.
+    """
+
+    __slots__ = (
+        "_counters",
+        "_dispatchers",
+        "_duty",
+        "_free",
+        "_index_of",
+        "_leaving",
+        "_mesh",
+        "_next_number",
+        "_random",
+        "_states",
+        "_tenants",
+        "_tickets",
+        "_tuning",
+    )
+
+    def __init__(self, mesh: MeasuredMesh, tuning: SelectionTuning, rng: random.Random) -> None:
+        self._mesh = mesh
+        self._tuning = tuning
+        self._random = rng
+        self._states: dict[str, ServiceState] = {}
+        self._duty = SlotDuty(mesh, tuning)
+        self._tickets: dict[int, Ticket] = {}
+        self._free: list[int] = []
+        self._next_number = 0
+        self._dispatchers = DispatcherMap()
+        self._leaving: dict[str, None] = {}
+        self._index_of: dict[str, int] = {}
+        self._tenants: dict[str, int] = {}
+        self._counters = SlotCounters()
+
+    @property
+    def counters(self) -> SlotCounters:
+        """Totals since the start."""
+        return self._counters
+
+    def state_of(self, service: str) -> ServiceState | None:
+        """State of a service that was used, for status display."""
+        return self._states.get(service)
+
+    def apply(self, document: Document, now: float) -> None:
+        """Follow a new version of the document."""
+        names = sorted(document.services)
+        self._index_of = {name: index for index, name in enumerate(names)}
+        self._tenants = {name: number + 1 for number, name in enumerate(sorted(document.tenants))}
+        services = [document.services[name] for name in names]
+        for name in [name for name in self._states if name not in document.services]:
+            del self._states[name]
+        for name, state in self._states.items():
+            state.use(document.services[name], now)
+        self._duty.apply(services)
+
+    def open(
+        self, service: Service, call: SlotCall, now: float, resolve: Callable[[Ticket], None]
+    ) -> Ticket:
+        """Ask for a slot; the ticket is decided at once or when `resolve` is called."""
+        ticket = Ticket(-1, service, call, now, resolve)
+        if len(self._tickets) >= self._tuning.max_calls:
+            self._counters.table_full += 1
+            return self._refuse(ticket, ResultCode.OVERLOADED)
+        ticket.number = self._take_number()
+        self._tickets[ticket.number] = ticket
+        state = self._state(service)
+        dispatcher = self._dispatchers.host(service.name, self._mesh.members(), self._mesh.region)
+        if dispatcher is None or dispatcher == self._mesh.host:
+            self._counters.duty += 1
+            ticket.state = TicketState.QUEUED_DUTY
+            self._settle(state, state.duty.submit(self._waiting(ticket, now), now), now)
+        elif state.answer_time.is_silent(now) or not self._ask(ticket, dispatcher, state, now):
+            self._choose_locally(ticket, state, now)
+        return ticket
+
+    def time_out(self, ticket: Ticket, now: float) -> None:
+        """The ticket's `due` passed: choose locally, or refuse if its deadline passed."""
+        if ticket.decided:
+            return
+        state = self._state(ticket.service)
+        if ticket.state is TicketState.ASKED:
+            self._counters.fallback_timeout += 1
+            state.answer_time.timed_out(now)
+            self._send_release(ticket, AttemptOutcome.CANCELLED, 0.0, now)
+            if now < ticket.call.deadline:
+                self._choose_locally(ticket, state, now)
+                return
+        self._leave_queue(ticket, state, now)
+        self._end(ticket)
+        self._refuse(ticket, ResultCode.DEADLINE_TOO_SHORT)
+
+    def withdraw(self, ticket: Ticket, now: float) -> None:
+        """The caller gave up; frees the ticket and a slot that it may hold."""
+        if ticket.state is TicketState.ENDED:
+            return
+        if ticket.grant is not None:
+            self.release(ticket, SlotOutcome(AttemptOutcome.CANCELLED, 0.0), now)
+            return
+        state = self._state(ticket.service)
+        if ticket.state is TicketState.ASKED:
+            self._send_release(ticket, AttemptOutcome.CANCELLED, 0.0, now)
+        self._leave_queue(ticket, state, now)
+        self._end(ticket)
+
+    def release(self, ticket: Ticket, outcome: SlotOutcome, now: float) -> None:
+        """Return a granted slot with the outcome of the attempt."""
+        assert ticket.grant is not None and ticket.state is not TicketState.ENDED, ticket.number
+        state = self._state(ticket.service)
+        granted = ticket.state
+        self._end(ticket)
+        if granted is TicketState.GRANTED_REMOTE:
+            self._send_release(ticket, outcome.kind, outcome.duration_s, now)
+        key = (self._mesh.host, ticket.number)
+        kind, duration_s, load = outcome.kind, outcome.duration_s, outcome.load
+        if granted is TicketState.GRANTED_DUTY:
+            self._settle(state, state.duty.finish(key, kind, duration_s, load, now), now)
+        self._settle(state, state.local.finish(key, kind, duration_s, load, now), now)
+
+    def ticket(self, number: int) -> Ticket | None:
+        """Open ticket with this number."""
+        return self._tickets.get(number)
+
+    def on_grant(self, sender: str, message: Grant, now: float) -> None:
+        """The dispatcher granted a slot; a late grant was already given back."""
+        ticket = self._asked(sender, message.call)
+        if ticket is None:
+            return
+        state = self._state(ticket.service)
+        state.answer_time.answered(now - ticket.asked_at)
+        if self._is_unusable(ticket, message.target, state):
+            self._counters.unusable += 1
+            self._send_release(ticket, AttemptOutcome.CANCELLED, 0.0, now)
+            self._choose_locally(ticket, state, now)
+            return
+        key = (self._mesh.host, ticket.number)
+        state.local.adopt(key, message.target, now)
+        self._give(ticket, message.target, TicketState.GRANTED_REMOTE)
+
+    def on_refuse(self, sender: str, message: Refuse, now: float) -> None:
+        """The dispatcher refused a call."""
+        ticket = self._asked(sender, message.call)
+        if ticket is None:
+            return
+        state = self._state(ticket.service)
+        state.answer_time.answered(now - ticket.asked_at)
+        code = _refusal_code(message.code)
+        if code is None or code is ResultCode.NO_TARGET:
+            self._choose_locally(ticket, state, now)
+            return
+        self._end(ticket)
+        self._refuse(ticket, code)
+
+    def note_leaving(self, target: str) -> bool:
+        """Give a target no new work; True if that is news."""
+        if target in self._leaving:
+            return False
+        while len(self._leaving) >= MAX_LEAVING:
+            del self._leaving[next(iter(self._leaving))]
+        self._leaving[target] = None
+        for state in self._states.values():
+            state.mark_leaving(target)
+        return True
+
+    def note_returned(self, target: str) -> None:
+        """The host list shows a target that was leaving as live."""
+        if target in self._leaving:
+            del self._leaving[target]
+            for state in self._states.values():
+                state.mark_returned(target)
+
+    def advance(self, now: float) -> None:
+        """Apply what time changed: ended ejections, expired grants, lost hosts."""
+        self._check_members(now)
+        for state in self._states.values():
+            if state.duty.waiting:
+                self._settle(state, state.duty.advance(now), now)
+            if state.local.waiting:
+                self._settle(state, state.local.advance(now), now)
+
+    def on_acquire(self, sender: str, message: Acquire, now: float) -> None:
+        """Another host asks for a slot of a service."""
+        service = self._duty.service(message.service)
+        if service is None:
+            return
+        state = self._state(service)
+        self._settle(state, self._duty.acquire(state, sender, message, now), now)
+
+    def on_release(self, sender: str, message: Release, now: float) -> None:
+        """Another host ends a call."""
+        state = self._duty.owner(sender, message.call)
+        if state is not None:
+            self._settle(state, self._duty.release(state, sender, message, now), now)
+
+    def _settle(self, state: ServiceState, decisions: list[Decision], now: float) -> None:
+        """Hand decisions to their calls; a grant that cannot be sent frees its slot again."""
+        pending = list(decisions)
+        while pending:
+            decision = pending.pop(0)
+            host, number = decision.key
+            if host != self._mesh.host:
+                pending.extend(self._duty.answer(state, decision, now))
+                continue
+            ticket = self._tickets.get(number)
+            assert ticket is not None and not ticket.decided, "decision for a call that ended"
+            self._decide(ticket, state, decision, now)
+
+    def _decide(self, ticket: Ticket, state: ServiceState, decision: Decision, now: float) -> None:
+        if not isinstance(decision, Granted):
+            self._end(ticket)
+            self._refuse(ticket, decision.code)
+        elif ticket.state is TicketState.QUEUED_DUTY:
+            state.local.adopt(decision.key, decision.target, now)
+            self._give(ticket, decision.target, TicketState.GRANTED_DUTY)
+        else:
+            self._give(ticket, decision.target, TicketState.GRANTED_LOCAL)
+
+    def _ask(self, ticket: Ticket, dispatcher: str, state: ServiceState, now: float) -> bool:
+        """Send an acquire; False if the budget, the link or the document forbids it."""
+        index = self._index_of.get(ticket.service.name)
+        if index is None:
+            return False
+        remaining_s = ticket.call.deadline - now
+        urgent = remaining_s < URGENT_MULTIPLE * state.local.table.usual_s
+        need = pack_need(
+            ticket.call.klass, self._tenant(ticket.call.tenant), remaining_s if urgent else None
+        )
+        acquire = Acquire(ticket.number, need, index)
+        if not self._mesh.send(dispatcher, acquire, now, opens_call=True):
+            self._counters.ask_failed += 1
+            return False
+        self._counters.asked += 1
+        ticket.dispatcher = dispatcher
+        ticket.due = min(ticket.call.deadline, now + state.answer_time.limit_s)
+        return True
+
+    def _choose_locally(self, ticket: Ticket, state: ServiceState, now: float) -> None:
+        self._counters.local += 1
+        ticket.state = TicketState.QUEUED_LOCAL
+        ticket.due = ticket.call.deadline
+        self._settle(state, state.local.submit(self._waiting(ticket, now), now), now)
+
+    def _waiting(self, ticket: Ticket, now: float) -> WaitingCall:
+        call = ticket.call
+        excluded = frozenset[int]()
+        if call.excluded:
+            names = enumerate(ticket.service.targets)
+            excluded = frozenset(i for i, target in names if target.name in call.excluded)
+        key = (self._mesh.host, ticket.number)
+        tenant = self._tenant(call.tenant)
+        return WaitingCall(key, min(call.klass, 7), tenant, now, call.deadline, excluded)
+
+    def _leave_queue(self, ticket: Ticket, state: ServiceState, now: float) -> None:
+        key = (self._mesh.host, ticket.number)
+        for dispatcher in (state.duty, state.local):
+            decisions = dispatcher.finish(key, AttemptOutcome.CANCELLED, 0.0, None, now)
+            assert not decisions, "a waiting call held a slot"
+
+    def _give(self, ticket: Ticket, target: int, state: TicketState) -> None:
+        service = ticket.service
+        ticket.state = state
+        ticket.grant = SlotGrant(
+            service.name, service.targets[target], target, ticket.dispatcher, ticket.number
+        )
+        ticket.resolve(ticket)
+
+    def _refuse(self, ticket: Ticket, code: ResultCode) -> Ticket:
+        ticket.state = TicketState.ENDED
+        ticket.refusal = code
+        ticket.resolve(ticket)
+        return ticket
+
+    def _end(self, ticket: Ticket) -> None:
+        del self._tickets[ticket.number]
+        heapq.heappush(self._free, ticket.number)
+        ticket.state = TicketState.ENDED
+
+    def _take_number(self) -> int:
+        """Lowest free number, since small numbers take one byte."""
+        if self._free:
+            return heapq.heappop(self._free)
+        self._next_number += 1
+        return self._next_number - 1
+
+    def _asked(self, sender: str, number: int) -> Ticket | None:
+        ticket = self._tickets.get(number)
+        if ticket is None or ticket.state is not TicketState.ASKED or ticket.dispatcher != sender:
+            return None
+        return ticket
+
+    def _is_unusable(self, ticket: Ticket, target: int, state: ServiceState) -> bool:
+        targets = ticket.service.targets
+        if not 0 <= target < len(targets):
+            return True
+        name = targets[target].name
+        return name in ticket.call.excluded or name in self._leaving
+
+    def _send_release(
+        self, ticket: Ticket, kind: AttemptOutcome, duration_s: float, now: float
+    ) -> None:
+        result = pack_result(kind, duration_s)
+        self._mesh.send(ticket.dispatcher, Release(ticket.number, result), now)
+
+    def _tenant(self, name: str) -> int:
+        """Number of a tenant; names that the document lacks share number 0."""
+        return self._tenants.get(name, 0) % TENANTS
+
+    def _state(self, service: Service) -> ServiceState:
+        state = self._states.get(service.name)
+        if state is None:
+            region = self._mesh.region
+            state = ServiceState(
+                service,
+                Dispatcher(service, region, self._tuning, TwoChoices(self._random)),
+                Dispatcher(service, region, self._tuning, LeastOccupied(self._random)),
+                self._tuning.answer_grace_s,
+            )
+            for name in self._leaving:
+                state.mark_leaving(name)
+            self._states[service.name] = state
+        return state
+
+    def _check_members(self, now: float) -> None:
+        live = {member.host for member in self._mesh.members()}
+        for host in self._duty.hosts() - live:
+            for state in self._states.values():
+                self._settle(state, state.duty.drop_host(host, now), now)
+            self._duty.forget(host)
+
+
+def _refusal_code(number: int) -> ResultCode | None:
+    """Result code of a refusal that a dispatcher may give, or None."""
+    try:
+        code = ResultCode(number)
+    except ValueError:
+        return None
+    return code if code.run is Run.NOT_RUN else None
--- /dev/null
+++ b/src/dotterelstand/process/slotduty.py
@@ -0,0 +1,108 @@
+"""Duty of an entry host as dispatcher for the calls of other hosts."""
+
+from dotterelstand.connection.wire import Acquire, Grant, Refuse, Release
+from dotterelstand.process.dispatcher import Decision, Granted
+from dotterelstand.process.measuredmesh import MeasuredMesh
+from dotterelstand.process.outcome import AttemptOutcome
+from dotterelstand.process.queue import WaitingCall
+from dotterelstand.process.servicestate import ServiceState
+from dotterelstand.process.slotcodec import unpack_need, unpack_result
+from dotterelstand.process.tuning import SelectionTuning
+from dotterelstand.version.document import Service
+
+
+class DutyCounters:
+    """Totals since the start."""
+
+    __slots__ = ("answers_unsent", "grants_sent", "malformed", "refusals_sent", "table_full")
+
+    def __init__(self) -> None:
+        self.grants_sent = 0
+        self.refusals_sent = 0
+        self.answers_unsent = 0
+        self.malformed = 0
+        self.table_full = 0
+
+
+class SlotDuty:
+    """Calls of other hosts that wait for or hold a slot here."""
+
+    __slots__ = ("_by_index", "_calls", "_mesh", "_tuning", "counters")
+
+    def __init__(self, mesh: MeasuredMesh, tuning: SelectionTuning) -> None:
+        self._mesh = mesh
+        self._tuning = tuning
+        self._by_index: list[Service] = []
+        # Service state per host and call number; a host has at most `max_calls` numbers.
+        self._calls: dict[str, dict[int, ServiceState]] = {}
+        self.counters = DutyCounters()
+
+    def apply(self, services: list[Service]) -> None:
+        """Follow a new version of the document; `services` are sorted by name."""
+        self._by_index = services
+
+    def service(self, index: int) -> Service | None:
+        """Service with this number, or None if there is none."""
+        if 0 <= index < len(self._by_index):
+            return self._by_index[index]
+        self.counters.malformed += 1
+        return None
+
+    def owner(self, host: str, number: int) -> ServiceState | None:
+        """State of the service for which a call waits or holds a slot."""
+        return self._calls.get(host, {}).get(number)
+
+    def hosts(self) -> set[str]:
+        """Hosts that ever asked and were not forgotten."""
+        return set(self._calls)
+
+    def forget(self, host: str) -> None:
+        """Drop the calls of a lost host."""
+        self._calls.pop(host, None)
+
+    def acquire(
+        self, state: ServiceState, host: str, message: Acquire, now: float
+    ) -> list[Decision]:
+        """Handle a request for a slot."""
+        need = unpack_need(message.need)
+        if need is None or not 0 <= message.call < self._tuning.max_calls:
+            self.counters.malformed += 1
+            return []
+        calls = self._calls.setdefault(host, {})
+        key = (host, message.call)
+        before = calls.get(message.call)
+        if before is not None and before is not state:
+            before.duty.finish(key, AttemptOutcome.CANCELLED, 0.0, None, now)
+        calls[message.call] = state
+        remaining_s = need.urgent_s if need.urgent_s is not None else self._tuning.grant_life_s
+        call = WaitingCall(key, need.klass, need.tenant, now, now + remaining_s)
+        return state.duty.submit(call, now)
+
+    def release(
+        self, state: ServiceState, host: str, message: Release, now: float
+    ) -> list[Decision]:
+        """Handle the end of a call."""
+        result = unpack_result(message.result)
+        if result is None:
+            self.counters.malformed += 1
+            return []
+        del self._calls[host][message.call]
+        key = (host, message.call)
+        return state.duty.finish(key, result.kind, result.duration_s, None, now)
+
+    def answer(self, state: ServiceState, decision: Decision, now: float) -> list[Decision]:
+        """Send a decision; if that fails the slot is free again, with what follows from it."""
+        host, number = decision.key
+        if isinstance(decision, Granted):
+            if self._mesh.send(host, Grant(number, decision.target), now):
+                self.counters.grants_sent += 1
+                return []
+            self.counters.answers_unsent += 1
+            self._calls.get(host, {}).pop(number, None)
+            return state.duty.finish(decision.key, AttemptOutcome.CANCELLED, 0.0, None, now)
+        self._calls.get(host, {}).pop(number, None)
+        if self._mesh.send(host, Refuse(number, int(decision.code)), now):
+            self.counters.refusals_sent += 1
+        else:
+            self.counters.answers_unsent += 1
+        return []
--- a/src/dotterelstand/request/exchange.py
+++ b/src/dotterelstand/request/exchange.py
@@ -2,12 +2,13 @@
 
 import h11
 import trio
+from returns.pipeline import is_successful
 
 from dotterelstand.codes import Result as ResultCode
 from dotterelstand.connection.caller import CallerConnection
 from dotterelstand.connection.pool import TargetPool
 from dotterelstand.connection.target import TargetConnection
-from dotterelstand.process.balancer import LocalBalancer
+from dotterelstand.process.slots import AttemptOutcome, SlotBroker, SlotCall, SlotOutcome
 from dotterelstand.request.head import (
     LOAD_HEADER,
     Headers,
@@ -21,7 +22,7 @@
 class Exchange:
     """Forwards one request to a target and its answer to the caller."""
 
-    __slots__ = ("_balancer", "_caller", "_document", "_head", "_pool")
+    __slots__ = ("_broker", "_caller", "_document", "_head", "_pool")
 
     def __init__(
         self,
@@ -29,13 +30,13 @@
         head: RequestHead,
         document: Document,
         pool: TargetPool,
-        balancer: LocalBalancer,
+        broker: SlotBroker,
     ) -> None:
         self._caller = caller
         self._head = head
         self._document = document
         self._pool = pool
-        self._balancer = balancer
+        self._broker = broker
 
     async def run(self) -> ResultCode:
         """Serve the request and return the code with which it ended."""
@@ -49,15 +50,24 @@
         return await self._refuse(ResultCode.DEADLINE_PASSED)
 
     async def _forward(self, route: Route, deadline: float) -> ResultCode:
-        target = self._balancer.choose(self._document.services[route.service], frozenset())
-        if target is None:
-            return await self._refuse(ResultCode.NO_TARGET)
+        classes = self._document.classes
+        klass = classes.index(route.klass) if route.klass in classes else len(classes) - 1
+        call = SlotCall(klass, self._head.tenant, deadline)
+        slot = await self._broker.acquire(self._document.services[route.service], call)
+        if not is_successful(slot):
+            return await self._refuse(slot.failure())
+        grant = slot.unwrap()
+        started = trio.current_time()
         reported: list[int] = []
-        self._balancer.start(target)
+        outcome = AttemptOutcome.CANCELLED
         try:
-            return await self._attempt(route, target, deadline, reported)
+            code = await self._attempt(route, grant.target, deadline, reported)
+            outcome = _OUTCOMES.get(code, AttemptOutcome.FAILED)
+            return code
         finally:
-            self._balancer.finish(target, reported[0] if reported else None)
+            duration_s = trio.current_time() - started
+            load = reported[0] if reported else None
+            self._broker.release(grant, SlotOutcome(outcome, duration_s, load))
 
     async def _attempt(
         self, route: Route, target: Target, deadline: float, reported: list[int]
@@ -110,3 +120,9 @@
         else:
             await self._caller.refuse(code)
         return code
+
+
+_OUTCOMES = {
+    ResultCode.ANSWERED: AttemptOutcome.OK,
+    ResultCode.CONNECT_FAILED: AttemptOutcome.CONNECT_FAILED,
+}
--- /dev/null
+++ b/tests/test_slots.py
@@ -0,0 +1,158 @@
+"""The slot broker answers every call, whatever happens to its dispatcher."""
+
+import random
+from collections.abc import Awaitable, Callable
+
+import pytest
+import trio
+from returns.pipeline import is_successful
+from selection_helpers import FakeMeshes, make_document, make_service
+
+from dotterelstand.codes import Result as ResultCode
+from dotterelstand.connection.wire import Acquire, Grant, Message, Release
+from dotterelstand.process.rendezvous import choose_dispatcher
+from dotterelstand.process.slots import (
+    AttemptOutcome,
+    SlotBroker,
+    SlotCall,
+    SlotOutcome,
+    make_broker,
+)
+from dotterelstand.settings import default_settings, parse_settings
+from dotterelstand.standin.virtual import run_virtual
+
+SERVICE = make_service(4)
+Scenario = Callable[[FakeMeshes, dict[str, SlotBroker], list[str]], Awaitable[None]]
+
+
+def _run(scenario: Scenario, hosts: int = 4, settings_text: str = "") -> None:
+    """Run a scenario with brokers; the host list begins with the dispatcher."""
+    settings = parse_settings(settings_text, "test").unwrap()
+
+    async def main() -> None:
+        async with trio.open_nursery() as nursery:
+            meshes = FakeMeshes(hosts, nursery)
+            brokers = {
+                host: make_broker(mesh, settings, random.Random(host))
+                for host, mesh in meshes.meshes.items()
+            }
+            for broker in brokers.values():
+                broker.apply(make_document(SERVICE))
+                nursery.start_soon(broker.run)
+            first = choose_dispatcher(SERVICE.name, meshes.members, "r1")
+            assert first is not None
+            names = sorted(brokers, key=lambda host: host != first)
+            await scenario(meshes, brokers, names)
+            nursery.cancel_scope.cancel()
+
+    run_virtual(main, seed=1)
+
+
+def _call(excluded: frozenset[str] = frozenset()) -> SlotCall:
+    return SlotCall(0, "default", trio.current_time() + 1.0, excluded)
+
+
+def _outcome(kind: AttemptOutcome = AttemptOutcome.OK) -> SlotOutcome:
+    return SlotOutcome(kind, 0.005)
+
+
+def test_host_alone_sends_no_message() -> None:
+    """Guards against a single host that cannot serve without peers."""
+
+    async def scenario(meshes: FakeMeshes, brokers: dict, names: list[str]) -> None:
+        grant = (await brokers[names[0]].acquire(SERVICE, _call())).unwrap()
+        brokers[names[0]].release(grant, _outcome())
+        assert meshes.sent == []
+
+    _run(scenario, hosts=1)
+
+
+def test_slots_of_all_hosts_are_spread() -> None:
+    """Guards against entry hosts that collide on one target while another is idle."""
+
+    async def scenario(meshes: FakeMeshes, brokers: dict, names: list[str]) -> None:
+        grants = [(await brokers[name].acquire(SERVICE, _call())).unwrap() for name in names]
+        assert len({grant.target.name for grant in grants}) == 4
+        assert [type(message) for message in meshes.sent] == [Acquire, Grant] * 3
+
+    _run(scenario)
+
+
+@pytest.mark.parametrize("lost", [Acquire, Grant, Release])
+def test_lost_messages_do_not_stop_calls(lost: type[Message]) -> None:
+    """Guards against calls that wait forever, and slots that leak, when messages are lost."""
+
+    async def scenario(meshes: FakeMeshes, brokers: dict, names: list[str]) -> None:
+        meshes.drop = lambda sender, host, message: isinstance(message, lost)
+        for _ in range(40):
+            start = trio.current_time()
+            grant = (await brokers[names[1]].acquire(SERVICE, _call())).unwrap()
+            assert trio.current_time() - start < 0.05
+            brokers[names[1]].release(grant, _outcome())
+        await trio.sleep(default_settings().number("selection", "grant_life_s") + 0.1)
+        for _ in range(2):
+            (await brokers[names[0]].acquire(SERVICE, _call())).unwrap()
+        state = brokers[names[0]].core.state_of(SERVICE.name)
+        assert state.duty.open_grants == 2
+
+    _run(scenario)
+
+
+def test_lost_dispatcher_is_replaced() -> None:
+    """Guards against a service that stays without a dispatcher after a host is lost."""
+
+    async def scenario(meshes: FakeMeshes, brokers: dict, names: list[str]) -> None:
+        meshes.lose(names[0])
+        second = choose_dispatcher(SERVICE.name, meshes.members, "r1")
+        other = next(name for name in names[1:] if name != second)
+        grant = (await brokers[other].acquire(SERVICE, _call())).unwrap()
+        assert grant.dispatcher == second
+
+    _run(scenario)
+
+
+def test_spent_budget_falls_back_to_local_choice() -> None:
+    """Guards against calls that fail because measuring them is not allowed."""
+
+    async def scenario(meshes: FakeMeshes, brokers: dict, names: list[str]) -> None:
+        for _ in range(8):
+            assert is_successful(await brokers[names[1]].acquire(SERVICE, _call()))
+        assert meshes.sent == []
+
+    _run(scenario, settings_text="[measure]\nbytes_per_s = 0\n")
+
+
+def test_cancelled_wait_frees_its_place() -> None:
+    """Guards against callers that leave while they wait and keep a place in the queue."""
+
+    async def scenario(meshes: FakeMeshes, brokers: dict, names: list[str]) -> None:
+        broker = brokers[names[0]]
+        held = [(await broker.acquire(SERVICE, _call())).unwrap() for _ in range(12)]
+        with trio.move_on_after(0.1):
+            await broker.acquire(SERVICE, _call())
+        assert broker.core.state_of(SERVICE.name).duty.waiting == 0
+        for grant in held:
+            broker.release(grant, _outcome())
+        assert broker.core.state_of(SERVICE.name).duty.open_grants == 0
+
+    _run(scenario)
+
+
+def test_excluded_and_leaving_targets_get_no_work() -> None:
+    """Guards against a retry on the same target, and against work for a leaving target."""
+
+    async def scenario(meshes: FakeMeshes, brokers: dict, names: list[str]) -> None:
+        brokers[names[2]].target_leaving("t0")
+        await trio.sleep(0.01)
+        for name in names:
+            for _ in range(6):
+                call = _call(frozenset({"t1", "t2"}))
+                grant = (await brokers[name].acquire(SERVICE, call)).unwrap()
+                assert grant.target.name == "t3"
+                brokers[name].release(grant, _outcome())
+        for target in ("t1", "t2", "t3"):
+            brokers[names[1]].target_leaving(target)
+        result = await brokers[names[1]].acquire(SERVICE, _call())
+        assert result.failure() is ResultCode.NO_TARGET
+
+    _run(scenario)
