--- a/src/dotterelstand/connection/wire.py
+++ b/src/dotterelstand/connection/wire.py
@@ -159,11 +159,12 @@
 
 
 class Outcome(Message):
-    """How a permitted request ended; status 0 with result not run frees the key."""
+    """How the request of an intent ended; a result code of the range not run frees the key."""
 
-    __slots__ = ("body", "code", "epoch", "headers", "key", "status")
+    __slots__ = ("body", "call", "code", "epoch", "headers", "key", "status")
     TYPE = 14
     key: bytes
+    call: int
     epoch: int
     code: int
     status: int
@@ -231,6 +232,23 @@
     allowed: bool
 
 
+class Ownership(Message):
+    """The sender owns a journal partition under this epoch; epoch 0 when it released it."""
+
+    __slots__ = ("epoch", "partition")
+    TYPE = 22
+    partition: int
+    epoch: int
+
+
+class OutcomeStored(Message):
+    """The owner needs the outcome of this call no longer: it is recorded, or without effect."""
+
+    __slots__ = ("call",)
+    TYPE = 23
+    call: int
+
+
 def _message_types() -> dict[int, type[Message]]:
     return {kind.TYPE: kind for kind in Message.__subclasses__()}
 
--- a/src/dotterelstand/events.py
+++ b/src/dotterelstand/events.py
@@ -24,6 +24,13 @@
 
     STORE_UNAVAILABLE = 400
     STORE_AVAILABLE = 401
+    LEASE_ACQUIRED = 410
+    LEASE_LOST = 411
+    LEASE_RELEASED = 412
+    LEASE_WRITE_SETTLED = 413
+    JOURNAL_UNREADABLE = 420
+    JOURNAL_FULL = 421
+    OUTCOME_DROPPED = 422
 
 
 _WARNINGS = frozenset(
@@ -32,6 +39,10 @@
         Event.REQUEST_REJECTED,
         Event.DOCUMENT_REJECTED,
         Event.STORE_UNAVAILABLE,
+        Event.LEASE_LOST,
+        Event.JOURNAL_UNREADABLE,
+        Event.JOURNAL_FULL,
+        Event.OUTCOME_DROPPED,
     }
 )
 
--- a/src/dotterelstand/process/daemon.py
+++ b/src/dotterelstand/process/daemon.py
@@ -2,7 +2,6 @@
 
 import json
 import random
-from urllib.parse import urlsplit
 
 import trio
 from returns.pipeline import is_successful
@@ -14,7 +13,9 @@
 from dotterelstand.connection.target import close_now
 from dotterelstand.events import Event, log
 from dotterelstand.process.balancer import LocalBalancer
-from dotterelstand.process.store import StoreClient
+from dotterelstand.process.journalservice import build_journal
+from dotterelstand.process.mesh import Member, SingleHost
+from dotterelstand.process.store import build_store
 from dotterelstand.request.exchange import Exchange
 from dotterelstand.settings import Settings
 from dotterelstand.version.document import Document, build_document
@@ -31,6 +32,7 @@
         "_settings",
         "_stopping",
         "_store",
+        "journal",
         "port",
     )
 
@@ -46,10 +48,8 @@
             settings.number("targets", "idle_timeout_s"),
             settings.integer("targets", "max_answer_head_bytes"),
         )
-        url = urlsplit(settings.text("store", "url"))
-        self._store = StoreClient(
-            url.hostname or "", url.port or 80, network, settings.number("store", "timeout_s")
-        )
+        self._store = build_store(settings, network, rng)
+        self.journal = build_journal(settings, self._store, _single_host(settings), rng)
         self.port = 0
 
     def stop(self) -> None:
@@ -65,6 +65,7 @@
         log(Event.DAEMON_STARTED, port=self.port)
         async with trio.open_nursery() as background:
             background.start_soon(self._follow_document)
+            background.start_soon(self.journal.run)
             async with trio.open_nursery() as callers:
                 accepting = trio.CancelScope()
                 callers.start_soon(self._accept, listener, callers, accepting)
@@ -72,6 +73,7 @@
                 log(Event.DAEMON_STOPPING)
                 await trio.sleep(self._settings.number("listen", "close_grace_s"))
                 accepting.cancel()
+            await self.journal.stop()
             background.cancel_scope.cancel()
         log(Event.DAEMON_STOPPED)
 
@@ -135,3 +137,10 @@
         else:
             errors = [str(error) for error in document.failure()]
             log(Event.DOCUMENT_REJECTED, number=manifest["number"], errors=errors)
+
+
+def _single_host(settings: Settings) -> SingleHost:
+    name, region, zone = (
+        settings.text("host", key) for key in ("name", "region", "availability_zone")
+    )
+    return SingleHost(Member(name, region, zone, False))
--- a/src/dotterelstand/process/mesh.py
+++ b/src/dotterelstand/process/mesh.py
@@ -45,3 +45,43 @@
 
     def subscribe(self, kind: type[M], handler: Callable[[str, M], None]) -> None:
         """Call `handler(sender, message)` for each message of a type."""
+
+
+class SingleHost:
+    """Mesh of a host without peers."""
+
+    __slots__ = ("_handlers", "_member")
+
+    def __init__(self, member: Member) -> None:
+        self._member = member
+        self._handlers: dict[type[Message], list[Callable[[str, Message], None]]] = {}
+
+    @property
+    def host(self) -> str:
+        """Name of this host."""
+        return self._member.host
+
+    @property
+    def region(self) -> str:
+        """Region of this host."""
+        return self._member.region
+
+    def members(self) -> tuple[Member, ...]:
+        """This host."""
+        return (self._member,)
+
+    def send(self, host: str, message: Message) -> bool:
+        """Hand a message for this host to its subscribers; False for any other host."""
+        if host != self.host:
+            return False
+        for handler in self._handlers.get(type(message), []):
+            handler(self.host, message)
+        return True
+
+    def broadcast(self, message: Message) -> int:
+        """There is nobody to send to."""
+        return 0
+
+    def subscribe(self, kind: type[M], handler: Callable[[str, M], None]) -> None:
+        """Call `handler(sender, message)` for each message of a type."""
+        self._handlers.setdefault(kind, []).append(handler)  # type: ignore[arg-type]
