Stream requests with retries, hedging and quarantine

Cause: the first exchange sent the whole request before it read the answer, never retried, and left callers and silent targets without time-outs.

--- a/src/dotterelstand/codes.py
+++ b/src/dotterelstand/codes.py
@@ -35,6 +35,7 @@
     METHOD_NOT_ALLOWED = 2016
     CALLER_TOO_SLOW = 2017
     TOO_MANY_CONNECTIONS = 2018
+    CALLER_GONE = 2019
 
     CONNECTION_LOST = 3001
     ANSWER_TRUNCATED = 3002
@@ -44,6 +45,7 @@
     KEY_UNKNOWN = 3006
     CALLER_LEFT = 3007
     BAD_ANSWER = 3008
+    BODY_INCOMPLETE = 3009
 
     @property
     def run(self) -> Run:
@@ -71,6 +73,7 @@
     Result.KEY_REQUIRED: 400,
     Result.METHOD_NOT_ALLOWED: 405,
     Result.CALLER_TOO_SLOW: 408,
+    Result.BODY_INCOMPLETE: 400,
     Result.DEADLINE_PASSED: 504,
     Result.TARGET_SILENT: 504,
     Result.KEY_RUNNING: 409,
--- a/src/dotterelstand/connection/target.py
+++ b/src/dotterelstand/connection/target.py
@@ -1,5 +1,7 @@
 """One HTTP/1.1 connection to a target."""
 
+import socket
+import struct
 from types import TracebackType
 
 import h11
@@ -9,11 +11,13 @@
 
 READ_BYTES = 65536
 
+AnswerEvent = h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]
+
 
 class TargetConnection:
     """An h11 client connection that carries one request at a time."""
 
-    __slots__ = ("_h11", "_stream", "address", "last_proof_s", "sent_bytes")
+    __slots__ = ("_h11", "_stream", "address", "handed", "last_proof_s", "reused")
 
     def __init__(
         self, stream: trio.abc.Stream, address: str, now: float, max_head_bytes: int
@@ -22,7 +26,8 @@
         self._h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=max_head_bytes)
         self.address = address
         self.last_proof_s = now
-        self.sent_bytes = 0
+        self.handed = False
+        self.reused = False
 
     def __enter__(self) -> "TargetConnection":
         return self
@@ -35,27 +40,48 @@
     ) -> None:
         self.close()
 
-    async def send_head(self, method: str, path: str, headers: Headers) -> None:
-        """Send the request head; raises `trio.BrokenResourceError` if the connection is lost."""
-        await self._send(h11.Request(method=method, target=path, headers=headers))
+    async def send_request(
+        self, method: str, path: str, headers: Headers, body: bytes, complete: bool
+    ) -> None:
+        """Send the head with the first bytes of the body in one call.
+
+        Raises `trio.BrokenResourceError` if the connection is lost.
+        """
+        data = self._h11.send(h11.Request(method=method, target=path, headers=headers)) or b""
+        if body:
+            data += self._h11.send(h11.Data(data=body)) or b""
+        if complete:
+            data += self._h11.send(h11.EndOfMessage()) or b""
+        # Set before the call, since a failed call may have sent a part.
+        self.handed = True
+        await self._stream.send_all(data)
 
     async def send_body(self, data: bytes) -> None:
         """Send one piece of the request body."""
-        await self._send(h11.Data(data=data))
+        await self._stream.send_all(self._h11.send(h11.Data(data=data)) or b"")
 
     async def finish_request(self) -> None:
         """Mark the request as complete."""
-        await self._send(h11.EndOfMessage())
-
-    async def receive(self) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
-        """Next event of the answer; raises `h11.RemoteProtocolError` if it is malformed."""
-        while True:
-            event = self._h11.next_event()
-            if event is h11.NEED_DATA:
-                data = await self._stream.receive_some(READ_BYTES)
-                self._h11.receive_data(bytes(data))
-                continue
-            return event
+        data = self._h11.send(h11.EndOfMessage())
+        if data:
+            await self._stream.send_all(data)
+
+    def poll(self) -> AnswerEvent:
+        """Next event that is already here, or `h11.NEED_DATA`.
+
+        Raises `h11.RemoteProtocolError` if the answer is malformed or cut off.
+        """
+        return self._h11.next_event()
+
+    async def receive(self) -> AnswerEvent:
+        """Next event of the answer; raises like `poll`, or `trio.BrokenResourceError`."""
+        while (event := self._h11.next_event()) is h11.NEED_DATA:
+            self._h11.receive_data(bytes(await self._stream.receive_some(READ_BYTES)))
+        return event
+
+    def lost(self) -> bool:
+        """Whether the target closed the connection."""
+        return self._h11.trailing_data[1] or self._h11.their_state is h11.CLOSED
 
     def recycle(self, now: float) -> bool:
         """Prepare for the next request; False if the connection must be closed."""
@@ -64,18 +90,26 @@
             return False
         self._h11.start_next_cycle()
         self.last_proof_s = now
-        self.sent_bytes = 0
+        self.handed = False
+        self.reused = True
         return True
 
+    def is_quiet(self) -> bool:
+        """Whether an idle connection is open and has sent nothing unexpected."""
+        return not has_input(self._stream)
+
     def close(self) -> None:
         """Close at once; the target sees it as cancellation."""
         close_now(self._stream)
 
-    async def _send(self, event: h11.Event) -> None:
-        data = self._h11.send(event)
-        if data:
-            self.sent_bytes += len(data)
-            await self._stream.send_all(data)
+
+def has_input(stream: trio.abc.AsyncResource) -> bool:
+    """Whether bytes or the end of the stream wait to be read."""
+    if isinstance(stream, trio.SocketStream):
+        return stream.socket.fileno() < 0 or stream.socket.is_readable()
+    if isinstance(stream, trio.SSLStream):
+        return has_input(stream.transport_stream)
+    return bool(stream.has_input()) if hasattr(stream, "has_input") else False
 
 
 def close_now(stream: trio.abc.AsyncResource) -> None:
@@ -88,3 +122,18 @@
         close = getattr(stream, "close", None)
         if close is not None:
             close()
+
+
+def abort_now(stream: trio.abc.AsyncResource) -> None:
+    """Reset a stream, so that its peer sees an error and not an end."""
+    if isinstance(stream, trio.SocketStream):
+        if stream.socket.fileno() >= 0:
+            linger = struct.pack("ii", 1, 0)
+            stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        stream.socket.close()
+    elif isinstance(stream, trio.SSLStream):
+        abort_now(stream.transport_stream)
+    else:
+        reset = getattr(stream, "reset", None)
+        if reset is not None:
+            reset()
--- a/src/dotterelstand/events.py
+++ b/src/dotterelstand/events.py
@@ -18,6 +18,13 @@
 
     REQUEST_ENDED = 200
     REQUEST_REJECTED = 201
+    REQUEST_ANSWERED = 202
+    REQUEST_LINES_SUPPRESSED = 203
+    CONNECTION_REFUSED = 210
+    CALLERS_CLOSED = 211
+    STRIKE_RECORDED = 220
+    QUARANTINE_BEGAN = 221
+    QUARANTINE_LIFTED = 222
 
     DOCUMENT_APPLIED = 300
     DOCUMENT_REJECTED = 301
@@ -30,11 +37,14 @@
     {
         Event.SETTINGS_INVALID,
         Event.REQUEST_REJECTED,
+        Event.QUARANTINE_BEGAN,
         Event.DOCUMENT_REJECTED,
         Event.STORE_UNAVAILABLE,
     }
 )
 
+_DEBUG = frozenset({Event.REQUEST_ANSWERED})
+
 
 def log(event: Event, **fields: object) -> None:
     """Write one event as a line: number, name, and its fields as JSON."""
@@ -43,6 +53,8 @@
         level = logging.ERROR
     elif event in _WARNINGS:
         level = logging.WARNING
+    elif event in _DEBUG:
+        level = logging.DEBUG
     if logging.get_verbosity() < level:
         return
     logging.log(level, "E%d %s %s", event, event.name.lower(), json.dumps(fields, default=str))
--- a/src/dotterelstand/process/daemon.py
+++ b/src/dotterelstand/process/daemon.py
@@ -7,44 +7,54 @@
 import trio
 from returns.pipeline import is_successful
 
-from dotterelstand.codes import Result as ResultCode
-from dotterelstand.connection.caller import CallerConnection
-from dotterelstand.connection.network import Listener, Network
-from dotterelstand.connection.pool import TargetPool
-from dotterelstand.connection.target import close_now
+from dotterelstand.connection.caller import CallerLimits
+from dotterelstand.connection.network import Network
+from dotterelstand.connection.pool import PoolLimits, TargetPool
 from dotterelstand.events import Event, log
-from dotterelstand.process.balancer import LocalBalancer
+from dotterelstand.process.front import CallerFront
+from dotterelstand.process.mesh import Member
+from dotterelstand.process.quarantine import QuarantineLimits, QuarantineService
 from dotterelstand.process.store import StoreClient
-from dotterelstand.request.exchange import Exchange
+from dotterelstand.request.context import RequestContext, RequestLimits
+from dotterelstand.request.local import CounterTable, LocalSlots, NoJournal, SoloMesh
 from dotterelstand.settings import Settings
-from dotterelstand.version.document import Document, build_document
+from dotterelstand.version.document import build_document
 
 
 class Daemon:
     """All parts of one entry host."""
 
     __slots__ = (
-        "_balancer",
-        "_document",
+        "_front",
         "_network",
         "_pool",
         "_settings",
         "_stopping",
         "_store",
+        "counters",
         "port",
+        "quarantine",
     )
 
     def __init__(self, settings: Settings, network: Network, rng: random.Random) -> None:
         self._settings = settings
         self._network = network
-        self._document: Document | None = None
         self._stopping = trio.Event()
-        self._balancer = LocalBalancer(rng)
-        self._pool = TargetPool(
-            network,
-            settings.integer("targets", "max_idle_connections"),
-            settings.number("targets", "idle_timeout_s"),
-            settings.integer("targets", "max_answer_head_bytes"),
+        self._pool = TargetPool(network, _pool_limits(settings))
+        self.counters = CounterTable()
+        self.quarantine = QuarantineService(
+            SoloMesh(_own_member(settings)), _quarantine_limits(settings), self.counters.count
+        )
+        context = RequestContext(
+            _request_limits(settings),
+            self._pool,
+            LocalSlots(rng),
+            NoJournal(),
+            self.quarantine,
+            self.counters,
+        )
+        self._front = CallerFront(
+            context, _caller_limits(settings), settings.integer("listen", "max_connections")
         )
         url = urlsplit(settings.text("store", "url"))
         self._store = StoreClient(
@@ -54,6 +64,8 @@
 
     def stop(self) -> None:
         """Begin a graceful stop."""
+        if not self._stopping.is_set():
+            log(Event.DAEMON_STOPPING)
         self._stopping.set()
 
     async def run(self) -> None:
@@ -63,53 +75,15 @@
         )
         self.port = listener.port
         log(Event.DAEMON_STARTED, port=self.port)
-        async with trio.open_nursery() as background:
-            background.start_soon(self._follow_document)
-            async with trio.open_nursery() as callers:
-                accepting = trio.CancelScope()
-                callers.start_soon(self._accept, listener, callers, accepting)
-                await self._stopping.wait()
-                log(Event.DAEMON_STOPPING)
-                await trio.sleep(self._settings.number("listen", "close_grace_s"))
-                accepting.cancel()
-            background.cancel_scope.cancel()
+        grace_s = self._settings.number("listen", "close_grace_s")
+        with self._pool:
+            async with trio.open_nursery() as background:
+                background.start_soon(self._follow_document)
+                background.start_soon(self._pool.sweep_forever)
+                await self._front.serve_until_stopped(listener, self._stopping, grace_s)
+                background.cancel_scope.cancel()
         log(Event.DAEMON_STOPPED)
 
-    async def serve_caller(self, stream: trio.abc.Stream) -> None:
-        """Serve the requests of one caller connection."""
-        connection = CallerConnection(stream, self._settings.integer("listen", "max_head_bytes"))
-        try:
-            while await self._serve_request(connection):
-                pass
-        except (trio.BrokenResourceError, trio.ClosedResourceError):
-            pass
-        finally:
-            close_now(stream)
-
-    async def _serve_request(self, connection: CallerConnection) -> bool:
-        head = None
-        with trio.move_on_after(self._settings.number("listen", "idle_timeout_s")):
-            head = await connection.next_request()
-        connection.closing = connection.closing or self._stopping.is_set()
-        if head is None:
-            return False
-        if isinstance(head, ResultCode):
-            await connection.refuse(head)
-            return False
-        if self._document is None:
-            await connection.refuse(ResultCode.NO_CONFIGURATION)
-            return False
-        exchange = Exchange(connection, head, self._document, self._pool, self._balancer)
-        code = await exchange.run()
-        log(Event.REQUEST_ENDED, code=code, path=head.path)
-        return connection.start_next_cycle()
-
-    async def _accept(
-        self, listener: Listener, callers: trio.Nursery, accepting: trio.CancelScope
-    ) -> None:
-        with accepting:
-            await listener.serve(self.serve_caller, callers)
-
     async def _follow_document(self) -> None:
         version = 0
         while True:
@@ -130,8 +104,57 @@
             bodies[name] = result.unwrap().body.decode()
         document = build_document(manifest["number"], bodies)
         if is_successful(document):
-            self._document = document.unwrap()
+            self._front.document = document.unwrap()
             log(Event.DOCUMENT_APPLIED, number=manifest["number"])
         else:
             errors = [str(error) for error in document.failure()]
             log(Event.DOCUMENT_REJECTED, number=manifest["number"], errors=errors)
+
+
+def _own_member(settings: Settings) -> Member:
+    return Member(
+        settings.text("host", "name"),
+        settings.text("host", "region"),
+        settings.text("host", "availability_zone"),
+        False,
+    )
+
+
+def _quarantine_limits(settings: Settings) -> QuarantineLimits:
+    return QuarantineLimits(
+        settings.number("quarantine", "window_s"),
+        settings.number("quarantine", "quarantine_s"),
+        settings.integer("quarantine", "max_entries"),
+        settings.number("quarantine", "confirm_timeout_s"),
+        settings.number("quarantine", "admit_wait_s"),
+        settings.number("quarantine", "run_limit_s"),
+    )
+
+
+def _pool_limits(settings: Settings) -> PoolLimits:
+    return PoolLimits(
+        settings.integer("targets", "max_idle_connections"),
+        settings.number("targets", "idle_timeout_s"),
+        settings.integer("targets", "max_answer_head_bytes"),
+        settings.number("targets", "connect_timeout_s"),
+        max(1, settings.integer("targets", "sharing_hosts")),
+    )
+
+
+def _request_limits(settings: Settings) -> RequestLimits:
+    return RequestLimits(
+        settings.integer("requests", "max_attempts"),
+        settings.number("requests", "retry_min_per_s"),
+        settings.integer("requests", "held_body_bytes"),
+        settings.integer("journal", "max_answer_bytes"),
+    )
+
+
+def _caller_limits(settings: Settings) -> CallerLimits:
+    return CallerLimits(
+        settings.integer("listen", "max_head_bytes"),
+        settings.number("listen", "idle_timeout_s"),
+        settings.number("listen", "head_timeout_s"),
+        settings.number("listen", "body_idle_timeout_s"),
+        settings.number("listen", "linger_s"),
+    )
--- /dev/null
+++ b/src/dotterelstand/request/attempt.py
@@ -0,0 +1,259 @@
+"""One attempt to run a request at one target, up to the head of the answer."""
+
+import math
+from collections.abc import Callable
+
+import h11
+import trio
+
+from dotterelstand.codes import Result as ResultCode
+from dotterelstand.connection.caller import BodyError
+from dotterelstand.connection.pool import ConnectionLimitError, TargetPool
+from dotterelstand.connection.target import TargetConnection
+from dotterelstand.request.body import RequestBody
+from dotterelstand.request.head import (
+    LOAD_HEADER,
+    RUN_HEADER,
+    Headers,
+    RequestHead,
+    forwarded_headers,
+)
+from dotterelstand.request.policy import FAILING_STATUSES
+from dotterelstand.request.ports import AttemptOutcome, CallOutcome, SlotGrant, Slots
+from dotterelstand.version.document import Service
+
+_OUTCOMES = {
+    ResultCode.CONNECT_FAILED: AttemptOutcome.CONNECT_FAILED,
+    ResultCode.OVERLOADED: AttemptOutcome.CANCELLED,
+    ResultCode.TARGET_SILENT: AttemptOutcome.TIMED_OUT,
+}
+_LOST = (trio.BrokenResourceError, trio.ClosedResourceError)
+
+
+class AnswerHead:
+    """Status and headers of a target's answer."""
+
+    __slots__ = ("headers", "status")
+
+    def __init__(self, status: int, headers: Headers) -> None:
+        self.status = status
+        self.headers = headers
+
+    def value(self, name: bytes) -> bytes | None:
+        """Value of a header, or None."""
+        return next((value for header, value in self.headers if header == name), None)
+
+    def is_refusal(self) -> bool:
+        """Whether the target says in the agreed way that the request was not run."""
+        return self.status == 503 and self.value(RUN_HEADER) == b"not-run"
+
+    def delimits_itself(self, method: str) -> bool:
+        """Whether the end of the answer can be told from a cut."""
+        if method == "HEAD" or self.status in (204, 304):
+            return True
+        lengths = self.value(b"content-length") is not None
+        return lengths != (self.value(b"transfer-encoding") is not None)
+
+
+class AttemptSetup:
+    """What the attempts of one request have in common."""
+
+    __slots__ = ("body", "head", "pool", "proven", "service", "slots")
+
+    def __init__(
+        self,
+        head: RequestHead,
+        body: RequestBody,
+        service: Service,
+        pool: TargetPool,
+        slots: Slots,
+        proven: bool,
+    ) -> None:
+        self.head = head
+        self.body = body
+        self.service = service
+        self.pool = pool
+        self.slots = slots
+        self.proven = proven
+
+
+class Attempt:
+    """Sends a request over one connection and owns its slot until `end`."""
+
+    __slots__ = (
+        "_began",
+        "_connection",
+        "_deadline",
+        "_ended",
+        "_grant",
+        "_head_sent",
+        "_sent",
+        "_setup",
+        "_silence",
+        "answer",
+        "body_error",
+        "failure",
+        "head_after_s",
+        "on_body_error",
+    )
+
+    def __init__(self, setup: AttemptSetup, grant: SlotGrant, deadline: float) -> None:
+        self._setup = setup
+        self._grant = grant
+        self._deadline = deadline
+        self._began = trio.current_time()
+        self._connection: TargetConnection | None = None
+        self._silence = trio.CancelScope()
+        self._head_sent = trio.Event()
+        self._sent = 0
+        self._ended = False
+        self.answer: AnswerHead | None = None
+        self.body_error: ResultCode | None = None
+        self.failure: ResultCode | None = None
+        self.head_after_s = 0.0
+        self.on_body_error: Callable[[], object] | None = None
+
+    @property
+    def target(self) -> str:
+        """Name of the target."""
+        return self._grant.target.name
+
+    @property
+    def connection(self) -> TargetConnection:
+        """Connection of an attempt whose answer head has arrived."""
+        assert self._connection is not None
+        return self._connection
+
+    @property
+    def handed(self) -> bool:
+        """Whether a byte of the request was handed to the target's connection."""
+        return self._connection is not None and self._connection.handed
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether the target may have run the request."""
+        refused = self.answer is not None and self.answer.is_refusal()
+        return self.handed and not refused
+
+    async def run(self) -> None:
+        """Send the request and wait for the answer's head; sets `answer` or `failure`."""
+        if not await self._connect():
+            return
+        body = self._setup.body
+        whole = body.complete and body.held_whole
+        try:
+            with self._silence:
+                self._watch()
+                await self._send_first(body.held if whole else b"", whole)
+                await self._receive_head()
+            if self._silence.cancelled_caught:
+                self._silent()
+        except _LOST:
+            self.failure = ResultCode.CONNECTION_LOST
+        except h11.RemoteProtocolError:
+            lost = self.connection.lost()
+            self.failure = ResultCode.CONNECTION_LOST if lost else ResultCode.BAD_ANSWER
+
+    async def send_rest(self) -> None:
+        """Stream the rest of the body; ends without error when the target stops reading."""
+        body = self._setup.body
+        await self._head_sent.wait()
+        try:
+            while (data := await self._next_piece(body)) is not None:
+                self._watch()
+                await self.connection.send_body(data)
+                self._sent += len(data)
+            await self.connection.finish_request()
+            self._watch()
+        except BodyError as error:
+            self.body_error = error.code
+            if self.on_body_error is not None:
+                self.on_body_error()
+        except (*_LOST, h11.LocalProtocolError):
+            # The target may have answered early; its answer or the lost connection decides.
+            return
+
+    def outcome(self) -> AttemptOutcome:
+        """How the attempt went, as far as it went."""
+        if self.failure is not None:
+            return _OUTCOMES.get(self.failure, AttemptOutcome.FAILED)
+        if self.answer is None or self.body_error is not None:
+            return AttemptOutcome.CANCELLED
+        if self.answer.is_refusal():
+            return AttemptOutcome.REFUSED
+        failing = self.answer.status in FAILING_STATUSES
+        return AttemptOutcome.FAILED if failing else AttemptOutcome.OK
+
+    def end(self, kind: AttemptOutcome) -> None:
+        """Give back the slot and the connection; a connection that is not clean is closed."""
+        if self._ended:
+            return
+        self._ended = True
+        load = self.answer.value(LOAD_HEADER) if self.answer is not None else None
+        number = int(load) if load is not None and load.isdigit() and len(load) < 7 else None
+        duration_s = trio.current_time() - self._began
+        self._setup.slots.release(self._grant, CallOutcome(kind, duration_s, number))
+        if self._connection is None:
+            return
+        if self.failure is None and kind is not AttemptOutcome.CANCELLED:
+            self._setup.pool.release(self._connection)
+        else:
+            self._setup.pool.discard(self._connection)
+
+    def drop_answer(self) -> None:
+        """Read the rest of an answer that is not passed on, if it is already here."""
+        try:
+            while isinstance(self.connection.poll(), h11.Data):
+                pass
+        except h11.RemoteProtocolError:
+            self.failure = ResultCode.CONNECTION_LOST
+
+    async def _connect(self) -> bool:
+        setup = self._setup
+        try:
+            self._connection = await setup.pool.acquire(
+                self._grant.target, setup.service.connections, setup.proven
+            )
+        except OSError:
+            self.failure = ResultCode.CONNECT_FAILED
+        except ConnectionLimitError:
+            self.failure = ResultCode.OVERLOADED
+        return self.failure is None
+
+    async def _send_first(self, data: bytes, complete: bool) -> None:
+        remaining_s = self._deadline - trio.current_time()
+        head = self._setup.head
+        headers = forwarded_headers(head, remaining_s)
+        await self.connection.send_request(head.method, head.path, headers, data, complete)
+        self._sent = len(data)
+        self._head_sent.set()
+        self._watch()
+
+    async def _receive_head(self) -> None:
+        event = await self.connection.receive()
+        while isinstance(event, h11.InformationalResponse):
+            self._watch()
+            event = await self.connection.receive()
+        if not isinstance(event, h11.Response):
+            raise h11.RemoteProtocolError("no answer head")
+        headers: Headers = [(bytes(name), bytes(value)) for name, value in event.headers]
+        self.answer = AnswerHead(event.status_code, headers)
+        self.head_after_s = trio.current_time() - self._began
+        self._silence.deadline = math.inf
+        if not self.answer.delimits_itself(self._setup.head.method):
+            # Such an answer ends with its connection, so a cut would look like its end.
+            self.failure = ResultCode.BAD_ANSWER
+
+    async def _next_piece(self, body: RequestBody) -> bytes | None:
+        if self._sent >= body.length and not body.complete:
+            # A slow caller is no silence of the target.
+            self._silence.deadline = math.inf
+        return await body.piece_at(self._sent)
+
+    def _watch(self) -> None:
+        if self.answer is None:
+            self._silence.deadline = trio.current_time() + self._setup.service.silence_timeout_s
+
+    def _silent(self) -> None:
+        self.failure = ResultCode.TARGET_SILENT
+        self._setup.pool.distrust(self.connection.address)
--- a/src/dotterelstand/request/head.py
+++ b/src/dotterelstand/request/head.py
@@ -1,6 +1,7 @@
 """Checked head of a caller's request."""
 
 import h11
+import xxhash
 from returns.result import Failure, Result, Success
 
 from dotterelstand.codes import Result as ResultCode
@@ -40,7 +41,7 @@
 class RequestHead:
     """Fields of a request head that dotterelstand acts on."""
 
-    __slots__ = ("deadline_s", "expects_continue", "headers", "key", "method", "path", "tenant")
+    __slots__ = ("deadline_s", "headers", "key", "method", "path", "tenant")
 
     def __init__(
         self,
@@ -50,7 +51,6 @@
         key: bytes | None,
         tenant: str,
         deadline_s: float | None,
-        expects_continue: bool,
     ) -> None:
         self.method = method
         self.path = path
@@ -58,7 +58,11 @@
         self.key = key
         self.tenant = tenant
         self.deadline_s = deadline_s
-        self.expects_continue = expects_continue
+
+    def declared_length(self) -> int | None:
+        """Length of the body in bytes that the head declares, or None."""
+        value = next((value for name, value in self.headers if name == b"content-length"), None)
+        return None if value is None else int(value)
 
     def has_body(self) -> bool:
         """Whether the head announces a body."""
@@ -68,6 +72,11 @@
         )
 
 
+def head_digest(head: RequestHead) -> bytes:
+    """First 8 bytes of the fingerprint of a request: method, path and query."""
+    return xxhash.xxh3_64_digest(f"{head.method} {head.path}".encode())
+
+
 def read_head(request: h11.Request) -> Result[RequestHead, ResultCode]:
     """Check a parsed head; fails with the result code of the refusal."""
     headers: Headers = [(bytes(name), bytes(value)) for name, value in request.headers]
@@ -96,7 +105,6 @@
             values.get(KEY_HEADER),
             tenant,
             deadline_s,
-            values.get(b"expect", b"").lower() == b"100-continue",
         )
     )
 
--- /dev/null
+++ b/src/dotterelstand/request/keyed.py
@@ -0,0 +1,71 @@
+"""The part of a call that the journal takes part in."""
+
+from dotterelstand.codes import Result as ResultCode
+from dotterelstand.codes import Run
+from dotterelstand.connection.caller import CallerConnection
+from dotterelstand.request.attempt import AnswerHead
+from dotterelstand.request.body import RequestBody
+from dotterelstand.request.context import RequestContext
+from dotterelstand.request.head import Headers, RequestHead, returned_headers
+from dotterelstand.request.ports import Go, KeyedOutcome, Recorded
+
+# Fields that describe the transfer of the first answer and not the answer.
+_TRANSFER_FIELDS = frozenset({b"transfer-encoding", b"content-length"})
+
+
+class KeyedRun:
+    """A keyed request from the journal's permission to the report of its outcome."""
+
+    __slots__ = ("_answer", "_body", "_body_digest", "_context", "_go", "_key", "_service")
+
+    def __init__(
+        self, context: RequestContext, head: RequestHead, body: RequestBody, service: str
+    ) -> None:
+        assert head.key is not None
+        self._context = context
+        self._key = head.key
+        self._service = service
+        # A chunked body has no declared length; its held part counts alone.
+        length = head.declared_length()
+        declared = (-1 if length is None else length).to_bytes(8, "big", signed=True)
+        self._body_digest = body.digest() + declared
+        self._go: Go | None = None
+        self._answer: AnswerHead | None = None
+        self._body: bytes | None = None
+
+    async def begin(self, caller: CallerConnection) -> ResultCode | None:
+        """Ask the journal; None permits sending, a code is how the request ended.
+
+        An answer that was recorded earlier has been sent when `REPLAYED` is returned.
+        """
+        verdict = await self._context.journal.begin(self._key, self._body_digest, self._service)
+        if isinstance(verdict, Go):
+            self._go = verdict
+            return None
+        if isinstance(verdict, Recorded):
+            await caller.answer(verdict.status, verdict.headers, verdict.body, ResultCode.REPLAYED)
+            return ResultCode.REPLAYED
+        return verdict.code
+
+    def keep(self, answer: AnswerHead, body: bytes | None) -> None:
+        """Note the complete answer; the body is None if it is too long to record."""
+        self._answer = answer
+        self._body = body
+
+    def finish(self, code: ResultCode) -> None:
+        """Report how the request ended; without permission there is nothing to report."""
+        if self._go is None:
+            return
+        headers: Headers = []
+        status, body = 0, b""
+        if self._answer is not None and self._body is not None:
+            code, status, body = ResultCode.ANSWERED, self._answer.status, self._body
+            headers = [
+                (name, value)
+                for name, value in returned_headers(self._answer.headers)
+                if name not in _TRANSFER_FIELDS
+            ]
+        elif code.run is Run.RAN:
+            code = ResultCode.ANSWERED
+        self._context.journal.finish(self._go, KeyedOutcome(code, status, headers, body))
+        self._go = None
--- /dev/null
+++ b/src/dotterelstand/request/relay.py
@@ -0,0 +1,96 @@
+"""Passes a target's answer on to the caller while it arrives."""
+
+from collections.abc import Callable
+
+import h11
+import trio
+
+from dotterelstand.codes import Result as ResultCode
+from dotterelstand.connection.caller import CallerConnection
+from dotterelstand.connection.target import AnswerEvent, TargetConnection
+from dotterelstand.request.attempt import AnswerHead
+from dotterelstand.request.head import returned_headers
+
+# Encoded bytes that are collected before they are sent to the caller.
+SEND_BYTES = 65536
+
+
+class Relay:
+    """One answer on its way from a target to a caller.
+
+    The end of the answer is encoded only when the target has sent its end.
+    """
+
+    __slots__ = ("_caller", "_kept", "_max_kept", "_progress", "_target", "complete")
+
+    def __init__(
+        self,
+        caller: CallerConnection,
+        target: TargetConnection,
+        max_kept: int,
+        progress: Callable[[], None],
+    ) -> None:
+        self._caller = caller
+        self._target = target
+        self._max_kept = max_kept
+        self._progress = progress
+        self._kept: bytearray | None = bytearray() if max_kept else None
+        self.complete = False
+
+    @property
+    def kept(self) -> bytes | None:
+        """Body of the complete answer, or None if it was longer than allowed."""
+        return bytes(self._kept) if self.complete and self._kept is not None else None
+
+    async def run(self, head: AnswerHead) -> ResultCode:
+        """Pass the answer on; the code tells whether the caller has all of it."""
+        try:
+            first = self._target.poll()
+        except h11.RemoteProtocolError:
+            return self._cut_code()
+        data = self._caller.encode_head(
+            head.status, returned_headers(head.headers), ResultCode.ANSWERED
+        )
+        try:
+            return await self._pass_on(data, first)
+        except h11.RemoteProtocolError:
+            return self._cut_code()
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            return ResultCode.CALLER_LEFT
+
+    async def _pass_on(self, data: bytes, event: AnswerEvent) -> ResultCode:
+        while True:
+            if isinstance(event, h11.Data):
+                self._keep(event.data)
+                data += self._caller.encode_body(event.data)
+                if len(data) >= SEND_BYTES:
+                    await self._send(data)
+                    data = b""
+            elif isinstance(event, h11.EndOfMessage):
+                self.complete = True
+                await self._send(data + self._caller.encode_end())
+                return ResultCode.ANSWERED
+            elif event is h11.NEED_DATA:
+                await self._send(data)
+                data = b""
+                try:
+                    event = await self._target.receive()
+                except (trio.BrokenResourceError, trio.ClosedResourceError):
+                    return ResultCode.ANSWER_TRUNCATED
+                continue
+            else:
+                return ResultCode.ANSWER_TRUNCATED
+            event = self._target.poll()
+
+    async def _send(self, data: bytes) -> None:
+        await self._caller.send(data)
+        self._progress()
+
+    def _keep(self, data: bytes) -> None:
+        if self._kept is not None:
+            self._kept += data
+            if len(self._kept) > self._max_kept:
+                self._kept = None
+
+    def _cut_code(self) -> ResultCode:
+        return ResultCode.ANSWER_TRUNCATED if self._target.lost() else ResultCode.BAD_ANSWER
--- a/src/dotterelstand/standin/network.py
+++ b/src/dotterelstand/standin/network.py
@@ -80,6 +80,15 @@
             else:
                 await pipe.wake.wait()
 
+    def has_input(self) -> bool:
+        """Whether bytes or the end of the stream wait to be read."""
+        pipe = self._incoming
+        if pipe.broken or self._local_closed:
+            return True
+        if pipe.silent:
+            return False
+        return pipe.chunks[0][0] <= trio.current_time() if pipe.chunks else pipe.closed
+
     async def aclose(self) -> None:
         """Close this end."""
         self.close()
--- /dev/null
+++ b/tests/support.py
@@ -0,0 +1,186 @@
+"""Shared helpers: a fleet of real daemons and target stand-ins over the in-memory network."""
+
+import json
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import h11
+import trio
+
+from dotterelstand.process.daemon import Daemon
+from dotterelstand.settings import parse_settings
+from dotterelstand.standin.httpd import serve_http
+from dotterelstand.standin.network import FakeNetwork, FakeStream
+from dotterelstand.standin.platform import ObjectStore
+from dotterelstand.standin.target import TargetServer
+from dotterelstand.standin.virtual import run_virtual, seeded_random
+from dotterelstand.version.document import section_digest
+
+CALLER, PLATFORM, ENTRY = "10.0.0.1", "10.0.0.2", "10.0.0.3"
+LATENCY_S = 0.0005
+
+ROUTES = """
+[[routes]]
+prefix = "/lookup"
+methods = ["GET", "HEAD", "POST"]
+service = "main"
+idempotent = true
+deadline_ms = {deadline_ms}
+[[routes]]
+prefix = "/order"
+methods = ["POST", "PUT"]
+service = "main"
+idempotent = false
+deadline_ms = {deadline_ms}
+"""
+
+
+class Answer:
+    """What a caller received: `complete` only if the answer had its proper end."""
+
+    def __init__(self) -> None:
+        self.status = 0
+        self.headers: dict[str, str] = {}
+        self.body = b""
+        self.complete = False
+
+    @property
+    def code(self) -> int:
+        """Result code, 0 if there was none."""
+        return int(self.headers.get("dotterelstand-result", 0))
+
+    @property
+    def run(self) -> str:
+        """What the caller may conclude about the execution."""
+        return self.headers.get("dotterelstand-run", "")
+
+    def json(self) -> Any:
+        """Body of a target stand-in's answer."""
+        return json.loads(self.body)
+
+
+class Fleet:
+    """One daemon, its platform and targets; `service` holds extra lines of the service table."""
+
+    def __init__(self, targets: int, seed: int, service: str, settings: str, deadline_ms: int):
+        self.network = FakeNetwork(lambda one, other: LATENCY_S)
+        self.targets = [TargetServer(f"t{i}", 2, 0.005, seed) for i in range(targets)]
+        self.store = ObjectStore()
+        text = "".join(
+            f'[[services.main.targets]]\nname = "t{i}"\naddress = "10.1.0.{i}"\nport = 80\n'
+            'region = "local"\navailability_zone = "local-1"\n'
+            for i in range(targets)
+        )
+        text = f"[services.main]\nsilence_timeout_s = 0.5\n{service}\n{text}"
+        self._body = text + ROUTES.format(deadline_ms=deadline_ms)
+        overrides = f'[store]\nurl = "http://{PLATFORM}:80"\n{settings}'
+        overrides += "" if "[listen]" in settings else "[listen]\n"
+        overrides = overrides.replace("[listen]", f'[listen]\naddress = "{ENTRY}"')
+        self.daemon = Daemon(
+            parse_settings(overrides, "test").unwrap(),
+            self.network.at(ENTRY),
+            seeded_random(seed, "daemon"),
+        )
+        self.stopped = trio.Event()
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Start everything and wait until the daemon serves."""
+        digest = section_digest(self._body)
+        self.store.put(f"document/sections/{digest}", self._body.encode(), {})
+        entry = {"digest": digest, "author": "test", "at": 0}
+        manifest = {"number": 1, "write": "w", "sections": {"main": entry}}
+        self.store.put("document/head", json.dumps(manifest).encode(), {})
+        listener = await self.network.at(PLATFORM).listen(PLATFORM, 80)
+        nursery.start_soon(listener.serve, self._serve_store, nursery)
+        for index, target in enumerate(self.targets):
+            address = f"10.1.0.{index}"
+            nursery.start_soon(target.serve, self.network.at(address), address, 80)
+        nursery.start_soon(self._run_daemon)
+        await trio.sleep(1.0)
+
+    async def stream(self) -> FakeStream:
+        """New connection to the daemon."""
+        return await self.network.open_stream(CALLER, ENTRY, self.daemon.port)
+
+    async def call(self, method: str, path: str, body: bytes = b"", **headers: str) -> Answer:
+        """Send one request over a new connection and read its answer."""
+        stream = await self.stream()
+        try:
+            return await exchange(stream, method, path, body, headers)
+        finally:
+            stream.close()
+
+    def runs(self, path: str) -> list[str]:
+        """States of the executions of a path at all targets."""
+        return [run.state for target in self.targets for run in target.runs if run.path == path]
+
+    def set_faults(self, **values: object) -> None:
+        """Set faults at every target."""
+        for target in self.targets:
+            assert target.faults.change(values) is None
+
+    async def _run_daemon(self) -> None:
+        await self.daemon.run()
+        self.stopped.set()
+
+    async def _serve_store(self, stream: trio.abc.Stream) -> None:
+        await serve_http(stream, self.store.handle)
+
+
+def run_fleet(
+    scenario: Callable[[Fleet], Awaitable[Any]],
+    targets: int = 3,
+    seed: int = 1,
+    service: str = "",
+    settings: str = "",
+    deadline_ms: int = 10000,
+    limit_s: float = 600.0,
+) -> Any:
+    """Run a scenario in virtual time; fails if it takes longer than `limit_s` virtual seconds."""
+
+    async def main() -> Any:
+        fleet = Fleet(targets, seed, service, settings, deadline_ms)
+        with trio.fail_after(limit_s):
+            async with trio.open_nursery() as nursery:
+                await fleet.start(nursery)
+                result = await scenario(fleet)
+                assert not fleet.daemon.counters.values.get("requests.faults"), "invariant broken"
+                nursery.cancel_scope.cancel()
+        return result
+
+    return run_virtual(main, seed=seed)
+
+
+async def exchange(
+    stream: trio.abc.Stream, method: str, path: str, body: bytes, headers: dict[str, str]
+) -> Answer:
+    """Send a request with a declared length and read the answer."""
+    fields = [f"{name.replace('_', '-')}: {value}\r\n" for name, value in headers.items()]
+    head = f"{method} {path} HTTP/1.1\r\nhost: x\r\ncontent-length: {len(body)}\r\n"
+    await stream.send_all(f"{head}{''.join(fields)}\r\n".encode() + body)
+    return await read_answer(stream, method)
+
+
+async def read_answer(stream: trio.abc.Stream, method: str = "GET") -> Answer:
+    """Read one answer up to its end, or up to where the connection broke."""
+    answer = Answer()
+    connection = h11.Connection(h11.CLIENT)
+    connection.send(h11.Request(method=method, target="/", headers=[("host", "x")]))
+    connection.send(h11.EndOfMessage())
+    try:
+        while True:
+            event = connection.next_event()
+            if event is h11.NEED_DATA:
+                connection.receive_data(bytes(await stream.receive_some(65536)))
+            elif isinstance(event, h11.Response):
+                answer.status = event.status_code
+                answer.headers = {n.decode(): v.decode() for n, v in event.headers}
+            elif isinstance(event, h11.Data):
+                answer.body += bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                answer.complete = True
+                return answer
+            elif not isinstance(event, h11.InformationalResponse):
+                return answer
+    except (trio.BrokenResourceError, trio.ClosedResourceError, h11.RemoteProtocolError):
+        return answer
