--- a/src/dotterelstand/process/daemon.py
+++ b/src/dotterelstand/process/daemon.py
@@ -2,37 +2,44 @@
 
 import json
 import random
-from urllib.parse import urlsplit
 
 import trio
 from returns.pipeline import is_successful
 
-from dotterelstand.codes import Result as ResultCode
-from dotterelstand.connection.caller import CallerConnection
-from dotterelstand.connection.network import Listener, Network
+from dotterelstand.connection.network import Network
 from dotterelstand.connection.pool import TargetPool
-from dotterelstand.connection.target import close_now
 from dotterelstand.events import Event, log
-from dotterelstand.process.balancer import LocalBalancer
 from dotterelstand.process.control import ControlPort, ControlRegistry
-from dotterelstand.process.metrics import build_metrics
+from dotterelstand.process.front import CallerFront
+from dotterelstand.process.hostlist import HostListReader
+from dotterelstand.process.journalservice import JournalService, build_journal
+from dotterelstand.process.limits import (
+    caller_limits,
+    pool_limits,
+    quarantine_limits,
+    request_limits,
+)
+from dotterelstand.process.metrics import Metrics, build_metrics
 from dotterelstand.process.pages import DaemonState, register_pages
-from dotterelstand.process.store import StoreClient
-from dotterelstand.request.exchange import Exchange
-from dotterelstand.request.head import RequestHead
+from dotterelstand.process.peers import Peers
+from dotterelstand.process.quarantine import QuarantineService
+from dotterelstand.process.slots import SlotBroker, make_broker
+from dotterelstand.process.store import build_store
+from dotterelstand.request.context import RequestContext
 from dotterelstand.settings import Settings
 from dotterelstand.version.document import Document, build_document
 
 
 class Daemon:
-    """All parts of one entry host."""
+    """All parts of one entry host; create it within `trio.run`."""
 
     __slots__ = (
-        "_balancer",
         "_control",
-        "_document",
+        "_front",
+        "_hosts",
         "_metrics",
         "_network",
+        "_peers",
         "_pool",
         "_registry",
         "_settings",
@@ -40,35 +47,69 @@
         "_stopping",
         "_store",
         "control_port",
+        "journal",
         "port",
+        "quarantine",
+        "slots",
     )
 
     def __init__(self, settings: Settings, network: Network, rng: random.Random) -> None:
         self._settings = settings
         self._network = network
-        self._document: Document | None = None
-        self._metrics = build_metrics(settings)
         self._stopping = trio.Event()
-        self._balancer = LocalBalancer(rng)
-        self._pool = TargetPool(
-            network,
-            settings.integer("targets", "max_idle_connections"),
-            settings.number("targets", "idle_timeout_s"),
-            settings.integer("targets", "max_answer_head_bytes"),
+        self._metrics = build_metrics(settings)
+        self._store = build_store(settings, network, rng)
+        self._peers = Peers(settings, network, rng)
+        self._hosts = HostListReader(
+            self._store,
+            self._peers,
+            settings.number("peers", "host_list_interval_s"),
+            settings.integer("peers", "port"),
+            rng,
+        )
+        self._pool = TargetPool(network, pool_limits(settings))
+        self.slots: SlotBroker = make_broker(self._peers, settings, rng)
+        self.journal: JournalService = build_journal(settings, self._store, self._peers, rng)
+        self.quarantine = QuarantineService(
+            self._peers, quarantine_limits(settings), self._metrics.count
         )
-        url = urlsplit(settings.text("store", "url"))
-        self._store = StoreClient(
-            url.hostname or "", url.port or 80, network, settings.number("store", "timeout_s")
+        context = RequestContext(
+            request_limits(settings),
+            self._pool,
+            self.slots,
+            self.journal,
+            self.quarantine,
+            self._metrics,
+        )
+        self._front = CallerFront(
+            context, caller_limits(settings), settings.integer("listen", "max_connections")
         )
         self._registry = ControlRegistry()
-        self._state = DaemonState(lambda: self._document, self._stopping.is_set, self.stop)
+        self._state = DaemonState(lambda: self._front.document, self._stopping.is_set, self.stop)
         register_pages(self._registry, settings, self._metrics, self._state)
         self._control = ControlPort(settings, self._registry, self._metrics)
         self.port = 0
         self.control_port = 0
 
+    @property
+    def document(self) -> Document | None:
+        """Document in force."""
+        return self._front.document
+
+    @property
+    def peers(self) -> Peers:
+        """Links to the other entry hosts."""
+        return self._peers
+
+    @property
+    def metrics(self) -> Metrics:
+        """Counters and histograms of this host."""
+        return self._metrics
+
     def stop(self) -> None:
         """Begin a graceful stop."""
+        if not self._stopping.is_set():
+            log(Event.DAEMON_STOPPING)
         self._stopping.set()
 
     async def run(self) -> None:
@@ -81,73 +122,34 @@
         control = await self._control.listen(self._network)
         self.control_port = control.port
         self._state.started_s = trio.current_time()
-        async with trio.open_nursery() as background:
-            background.start_soon(self._control.serve, control)
-            background.start_soon(self._follow_document)
-            background.start_soon(self._flush_metrics)
-            async with trio.open_nursery() as callers:
-                accepting = trio.CancelScope()
-                callers.start_soon(self._accept, listener, callers, accepting)
-                await self._stopping.wait()
-                log(Event.DAEMON_STOPPING)
-                await trio.sleep(self._settings.number("listen", "close_grace_s"))
-                accepting.cancel()
-            background.cancel_scope.cancel()
+        grace_s = self._settings.number("listen", "close_grace_s")
+        with self._pool:
+            async with trio.open_nursery() as background:
+                background.start_soon(self._control.serve, control)
+                await background.start(self._peers.run)
+                background.start_soon(self._hosts.run)
+                background.start_soon(self._follow_document)
+                background.start_soon(self.journal.run)
+                background.start_soon(self.slots.run)
+                background.start_soon(self._pool.sweep_forever)
+                background.start_soon(self._flush_metrics)
+                background.start_soon(self._announce_stop)
+                await self._front.serve_until_stopped(listener, self._stopping, grace_s)
+                await self.journal.stop()
+                await self._peers.say_goodbye()
+                background.cancel_scope.cancel()
         self._metrics.flush()
         log(Event.DAEMON_STOPPED)
 
-    async def serve_caller(self, stream: trio.abc.Stream) -> None:
-        """Serve the requests of one caller connection."""
-        connection = CallerConnection(stream, self._settings.integer("listen", "max_head_bytes"))
-        try:
-            while await self._serve_request(connection):
-                pass
-        except (trio.BrokenResourceError, trio.ClosedResourceError):
-            pass
-        finally:
-            close_now(stream)
-
-    async def _serve_request(self, connection: CallerConnection) -> bool:
-        head = None
-        with trio.move_on_after(self._settings.number("listen", "idle_timeout_s")):
-            head = await connection.next_request()
-        connection.closing = connection.closing or self._stopping.is_set()
-        if head is None:
-            return False
-        if isinstance(head, ResultCode):
-            self._metrics.count(f"requests.result.{head:d}")
-            await connection.refuse(head)
-            return False
-        if self._document is None:
-            self._metrics.count(f"requests.result.{ResultCode.NO_CONFIGURATION:d}")
-            await connection.refuse(ResultCode.NO_CONFIGURATION)
-            return False
-        started = trio.current_time()
-        exchange = Exchange(connection, head, self._document, self._pool, self._balancer)
-        code = await exchange.run()
-        self._record_request(self._document, head, code, trio.current_time() - started)
-        log(Event.REQUEST_ENDED, code=code, path=head.path)
-        return connection.start_next_cycle()
-
-    def _record_request(
-        self, document: Document, head: RequestHead, code: ResultCode, seconds: float
-    ) -> None:
-        self._metrics.count(f"requests.result.{code:d}")
-        route = document.find_route(head.path, head.method)
-        if route is not None:
-            self._metrics.record_latency(route.service, route.klass, head.tenant, seconds)
+    async def _announce_stop(self) -> None:
+        await self._stopping.wait()
+        self._peers.leave()
 
     async def _flush_metrics(self) -> None:
         while True:
             await trio.sleep(self._settings.number("metrics", "flush_interval_s"))
             self._metrics.flush()
 
-    async def _accept(
-        self, listener: Listener, callers: trio.Nursery, accepting: trio.CancelScope
-    ) -> None:
-        with accepting:
-            await listener.serve(self.serve_caller, callers)
-
     async def _follow_document(self) -> None:
         version = 0
         while True:
@@ -168,8 +170,13 @@
             bodies[name] = result.unwrap().body.decode()
         document = build_document(manifest["number"], bodies)
         if is_successful(document):
-            self._document = document.unwrap()
-            log(Event.DOCUMENT_APPLIED, number=manifest["number"])
+            self.apply(document.unwrap())
         else:
             errors = [str(error) for error in document.failure()]
             log(Event.DOCUMENT_REJECTED, number=manifest["number"], errors=errors)
+
+    def apply(self, document: Document) -> None:
+        """Put a version of the document in force."""
+        self._front.document = document
+        self.slots.apply(document)
+        log(Event.DOCUMENT_APPLIED, number=document.number)
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -52,10 +52,13 @@
     names = set()
     for path, call in _calls():
         function = call.func
-        if not isinstance(function, ast.Attribute) or function.attr != "count" or not call.args:
+        if not isinstance(function, ast.Attribute) or not call.args:
             continue
         receiver = ast.unparse(function.value).lower()
-        if "metrics" not in receiver and (path.name, receiver) != ("metrics.py", "self"):
+        named = "metrics" in receiver or "counters" in receiver
+        named = named or (path.name, receiver) == ("metrics.py", "self")
+        injected = (path.name, function.attr) == ("quarantine.py", "_count")
+        if not (function.attr == "count" and named) and not injected:
             continue
         choices = [call.args[0]]
         if isinstance(choices[0], ast.IfExp):
@@ -118,9 +121,11 @@
             if not isinstance(node, ast.Assign) or not isinstance(node.targets[0], ast.Name):
                 continue
             value = node.value.value if isinstance(node.value, ast.Constant) else None
-            if isinstance(value, int) and 4000 < value < 6000 and value % 1000:
+            name = node.targets[0].id
+            is_bound = name.startswith("MAX_")
+            if isinstance(value, int) and 4000 < value < 6000 and not is_bound:
                 assert str(value) not in found, f"{path.name}: {value} is used twice"
-                found[str(value)] = node.targets[0].id.lower()
+                found[str(value)] = name.lower()
     rows = _rows("error-codes.md")
     assert {code: row[1] for code, row in rows.items()} == found
 
