--- a/src/dotterelstand/connection/pool.py
+++ b/src/dotterelstand/connection/pool.py
@@ -10,6 +10,8 @@
 
 # Seconds within which a connection that answered may carry a non-idempotent request.
 PROOF_LIFE_S = 1.0
+# No connection is this young: only a new one will do.
+ONLY_NEW_S = -1.0
 SWEEP_S = 1.0
 
 
@@ -72,20 +74,20 @@
                 self._close(connection)
         self._idle.clear()
 
-    async def acquire(
-        self, target: Target, connections: int, must_be_proven: bool
-    ) -> TargetConnection:
+    async def acquire(self, target: Target, connections: int, max_age_s: float) -> TargetConnection:
         """Connection for one request, to be given back with `release` or `discard`.
 
+        It is new, or its last answer ended at most `max_age_s` seconds ago.
+
         Raises `OSError` if the target cannot be reached in time, and `ConnectionLimitError` if
         this host's share of the target's `connections` stays in use for the connect time-out or
         as many requests as it has connections already wait.
         """
         address = f"{target.address}:{target.port}"
         share = max(1, connections // self._limits.sharing_hosts)
-        connection = self._take_idle(address, must_be_proven)
+        connection = self._take_idle(address, max_age_s)
         if connection is None and not self._has_room(address, share):
-            connection = await self._wait_for_room(address, share, must_be_proven)
+            connection = await self._wait_for_room(address, share, max_age_s)
         return connection if connection is not None else await self._connect(target, address)
 
     def release(self, connection: TargetConnection) -> None:
@@ -131,7 +133,7 @@
         """Number of open connections, idle ones included."""
         return sum(self._open.values())
 
-    def _take_idle(self, address: str, must_be_proven: bool) -> TargetConnection | None:
+    def _take_idle(self, address: str, max_age_s: float) -> TargetConnection | None:
         idle = self._idle.get(address)
         now = trio.current_time()
         while idle:
@@ -139,8 +141,8 @@
             age_s = now - connection.last_proof_s
             if age_s > self._limits.idle_timeout_s or not connection.is_quiet():
                 self._close(connection)
-            elif must_be_proven and age_s > PROOF_LIFE_S:
-                # The others are older; all stay for idempotent requests.
+            elif age_s > max_age_s:
+                # The others are older; all stay for requests that may use them.
                 idle.append(connection)
                 return None
             else:
@@ -155,7 +157,7 @@
         return self._open.get(address, 0) < share
 
     async def _wait_for_room(
-        self, address: str, share: int, must_be_proven: bool
+        self, address: str, share: int, max_age_s: float
     ) -> TargetConnection | None:
         """Wait for a connection or for room for a new one, in which case None is returned."""
         lot = self._waiting.setdefault(address, trio.lowlevel.ParkingLot())
@@ -165,7 +167,7 @@
             with trio.move_on_after(self._limits.connect_timeout_s):
                 while True:
                     await lot.park()
-                    connection = self._take_idle(address, must_be_proven)
+                    connection = self._take_idle(address, max_age_s)
                     if connection is not None or self._has_room(address, share):
                         return connection
             raise ConnectionLimitError(address)
--- a/src/dotterelstand/connection/strict.py
+++ b/src/dotterelstand/connection/strict.py
@@ -9,7 +9,7 @@
 HEAD_END = b"\r\n\r\n"
 
 # A line feed without carriage return, a carriage return without line feed, or a NUL byte.
-_BAD_BYTES = re.compile(rb"(?<!\r)\n|\r(?!\n)|\x00")
+_BAD_BYTES = re.compile(rb"(?<!\r)\n|\r(?=[^\n])|\x00")
 # A line that continues the header field before it (obs-fold).
 _FOLDED = re.compile(rb"\r\n[ \t]")
 _LENGTH = re.compile(rb"\r\ncontent-length[ \t]*:([^\r]*)", re.IGNORECASE)
@@ -40,7 +40,7 @@
     accept ends at its bare line feed, so that it is refused at once.
     """
     end = data.find(HEAD_END, max(0, searched - 3))
-    bare = _BAD_BYTES.search(data, max(0, searched - 1), len(data) - 1)
+    bare = _BAD_BYTES.search(data, max(0, searched - 1))
     if bare is not None and (end < 0 or bare.start() < end):
         return bare.end()
     return -1 if end < 0 else end + len(HEAD_END)
--- a/src/dotterelstand/request/attempt.py
+++ b/src/dotterelstand/request/attempt.py
@@ -8,7 +8,7 @@
 
 from dotterelstand.codes import Result as ResultCode
 from dotterelstand.connection.caller import BodyError
-from dotterelstand.connection.pool import ConnectionLimitError, TargetPool
+from dotterelstand.connection.pool import ONLY_NEW_S, PROOF_LIFE_S, ConnectionLimitError, TargetPool
 from dotterelstand.connection.target import TargetConnection
 from dotterelstand.request.body import RequestBody
 from dotterelstand.request.head import (
@@ -58,7 +58,7 @@
 class AttemptSetup:
     """What the attempts of one request have in common."""
 
-    __slots__ = ("body", "head", "pool", "proven", "service", "slots")
+    __slots__ = ("body", "head", "idempotent", "pool", "service", "slots")
 
     def __init__(
         self,
@@ -67,14 +67,14 @@
         service: Service,
         pool: TargetPool,
         slots: Slots,
-        proven: bool,
+        idempotent: bool,
     ) -> None:
         self.head = head
         self.body = body
         self.service = service
         self.pool = pool
         self.slots = slots
-        self.proven = proven
+        self.idempotent = idempotent
 
 
 class Attempt:
@@ -87,6 +87,7 @@
         "_ended",
         "_grant",
         "_head_sent",
+        "_max_age_s",
         "_sent",
         "_setup",
         "_silence",
@@ -97,8 +98,14 @@
         "on_body_error",
     )
 
-    def __init__(self, setup: AttemptSetup, grant: SlotGrant, deadline: float) -> None:
+    def __init__(
+        self, setup: AttemptSetup, grant: SlotGrant, deadline: float, after_silence: bool
+    ) -> None:
         self._setup = setup
+        self._max_age_s = math.inf if setup.idempotent else PROOF_LIFE_S
+        if after_silence:
+            # Connections to other targets may have gone silent for the same cause.
+            self._max_age_s = ONLY_NEW_S
         self._grant = grant
         self._deadline = deadline
         self._began = trio.current_time()
@@ -212,7 +219,7 @@
         setup = self._setup
         try:
             self._connection = await setup.pool.acquire(
-                self._grant.target, setup.service.connections, setup.proven
+                self._grant.target, setup.service.connections, self._max_age_s
             )
         except OSError:
             self.failure = ResultCode.CONNECT_FAILED
--- a/src/dotterelstand/request/exchange.py
+++ b/src/dotterelstand/request/exchange.py
@@ -77,7 +77,7 @@
         limit_s = math.inf if head.deadline_s is None else head.deadline_s
         self._caller_deadline = trio.current_time() + limit_s
         self._setup = AttemptSetup(
-            head, self._body, self._service, context.pool, context.slots, not route.idempotent
+            head, self._body, self._service, context.pool, context.slots, route.idempotent
         )
         self.ending = Ending(route, head.tenant)
 
@@ -121,10 +121,10 @@
         last: ResultCode | None = None
         while True:
             if not await self._admit():
-                return self._uncertain(ResultCode.QUARANTINED, last)
+                return self._uncertain(last or ResultCode.QUARANTINED)
             attempt = await self._next_attempt()
             if isinstance(attempt, ResultCode):
-                return self._uncertain(attempt, last)
+                return self._uncertain(last or attempt)
             code, again = await self._try(attempt)
             if not again:
                 return code
@@ -141,7 +141,8 @@
         grant = await self._context.slots.acquire(self._service, call)
         if not is_successful(grant):
             return grant.failure()
-        attempt = Attempt(self._setup, grant.unwrap(), self._scope.deadline)
+        silent = any(other.failure is ResultCode.TARGET_SILENT for other in self._attempts)
+        attempt = Attempt(self._setup, grant.unwrap(), self._scope.deadline, silent)
         self._attempts.append(attempt)
         return attempt
 
@@ -193,7 +194,7 @@
             # The target's own failure answer says more than any of ours.
             return await self._relay(attempt), False
         attempt.end(attempt.outcome())
-        return self._uncertain(code, None), False
+        return self._uncertain(code), False
 
     async def _failure_code(self, attempt: Attempt) -> ResultCode:
         await self._strike_lost()
@@ -289,12 +290,10 @@
     def _may_have_run(self) -> bool:
         return any(attempt.may_have_run for attempt in self._attempts)
 
-    def _uncertain(self, code: ResultCode, last: ResultCode | None) -> ResultCode:
+    def _uncertain(self, code: ResultCode) -> ResultCode:
         """The code that is true for the whole request, earlier attempts included."""
         if code.run is not Run.NOT_RUN or not self._may_have_run():
             return code
-        if last is not None and last.run is Run.UNKNOWN:
-            return last
         unknown = [a.failure for a in self._attempts if a.may_have_run and a.failure is not None]
         return unknown[-1] if unknown else ResultCode.BAD_ANSWER
 
--- a/src/dotterelstand/standin/target.py
+++ b/src/dotterelstand/standin/target.py
@@ -67,6 +67,7 @@
         "_began",
         "_cold_s",
         "_connections",
+        "_fixed_s",
         "_in_flight",
         "_loads",
         "_max_connections",
@@ -80,6 +81,7 @@
         "faults",
         "malformed",
         "port",
+        "received",
         "runs",
     )
 
@@ -100,6 +102,7 @@
         self._max_connections = max_connections
         self._cold_s = cold_s
         self._began = 0.0
+        self._fixed_s: float | None = None
         self._in_flight = 0
         self._loads: deque[tuple[float, int]] = deque(maxlen=MAX_LOAD_HISTORY)
         self._connections: dict[trio.abc.Stream, trio.CancelScope] = {}
@@ -107,6 +110,7 @@
         self.faults = Faults()
         self.crashes = 0
         self.malformed = 0
+        self.received = 0
         self.deadlines_ms: deque[int] = deque(maxlen=1000)
         self.runs: deque[Run] = deque(maxlen=MAX_RUNS)
         self.port = 0
@@ -127,6 +131,10 @@
                     await listener.serve(self._serve_stream, nursery)
                 await trio.sleep(self.faults.restart_s)
 
+    def fix_service_time(self, seconds: float) -> None:
+        """Let every request take the same time from now on."""
+        self._fixed_s = seconds
+
     def crash(self) -> None:
         """Reset every connection and close the port, as the end of the process would."""
         self.crashes += 1
@@ -204,6 +212,8 @@
     def _service_time_s(self) -> float:
         cold = trio.current_time() - self._began < self._cold_s
         factor = self.faults.slow_factor * (10.0 if cold else 1.0)
+        if self._fixed_s is not None:
+            return self._fixed_s * factor
         return self._random.expovariate(1 / self._mean_s) * factor if self._mean_s else 0.0
 
     def _drains_by_health(self) -> bool:
@@ -226,6 +236,7 @@
         event = await self._next_event()
         if not isinstance(event, h11.Request):
             return False
+        self._server.received += 1
         path = event.target.decode("latin-1")
         headers = {name.decode(): value.decode("latin-1") for name, value in event.headers}
         if "dotterelstand-deadline-ms" in headers:
--- /dev/null
+++ b/tests/features/crashing_request.feature
@@ -0,0 +1,26 @@
+Feature: A request that crashes targets is stopped
+  Scenario: A crashing request that its caller repeats costs at most two targets
+    Given 6 targets with faults {"crash_paths": ["/lookup/bad"]}
+    When a caller sends GET /lookup/bad 8 times
+    Then at most 2 targets crashed
+    And the last answer is 2006 and says not-run
+
+  Scenario: Requests of other callers run on
+    Given 6 targets with faults {"crash_paths": ["/lookup/bad"]}
+    When a caller sends GET /lookup/bad 8 times
+    And 20 callers look up their own number one after the other
+    Then the last 20 answers are 1000
+
+  Scenario: A popular lookup that met ordinary crashes is not quarantined
+    Given 3 targets
+    When 30 callers look up the same number while targets crash one after the other
+    Then no answer is 2006
+    And the counter quarantine.began is 0
+
+  Scenario: A quarantine ends by itself
+    Given 6 targets with faults {"crash_paths": ["/lookup/bad"]}
+    When a caller sends GET /lookup/bad 4 times
+    And the targets get the faults {"crash_paths": []}
+    And 61 seconds pass
+    And a caller sends GET /lookup/bad
+    Then the last answer is 1000
--- /dev/null
+++ b/tests/features/retries.feature
@@ -0,0 +1,31 @@
+Feature: Only what may safely be repeated is repeated, and within a budget
+  Scenario: An order that a target refused runs once at another target
+    Given 3 targets, the first with faults {"shed": 1.0}
+    When 30 callers send their own order one after the other
+    Then every answer is 1000
+    And every order ran exactly once
+
+  Scenario: Lookups move on from a target that fails
+    Given 4 targets, the first with faults {"fail_status": 500}
+    When 20 callers look up their own number one after the other
+    Then every answer has status 200
+    And the counter requests.retries is at least 1
+
+  Scenario: Retries stay within a tenth of the traffic when every target fails
+    Given 5 targets with faults {"fail_status": 500}
+    When 400 callers look up their own number one after the other
+    Then the counter requests.retries is at most 50
+    And the counter requests.retries is at least 10
+    And every answer has status 500
+
+  Scenario: An upload of more than the held part is not sent again
+    Given 3 targets with faults {"crash_paths": ["/lookup/large"]}
+    When a caller sends POST /lookup/large with 200000 bytes
+    Then the last answer is 3001 and says unknown
+    And the counter requests.no_retry.not_held is 1
+
+  Scenario: A short upload is sent again from the held part
+    Given 3 targets, the first with faults {"crash_paths": ["/lookup"], "restart_s": 100.0}
+    When 10 callers upload 20000 bytes to their own lookup one after the other
+    Then every answer is 1000
+    And every upload arrived byte for byte
--- a/tests/support.py
+++ b/tests/support.py
@@ -71,7 +71,9 @@
             'region = "local"\navailability_zone = "local-1"\n'
             for i in range(targets)
         )
-        text = f"[services.main]\nsilence_timeout_s = 0.5\n{service}\n{text}"
+        if "silence_timeout_s" not in service:
+            service += "\nsilence_timeout_s = 0.5"
+        text = f"[services.main]\n{service}\n{text}"
         self._body = text + ROUTES.format(deadline_ms=deadline_ms)
         overrides = f'[store]\nurl = "http://{PLATFORM}:80"\n{settings}'
         overrides += "" if "[listen]" in settings else "[listen]\n"
