--- a/src/dotterelstand/process/daemon.py
+++ b/src/dotterelstand/process/daemon.py
@@ -2,36 +2,53 @@
 
 import json
 import random
-from urllib.parse import urlsplit
 
 import trio
 from returns.pipeline import is_successful
 
-from dotterelstand.connection.caller import CallerLimits
 from dotterelstand.connection.network import Network
-from dotterelstand.connection.pool import PoolLimits, TargetPool
+from dotterelstand.connection.pool import TargetPool
 from dotterelstand.events import Event, log
+from dotterelstand.process.control import ControlPort, ControlRegistry
 from dotterelstand.process.front import CallerFront
-from dotterelstand.process.mesh import Member
-from dotterelstand.process.quarantine import QuarantineLimits, QuarantineService
-from dotterelstand.process.store import StoreClient
-from dotterelstand.request.context import RequestContext, RequestLimits
-from dotterelstand.request.local import CounterTable, LocalSlots, NoJournal, SoloMesh
+from dotterelstand.process.hostlist import HostListReader
+from dotterelstand.process.journalservice import JournalService, build_journal
+from dotterelstand.process.limits import (
+    caller_limits,
+    pool_limits,
+    quarantine_limits,
+    request_limits,
+)
+from dotterelstand.process.metrics import Metrics, build_metrics
+from dotterelstand.process.pages import DaemonState, register_pages
+from dotterelstand.process.peers import Peers
+from dotterelstand.process.quarantine import QuarantineService, register_quarantine
+from dotterelstand.process.slots import SlotBroker, make_broker
+from dotterelstand.process.store import StoreClient, build_store
+from dotterelstand.request.context import RequestContext
 from dotterelstand.settings import Settings
-from dotterelstand.version.document import build_document
+from dotterelstand.version.document import Document, build_document
 
 
 class Daemon:
-    """All parts of one entry host."""
+    """All parts of one entry host; create it within `trio.run`."""
 
     __slots__ = (
+        "_control",
         "_front",
+        "_hosts",
         "_network",
         "_pool",
+        "_registry",
         "_settings",
+        "_state",
         "_stopping",
         "_store",
-        "counters",
+        "broker",
+        "control_port",
+        "journal",
+        "metrics",
+        "peers",
         "port",
         "quarantine",
     )
@@ -40,33 +57,35 @@
         self._settings = settings
         self._network = network
         self._stopping = trio.Event()
-        self._pool = TargetPool(network, _pool_limits(settings))
-        self.counters = CounterTable()
-        self.quarantine = QuarantineService(
-            SoloMesh(_own_member(settings)), _quarantine_limits(settings), self.counters.count
-        )
-        context = RequestContext(
-            _request_limits(settings),
-            self._pool,
-            LocalSlots(rng),
-            NoJournal(),
-            self.quarantine,
-            self.counters,
-        )
-        self._front = CallerFront(
-            context, _caller_limits(settings), settings.integer("listen", "max_connections")
-        )
-        url = urlsplit(settings.text("store", "url"))
-        self._store = StoreClient(
-            url.hostname or "", url.port or 80, network, settings.number("store", "timeout_s")
+        self.metrics: Metrics = build_metrics(settings)
+        self._store: StoreClient = build_store(settings, network, rng)
+        self.peers = Peers(settings, network, rng)
+        self.broker: SlotBroker = make_broker(self.peers, settings, rng)
+        self._hosts = HostListReader(
+            self._store,
+            self.peers,
+            settings.number("peers", "host_list_interval_s"),
+            settings.integer("peers", "port"),
+            rng,
         )
+        self.journal: JournalService = build_journal(settings, self._store, self.peers, rng)
+        self.quarantine = QuarantineService(self.peers, quarantine_limits(settings), self.metrics)
+        self._pool = TargetPool(network, pool_limits(settings))
+        self._front = self._make_front(settings)
+        self._registry = ControlRegistry()
+        self._state = DaemonState(lambda: self._front.document, self._stopping.is_set, self.stop)
+        register_pages(self._registry, settings, self.metrics, self._state)
+        register_quarantine(self._registry, self.quarantine)
+        self._control = ControlPort(settings, self._registry, self.metrics)
         self.port = 0
+        self.control_port = 0
 
     def stop(self) -> None:
         """Begin a graceful stop."""
         if not self._stopping.is_set():
             log(Event.DAEMON_STOPPING)
-        self._stopping.set()
+            self._stopping.set()
+            self.peers.leave()
 
     async def run(self) -> None:
         """Serve callers until `stop` is called and every request has ended."""
@@ -75,15 +94,49 @@
         )
         self.port = listener.port
         log(Event.DAEMON_STARTED, port=self.port)
+        control = await self._control.listen(self._network)
+        self.control_port = control.port
+        self._state.started_s = trio.current_time()
         grace_s = self._settings.number("listen", "close_grace_s")
         with self._pool:
             async with trio.open_nursery() as background:
+                await background.start(self.peers.run)
+                background.start_soon(self._control.serve, control)
+                background.start_soon(self._hosts.run)
+                background.start_soon(self.broker.run)
+                background.start_soon(self.journal.run)
                 background.start_soon(self._follow_document)
+                background.start_soon(self._flush_metrics)
                 background.start_soon(self._pool.sweep_forever)
                 await self._front.serve_until_stopped(listener, self._stopping, grace_s)
+                await self.journal.stop()
+                await self.peers.say_goodbye()
                 background.cancel_scope.cancel()
+        self.metrics.flush()
         log(Event.DAEMON_STOPPED)
 
+    def _make_front(self, settings: Settings) -> CallerFront:
+        context = RequestContext(
+            request_limits(settings),
+            self._pool,
+            self.broker,
+            self.journal,
+            self.quarantine,
+            self.metrics,
+        )
+        return CallerFront(
+            context, caller_limits(settings), settings.integer("listen", "max_connections")
+        )
+
+    async def _flush_metrics(self) -> None:
+        while True:
+            await trio.sleep(self._settings.number("metrics", "flush_interval_s"))
+            self.metrics.flush()
+
+    def _apply(self, document: Document) -> None:
+        self._front.document = document
+        self.broker.apply(document)
+
     async def _follow_document(self) -> None:
         version = 0
         while True:
@@ -104,57 +157,8 @@
             bodies[name] = result.unwrap().body.decode()
         document = build_document(manifest["number"], bodies)
         if is_successful(document):
-            self._front.document = document.unwrap()
+            self._apply(document.unwrap())
             log(Event.DOCUMENT_APPLIED, number=manifest["number"])
         else:
             errors = [str(error) for error in document.failure()]
             log(Event.DOCUMENT_REJECTED, number=manifest["number"], errors=errors)
-
-
-def _own_member(settings: Settings) -> Member:
-    return Member(
-        settings.text("host", "name"),
-        settings.text("host", "region"),
-        settings.text("host", "availability_zone"),
-        False,
-    )
-
-
-def _quarantine_limits(settings: Settings) -> QuarantineLimits:
-    return QuarantineLimits(
-        settings.number("quarantine", "window_s"),
-        settings.number("quarantine", "quarantine_s"),
-        settings.integer("quarantine", "max_entries"),
-        settings.number("quarantine", "confirm_timeout_s"),
-        settings.number("quarantine", "admit_wait_s"),
-        settings.number("quarantine", "run_limit_s"),
-    )
-
-
-def _pool_limits(settings: Settings) -> PoolLimits:
-    return PoolLimits(
-        settings.integer("targets", "max_idle_connections"),
-        settings.number("targets", "idle_timeout_s"),
-        settings.integer("targets", "max_answer_head_bytes"),
-        settings.number("targets", "connect_timeout_s"),
-        max(1, settings.integer("targets", "sharing_hosts")),
-    )
-
-
-def _request_limits(settings: Settings) -> RequestLimits:
-    return RequestLimits(
-        settings.integer("requests", "max_attempts"),
-        settings.number("requests", "retry_min_per_s"),
-        settings.integer("requests", "held_body_bytes"),
-        settings.integer("journal", "max_answer_bytes"),
-    )
-
-
-def _caller_limits(settings: Settings) -> CallerLimits:
-    return CallerLimits(
-        settings.integer("listen", "max_head_bytes"),
-        settings.number("listen", "idle_timeout_s"),
-        settings.number("listen", "head_timeout_s"),
-        settings.number("listen", "body_idle_timeout_s"),
-        settings.number("listen", "linger_s"),
-    )
--- a/src/dotterelstand/request/attempt.py
+++ b/src/dotterelstand/request/attempt.py
@@ -10,8 +10,10 @@
 from dotterelstand.connection.caller import BodyError
 from dotterelstand.connection.pool import ONLY_NEW_S, PROOF_LIFE_S, ConnectionLimitError, TargetPool
 from dotterelstand.connection.target import TargetConnection
+from dotterelstand.process.outcome import AttemptOutcome, SlotGrant, SlotOutcome
 from dotterelstand.request.body import RequestBody
 from dotterelstand.request.head import (
+    DRAINING_HEADER,
     LOAD_HEADER,
     RUN_HEADER,
     Headers,
@@ -19,7 +21,7 @@
     forwarded_headers,
 )
 from dotterelstand.request.policy import FAILING_STATUSES
-from dotterelstand.request.ports import AttemptOutcome, CallOutcome, SlotGrant, Slots
+from dotterelstand.request.ports import Slots
 from dotterelstand.version.document import Service
 
 _OUTCOMES = {
@@ -199,7 +201,7 @@
         load = self.answer.value(LOAD_HEADER) if self.answer is not None else None
         number = int(load) if load is not None and load.isdigit() and len(load) < 7 else None
         duration_s = trio.current_time() - self._began
-        self._setup.slots.release(self._grant, CallOutcome(kind, duration_s, number))
+        self._setup.slots.release(self._grant, SlotOutcome(kind, duration_s, number))
         if self._connection is None:
             return
         if self.failure is None and kind is not AttemptOutcome.CANCELLED:
@@ -247,6 +249,8 @@
         self.answer = AnswerHead(event.status_code, headers)
         self.head_after_s = trio.current_time() - self._began
         self._silence.deadline = math.inf
+        if self.answer.value(DRAINING_HEADER) == b"1":
+            self._setup.slots.target_leaving(self.target)
         if not self.answer.delimits_itself(self._setup.head.method):
             # Such an answer ends with its connection, so a cut would look like its end.
             self.failure = ResultCode.BAD_ANSWER
--- a/src/dotterelstand/request/exchange.py
+++ b/src/dotterelstand/request/exchange.py
@@ -8,6 +8,7 @@
 from dotterelstand.codes import Result as ResultCode
 from dotterelstand.codes import Run
 from dotterelstand.connection.caller import BodyError, CallerConnection
+from dotterelstand.process.outcome import AttemptOutcome, SlotCall
 from dotterelstand.request.attempt import Attempt, AttemptSetup
 from dotterelstand.request.body import RequestBody
 from dotterelstand.request.context import RequestContext
@@ -22,7 +23,7 @@
     decide_retry,
     hedge_delay_s,
 )
-from dotterelstand.request.ports import Admission, AttemptOutcome, Call
+from dotterelstand.request.ports import Admission
 from dotterelstand.request.race import is_good, run_race
 from dotterelstand.request.relay import Relay
 from dotterelstand.version.document import Document, Route, Service
@@ -129,15 +130,16 @@
             if not again:
                 return code
             last = code
-            self._context.counters.count("requests.retries")
+            self._context.metrics.count("requests.retries")
 
     async def _next_attempt(self) -> Attempt | ResultCode:
         if not can_finish(self._remaining_s(), self._policy.times):
             return ResultCode.DEADLINE_TOO_SHORT
         excluded = frozenset(attempt.target for attempt in self._attempts)
         classes = self._document.classes
-        klass = classes.index(self._route.klass) if self._route.klass in classes else 0
-        call = Call(klass, self._head.tenant, self._scope.deadline, excluded)
+        last = len(classes) - 1
+        klass = classes.index(self._route.klass) if self._route.klass in classes else last
+        call = SlotCall(klass, self._head.tenant, self._scope.deadline, excluded)
         grant = await self._context.slots.acquire(self._service, call)
         if not is_successful(grant):
             return grant.failure()
@@ -177,7 +179,7 @@
         attempt = await self._next_attempt()
         if isinstance(attempt, ResultCode):
             return None
-        self._context.counters.count("requests.hedges")
+        self._context.metrics.count("requests.hedges")
         return attempt
 
     async def _settle(self, attempt: Attempt) -> tuple[ResultCode, bool]:
@@ -249,7 +251,7 @@
                 except BodyError:
                     # The fingerprint is then that of the part that the target received.
                     pass
-                self._context.counters.count("requests.strikes")
+                self._context.metrics.count("requests.strikes")
                 await self._context.suspects.strike(self._fingerprint(), attempt.target)
 
     def _clear_strikes(self) -> None:
@@ -270,7 +272,7 @@
         limits = self._context.limits
         decision = decide_retry(failed, self._policy, limits.max_attempts, trio.current_time())
         if decision is not RetryDecision.RETRY:
-            self._context.counters.count(f"requests.no_retry.{decision.value}")
+            self._context.metrics.count(f"requests.no_retry.{decision.value}")
         return decision
 
     async def _read_body(self) -> bytes | None:
--- a/src/dotterelstand/request/keyed.py
+++ b/src/dotterelstand/request/keyed.py
@@ -3,14 +3,11 @@
 from dotterelstand.codes import Result as ResultCode
 from dotterelstand.codes import Run
 from dotterelstand.connection.caller import CallerConnection
+from dotterelstand.process.journalcall import Go, Recorded, done, not_run, unknown
 from dotterelstand.request.attempt import AnswerHead
 from dotterelstand.request.body import RequestBody
 from dotterelstand.request.context import RequestContext
-from dotterelstand.request.head import Headers, RequestHead, returned_headers
-from dotterelstand.request.ports import Go, KeyedOutcome, Recorded
-
-# Fields that describe the transfer of the first answer and not the answer.
-_TRANSFER_FIELDS = frozenset({b"transfer-encoding", b"content-length"})
+from dotterelstand.request.head import RequestHead, head_digest, returned_headers
 
 
 class KeyedRun:
@@ -28,7 +25,7 @@
         # A chunked body has no declared length; its held part counts alone.
         length = head.declared_length()
         declared = (-1 if length is None else length).to_bytes(8, "big", signed=True)
-        self._body_digest = body.digest() + declared
+        self._body_digest = head_digest(head) + body.digest() + declared
         self._go: Go | None = None
         self._answer: AnswerHead | None = None
         self._body: bytes | None = None
@@ -56,16 +53,13 @@
         """Report how the request ended; without permission there is nothing to report."""
         if self._go is None:
             return
-        headers: Headers = []
-        status, body = 0, b""
-        if self._answer is not None and self._body is not None:
-            code, status, body = ResultCode.ANSWERED, self._answer.status, self._body
-            headers = [
-                (name, value)
-                for name, value in returned_headers(self._answer.headers)
-                if name not in _TRANSFER_FIELDS
-            ]
-        elif code.run is Run.RAN:
-            code = ResultCode.ANSWERED
-        self._context.journal.finish(self._go, KeyedOutcome(code, status, headers, body))
+        if self._answer is not None:
+            headers = returned_headers(self._answer.headers)
+            outcome = done(self._answer.status, headers, self._body)
+        elif code.run is Run.NOT_RUN:
+            outcome = not_run(code)
+        else:
+            assert code.run is Run.UNKNOWN, "a run without a complete answer"
+            outcome = unknown(code)
+        self._context.journal.finish(self._go, outcome)
         self._go = None
--- a/src/dotterelstand/request/race.py
+++ b/src/dotterelstand/request/race.py
@@ -4,9 +4,9 @@
 
 import trio
 
+from dotterelstand.process.outcome import AttemptOutcome
 from dotterelstand.request.attempt import Attempt
 from dotterelstand.request.policy import FAILING_STATUSES
-from dotterelstand.request.ports import AttemptOutcome
 
 StartHedge = Callable[[], Awaitable[Attempt | None]]
 
--- a/src/dotterelstand/standin/target.py
+++ b/src/dotterelstand/standin/target.py
@@ -14,8 +14,8 @@
 from dotterelstand.standin.faults import Faults, matches
 
 MAX_RUNS = 200_000
-MAX_LOAD_HISTORY = 4096
-MAX_FAULTS_BYTES = 4096
+MAX_LOAD_HISTORY = 4000
+MAX_FAULTS_BYTES = 16384
 
 Headers = list[tuple[str, str]]
 
--- a/tests/features/malformed.feature
+++ b/tests/features/malformed.feature
@@ -53,7 +53,7 @@
     Given 1 target with faults {"slow_factor": 400.0}
     When a caller sends POST /order/1 and leaves
     Then a target saw a request cancelled
-    And the counter requests.3007 is 1
+    And the counter requests.result.3007 is 1
 
   Scenario: Connections over the limit are refused
     Given 1 target
--- a/tests/features/own_answer.feature
+++ b/tests/features/own_answer.feature
@@ -1,6 +1,6 @@
 Feature: A caller receives the complete answer to its own request
   Scenario: Answers of many callers do not mix
-    Given 3 targets
+    Given 12 targets
     When 50 callers look up their own number at the same time
     Then every caller has the complete answer to its own request
 
@@ -8,7 +8,7 @@
     Given 1 target with faults {"truncate_paths": ["/order/cut"]}
     When a caller sends POST /order/cut
     Then no complete answer of a target arrives
-    And the counter requests.3002 is 1
+    And the counter requests.result.3002 is 1
 
   Scenario: An answer that arrives too late is dropped with its connection
     Given 1 target with faults {"slow_factor": 400.0}
--- a/tests/support.py
+++ b/tests/support.py
@@ -146,7 +146,7 @@
             async with trio.open_nursery() as nursery:
                 await fleet.start(nursery)
                 result = await scenario(fleet)
-                assert not fleet.daemon.counters.values.get("requests.faults"), "invariant broken"
+                assert not fleet.daemon.metrics.value("requests.faults"), "invariant broken"
                 nursery.cancel_scope.cancel()
         return result
 
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -28,4 +28,4 @@
                     expected,
                 )
 
-    run_fleet(scenario)
+    run_fleet(scenario, targets=12)
--- a/tests/test_features.py
+++ b/tests/test_features.py
@@ -49,7 +49,7 @@
 
     def count(self, name: str) -> int:
         """Counter of the daemon."""
-        return self.run().daemon.counters.values.get(name, 0)
+        return self.run().daemon.metrics.value(name)
 
     async def call(self, fleet: Fleet, method: str, path: str, body: bytes = b"", **h: str) -> None:
         """Send a request and note its answer and duration."""
