--- a/src/dotterelstand/process/daemon.py
+++ b/src/dotterelstand/process/daemon.py
@@ -22,9 +22,9 @@
 from dotterelstand.process.metrics import Metrics, build_metrics
 from dotterelstand.process.pages import DaemonState, register_pages
 from dotterelstand.process.peers import Peers
-from dotterelstand.process.quarantine import QuarantineService
+from dotterelstand.process.quarantine import QuarantineService, register_quarantine
 from dotterelstand.process.slots import SlotBroker, make_broker
-from dotterelstand.process.store import build_store
+from dotterelstand.process.store import StoreClient, build_store
 from dotterelstand.request.context import RequestContext
 from dotterelstand.settings import Settings
 from dotterelstand.version.document import Document, build_document
@@ -37,80 +37,55 @@
         "_control",
         "_front",
         "_hosts",
-        "_metrics",
         "_network",
-        "_peers",
         "_pool",
         "_registry",
         "_settings",
         "_state",
         "_stopping",
         "_store",
+        "broker",
         "control_port",
         "journal",
+        "metrics",
+        "peers",
         "port",
         "quarantine",
-        "slots",
     )
 
     def __init__(self, settings: Settings, network: Network, rng: random.Random) -> None:
         self._settings = settings
         self._network = network
         self._stopping = trio.Event()
-        self._metrics = build_metrics(settings)
-        self._store = build_store(settings, network, rng)
-        self._peers = Peers(settings, network, rng)
+        self.metrics: Metrics = build_metrics(settings)
+        self._store: StoreClient = build_store(settings, network, rng)
+        self.peers = Peers(settings, network, rng)
+        self.broker: SlotBroker = make_broker(self.peers, settings, rng)
         self._hosts = HostListReader(
             self._store,
-            self._peers,
+            self.peers,
             settings.number("peers", "host_list_interval_s"),
             settings.integer("peers", "port"),
             rng,
         )
+        self.journal: JournalService = build_journal(settings, self._store, self.peers, rng)
+        self.quarantine = QuarantineService(self.peers, quarantine_limits(settings), self.metrics)
         self._pool = TargetPool(network, pool_limits(settings))
-        self.slots: SlotBroker = make_broker(self._peers, settings, rng)
-        self.journal: JournalService = build_journal(settings, self._store, self._peers, rng)
-        self.quarantine = QuarantineService(
-            self._peers, quarantine_limits(settings), self._metrics.count
-        )
-        context = RequestContext(
-            request_limits(settings),
-            self._pool,
-            self.slots,
-            self.journal,
-            self.quarantine,
-            self._metrics,
-        )
-        self._front = CallerFront(
-            context, caller_limits(settings), settings.integer("listen", "max_connections")
-        )
+        self._front = self._make_front(settings)
         self._registry = ControlRegistry()
         self._state = DaemonState(lambda: self._front.document, self._stopping.is_set, self.stop)
-        register_pages(self._registry, settings, self._metrics, self._state)
-        self._control = ControlPort(settings, self._registry, self._metrics)
+        register_pages(self._registry, settings, self.metrics, self._state)
+        register_quarantine(self._registry, self.quarantine)
+        self._control = ControlPort(settings, self._registry, self.metrics)
         self.port = 0
         self.control_port = 0
 
-    @property
-    def document(self) -> Document | None:
-        """Document in force."""
-        return self._front.document
-
-    @property
-    def peers(self) -> Peers:
-        """Links to the other entry hosts."""
-        return self._peers
-
-    @property
-    def metrics(self) -> Metrics:
-        """Counters and histograms of this host."""
-        return self._metrics
-
     def stop(self) -> None:
         """Begin a graceful stop."""
         if not self._stopping.is_set():
             log(Event.DAEMON_STOPPING)
-        self._stopping.set()
+            self._stopping.set()
+            self.peers.leave()
 
     async def run(self) -> None:
         """Serve callers until `stop` is called and every request has ended."""
@@ -125,30 +100,42 @@
         grace_s = self._settings.number("listen", "close_grace_s")
         with self._pool:
             async with trio.open_nursery() as background:
+                await background.start(self.peers.run)
                 background.start_soon(self._control.serve, control)
-                await background.start(self._peers.run)
                 background.start_soon(self._hosts.run)
-                background.start_soon(self._follow_document)
+                background.start_soon(self.broker.run)
                 background.start_soon(self.journal.run)
-                background.start_soon(self.slots.run)
-                background.start_soon(self._pool.sweep_forever)
+                background.start_soon(self._follow_document)
                 background.start_soon(self._flush_metrics)
-                background.start_soon(self._announce_stop)
+                background.start_soon(self._pool.sweep_forever)
                 await self._front.serve_until_stopped(listener, self._stopping, grace_s)
                 await self.journal.stop()
-                await self._peers.say_goodbye()
+                await self.peers.say_goodbye()
                 background.cancel_scope.cancel()
-        self._metrics.flush()
+        self.metrics.flush()
         log(Event.DAEMON_STOPPED)
 
-    async def _announce_stop(self) -> None:
-        await self._stopping.wait()
-        self._peers.leave()
+    def _make_front(self, settings: Settings) -> CallerFront:
+        context = RequestContext(
+            request_limits(settings),
+            self._pool,
+            self.broker,
+            self.journal,
+            self.quarantine,
+            self.metrics,
+        )
+        return CallerFront(
+            context, caller_limits(settings), settings.integer("listen", "max_connections")
+        )
 
     async def _flush_metrics(self) -> None:
         while True:
             await trio.sleep(self._settings.number("metrics", "flush_interval_s"))
-            self._metrics.flush()
+            self.metrics.flush()
+
+    def _apply(self, document: Document) -> None:
+        self._front.document = document
+        self.broker.apply(document)
 
     async def _follow_document(self) -> None:
         version = 0
@@ -170,13 +157,8 @@
             bodies[name] = result.unwrap().body.decode()
         document = build_document(manifest["number"], bodies)
         if is_successful(document):
-            self.apply(document.unwrap())
+            self._apply(document.unwrap())
+            log(Event.DOCUMENT_APPLIED, number=manifest["number"])
         else:
             errors = [str(error) for error in document.failure()]
             log(Event.DOCUMENT_REJECTED, number=manifest["number"], errors=errors)
-
-    def apply(self, document: Document) -> None:
-        """Put a version of the document in force."""
-        self._front.document = document
-        self.slots.apply(document)
-        log(Event.DOCUMENT_APPLIED, number=document.number)
--- a/src/dotterelstand/process/limits.py
+++ b/src/dotterelstand/process/limits.py
@@ -1,4 +1,4 @@
-"""Limits of the request path as the settings give them."""
+"""Bounds of the request parts, read from the settings."""
 
 from dotterelstand.connection.caller import CallerLimits
 from dotterelstand.connection.pool import PoolLimits
@@ -8,7 +8,7 @@
 
 
 def quarantine_limits(settings: Settings) -> QuarantineLimits:
-    """Bounds of the quarantine."""
+    """Bounds on strikes and quarantines."""
     return QuarantineLimits(
         settings.number("quarantine", "window_s"),
         settings.number("quarantine", "quarantine_s"),
--- a/src/dotterelstand/request/context.py
+++ b/src/dotterelstand/request/context.py
@@ -8,7 +8,7 @@
 from dotterelstand.version.document import Service
 
 # Services whose budgets and durations are kept; the one that was added first is dropped.
-MAX_SERVICES = 4096
+MAX_SERVICES = 3500
 
 
 class RequestLimits:
@@ -32,7 +32,7 @@
 class RequestContext:
     """Parts of the process that requests use."""
 
-    __slots__ = ("_policies", "counters", "journal", "limits", "pool", "slots", "suspects")
+    __slots__ = ("_policies", "journal", "limits", "metrics", "pool", "slots", "suspects")
 
     def __init__(
         self,
@@ -41,14 +41,14 @@
         slots: Slots,
         journal: Journal,
         suspects: Suspects,
-        counters: Counters,
+        metrics: Counters,
     ) -> None:
         self.limits = limits
         self.pool = pool
         self.slots = slots
         self.journal = journal
         self.suspects = suspects
-        self.counters = counters
+        self.metrics = metrics
         self._policies: dict[str, ServicePolicy] = {}
 
     def policy(self, service: Service) -> ServicePolicy:
--- a/src/dotterelstand/settings_rules.py
+++ b/src/dotterelstand/settings_rules.py
@@ -128,10 +128,6 @@
     lambda text: re.fullmatch(r"[A-Za-z0-9._-]{1,64}", text) is not None,
 )
 OPTIONAL_NAME = Matching("empty or " + NAME.allowed, lambda text: not text or NAME.accepts(text))
-OPTIONAL_NAME = Matching(
-    "empty, or 1 to 64 letters, digits, '.', '_' or '-'",
-    lambda text: re.fullmatch(r"[A-Za-z0-9._-]{0,64}", text) is not None,
-)
 TEXT = Matching(
     "up to 256 printable characters", lambda text: len(text) <= 256 and text.isprintable()
 )
