--- a/src/dotterelstand/process/daemon.py
+++ b/src/dotterelstand/process/daemon.py
@@ -115,11 +115,11 @@
         if head is None:
             return False
         if isinstance(head, ResultCode):
-            self._metrics.count(f"requests.result.{head:d}")
+            self._metrics.count(f"requests.{head:d}")
             await connection.refuse(head)
             return False
         if self._document is None:
-            self._metrics.count(f"requests.result.{ResultCode.NO_CONFIGURATION:d}")
+            self._metrics.count(f"requests.{ResultCode.NO_CONFIGURATION:d}")
             await connection.refuse(ResultCode.NO_CONFIGURATION)
             return False
         started = trio.current_time()
@@ -132,7 +132,7 @@
     def _record_request(
         self, document: Document, head: RequestHead, code: ResultCode, seconds: float
     ) -> None:
-        self._metrics.count(f"requests.result.{code:d}")
+        self._metrics.count(f"requests.{code:d}")
         route = document.find_route(head.path, head.method)
         if route is not None:
             self._metrics.record_latency(route.service, route.klass, head.tenant, seconds)
--- a/src/dotterelstand/standin/load.py
+++ b/src/dotterelstand/standin/load.py
@@ -26,6 +26,7 @@
 # Answers after which the same key can never give more: its outcome stays unknown.
 FINAL_CODES = frozenset({3006})
 REPEAT_AFTER_S = 0.2
+MAX_RUNS_BYTES = 64 * 1024 * 1024
 
 
 class LoadLimits:
@@ -114,12 +115,12 @@
     """How often each identity ran, by the records of the targets; raises `OSError`."""
     runs: dict[str, int] = {}
     for address, port in targets:
-        client = LoadClient(network, address, port, 0)
+        client = LoadClient(network, address, port, 0, MAX_RUNS_BYTES)
         answer = await client.send(LoadRequest("GET", "/_runs", [], 0))
         if answer.status != 200:
             raise OSError(f"{address}:{port}: /_runs answered {answer.status}")
-        for path in json.loads(answer.body):
-            identity = parse_qs(urlsplit(path).query).get("id", [""])[0]
+        for run in json.loads(answer.body):
+            identity = parse_qs(urlsplit(run["path"]).query).get("id", [""])[0]
             runs[identity] = runs.get(identity, 0) + 1
     return runs
 
--- a/src/dotterelstand/standin/loadclient.py
+++ b/src/dotterelstand/standin/loadclient.py
@@ -52,13 +52,21 @@
 class LoadClient:
     """Connections to one entry host; idle ones are used again, newest first."""
 
-    __slots__ = ("_address", "_idle", "_max_idle", "_network", "_port")
+    __slots__ = ("_address", "_idle", "_max_answer_bytes", "_max_idle", "_network", "_port")
 
-    def __init__(self, network: Network, address: str, port: int, max_idle: int) -> None:
+    def __init__(
+        self,
+        network: Network,
+        address: str,
+        port: int,
+        max_idle: int,
+        max_answer_bytes: int = MAX_ANSWER_BYTES,
+    ) -> None:
         self._network = network
         self._address = address
         self._port = port
         self._max_idle = max_idle
+        self._max_answer_bytes = max_answer_bytes
         self._idle: list[tuple[trio.abc.Stream, h11.Connection]] = []
 
     def close(self) -> None:
@@ -91,7 +99,7 @@
             connection = h11.Connection(h11.CLIENT)
         kept = False
         try:
-            answer = await _exchange(stream, connection, request)
+            answer = await _exchange(stream, connection, request, self._max_answer_bytes)
             kept = self._keep(stream, connection)
             return answer
         finally:
@@ -108,14 +116,14 @@
 
 
 async def _exchange(
-    stream: trio.abc.Stream, connection: h11.Connection, request: LoadRequest
+    stream: trio.abc.Stream, connection: h11.Connection, request: LoadRequest, max_bytes: int
 ) -> LoadAnswer:
     answer = NO_ANSWER
     async with trio.open_nursery() as nursery:
         # The answer is read while the body is sent, since a refusal may come before its end.
         nursery.start_soon(_send, stream, connection, request)
         with suppress(*CONNECTION_ERRORS):
-            answer = await _receive(stream, connection)
+            answer = await _receive(stream, connection, max_bytes)
         nursery.cancel_scope.cancel()
     return answer
 
@@ -136,17 +144,22 @@
         await stream.send_all(data + (connection.send(h11.EndOfMessage()) or b""))
 
 
-async def _receive(stream: trio.abc.Stream, connection: h11.Connection) -> LoadAnswer:
+async def _receive(
+    stream: trio.abc.Stream, connection: h11.Connection, max_bytes: int
+) -> LoadAnswer:
     answer = LoadAnswer(0, 0, "unknown", 0.0, b"")
+    parts: list[bytes] = []
+    left = max_bytes
     while True:
         event = connection.next_event()
         if event is h11.NEED_DATA:
             connection.receive_data(bytes(await stream.receive_some(65536)))
         elif isinstance(event, h11.Response):
             _read_head(answer, event)
-        elif isinstance(event, h11.Data) and len(answer.body) < MAX_ANSWER_BYTES:
-            answer.body += bytes(event.data)
+        elif isinstance(event, h11.Data) and (left := left - len(event.data)) >= 0:
+            parts.append(bytes(event.data))
         elif isinstance(event, h11.EndOfMessage) and answer.status:
+            answer.body = b"".join(parts)
             return answer
         elif not isinstance(event, h11.InformationalResponse):
             return NO_ANSWER
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -1,6 +1,7 @@
 """The reference tables in docs/ are complete and say what the code says."""
 
 import ast
+import re
 from collections.abc import Iterator
 from pathlib import Path
 
@@ -14,6 +15,7 @@
 
 ROOT = Path(__file__).parent.parent
 SOURCES = sorted((ROOT / "src").rglob("*.py"))
+COUNTER_NAME = re.compile(r"[a-z_]+(\.([a-z_]+|<>))+")
 PAGES = sorted([*ROOT.glob("*.md"), *(ROOT / "docs").glob("*.md")])
 
 
@@ -49,21 +51,20 @@
 
 
 def _counted_names() -> set[str]:
+    """Names passed to a method that counts, and keys of tables named `counts`."""
     names = set()
-    for path, call in _calls():
-        function = call.func
-        if not isinstance(function, ast.Attribute) or function.attr != "count" or not call.args:
-            continue
-        receiver = ast.unparse(function.value).lower()
-        if "metrics" not in receiver and (path.name, receiver) != ("metrics.py", "self"):
-            continue
-        choices = [call.args[0]]
-        if isinstance(choices[0], ast.IfExp):
-            choices = [choices[0].body, choices[0].orelse]
-        for choice in choices:
-            name = _name_pattern(choice)
-            assert name is not None, f"{path.name}:{call.lineno}: counter name is no literal"
-            names.add(name)
+    for path in SOURCES:
+        for node in ast.walk(ast.parse(path.read_text(encoding="utf-8"))):
+            choices: list[ast.expr] = []
+            if isinstance(node, ast.Call) and node.args:
+                function = ast.unparse(node.func).rpartition(".")[2]
+                choices = [node.args[0]] if function in ("count", "_count") else []
+            elif isinstance(node, ast.Subscript) and ast.unparse(node.value).endswith("counts"):
+                choices = [node.slice]
+            if choices and isinstance(choices[0], ast.IfExp):
+                choices = [choices[0].body, choices[0].orelse]
+            found = [_name_pattern(choice) for choice in choices]
+            names.update(name for name in found if name and COUNTER_NAME.fullmatch(name))
     return names
 
 
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -33,7 +33,7 @@
     async def handle(self, request: HttpRequest) -> HttpAnswer:
         """Answer one request."""
         if request.path == "/_runs":
-            return HttpAnswer(200, json.dumps(self.runs).encode())
+            return HttpAnswer(200, json.dumps([{"path": run} for run in self.runs]).encode())
         self.keys.append(request.headers.get("idempotency-key", ""))
         async with self._slot:
             await trio.sleep(self._delay_s)
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -12,7 +12,7 @@
     metrics = Metrics(max_series=4)
     for index in range(100):
         metrics.record_latency("quote", "bulk", f"tenant-{index}", 0.001)
-        metrics.count(f"requests.result.{index}")
+        metrics.count(f"requests.{index}")
     merged = merge_series([metrics.snapshot().series])
     assert len(merged) == 4
     assert merged[OVERFLOW].total_count == 97
@@ -45,12 +45,12 @@
         receiver.settimeout(5)
         port = receiver.getsockname()[1]
         with Metrics(8, StatsdSink("127.0.0.1", port, "edge")) as metrics:
-            metrics.count("requests.result.1000", 3)
+            metrics.count("requests.1000", 3)
             metrics.flush()
             metrics.flush()
-            metrics.count("requests.result.1000", 2)
-        assert receiver.recv(600) == b"edge.requests.result.1000:3|c"
-        assert receiver.recv(600) == b"edge.requests.result.1000:2|c"
+            metrics.count("requests.1000", 2)
+        assert receiver.recv(600) == b"edge.requests.1000:3|c"
+        assert receiver.recv(600) == b"edge.requests.1000:2|c"
 
 
 def test_blocked_statsd_is_counted() -> None:
@@ -58,6 +58,6 @@
     metrics = Metrics(8, StatsdSink("127.0.0.1", 1, "edge"))
     assert metrics._sink is not None
     metrics._sink._client._sock.close()
-    metrics.count("requests.result.1000")
+    metrics.count("requests.1000")
     metrics.flush()
     assert metrics.value("metrics.datagrams_dropped") == 1
--- a/tests/test_tool.py
+++ b/tests/test_tool.py
@@ -19,7 +19,7 @@
     for tenant in ("a", "b"):
         metrics.record_latency("quote", "interactive", tenant, 0.002)
     registry.provide("status", lambda: {"host": "entry-1", "ready": True, "document": 7})
-    registry.provide("counters", lambda: {"requests.result.1000": 2})
+    registry.provide("counters", lambda: {"requests.1000": 2})
     registry.provide("budgets.store", lambda: {"breaker": "closed"})
     registry.provide("histograms", lambda: _histograms(metrics))
 
@@ -44,7 +44,7 @@
     ("command", "code", "words"),
     [
         (["status"], ExitCode.OK, ["entry-1", "yes", "7"]),
-        (["counters"], ExitCode.OK, ["requests.result.1000", "4"]),
+        (["counters"], ExitCode.OK, ["requests.1000", "4"]),
         (["budgets"], ExitCode.OK, ["store", "breaker", "closed"]),
         (["histogram"], ExitCode.OK, ["quote", "interactive", "all", "4", "2.01"]),
         (["histogram", "--by_tenant"], ExitCode.OK, ["quote", "a", "b", "2"]),
