--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -119,7 +119,7 @@
             assert is_successful(await brokers[names[1]].acquire(SERVICE, _call()))
         assert meshes.sent == []
 
-    _run(scenario, settings_text="[measure]\nbytes_per_s = 0\n")
+    _run(scenario, settings_text="[measure]\nbytes_per_s = 0\ncross_region_bytes_per_s = 0\n")
 
 
 def test_cancelled_wait_frees_its_place() -> None:
