Check, accept and spread the operators' document

Cause: every host read the manifest and all sections from the store, and nothing checked a document before it was in force. Ruled out: sending the whole manifest to every host on each change (about 500 KB with 3,000 sections): peers send the entries that changed since the version of the asker, and the digest of the whole manifest proves the result. Reading TOML again for unchanged sections: parsed sections are kept by digest. Change: version/fields, section, check, model, manifest, cache, diff, accept, gate; DocumentSpread with PeerFetcher and SectionServer replaces _follow_document; messages 22 and 23; routes are found by prefix segments. Racing edits, lost responses and outages are tested next.

--- a/src/dotterelstand/connection/wire.py
+++ b/src/dotterelstand/connection/wire.py
@@ -231,6 +231,26 @@
     allowed: bool
 
 
+class FetchChanges(Message):
+    """Request for the manifest entries that changed after version `since`."""
+
+    __slots__ = ("since", "version")
+    TYPE = 22
+    since: int
+    version: int
+
+
+class Changes(Message):
+    """Manifest entries that changed after `since`, and the digest of the whole manifest."""
+
+    __slots__ = ("body", "digest", "since", "version")
+    TYPE = 23
+    since: int
+    version: int
+    digest: str
+    body: bytes
+
+
 def _message_types() -> dict[int, type[Message]]:
     return {kind.TYPE: kind for kind in Message.__subclasses__()}
 
--- a/src/dotterelstand/process/daemon.py
+++ b/src/dotterelstand/process/daemon.py
@@ -1,11 +1,9 @@
 """The entry daemon: wires the parts together and owns their tasks."""
 
-import json
 import random
 from urllib.parse import urlsplit
 
 import trio
-from returns.pipeline import is_successful
 
 from dotterelstand.codes import Result as ResultCode
 from dotterelstand.connection.caller import CallerConnection
@@ -16,10 +14,11 @@
 from dotterelstand.process.balancer import LocalBalancer
 from dotterelstand.process.hostlist import HostListReader
 from dotterelstand.process.peers import Peers
+from dotterelstand.process.spread import DocumentSpread
 from dotterelstand.process.store import StoreClient
 from dotterelstand.request.exchange import Exchange
 from dotterelstand.settings import Settings
-from dotterelstand.version.document import Document, build_document
+from dotterelstand.version.document import Document
 
 
 class Daemon:
@@ -33,6 +32,7 @@
         "_peers",
         "_pool",
         "_settings",
+        "_spread",
         "_stopping",
         "_store",
         "port",
@@ -62,8 +62,14 @@
             settings.integer("peers", "port"),
             rng,
         )
+        self._spread = DocumentSpread(settings, self._store, self._peers, rng, self._apply)
         self.port = 0
 
+    @property
+    def spread(self) -> DocumentSpread:
+        """The document in force and how it arrives."""
+        return self._spread
+
     @property
     def peers(self) -> Peers:
         """Links to the other entry hosts."""
@@ -83,7 +89,7 @@
         async with trio.open_nursery() as background:
             await background.start(self._peers.run)
             background.start_soon(self._hosts.run)
-            background.start_soon(self._follow_document)
+            background.start_soon(self._spread.run)
             async with trio.open_nursery() as callers:
                 accepting = trio.CancelScope()
                 callers.start_soon(self._accept, listener, callers, accepting)
@@ -131,28 +137,5 @@
         with accepting:
             await listener.serve(self.serve_caller, callers)
 
-    async def _follow_document(self) -> None:
-        version = 0
-        while True:
-            result = await self._store.watch("document/head", version, 30.0)
-            if is_successful(result):
-                version = result.unwrap().version
-                await self._apply_manifest(result.unwrap().body)
-            else:
-                await trio.sleep(0.2)
-
-    async def _apply_manifest(self, body: bytes) -> None:
-        manifest = json.loads(body)
-        bodies = {}
-        for name, entry in manifest["sections"].items():
-            result = await self._store.read(f"document/sections/{entry['digest']}")
-            if not is_successful(result):
-                return
-            bodies[name] = result.unwrap().body.decode()
-        document = build_document(manifest["number"], bodies)
-        if is_successful(document):
-            self._document = document.unwrap()
-            log(Event.DOCUMENT_APPLIED, number=manifest["number"])
-        else:
-            errors = [str(error) for error in document.failure()]
-            log(Event.DOCUMENT_REJECTED, number=manifest["number"], errors=errors)
+    def _apply(self, document: Document) -> None:
+        self._document = document
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -1,18 +1,23 @@
 """Entry hosts over the in-memory network, shared by the tests of links and documents."""
 
 import random
+from functools import partial
 
 import trio
 
 from dotterelstand.process.hostlist import HostListReader, parse_host_list
 from dotterelstand.process.membership import ListedHost
 from dotterelstand.process.peers import Peers
+from dotterelstand.process.spread import DocumentSpread
 from dotterelstand.process.store import StoreClient
 from dotterelstand.settings import Settings, default_settings
 from dotterelstand.standin.httpd import serve_http
 from dotterelstand.standin.network import FakeNetwork
 from dotterelstand.standin.platform import ObjectStore
 from dotterelstand.standin.virtual import seeded_random
+from dotterelstand.version.accept import Acceptor, Change
+from dotterelstand.version.cache import SectionCache
+from dotterelstand.version.document import Document
 
 REGIONS = ("tema", "kumasi", "takoradi")
 PEER_PORT = 8090
@@ -54,6 +59,27 @@
     ]
 
 
+def section_text(service: str, port: int = 9000, owner: str = "pricing") -> str:
+    """A valid section with one service of one target and one route."""
+    return f"""owner = "{owner}"
+[services.{service}]
+[[services.{service}.targets]]
+name = "{service}-1"
+address = "10.0.0.1"
+port = {port}
+region = "tema"
+availability_zone = "tema-1"
+[[routes]]
+prefix = "/{service}"
+service = "{service}"
+"""
+
+
+def change(section: str, port: int = 9000, base: str | None = None) -> Change:
+    """A valid edit of a section whose service has the section's name."""
+    return Change(section, section_text(section, port), "ama", "2026-12-04T07:00:00Z", base)
+
+
 async def serve_store(network: FakeNetwork, store: ObjectStore, nursery: trio.Nursery) -> None:
     """Serve the stand-in of the platform's store until cancelled."""
 
@@ -67,9 +93,28 @@
 class Fleet:
     """Entry hosts with links and host lists, each crashed and replaced on its own."""
 
-    __slots__ = ("hosts", "network", "nursery", "peers", "scopes", "seed", "starts", "store")
-
-    def __init__(self, nursery: trio.Nursery, count: int, seed: int) -> None:
+    __slots__ = (
+        "applied",
+        "documents",
+        "hosts",
+        "network",
+        "nursery",
+        "peers",
+        "scopes",
+        "seed",
+        "settings",
+        "spreads",
+        "starts",
+        "store",
+    )
+
+    def __init__(
+        self, nursery: trio.Nursery, count: int, seed: int, documents: bool = False
+    ) -> None:
+        self.documents = documents
+        self.spreads: dict[str, DocumentSpread] = {}
+        self.applied: list[tuple[float, str, int]] = []
+        self.settings: dict[str, dict[str, object]] = {}
         self.network = FakeNetwork(latency_s)
         self.nursery = nursery
         self.hosts = addresses(count)
@@ -91,8 +136,13 @@
         self.starts += 1
         address = self.hosts[name]
         rng = seeded_random(self.seed, f"{name}/{self.starts}")
-        peers = Peers(host_settings(name, address), self.network.at(address), rng)
+        settings = host_settings(name, address, **self.settings)
+        peers = Peers(settings, self.network.at(address), rng)
         self.peers[name] = peers
+        if self.documents:
+            self.spreads[name] = DocumentSpread(
+                settings, self.store_client(name), peers, rng, partial(self._note_applied, name)
+            )
         self.scopes[name] = trio.CancelScope()
         await self.nursery.start(self._run, name, peers, rng)
         return peers
@@ -106,6 +156,19 @@
         self.scopes[name].cancel()
         self.network.crash(self.hosts[name])
         del self.peers[name]
+        self.spreads.pop(name, None)
+
+    def numbers(self) -> dict[str, int]:
+        """Version in force on each running host."""
+        return {name: spread.number for name, spread in self.spreads.items()}
+
+    def acceptor(self, name: str, seed: str = "") -> Acceptor:
+        """Acceptor of changes on a host, with its own cache."""
+        rng = seeded_random(self.seed, f"acceptor/{name}/{seed}")
+        return Acceptor(self.store_client(name), SectionCache(8192, 1 << 26), rng)
+
+    def _note_applied(self, name: str, document: Document) -> None:
+        self.applied.append((trio.current_time(), name, document.number))
 
     def views(self) -> list[list[str]]:
         """Names of the live members as each running host sees them."""
@@ -119,4 +182,6 @@
                 await nursery.start(peers.run)
                 reader = HostListReader(self.store_client(name), peers, 5.0, PEER_PORT, rng)
                 nursery.start_soon(reader.run)
+                if name in self.spreads:
+                    nursery.start_soon(self.spreads[name].run)
                 task_status.started()
--- /dev/null
+++ b/tests/test_document.py
@@ -0,0 +1,167 @@
+"""The whole document is checked, and an error names its place."""
+
+import pytest
+from fleet import section_text
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from returns.pipeline import is_successful
+
+from dotterelstand.version.check import check_bodies, join_sections, parse_bodies
+from dotterelstand.version.document import build_document
+from dotterelstand.version.fields import (
+    DUPLICATE,
+    MISSING_KEY,
+    NO_SUCH_NAME,
+    OUT_OF_RANGE,
+    SYNTAX,
+    TOO_LARGE,
+    UNKNOWN_KEY,
+    WRONG_TYPE,
+)
+from dotterelstand.version.manifest import parse_manifest
+from dotterelstand.version.model import Route, RouteIndex
+
+GOOD = section_text("quotes")
+
+
+ROUTES = "[[routes]]"
+TARGET = '{ name = "t", address = "10.0.0.1", port = 9, region = "a", availability_zone = "b" }'
+OTHER = TARGET.replace('"t"', '"quotes-1"')
+SERVICE, TARGET_KEY = "services.quotes", "services.quotes.targets[0]"
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "code", "key"),
+    [
+        (GOOD, "owner = ", SYNTAX, "-"),
+        (GOOD, "#" * 1_000_001, TOO_LARGE, "-"),
+        ('owner = "pricing"', "", MISSING_KEY, "owner"),
+        ('owner = "pricing"', "owner = 1", WRONG_TYPE, "owner"),
+        (ROUTES, f"[extra]\n{ROUTES}", UNKNOWN_KEY, "extra"),
+        (ROUTES, f"[services.x]\nslots = 0\n{ROUTES}", OUT_OF_RANGE, "services.x.slots"),
+        (
+            ROUTES,
+            f"[services.x]\nretry_share = nan\n{ROUTES}",
+            OUT_OF_RANGE,
+            "services.x.retry_share",
+        ),
+        (ROUTES, f"[services.x]\nslot = 1\n{ROUTES}", UNKNOWN_KEY, "services.x.slot"),
+        ("port = 9000", "port = true", WRONG_TYPE, f"{TARGET_KEY}.port"),
+        ("port = 9000", "", MISSING_KEY, f"{TARGET_KEY}.port"),
+        ("10.0.0.1", "host.example", OUT_OF_RANGE, f"{TARGET_KEY}.address"),
+        (
+            ROUTES,
+            f"[services.x]\ntargets = [{TARGET}, {TARGET}]\n{ROUTES}",
+            DUPLICATE,
+            "services.x.targets[1].name",
+        ),
+        ('prefix = "/quotes"', "", MISSING_KEY, "routes[0].prefix"),
+        ('"/quotes"', '"quotes"', OUT_OF_RANGE, "routes[0].prefix"),
+        ('"/quotes"', f'"{"/a" * 17}"', OUT_OF_RANGE, "routes[0].prefix"),
+        (ROUTES, f'{ROUTES}\nkey = "no"', OUT_OF_RANGE, "routes[0].key"),
+        (ROUTES, f'{ROUTES}\nmethods = ["BREW"]', OUT_OF_RANGE, "routes[0].methods"),
+        (ROUTES, f'{ROUTES}\nclass = "gold"', NO_SUCH_NAME, "routes[0].class"),
+        ('service = "quotes"', 'service = "gone"', NO_SUCH_NAME, "routes[0].service"),
+    ],
+)
+def test_error_names_section_and_key(old: str, new: str, code: int, key: str) -> None:
+    """Guards against an invalid section in force, and errors that do not name their place."""
+    assert old in GOOD
+    (error,) = check_bodies({"pricing": GOOD.replace(old, new)})
+    assert (error.code, error.section, error.key, error.other) == (code, "pricing", key, "")
+    assert len(str(error)) < 500
+
+
+@pytest.mark.parametrize(
+    ("first", "second", "code", "key"),
+    [
+        (GOOD, "[services.quotes]", DUPLICATE, SERVICE),
+        (GOOD, f'{ROUTES}\nprefix = "/quotes/"\nservice = "quotes"', DUPLICATE, "routes[0].prefix"),
+        ('classes = ["a"]\n' + GOOD, 'classes = ["b"]', DUPLICATE, "classes"),
+        (
+            'classes = ["a"]\n' + GOOD,
+            f'{ROUTES}\nprefix = "/x"\nservice = "quotes"\nclass = "b"',
+            NO_SUCH_NAME,
+            "routes[0].class",
+        ),
+        (f"tenants = {{ t = 1 }}\n{GOOD}", "tenants = { t = 2 }", DUPLICATE, "tenants.t"),
+        (
+            GOOD,
+            f"[services.x]\ntargets = [{OTHER}]",
+            DUPLICATE,
+            "services.x.targets.quotes-1",
+        ),
+    ],
+)
+def test_error_names_both_sections(first: str, second: str, code: int, key: str) -> None:
+    """Guards against two sections that contradict each other, and blame on only one of them."""
+    (error,) = check_bodies({"pricing": first, "booking": f'owner = "b"\n{second}'})
+    assert (error.code, error.section, error.key) == (code, "booking", key)
+    assert error.other == "pricing" and "sections booking and pricing" in str(error)
+
+
+def test_removed_service_names_both_sections() -> None:
+    """Guards against an edit that breaks a route of another team without naming it."""
+    former, _ = parse_bodies({"a": GOOD, "b": 'owner = "b"'}, True)
+    route = '[[routes]]\nprefix = "/b"\nservice = "quotes"'
+    bodies = {"a": 'owner = "a"', "b": 'owner = "b"\n' + route}
+    sections, errors = parse_bodies(bodies, True)
+    assert errors == []
+    (error,) = join_sections(2, sections, {}, former).failure()
+    assert (error.code, error.section, error.other) == (NO_SUCH_NAME, "b", "a")
+
+
+@pytest.mark.parametrize(
+    ("path", "method", "prefix"),
+    [
+        ("/quotes/7?x=/a/b", "GET", "/quotes"),
+        ("/quotes", "GET", "/quotes"),
+        ("/quotesx", "GET", "/"),
+        ("/quotes/new/1", "POST", "/quotes/new"),
+        ("/quotes/new/1", "GET", "/quotes"),
+        ("/a/b/c/d/e", "PUT", None),
+    ],
+)
+def test_longest_prefix_in_whole_segments_wins(path: str, method: str, prefix: str | None) -> None:
+    """Guards against calls that reach the wrong service."""
+    rows = [("/", "GET"), ("/quotes/", "GET"), ("/quotes/new", "POST")]
+    routes = tuple(
+        Route(prefix, frozenset({method}), "s", True, "none", "c", 1.0) for prefix, method in rows
+    )
+    found = RouteIndex(routes).find(path, method)
+    assert (found.prefix.rstrip("/") or "/" if found else None) == prefix
+
+
+def test_defaults_and_priorities() -> None:
+    """Guards against a route that gets a high priority unasked, and against moving indexes."""
+    text = 'classes = ["high", "low"]\n' + GOOD
+    document = build_document(3, {"pricing": text}).unwrap()
+    assert document.routes[0].klass == "low"
+    target = document.services["quotes"].targets[0]
+    assert document.services["quotes"].target_at(target.index) is target
+    assert document.allowed_methods("/quotes/1") == {"GET"}
+
+
+KEYS = st.sampled_from(["owner", "classes", "services", "routes", "tenants", "targets", "slots"])
+VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=5),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(KEYS | st.text(max_size=3), inner),
+    max_leaves=8,
+)
+
+
+@settings(derandomize=True, max_examples=300, deadline=None)
+@given(st.text(max_size=40), st.tuples(KEYS, st.text(max_size=20)))
+def test_any_text_is_read_or_refused(text: str, line: tuple[str, str]) -> None:
+    """Guards against document text that crashes the check."""
+    for body in (text, f"{line[0]} = {line[1]}", f"{GOOD}\n{line[0]}.{line[1]}"):
+        errors = check_bodies({"pricing": body})
+        assert all(error.section == "pricing" for error in errors)
+
+
+@settings(derandomize=True, max_examples=300, deadline=None)
+@given(st.binary(max_size=60) | VALUES.map(lambda value: repr(value).encode()))
+def test_any_stored_manifest_is_read_or_refused(body: bytes) -> None:
+    """Guards against a store value that crashes a host."""
+    result = parse_manifest(body)
+    assert not is_successful(result) or result.unwrap().number >= 1
