--- a/src/dotterelstand/connection/wire.py
+++ b/src/dotterelstand/connection/wire.py
@@ -87,19 +87,21 @@
 
 
 class Acquire(Message):
-    """Request to the dispatcher of a service for one slot."""
+    """Request to the dispatcher of a service for one slot.
 
-    __slots__ = ("call", "klass", "remaining_ms", "service", "tenant")
+    `service` is the index in the sorted service names of the document; `need` packs class, tenant
+    and deadline (`process/slotcodec.py`).
+    """
+
+    __slots__ = ("call", "need", "service")
     TYPE = 7
     call: int
-    service: str
-    klass: int
-    tenant: int
-    remaining_ms: int
+    need: int
+    service: int
 
 
 class Grant(Message):
-    """A slot on a target, given to one call."""
+    """A slot on a target (index in the service's targets), given to one call."""
 
     __slots__ = ("call", "target")
     TYPE = 8
@@ -108,13 +110,12 @@
 
 
 class Release(Message):
-    """The end of a granted call: outcome number and duration in milliseconds."""
+    """The end of a granted or waiting call; `result` packs outcome and duration."""
 
-    __slots__ = ("call", "duration_ms", "outcome")
+    __slots__ = ("call", "result")
     TYPE = 9
     call: int
-    outcome: int
-    duration_ms: int
+    result: int
 
 
 class Refuse(Message):
@@ -159,11 +160,12 @@
 
 
 class Outcome(Message):
-    """How a permitted request ended; status 0 with result not run frees the key."""
+    """How the request of an intent ended; a result code of the range not run frees the key."""
 
-    __slots__ = ("body", "code", "epoch", "headers", "key", "status")
+    __slots__ = ("body", "call", "code", "epoch", "headers", "key", "status")
     TYPE = 14
     key: bytes
+    call: int
     epoch: int
     code: int
     status: int
@@ -235,7 +237,7 @@
     """Request for the manifest entries that changed after version `since`."""
 
     __slots__ = ("since", "version")
-    TYPE = 22
+    TYPE = 24
     since: int
     version: int
 
@@ -244,13 +246,30 @@
     """Manifest entries that changed after `since`, and the digest of the whole manifest."""
 
     __slots__ = ("body", "digest", "since", "version")
-    TYPE = 23
+    TYPE = 25
     since: int
     version: int
     digest: str
     body: bytes
 
 
+class Ownership(Message):
+    """The sender owns a journal partition under this epoch; epoch 0 when it released it."""
+
+    __slots__ = ("epoch", "partition")
+    TYPE = 22
+    partition: int
+    epoch: int
+
+
+class OutcomeStored(Message):
+    """The owner needs the outcome of this call no longer: it is recorded, or without effect."""
+
+    __slots__ = ("call",)
+    TYPE = 23
+    call: int
+
+
 def _message_types() -> dict[int, type[Message]]:
     return {kind.TYPE: kind for kind in Message.__subclasses__()}
 
--- a/src/dotterelstand/events.py
+++ b/src/dotterelstand/events.py
@@ -7,13 +7,15 @@
 
 
 class Event(IntEnum):
-    """Number of a log event; docs/events.md describes each."""
+    """Number of a log event; docs/log-events.md describes each."""
 
     DAEMON_STARTED = 100
     DAEMON_READY = 101
     DAEMON_STOPPING = 102
     DAEMON_STOPPED = 103
     SETTINGS_INVALID = 110
+    CONTROL_ACTION = 120
+    CONTROL_FAILED = 121
     INVARIANT_BROKEN = 190
 
     REQUEST_ENDED = 200
@@ -40,11 +42,19 @@
 
     STORE_UNAVAILABLE = 400
     STORE_AVAILABLE = 401
+    LEASE_ACQUIRED = 410
+    LEASE_LOST = 411
+    LEASE_RELEASED = 412
+    LEASE_WRITE_SETTLED = 413
+    JOURNAL_UNREADABLE = 420
+    JOURNAL_FULL = 421
+    OUTCOME_DROPPED = 422
 
 
 _WARNINGS = frozenset(
     {
         Event.SETTINGS_INVALID,
+        Event.CONTROL_FAILED,
         Event.REQUEST_REJECTED,
         Event.DOCUMENT_REJECTED,
         Event.DOCUMENT_UNAVAILABLE,
@@ -56,6 +66,10 @@
         Event.HOST_LIST_MALFORMED,
         Event.CERTIFICATES_INVALID,
         Event.STORE_UNAVAILABLE,
+        Event.LEASE_LOST,
+        Event.JOURNAL_UNREADABLE,
+        Event.JOURNAL_FULL,
+        Event.OUTCOME_DROPPED,
     }
 )
 
--- a/src/dotterelstand/process/daemon.py
+++ b/src/dotterelstand/process/daemon.py
@@ -12,11 +12,15 @@
 from dotterelstand.connection.target import close_now
 from dotterelstand.events import Event, log
 from dotterelstand.process.balancer import LocalBalancer
+from dotterelstand.process.control import ControlPort, ControlRegistry
 from dotterelstand.process.hostlist import HostListReader
+from dotterelstand.process.metrics import build_metrics
+from dotterelstand.process.pages import DaemonState, register_pages
 from dotterelstand.process.peers import Peers
 from dotterelstand.process.spread import DocumentSpread
 from dotterelstand.process.store import StoreClient
 from dotterelstand.request.exchange import Exchange
+from dotterelstand.request.head import RequestHead
 from dotterelstand.settings import Settings
 from dotterelstand.version.document import Document
 
@@ -26,15 +30,20 @@
 
     __slots__ = (
         "_balancer",
+        "_control",
         "_document",
         "_hosts",
+        "_metrics",
         "_network",
         "_peers",
         "_pool",
+        "_registry",
         "_settings",
         "_spread",
+        "_state",
         "_stopping",
         "_store",
+        "control_port",
         "port",
     )
 
@@ -42,6 +51,7 @@
         self._settings = settings
         self._network = network
         self._document: Document | None = None
+        self._metrics = build_metrics(settings)
         self._stopping = trio.Event()
         self._balancer = LocalBalancer(rng)
         self._pool = TargetPool(
@@ -54,7 +64,7 @@
         self._store = StoreClient(
             url.hostname or "", url.port or 80, network, settings.number("store", "timeout_s")
         )
-        self._peers = Peers(settings, network, rng)
+        self._peers = Peers(settings, network, rng, self._metrics)
         self._hosts = HostListReader(
             self._store,
             self._peers,
@@ -65,6 +75,13 @@
         self._spread = DocumentSpread(settings, self._store, self._peers, rng, self._apply)
         self.port = 0
 
+        self._registry = ControlRegistry()
+        self._state = DaemonState(lambda: self._document, self._stopping.is_set, self.stop)
+        register_pages(self._registry, settings, self._metrics, self._state)
+        self._control = ControlPort(settings, self._registry, self._metrics)
+        self.port = 0
+        self.control_port = 0
+
     @property
     def spread(self) -> DocumentSpread:
         """The document in force and how it arrives."""
@@ -86,10 +103,15 @@
         )
         self.port = listener.port
         log(Event.DAEMON_STARTED, port=self.port)
+        control = await self._control.listen(self._network)
+        self.control_port = control.port
+        self._state.started_s = trio.current_time()
         async with trio.open_nursery() as background:
             await background.start(self._peers.run)
             background.start_soon(self._hosts.run)
             background.start_soon(self._spread.run)
+            background.start_soon(self._control.serve, control)
+            background.start_soon(self._flush_metrics)
             async with trio.open_nursery() as callers:
                 accepting = trio.CancelScope()
                 callers.start_soon(self._accept, listener, callers, accepting)
@@ -100,6 +122,7 @@
                 accepting.cancel()
             await self._peers.say_goodbye()
             background.cancel_scope.cancel()
+        self._metrics.flush()
         log(Event.DAEMON_STOPPED)
 
     async def serve_caller(self, stream: trio.abc.Stream) -> None:
@@ -121,16 +144,33 @@
         if head is None:
             return False
         if isinstance(head, ResultCode):
+            self._metrics.count(f"requests.result.{head:d}")
             await connection.refuse(head)
             return False
         if self._document is None:
+            self._metrics.count(f"requests.result.{ResultCode.NO_CONFIGURATION:d}")
             await connection.refuse(ResultCode.NO_CONFIGURATION)
             return False
+        started = trio.current_time()
         exchange = Exchange(connection, head, self._document, self._pool, self._balancer)
         code = await exchange.run()
+        self._record_request(self._document, head, code, trio.current_time() - started)
         log(Event.REQUEST_ENDED, code=code, path=head.path)
         return connection.start_next_cycle()
 
+    def _record_request(
+        self, document: Document, head: RequestHead, code: ResultCode, seconds: float
+    ) -> None:
+        self._metrics.count(f"requests.result.{code:d}")
+        route = document.find_route(head.path, head.method)
+        if route is not None:
+            self._metrics.record_latency(route.service, route.klass, head.tenant, seconds)
+
+    async def _flush_metrics(self) -> None:
+        while True:
+            await trio.sleep(self._settings.number("metrics", "flush_interval_s"))
+            self._metrics.flush()
+
     async def _accept(
         self, listener: Listener, callers: trio.Nursery, accepting: trio.CancelScope
     ) -> None:
--- a/src/dotterelstand/process/spread.py
+++ b/src/dotterelstand/process/spread.py
@@ -40,7 +40,7 @@
         "_apply",
         "_avoid",
         "_cache",
-        "_counts",
+        "_evictions",
         "_fetcher",
         "_gate",
         "_news",
@@ -83,7 +83,7 @@
         self._announced = (0, "")
         self._avoid: dict[str, float] = {}
         self._news = trio.Event()
-        self._counts = {"applied": 0, "rejected": 0, "peer_fetches": 0, "store_fetches": 0}
+        self._evictions = 0
         timeout_s = settings.number("document", "fetch_timeout_s")
         self._fetcher = PeerFetcher(peers, self._cache, timeout_s)
         SectionServer(peers, self._cache, lambda: self._record)
@@ -106,13 +106,12 @@
         return self._record
 
     def status(self) -> dict[str, object]:
-        """Version in force, the last one refused (0 if none), the role, and counters."""
+        """Version in force, the last one refused (0 if none), and the role."""
         return {
             "version": self.number,
             "digest": self._record.digest if self.number else "",
             "rejected": self._rejected,
             "watching": self.is_watcher(),
-            **self._counts,
         }
 
     def is_watcher(self) -> bool:
@@ -191,7 +190,7 @@
             if record.number < self.number:
                 log(Event.DOCUMENT_OLDER, number=record.number, in_force=self.number)
             return True
-        self._counts["store_fetches"] += 1
+        self._peers.metrics.count("document.store_fetches")
         for digest in self._cache.missing(record.digests().values()):
             result = await self._store.read(section_object(digest))
             if not is_successful(result):
@@ -220,7 +219,7 @@
                 self._avoid[source] = trio.current_time() + AVOID_S
                 await self._after_failed_fetch(wanted)
             else:
-                self._counts["peer_fetches"] += 1
+                self._peers.metrics.count("document.peer_fetches")
                 if self._put_in_force(record) and self._is_overlay():
                     self._announce()
 
@@ -269,15 +268,17 @@
         document = self._cache.build(record)
         if not is_successful(document):
             self._rejected = record.number
-            self._counts["rejected"] += 1
+            self._peers.metrics.count("document.rejected")
             errors = [str(error) for error in document.failure()]
             log(Event.DOCUMENT_REJECTED, number=record.number, errors=errors)
             return False
         self._gate.advance(record.number)
         self._record = record
         self._peers.version = record.number
-        self._counts["applied"] += 1
+        self._peers.metrics.count("document.applied")
         self._cache.keep(record.digests())
+        evictions, self._evictions = self._cache.evictions - self._evictions, self._cache.evictions
+        self._peers.metrics.count("document.cache_evictions", evictions)
         self._apply(document.unwrap())
         log(Event.DOCUMENT_APPLIED, number=record.number)
         return True
--- a/src/dotterelstand/version/accept.py
+++ b/src/dotterelstand/version/accept.py
@@ -9,7 +9,7 @@
 from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
-from dotterelstand.process.store import CONFLICT, MISSING, StoreError, StoreValue
+from dotterelstand.process.store import CONFLICT, MISSING, UNCERTAIN, StoreError, StoreValue
 from dotterelstand.version.cache import SectionCache
 from dotterelstand.version.check import join_sections
 from dotterelstand.version.diff import diff_bodies
@@ -112,6 +112,7 @@
     ACCEPTED = 1
     LOST = 2
     UNKNOWN = 3
+    UNCHANGED = 4
 
 
 class Acceptor:
@@ -164,6 +165,8 @@
         if outcome is _Outcome.ACCEPTED:
             await self._store.write(_history(record.number), record.body, None)
             return Success(record.number)
+        if outcome is _Outcome.UNCHANGED:
+            return Failure(Rejection(STORE_DOWN, "the store took no update; nothing changed"))
         text = f"the store cannot tell whether version {record.number} was accepted"
         return Failure(Rejection(OUTCOME_UNKNOWN, text))
 
@@ -285,14 +288,15 @@
             result = await self._store.write(HEAD, new.body, head.store_version)
             if is_successful(result):
                 return _Outcome.ACCEPTED
-            if result.failure().code == CONFLICT and not uncertain:
+            code = result.failure().code
+            if code == CONFLICT and not uncertain:
                 return _Outcome.LOST
-            uncertain = True
-            settled = await self._settle(new)
+            uncertain = uncertain or code == UNCERTAIN
+            settled = await self._settle(new) if uncertain else None
             if settled is not None:
                 return settled
             await self._pause()
-        return _Outcome.UNKNOWN
+        return _Outcome.UNKNOWN if uncertain else _Outcome.UNCHANGED
 
     async def _settle(self, new: ManifestRecord) -> _Outcome | None:
         """Learn from the store whether an update took effect; None if it does not tell yet."""
