--- a/src/dotterelstand/settings_rules.py
+++ b/src/dotterelstand/settings_rules.py
@@ -128,6 +128,10 @@
     lambda text: re.fullmatch(r"[A-Za-z0-9._-]{1,64}", text) is not None,
 )
 OPTIONAL_NAME = Matching("empty or " + NAME.allowed, lambda text: not text or NAME.accepts(text))
+OPTIONAL_NAME = Matching(
+    "empty, or 1 to 64 letters, digits, '.', '_' or '-'",
+    lambda text: re.fullmatch(r"[A-Za-z0-9._-]{0,64}", text) is not None,
+)
 TEXT = Matching(
     "up to 256 printable characters", lambda text: len(text) <= 256 and text.isprintable()
 )
@@ -148,6 +152,7 @@
         "body_idle_timeout_s": Between(0.1, 3600),
         "idle_timeout_s": Between(0.1, 3600),
         "close_grace_s": Between(0, 60),
+        "linger_s": Between(0, 60),
     },
     "peers": {
         "address": ADDRESS,
@@ -157,13 +162,13 @@
         "suspect_after_s": Between(0.1, 60),
         "max_message_bytes": Between(4096, 16 * MIB),
         "max_queue": Between(16, 65536),
-        "max_queue_bytes": Between(4096, 256 * MIB),
-        "max_links": Between(2, 4096),
-        "max_members": Between(2, 65536),
-        "connect_timeout_s": Between(0.05, 30),
-        "redial_min_s": Between(0.01, 10),
-        "redial_max_s": Between(0.1, 60),
-        "host_list_interval_s": Between(0.5, 300),
+        "max_queue_bytes": Between(65536, 256 * MIB),
+        "max_links": Between(1, 10_000),
+        "max_members": Between(1, 100_000),
+        "connect_timeout_s": Between(0.05, 60),
+        "redial_min_s": Between(0.01, 60),
+        "redial_max_s": Between(0.01, 600),
+        "host_list_interval_s": Between(0.5, 600),
     },
     "control": {
         "address": ADDRESS,
@@ -179,6 +184,10 @@
         "reads_per_s": Between(1, 2000),
         "writes_per_s": Between(1, 500),
         "watch_wait_s": Between(1, 300),
+        "breaker_failures": Between(1, 100),
+        "breaker_pause_s": Between(0.05, 60),
+        "max_waiting_calls": Between(1, 10_000),
+        "max_idle_connections": Between(0, 1000),
     },
     "document": {
         "watchers_per_region": Between(1, 16),
@@ -192,6 +201,7 @@
         "idle_timeout_s": Between(0.1, 600),
         "max_idle_connections": Between(0, 1000),
         "max_answer_head_bytes": Between(1024, MIB),
+        "sharing_hosts": Between(1, 10_000),
     },
     "measure": {
         "bytes_per_s": Between(0, 100 * MIB),
@@ -205,6 +215,45 @@
         "writes_per_s": Between(0.5, 100),
         "retention_s": Between(10, 86400),
         "max_answer_bytes": Between(0, 65536),
+        "region": OPTIONAL_NAME,
+        "owner_timeout_s": Between(0.01, 60),
+        "outcome_delay_s": Between(0, 10),
+        "running_limit_s": Between(1, 86400),
+        "max_records": Between(1, 10_000_000),
+        "max_kept_bytes": Between(0, 1024 * MIB),
+        "max_staged": Between(1, 100_000),
+        "max_segments": Between(1, 100_000),
+        "segment_bytes": Between(4096, 900_000),
+        "max_waiting": Between(1, 1_000_000),
+        "max_unsettled": Between(1, 1_000_000),
+    },
+    "requests": {
+        "max_attempts": Between(1, 10),
+        "retry_min_per_s": Between(0, 1000),
+        "held_body_bytes": Between(0, 16 * MIB),
+    },
+    "quarantine": {
+        "window_s": Between(1, 3600),
+        "quarantine_s": Between(1, 86400),
+        "max_entries": Between(1, 100_000),
+        "confirm_timeout_s": Between(0, 10),
+        "admit_wait_s": Between(0, 60),
+        "run_limit_s": Between(0.1, 600),
+    },
+    "selection": {
+        "answer_grace_ms": Between(0.1, 1000),
+        "grant_life_s": Between(0.1, 600),
+        "lookahead": Between(0, 16),
+        "max_calls": Between(1, 1_000_000),
+        "crossing_round_trip_ms": Between(0, 10_000),
+        "crossing_price_ms_per_kib": Between(0, 1000),
+        "usual_call_kib": Between(0, 1_000_000),
+        "eject_share": Between(0, 0.9),
+        "eject_first_s": Between(0.01, 600),
+        "eject_longest_s": Between(0.01, 3600),
+        "failure_bound": Between(0.01, 1),
+        "slow_factor": Between(1, 1000),
+        "successes_per_slot": Between(1, 10_000),
     },
     "metrics": {
         "statsd_address": ADDRESS,
