--- a/src/dotterelstand/connection/wire.py
+++ b/src/dotterelstand/connection/wire.py
@@ -233,6 +233,26 @@
     allowed: bool
 
 
+class FetchChanges(Message):
+    """Request for the manifest entries that changed after version `since`."""
+
+    __slots__ = ("since", "version")
+    TYPE = 24
+    since: int
+    version: int
+
+
+class Changes(Message):
+    """Manifest entries that changed after `since`, and the digest of the whole manifest."""
+
+    __slots__ = ("body", "digest", "since", "version")
+    TYPE = 25
+    since: int
+    version: int
+    digest: str
+    body: bytes
+
+
 class Ownership(Message):
     """The sender owns a journal partition under this epoch; epoch 0 when it released it."""
 
--- a/src/dotterelstand/process/daemon.py
+++ b/src/dotterelstand/process/daemon.py
@@ -1,10 +1,8 @@
 """The entry daemon: wires the parts together and owns their tasks."""
 
-import json
 import random
 
 import trio
-from returns.pipeline import is_successful
 
 from dotterelstand.connection.network import Network
 from dotterelstand.connection.pool import TargetPool
@@ -24,10 +22,11 @@
 from dotterelstand.process.peers import Peers
 from dotterelstand.process.quarantine import QuarantineService, register_quarantine
 from dotterelstand.process.slots import SlotBroker, make_broker
+from dotterelstand.process.spread import DocumentSpread
 from dotterelstand.process.store import StoreClient, build_store
 from dotterelstand.request.context import RequestContext
 from dotterelstand.settings import Settings
-from dotterelstand.version.document import Document, build_document
+from dotterelstand.version.document import Document
 
 
 class Daemon:
@@ -51,6 +50,7 @@
         "peers",
         "port",
         "quarantine",
+        "spread",
     )
 
     def __init__(self, settings: Settings, network: Network, rng: random.Random) -> None:
@@ -59,7 +59,7 @@
         self._stopping = trio.Event()
         self.metrics: Metrics = build_metrics(settings)
         self._store: StoreClient = build_store(settings, network, rng)
-        self.peers = Peers(settings, network, rng)
+        self.peers = Peers(settings, network, rng, self.metrics)
         self.broker: SlotBroker = make_broker(self.peers, settings, rng)
         self._hosts = HostListReader(
             self._store,
@@ -72,6 +72,7 @@
         self.quarantine = QuarantineService(self.peers, quarantine_limits(settings), self.metrics)
         self._pool = TargetPool(network, pool_limits(settings))
         self._front = self._make_front(settings)
+        self.spread = DocumentSpread(settings, self._store, self.peers, rng, self._apply)
         self._registry = ControlRegistry()
         self._state = DaemonState(lambda: self._front.document, self._stopping.is_set, self.stop)
         register_pages(self._registry, settings, self.metrics, self._state)
@@ -80,6 +81,11 @@
         self.port = 0
         self.control_port = 0
 
+    @property
+    def document(self) -> Document | None:
+        """Document in force."""
+        return self._front.document
+
     def stop(self) -> None:
         """Begin a graceful stop."""
         if not self._stopping.is_set():
@@ -105,7 +111,7 @@
                 background.start_soon(self._hosts.run)
                 background.start_soon(self.broker.run)
                 background.start_soon(self.journal.run)
-                background.start_soon(self._follow_document)
+                background.start_soon(self.spread.run)
                 background.start_soon(self._flush_metrics)
                 background.start_soon(self._pool.sweep_forever)
                 await self._front.serve_until_stopped(listener, self._stopping, grace_s)
@@ -136,29 +142,3 @@
     def _apply(self, document: Document) -> None:
         self._front.document = document
         self.broker.apply(document)
-
-    async def _follow_document(self) -> None:
-        version = 0
-        while True:
-            result = await self._store.watch("document/head", version, 30.0)
-            if is_successful(result):
-                version = result.unwrap().version
-                await self._apply_manifest(result.unwrap().body)
-            else:
-                await trio.sleep(0.2)
-
-    async def _apply_manifest(self, body: bytes) -> None:
-        manifest = json.loads(body)
-        bodies = {}
-        for name, entry in manifest["sections"].items():
-            result = await self._store.read(f"document/sections/{entry['digest']}")
-            if not is_successful(result):
-                return
-            bodies[name] = result.unwrap().body.decode()
-        document = build_document(manifest["number"], bodies)
-        if is_successful(document):
-            self._apply(document.unwrap())
-            log(Event.DOCUMENT_APPLIED, number=manifest["number"])
-        else:
-            errors = [str(error) for error in document.failure()]
-            log(Event.DOCUMENT_REJECTED, number=manifest["number"], errors=errors)
--- a/src/dotterelstand/settings_rules.py
+++ b/src/dotterelstand/settings_rules.py
@@ -185,6 +185,13 @@
         "max_waiting_calls": Between(1, 10_000),
         "max_idle_connections": Between(0, 1000),
     },
+    "document": {
+        "watchers_per_region": Between(1, 16),
+        "fetch_timeout_s": Between(0.1, 30),
+        "peer_wait_s": Between(0.1, 60),
+        "max_cached_sections": Between(16, 65536),
+        "max_cached_bytes": Between(MIB, 1024 * MIB),
+    },
     "targets": {
         "connect_timeout_s": Between(0.01, 30),
         "idle_timeout_s": Between(0.1, 600),
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -23,7 +23,7 @@
         assert fleet.peers["entry-00"].broadcast(TargetLeaving("t-1")) == 15
         await trio.sleep(0.1)
         assert sorted(got) == sorted(set(fleet.hosts) - {"entry-00"})
-        counts = fleet.peers["entry-00"].counters()
+        counts = fleet.peers["entry-00"].metrics.snapshot().counters
         assert counts["peers.sent_bytes.local"] > 0 and counts["peers.sent_bytes.other"] > 0
         nursery.cancel_scope.cancel()
 
@@ -66,7 +66,7 @@
         other.subscribe(StrikeConfirmed, lambda _, message: got.append(message.number))
         await trio.sleep(1)
         assert got == list(range(1024))
-        assert one.counters()["peers.dropped"] == 5000 - 1024 + 1
+        assert one.metrics.value("peers.dropped") == 5000 - 1024 + 1
         nursery.cancel_scope.cancel()
 
 
