Offer TLS to callers and authenticate entry hosts

Cause: the settings section tls had no effect. Ruled out: loading new files into the context in use, because a certificate that loads beside a key that does not would leave it inconsistent; new connections get a new context instead. Binding a peer's name to its certificate: hosts are replaced at any time under any name, so every certificate of the authority counts as an entry host. Change: TlsNetwork and TlsListener wrap a Network; Certificates loads and reloads the files; wrong files stop the start with error 4007.

--- a/src/dotterelstand/process/daemon.py
+++ b/src/dotterelstand/process/daemon.py
@@ -6,6 +6,7 @@
 
 from dotterelstand.connection.network import Network
 from dotterelstand.connection.pool import TargetPool
+from dotterelstand.connection.tls import Certificates
 from dotterelstand.events import Event, log
 from dotterelstand.process.control import ControlPort, ControlRegistry
 from dotterelstand.process.front import CallerFront
@@ -33,6 +34,7 @@
     """All parts of one entry host; create it within `trio.run`."""
 
     __slots__ = (
+        "_certificates",
         "_control",
         "_front",
         "_hosts",
@@ -53,13 +55,21 @@
         "slots",
     )
 
-    def __init__(self, settings: Settings, network: Network, rng: random.Random) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        network: Network,
+        rng: random.Random,
+        certificates: Certificates | None = None,
+    ) -> None:
         self._settings = settings
         self._network = network
         self._stopping = trio.Event()
         self._metrics = build_metrics(settings)
+        self._certificates = certificates or Certificates(None, None)
         self._store = build_store(settings, network, rng)
-        self._peers = Peers(settings, network, rng, self._metrics)
+        peer_network = self._certificates.peer_network(network, self._metrics)
+        self._peers = Peers(settings, peer_network, rng, self._metrics)
         self._hosts = HostListReader(
             self._store,
             self._peers,
@@ -120,7 +130,8 @@
 
     async def run(self) -> None:
         """Serve callers until `stop` is called and every request has ended."""
-        listener = await self._network.listen(
+        caller_network = self._certificates.caller_network(self._network, self._metrics)
+        listener = await caller_network.listen(
             self._settings.text("listen", "address"), self._settings.integer("listen", "port")
         )
         self.port = listener.port
@@ -138,6 +149,7 @@
                 background.start_soon(self.journal.run)
                 background.start_soon(self.slots.run)
                 background.start_soon(self._pool.sweep_forever)
+                background.start_soon(self._certificates.run)
                 background.start_soon(self._flush_metrics)
                 background.start_soon(self._announce_stop)
                 await self._front.serve_until_stopped(listener, self._stopping, grace_s)
--- a/src/dotterelstand/process/main.py
+++ b/src/dotterelstand/process/main.py
@@ -11,6 +11,7 @@
 from returns.pipeline import is_successful
 
 from dotterelstand.connection.network import TcpNetwork
+from dotterelstand.connection.tls import Certificates, load_certificates
 from dotterelstand.exits import ExitCode
 from dotterelstand.process.daemon import Daemon
 from dotterelstand.settings import Settings, load_settings
@@ -23,13 +24,18 @@
         for error in result.failure():
             print(error, file=sys.stderr)
         sys.exit(ExitCode.SETTINGS_INVALID)
+    certificates = load_certificates(result.unwrap())
+    if not is_successful(certificates):
+        for error in certificates.failure():
+            print(error, file=sys.stderr)
+        sys.exit(ExitCode.SETTINGS_INVALID)
     logging.set_verbosity(logging.INFO)
     logging.use_absl_handler()
-    trio.run(_serve, result.unwrap())
+    trio.run(_serve, result.unwrap(), certificates.unwrap())
 
 
-async def _serve(settings: Settings) -> None:
-    daemon = Daemon(settings, TcpNetwork(), random.Random())
+async def _serve(settings: Settings, certificates: Certificates) -> None:
+    daemon = Daemon(settings, TcpNetwork(), random.Random(), certificates)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_stop_on_signal, daemon)
         await daemon.run()
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -5,8 +5,11 @@
 
 import trio
 
+from dotterelstand.connection.network import Network
+from dotterelstand.connection.tls import Certificates
 from dotterelstand.process.hostlist import HostListReader, parse_host_list
 from dotterelstand.process.membership import ListedHost
+from dotterelstand.process.metrics import Metrics
 from dotterelstand.process.peers import Peers
 from dotterelstand.process.spread import DocumentSpread
 from dotterelstand.process.store import StoreClient
@@ -95,6 +98,7 @@
 
     __slots__ = (
         "applied",
+        "certificates",
         "documents",
         "hosts",
         "network",
@@ -114,6 +118,7 @@
         self.documents = documents
         self.spreads: dict[str, DocumentSpread] = {}
         self.applied: list[tuple[float, str, int]] = []
+        self.certificates: dict[str, Certificates] = {}
         self.settings: dict[str, dict[str, object]] = {}
         self.network = FakeNetwork(latency_s)
         self.nursery = nursery
@@ -137,7 +142,11 @@
         address = self.hosts[name]
         rng = seeded_random(self.seed, f"{name}/{self.starts}")
         settings = host_settings(name, address, **self.settings)
-        peers = Peers(settings, self.network.at(address), rng)
+        metrics = Metrics(512)
+        network: Network = self.network.at(address)
+        if name in self.certificates:
+            network = self.certificates[name].peer_network(network, metrics)
+        peers = Peers(settings, network, rng, metrics)
         self.peers[name] = peers
         if self.documents:
             self.spreads[name] = DocumentSpread(
--- /dev/null
+++ b/tests/test_tls.py
@@ -0,0 +1,141 @@
+"""TLS with mutual authentication between entry hosts, towards callers, and reloading."""
+
+import ssl
+from pathlib import Path
+
+import pytest
+import trio
+import trustme
+from fleet import Fleet, host_settings
+from returns.pipeline import is_successful
+
+from dotterelstand.connection.target import close_now
+from dotterelstand.connection.tls import RELOAD_INTERVAL_S, Certificates, load_certificates
+from dotterelstand.process.metrics import Metrics
+from dotterelstand.standin.network import FakeNetwork
+from dotterelstand.standin.virtual import run_virtual
+
+KINDS = ("caller", "peer")
+
+
+def _write(folder: Path, authority: trustme.CA) -> dict[str, object]:
+    """Throw-away certificates for callers and peers, and the settings that name them."""
+    certificate = authority.issue_cert("10.0.0.1")
+    values: dict[str, object] = {"peer_authority": str(folder / "authority.pem")}
+    authority.cert_pem.write_to_path(str(folder / "authority.pem"))
+    for kind in KINDS:
+        for name, blob in (
+            ("certificate", certificate.cert_chain_pems[0]),
+            ("key", certificate.private_key_pem),
+        ):
+            values[f"{kind}_{name}"] = str(folder / f"{kind}-{name}.pem")
+            blob.write_to_path(str(folder / f"{kind}-{name}.pem"))
+    return values
+
+
+def _load(values: dict[str, object]) -> Certificates:
+    return load_certificates(host_settings("a", "tema/1", tls=values)).unwrap()
+
+
+@pytest.mark.parametrize(
+    ("key", "content"),
+    [
+        ("caller_certificate", None),
+        ("caller_certificate", b"no certificate"),
+        ("peer_key", b"no key"),
+        ("peer_key", "other"),
+        ("peer_authority", b"no authority"),
+    ],
+)
+def test_wrong_files_are_refused(tmp_path: Path, key: str, content: bytes | str | None) -> None:
+    """Guards against a start without the TLS that the settings ask for."""
+    values = _write(tmp_path, trustme.CA())
+    path = Path(str(values[key]))
+    if content is None:
+        path.unlink()
+    elif content == "other":
+        trustme.CA().issue_cert("10.0.0.1").private_key_pem.write_to_path(str(path))
+    else:
+        path.write_bytes(content)
+    (error,) = load_certificates(host_settings("a", "tema/1", tls=values)).failure()
+    assert error.code == 4007
+    assert error.key == f"tls.{key}".replace("peer_key", "peer_certificate")
+
+
+async def _mutual(certificates: Certificates, stranger: Certificates) -> None:
+    async with trio.open_nursery() as nursery:
+        fleet = Fleet(nursery, 3, 1)
+        fleet.certificates = dict.fromkeys(fleet.hosts, certificates)
+        fleet.certificates["entry-02"] = stranger
+        await fleet.start_all()
+        await trio.sleep(3)
+        assert fleet.peers["entry-00"].linked() == ("entry-01",)
+        assert fleet.peers["entry-01"].linked() == ("entry-00",)
+        assert fleet.peers["entry-02"].linked() == ()
+        metrics = [peers.metrics.value("tls.handshake_failures") for peers in fleet.peers.values()]
+        assert all(metrics)
+        nursery.cancel_scope.cancel()
+
+
+def test_peers_need_a_certificate_of_the_authority(tmp_path: Path) -> None:
+    """Guards against links with strangers, in both directions."""
+    folders = [tmp_path / name for name in ("one", "other")]
+    for folder in folders:
+        folder.mkdir()
+    one, other = (_load(_write(folder, trustme.CA())) for folder in folders)
+    run_virtual(_mutual, one, other, seed=1)
+
+
+async def _reload(folder: Path) -> None:
+    authorities = [trustme.CA(), trustme.CA()]
+    certificates = _load(_write(folder, authorities[0]))
+    network = FakeNetwork(lambda one, other: 0.001)
+    counters = Metrics(64)
+    listening = certificates.caller_network(network.at("a"), counters)
+
+    async def echo(stream: trio.abc.Stream) -> None:
+        while data := await stream.receive_some(100):
+            await stream.send_all(data)
+
+    async def is_trusted(authority: trustme.CA) -> bool:
+        context = ssl.create_default_context()
+        authority.configure_trust(context)
+        stream = trio.SSLStream(
+            await network.at("b").connect("a", 443), context, server_hostname="10.0.0.1"
+        )
+        try:
+            await stream.send_all(b"hello")
+            return await stream.receive_some(10) == b"hello"
+        except trio.BrokenResourceError:
+            return False
+        finally:
+            close_now(stream)
+
+    async with trio.open_nursery() as nursery:
+        listener = await listening.listen("a", 443)
+        nursery.start_soon(listener.serve, echo, nursery)
+        nursery.start_soon(certificates.run)
+        await trio.sleep(0.1)
+        assert await is_trusted(authorities[0])
+        (folder / "caller-certificate.pem").write_bytes(b"damaged")
+        await trio.sleep(2 * RELOAD_INTERVAL_S)
+        assert await is_trusted(authorities[0])
+        _write(folder, authorities[1])
+        await trio.sleep(2 * RELOAD_INTERVAL_S)
+        assert await is_trusted(authorities[1]) and not await is_trusted(authorities[0])
+        await trio.sleep(0.1)
+        assert counters.value("tls.handshake_failures") == 1
+        nursery.cancel_scope.cancel()
+
+
+def test_certificates_are_reloaded_without_a_stop(tmp_path: Path) -> None:
+    """Guards against a stop for each new certificate, and against one for damaged files."""
+    run_virtual(_reload, tmp_path, seed=1)
+
+
+def test_no_files_mean_no_tls() -> None:
+    """Guards against settings without TLS that need files."""
+    result = load_certificates(host_settings("a", "tema/1"))
+    assert is_successful(result)
+    network = FakeNetwork(lambda one, other: 0.0).at("a")
+    assert result.unwrap().peer_network(network, Metrics(8)) is network
