--- a/src/dotterelstand/process/front.py
+++ b/src/dotterelstand/process/front.py
@@ -117,7 +117,7 @@
             ending = exchange.ending
             code = await exchange.run()
         await self._conclude(connection, code)
-        ending.count(self._context.counters, code)
+        ending.count(self._context.metrics, code)
         self._end_log.write(code, head.path)
 
     async def _conclude(self, connection: CallerConnection, code: ResultCode) -> None:
@@ -129,7 +129,7 @@
             await self._send_refusal(connection, code)
 
     async def _reject(self, connection: CallerConnection, code: ResultCode) -> None:
-        self._context.counters.count(f"requests.result.{code:d}")
+        self._context.metrics.count(f"requests.result.{code:d}")
         self._end_log.write(code, "")
         await self._send_refusal(connection, code)
         await connection.linger()
@@ -142,7 +142,7 @@
 
     async def _refuse_connection(self, stream: trio.abc.Stream) -> None:
         code = ResultCode.TOO_MANY_CONNECTIONS
-        self._context.counters.count(f"requests.result.{code:d}")
+        self._context.metrics.count(f"requests.result.{code:d}")
         try:
             if self._refusing < MAX_REFUSING:
                 self._refusing += 1
@@ -182,7 +182,7 @@
         log(Event.CALLERS_CLOSED, idle=closed, in_flight=len(self._connections) - closed)
 
     def _report_fault(self, group: BaseExceptionGroup) -> None:
-        self._context.counters.count("requests.faults")
+        self._context.metrics.count("requests.faults")
         errors = [repr(error) for error in group.exceptions]
         log(Event.INVARIANT_BROKEN, name="request", detail=errors)
 
--- a/src/dotterelstand/request/attempt.py
+++ b/src/dotterelstand/request/attempt.py
@@ -8,11 +8,12 @@
 
 from dotterelstand.codes import Result as ResultCode
 from dotterelstand.connection.caller import BodyError
-from dotterelstand.connection.pool import ConnectionLimitError, TargetPool
+from dotterelstand.connection.pool import ONLY_NEW_S, PROOF_LIFE_S, ConnectionLimitError, TargetPool
 from dotterelstand.connection.target import TargetConnection
 from dotterelstand.process.outcome import AttemptOutcome, SlotGrant, SlotOutcome
 from dotterelstand.request.body import RequestBody
 from dotterelstand.request.head import (
+    DRAINING_HEADER,
     LOAD_HEADER,
     RUN_HEADER,
     Headers,
@@ -59,7 +60,7 @@
 class AttemptSetup:
     """What the attempts of one request have in common."""
 
-    __slots__ = ("body", "head", "pool", "proven", "service", "slots")
+    __slots__ = ("body", "head", "idempotent", "pool", "service", "slots")
 
     def __init__(
         self,
@@ -68,14 +69,14 @@
         service: Service,
         pool: TargetPool,
         slots: Slots,
-        proven: bool,
+        idempotent: bool,
     ) -> None:
         self.head = head
         self.body = body
         self.service = service
         self.pool = pool
         self.slots = slots
-        self.proven = proven
+        self.idempotent = idempotent
 
 
 class Attempt:
@@ -88,6 +89,7 @@
         "_ended",
         "_grant",
         "_head_sent",
+        "_max_age_s",
         "_sent",
         "_setup",
         "_silence",
@@ -98,8 +100,14 @@
         "on_body_error",
     )
 
-    def __init__(self, setup: AttemptSetup, grant: SlotGrant, deadline: float) -> None:
+    def __init__(
+        self, setup: AttemptSetup, grant: SlotGrant, deadline: float, after_silence: bool
+    ) -> None:
         self._setup = setup
+        self._max_age_s = math.inf if setup.idempotent else PROOF_LIFE_S
+        if after_silence:
+            # Connections to other targets may have gone silent for the same cause.
+            self._max_age_s = ONLY_NEW_S
         self._grant = grant
         self._deadline = deadline
         self._began = trio.current_time()
@@ -213,7 +221,7 @@
         setup = self._setup
         try:
             self._connection = await setup.pool.acquire(
-                self._grant.target, setup.service.connections, setup.proven
+                self._grant.target, setup.service.connections, self._max_age_s
             )
         except OSError:
             self.failure = ResultCode.CONNECT_FAILED
@@ -241,6 +249,8 @@
         self.answer = AnswerHead(event.status_code, headers)
         self.head_after_s = trio.current_time() - self._began
         self._silence.deadline = math.inf
+        if self.answer.value(DRAINING_HEADER) == b"1":
+            self._setup.slots.target_leaving(self.target)
         if not self.answer.delimits_itself(self._setup.head.method):
             # Such an answer ends with its connection, so a cut would look like its end.
             self.failure = ResultCode.BAD_ANSWER
--- a/src/dotterelstand/request/exchange.py
+++ b/src/dotterelstand/request/exchange.py
@@ -78,7 +78,7 @@
         limit_s = math.inf if head.deadline_s is None else head.deadline_s
         self._caller_deadline = trio.current_time() + limit_s
         self._setup = AttemptSetup(
-            head, self._body, self._service, context.pool, context.slots, not route.idempotent
+            head, self._body, self._service, context.pool, context.slots, route.idempotent
         )
         self.ending = Ending(route, head.tenant)
 
@@ -122,27 +122,29 @@
         last: ResultCode | None = None
         while True:
             if not await self._admit():
-                return self._uncertain(ResultCode.QUARANTINED, last)
+                return self._uncertain(last or ResultCode.QUARANTINED)
             attempt = await self._next_attempt()
             if isinstance(attempt, ResultCode):
-                return self._uncertain(attempt, last)
+                return self._uncertain(last or attempt)
             code, again = await self._try(attempt)
             if not again:
                 return code
             last = code
-            self._context.counters.count("requests.retries")
+            self._context.metrics.count("requests.retries")
 
     async def _next_attempt(self) -> Attempt | ResultCode:
         if not can_finish(self._remaining_s(), self._policy.times):
             return ResultCode.DEADLINE_TOO_SHORT
         excluded = frozenset(attempt.target for attempt in self._attempts)
         classes = self._document.classes
-        klass = classes.index(self._route.klass) if self._route.klass in classes else 0
+        last = len(classes) - 1
+        klass = classes.index(self._route.klass) if self._route.klass in classes else last
         call = SlotCall(klass, self._head.tenant, self._scope.deadline, excluded)
         grant = await self._context.slots.acquire(self._service, call)
         if not is_successful(grant):
             return grant.failure()
-        attempt = Attempt(self._setup, grant.unwrap(), self._scope.deadline)
+        silent = any(other.failure is ResultCode.TARGET_SILENT for other in self._attempts)
+        attempt = Attempt(self._setup, grant.unwrap(), self._scope.deadline, silent)
         self._attempts.append(attempt)
         return attempt
 
@@ -177,7 +179,7 @@
         attempt = await self._next_attempt()
         if isinstance(attempt, ResultCode):
             return None
-        self._context.counters.count("requests.hedges")
+        self._context.metrics.count("requests.hedges")
         return attempt
 
     async def _settle(self, attempt: Attempt) -> tuple[ResultCode, bool]:
@@ -194,7 +196,7 @@
             # The target's own failure answer says more than any of ours.
             return await self._relay(attempt), False
         attempt.end(attempt.outcome())
-        return self._uncertain(code, None), False
+        return self._uncertain(code), False
 
     async def _failure_code(self, attempt: Attempt) -> ResultCode:
         await self._strike_lost()
@@ -249,7 +251,7 @@
                 except BodyError:
                     # The fingerprint is then that of the part that the target received.
                     pass
-                self._context.counters.count("requests.strikes")
+                self._context.metrics.count("requests.strikes")
                 await self._context.suspects.strike(self._fingerprint(), attempt.target)
 
     def _clear_strikes(self) -> None:
@@ -270,7 +272,7 @@
         limits = self._context.limits
         decision = decide_retry(failed, self._policy, limits.max_attempts, trio.current_time())
         if decision is not RetryDecision.RETRY:
-            self._context.counters.count(f"requests.no_retry.{decision.value}")
+            self._context.metrics.count(f"requests.no_retry.{decision.value}")
         return decision
 
     async def _read_body(self) -> bytes | None:
@@ -290,12 +292,10 @@
     def _may_have_run(self) -> bool:
         return any(attempt.may_have_run for attempt in self._attempts)
 
-    def _uncertain(self, code: ResultCode, last: ResultCode | None) -> ResultCode:
+    def _uncertain(self, code: ResultCode) -> ResultCode:
         """The code that is true for the whole request, earlier attempts included."""
         if code.run is not Run.NOT_RUN or not self._may_have_run():
             return code
-        if last is not None and last.run is Run.UNKNOWN:
-            return last
         unknown = [a.failure for a in self._attempts if a.may_have_run and a.failure is not None]
         return unknown[-1] if unknown else ResultCode.BAD_ANSWER
 
