Probe a returning store with reads, and test outages and races

Cause: a watch may not probe an open circuit breaker, so after an outage the watchers waited for the next read of the host list: a version accepted 1 s after the store's return was in force on no host 3 s later. Ruled out: a shorter interval of the host list, which costs calls always. Change: a watcher whose watch fails reads the manifest, which may probe.

--- a/src/dotterelstand/process/spread.py
+++ b/src/dotterelstand/process/spread.py
@@ -27,7 +27,8 @@
 # Time in which links and heartbeats reach a starting host before it decides for the first time.
 FIRST_LOOK_S = 0.3
 MIN_PAUSE_S = 0.2
-MAX_PAUSE_S = 3.0
+# A version accepted just after the store returns must be in force within 3 s.
+MAX_PAUSE_S = 1.0
 # Time for which a peer that failed to serve a version is asked last.
 AVOID_S = 2.0
 
@@ -170,6 +171,8 @@
             else:
                 await trio.sleep(self._rng.uniform(pause_s / 2, pause_s))
                 pause_s = min(MAX_PAUSE_S, 2 * pause_s)
+                # Unlike a watch, a read may probe whether the store is back.
+                await self._read_store()
 
     async def _read_store(self) -> bool:
         result = await self._store.read(HEAD)
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -83,16 +83,6 @@
     return Change(section, section_text(section, port), "ama", "2026-12-04T07:00:00Z", base)
 
 
-async def serve_store(network: FakeNetwork, store: ObjectStore, nursery: trio.Nursery) -> None:
-    """Serve the stand-in of the platform's store until cancelled."""
-
-    async def handle(stream: trio.abc.Stream) -> None:
-        await serve_http(stream, store.handle)
-
-    listener = await network.at(STORE_ADDRESS).listen(STORE_ADDRESS, STORE_PORT)
-    await listener.serve(handle, nursery)
-
-
 class Fleet:
     """Entry hosts with links and host lists, each crashed and replaced on its own."""
 
@@ -129,7 +119,7 @@
         self.starts = 0
         self.store = ObjectStore()
         self.store.hosts = host_list(self.hosts)
-        nursery.start_soon(serve_store, self.network, self.store, nursery)
+        self.start_store()
 
     async def start_all(self) -> None:
         """Start every host at once."""
@@ -160,6 +150,36 @@
         """Store client of a host."""
         return StoreClient(STORE_ADDRESS, STORE_PORT, self.network.at(self.hosts[name]), 1.0)
 
+    def start_store(self) -> None:
+        """Serve the store; what it held before is kept."""
+        self.nursery.start_soon(self._serve_store)
+
+    def stop_store(self) -> None:
+        """Refuse every connection to the store, and break the open ones."""
+        self.network.crash(STORE_ADDRESS)
+
+    def part_region(self, region: str) -> None:
+        """Silence all traffic between a region and the rest, the store included."""
+        for one, other in self._across(region):
+            self.network.part(one, other)
+
+    def heal_region(self, region: str) -> None:
+        """Allow connections between a region and the rest again."""
+        for one, other in self._across(region):
+            self.network.heal(one, other)
+
+    def _across(self, region: str) -> list[tuple[str, str]]:
+        places = [*self.hosts.values(), STORE_ADDRESS]
+        inside = [place for place in places if place.startswith(region)]
+        return [(one, other) for one in inside for other in places if other not in inside]
+
+    async def _serve_store(self) -> None:
+        async def handle(stream: trio.abc.Stream) -> None:
+            await serve_http(stream, self.store.handle)
+
+        listener = await self.network.at(STORE_ADDRESS).listen(STORE_ADDRESS, STORE_PORT)
+        await listener.serve(handle, self.nursery)
+
     def crash(self, name: str) -> None:
         """End a host without a goodbye."""
         self.scopes[name].cancel()
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -3,8 +3,11 @@
 import pytest
 import trio
 from fleet import Fleet, change
+from returns.pipeline import is_successful
 
 from dotterelstand.standin.virtual import run_virtual
+from dotterelstand.version.fields import RACE_LOST
+from dotterelstand.version.manifest import parse_manifest
 
 # The bound of the requirement for today's deployments.
 IN_FORCE_S = 3.0
@@ -29,3 +32,128 @@
 def test_accepted_version_is_in_force_on_every_host(seed: int) -> None:
     """Guards against a host that an announcement does not reach."""
     run_virtual(_three_changes, seed, seed=seed)
+
+
+async def _outage_and_replacements(seed: int) -> None:
+    async with trio.open_nursery() as nursery:
+        fleet = Fleet(nursery, 16, seed, documents=True)
+        await fleet.start_all()
+        await trio.sleep(3)
+        acceptor = fleet.acceptor("entry-00")
+        for number in (1, 2):
+            (await acceptor.submit(change("quotes", 9000 + number))).unwrap()
+        await trio.sleep(IN_FORCE_S)
+        fleet.stop_store()
+        for name in list(fleet.hosts):
+            fleet.crash(name)
+            await trio.sleep(1)
+            await fleet.start(name)
+            await trio.sleep(IN_FORCE_S)
+            assert fleet.numbers()[name] == 2
+        fleet.start_store()
+        await trio.sleep(1)
+        assert (await acceptor.submit(change("quotes", 9003))).unwrap() == 3
+        await trio.sleep(IN_FORCE_S)
+        assert set(fleet.numbers().values()) == {3}
+        nursery.cancel_scope.cancel()
+
+
+def test_hosts_replaced_during_an_outage_take_the_version_of_their_peers() -> None:
+    """Guards against a host that starts without a document, or with an older one."""
+    run_virtual(_outage_and_replacements, 1, seed=1)
+
+
+async def _part_for_an_hour(seed: int) -> None:
+    async with trio.open_nursery() as nursery:
+        fleet = Fleet(nursery, 4, seed, documents=True)
+        await fleet.start_all()
+        await trio.sleep(3)
+        acceptor = fleet.acceptor("entry-00")
+        (await acceptor.submit(change("quotes"))).unwrap()
+        await trio.sleep(IN_FORCE_S)
+        parted = [name for name in fleet.hosts if fleet.hosts[name].startswith("kumasi")]
+        fleet.part_region("kumasi")
+        for number in (2, 3):
+            (await acceptor.submit(change("quotes", 9000 + number))).unwrap()
+            await trio.sleep(1800)
+        numbers = fleet.numbers()
+        assert [numbers[name] for name in parted] == [1]
+        assert {numbers[name] for name in numbers.keys() - set(parted)} == {3}
+        fleet.heal_region("kumasi")
+        await trio.sleep(10)
+        assert set(fleet.numbers().values()) == {3}
+        nursery.cancel_scope.cancel()
+
+
+def test_region_parted_for_an_hour_converges() -> None:
+    """Guards against a region that reverts the others, or stays behind after the parting."""
+    run_virtual(_part_for_an_hour, 1, seed=1)
+
+
+async def _lone_start(seed: int) -> None:
+    async with trio.open_nursery() as nursery:
+        fleet = Fleet(nursery, 1, seed, documents=True)
+        await fleet.start_all()
+        await trio.sleep(5)
+        assert fleet.numbers() == {"entry-00": 0}
+        (await fleet.acceptor("entry-00").submit(change("quotes"))).unwrap()
+        await trio.sleep(IN_FORCE_S)
+        assert fleet.numbers() == {"entry-00": 1}
+        nursery.cancel_scope.cancel()
+
+
+def test_first_document_reaches_a_lone_host() -> None:
+    """Guards against a first host that waits for peers for ever."""
+    run_virtual(_lone_start, 1, seed=1)
+
+
+async def _large_fleet(seed: int) -> None:
+    async with trio.open_nursery() as nursery:
+        fleet = Fleet(nursery, 36, seed, documents=True)
+        await fleet.start_all()
+        await trio.sleep(5)
+        assert max(len(peers.linked()) for peers in fleet.peers.values()) < 24
+        for number in (1, 2):
+            (await fleet.acceptor("entry-00").submit(change("quotes", 9000 + number))).unwrap()
+            await trio.sleep(IN_FORCE_S)
+            assert set(fleet.numbers().values()) == {number}
+        nursery.cancel_scope.cancel()
+
+
+def test_overlay_passes_versions_on() -> None:
+    """Guards against a host without a link to a watcher that stays behind."""
+    run_virtual(_large_fleet, 1, seed=1)
+
+
+async def _race(seed: int) -> None:
+    async with trio.open_nursery() as nursery:
+        fleet = Fleet(nursery, 4, seed, documents=True)
+        await fleet.start_all()
+        await trio.sleep(3)
+        base = change("quotes").digest
+        (await fleet.acceptor("entry-00").submit(change("quotes"))).unwrap()
+        results: list[object] = []
+
+        async def edit(name: str, section: str, port: int) -> None:
+            edited = change(section, port, base if section == "quotes" else "")
+            results.append(await fleet.acceptor(name).submit(edited))
+
+        async with trio.open_nursery() as editors:
+            for place, name in enumerate(fleet.hosts):
+                editors.start_soon(edit, name, "quotes" if place < 2 else f"s{place}", 9100 + place)
+        accepted = sorted(result.unwrap() for result in results if is_successful(result))
+        (refused,) = [result.failure() for result in results if not is_successful(result)]
+        assert accepted == [2, 3, 4]
+        assert refused.code == RACE_LOST and "-port = 9000" in refused.difference
+        await trio.sleep(IN_FORCE_S)
+        assert set(fleet.numbers().values()) == {4}
+        for number in (1, 2, 3, 4):
+            stored = parse_manifest(fleet.store.get(f"document/history/{number}").body)
+            assert stored.unwrap().number == number
+        nursery.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_racing_edits_of_one_section_are_refused_with_the_difference(seed: int) -> None:
+    """Guards against an edit that overwrites another, and one refused for another section."""
+    run_virtual(_race, seed, seed=seed)
