--- a/src/dotterelstand/standin/mesh.py
+++ b/src/dotterelstand/standin/mesh.py
@@ -68,6 +68,7 @@
 
     __slots__ = (
         "_due",
+        "_held",
         "_latency_s",
         "_lost_at",
         "_number",
@@ -84,6 +85,7 @@
         self._latency_s = latency_s
         self._suspect_after_s = suspect_after_s
         self._due: list[tuple[float, int, FakeMesh, str, bytes]] = []
+        self._held: list[tuple[float, int, FakeMesh, str, bytes]] = []
         self._lost_at: dict[str, float] = {}
         self._number = 0
         self._parted: set[frozenset[str]] = set()
@@ -102,9 +104,11 @@
         self.meshes[host].lost = True
         self._lost_at[host] = trio.current_time()
 
-    def pause(self, host: str, paused: bool) -> None:
-        """Hold the messages to a host, or deliver those that were held."""
-        self.meshes[host].paused = paused
+    def wake(self) -> None:
+        """Deliver the messages that were held for a host that is no longer paused."""
+        for item in self._held:
+            heapq.heappush(self._due, item)
+        self._held.clear()
         self._wake.set()
 
     def part(self, one: str, other: str, parted: bool) -> None:
@@ -142,16 +146,12 @@
 
     async def run(self) -> None:
         """Deliver messages until cancelled."""
-        held: list[tuple[float, int, FakeMesh, str, bytes]] = []
         while True:
             self._wake = trio.Event()
-            for item in held:
-                heapq.heappush(self._due, item)
-            held = []
             while self._due and self._due[0][0] <= trio.current_time():
                 item = heapq.heappop(self._due)
                 if item[2].paused:
-                    held.append(item)
+                    self._held.append(item)
                 else:
                     self._deliver(item[2], item[3], item[4])
             until = self._due[0][0] if self._due else trio.current_time() + 3600
