--- a/src/dotterelstand/connection/pool.py
+++ b/src/dotterelstand/connection/pool.py
@@ -129,6 +129,10 @@
             else:
                 del self._idle[address]
 
+    def in_use(self) -> int:
+        """Number of connections that carry a request or are being opened."""
+        return self.open_connections() - sum(map(len, self._idle.values()))
+
     def open_connections(self) -> int:
         """Number of open connections, idle ones included."""
         return sum(self._open.values())
--- a/src/dotterelstand/process/daemon.py
+++ b/src/dotterelstand/process/daemon.py
@@ -25,6 +25,7 @@
 from dotterelstand.process.quarantine import QuarantineService, register_quarantine
 from dotterelstand.process.slots import SlotBroker, make_broker
 from dotterelstand.process.store import StoreClient, build_store
+from dotterelstand.process.targetlist import TargetList
 from dotterelstand.request.context import RequestContext
 from dotterelstand.settings import Settings
 from dotterelstand.version.document import Document, build_document
@@ -35,10 +36,8 @@
 
     __slots__ = (
         "_control",
-        "_front",
         "_hosts",
         "_network",
-        "_pool",
         "_registry",
         "_settings",
         "_state",
@@ -46,9 +45,11 @@
         "_store",
         "broker",
         "control_port",
+        "front",
         "journal",
         "metrics",
         "peers",
+        "pool",
         "port",
         "quarantine",
     )
@@ -67,13 +68,14 @@
             settings.number("peers", "host_list_interval_s"),
             settings.integer("peers", "port"),
             rng,
+            TargetList(self.broker).read,
         )
         self.journal: JournalService = build_journal(settings, self._store, self.peers, rng)
         self.quarantine = QuarantineService(self.peers, quarantine_limits(settings), self.metrics)
-        self._pool = TargetPool(network, pool_limits(settings))
-        self._front = self._make_front(settings)
+        self.pool = TargetPool(network, pool_limits(settings))
+        self.front = self._make_front(settings)
         self._registry = ControlRegistry()
-        self._state = DaemonState(lambda: self._front.document, self._stopping.is_set, self.stop)
+        self._state = DaemonState(lambda: self.front.document, self._stopping.is_set, self.stop)
         register_pages(self._registry, settings, self.metrics, self._state)
         register_quarantine(self._registry, self.quarantine)
         self._control = ControlPort(settings, self._registry, self.metrics)
@@ -98,7 +100,7 @@
         self.control_port = control.port
         self._state.started_s = trio.current_time()
         grace_s = self._settings.number("listen", "close_grace_s")
-        with self._pool:
+        with self.pool:
             async with trio.open_nursery() as background:
                 await background.start(self.peers.run)
                 background.start_soon(self._control.serve, control)
@@ -107,8 +109,8 @@
                 background.start_soon(self.journal.run)
                 background.start_soon(self._follow_document)
                 background.start_soon(self._flush_metrics)
-                background.start_soon(self._pool.sweep_forever)
-                await self._front.serve_until_stopped(listener, self._stopping, grace_s)
+                background.start_soon(self.pool.sweep_forever)
+                await self.front.serve_until_stopped(listener, self._stopping, grace_s)
                 await self.journal.stop()
                 await self.peers.say_goodbye()
                 background.cancel_scope.cancel()
@@ -118,7 +120,7 @@
     def _make_front(self, settings: Settings) -> CallerFront:
         context = RequestContext(
             request_limits(settings),
-            self._pool,
+            self.pool,
             self.broker,
             self.journal,
             self.quarantine,
@@ -134,7 +136,7 @@
             self.metrics.flush()
 
     def _apply(self, document: Document) -> None:
-        self._front.document = document
+        self.front.document = document
         self.broker.apply(document)
 
     async def _follow_document(self) -> None:
--- a/src/dotterelstand/process/hostlist.py
+++ b/src/dotterelstand/process/hostlist.py
@@ -1,6 +1,7 @@
 """Reads the platform's list of entry hosts at a jittered interval."""
 
 import random
+from collections.abc import Callable
 
 import trio
 from returns.pipeline import is_successful
@@ -18,7 +19,15 @@
 class HostListReader:
     """Feeds the host list to the links; the last list stays in use while the store is down."""
 
-    __slots__ = ("_available", "_default_port", "_interval_s", "_peers", "_rng", "_store")
+    __slots__ = (
+        "_available",
+        "_default_port",
+        "_interval_s",
+        "_on_list",
+        "_peers",
+        "_rng",
+        "_store",
+    )
 
     def __init__(
         self,
@@ -27,6 +36,7 @@
         interval_s: float,
         default_port: int,
         rng: random.Random,
+        on_list: Callable[[object], None] | None = None,
     ) -> None:
         self._store = store
         self._peers = peers
@@ -34,6 +44,7 @@
         self._default_port = default_port
         self._rng = rng
         self._available = True
+        self._on_list = on_list
 
     async def run(self) -> None:
         """Read the list until cancelled."""
@@ -55,6 +66,8 @@
             log(Event.HOST_LIST_AVAILABLE, hosts=len(hosts))
         self._available = True
         self._peers.read_host_list(hosts)
+        if self._on_list is not None:
+            self._on_list(result.unwrap())
         return True
 
     def _report(self, reason: str) -> bool:
--- a/src/dotterelstand/standin/target.py
+++ b/src/dotterelstand/standin/target.py
@@ -77,6 +77,7 @@
         "_random",
         "_slots",
         "crashes",
+        "cut_off",
         "deadlines_ms",
         "faults",
         "malformed",
@@ -109,6 +110,7 @@
         self._accepting: trio.CancelScope | None = None
         self.faults = Faults()
         self.crashes = 0
+        self.cut_off = 0
         self.malformed = 0
         self.received = 0
         self.deadlines_ms: deque[int] = deque(maxlen=1000)
@@ -153,12 +155,15 @@
             return
         with trio.CancelScope() as scope:
             self._connections[stream] = scope
+            connection = TargetStream(stream, self)
             try:
-                connection = TargetStream(stream, self)
                 while await connection.serve_next():
                     pass
             except h11.RemoteProtocolError:
-                self.malformed += 1
+                if connection.ended():
+                    self.cut_off += 1
+                else:
+                    self.malformed += 1
             except (trio.BrokenResourceError, trio.ClosedResourceError, h11.LocalProtocolError):
                 pass
             finally:
@@ -231,6 +236,10 @@
         self._h11 = h11.Connection(h11.SERVER)
         self._method = ""
 
+    def ended(self) -> bool:
+        """Whether the peer closed the connection, which cuts off a request that was arriving."""
+        return self._h11.trailing_data[1]
+
     async def serve_next(self) -> bool:
         """Serve one request; False when the connection ends."""
         event = await self._next_event()
--- a/tests/features/retries.feature
+++ b/tests/features/retries.feature
@@ -29,3 +29,31 @@
     When 10 callers upload 20000 bytes to their own lookup one after the other
     Then every answer is 1000
     And every upload arrived byte for byte
+
+  Scenario: A keyed order runs once however often its caller repeats it
+    Given 3 targets
+    When a caller sends the keyed order k1 with body a 3 times
+    Then every answer has status 200
+    And the request ran 1 times
+    And the last answer is 1001
+
+  Scenario: A keyed order that crashed its target is never sent again
+    Given 3 targets with faults {"crash_paths": ["/order/keyed"]}
+    When a caller sends the keyed order k1 with body a 3 times
+    Then the request ran 1 times
+    And the last answer is 3006 and says unknown
+
+  Scenario: A keyed order that every target refused may be repeated
+    Given 3 targets with faults {"shed": 1.0}
+    When a caller sends the keyed order k1 with body a 1 times
+    And the targets get the faults {"shed": 0.0}
+    And a caller sends the keyed order k1 with body a 1 times
+    Then the last answer is 1000
+    And the request ran 1 times
+
+  Scenario: A key that is used again for another body is refused
+    Given 3 targets
+    When a caller sends the keyed order k1 with body a 1 times
+    And a caller sends the keyed order k1 with body b 1 times
+    Then the last answer is 2012 and says not-run
+    And the request ran 1 times
--- a/tests/support.py
+++ b/tests/support.py
@@ -7,6 +7,7 @@
 import h11
 import trio
 
+from dotterelstand.connection.network import StreamHandler
 from dotterelstand.process.daemon import Daemon
 from dotterelstand.settings import parse_settings
 from dotterelstand.standin.httpd import serve_http
@@ -112,6 +113,19 @@
         finally:
             stream.close()
 
+    def replace_target(self, nursery: trio.Nursery, handler: StreamHandler) -> None:
+        """Serve the address of the first target with another program."""
+        self.network.crash("10.1.0.0")
+        listener = self.network.add_listener("10.1.0.0", 80)
+        nursery.start_soon(listener.serve, handler, nursery)
+
+    def assert_settled(self) -> None:
+        """Fail if a caller connection, a slot or a target connection is still in use."""
+        assert self.daemon.front.open_connections == 0, "a caller connection is stuck"
+        assert self.daemon.pool.in_use() == 0, "a target connection is stuck"
+        state = self.daemon.broker.core.state_of("main")
+        assert state is None or state.duty is None or state.duty.open_grants == 0, "a slot is stuck"
+
     def runs(self, path: str) -> list[str]:
         """States of the executions of a path at all targets."""
         return [run.state for target in self.targets for run in target.runs if run.path == path]
--- a/tests/test_features.py
+++ b/tests/test_features.py
@@ -255,6 +255,45 @@
     story.actions.append(action)
 
 
+@when(text("a caller sends the keyed order {key:w} with body {body:w} {times:d} times"))
+def _(story: Story, key: str, body: str, times: int) -> None:
+    async def action(fleet: Fleet) -> None:
+        for _ in range(times):
+            await story.call(fleet, "POST", "/order/keyed", body.encode(), idempotency_key=key)
+            # Outcomes are written in batches; until then a repeated key counts as running.
+            await trio.sleep(1.0)
+
+    story.actions.append(action)
+
+
+@when("the host list shows the first target as leaving")
+def _(story: Story) -> None:
+    async def action(fleet: Fleet) -> None:
+        entry = {"host": "t0", "address": "10.1.0.0:80", "role": "target", "state": "leaving"}
+        fleet.store.hosts = [entry]
+
+    story.actions.append(action)
+
+
+@when("the runs of the first target are noted")
+def _(story: Story) -> None:
+    async def action(fleet: Fleet) -> None:
+        story.notes["runs"] = len(fleet.targets[0].runs)
+
+    story.actions.append(action)
+
+
+@then("the first target ran nothing more")
+def _(story: Story) -> None:
+    assert len(story.run().targets[0].runs) == story.notes["runs"]
+
+
+@then(text("at most {count:d} answer has status {status:d}"))
+def _(story: Story, count: int, status: int) -> None:
+    story.run()
+    assert sum(answer.status == status for _, answer in story.answers) <= count
+
+
 @when("every target crashes")
 def _(story: Story) -> None:
     async def action(fleet: Fleet) -> None:
