--- a/src/dotterelstand/connection/caller.py
+++ b/src/dotterelstand/connection/caller.py
@@ -197,6 +197,8 @@
         if self.closing or self._h11.our_state is not h11.DONE or not self._request_read():
             return False
         self._h11 = self._new_h11()
+        # A refusal of the next head must not take it for a HEAD request.
+        self._method = b""
         return True
 
     def is_idle(self) -> bool:
--- a/src/dotterelstand/process/main.py
+++ b/src/dotterelstand/process/main.py
@@ -45,3 +45,7 @@
 def main() -> None:
     """Run dotterelstandd from the command line."""
     fire.Fire(run_daemon)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/dotterelstand/process/quarantine.py
+++ b/src/dotterelstand/process/quarantine.py
@@ -290,7 +290,7 @@
         return self._lift(key)
 
     async def _ask_arbiter(self, fingerprint: bytes) -> Admission:
-        admission = Admission(fingerprint, False, self._next_number(), self._arbiter(fingerprint))
+        admission = Admission(fingerprint, False, self._next_number(), self.arbiter(fingerprint))
         waiting = self._answers[admission.number] = _Waiting(1)
         try:
             if self._mesh.send(
@@ -306,7 +306,7 @@
                 # A permission may be on its way although nobody waits for it.
                 self.leave(admission)
 
-    def _arbiter(self, fingerprint: bytes) -> str:
+    def arbiter(self, fingerprint: bytes) -> str:
         """Member with the highest rendezvous hash for a fingerprint."""
         hosts = [member.host for member in self._mesh.members()] or [self._mesh.host]
         return max(hosts, key=lambda host: xxhash.xxh3_64_intdigest(host.encode() + fingerprint))
@@ -353,7 +353,7 @@
 
     def _on_end(self, sender: str, message: SuspectEnd) -> None:
         waiting = self._answers.get(message.call)
-        if waiting is not None and sender == self._arbiter(message.fingerprint):
+        if waiting is not None and sender == self.arbiter(message.fingerprint):
             waiting.arrive(message.allowed)
         else:
             self._runs.end(message.fingerprint, sender, message.call)
--- a/src/dotterelstand/standin/platform.py
+++ b/src/dotterelstand/standin/platform.py
@@ -102,3 +102,7 @@
 def main() -> None:
     """Run the platform stand-in from the command line."""
     fire.Fire(run_platform)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/dotterelstand/standin/target.py
+++ b/src/dotterelstand/standin/target.py
@@ -377,3 +377,7 @@
 def main() -> None:
     """Run a target stand-in from the command line."""
     fire.Fire(run_target)
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -2,7 +2,7 @@
 
 import h11
 import trio
-from hypothesis import HealthCheck, given, settings
+from hypothesis import HealthCheck, example, given, settings
 from hypothesis import strategies as st
 from support import Fleet, read_answer, run_fleet
 
@@ -88,6 +88,7 @@
 
 
 @FUZZ
+@example(([b"HEAD /lookup/4 HTTP/1.1\r\nhost: x\r\n\r\nabcde"], False))
 @given(caller_bytes())
 def test_caller_bytes(case: tuple[list[bytes], bool]) -> None:
     """Guards against smuggled requests and tasks that a malformed request leaves behind."""
