--- a/src/dotterelstand/process/daemon.py
+++ b/src/dotterelstand/process/daemon.py
@@ -25,6 +25,7 @@
 from dotterelstand.process.slots import SlotBroker, make_broker
 from dotterelstand.process.spread import DocumentSpread
 from dotterelstand.process.store import StoreClient, build_store
+from dotterelstand.process.targetlist import TargetList
 from dotterelstand.request.context import RequestContext
 from dotterelstand.settings import Settings
 from dotterelstand.version.accept import Acceptor
@@ -37,10 +38,8 @@
     __slots__ = (
         "_certificates",
         "_control",
-        "_front",
         "_hosts",
         "_network",
-        "_pool",
         "_registry",
         "_settings",
         "_state",
@@ -49,9 +48,11 @@
         "acceptor",
         "broker",
         "control_port",
+        "front",
         "journal",
         "metrics",
         "peers",
+        "pool",
         "port",
         "quarantine",
         "spread",
@@ -79,15 +80,16 @@
             settings.number("peers", "host_list_interval_s"),
             settings.integer("peers", "port"),
             rng,
+            TargetList(self.broker).read,
         )
         self.journal: JournalService = build_journal(settings, self._store, self.peers, rng)
         self.quarantine = QuarantineService(self.peers, quarantine_limits(settings), self.metrics)
-        self._pool = TargetPool(network, pool_limits(settings))
-        self._front = self._make_front(settings)
+        self.pool = TargetPool(network, pool_limits(settings))
+        self.front = self._make_front(settings)
         self.spread = DocumentSpread(settings, self._store, self.peers, rng, self._apply)
         self.acceptor = Acceptor(self._store, self.spread.cache, rng, lambda: self.spread.number)
         self._registry = ControlRegistry()
-        self._state = DaemonState(lambda: self._front.document, self._stopping.is_set, self.stop)
+        self._state = DaemonState(lambda: self.front.document, self._stopping.is_set, self.stop)
         register_pages(self._registry, settings, self.metrics, self._state)
         register_quarantine(self._registry, self.quarantine)
         self._control = ControlPort(settings, self._registry, self.metrics)
@@ -97,7 +99,7 @@
     @property
     def document(self) -> Document | None:
         """Document in force."""
-        return self._front.document
+        return self.front.document
 
     def stop(self) -> None:
         """Begin a graceful stop."""
@@ -118,7 +120,7 @@
         self.control_port = control.port
         self._state.started_s = trio.current_time()
         grace_s = self._settings.number("listen", "close_grace_s")
-        with self._pool:
+        with self.pool:
             async with trio.open_nursery() as background:
                 await background.start(self.peers.run)
                 background.start_soon(self._control.serve, control)
@@ -128,8 +130,8 @@
                 background.start_soon(self.spread.run)
                 background.start_soon(self._certificates.run)
                 background.start_soon(self._flush_metrics)
-                background.start_soon(self._pool.sweep_forever)
-                await self._front.serve_until_stopped(listener, self._stopping, grace_s)
+                background.start_soon(self.pool.sweep_forever)
+                await self.front.serve_until_stopped(listener, self._stopping, grace_s)
                 await self.journal.stop()
                 await self.peers.say_goodbye()
                 background.cancel_scope.cancel()
@@ -139,7 +141,7 @@
     def _make_front(self, settings: Settings) -> CallerFront:
         context = RequestContext(
             request_limits(settings),
-            self._pool,
+            self.pool,
             self.broker,
             self.journal,
             self.quarantine,
@@ -155,5 +157,5 @@
             self.metrics.flush()
 
     def _apply(self, document: Document) -> None:
-        self._front.document = document
+        self.front.document = document
         self.broker.apply(document)
