Run up to two entry hosts a region on loopback

Cause: with one entry host a region each is its own dispatcher, so that a demo measures nothing. Ruled out: more settings files in the examples, since hosts differ only in name and addresses. Change: standin/loopback.py takes per_region (1 or 2). Measured: pytest -q tests/test_loopback.py: 3 passed.

--- a/src/dotterelstand/standin/loopback.py
+++ b/src/dotterelstand/standin/loopback.py
@@ -18,6 +18,8 @@
 ENTRY_OFFSET = 10
 TARGET_OFFSET = 100
 MAX_BASE_PORT = 60000
+# Two availability zones in each region of the examples, with one entry host each.
+MAX_PER_REGION = 2
 
 _TARGET = re.compile(
     r'\{ name = "(?P<name>[^"]+)", address = "[^"]+", port = \d+, '
@@ -43,12 +45,13 @@
 class Loopback:
     """Writes the section files, settings and targets of one example."""
 
-    __slots__ = ("_base_port", "_example", "_out", "targets")
+    __slots__ = ("_base_port", "_example", "_out", "_per_region", "targets")
 
-    def __init__(self, example: Path, out: Path, base_port: int) -> None:
+    def __init__(self, example: Path, out: Path, base_port: int, per_region: int) -> None:
         self._example = example
         self._out = out
         self._base_port = base_port
+        self._per_region = per_region
         self.targets: list[LoopbackTarget] = []
 
     def write(self) -> None:
@@ -56,10 +59,11 @@
         (self._out / "document").mkdir(parents=True, exist_ok=True)
         for path in sorted((self._example / "document").glob("*.toml")):
             self._write_section(path)
-        entries = sorted((self._example / "settings").glob("entry-*.toml"))
-        for index, path in enumerate(entries):
-            values = self._entry_settings(path, index, len(entries))
-            _write_settings(self._out / path.name, values)
+        paths = sorted((self._example / "settings").glob("entry-*.toml"))
+        entries = [(path, zone) for zone in range(1, self._per_region + 1) for path in paths]
+        for index, (path, zone) in enumerate(entries):
+            values = self._entry_settings(path, index, len(entries), zone)
+            _write_settings(self._out / f"{values['host']['name']}.toml", values)
         values = tomllib.loads((self._example / "settings" / "tool.toml").read_text())
         values["store"]["url"] = f"http://{ADDRESS}:{self._base_port}"
         values["tool"]["hosts"] = self._ports(len(entries), "control")
@@ -90,8 +94,12 @@
             raise ValueError(f"{path}: targets must be written one a line as in the examples")
         (self._out / "document" / path.name).write_text(moved, encoding="utf-8")
 
-    def _entry_settings(self, path: Path, index: int, count: int) -> dict[str, Any]:
+    def _entry_settings(self, path: Path, index: int, count: int, zone: int) -> dict[str, Any]:
         values = tomllib.loads(path.read_text(encoding="utf-8"))
+        # The example shows host 1 of each region; host n of the loopback runs in zone n.
+        host = values["host"]
+        host["name"] = f"entry-{host['region']}-{zone}"
+        host["availability_zone"] = f"{host['region']}-{zone}"
         for section in ("listen", "peers", "control"):
             values[section]["address"] = ADDRESS
             values[section]["port"] = self._port(index, section)
@@ -131,11 +139,15 @@
     path.write_text("\n".join(lines) + "\n", encoding="utf-8")
 
 
-def move_example(example: Path, out: Path, base_port: int) -> Result[Loopback, str]:
+def move_example(
+    example: Path, out: Path, base_port: int, per_region: int = 1
+) -> Result[Loopback, str]:
     """Write an example for loopback ports from `base_port` on; fails with a description."""
     if not 1024 <= base_port <= MAX_BASE_PORT:
         return Failure(f"base_port: found {base_port}; 1024 to {MAX_BASE_PORT}")
-    loopback = Loopback(example, out, base_port)
+    if not 1 <= per_region <= MAX_PER_REGION:
+        return Failure(f"per_region: found {per_region}; 1 to {MAX_PER_REGION}")
+    loopback = Loopback(example, out, base_port, per_region)
     try:
         loopback.write()
     except (OSError, ValueError, KeyError) as error:
@@ -143,15 +155,16 @@
     return Success(loopback)
 
 
-def run_loopback(example: str, out: str, base_port: int) -> None:
+def run_loopback(example: str, out: str, base_port: int, per_region: int = 1) -> None:
     """Write an example deployment for loopback ports.
 
     Args:
         example: directory of the example
         out: directory to write
         base_port: first port; about 200 ports from it on are used
+        per_region: entry hosts in each region
     """
-    result = move_example(Path(example), Path(out), base_port)
+    result = move_example(Path(example), Path(out), base_port, per_region)
     if not is_successful(result):
         print(f"loopback: {result.failure()}", file=sys.stderr)
         sys.exit(ExitCode.FILE_UNREADABLE)
--- a/tests/test_loopback.py
+++ b/tests/test_loopback.py
@@ -23,7 +23,7 @@
     name: str, sizes: dict[str, int], slots: int, regions: int, tmp_path: Path
 ) -> None:
     """Guards against a demo that runs another deployment than the example shows."""
-    assert is_successful(move_example(EXAMPLES / name, tmp_path, 21000))
+    assert is_successful(move_example(EXAMPLES / name, tmp_path, 21000, 2))
     for folder in (EXAMPLES / name / "document", tmp_path / "document"):
         bodies = {path.stem: path.read_text() for path in folder.glob("*.toml")}
         document = build_document(1, bodies).unwrap()
@@ -36,6 +36,7 @@
         assert len({(target.address, target.port) for target in targets}) == len(targets)
     for path in tmp_path.glob("*.toml"):
         assert is_successful(load_settings(path)), path
+    assert len(list(tmp_path.glob("entry-*.toml"))) == 2 * regions
 
 
 def test_bad_base_port_is_named(tmp_path: Path) -> None:
