--- a/src/dotterelstand/cli/main.py
+++ b/src/dotterelstand/cli/main.py
@@ -10,11 +10,13 @@
 from fire.decorators import SetParseFn
 from returns.pipeline import is_successful
 
-from dotterelstand.cli.client import HostAnswers, parse_hosts
-from dotterelstand.cli.context import Context
+from dotterelstand.cli.check import check_path
+from dotterelstand.cli.client import parse_hosts
+from dotterelstand.cli.context import Context, finish, read_hosts, show
 from dotterelstand.cli.drain import drain_host
+from dotterelstand.cli.groups import QuarantineCommands, SectionCommands, SettingsCommands
 from dotterelstand.cli.histogram import histogram_rows, merge_pages, plot_histograms
-from dotterelstand.cli.output import Row, fail, print_json, print_table
+from dotterelstand.cli.output import fail
 from dotterelstand.cli.state import group_rows, list_rows, sum_counters
 from dotterelstand.exits import ExitCode, ToolError
 
@@ -34,38 +36,45 @@
 
     def __init__(self, settings: str = "", hosts: str = "", json: bool = False) -> None:
         self._context = Context(settings, hosts, json)
-        self.quarantine = Quarantine(self._context)
+        self.section = SectionCommands(self._context)
+        self.quarantine = QuarantineCommands(self._context)
         self.settings = SettingsCommands(self._context)
 
+    @SetParseFn(str, "path")
+    def check(self, path: str) -> None:
+        """Check a settings file, a section file or a directory of section files.
+
+        Args:
+            path: file or directory; nothing is changed and no host is called
+        """
+        result = check_path(Path(path))
+        if not is_successful(result):
+            fail(result.failure())
+        print(result.unwrap())
+
     def status(self) -> None:
         """Show for each entry host whether it is ready and which document version is in force."""
-        answers = _read(self._context, "status")
-        _finish(self._context, answers, list_rows(answers))
+        read_hosts(self._context, "status", list_rows)
 
     def targets(self) -> None:
         """Show the targets as each entry host sees them."""
-        answers = _read(self._context, "targets")
-        _finish(self._context, answers, list_rows(answers))
+        read_hosts(self._context, "targets", list_rows)
 
     def members(self) -> None:
         """Show the live entry hosts as each of them sees the fleet."""
-        answers = _read(self._context, "members")
-        _finish(self._context, answers, list_rows(answers))
+        read_hosts(self._context, "members", list_rows)
 
     def ownership(self) -> None:
         """Show which entry host owns each partition of the idempotency journal."""
-        answers = _read(self._context, "ownership")
-        _finish(self._context, answers, list_rows(answers))
+        read_hosts(self._context, "ownership", list_rows)
 
     def budgets(self) -> None:
         """Show the store call budget, its circuit breaker and the measuring budget."""
-        answers = _read(self._context, "budgets")
-        _finish(self._context, answers, group_rows(answers))
+        read_hosts(self._context, "budgets", group_rows)
 
     def counters(self) -> None:
         """Show all counters, summed over the hosts."""
-        answers = _read(self._context, "counters")
-        _finish(self._context, answers, sum_counters(answers))
+        read_hosts(self._context, "counters", sum_counters)
 
     @SetParseFn(str, "service", "plot")
     def histogram(self, service: str = "", by_tenant: bool = False, plot: str = "") -> None:
@@ -76,7 +85,7 @@
             by_tenant: keep tenants apart
             plot: PNG file to write
         """
-        answers = _read(self._context, "histograms")
+        answers = trio.run(self._context.client().read_all, "histograms")
         pages = list(answers.values.values())
         merged = merge_pages(pages, service, by_tenant)
         if not is_successful(merged):
@@ -89,7 +98,7 @@
         rows = histogram_rows(merged.unwrap())
         # The values of the hosts are encoded histograms; a script wants the merged rows.
         answers.values = {"merged": rows}
-        _finish(self._context, answers, rows)
+        finish(self._context, answers, rows)
 
     @SetParseFn(str, "host")
     def drain(self, host: str, wait: float = 60.0) -> None:
@@ -106,80 +115,7 @@
         result = trio.run(drain_host, client, parsed.unwrap()[0], float(wait))
         if not is_successful(result):
             fail([result.failure()])
-        _show(self._context, result.unwrap(), [{"host": host, "drain": result.unwrap()}])
-
-
-class Quarantine:
-    """List and lift quarantines of requests that crash targets."""
-
-    def __init__(self, context: Context) -> None:
-        self._context = context
-
-    def list(self) -> None:
-        """Show the quarantined request fingerprints of each entry host."""
-        answers = _read(self._context, "quarantine")
-        _finish(self._context, answers, list_rows(answers))
-
-    # fire would read a fingerprint such as 12e4 as a number.
-    @SetParseFn(str, "fingerprint")
-    def lift(self, fingerprint: str) -> None:
-        """Let requests with this fingerprint run again.
-
-        Args:
-            fingerprint: hexadecimal fingerprint as `quarantine list` shows it
-        """
-        client = self._context.client()
-        arguments = {"fingerprint": fingerprint}
-        errors = []
-        # One host spreads the lift to the others, so the first that accepts it is enough.
-        for host in client.hosts:
-            result = trio.run(client.call, host, "POST", "/v1/quarantine/lift", arguments)
-            if is_successful(result):
-                value = result.unwrap()
-                _show(self._context, value, [{"host": str(host), "lifted": fingerprint}])
-                return
-            errors.append(result.failure())
-        fail(errors)
-
-
-class SettingsCommands:
-    """Show the settings."""
-
-    def __init__(self, context: Context) -> None:
-        self._context = context
-
-    def show(self) -> None:
-        """Show all settings in force with this settings file; tokens are hidden."""
-        values = self._context.settings.as_dict()
-        values["control"]["tokens"] = [f"({len(values['control']['tokens'])} hidden)"]
-        rows: list[Row] = [
-            {"key": f"{section}.{key}", "value": value}
-            for section, keys in values.items()
-            for key, value in keys.items()
-        ]
-        _show(self._context, values, rows)
-
-
-def _read(context: Context, name: str) -> HostAnswers:
-    return trio.run(context.client().read_all, name)
-
-
-def _show(context: Context, value: object, rows: list[Row]) -> None:
-    if context.json:
-        print_json(value)
-    else:
-        print_table(rows)
-
-
-def _finish(context: Context, answers: HostAnswers, rows: list[Row]) -> None:
-    errors = [answers.errors[host] for host in sorted(answers.errors)]
-    if context.json:
-        texts = {host: str(error) for host, error in answers.errors.items()}
-        print_json({"hosts": answers.values, "errors": texts})
-    elif answers.values:
-        print_table(rows)
-    if errors:
-        fail(errors)
+        show(self._context, result.unwrap(), [{"host": host, "drain": result.unwrap()}])
 
 
 def run_tool(command: list[str]) -> None:
--- a/src/dotterelstand/connection/peer.py
+++ b/src/dotterelstand/connection/peer.py
@@ -1,7 +1,7 @@
 """One websocket link between two entry hosts."""
 
 import http
-from collections import Counter, deque
+from collections import deque
 from collections.abc import Callable
 from types import TracebackType
 
@@ -58,7 +58,6 @@
         "hello",
         "last_heard_s",
         "received_bytes",
-        "received_types",
         "sent_bytes",
     )
 
@@ -83,7 +82,6 @@
         self.close_reason = ""
         self.sent_bytes = 0
         self.received_bytes = 0
-        self.received_types: Counter[str] = Counter()
 
     def __enter__(self) -> "PeerLink":
         return self
--- a/src/dotterelstand/process/dialling.py
+++ b/src/dotterelstand/process/dialling.py
@@ -5,7 +5,7 @@
 from dotterelstand.process.membership import ListedHost
 
 # Addresses whose back-off is remembered; the oldest is forgotten first.
-MAX_ADDRESSES = 4096
+MAX_ADDRESSES = 4_000
 
 
 class _Attempt:
--- a/src/dotterelstand/process/partpages.py
+++ b/src/dotterelstand/process/partpages.py
@@ -3,9 +3,8 @@
 from collections.abc import Iterable
 
 import trio
-from returns.result import Failure, Result, Success
 
-from dotterelstand.process.control import Arguments, ControlRegistry
+from dotterelstand.process.control import ControlRegistry
 from dotterelstand.process.dispatcher import Dispatcher
 from dotterelstand.process.figures import read_figures, sum_figures
 from dotterelstand.process.health import TargetHealth
@@ -14,7 +13,6 @@
 from dotterelstand.process.mesh import Member, Mesh
 from dotterelstand.process.metrics import Metrics
 from dotterelstand.process.peers import Peers
-from dotterelstand.process.quarantine import QuarantineService
 from dotterelstand.process.slots import SlotBroker
 from dotterelstand.process.store import StoreClient
 from dotterelstand.settings import Settings
@@ -28,16 +26,12 @@
     peers: Peers,
     slots: SlotBroker,
     journal: JournalService,
-    quarantine: QuarantineService,
 ) -> None:
     """Register the pages and counters of all parts."""
     registry.provide("members", lambda: [_member(member) for member in peers.members()])
     registry.provide("ownership", lambda: _ownership(journal, peers))
     registry.provide("budgets.store", lambda: _store(store, settings))
     registry.provide("budgets.measure", lambda: _measure(slots.budget, settings, peers.members()))
-    registry.provide("quarantine", lambda: _quarantine(quarantine))
-    registry.act("quarantine/lift", lambda arguments: _lift(quarantine, arguments))
-    metrics.add_source(peers.counters)
     metrics.add_source(lambda: read_figures(store.budget.figures))
     metrics.add_source(lambda: read_figures(slots.budget.counters))
     metrics.add_source(lambda: read_figures(slots.core.counters))
@@ -129,20 +123,6 @@
     return {"link": name, "peak_bytes_per_s": peak_bytes, "budget_bytes_per_s": limit}
 
 
-def _quarantine(quarantine: QuarantineService) -> list[dict[str, object]]:
-    return [
-        {"fingerprint": fingerprint, "remaining_s": round(remaining_s, 1)}
-        for fingerprint, remaining_s in sorted(quarantine.list_quarantined().items())
-    ]
-
-
-async def _lift(quarantine: QuarantineService, arguments: Arguments) -> Result[object, str]:
-    fingerprint = str(arguments.get("fingerprint", ""))
-    if not quarantine.lift(fingerprint):
-        return Failure(f"fingerprint: found {fingerprint!r}; one that `quarantine list` shows")
-    return Success({"lifted": fingerprint})
-
-
 def _dispatchers(slots: SlotBroker) -> dict[str, int]:
     states = slots.core.states()
     return sum_figures([part.counters for state in states for part in (state.local, state.duty)])
--- a/src/dotterelstand/process/quarantine.py
+++ b/src/dotterelstand/process/quarantine.py
@@ -1,9 +1,8 @@
 """Keeps requests that crash targets from running again anywhere in the fleet."""
 
-from collections.abc import Callable
-
 import trio
 import xxhash
+from returns.result import Failure, Result, Success
 
 from dotterelstand.connection.wire import (
     LiftQuarantine,
@@ -13,8 +12,9 @@
     SuspectEnd,
 )
 from dotterelstand.events import Event, log
+from dotterelstand.process.control import Arguments, ControlRegistry
 from dotterelstand.process.mesh import Mesh
-from dotterelstand.request.ports import Admission
+from dotterelstand.request.ports import Admission, Counters
 
 # Bytes of a fingerprint that name method, path and query; the rest is the digest of the body.
 HEAD_DIGEST_BYTES = 8
@@ -187,23 +187,18 @@
     __slots__ = (
         "_answers",
         "_confirmations",
-        "_count",
         "_limits",
         "_mesh",
+        "_metrics",
         "_number",
         "_runs",
         "_table",
     )
 
-    def __init__(
-        self,
-        mesh: Mesh,
-        limits: QuarantineLimits,
-        count: Callable[[str], None] = lambda name: None,
-    ) -> None:
+    def __init__(self, mesh: Mesh, limits: QuarantineLimits, metrics: Counters) -> None:
         self._mesh = mesh
         self._limits = limits
-        self._count = count
+        self._metrics = metrics
         self._table = Quarantine(limits)
         self._runs = SuspectRuns(limits.run_limit_s, limits.max_entries)
         self._number = 0
@@ -225,7 +220,7 @@
         while True:
             now = trio.current_time()
             if self._table.is_quarantined(fingerprint, now):
-                self._count("quarantine.refused")
+                self._metrics.count("quarantine.refused")
                 return Admission(fingerprint, False)
             if not self._table.is_suspect(fingerprint, now):
                 return Admission(fingerprint, True)
@@ -237,7 +232,7 @@
             self.leave(admission)
             if not quarantined:
                 if trio.current_time() >= waited_until:
-                    self._count("quarantine.suspect_busy")
+                    self._metrics.count("quarantine.suspect_busy")
                     return Admission(fingerprint, False)
                 await trio.sleep(RETRY_S)
 
@@ -255,7 +250,7 @@
                 with trio.move_on_after(self._limits.confirm_timeout_s) as scope:
                     await waiting.done.wait()
                 if scope.cancelled_caught:
-                    self._count("quarantine.strike_unconfirmed")
+                    self._metrics.count("quarantine.strike_unconfirmed")
             finally:
                 del self._confirmations[number]
 
@@ -266,7 +261,7 @@
             # A success of a run that began before the quarantine does not end it.
             return
         if self._table.clear(fingerprint):
-            self._count("quarantine.cleared")
+            self._metrics.count("quarantine.cleared")
             self._mesh.broadcast(LiftQuarantine(fingerprint))
 
     def leave(self, admission: Admission) -> None:
@@ -277,10 +272,13 @@
             )
             admission.arbiter = None
 
-    def list_quarantined(self) -> dict[str, float]:
+    def list_quarantined(self) -> list[dict[str, object]]:
         """Fingerprints in quarantine as hexadecimal text, with the seconds that remain."""
         quarantined = self._table.quarantined(trio.current_time())
-        return {key.hex(): remaining_s for key, remaining_s in quarantined.items()}
+        return [
+            {"fingerprint": key.hex(), "remaining_s": round(remaining_s, 1)}
+            for key, remaining_s in quarantined.items()
+        ]
 
     def lift(self, fingerprint: str) -> bool:
         """End a quarantine everywhere; False if the fingerprint has no strikes here."""
@@ -318,11 +316,13 @@
         return self._number
 
     def _record(self, fingerprint: bytes, target: str, source: str) -> None:
+        overflows = self._table.overflows
         began = self._table.strike(fingerprint, target, trio.current_time())
-        self._count("quarantine.strikes")
+        self._metrics.count("quarantine.overflows", self._table.overflows - overflows)
+        self._metrics.count("quarantine.strikes")
         log(Event.STRIKE_RECORDED, fingerprint=fingerprint.hex(), target=target, source=source)
         if began:
-            self._count("quarantine.began")
+            self._metrics.count("quarantine.began")
             log(Event.QUARANTINE_BEGAN, fingerprint=fingerprint.hex())
 
     def _lift(self, fingerprint: bytes) -> bool:
@@ -359,6 +359,19 @@
             self._runs.end(message.fingerprint, sender, message.call)
 
 
+def register_quarantine(registry: ControlRegistry, service: QuarantineService) -> None:
+    """Let the command-line tool list quarantines and lift them."""
+
+    async def lift(arguments: Arguments) -> Result[object, str]:
+        fingerprint = str(arguments.get("fingerprint", ""))
+        if service.lift(fingerprint):
+            return Success({"lifted": fingerprint})
+        return Failure(f"{fingerprint}: no such fingerprint has strikes on this host")
+
+    registry.provide("quarantine", service.list_quarantined)
+    registry.act("quarantine/lift", lift)
+
+
 class _Waiting:
     """Peers that still have to answer."""
 
--- a/src/dotterelstand/request/ending.py
+++ b/src/dotterelstand/request/ending.py
@@ -23,14 +23,12 @@
         self._tenant = tenant
         self._began = trio.current_time()
 
-    def count(self, counters: Counters, code: ResultCode) -> None:
+    def count(self, metrics: Counters, code: ResultCode) -> None:
         """Count the end and, if the request was answered, its duration."""
-        counters.count(f"requests.result.{code:d}")
+        metrics.count(f"requests.result.{code:d}")
         if self._route is not None and code.run is Run.RAN:
             duration_s = trio.current_time() - self._began
-            counters.record_latency(
-                self._route.service, self._route.klass, self._tenant, duration_s
-            )
+            metrics.record_latency(self._route.service, self._route.klass, self._tenant, duration_s)
 
 
 class EndLog:
--- a/src/dotterelstand/request/keyed.py
+++ b/src/dotterelstand/request/keyed.py
@@ -3,18 +3,11 @@
 from dotterelstand.codes import Result as ResultCode
 from dotterelstand.codes import Run
 from dotterelstand.connection.caller import CallerConnection
-from dotterelstand.process.journalcall import (
-    CallOutcome,
-    Go,
-    Recorded,
-    done,
-    not_run,
-    unknown,
-)
+from dotterelstand.process.journalcall import Go, Recorded, done, not_run, unknown
 from dotterelstand.request.attempt import AnswerHead
 from dotterelstand.request.body import RequestBody
 from dotterelstand.request.context import RequestContext
-from dotterelstand.request.head import RequestHead, returned_headers
+from dotterelstand.request.head import RequestHead, head_digest, returned_headers
 
 
 class KeyedRun:
@@ -32,7 +25,7 @@
         # A chunked body has no declared length; its held part counts alone.
         length = head.declared_length()
         declared = (-1 if length is None else length).to_bytes(8, "big", signed=True)
-        self._body_digest = body.digest() + declared
+        self._body_digest = head_digest(head) + body.digest() + declared
         self._go: Go | None = None
         self._answer: AnswerHead | None = None
         self._body: bytes | None = None
@@ -60,13 +53,13 @@
         """Report how the request ended; without permission there is nothing to report."""
         if self._go is None:
             return
-        self._context.journal.finish(self._go, self._outcome(code))
-        self._go = None
-
-    def _outcome(self, code: ResultCode) -> CallOutcome:
         if self._answer is not None:
-            return done(self._answer.status, returned_headers(self._answer.headers), self._body)
-        if code.run is Run.NOT_RUN:
-            return not_run(code)
-        # The target answered, but its answer is not at hand to be recorded.
-        return unknown(ResultCode.KEY_UNKNOWN if code.run is Run.RAN else code)
+            headers = returned_headers(self._answer.headers)
+            outcome = done(self._answer.status, headers, self._body)
+        elif code.run is Run.NOT_RUN:
+            outcome = not_run(code)
+        else:
+            assert code.run is Run.UNKNOWN, "a run without a complete answer"
+            outcome = unknown(code)
+        self._context.journal.finish(self._go, outcome)
+        self._go = None
--- a/src/dotterelstand/request/ports.py
+++ b/src/dotterelstand/request/ports.py
@@ -19,6 +19,9 @@
     def release(self, grant: SlotGrant, outcome: SlotOutcome) -> None:
         """Give a slot back; called exactly once for each grant."""
 
+    def target_leaving(self, target: str) -> None:
+        """A target said in an answer that it is leaving."""
+
 
 class Journal(Protocol):
     """Records keyed requests, so that each runs at most once."""
--- a/src/dotterelstand/settings_rules.py
+++ b/src/dotterelstand/settings_rules.py
@@ -128,10 +128,6 @@
     lambda text: re.fullmatch(r"[A-Za-z0-9._-]{1,64}", text) is not None,
 )
 OPTIONAL_NAME = Matching("empty or " + NAME.allowed, lambda text: not text or NAME.accepts(text))
-OPTIONAL_NAME = Matching(
-    "empty, or 1 to 64 letters, digits, '.', '_' or '-'",
-    lambda text: re.fullmatch(r"[A-Za-z0-9._-]{0,64}", text) is not None,
-)
 TEXT = Matching(
     "up to 256 printable characters", lambda text: len(text) <= 256 and text.isprintable()
 )
@@ -189,6 +185,13 @@
         "max_waiting_calls": Between(1, 10_000),
         "max_idle_connections": Between(0, 1000),
     },
+    "document": {
+        "watchers_per_region": Between(1, 16),
+        "fetch_timeout_s": Between(0.1, 30),
+        "peer_wait_s": Between(0.1, 60),
+        "max_cached_sections": Between(16, 65536),
+        "max_cached_bytes": Between(MIB, 1024 * MIB),
+    },
     "targets": {
         "connect_timeout_s": Between(0.01, 30),
         "idle_timeout_s": Between(0.1, 600),
--- a/src/dotterelstand/standin/demoreport.py
+++ b/src/dotterelstand/standin/demoreport.py
@@ -21,12 +21,20 @@
 
 
 def measure_rows(budgets: dict[str, Any]) -> list[Row]:
-    """One row per entry host and link with the measuring bytes against the budget."""
-    rows: list[Row] = []
-    for host, parts in sorted(budgets["hosts"].items()):
+    """Measuring bytes of the busiest host against its budgets: in all, and to another region."""
+    links: dict[str, list[dict[str, Any]]] = {}
+    for parts in budgets["hosts"].values():
         for link in parts["measure"]["links"]:
-            rows.append({"entry_host": host, **link})
-    return rows
+            kind = "within and between regions" if link["link"] == "all" else "to another region"
+            links.setdefault(kind, []).append(link)
+    return [
+        {
+            "measuring": kind,
+            "peak_bytes_per_s": max(link["peak_bytes_per_s"] for link in items),
+            "budget_bytes_per_s": min(link["budget_bytes_per_s"] for link in items),
+        }
+        for kind, items in links.items()
+    ]
 
 
 def count_lines(logs: list[Path], text: str) -> int:
