--- a/src/dotterelstand/process/daemon.py
+++ b/src/dotterelstand/process/daemon.py
@@ -20,6 +20,7 @@
 )
 from dotterelstand.process.metrics import Metrics, build_metrics
 from dotterelstand.process.pages import DaemonState, register_pages
+from dotterelstand.process.partpages import register_parts, target_states
 from dotterelstand.process.peers import Peers
 from dotterelstand.process.quarantine import QuarantineService, register_quarantine
 from dotterelstand.process.slots import SlotBroker, make_broker
@@ -90,8 +91,23 @@
         self.acceptor = Acceptor(self._store, self.spread.cache, rng, lambda: self.spread.number)
         self._registry = ControlRegistry()
         self._state = DaemonState(lambda: self.front.document, self._stopping.is_set, self.stop)
-        register_pages(self._registry, settings, self.metrics, self._state)
+        register_pages(
+            self._registry,
+            settings,
+            self.metrics,
+            self._state,
+            lambda service: target_states(self.broker, service),
+        )
         register_quarantine(self._registry, self.quarantine)
+        register_parts(
+            self._registry,
+            self.metrics,
+            settings,
+            self._store,
+            self.peers,
+            self.broker,
+            self.journal,
+        )
         self._control = ControlPort(settings, self._registry, self.metrics)
         self.port = 0
         self.control_port = 0
@@ -101,6 +117,11 @@
         """Document in force."""
         return self.front.document
 
+    @property
+    def registry(self) -> ControlRegistry:
+        """Pages and actions of the control port."""
+        return self._registry
+
     def stop(self) -> None:
         """Begin a graceful stop."""
         if not self._stopping.is_set():
