--- a/src/dotterelstand/cli/context.py
+++ b/src/dotterelstand/cli/context.py
@@ -1,13 +1,16 @@
 """What every command needs: settings, control ports, token, store and output form."""
 
 import os
+from collections.abc import Callable
 from pathlib import Path
+from typing import Any
 from urllib.parse import urlsplit
 
+import trio
 from returns.pipeline import is_successful
 
-from dotterelstand.cli.client import ControlClient, parse_hosts
-from dotterelstand.cli.output import fail
+from dotterelstand.cli.client import ControlClient, HostAnswers, parse_hosts
+from dotterelstand.cli.output import Row, fail, print_json, print_table
 from dotterelstand.connection.network import TcpNetwork
 from dotterelstand.exits import ExitCode, ToolError
 from dotterelstand.process.store import StoreClient
@@ -71,3 +74,36 @@
             errors = result.failure()
             fail([ToolError(ExitCode.SETTINGS_INVALID, str(error)) for error in errors])
         return result.unwrap()
+
+
+def read_hosts(context: Context, name: str, make_rows: Callable[[HostAnswers], list[Row]]) -> None:
+    """Print a page of all hosts; ends the program if a host gave none."""
+    answers = trio.run(context.client().read_all, name)
+    finish(context, answers, make_rows(answers))
+
+
+def show(context: Context, value: object, rows: list[Row]) -> None:
+    """Print a value as JSON or its rows as a table."""
+    if context.json:
+        print_json(value)
+    else:
+        print_table(rows)
+
+
+def finish(context: Context, answers: HostAnswers, rows: list[Row]) -> None:
+    """Print the answers of the hosts; ends the program if a host gave none."""
+    errors = [answers.errors[host] for host in sorted(answers.errors)]
+    if context.json:
+        texts = {host: str(error) for host, error in answers.errors.items()}
+        print_json({"hosts": answers.values, "errors": texts})
+    elif answers.values:
+        print_table(rows)
+    if errors:
+        fail(errors)
+
+
+def hidden_tokens(settings: Settings) -> dict[str, dict[str, Any]]:
+    """Settings for display."""
+    values = settings.as_dict()
+    values["control"]["tokens"] = [f"({len(values['control']['tokens'])} hidden)"]
+    return values
--- a/src/dotterelstand/process/daemon.py
+++ b/src/dotterelstand/process/daemon.py
@@ -6,6 +6,7 @@
 
 from dotterelstand.connection.network import Network
 from dotterelstand.connection.pool import TargetPool
+from dotterelstand.connection.tls import Certificates
 from dotterelstand.events import Event, log
 from dotterelstand.process.control import ControlPort, ControlRegistry
 from dotterelstand.process.front import CallerFront
@@ -19,13 +20,16 @@
 )
 from dotterelstand.process.metrics import Metrics, build_metrics
 from dotterelstand.process.pages import DaemonState, register_pages
+from dotterelstand.process.partpages import register_parts, target_states
 from dotterelstand.process.peers import Peers
 from dotterelstand.process.quarantine import QuarantineService, register_quarantine
 from dotterelstand.process.slots import SlotBroker, make_broker
 from dotterelstand.process.spread import DocumentSpread
 from dotterelstand.process.store import StoreClient, build_store
+from dotterelstand.process.targetlist import TargetList
 from dotterelstand.request.context import RequestContext
 from dotterelstand.settings import Settings
+from dotterelstand.version.accept import Acceptor
 from dotterelstand.version.document import Document
 
 
@@ -33,33 +37,43 @@
     """All parts of one entry host; create it within `trio.run`."""
 
     __slots__ = (
+        "_certificates",
         "_control",
-        "_front",
         "_hosts",
         "_network",
-        "_pool",
         "_registry",
         "_settings",
         "_state",
         "_stopping",
         "_store",
+        "acceptor",
         "broker",
         "control_port",
+        "front",
         "journal",
         "metrics",
         "peers",
+        "pool",
         "port",
         "quarantine",
         "spread",
     )
 
-    def __init__(self, settings: Settings, network: Network, rng: random.Random) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        network: Network,
+        rng: random.Random,
+        certificates: Certificates | None = None,
+    ) -> None:
         self._settings = settings
         self._network = network
         self._stopping = trio.Event()
         self.metrics: Metrics = build_metrics(settings)
         self._store: StoreClient = build_store(settings, network, rng)
-        self.peers = Peers(settings, network, rng, self.metrics)
+        self._certificates = certificates or Certificates(None, None)
+        peer_network = self._certificates.peer_network(network, self.metrics)
+        self.peers = Peers(settings, peer_network, rng, self.metrics)
         self.broker: SlotBroker = make_broker(self.peers, settings, rng)
         self._hosts = HostListReader(
             self._store,
@@ -67,16 +81,33 @@
             settings.number("peers", "host_list_interval_s"),
             settings.integer("peers", "port"),
             rng,
+            TargetList(self.broker).read,
         )
         self.journal: JournalService = build_journal(settings, self._store, self.peers, rng)
         self.quarantine = QuarantineService(self.peers, quarantine_limits(settings), self.metrics)
-        self._pool = TargetPool(network, pool_limits(settings))
-        self._front = self._make_front(settings)
+        self.pool = TargetPool(network, pool_limits(settings))
+        self.front = self._make_front(settings)
         self.spread = DocumentSpread(settings, self._store, self.peers, rng, self._apply)
+        self.acceptor = Acceptor(self._store, self.spread.cache, rng, lambda: self.spread.number)
         self._registry = ControlRegistry()
-        self._state = DaemonState(lambda: self._front.document, self._stopping.is_set, self.stop)
-        register_pages(self._registry, settings, self.metrics, self._state)
+        self._state = DaemonState(lambda: self.front.document, self._stopping.is_set, self.stop)
+        register_pages(
+            self._registry,
+            settings,
+            self.metrics,
+            self._state,
+            lambda service: target_states(self.broker, service),
+        )
         register_quarantine(self._registry, self.quarantine)
+        register_parts(
+            self._registry,
+            self.metrics,
+            settings,
+            self._store,
+            self.peers,
+            self.broker,
+            self.journal,
+        )
         self._control = ControlPort(settings, self._registry, self.metrics)
         self.port = 0
         self.control_port = 0
@@ -84,7 +115,12 @@
     @property
     def document(self) -> Document | None:
         """Document in force."""
-        return self._front.document
+        return self.front.document
+
+    @property
+    def registry(self) -> ControlRegistry:
+        """Pages and actions of the control port."""
+        return self._registry
 
     def stop(self) -> None:
         """Begin a graceful stop."""
@@ -95,7 +131,8 @@
 
     async def run(self) -> None:
         """Serve callers until `stop` is called and every request has ended."""
-        listener = await self._network.listen(
+        caller_network = self._certificates.caller_network(self._network, self.metrics)
+        listener = await caller_network.listen(
             self._settings.text("listen", "address"), self._settings.integer("listen", "port")
         )
         self.port = listener.port
@@ -104,7 +141,7 @@
         self.control_port = control.port
         self._state.started_s = trio.current_time()
         grace_s = self._settings.number("listen", "close_grace_s")
-        with self._pool:
+        with self.pool:
             async with trio.open_nursery() as background:
                 await background.start(self.peers.run)
                 background.start_soon(self._control.serve, control)
@@ -112,9 +149,10 @@
                 background.start_soon(self.broker.run)
                 background.start_soon(self.journal.run)
                 background.start_soon(self.spread.run)
+                background.start_soon(self._certificates.run)
                 background.start_soon(self._flush_metrics)
-                background.start_soon(self._pool.sweep_forever)
-                await self._front.serve_until_stopped(listener, self._stopping, grace_s)
+                background.start_soon(self.pool.sweep_forever)
+                await self.front.serve_until_stopped(listener, self._stopping, grace_s)
                 await self.journal.stop()
                 await self.peers.say_goodbye()
                 background.cancel_scope.cancel()
@@ -124,7 +162,7 @@
     def _make_front(self, settings: Settings) -> CallerFront:
         context = RequestContext(
             request_limits(settings),
-            self._pool,
+            self.pool,
             self.broker,
             self.journal,
             self.quarantine,
@@ -140,5 +178,5 @@
             self.metrics.flush()
 
     def _apply(self, document: Document) -> None:
-        self._front.document = document
+        self.front.document = document
         self.broker.apply(document)
