Set fewer deadlines per request and accept HTTP/1.0 without a host

Cause: cProfile of the daemon showed five deadline changes and four cancel scopes for each request; the added p99 was 1.66 to 2.27 ms. A longer fuzz trial found that an HTTP/1.0 request without host failed with event 190. Change: a head in one piece needs no cancel scope, the silence deadline is set once for a held body, progress moves the route's deadline only by steps of 2%; the collector starts its full passes later; an absent host is sent empty.

--- a/src/dotterelstand/connection/caller.py
+++ b/src/dotterelstand/connection/caller.py
@@ -117,6 +117,9 @@
         self.answer_started = False
         if not self._raw and not await self._wait_idle():
             return None
+        # Most heads arrive in one piece, and a cancel scope costs more than this search.
+        if find_head_end(self._raw, 0) >= 0:
+            return await self._read_head()
         with trio.move_on_after(self._limits.head_timeout_s):
             return await self._read_head()
         return ResultCode.CALLER_TOO_SLOW
@@ -236,6 +239,9 @@
         return h11.Connection(h11.SERVER, max_incomplete_event_size=self._limits.max_head)
 
     async def _wait_idle(self) -> bool:
+        if self._inbox:
+            self._raw += await self._receive()
+            return True
         self._idle = True
         with trio.move_on_after(self._limits.idle_timeout_s):
             data = await self._receive()
--- a/src/dotterelstand/process/main.py
+++ b/src/dotterelstand/process/main.py
@@ -1,5 +1,6 @@
 """Entry point of dotterelstandd."""
 
+import gc
 import random
 import signal
 import sys
@@ -15,6 +16,9 @@
 from dotterelstand.process.daemon import Daemon
 from dotterelstand.settings import Settings, load_settings
 
+# New objects after which the youngest generation is collected.
+YOUNG_OBJECTS = 10_000
+
 
 def run_daemon(settings: str) -> None:
     """Run one entry daemon with a TOML settings file."""
@@ -29,6 +33,7 @@
 
 
 async def _serve(settings: Settings) -> None:
+    _tune_collector()
     daemon = Daemon(settings, TcpNetwork(), random.Random())
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_stop_on_signal, daemon)
@@ -36,6 +41,16 @@
         nursery.cancel_scope.cancel()
 
 
+def _tune_collector() -> None:
+    """Keep the garbage collector's full passes out of the latency of requests.
+
+    Objects of a request are freed by reference counts; only a few are in cycles.
+    """
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(YOUNG_OBJECTS, 20, 50)
+
+
 async def _stop_on_signal(daemon: Daemon) -> None:
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         async for _ in signals:
--- a/src/dotterelstand/request/attempt.py
+++ b/src/dotterelstand/request/attempt.py
@@ -236,7 +236,8 @@
         await self.connection.send_request(head.method, head.path, headers, data, complete)
         self._sent = len(data)
         self._head_sent.set()
-        self._watch()
+        if not complete:
+            self._watch()
 
     async def _receive_head(self) -> None:
         event = await self.connection.receive()
--- a/src/dotterelstand/request/exchange.py
+++ b/src/dotterelstand/request/exchange.py
@@ -30,6 +30,8 @@
 
 # Seconds that a strike waits for the rest of the held body, which is part of the fingerprint.
 STRIKE_BODY_WAIT_S = 1.0
+# Share of the route's deadline by which progress must move it before it is moved.
+DEADLINE_STEP = 0.02
 
 
 class Exchange:
@@ -282,9 +284,11 @@
 
     def _progress(self) -> None:
         """Move the route's deadline: it bounds the time without progress of a long transfer."""
-        self._scope.deadline = min(
-            self._caller_deadline, trio.current_time() + self._route.deadline_s
-        )
+        limit_s = self._route.deadline_s
+        deadline = min(self._caller_deadline, trio.current_time() + limit_s)
+        # Setting a deadline costs more than the rest of a piece's way; small steps are left out.
+        if abs(deadline - self._scope.deadline) > limit_s * DEADLINE_STEP:
+            self._scope.deadline = deadline
 
     def _remaining_s(self) -> float:
         return self._scope.deadline - trio.current_time()
--- a/src/dotterelstand/request/head.py
+++ b/src/dotterelstand/request/head.py
@@ -116,6 +116,9 @@
         if name == b"connection":
             dropped.update(token.strip().lower() for token in value.split(b","))
     headers = [(name, value) for name, value in head.headers if name not in dropped]
+    if not any(name == b"host" for name, _ in headers):
+        # HTTP/1.0 does without; RFC 9112 section 3.2 asks for an empty value then.
+        headers.insert(0, (b"host", b""))
     headers.append((DEADLINE_HEADER, b"%d" % max(1, int(remaining_s * 1000))))
     return headers
 
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -88,6 +88,7 @@
 
 
 @FUZZ
+@example(([b"POST /order/5 HTTP/1.0\r\n\r\n"], False))
 @example(([b"HEAD /lookup/4 HTTP/1.1\r\nhost: x\r\n\r\nabcde"], False))
 @given(caller_bytes())
 def test_caller_bytes(case: tuple[list[bytes], bool]) -> None:
