--- a/src/dotterelstand/process/daemon.py
+++ b/src/dotterelstand/process/daemon.py
@@ -1,13 +1,12 @@
 """The entry daemon: wires the parts together and owns their tasks."""
 
-import json
 import random
 
 import trio
-from returns.pipeline import is_successful
 
 from dotterelstand.connection.network import Network
 from dotterelstand.connection.pool import TargetPool
+from dotterelstand.connection.tls import Certificates
 from dotterelstand.events import Event, log
 from dotterelstand.process.control import ControlPort, ControlRegistry
 from dotterelstand.process.front import CallerFront
@@ -21,20 +20,24 @@
 )
 from dotterelstand.process.metrics import Metrics, build_metrics
 from dotterelstand.process.pages import DaemonState, register_pages
+from dotterelstand.process.partpages import register_parts, target_states
 from dotterelstand.process.peers import Peers
 from dotterelstand.process.quarantine import QuarantineService, register_quarantine
 from dotterelstand.process.slots import SlotBroker, make_broker
+from dotterelstand.process.spread import DocumentSpread
 from dotterelstand.process.store import StoreClient, build_store
 from dotterelstand.process.targetlist import TargetList
 from dotterelstand.request.context import RequestContext
 from dotterelstand.settings import Settings
-from dotterelstand.version.document import Document, build_document
+from dotterelstand.version.accept import Acceptor
+from dotterelstand.version.document import Document
 
 
 class Daemon:
     """All parts of one entry host; create it within `trio.run`."""
 
     __slots__ = (
+        "_certificates",
         "_control",
         "_hosts",
         "_network",
@@ -43,6 +46,7 @@
         "_state",
         "_stopping",
         "_store",
+        "acceptor",
         "broker",
         "control_port",
         "front",
@@ -52,15 +56,24 @@
         "pool",
         "port",
         "quarantine",
+        "spread",
     )
 
-    def __init__(self, settings: Settings, network: Network, rng: random.Random) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        network: Network,
+        rng: random.Random,
+        certificates: Certificates | None = None,
+    ) -> None:
         self._settings = settings
         self._network = network
         self._stopping = trio.Event()
         self.metrics: Metrics = build_metrics(settings)
         self._store: StoreClient = build_store(settings, network, rng)
-        self.peers = Peers(settings, network, rng)
+        self._certificates = certificates or Certificates(None, None)
+        peer_network = self._certificates.peer_network(network, self.metrics)
+        self.peers = Peers(settings, peer_network, rng, self.metrics)
         self.broker: SlotBroker = make_broker(self.peers, settings, rng)
         self._hosts = HostListReader(
             self._store,
@@ -74,14 +87,41 @@
         self.quarantine = QuarantineService(self.peers, quarantine_limits(settings), self.metrics)
         self.pool = TargetPool(network, pool_limits(settings))
         self.front = self._make_front(settings)
+        self.spread = DocumentSpread(settings, self._store, self.peers, rng, self._apply)
+        self.acceptor = Acceptor(self._store, self.spread.cache, rng, lambda: self.spread.number)
         self._registry = ControlRegistry()
         self._state = DaemonState(lambda: self.front.document, self._stopping.is_set, self.stop)
-        register_pages(self._registry, settings, self.metrics, self._state)
+        register_pages(
+            self._registry,
+            settings,
+            self.metrics,
+            self._state,
+            lambda service: target_states(self.broker, service),
+        )
         register_quarantine(self._registry, self.quarantine)
+        register_parts(
+            self._registry,
+            self.metrics,
+            settings,
+            self._store,
+            self.peers,
+            self.broker,
+            self.journal,
+        )
         self._control = ControlPort(settings, self._registry, self.metrics)
         self.port = 0
         self.control_port = 0
 
+    @property
+    def document(self) -> Document | None:
+        """Document in force."""
+        return self.front.document
+
+    @property
+    def registry(self) -> ControlRegistry:
+        """Pages and actions of the control port."""
+        return self._registry
+
     def stop(self) -> None:
         """Begin a graceful stop."""
         if not self._stopping.is_set():
@@ -91,7 +131,8 @@
 
     async def run(self) -> None:
         """Serve callers until `stop` is called and every request has ended."""
-        listener = await self._network.listen(
+        caller_network = self._certificates.caller_network(self._network, self.metrics)
+        listener = await caller_network.listen(
             self._settings.text("listen", "address"), self._settings.integer("listen", "port")
         )
         self.port = listener.port
@@ -107,7 +148,8 @@
                 background.start_soon(self._hosts.run)
                 background.start_soon(self.broker.run)
                 background.start_soon(self.journal.run)
-                background.start_soon(self._follow_document)
+                background.start_soon(self.spread.run)
+                background.start_soon(self._certificates.run)
                 background.start_soon(self._flush_metrics)
                 background.start_soon(self.pool.sweep_forever)
                 await self.front.serve_until_stopped(listener, self._stopping, grace_s)
@@ -138,29 +180,3 @@
     def _apply(self, document: Document) -> None:
         self.front.document = document
         self.broker.apply(document)
-
-    async def _follow_document(self) -> None:
-        version = 0
-        while True:
-            result = await self._store.watch("document/head", version, 30.0)
-            if is_successful(result):
-                version = result.unwrap().version
-                await self._apply_manifest(result.unwrap().body)
-            else:
-                await trio.sleep(0.2)
-
-    async def _apply_manifest(self, body: bytes) -> None:
-        manifest = json.loads(body)
-        bodies = {}
-        for name, entry in manifest["sections"].items():
-            result = await self._store.read(f"document/sections/{entry['digest']}")
-            if not is_successful(result):
-                return
-            bodies[name] = result.unwrap().body.decode()
-        document = build_document(manifest["number"], bodies)
-        if is_successful(document):
-            self._apply(document.unwrap())
-            log(Event.DOCUMENT_APPLIED, number=manifest["number"])
-        else:
-            errors = [str(error) for error in document.failure()]
-            log(Event.DOCUMENT_REJECTED, number=manifest["number"], errors=errors)
--- a/src/dotterelstand/process/peers.py
+++ b/src/dotterelstand/process/peers.py
@@ -1,7 +1,6 @@
 """The links of one entry host to the others, and the messages that pass over them."""
 
 import random
-from collections import Counter
 from collections.abc import Callable
 from typing import TypeVar
 
@@ -22,6 +21,7 @@
 from dotterelstand.process.dialling import Dialling
 from dotterelstand.process.membership import ListedHost, Membership
 from dotterelstand.process.mesh import Member
+from dotterelstand.process.metrics import Metrics
 from dotterelstand.process.overlay import choose_peers
 from dotterelstand.settings import Settings
 
@@ -31,26 +31,12 @@
 INCARNATION_BITS = 53
 
 
-class PeerCounters:
-    """Bytes and messages since the start, by region and by message type."""
-
-    __slots__ = ("counts",)
-
-    def __init__(self) -> None:
-        self.counts: Counter[str] = Counter()
-
-    def snapshot(self) -> dict[str, int]:
-        """Copy of every counter by name."""
-        return dict(self.counts)
-
-
 class Peers:
     """Implements `Mesh` over websocket links."""
 
     __slots__ = (
         "_accepting",
         "_changed",
-        "_counters",
         "_dialling",
         "_handlers",
         "_heartbeat_s",
@@ -61,15 +47,22 @@
         "_listen_port",
         "_max_links",
         "_membership",
+        "_metrics",
         "_network",
-        "_nursery",
         "_open_timeout_s",
+        "_overflows",
         "_rng",
         "_silent_after_s",
         "version",
     )
 
-    def __init__(self, settings: Settings, network: Network, rng: random.Random) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        network: Network,
+        rng: random.Random,
+        metrics: Metrics | None = None,
+    ) -> None:
         self._network = network
         self._rng = rng
         self._listen_address = settings.text("peers", "address")
@@ -110,9 +103,9 @@
         self._links: dict[str, PeerLink] = {}
         self._accepting = 0
         self._handlers: dict[type[Message], list[Callable[[str, Message], None]]] = {}
-        self._counters = PeerCounters()
+        self._metrics = metrics or Metrics(settings.integer("metrics", "max_series"))
+        self._overflows = 0
         self._changed = trio.Event()
-        self._nursery: trio.Nursery | None = None
         self.version = 0
 
     @property
@@ -146,7 +139,7 @@
     def region_of(self, host: str) -> str | None:
         """Region of a linked host, or None without a link."""
         link = self._links.get(host)
-        return link.hello.region if link is not None and link.hello is not None else None
+        return self._region_of(link) if link is not None else None
 
     def send(self, host: str, message: Message) -> bool:
         """Queue a message for a host; False if there is no link or its queue is full."""
@@ -164,15 +157,10 @@
         """Call `handler(sender, message)` for each message of a type."""
         self._handlers.setdefault(kind, []).append(handler)  # type: ignore[arg-type]
 
-    def counters(self) -> dict[str, int]:
-        """Counters since the start, by name: bytes per region and type, drops, links."""
-        counts = self._counters.snapshot()
-        for link in self._links.values():
-            for name, amount in self._link_bytes(link):
-                counts[name] = counts.get(name, 0) + amount
-        counts["peers.links"] = len(self._links)
-        counts["peers.member_overflows"] = self._membership.overflows
-        return counts
+    @property
+    def metrics(self) -> Metrics:
+        """Counters of the links, up to date as of the last heartbeat."""
+        return self._metrics
 
     def read_host_list(self, hosts: list[ListedHost]) -> None:
         """Take a new host list of the platform."""
@@ -189,7 +177,6 @@
         listener = await self._network.listen(self._listen_address, self._listen_port)
         self._hello.port = listener.port
         async with trio.open_nursery() as nursery:
-            self._nursery = nursery
             nursery.start_soon(self._accept, listener, nursery)
             nursery.start_soon(self._beat)
             task_status.started()
@@ -206,7 +193,7 @@
     async def _serve_stream(self, stream: trio.abc.Stream) -> None:
         with accepting_link(stream, self._limits) as link:
             if self._accepting + len(self._links) >= self._max_links:
-                self._counters.counts["peers.links_refused"] += 1
+                self._metrics.count("peers.links_refused")
                 return
             self._accepting += 1
             try:
@@ -240,7 +227,7 @@
                 await link.shake_hands()
                 return await introduce(link)
         except (*OPEN_ERRORS, trio.TooSlowError) as error:
-            self._counters.counts["peers.open_failures"] += 1
+            self._metrics.count("peers.open_failures")
             if isinstance(error, LinkError) and "malformed" in str(error):
                 log(Event.PEER_MALFORMED, peer="", reason=str(error))
             return False
@@ -267,7 +254,7 @@
         assert hello is not None
         old = self._links.get(hello.host)
         if old is None and len(self._links) >= self._max_links:
-            self._counters.counts["peers.links_refused"] += 1
+            self._metrics.count("peers.links_refused")
             return False
         if not self._membership.admit(hello, trio.current_time()):
             log(Event.PEER_REFUSED, peer=hello.host, incarnation=hello.incarnation)
@@ -290,8 +277,7 @@
         try:
             await link.run(lambda message: self._receive(link, message))
         finally:
-            for name, amount in self._link_bytes(link):
-                self._counters.counts[name] += amount
+            self._count_bytes(link)
             if self._links.get(peer) is link:
                 del self._links[peer]
                 self._changed.set()
@@ -301,7 +287,7 @@
 
     def _receive(self, link: PeerLink, message: Message) -> None:
         assert link.hello is not None
-        self._counters.counts[f"peers.received.{type(message).__name__}"] += 1
+        self._metrics.count(f"peers.received.{type(message).__name__}")
         now = trio.current_time()
         if isinstance(message, Beat):
             self._membership.hear(link.peer, link.hello.incarnation, message.leaving, now)
@@ -321,21 +307,24 @@
             return False
         kind = type(message).__name__
         if not link.offer(data):
-            if self._counters.counts["peers.dropped"] == 0:
+            if self._metrics.value("peers.dropped") == 0:
                 log(Event.PEER_QUEUE_FULL, peer=host, type=kind)
-            self._counters.counts["peers.dropped"] += 1
+            self._metrics.count("peers.dropped")
             return False
         where = "local" if self.region_of(host) == self.region else "other"
-        self._counters.counts[f"peers.sent_bytes.{where}.{kind}"] += len(data)
+        self._metrics.count(f"peers.message_bytes.{where}.{kind}", len(data))
         return True
 
-    def _link_bytes(self, link: PeerLink) -> tuple[tuple[str, int], ...]:
+    def _count_bytes(self, link: PeerLink) -> None:
+        """Move the byte counts of a link to the metrics."""
+        where = "local" if self._region_of(link) == self.region else "other"
+        self._metrics.count(f"peers.sent_bytes.{where}", link.sent_bytes)
+        self._metrics.count(f"peers.received_bytes.{where}", link.received_bytes)
+        link.sent_bytes = link.received_bytes = 0
+
+    def _region_of(self, link: PeerLink) -> str:
         assert link.hello is not None
-        where = "local" if link.hello.region == self.region else "other"
-        return (
-            (f"peers.sent_bytes.{where}", link.sent_bytes),
-            (f"peers.received_bytes.{where}", link.received_bytes),
-        )
+        return link.hello.region
 
     def _beat_message(self) -> Beat:
         own = next(member for member in self.members() if member.host == self.host)
@@ -346,7 +335,12 @@
             self.broadcast(self._beat_message())
             now = trio.current_time()
             self._membership.tidy(now)
+            self._metrics.count(
+                "peers.member_overflows", self._membership.overflows - self._overflows
+            )
+            self._overflows = self._membership.overflows
             for link in tuple(self._links.values()):
+                self._count_bytes(link)
                 if now - link.last_heard_s > self._silent_after_s:
                     link.close("silent")
             # The jitter keeps the heartbeats of a fleet that started together apart.
