--- a/tests/features/crashing_request.feature
+++ b/tests/features/crashing_request.feature
@@ -5,6 +5,12 @@
     Then at most 2 targets crashed
     And the last answer is 2006 and says not-run
 
+  Scenario: Trying one entry host after another costs no more targets
+    Given 4 entry hosts and 8 targets with faults {"crash_paths": ["/order/bad"]}
+    When a caller sends POST /order/bad 8 times to one entry host after another
+    Then at most 2 targets crashed
+    And the last answer is 2006 and says not-run
+
   Scenario: Requests of other callers run on
     Given 6 targets with faults {"crash_paths": ["/lookup/bad"]}
     When a caller sends GET /lookup/bad 8 times
