--- a/src/dotterelstand/connection/wire.py
+++ b/src/dotterelstand/connection/wire.py
@@ -174,13 +174,17 @@
 
 
 class Strike(Message):
-    """A target died, `age_ms` milliseconds ago, while it ran a request with this fingerprint."""
+    """A target died, `age_ms` milliseconds ago, while it ran a request with this fingerprint.
 
-    __slots__ = ("age_ms", "fingerprint", "number", "target")
+    `suspect` tells that the request already had a strike when the run began.
+    """
+
+    __slots__ = ("age_ms", "fingerprint", "number", "suspect", "target")
     TYPE = 15
     age_ms: int
     fingerprint: bytes
     number: int
+    suspect: bool
     target: str
 
 
--- a/src/dotterelstand/process/quarantine.py
+++ b/src/dotterelstand/process/quarantine.py
@@ -1,5 +1,7 @@
 """Keeps requests that crash targets from running again anywhere in the fleet."""
 
+from enum import Enum
+
 import trio
 import xxhash
 from returns.result import Failure, Result, Success
@@ -20,6 +22,10 @@
 # Bytes of a fingerprint that name method, path and query; the rest is the digest of the body.
 HEAD_DIGEST_BYTES = 8
 MAX_FINGERPRINT_BYTES = 64
+# Targets whose loss starts a quarantine although no run of the request was a suspect's.
+LOST_TOGETHER = 3
+# Two reports of one loss differ by the latency between hosts and by rounding.
+REPEAT_S = 0.5
 # Seconds between two requests to the arbiter of a suspect that is running elsewhere.
 RETRY_S = 0.05
 
@@ -56,24 +62,37 @@
 class _Entry:
     """Strikes of one fingerprint: when each target was lost."""
 
-    __slots__ = ("strikes", "until")
+    __slots__ = ("strikes", "suspect", "until")
 
     def __init__(self) -> None:
         self.strikes: dict[str, float] = {}
+        self.suspect = False
         self.until = 0.0
 
 
 class KnownStrike:
-    """A target that was lost to a request, with the time in seconds."""
+    """A target that was lost to a request, with the time in seconds.
+
+    `suspect` tells that the request already had a strike when the run began.
+    """
 
-    __slots__ = ("at", "fingerprint", "target")
+    __slots__ = ("at", "fingerprint", "suspect", "target")
 
-    def __init__(self, fingerprint: bytes, target: str, at: float) -> None:
+    def __init__(self, fingerprint: bytes, target: str, suspect: bool, at: float) -> None:
         self.fingerprint = fingerprint
         self.target = target
+        self.suspect = suspect
         self.at = at
 
 
+class StrikeEffect(Enum):
+    """What a strike changed."""
+
+    KNOWN = 0
+    RECORDED = 1
+    QUARANTINED = 2
+
+
 class Quarantine:
     """Strikes and quarantines as one entry host knows them; decisions only."""
 
@@ -85,22 +104,29 @@
         self._heads: dict[bytes, int] = {}
         self.overflows = 0
 
-    def strike(self, fingerprint: bytes, target: str, at: float, now: float) -> bool:
-        """Record that a target was lost at a time; True if it was not known and a quarantine began.
+    def strike(self, strike: KnownStrike, now: float) -> StrikeEffect:
+        """Record that a target was lost.
 
-        A strike that another host repeats keeps its time, so that repeats extend nothing.
+        A strike that another host repeats keeps its time, so that repeats extend nothing. Copies
+        that ran before the first strike may die together when a rack fails, so two of them are
+        not enough for a quarantine.
         """
         self._expire(now)
-        if at <= now - self._limits.window_s:
-            return False
-        entry = self._entries.get(fingerprint)
+        if strike.at <= now - self._limits.window_s:
+            return StrikeEffect.KNOWN
+        entry = self._entries.get(strike.fingerprint)
         if entry is None:
-            entry = self._add(fingerprint)
-        entry.strikes[target] = max(at, entry.strikes.get(target, at))
-        if len(entry.strikes) < 2 or entry.until > now:
-            return False
-        entry.until = max(entry.strikes.values()) + self._limits.quarantine_s
-        return True
+            entry = self._add(strike.fingerprint)
+        before = entry.strikes.get(strike.target)
+        known = before is not None and before >= strike.at - REPEAT_S
+        if not known:
+            entry.strikes[strike.target] = strike.at
+        entry.suspect = entry.suspect or strike.suspect
+        enough = 2 if entry.suspect else LOST_TOGETHER
+        if len(entry.strikes) >= enough and entry.until <= now:
+            entry.until = max(entry.strikes.values()) + self._limits.quarantine_s
+            return StrikeEffect.QUARANTINED
+        return StrikeEffect.KNOWN if known else StrikeEffect.RECORDED
 
     def clear(self, fingerprint: bytes) -> bool:
         """Forget the strikes of a fingerprint; False if there were none."""
@@ -141,11 +167,16 @@
         """Every strike that still counts."""
         self._expire(now)
         return [
-            KnownStrike(key, target, at)
+            KnownStrike(key, target, entry.suspect, at)
             for key, entry in self._entries.items()
             for target, at in entry.strikes.items()
         ]
 
+    def lost_targets(self, fingerprint: bytes) -> frozenset[str]:
+        """Targets that were lost to a fingerprint."""
+        entry = self._entries.get(fingerprint)
+        return frozenset() if entry is None else frozenset(entry.strikes)
+
     def __len__(self) -> int:
         return len(self._entries)
 
@@ -251,6 +282,7 @@
             # The run before this one may have been the second strike.
             quarantined = self._table.is_quarantined(fingerprint, trio.current_time())
             if admission.allowed and not quarantined:
+                admission.lost = self._table.lost_targets(fingerprint)
                 return admission
             self.leave(admission)
             if not quarantined:
@@ -259,14 +291,15 @@
                     return Admission(fingerprint, False)
                 await trio.sleep(RETRY_S)
 
-    async def strike(self, fingerprint: bytes, target: str) -> None:
+    async def strike(self, fingerprint: bytes, target: str, suspect: bool) -> None:
         """Record a lost target everywhere; returns when peers confirmed or after 100 ms.
 
         The strike is on its way before the first wait, so a cancelled call loses nothing.
         """
-        self._record(fingerprint, target, self._mesh.host, trio.current_time())
+        own = KnownStrike(fingerprint, target, suspect, trio.current_time())
+        self._record(own, self._mesh.host)
         number = self._next_number()
-        peers = self._mesh.broadcast(Strike(0, fingerprint, number, target))
+        peers = self._mesh.broadcast(Strike(0, fingerprint, number, suspect, target))
         if peers:
             waiting = self._confirmations[number] = _Waiting(peers)
             try:
@@ -338,15 +371,17 @@
         self._number += 1
         return self._number
 
-    def _record(self, fingerprint: bytes, target: str, source: str, at: float) -> None:
+    def _record(self, strike: KnownStrike, source: str) -> None:
         overflows = self._table.overflows
-        began = self._table.strike(fingerprint, target, at, trio.current_time())
+        effect = self._table.strike(strike, trio.current_time())
         self._metrics.count("quarantine.overflows", self._table.overflows - overflows)
-        self._metrics.count("quarantine.strikes")
-        log(Event.STRIKE_RECORDED, fingerprint=fingerprint.hex(), target=target, source=source)
-        if began:
+        fingerprint = strike.fingerprint.hex()
+        if effect is not StrikeEffect.KNOWN:
+            self._metrics.count("quarantine.strikes")
+            log(Event.STRIKE_RECORDED, fingerprint=fingerprint, target=strike.target, source=source)
+        if effect is StrikeEffect.QUARANTINED:
             self._metrics.count("quarantine.began")
-            log(Event.QUARANTINE_BEGAN, fingerprint=fingerprint.hex())
+            log(Event.QUARANTINE_BEGAN, fingerprint=fingerprint)
 
     def _lift(self, fingerprint: bytes) -> bool:
         lifted = self._table.clear(fingerprint)
@@ -359,14 +394,17 @@
         now = trio.current_time()
         for strike in self._table.strikes(now):
             age_ms = int((now - strike.at) * 1000)
+            number = self._next_number()
             self._mesh.send(
-                sender, Strike(age_ms, strike.fingerprint, self._next_number(), strike.target)
+                sender,
+                Strike(age_ms, strike.fingerprint, number, strike.suspect, strike.target),
             )
 
     def _on_strike(self, sender: str, message: Strike) -> None:
         if len(message.fingerprint) <= MAX_FINGERPRINT_BYTES:
             at = trio.current_time() - max(0, message.age_ms) / 1000
-            self._record(message.fingerprint, message.target, sender, at)
+            strike = KnownStrike(message.fingerprint, message.target, message.suspect, at)
+            self._record(strike, sender)
         self._mesh.send(sender, StrikeConfirmed(message.number))
 
     def _on_confirmed(self, sender: str, message: StrikeConfirmed) -> None:
--- a/src/dotterelstand/request/exchange.py
+++ b/src/dotterelstand/request/exchange.py
@@ -30,6 +30,8 @@
 
 # Seconds that a strike waits for the rest of the held body, which is part of the fingerprint.
 STRIKE_BODY_WAIT_S = 1.0
+# Share of the route's deadline by which progress must move it before it is moved.
+DEADLINE_STEP = 0.02
 
 
 class Exchange:
@@ -78,7 +80,13 @@
         limit_s = math.inf if head.deadline_s is None else head.deadline_s
         self._caller_deadline = trio.current_time() + limit_s
         self._setup = AttemptSetup(
-            head, self._body, self._service, context.pool, context.slots, route.idempotent
+            head,
+            self._body,
+            self._service,
+            context.pool,
+            context.slots,
+            context.leaving,
+            route.idempotent,
         )
         self.ending = Ending(route, head.tenant)
 
@@ -136,6 +144,8 @@
         if not can_finish(self._remaining_s(), self._policy.times):
             return ResultCode.DEADLINE_TOO_SHORT
         excluded = frozenset(attempt.target for attempt in self._attempts)
+        if self._admitted is not None:
+            excluded |= self._admitted.lost
         classes = self._document.classes
         last = len(classes) - 1
         klass = classes.index(self._route.klass) if self._route.klass in classes else last
@@ -252,7 +262,10 @@
                     # The fingerprint is then that of the part that the target received.
                     pass
                 self._context.metrics.count("requests.strikes")
-                await self._context.suspects.strike(self._fingerprint(), attempt.target)
+                # A hedged request that cost both of its targets is as suspect as a repeated one.
+                suspect = len(self._struck) > 1
+                suspect |= self._admitted is not None and self._admitted.is_suspect
+                await self._context.suspects.strike(self._fingerprint(), attempt.target, suspect)
 
     def _clear_strikes(self) -> None:
         if self._context.suspects.knows(head_digest(self._head)):
@@ -282,9 +295,11 @@
 
     def _progress(self) -> None:
         """Move the route's deadline: it bounds the time without progress of a long transfer."""
-        self._scope.deadline = min(
-            self._caller_deadline, trio.current_time() + self._route.deadline_s
-        )
+        limit_s = self._route.deadline_s
+        deadline = min(self._caller_deadline, trio.current_time() + limit_s)
+        # Setting a deadline costs more than the rest of a piece's way; small steps are left out.
+        if abs(deadline - self._scope.deadline) > limit_s * DEADLINE_STEP:
+            self._scope.deadline = deadline
 
     def _remaining_s(self) -> float:
         return self._scope.deadline - trio.current_time()
