Try to avoid targets whose calls last long

Cause: a noisy neighbour slows all slots of an instance for about 20 ms, so a call that lasts 2.5 times the usual time hints at the next one. Ruled out: ejection for this, since the slowness ends before it helps.

--- a/src/dotterelstand/process/dispatcher.py
+++ b/src/dotterelstand/process/dispatcher.py
@@ -79,6 +79,7 @@
         "_region",
         "_remote",
         "_tuning",
+        "_watched",
         "counters",
         "service",
     )
@@ -91,6 +92,8 @@
         self._chooser = chooser
         self._grants: dict[CallKey, _OpenGrant] = {}
         self._expiry: deque[_OpenGrant] = deque()
+        # Open grants in the order of their start, to notice the ones that last long.
+        self._watched: deque[_OpenGrant] = deque()
         self._hold_s = 0.0
         self._queue = CallQueue(0, CLASSES)
         self.counters = DispatcherCounters()
@@ -129,27 +132,27 @@
     def submit(self, call: WaitingCall, now: float) -> list[Decision]:
         """Grant a slot, refuse, or queue the call; an evicted call is refused as well."""
         self._clear(call.key, now)
-        self.advance_health(now)
+        decisions = self.advance(now)
         if not len(self._queue):
             position = self._chooser.choose(self._local, self._positions(call), now)
             if position is not None:
-                return [self._grant(call.key, self._local, position, now)]
+                return [*decisions, self._grant(call.key, self._local, position, now)]
         wait_s = self._expected_wait_s(call.klass)
         remaining_s = call.deadline - now
         spilled = self._spill(call, wait_s, remaining_s, now)
         if spilled is not None:
-            return [spilled]
+            return [*decisions, spilled]
         if not self._local.usable:
-            return [Refused(call.key, ResultCode.NO_TARGET)]
+            return [*decisions, Refused(call.key, ResultCode.NO_TARGET)]
         if remaining_s < wait_s + self._local.usual_s:
             self.counters.deadline_refused += 1
-            return [Refused(call.key, ResultCode.DEADLINE_TOO_SHORT)]
+            return [*decisions, Refused(call.key, ResultCode.DEADLINE_TOO_SHORT)]
         self.counters.waited += 1
         evicted = self._queue.push(call)
         if evicted is None:
-            return []
+            return decisions
         self.counters.queue_refused += 1
-        return [Refused(evicted.key, ResultCode.OVERLOADED)]
+        return [*decisions, Refused(evicted.key, ResultCode.OVERLOADED)]
 
     def adopt(self, key: CallKey, target: int, now: float) -> None:
         """Count a slot that somebody else granted on one of our targets."""
@@ -191,10 +194,15 @@
         """End ejections and holds that are due, and expire old grants."""
         self._local.advance(now)
         self._remote.advance(now)
+        self._suspect_long(now)
         limit = now - self._tuning.grant_life_s
-        while self._expiry and self._expiry[0].granted_at <= limit:
-            grant = self._expiry.popleft()
-            if self._grants.get(grant.key) is grant:
+        while self._expiry:
+            grant = self._expiry[0]
+            is_open = self._grants.get(grant.key) is grant
+            if is_open and grant.granted_at > limit:
+                break
+            self._expiry.popleft()
+            if is_open:
                 del self._grants[grant.key]
                 grant.table.finish(grant.position, AttemptOutcome.CANCELLED, 0.0, now)
                 self.counters.expired += 1
@@ -242,7 +250,7 @@
         if not near:
             near, far = far, []
         self._local = HealthTable(near, self._tuning)
-        self._remote = HealthTable(far, self._tuning)
+        self._remote = HealthTable(far, self._tuning, guest=True)
         places = {target.name: (self._local, place) for place, target in enumerate(near)}
         places.update((target.name, (self._remote, place)) for place, target in enumerate(far))
         self._place_of = [places[target.name] for target in service.targets]
@@ -264,6 +272,7 @@
         grant = _OpenGrant(key, table, position, now)
         self._grants[key] = grant
         self._expiry.append(grant)
+        self._watched.append(grant)
         table.start(position)
         self.counters.granted += 1
         return Granted(key, self._numbers[id(table)][position])
@@ -276,6 +285,14 @@
             return Refused(call.key, ResultCode.DEADLINE_TOO_SHORT)
         return self._grant(call.key, self._local, position, now)
 
+    def _suspect_long(self, now: float) -> None:
+        hold_s = self._hold_s or self._local.usual_s
+        limit = now - self._tuning.suspect_multiple * hold_s
+        while self._watched and self._watched[0].granted_at <= limit:
+            grant = self._watched.popleft()
+            if self._grants.get(grant.key) is grant:
+                grant.table.suspect(grant.position, now)
+
     def _expected_wait_s(self, klass: int) -> float:
         slots = max(1, self._local.allowances)
         hold_s = self._hold_s or self._local.usual_s
@@ -286,7 +303,8 @@
     ) -> Granted | None:
         """Slot in another region, if waiting here costs more than crossing."""
         crossing_s = self._tuning.crossing_s
-        if self._local.usable and wait_s <= crossing_s:
+        is_full = len(self._queue) >= self._queue.capacity
+        if self._local.usable and wait_s <= crossing_s and not is_full:
             return None
         if remaining_s < crossing_s + self._local.usual_s:
             return None
--- a/src/dotterelstand/process/health.py
+++ b/src/dotterelstand/process/health.py
@@ -1,6 +1,8 @@
 """Trust in the targets of one service, derived from the outcomes of requests."""
 
 import heapq
+import math
+from enum import IntEnum
 
 from dotterelstand.process.outcome import AttemptOutcome
 from dotterelstand.process.slotindex import SlotIndex
@@ -9,8 +11,9 @@
 
 # Weight of the newest outcome: three failures in a row exceed a failure bound of 0.5.
 FAILURE_WEIGHT = 0.25
-# Weight of the newest duration; ten times the usual is found after three answers.
-DURATION_WEIGHT = 0.1
+# Weight of the newest duration: ten times the usual is found after eight answers, while an instance
+# that a noisy neighbour slows three times for 20 ms stays below a slow factor of 4.
+DURATION_WEIGHT = 0.05
 # Durations count up to this multiple of the usual one, so that one long call ejects nobody.
 LONGEST_MULTIPLE = 10.0
 USUAL_WEIGHT = 0.01
@@ -19,6 +22,16 @@
 REPORT_HALF_LIFE_S = 0.01
 # Time in use after which a target's ejections are forgotten, as a multiple of the last period.
 FORGIVE_MULTIPLE = 10.0
+# Usual durations for which a suspected target stays the last choice: one neighbour's burst.
+SUSPECT_DURATIONS = 4.0
+
+
+class _Due(IntEnum):
+    """What ends at a time."""
+
+    EJECTION = 0
+    HOLD = 1
+    SUSPICION = 2
 
 
 class TargetHealth:
@@ -39,6 +52,7 @@
         "returned_at",
         "slots",
         "successes",
+        "suspected_until",
     )
 
     def __init__(self, name: str, slots: int) -> None:
@@ -54,6 +68,7 @@
         self.probation = False
         self.leaving = False
         self.successes = 0
+        self.suspected_until: float | None = None
         self.reported = 0.0
         self.reported_at = 0.0
 
@@ -71,12 +86,15 @@
 class HealthTable:
     """Targets of one service in one region: occupancy, ejection and gentle start.
 
-    Outcomes lower and restore trust; load reports and health endpoints only lower it.
+    Outcomes lower and restore trust; load reports and health endpoints only lower it. A `guest`
+    table holds another region's targets, of which it uses no more than half the slots, because
+    that region's own dispatcher does not see these calls.
     """
 
     __slots__ = (
         "_due",
         "_ejected",
+        "_lookahead_per_slot",
         "_tuning",
         "_usual_samples",
         "allowances",
@@ -87,12 +105,18 @@
         "usual_s",
     )
 
-    def __init__(self, targets: list[Target], tuning: SelectionTuning) -> None:
+    def __init__(
+        self, targets: list[Target], tuning: SelectionTuning, *, guest: bool = False
+    ) -> None:
         self._tuning = tuning
-        self.targets = [TargetHealth(target.name, target.slots) for target in targets]
+        self._lookahead_per_slot = 0.0 if guest else tuning.lookahead_per_slot
+        self.targets = [
+            TargetHealth(target.name, max(1, target.slots // 2) if guest else target.slots)
+            for target in targets
+        ]
         self.index = SlotIndex()
-        # Ends of ejections, and ends of holds after fast failures, as (time, position, is_hold).
-        self._due: list[tuple[float, int, bool]] = []
+        # Ends of ejections, suspicions, and holds after fast failures, by time and position.
+        self._due: list[tuple[float, int, _Due]] = []
         self._ejected = 0
         self.usable = len(self.targets)
         self.allowances = sum(target.slots for target in self.targets)
@@ -112,7 +136,7 @@
         target = self.targets[position]
         if kind.is_failure and duration_s < self.usual_s and target.usable:
             # A fast failure keeps its slot for the usual time: rejecting is not being idle.
-            heapq.heappush(self._due, (now + self.usual_s - duration_s, position, True))
+            heapq.heappush(self._due, (now + self.usual_s - duration_s, position, _Due.HOLD))
         else:
             target.in_flight -= 1
         assert target.in_flight >= 0, "more attempts ended than started"
@@ -136,6 +160,16 @@
             foreign = target.reported * 0.5 ** ((now - target.reported_at) / REPORT_HALF_LIFE_S)
         return (target.in_flight + foreign) / target.allowance
 
+    def suspect(self, position: int, now: float) -> None:
+        """Make the target the last choice for a short time."""
+        target = self.targets[position]
+        until = now + SUSPECT_DURATIONS * self.usual_s
+        if target.suspected_until is None:
+            # Later suspicions only move the end, so each target has one entry in the heap.
+            heapq.heappush(self._due, (until, position, _Due.SUSPICION))
+        target.suspected_until = until
+        self._place(position)
+
     def mark_leaving(self, position: int) -> None:
         """Give the target no new work until `mark_returned`."""
         if not self.targets[position].leaving:
@@ -153,11 +187,13 @@
     def advance(self, now: float) -> None:
         """End the ejections and holds that are due."""
         while self._due and self._due[0][0] <= now:
-            _, position, is_hold = heapq.heappop(self._due)
+            _, position, kind = heapq.heappop(self._due)
             target = self.targets[position]
-            if is_hold:
+            if kind is _Due.HOLD:
                 target.in_flight -= 1
                 self._place(position)
+            elif kind is _Due.SUSPICION:
+                self._end_suspicion(position, now)
             elif target.ejected_until is not None:
                 self._change_use(position, lambda target: _end_ejection(target, now))
 
@@ -181,6 +217,15 @@
             if before.ejected_until is not None or before.allowance < before.slots:
                 self.mark_cold(position)
 
+    def _end_suspicion(self, position: int, now: float) -> None:
+        target = self.targets[position]
+        assert target.suspected_until is not None
+        if target.suspected_until > now:
+            heapq.heappush(self._due, (target.suspected_until, position, _Due.SUSPICION))
+            return
+        target.suspected_until = None
+        self._place(position)
+
     def _learn_success(self, position: int, duration_s: float, now: float) -> None:
         target = self.targets[position]
         target.failures *= 1 - FAILURE_WEIGHT
@@ -199,6 +244,8 @@
         if target.duration_s > self._tuning.slow_factor * self.usual_s:
             self._eject(position, now)
             return
+        if duration_s > self._tuning.suspect_multiple * self.usual_s:
+            self.suspect(position, now)
         if target.allowance < target.slots:
             self._warm(position)
         self._forgive(target, now)
@@ -234,7 +281,7 @@
         self.ejections += 1
         until = now + self._period_s(target.ejections)
         self._change_use(position, lambda target: setattr(target, "ejected_until", until))
-        heapq.heappush(self._due, (until, position, False))
+        heapq.heappush(self._due, (until, position, _Due.EJECTION))
 
     def _period_s(self, ejections: int) -> float:
         longest_s = self._tuning.eject_longest_s
@@ -264,8 +311,9 @@
             return
         limit = target.allowance
         if target.allowance == target.slots:
-            limit += self._tuning.lookahead
-        self.index.place(position, target.in_flight, target.allowance, limit)
+            limit += math.ceil(self._lookahead_per_slot * target.slots)
+        suspected = target.suspected_until is not None
+        self.index.place(position, target.in_flight, target.allowance, limit, last=suspected)
 
 
 def _return_cold(target: TargetHealth) -> None:
--- a/src/dotterelstand/process/servicestate.py
+++ b/src/dotterelstand/process/servicestate.py
@@ -8,8 +8,10 @@
 DEVIATION_WEIGHT = 0.25
 DEVIATIONS = 4.0
 INITIAL_WAIT_S = 0.005
-# Unanswered requests in a row after which the dispatcher counts as silent.
+# Unanswered requests in a row, and seconds without any answer, after which the dispatcher counts as
+# silent; a long queue alone keeps answering other calls.
 SILENT_AFTER = 3
+SILENT_AFTER_S = 0.05
 SILENT_FIRST_S = 0.1
 SILENT_LONGEST_S = 1.0
 
@@ -17,13 +19,22 @@
 class AnswerTime:
     """Usual wait for a dispatcher's answer, in seconds, and whether it is silent."""
 
-    __slots__ = ("_deviation_s", "_grace_s", "_mean_s", "_silences", "_silent_until", "_unanswered")
+    __slots__ = (
+        "_deviation_s",
+        "_grace_s",
+        "_mean_s",
+        "_silences",
+        "_silent_until",
+        "_unanswered",
+        "_unanswered_since",
+    )
 
     def __init__(self, grace_s: float) -> None:
         self._grace_s = grace_s
         self._mean_s = INITIAL_WAIT_S
         self._deviation_s = INITIAL_WAIT_S / 2
         self._unanswered = 0
+        self._unanswered_since = 0.0
         self._silences = 0
         self._silent_until = 0.0
 
@@ -45,10 +56,13 @@
 
     def timed_out(self, now: float) -> None:
         """Learn from a missing answer; a silence doubles up to one second."""
+        if not self._unanswered:
+            self._unanswered_since = now - self.limit_s
         self._unanswered += 1
         # The true wait is unknown but longer, so the limit grows until answers arrive again.
         self._deviation_s = min(2 * self._deviation_s, INITIAL_WAIT_S)
-        if self._unanswered >= SILENT_AFTER:
+        quiet_s = now - self._unanswered_since
+        if self._unanswered >= SILENT_AFTER and quiet_s >= SILENT_AFTER_S:
             self._silent_until = now + min(SILENT_LONGEST_S, SILENT_FIRST_S * 2**self._silences)
             self._silences = min(10, self._silences + 1)
 
--- a/src/dotterelstand/process/tuning.py
+++ b/src/dotterelstand/process/tuning.py
@@ -14,10 +14,11 @@
         "eject_share",
         "failure_bound",
         "grant_life_s",
-        "lookahead",
+        "lookahead_per_slot",
         "max_calls",
         "slow_factor",
         "successes_per_slot",
+        "suspect_multiple",
     )
 
     def __init__(self) -> None:
@@ -28,10 +29,11 @@
         self.eject_share = 0.3
         self.failure_bound = 0.5
         self.grant_life_s = 10.0
-        self.lookahead = 1
+        self.lookahead_per_slot = 0.5
         self.max_calls = 4096
-        self.slow_factor = 3.0
+        self.slow_factor = 4.0
         self.successes_per_slot = 4
+        self.suspect_multiple = 2.5
 
 
 def read_tuning(settings: Settings) -> SelectionTuning:
@@ -49,9 +51,10 @@
     tuning.eject_share = settings.number(section, "eject_share")
     tuning.failure_bound = settings.number(section, "failure_bound")
     tuning.grant_life_s = settings.number(section, "grant_life_s")
-    tuning.lookahead = settings.integer(section, "lookahead")
+    tuning.lookahead_per_slot = settings.number(section, "lookahead_per_slot")
     tuning.max_calls = settings.integer(section, "max_calls")
     tuning.slow_factor = settings.number(section, "slow_factor")
     tuning.successes_per_slot = settings.integer(section, "successes_per_slot")
+    tuning.suspect_multiple = settings.number(section, "suspect_multiple")
     assert tuning.eject_share < 1, "selection.eject_share must leave targets in use"
     return tuning
--- /dev/null
+++ b/tests/test_health.py
@@ -0,0 +1,164 @@
+"""Outcomes of requests decide which targets receive work."""
+
+import random
+
+import pytest
+from selection_helpers import make_service
+
+from dotterelstand.process.balancer import LeastOccupied, TwoChoices
+from dotterelstand.process.health import HealthTable
+from dotterelstand.process.outcome import AttemptOutcome
+from dotterelstand.process.slotindex import NO_TARGETS
+from dotterelstand.process.tuning import SelectionTuning
+
+OK = AttemptOutcome.OK
+FAILED = AttemptOutcome.FAILED
+USUAL_S = 0.005
+
+
+def _table(targets: int, slots: int = 2) -> HealthTable:
+    table = HealthTable(list(make_service(targets, slots).targets), SelectionTuning())
+    for _ in range(100):
+        for position in range(targets):
+            _run(table, position, OK, USUAL_S, 0.0)
+    return table
+
+
+def _run(
+    table: HealthTable, position: int, kind: AttemptOutcome, duration_s: float, now: float
+) -> None:
+    table.start(position)
+    table.finish(position, kind, duration_s, now)
+
+
+@pytest.mark.parametrize("kind", [k for k in AttemptOutcome if k.is_failure])
+@pytest.mark.parametrize("targets", [1, 2, 3, 4, 10, 12, 17])
+def test_ejected_share_is_bounded(targets: int, kind: AttemptOutcome) -> None:
+    """Guards against a shared fault that ejects the whole service."""
+    table = _table(targets)
+    for _ in range(20):
+        for position in range(targets):
+            _run(table, position, kind, 0.0001, 1.0)
+    usable = sum(target.usable for target in table.targets)
+    assert usable == table.usable >= 1
+    assert targets - usable <= 0.3 * targets
+
+
+def test_ejection_grows_and_ends_with_one_slot() -> None:
+    """Guards against a broken target that returns as fast, or as full, each time."""
+    table = _table(12)
+    now = 1.0
+    periods = []
+    for _ in range(9):
+        for _ in range(3):
+            _run(table, 0, FAILED, 0.001, now)
+        end = table.targets[0].ejected_until
+        assert end is not None
+        periods.append(end - now)
+        now = end
+        table.advance(now)
+        assert table.targets[0].usable and table.targets[0].allowance == 1
+    assert periods == [0.5, 1, 2, 4, 8, 16, 30, 30, 30]
+
+
+def test_cold_target_gains_slots_with_successes() -> None:
+    """Guards against a target with cold caches that receives full load at once."""
+    table = _table(4, slots=3)
+    table.mark_cold(0)
+    allowed = []
+    for _ in range(9):
+        allowed.append(table.targets[0].allowance)
+        _run(table, 0, OK, USUAL_S, 1.0)
+    assert allowed == [1, 1, 1, 1, 2, 2, 2, 2, 3]
+
+
+@pytest.mark.parametrize("chooser", [LeastOccupied, TwoChoices])
+def test_fast_failures_do_not_attract_load(chooser: type) -> None:
+    """Guards against a target that rejects everything and so looks idle."""
+    table = _table(3)  # Too few targets for an ejection.
+    rng = random.Random(1)
+    choose = chooser(rng).choose
+    failed = 0
+    held: list[tuple[float, int]] = []
+    for number in range(3000):
+        now = 1.0 + number * USUAL_S / 3
+        table.advance(now)
+        while held and held[0][0] <= now:
+            table.finish(held.pop(0)[1], OK, USUAL_S, now)
+        position = choose(table, NO_TARGETS, now)
+        table.start(position)
+        if position == 0:
+            failed += 1
+            table.finish(0, FAILED, 0.0001, now)
+        else:
+            held.append((now + USUAL_S, position))
+    assert failed <= 3000 / 3, "no more than its even share"
+
+
+def test_straggler_is_ejected_and_a_noisy_neighbour_is_not() -> None:
+    """Guards against a slow target that stays in use, and against ejection of healthy ones."""
+    rng = random.Random(5)
+    table = _table(12)
+    for _ in range(200):
+        for position in range(1, 12):
+            factor = 3.0 if rng.random() < 0.1 else 1.0
+            _run(table, position, OK, rng.expovariate(1 / USUAL_S) * factor, 1.0)
+    assert table.usable == 12
+    for _ in range(20):
+        for position in range(12):
+            slow = 10 if position == 0 else 1
+            _run(table, position, OK, rng.expovariate(1 / USUAL_S) * slow, 1.0)
+    assert [target.usable for target in table.targets] == [False] + [True] * 11
+
+
+def test_load_reports_only_lower_trust() -> None:
+    """Guards against a target that reports no load and so receives everything."""
+    table = _table(2)
+    table.start(0)
+    for load, expected in [(0, 0.5), (1, 0.5), (5, 2.5)]:
+        table.report_load(0, load, 1.0)
+        assert table.load(0, 1.0) == expected
+    assert 0.5 < table.load(0, 1.1) < 0.6, "an old report loses its weight"
+
+
+def test_leaving_target_returns_cold() -> None:
+    """Guards against work for a leaving target, and against full load after its return."""
+    table = _table(3)
+    table.mark_leaving(1)
+    table.mark_leaving(1)
+    choose = LeastOccupied(random.Random(1)).choose
+    assert {choose(table, NO_TARGETS, 1.0) for _ in range(50)} == {0, 2}
+    _run(table, 1, FAILED, 0.001, 1.0)
+    table.mark_returned(1)
+    assert table.targets[1].usable and table.targets[1].allowance == 1
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_totals_agree_with_the_targets(seed: int) -> None:
+    """Guards against counters and indexes that drift from the targets' states."""
+    rng = random.Random(seed)
+    table = _table(10, slots=4)
+    now = 1.0
+    running: list[int] = []
+    for _ in range(4000):
+        now += rng.expovariate(1000)
+        table.advance(now)
+        action = rng.random()
+        position = rng.randrange(10)
+        if action < 0.5:
+            chosen = LeastOccupied(rng).choose(table, frozenset({position}), now)
+            if chosen is not None:
+                assert chosen != position and table.targets[chosen].usable
+                table.start(chosen)
+                running.append(chosen)
+        elif action < 0.97 and running:
+            kind = rng.choice([OK] * 6 + list(AttemptOutcome))
+            table.finish(running.pop(rng.randrange(len(running))), kind, rng.random() / 50, now)
+        else:
+            rng.choice([table.mark_leaving, table.mark_returned, table.mark_cold])(position)
+        usable = [target for target in table.targets if target.usable]
+        assert table.usable == len(usable)
+        assert table.allowances == sum(target.allowance for target in usable)
+        for place, target in enumerate(table.targets):
+            full = target.in_flight >= target.allowance + 2 * (target.allowance == target.slots)
+            assert (place in table.index.open) == (target.usable and not full)
--- /dev/null
+++ b/tests/test_queue.py
@@ -0,0 +1,88 @@
+"""Waiting calls are served in class order and fairly, and the queue stays bounded."""
+
+import random
+
+import pytest
+
+from dotterelstand.process.queue import CallQueue, WaitingCall
+
+
+def _call(number: int, klass: int = 0, tenant: int = 0) -> WaitingCall:
+    return WaitingCall(("h", number), klass, tenant, 0.0, 10.0)
+
+
+def _popped(queue: CallQueue) -> list[int]:
+    order = []
+    while (call := queue.pop()) is not None:
+        order.append(call.key[1])
+    return order
+
+
+@pytest.mark.parametrize(
+    ("calls", "order"),
+    [
+        # (class, tenant) of calls 0, 1, 2, ...
+        ([(0, 0), (0, 0), (0, 0)], [0, 1, 2]),
+        ([(1, 0), (0, 0), (1, 0)], [1, 0, 2]),
+        ([(0, 1), (0, 1), (0, 1), (0, 2)], [0, 3, 1, 2]),
+        ([(0, 1), (0, 2), (0, 1), (0, 3), (0, 2)], [0, 1, 3, 2, 4]),
+        ([(1, 1), (1, 1), (1, 2), (0, 1)], [3, 0, 2, 1]),
+    ],
+)
+def test_order(calls: list[tuple[int, int]], order: list[int]) -> None:
+    """Guards against a tenant or a low class that delays the others."""
+    queue = CallQueue(10, 2)
+    for number, (klass, tenant) in enumerate(calls):
+        assert queue.push(_call(number, klass, tenant)) is None
+    assert _popped(queue) == order
+
+
+@pytest.mark.parametrize(
+    ("tenants", "evicted"),
+    [
+        # Tenants of the waiting calls 0, 1, 2 and of the new call 3.
+        ([1, 1, 2, 2], 3),
+        ([1, 1, 2, 1], 3),
+        ([1, 2, 2, 1], 3),
+        ([1, 2, 3, 4], 3),
+        ([2, 1, 1, 3], 2),
+    ],
+)
+def test_full_queue_takes_newest_of_largest_tenant(tenants: list[int], evicted: int) -> None:
+    """Guards against a flooding tenant that pushes out the calls of others."""
+    queue = CallQueue(3, 1)
+    results = [queue.push(_call(number, 0, tenant)) for number, tenant in enumerate(tenants)]
+    assert results[:3] == [None] * 3
+    assert results[3] is not None and results[3].key[1] == evicted
+    assert len(queue) == 3
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_queue_agrees_with_plain_lists(seed: int) -> None:
+    """Guards against counts that drift from the calls that really wait."""
+    rng = random.Random(seed)
+    queue = CallQueue(12, 3)
+    waiting: dict[int, WaitingCall] = {}
+    for number in range(2000):
+        action = rng.random()
+        if action < 0.6:
+            call = _call(number, rng.randrange(3), rng.randrange(4))
+            waiting[number] = call
+            evicted = queue.push(call)
+            if evicted is not None:
+                sizes = [sum(c.tenant == t for c in waiting.values()) for t in range(4)]
+                assert sizes[evicted.tenant] == max(sizes)
+                same = [n for n, c in waiting.items() if c.tenant == evicted.tenant]
+                assert evicted.key[1] == max(same)
+                del waiting[evicted.key[1]]
+        elif action < 0.9:
+            popped = queue.pop()
+            if popped is not None:
+                assert popped.klass == min(call.klass for call in waiting.values())
+                del waiting[popped.key[1]]
+        elif waiting:
+            number = rng.choice(list(waiting))
+            assert queue.remove(("h", number)) is waiting.pop(number)
+        assert len(queue) == len(waiting)
+        klass = rng.randrange(3)
+        assert queue.ahead(klass) == sum(c.klass <= klass for c in waiting.values())
