--- a/src/dotterelstand/bench/policies.py
+++ b/src/dotterelstand/bench/policies.py
@@ -45,7 +45,6 @@
     tuning.lookahead_per_slot = 1e9
     tuning.failure_bound = 2.0
     tuning.slow_factor = float("inf")
-    tuning.suspect_multiple = float("inf")
     return tuning
 
 
--- a/src/dotterelstand/process/dispatcher.py
+++ b/src/dotterelstand/process/dispatcher.py
@@ -79,7 +79,6 @@
         "_region",
         "_remote",
         "_tuning",
-        "_watched",
         "counters",
         "service",
     )
@@ -92,8 +91,6 @@
         self._chooser = chooser
         self._grants: dict[CallKey, _OpenGrant] = {}
         self._expiry: deque[_OpenGrant] = deque()
-        # Open grants in the order of their start, to notice the ones that last long.
-        self._watched: deque[_OpenGrant] = deque()
         self._hold_s = 0.0
         self._queue = CallQueue(0, CLASSES)
         self.counters = DispatcherCounters()
@@ -194,7 +191,6 @@
         """End ejections and holds that are due, and expire old grants."""
         self._local.advance(now)
         self._remote.advance(now)
-        self._suspect_long(now)
         limit = now - self._tuning.grant_life_s
         while self._expiry:
             grant = self._expiry[0]
@@ -272,7 +268,6 @@
         grant = _OpenGrant(key, table, position, now)
         self._grants[key] = grant
         self._expiry.append(grant)
-        self._watched.append(grant)
         table.start(position)
         self.counters.granted += 1
         return Granted(key, self._numbers[id(table)][position])
@@ -285,14 +280,6 @@
             return Refused(call.key, ResultCode.DEADLINE_TOO_SHORT)
         return self._grant(call.key, self._local, position, now)
 
-    def _suspect_long(self, now: float) -> None:
-        hold_s = self._hold_s or self._local.usual_s
-        limit = now - self._tuning.suspect_multiple * hold_s
-        while self._watched and self._watched[0].granted_at <= limit:
-            grant = self._watched.popleft()
-            if self._grants.get(grant.key) is grant:
-                grant.table.suspect(grant.position, now)
-
     def _expected_wait_s(self, klass: int) -> float:
         slots = max(1, self._local.allowances)
         hold_s = self._hold_s or self._local.usual_s
--- a/src/dotterelstand/process/health.py
+++ b/src/dotterelstand/process/health.py
@@ -2,7 +2,7 @@
 
 import heapq
 import math
-from enum import IntEnum
+from collections import deque
 
 from dotterelstand.process.outcome import AttemptOutcome
 from dotterelstand.process.slotindex import SlotIndex
@@ -11,27 +11,31 @@
 
 # Weight of the newest outcome: three failures in a row exceed a failure bound of 0.5.
 FAILURE_WEIGHT = 0.25
-# Weight of the newest duration: ten times the usual is found after eight answers, while an instance
-# that a noisy neighbour slows three times for 20 ms stays below a slow factor of 4.
+# Weight of the newest duration: ten times the usual is found after about ten answers, while an
+# instance that a noisy neighbour slows three times for 20 ms stays below the slow factor.
 DURATION_WEIGHT = 0.05
 # Durations count up to this multiple of the usual one, so that one long call ejects nobody.
-LONGEST_MULTIPLE = 10.0
+LONGEST_MULTIPLE = 20.0
 USUAL_WEIGHT = 0.01
 INITIAL_USUAL_S = 0.005
 # Seconds after which a reported load has lost half of its weight: about two lookups.
 REPORT_HALF_LIFE_S = 0.01
 # Time in use after which a target's ejections are forgotten, as a multiple of the last period.
 FORGIVE_MULTIPLE = 10.0
-# Usual durations for which a suspected target stays the last choice: one neighbour's burst.
-SUSPECT_DURATIONS = 4.0
 
 
-class _Due(IntEnum):
-    """What ends at a time."""
+# Changes that are kept until they are logged.
+MAX_CHANGES = 64
 
-    EJECTION = 0
-    HOLD = 1
-    SUSPICION = 2
+
+class HealthChange:
+    """An ejection for `seconds`, or its end (None)."""
+
+    __slots__ = ("seconds", "target")
+
+    def __init__(self, target: str, seconds: float | None) -> None:
+        self.target = target
+        self.seconds = seconds
 
 
 class TargetHealth:
@@ -52,7 +56,6 @@
         "returned_at",
         "slots",
         "successes",
-        "suspected_until",
     )
 
     def __init__(self, name: str, slots: int) -> None:
@@ -68,7 +71,6 @@
         self.probation = False
         self.leaving = False
         self.successes = 0
-        self.suspected_until: float | None = None
         self.reported = 0.0
         self.reported_at = 0.0
 
@@ -98,6 +100,7 @@
         "_tuning",
         "_usual_samples",
         "allowances",
+        "changes",
         "ejections",
         "index",
         "targets",
@@ -115,14 +118,15 @@
             for target in targets
         ]
         self.index = SlotIndex()
-        # Ends of ejections, suspicions, and holds after fast failures, by time and position.
-        self._due: list[tuple[float, int, _Due]] = []
+        # Ends of ejections, and ends of holds after fast failures, as (time, position, is_hold).
+        self._due: list[tuple[float, int, bool]] = []
         self._ejected = 0
         self.usable = len(self.targets)
         self.allowances = sum(target.slots for target in self.targets)
         self.usual_s = INITIAL_USUAL_S
         self._usual_samples = 0
         self.ejections = 0
+        self.changes: deque[HealthChange] = deque(maxlen=MAX_CHANGES)
         for position in range(len(self.targets)):
             self._place(position)
 
@@ -136,7 +140,7 @@
         target = self.targets[position]
         if kind.is_failure and duration_s < self.usual_s and target.usable:
             # A fast failure keeps its slot for the usual time: rejecting is not being idle.
-            heapq.heappush(self._due, (now + self.usual_s - duration_s, position, _Due.HOLD))
+            heapq.heappush(self._due, (now + self.usual_s - duration_s, position, True))
         else:
             target.in_flight -= 1
         assert target.in_flight >= 0, "more attempts ended than started"
@@ -160,16 +164,6 @@
             foreign = target.reported * 0.5 ** ((now - target.reported_at) / REPORT_HALF_LIFE_S)
         return (target.in_flight + foreign) / target.allowance
 
-    def suspect(self, position: int, now: float) -> None:
-        """Make the target the last choice for a short time."""
-        target = self.targets[position]
-        until = now + SUSPECT_DURATIONS * self.usual_s
-        if target.suspected_until is None:
-            # Later suspicions only move the end, so each target has one entry in the heap.
-            heapq.heappush(self._due, (until, position, _Due.SUSPICION))
-        target.suspected_until = until
-        self._place(position)
-
     def mark_leaving(self, position: int) -> None:
         """Give the target no new work until `mark_returned`."""
         if not self.targets[position].leaving:
@@ -187,15 +181,14 @@
     def advance(self, now: float) -> None:
         """End the ejections and holds that are due."""
         while self._due and self._due[0][0] <= now:
-            _, position, kind = heapq.heappop(self._due)
+            _, position, is_hold = heapq.heappop(self._due)
             target = self.targets[position]
-            if kind is _Due.HOLD:
+            if is_hold:
                 target.in_flight -= 1
                 self._place(position)
-            elif kind is _Due.SUSPICION:
-                self._end_suspicion(position, now)
             elif target.ejected_until is not None:
                 self._change_use(position, lambda target: _end_ejection(target, now))
+                self.changes.append(HealthChange(target.name, None))
 
     def next_due(self) -> float | None:
         """Time of the next change by `advance`, or None."""
@@ -217,15 +210,6 @@
             if before.ejected_until is not None or before.allowance < before.slots:
                 self.mark_cold(position)
 
-    def _end_suspicion(self, position: int, now: float) -> None:
-        target = self.targets[position]
-        assert target.suspected_until is not None
-        if target.suspected_until > now:
-            heapq.heappush(self._due, (target.suspected_until, position, _Due.SUSPICION))
-            return
-        target.suspected_until = None
-        self._place(position)
-
     def _learn_success(self, position: int, duration_s: float, now: float) -> None:
         target = self.targets[position]
         target.failures *= 1 - FAILURE_WEIGHT
@@ -244,8 +228,6 @@
         if target.duration_s > self._tuning.slow_factor * self.usual_s:
             self._eject(position, now)
             return
-        if duration_s > self._tuning.suspect_multiple * self.usual_s:
-            self.suspect(position, now)
         if target.allowance < target.slots:
             self._warm(position)
         self._forgive(target, now)
@@ -279,9 +261,11 @@
             return
         target.ejections += 1
         self.ejections += 1
-        until = now + self._period_s(target.ejections)
+        period_s = self._period_s(target.ejections)
+        until = now + period_s
+        self.changes.append(HealthChange(target.name, period_s))
         self._change_use(position, lambda target: setattr(target, "ejected_until", until))
-        heapq.heappush(self._due, (until, position, _Due.EJECTION))
+        heapq.heappush(self._due, (until, position, False))
 
     def _period_s(self, ejections: int) -> float:
         longest_s = self._tuning.eject_longest_s
@@ -312,8 +296,7 @@
         limit = target.allowance
         if target.allowance == target.slots:
             limit += math.ceil(self._lookahead_per_slot * target.slots)
-        suspected = target.suspected_until is not None
-        self.index.place(position, target.in_flight, target.allowance, limit, last=suspected)
+        self.index.place(position, target.in_flight, target.allowance, limit)
 
 
 def _return_cold(target: TargetHealth) -> None:
--- a/src/dotterelstand/process/servicestate.py
+++ b/src/dotterelstand/process/servicestate.py
@@ -43,6 +43,11 @@
         """Longest time to wait for an answer."""
         return self._mean_s + DEVIATIONS * self._deviation_s + self._grace_s
 
+    @property
+    def silent(self) -> bool:
+        """Whether the dispatcher counts as silent until it answers."""
+        return self._silences > 0
+
     def is_silent(self, now: float) -> bool:
         """Whether requests are not worth sending at present."""
         return now < self._silent_until
@@ -70,13 +75,14 @@
 class ServiceState:
     """Local decisions, duty as dispatcher, and the dispatcher's answer time of one service."""
 
-    __slots__ = ("answer_time", "duty", "local", "service")
+    __slots__ = ("answer_time", "duty", "local", "service", "was_silent")
 
     def __init__(self, service: Service, local: Dispatcher, duty: Dispatcher, grace_s: float):
         self.service = service
         self.local = local
         self.duty = duty
         self.answer_time = AnswerTime(grace_s)
+        self.was_silent = False
 
     def use(self, service: Service, now: float) -> None:
         """Follow a new version of the service."""
--- a/src/dotterelstand/process/slotcore.py
+++ b/src/dotterelstand/process/slotcore.py
@@ -9,12 +9,15 @@
 from dotterelstand.connection.wire import Acquire, Grant, Refuse, Release
 from dotterelstand.process.balancer import LeastOccupied, TwoChoices
 from dotterelstand.process.dispatcher import Decision, Dispatcher, Granted
+from dotterelstand.process.measure import MeasureBudget
 from dotterelstand.process.measuredmesh import MeasuredMesh
+from dotterelstand.process.mesh import Member
 from dotterelstand.process.outcome import AttemptOutcome, SlotCall, SlotGrant, SlotOutcome
 from dotterelstand.process.queue import WaitingCall
 from dotterelstand.process.rendezvous import DispatcherMap
 from dotterelstand.process.servicestate import ServiceState
 from dotterelstand.process.slotcodec import TENANTS, pack_need, pack_result
+from dotterelstand.process.slotcounters import DutyCounters, SlotCounters
 from dotterelstand.process.slotduty import SlotDuty
 from dotterelstand.process.ticket import Ticket, TicketState
 from dotterelstand.process.tuning import SelectionTuning
@@ -25,29 +28,6 @@
 MAX_LEAVING = 8192
 
 
-class SlotCounters:
-    """Totals since the start."""
-
-    __slots__ = (
-        "ask_failed",
-        "asked",
-        "duty",
-        "fallback_timeout",
-        "local",
-        "table_full",
-        "unusable",
-    )
-
-    def __init__(self) -> None:
-        self.asked = 0
-        self.duty = 0
-        self.local = 0
-        self.fallback_timeout = 0
-        self.ask_failed = 0
-        self.unusable = 0
-        self.table_full = 0
-
-
 class SlotCore:
     """Decides for each call between the service's dispatcher and local choice.
 
@@ -56,6 +36,8 @@
     """
 
     __slots__ = (
+        "_active",
+        "_checked_members",
         "_counters",
         "_dispatchers",
         "_duty",
@@ -76,7 +58,9 @@
         self._tuning = tuning
         self._random = rng
         self._states: dict[str, ServiceState] = {}
+        self._active: dict[str, ServiceState] = {}
         self._duty = SlotDuty(mesh, tuning)
+        self._checked_members: tuple[Member, ...] = ()
         self._tickets: dict[int, Ticket] = {}
         self._free: list[int] = []
         self._next_number = 0
@@ -91,6 +75,20 @@
         """Totals since the start."""
         return self._counters
 
+    @property
+    def duty_counters(self) -> DutyCounters:
+        """Totals of the duty as dispatcher."""
+        return self._duty.counters
+
+    def states(self) -> list[ServiceState]:
+        """States of all services in use."""
+        return list(self._states.values())
+
+    @property
+    def budget(self) -> MeasureBudget:
+        """The measuring budget that is charged."""
+        return self._mesh.budget
+
     def state_of(self, service: str) -> ServiceState | None:
         """State of a service that was used, for status display."""
         return self._states.get(service)
@@ -103,6 +101,7 @@
         services = [document.services[name] for name in names]
         for name in [name for name in self._states if name not in document.services]:
             del self._states[name]
+            self._active.pop(name, None)
         for name, state in self._states.items():
             state.use(document.services[name], now)
         self._duty.apply(services)
@@ -215,21 +214,27 @@
             state.mark_leaving(target)
         return True
 
-    def note_returned(self, target: str) -> None:
-        """The host list shows a target that was leaving as live."""
-        if target in self._leaving:
-            del self._leaving[target]
-            for state in self._states.values():
-                state.mark_returned(target)
+    def note_returned(self, target: str) -> bool:
+        """The host list shows a target as live; True if it was leaving."""
+        if target not in self._leaving:
+            return False
+        del self._leaving[target]
+        for state in self._states.values():
+            state.mark_returned(target)
+        return True
 
-    def advance(self, now: float) -> None:
-        """Apply what time changed: ended ejections, expired grants, lost hosts."""
+    def advance(self, now: float) -> list[ServiceState]:
+        """Apply what time changed; returns the services that were used since the last call."""
         self._check_members(now)
-        for state in self._states.values():
-            if state.duty.waiting:
-                self._settle(state, state.duty.advance(now), now)
-            if state.local.waiting:
-                self._settle(state, state.local.advance(now), now)
+        active = list(self._active.values())
+        self._active.clear()
+        for state in active:
+            for dispatcher in (state.duty, state.local):
+                if dispatcher.waiting:
+                    # Waiting calls need further steps of time even if no message arrives.
+                    self._active[state.service.name] = state
+                    self._settle(state, dispatcher.advance(now), now)
+        return active
 
     def on_acquire(self, sender: str, message: Acquire, now: float) -> None:
         """Another host asks for a slot of a service."""
@@ -371,10 +376,15 @@
             for name in self._leaving:
                 state.mark_leaving(name)
             self._states[service.name] = state
+        self._active[service.name] = state
         return state
 
     def _check_members(self, now: float) -> None:
-        live = {member.host for member in self._mesh.members()}
+        members = self._mesh.members()
+        if members is self._checked_members:
+            return
+        self._checked_members = members
+        live = {member.host for member in members}
         for host in self._duty.hosts() - live:
             for state in self._states.values():
                 self._settle(state, state.duty.drop_host(host, now), now)
--- a/src/dotterelstand/process/slotduty.py
+++ b/src/dotterelstand/process/slotduty.py
@@ -7,23 +7,11 @@
 from dotterelstand.process.queue import WaitingCall
 from dotterelstand.process.servicestate import ServiceState
 from dotterelstand.process.slotcodec import unpack_need, unpack_result
+from dotterelstand.process.slotcounters import DutyCounters
 from dotterelstand.process.tuning import SelectionTuning
 from dotterelstand.version.document import Service
 
 
-class DutyCounters:
-    """Totals since the start."""
-
-    __slots__ = ("answers_unsent", "grants_sent", "malformed", "refusals_sent", "table_full")
-
-    def __init__(self) -> None:
-        self.grants_sent = 0
-        self.refusals_sent = 0
-        self.answers_unsent = 0
-        self.malformed = 0
-        self.table_full = 0
-
-
 class SlotDuty:
     """Calls of other hosts that wait for or hold a slot here."""
 
--- a/src/dotterelstand/process/slotindex.py
+++ b/src/dotterelstand/process/slotindex.py
@@ -65,19 +65,12 @@
         self._level: dict[int, int] = {}
         self.open = RandomSet()
 
-    def place(
-        self, item: int, in_flight: int, slots: int, limit: int, *, last: bool = False
-    ) -> None:
-        """Record a target's occupancy; at its limit it leaves the index.
-
-        The free slots of a `last` target come after the free slots of all others.
-        """
+    def place(self, item: int, in_flight: int, slots: int, limit: int) -> None:
+        """Record a target's occupancy; at its limit it leaves the index."""
         old = self._level.get(item)
         new = None
         if in_flight < limit:
             new = min(MAX_LEVEL, in_flight * STEPS // slots)
-            if last and new < STEPS:
-                new = STEPS - 1
         if old == new:
             return
         if old is not None:
--- a/src/dotterelstand/process/slots.py
+++ b/src/dotterelstand/process/slots.py
@@ -8,11 +8,13 @@
 
 from dotterelstand.codes import Result as ResultCode
 from dotterelstand.connection.wire import Acquire, Grant, Refuse, Release, TargetLeaving
+from dotterelstand.events import Event, log
 from dotterelstand.process.measure import MeasureBudget, MeasureLimit
 from dotterelstand.process.measuredmesh import MeasuredMesh
 from dotterelstand.process.mesh import Mesh
 from dotterelstand.process.outcome import AttemptOutcome, SlotCall, SlotGrant, SlotOutcome
 from dotterelstand.process.slotcore import SlotCore
+from dotterelstand.process.slotnews import SlotNews, selection_counters
 from dotterelstand.process.ticket import Ticket
 from dotterelstand.process.tuning import SelectionTuning, read_tuning
 from dotterelstand.settings import Settings
@@ -95,20 +97,29 @@
     def target_leaving(self, target: str) -> None:
         """A target is leaving, by its header or the host list; tells the other hosts."""
         if self._core.note_leaving(target):
+            log(Event.TARGET_LEAVING, target=target)
             self._mesh.broadcast(TargetLeaving(target))
 
     def target_returned(self, target: str) -> None:
         """The host list shows a target that was leaving as live."""
-        self._core.note_returned(target)
+        if self._core.note_returned(target):
+            log(Event.TARGET_RETURNED, target=target)
+
+    def counters(self) -> dict[str, int]:
+        """Totals since the start, by the counter names of docs/selection.md."""
+        return selection_counters(self._core)
 
     async def run(self) -> None:
         """Apply what time changes, until cancelled."""
+        news = SlotNews(self._core)
         while True:
             await trio.sleep(TICK_S)
-            self._core.advance(trio.current_time())
+            now = trio.current_time()
+            news.report(self._core.advance(now), now)
 
     def _on_leaving(self, sender: str, message: TargetLeaving) -> None:
-        self._core.note_leaving(message.target)
+        if self._core.note_leaving(message.target):
+            log(Event.TARGET_LEAVING, target=message.target)
 
 
 def make_budget(settings: Settings, region: str, now: float) -> MeasureBudget:
--- a/src/dotterelstand/process/tuning.py
+++ b/src/dotterelstand/process/tuning.py
@@ -18,7 +18,6 @@
         "max_calls",
         "slow_factor",
         "successes_per_slot",
-        "suspect_multiple",
     )
 
     def __init__(self) -> None:
@@ -31,9 +30,8 @@
         self.grant_life_s = 10.0
         self.lookahead_per_slot = 0.5
         self.max_calls = 4096
-        self.slow_factor = 4.0
+        self.slow_factor = 5.0
         self.successes_per_slot = 4
-        self.suspect_multiple = 2.5
 
 
 def read_tuning(settings: Settings) -> SelectionTuning:
@@ -55,6 +53,5 @@
     tuning.max_calls = settings.integer(section, "max_calls")
     tuning.slow_factor = settings.number(section, "slow_factor")
     tuning.successes_per_slot = settings.integer(section, "successes_per_slot")
-    tuning.suspect_multiple = settings.number(section, "suspect_multiple")
     assert tuning.eject_share < 1, "selection.eject_share must leave targets in use"
     return tuning
