Learn the usual duration from 100 answers before ejecting stragglers

Cause: a short first answer became the usual duration and led to the ejection of healthy targets in the first milliseconds. Ruled out: a larger slow factor alone, 4 and 5 gave the same ejections. Change: the first 100 answers are a plain mean and eject nobody; test for it.

--- a/src/dotterelstand/process/health.py
+++ b/src/dotterelstand/process/health.py
@@ -18,6 +18,9 @@
 LONGEST_MULTIPLE = 20.0
 USUAL_WEIGHT = 0.01
 INITIAL_USUAL_S = 0.005
+# Answers before durations eject anybody; with fewer the usual duration is too uncertain, and one
+# short first answer led to the ejection of healthy targets.
+LEARNING_ANSWERS = 100
 # Seconds after which a reported load has lost half of its weight: about two lookups.
 REPORT_HALF_LIFE_S = 0.01
 # Time in use after which a target's ejections are forgotten, as a multiple of the last period.
@@ -213,25 +216,31 @@
     def _learn_success(self, position: int, duration_s: float, now: float) -> None:
         target = self.targets[position]
         target.failures *= 1 - FAILURE_WEIGHT
-        usual_s = self.usual_s
-        counted_s = min(duration_s, LONGEST_MULTIPLE * usual_s)
-        if target.probation and duration_s > self._tuning.slow_factor * usual_s:
+        if target.probation and duration_s > self._tuning.slow_factor * self.usual_s:
             self._eject(position, now)
             return
         target.probation = False
-        weight = max(USUAL_WEIGHT, 1 / (self._usual_samples + 1))
-        self._usual_samples += 1
-        self.usual_s += weight * (min(counted_s, 4 * usual_s) - usual_s)
-        if not target.duration_s:
-            target.duration_s = usual_s
-        target.duration_s += DURATION_WEIGHT * (counted_s - target.duration_s)
-        if target.duration_s > self._tuning.slow_factor * self.usual_s:
+        if self._learn_duration(target, duration_s):
             self._eject(position, now)
             return
         if target.allowance < target.slots:
             self._warm(position)
         self._forgive(target, now)
 
+    def _learn_duration(self, target: TargetHealth, duration_s: float) -> bool:
+        """Update the usual durations; True if the target is a straggler."""
+        if self._usual_samples < LEARNING_ANSWERS:
+            self._usual_samples += 1
+            self.usual_s += (duration_s - self.usual_s) / self._usual_samples
+            return False
+        counted_s = min(duration_s, LONGEST_MULTIPLE * self.usual_s)
+        # One call moves the service's usual duration by little, so that stragglers stay visible.
+        self.usual_s += USUAL_WEIGHT * (min(duration_s, 4 * self.usual_s) - self.usual_s)
+        if not target.duration_s:
+            target.duration_s = self.usual_s
+        target.duration_s += DURATION_WEIGHT * (counted_s - target.duration_s)
+        return target.duration_s > self._tuning.slow_factor * self.usual_s
+
     def _learn_failure(self, position: int, now: float) -> None:
         target = self.targets[position]
         target.failures += FAILURE_WEIGHT * (1 - target.failures)
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -72,6 +72,17 @@
     assert allowed == [1, 1, 1, 1, 2, 2, 2, 2, 3]
 
 
+@pytest.mark.parametrize("seed", range(5))
+def test_first_short_answers_eject_nobody(seed: int) -> None:
+    """Guards against ejections by a usual duration that few short answers gave."""
+    rng = random.Random(seed)
+    table = HealthTable(list(make_service(12).targets), SelectionTuning())
+    _run(table, 0, OK, USUAL_S / 50, 0.0)
+    for step in range(300):
+        _run(table, step % 12, OK, rng.expovariate(1 / USUAL_S), 1.0)
+        assert table.usable == 12
+
+
 @pytest.mark.parametrize("chooser", [LeastOccupied, TwoChoices])
 def test_fast_failures_do_not_attract_load(chooser: type) -> None:
     """Guards against a target that rejects everything and so looks idle."""
