Prefer targets in the caller's zone among equally occupied ones

Cause: each call to another zone costs 0.8 ms more there and back, and keeps its slot that much longer. Ruled out: an index per zone, since three further draws come close to it in constant time. Change: least() draws up to three times more for a target of the zone.

--- a/src/dotterelstand/process/balancer.py
+++ b/src/dotterelstand/process/balancer.py
@@ -9,21 +9,25 @@
 class Chooser(Protocol):
     """Picks the position of an open target that is not excluded, or None."""
 
-    def choose(self, table: HealthTable, excluded: frozenset[int], now: float) -> int | None:
-        """Position in the table; `now` in seconds."""
+    def choose(
+        self, table: HealthTable, excluded: frozenset[int], now: float, zone: str = ""
+    ) -> int | None:
+        """Position in the table; `now` in seconds, `zone` the availability zone of the caller."""
 
 
 class LeastOccupied:
-    """Least occupied of all open targets, ties broken at random."""
+    """Least occupied of all open targets, rather in the zone, ties broken at random."""
 
     __slots__ = ("_random",)
 
     def __init__(self, rng: random.Random) -> None:
         self._random = rng
 
-    def choose(self, table: HealthTable, excluded: frozenset[int], now: float) -> int | None:
+    def choose(
+        self, table: HealthTable, excluded: frozenset[int], now: float, zone: str = ""
+    ) -> int | None:
         """See `Chooser`."""
-        return table.index.least(self._random, excluded)
+        return table.index.least(self._random, excluded, table.in_zone(zone))
 
 
 class TwoChoices:
@@ -34,7 +38,9 @@
     def __init__(self, rng: random.Random) -> None:
         self._random = rng
 
-    def choose(self, table: HealthTable, excluded: frozenset[int], now: float) -> int | None:
+    def choose(
+        self, table: HealthTable, excluded: frozenset[int], now: float, zone: str = ""
+    ) -> int | None:
         """See `Chooser`."""
         first = table.index.open.pick(self._random, excluded)
         if first is None:
@@ -53,7 +59,9 @@
     def __init__(self, rng: random.Random) -> None:
         self._random = rng
 
-    def choose(self, table: HealthTable, excluded: frozenset[int], now: float) -> int | None:
+    def choose(
+        self, table: HealthTable, excluded: frozenset[int], now: float, zone: str = ""
+    ) -> int | None:
         """See `Chooser`."""
         return table.index.open.pick(self._random, excluded)
 
@@ -66,7 +74,9 @@
     def __init__(self, rng: random.Random) -> None:
         self._next = rng.randrange(1 << 16)
 
-    def choose(self, table: HealthTable, excluded: frozenset[int], now: float) -> int | None:
+    def choose(
+        self, table: HealthTable, excluded: frozenset[int], now: float, zone: str = ""
+    ) -> int | None:
         """See `Chooser`."""
         targets = table.index.open
         for _ in range(min(len(targets), len(excluded) + 1)):
--- a/src/dotterelstand/process/dispatcher.py
+++ b/src/dotterelstand/process/dispatcher.py
@@ -131,7 +131,7 @@
         self._clear(call.key, now)
         decisions = self.advance(now)
         if not len(self._queue):
-            position = self._chooser.choose(self._local, self._positions(call), now)
+            position = self._chooser.choose(self._local, self._positions(call), now, call.zone)
             if position is not None:
                 return [*decisions, self._grant(call.key, self._local, position, now)]
         wait_s = self._expected_wait_s(call.klass)
--- a/src/dotterelstand/process/health.py
+++ b/src/dotterelstand/process/health.py
@@ -3,9 +3,10 @@
 import heapq
 import math
 from collections import deque
+from collections.abc import Set as AbstractSet
 
 from dotterelstand.process.outcome import AttemptOutcome
-from dotterelstand.process.slotindex import SlotIndex
+from dotterelstand.process.slotindex import NO_TARGETS, SlotIndex
 from dotterelstand.process.tuning import SelectionTuning
 from dotterelstand.version.document import Target
 
@@ -102,6 +103,7 @@
         "_lookahead_per_slot",
         "_tuning",
         "_usual_samples",
+        "_zones",
         "allowances",
         "changes",
         "ejections",
@@ -121,6 +123,9 @@
             for target in targets
         ]
         self.index = SlotIndex()
+        self._zones: dict[str, set[int]] = {}
+        for position, item in enumerate(targets):
+            self._zones.setdefault(item.availability_zone, set()).add(position)
         # Ends of ejections, and ends of holds after fast failures, as (time, position, is_hold).
         self._due: list[tuple[float, int, bool]] = []
         self._ejected = 0
@@ -133,6 +138,10 @@
         for position in range(len(self.targets)):
             self._place(position)
 
+    def in_zone(self, zone: str) -> AbstractSet[int]:
+        """Positions of the targets in an availability zone."""
+        return self._zones.get(zone, NO_TARGETS)
+
     def start(self, position: int) -> None:
         """Count an attempt that is sent to a target."""
         self.targets[position].in_flight += 1
--- a/src/dotterelstand/process/measuredmesh.py
+++ b/src/dotterelstand/process/measuredmesh.py
@@ -11,13 +11,13 @@
 class MeasuredMesh:
     """Sends measuring messages as far as the budget allows."""
 
-    __slots__ = ("_budget", "_mesh", "_region_of", "_regions_for")
+    __slots__ = ("_budget", "_member_of", "_members", "_mesh")
 
     def __init__(self, mesh: Mesh, budget: MeasureBudget) -> None:
         self._mesh = mesh
         self._budget = budget
-        self._regions_for: tuple[Member, ...] = ()
-        self._region_of: dict[str, str] = {}
+        self._members: tuple[Member, ...] = ()
+        self._member_of: dict[str, Member] = {}
 
     @property
     def host(self) -> str:
@@ -46,10 +46,19 @@
             return False
         return self._mesh.send(host, message)
 
+    def zone(self, host: str) -> str:
+        """Availability zone of a host, empty if it is no member."""
+        member = self._member(host)
+        return member.availability_zone if member else ""
+
     def _region(self, host: str) -> str:
-        members = self._mesh.members()
-        if members is not self._regions_for:
-            self._regions_for = members
-            self._region_of = {member.host: member.region for member in members}
+        member = self._member(host)
         # A host that is no member any more is charged to its own, unknown region as well.
-        return self._region_of.get(host, "unknown")
+        return member.region if member else "unknown"
+
+    def _member(self, host: str) -> Member | None:
+        members = self._mesh.members()
+        if members is not self._members:
+            self._members = members
+            self._member_of = {member.host: member for member in members}
+        return self._member_of.get(host)
--- a/src/dotterelstand/process/queue.py
+++ b/src/dotterelstand/process/queue.py
@@ -6,9 +6,12 @@
 
 
 class WaitingCall:
-    """A call that wants a slot; times in seconds, `key` is the asking host and its number."""
+    """A call that wants a slot; times in seconds.
 
-    __slots__ = ("arrived", "deadline", "excluded", "key", "klass", "tenant")
+    `key` is the asking host and its call number, `zone` that host's availability zone.
+    """
+
+    __slots__ = ("arrived", "deadline", "excluded", "key", "klass", "tenant", "zone")
 
     def __init__(
         self,
@@ -18,6 +21,7 @@
         arrived: float,
         deadline: float,
         excluded: frozenset[int] = frozenset(),
+        zone: str = "",
     ) -> None:
         self.key = key
         self.klass = klass
@@ -25,6 +29,7 @@
         self.arrived = arrived
         self.deadline = deadline
         self.excluded = excluded
+        self.zone = zone
 
 
 class _ClassLane:
--- a/src/dotterelstand/process/slotcodec.py
+++ b/src/dotterelstand/process/slotcodec.py
@@ -2,6 +2,8 @@
 
 import math
 
+from dotterelstand.codes import Result as ResultCode
+from dotterelstand.codes import Run
 from dotterelstand.process.outcome import AttemptOutcome
 
 CLASSES = 8
@@ -68,3 +70,12 @@
         return None
     kind, code = divmod(result, DURATION_CODES)
     return UnpackedResult(AttemptOutcome(kind), SHORTEST_S * 2 ** (code / 2))
+
+
+def refusal_code(number: int) -> ResultCode | None:
+    """Result code of a refusal that a dispatcher may give, or None."""
+    try:
+        code = ResultCode(number)
+    except ValueError:
+        return None
+    return code if code.run is Run.NOT_RUN else None
--- a/src/dotterelstand/process/slotcore.py
+++ b/src/dotterelstand/process/slotcore.py
@@ -5,7 +5,6 @@
 from collections.abc import Callable
 
 from dotterelstand.codes import Result as ResultCode
-from dotterelstand.codes import Run
 from dotterelstand.connection.wire import Acquire, Grant, Refuse, Release
 from dotterelstand.process.balancer import LeastOccupied, TwoChoices
 from dotterelstand.process.dispatcher import Decision, Dispatcher, Granted
@@ -16,7 +15,7 @@
 from dotterelstand.process.queue import WaitingCall
 from dotterelstand.process.rendezvous import DispatcherMap
 from dotterelstand.process.servicestate import ServiceState
-from dotterelstand.process.slotcodec import TENANTS, pack_need, pack_result
+from dotterelstand.process.slotcodec import CLASSES, TENANTS, pack_need, pack_result, refusal_code
 from dotterelstand.process.slotcounters import DutyCounters, SlotCounters
 from dotterelstand.process.slotduty import SlotDuty
 from dotterelstand.process.ticket import Ticket, TicketState
@@ -196,7 +195,7 @@
             return
         state = self._state(ticket.service)
         state.answer_time.answered(now - ticket.asked_at)
-        code = _refusal_code(message.code)
+        code = refusal_code(message.code)
         if code is None or code is ResultCode.NO_TARGET:
             self._choose_locally(ticket, state, now)
             return
@@ -306,7 +305,9 @@
             excluded = frozenset(i for i, target in names if target.name in call.excluded)
         key = (self._mesh.host, ticket.number)
         tenant = self._tenant(call.tenant)
-        return WaitingCall(key, min(call.klass, 7), tenant, now, call.deadline, excluded)
+        klass = min(call.klass, CLASSES - 1)
+        zone = self._mesh.zone(self._mesh.host)
+        return WaitingCall(key, klass, tenant, now, call.deadline, excluded, zone)
 
     def _leave_queue(self, ticket: Ticket, state: ServiceState, now: float) -> None:
         key = (self._mesh.host, ticket.number)
@@ -389,12 +390,3 @@
             for state in self._states.values():
                 self._settle(state, state.duty.drop_host(host, now), now)
             self._duty.forget(host)
-
-
-def _refusal_code(number: int) -> ResultCode | None:
-    """Result code of a refusal that a dispatcher may give, or None."""
-    try:
-        code = ResultCode(number)
-    except ValueError:
-        return None
-    return code if code.run is Run.NOT_RUN else None
--- a/src/dotterelstand/process/slotduty.py
+++ b/src/dotterelstand/process/slotduty.py
@@ -63,7 +63,8 @@
             before.duty.finish(key, AttemptOutcome.CANCELLED, 0.0, None, now)
         calls[message.call] = state
         remaining_s = need.urgent_s if need.urgent_s is not None else self._tuning.grant_life_s
-        call = WaitingCall(key, need.klass, need.tenant, now, now + remaining_s)
+        zone = self._mesh.zone(host)
+        call = WaitingCall(key, need.klass, need.tenant, now, now + remaining_s, zone=zone)
         return state.duty.submit(call, now)
 
     def release(
--- a/src/dotterelstand/process/slotindex.py
+++ b/src/dotterelstand/process/slotindex.py
@@ -1,9 +1,12 @@
 """Index of targets by occupancy; every operation takes constant time."""
 
 import random
+from collections.abc import Set as AbstractSet
 
 # Occupancy steps per slot count; divisible by 2, 3 and 4, so that equal shares compare equal.
 STEPS = 12
+# Further draws for a preferred target; a fixed number keeps the time constant.
+PREFERENCE_DRAWS = 3
 MAX_LEVEL = 8 * STEPS
 NO_TARGETS: frozenset[int] = frozenset()
 
@@ -84,17 +87,36 @@
         if old is not None:
             self._take_out(item, old)
 
-    def least(self, rng: random.Random, excluded: frozenset[int]) -> int | None:
-        """Random target among the least occupied that are not excluded."""
+    def least(
+        self, rng: random.Random, excluded: frozenset[int], preferred: AbstractSet[int] = NO_TARGETS
+    ) -> int | None:
+        """Random target among the least occupied that are not excluded; rather a preferred one."""
         mask = self._mask
         while mask:
             lowest = mask & -mask
-            item = self._levels[lowest.bit_length() - 1].pick(rng, excluded)
+            members = self._levels[lowest.bit_length() - 1]
+            item = members.pick(rng, excluded)
             if item is not None:
-                return item
+                return self._rather(item, members, rng, excluded, preferred)
             mask ^= lowest
         return None
 
+    def _rather(
+        self,
+        item: int,
+        members: RandomSet,
+        rng: random.Random,
+        excluded: frozenset[int],
+        preferred: AbstractSet[int],
+    ) -> int:
+        for _ in range(PREFERENCE_DRAWS if preferred else 0):
+            if item in preferred:
+                break
+            other = members.pick(rng, excluded)
+            assert other is not None
+            item = other
+        return item
+
     def _put_in(self, item: int, level: int) -> None:
         members = self._levels.get(level)
         if members is None:
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -173,3 +173,17 @@
         for place, target in enumerate(table.targets):
             full = target.in_flight >= target.allowance + 2 * (target.allowance == target.slots)
             assert (place in table.index.open) == (target.usable and not full)
+
+
+def test_equal_targets_in_the_own_zone_are_preferred() -> None:
+    """Guards against needless trips between zones, and against load that collects in one zone."""
+    service = make_service(8)
+    for position, target in enumerate(service.targets):
+        target.availability_zone = f"z{position % 2}"
+    table = HealthTable(list(service.targets), SelectionTuning())
+    choose = LeastOccupied(random.Random(1)).choose
+    own = sum(choose(table, NO_TARGETS, 0.0, "z1") % 2 for _ in range(200))
+    assert own > 150
+    for position in range(1, 8, 2):
+        table.start(position)
+    assert {choose(table, NO_TARGETS, 0.0, "z1") for _ in range(50)} == {0, 2, 4, 6}
