--- a/src/dotterelstand/events.py
+++ b/src/dotterelstand/events.py
@@ -56,6 +56,14 @@
     JOURNAL_FULL = 421
     OUTCOME_DROPPED = 422
 
+    TARGET_EJECTED = 500
+    TARGET_RESTORED = 501
+    TARGET_LEAVING = 502
+    TARGET_RETURNED = 503
+    DISPATCHER_SILENT = 504
+    DISPATCHER_ANSWERS = 505
+    MEASURE_BUDGET_SPENT = 506
+
 
 _WARNINGS = frozenset(
     {
@@ -76,6 +84,9 @@
         Event.JOURNAL_UNREADABLE,
         Event.JOURNAL_FULL,
         Event.OUTCOME_DROPPED,
+        Event.TARGET_EJECTED,
+        Event.DISPATCHER_SILENT,
+        Event.MEASURE_BUDGET_SPENT,
     }
 )
 
--- a/src/dotterelstand/process/dispatcher.py
+++ b/src/dotterelstand/process/dispatcher.py
@@ -134,27 +134,27 @@
     def submit(self, call: WaitingCall, now: float) -> list[Decision]:
         """Grant a slot, refuse, or queue the call; an evicted call is refused as well."""
         self._clear(call.key, now)
-        self.advance_health(now)
+        decisions = self.advance(now)
         if not len(self._queue):
-            position = self._chooser.choose(self._local, self._positions(call), now)
+            position = self._chooser.choose(self._local, self._positions(call), now, call.zone)
             if position is not None:
-                return [self._grant(call.key, self._local, position, now)]
+                return [*decisions, self._grant(call.key, self._local, position, now)]
         wait_s = self._expected_wait_s(call.klass)
         remaining_s = call.deadline - now
         spilled = self._spill(call, wait_s, remaining_s, now)
         if spilled is not None:
-            return [spilled]
+            return [*decisions, spilled]
         if not self._local.usable:
-            return [Refused(call.key, ResultCode.NO_TARGET)]
+            return [*decisions, Refused(call.key, ResultCode.NO_TARGET)]
         if remaining_s < wait_s + self._local.usual_s:
             self.counters.deadline_refused += 1
-            return [Refused(call.key, ResultCode.DEADLINE_TOO_SHORT)]
+            return [*decisions, Refused(call.key, ResultCode.DEADLINE_TOO_SHORT)]
         self.counters.waited += 1
         evicted = self._queue.push(call)
         if evicted is None:
-            return []
+            return decisions
         self.counters.queue_refused += 1
-        return [Refused(evicted.key, ResultCode.OVERLOADED)]
+        return [*decisions, Refused(evicted.key, ResultCode.OVERLOADED)]
 
     def adopt(self, key: CallKey, target: int, now: float) -> None:
         """Count a slot that somebody else granted on one of our targets."""
@@ -197,9 +197,13 @@
         self._local.advance(now)
         self._remote.advance(now)
         limit = now - self._tuning.grant_life_s
-        while self._expiry and self._expiry[0].granted_at <= limit:
-            grant = self._expiry.popleft()
-            if self._grants.get(grant.key) is grant:
+        while self._expiry:
+            grant = self._expiry[0]
+            is_open = self._grants.get(grant.key) is grant
+            if is_open and grant.granted_at > limit:
+                break
+            self._expiry.popleft()
+            if is_open:
                 del self._grants[grant.key]
                 grant.table.finish(grant.position, AttemptOutcome.CANCELLED, 0.0, now)
                 self.counters.expired += 1
@@ -247,7 +251,7 @@
         if not near:
             near, far = far, []
         self._local = HealthTable(near, self._tuning)
-        self._remote = HealthTable(far, self._tuning)
+        self._remote = HealthTable(far, self._tuning, guest=True)
         places = {target.name: (self._local, place) for place, target in enumerate(near)}
         places.update((target.name, (self._remote, place)) for place, target in enumerate(far))
         self._place_of = [places[target.name] for target in service.targets]
@@ -291,7 +295,8 @@
     ) -> Granted | None:
         """Slot in another region, if waiting here costs more than crossing."""
         crossing_s = self._tuning.crossing_s
-        if self._local.usable and wait_s <= crossing_s:
+        is_full = len(self._queue) >= self._queue.capacity
+        if self._local.usable and wait_s <= crossing_s and not is_full:
             return None
         if remaining_s < crossing_s + self._local.usual_s:
             return None
--- a/src/dotterelstand/process/health.py
+++ b/src/dotterelstand/process/health.py
@@ -1,26 +1,47 @@
 """Trust in the targets of one service, derived from the outcomes of requests."""
 
 import heapq
+import math
+from collections import deque
+from collections.abc import Set as AbstractSet
 
 from dotterelstand.process.outcome import AttemptOutcome
-from dotterelstand.process.slotindex import SlotIndex
+from dotterelstand.process.slotindex import NO_TARGETS, SlotIndex
 from dotterelstand.process.tuning import SelectionTuning
 from dotterelstand.version.document import Target
 
 # Weight of the newest outcome: three failures in a row exceed a failure bound of 0.5.
 FAILURE_WEIGHT = 0.25
-# Weight of the newest duration; ten times the usual is found after three answers.
-DURATION_WEIGHT = 0.1
+# Weight of the newest duration: ten times the usual is found after about ten answers, while an
+# instance that a noisy neighbour slows three times for 20 ms stays below the slow factor.
+DURATION_WEIGHT = 0.05
 # Durations count up to this multiple of the usual one, so that one long call ejects nobody.
-LONGEST_MULTIPLE = 10.0
+LONGEST_MULTIPLE = 20.0
 USUAL_WEIGHT = 0.01
 INITIAL_USUAL_S = 0.005
+# Answers before durations eject anybody; with fewer the usual duration is too uncertain, and one
+# short first answer led to the ejection of healthy targets.
+LEARNING_ANSWERS = 100
 # Seconds after which a reported load has lost half of its weight: about two lookups.
 REPORT_HALF_LIFE_S = 0.01
 # Time in use after which a target's ejections are forgotten, as a multiple of the last period.
 FORGIVE_MULTIPLE = 10.0
 
 
+# Changes that are kept until they are logged.
+MAX_CHANGES = 64
+
+
+class HealthChange:
+    """An ejection for `seconds`, or its end (None)."""
+
+    __slots__ = ("seconds", "target")
+
+    def __init__(self, target: str, seconds: float | None) -> None:
+        self.target = target
+        self.seconds = seconds
+
+
 class TargetHealth:
     """State of one target; `allowance` is the number of slots it may use now."""
 
@@ -71,15 +92,20 @@
 class HealthTable:
     """Targets of one service in one region: occupancy, ejection and gentle start.
 
-    Outcomes lower and restore trust; load reports and health endpoints only lower it.
+    Outcomes lower and restore trust; load reports and health endpoints only lower it. A `guest`
+    table holds another region's targets, of which it uses no more than half the slots, because
+    that region's own dispatcher does not see these calls.
     """
 
     __slots__ = (
         "_due",
         "_ejected",
+        "_lookahead_per_slot",
         "_tuning",
         "_usual_samples",
+        "_zones",
         "allowances",
+        "changes",
         "ejections",
         "index",
         "targets",
@@ -87,10 +113,19 @@
         "usual_s",
     )
 
-    def __init__(self, targets: list[Target], tuning: SelectionTuning) -> None:
+    def __init__(
+        self, targets: list[Target], tuning: SelectionTuning, *, guest: bool = False
+    ) -> None:
         self._tuning = tuning
-        self.targets = [TargetHealth(target.name, target.slots) for target in targets]
+        self._lookahead_per_slot = 0.0 if guest else tuning.lookahead_per_slot
+        self.targets = [
+            TargetHealth(target.name, max(1, target.slots // 2) if guest else target.slots)
+            for target in targets
+        ]
         self.index = SlotIndex()
+        self._zones: dict[str, set[int]] = {}
+        for position, item in enumerate(targets):
+            self._zones.setdefault(item.availability_zone, set()).add(position)
         # Ends of ejections, and ends of holds after fast failures, as (time, position, is_hold).
         self._due: list[tuple[float, int, bool]] = []
         self._ejected = 0
@@ -99,9 +134,14 @@
         self.usual_s = INITIAL_USUAL_S
         self._usual_samples = 0
         self.ejections = 0
+        self.changes: deque[HealthChange] = deque(maxlen=MAX_CHANGES)
         for position in range(len(self.targets)):
             self._place(position)
 
+    def in_zone(self, zone: str) -> AbstractSet[int]:
+        """Positions of the targets in an availability zone."""
+        return self._zones.get(zone, NO_TARGETS)
+
     def start(self, position: int) -> None:
         """Count an attempt that is sent to a target."""
         self.targets[position].in_flight += 1
@@ -160,6 +200,7 @@
                 self._place(position)
             elif target.ejected_until is not None:
                 self._change_use(position, lambda target: _end_ejection(target, now))
+                self.changes.append(HealthChange(target.name, None))
 
     def next_due(self) -> float | None:
         """Time of the next change by `advance`, or None."""
@@ -184,25 +225,31 @@
     def _learn_success(self, position: int, duration_s: float, now: float) -> None:
         target = self.targets[position]
         target.failures *= 1 - FAILURE_WEIGHT
-        usual_s = self.usual_s
-        counted_s = min(duration_s, LONGEST_MULTIPLE * usual_s)
-        if target.probation and duration_s > self._tuning.slow_factor * usual_s:
+        if target.probation and duration_s > self._tuning.slow_factor * self.usual_s:
             self._eject(position, now)
             return
         target.probation = False
-        weight = max(USUAL_WEIGHT, 1 / (self._usual_samples + 1))
-        self._usual_samples += 1
-        self.usual_s += weight * (min(counted_s, 4 * usual_s) - usual_s)
-        if not target.duration_s:
-            target.duration_s = usual_s
-        target.duration_s += DURATION_WEIGHT * (counted_s - target.duration_s)
-        if target.duration_s > self._tuning.slow_factor * self.usual_s:
+        if self._learn_duration(target, duration_s):
             self._eject(position, now)
             return
         if target.allowance < target.slots:
             self._warm(position)
         self._forgive(target, now)
 
+    def _learn_duration(self, target: TargetHealth, duration_s: float) -> bool:
+        """Update the usual durations; True if the target is a straggler."""
+        if self._usual_samples < LEARNING_ANSWERS:
+            self._usual_samples += 1
+            self.usual_s += (duration_s - self.usual_s) / self._usual_samples
+            return False
+        counted_s = min(duration_s, LONGEST_MULTIPLE * self.usual_s)
+        # One call moves the service's usual duration by little, so that stragglers stay visible.
+        self.usual_s += USUAL_WEIGHT * (min(duration_s, 4 * self.usual_s) - self.usual_s)
+        if not target.duration_s:
+            target.duration_s = self.usual_s
+        target.duration_s += DURATION_WEIGHT * (counted_s - target.duration_s)
+        return target.duration_s > self._tuning.slow_factor * self.usual_s
+
     def _learn_failure(self, position: int, now: float) -> None:
         target = self.targets[position]
         target.failures += FAILURE_WEIGHT * (1 - target.failures)
@@ -232,7 +279,9 @@
             return
         target.ejections += 1
         self.ejections += 1
-        until = now + self._period_s(target.ejections)
+        period_s = self._period_s(target.ejections)
+        until = now + period_s
+        self.changes.append(HealthChange(target.name, period_s))
         self._change_use(position, lambda target: setattr(target, "ejected_until", until))
         heapq.heappush(self._due, (until, position, False))
 
@@ -264,7 +313,7 @@
             return
         limit = target.allowance
         if target.allowance == target.slots:
-            limit += self._tuning.lookahead
+            limit += math.ceil(self._lookahead_per_slot * target.slots)
         self.index.place(position, target.in_flight, target.allowance, limit)
 
 
--- a/src/dotterelstand/process/slotduty.py
+++ b/src/dotterelstand/process/slotduty.py
@@ -7,23 +7,11 @@
 from dotterelstand.process.queue import WaitingCall
 from dotterelstand.process.servicestate import ServiceState
 from dotterelstand.process.slotcodec import unpack_need, unpack_result
+from dotterelstand.process.slotcounters import DutyCounters
 from dotterelstand.process.tuning import SelectionTuning
 from dotterelstand.version.document import Service
 
 
-class DutyCounters:
-    """Totals since the start."""
-
-    __slots__ = ("answers_unsent", "grants_sent", "malformed", "refusals_sent", "table_full")
-
-    def __init__(self) -> None:
-        self.grants_sent = 0
-        self.refusals_sent = 0
-        self.answers_unsent = 0
-        self.malformed = 0
-        self.table_full = 0
-
-
 class SlotDuty:
     """Calls of other hosts that wait for or hold a slot here."""
 
@@ -75,7 +63,8 @@
             before.duty.finish(key, AttemptOutcome.CANCELLED, 0.0, None, now)
         calls[message.call] = state
         remaining_s = need.urgent_s if need.urgent_s is not None else self._tuning.grant_life_s
-        call = WaitingCall(key, need.klass, need.tenant, now, now + remaining_s)
+        zone = self._mesh.zone(host)
+        call = WaitingCall(key, need.klass, need.tenant, now, now + remaining_s, zone=zone)
         return state.duty.submit(call, now)
 
     def release(
--- a/src/dotterelstand/settings_rules.py
+++ b/src/dotterelstand/settings_rules.py
@@ -241,7 +241,7 @@
     "selection": {
         "answer_grace_ms": Between(0.1, 1000),
         "grant_life_s": Between(0.1, 600),
-        "lookahead": Between(0, 16),
+        "lookahead_per_slot": Between(0, 16),
         "max_calls": Between(1, 1_000_000),
         "crossing_round_trip_ms": Between(0, 10_000),
         "crossing_price_ms_per_kib": Between(0, 1000),
