Name ports that cannot be opened, and test the demo's verdict

Cause: running the quickstart by hand showed events 101 and 110 documented but never logged, absl's warning before the first log line, a traceback for a port in use, and a list printed as Python data in `budgets`.

Ruled out: removing event 101, because a readiness line is what an operator looks for after a start.

Change: the events are logged; OSErrors at the start end with code 14 and the address; test_demo.py checks the demo's verdict for each kind of fault and drains a daemon over TCP with the tool; test_docs.py checks that every log event is used (three of parts on their way are listed) and that the files shown in README and quickstart pass `dotterelstand check`.

--- a/src/dotterelstand/cli/state.py
+++ b/src/dotterelstand/cli/state.py
@@ -20,11 +20,26 @@
         if not isinstance(page, dict):
             continue
         for part, values in page.items():
-            for key, value in values.items() if isinstance(values, dict) else [("value", values)]:
+            for key, value in _flatten(values):
                 rows.append({"reported_by": host, "part": part, "key": key, "value": value})
     return rows
 
 
+def _flatten(values: object) -> list[tuple[str, object]]:
+    """Keys and values of a part; the items of a list are named by their first value."""
+    if not isinstance(values, dict):
+        return [("value", values)]
+    pairs: list[tuple[str, object]] = []
+    for key, value in values.items():
+        if isinstance(value, list):
+            for item in value:
+                (_, label), *rest = item.items()
+                pairs += [(f"{key} {label}: {name}", number) for name, number in rest]
+        else:
+            pairs.append((key, value))
+    return pairs
+
+
 def sum_counters(answers: HostAnswers) -> list[Row]:
     """One row per counter, summed over the hosts."""
     totals: dict[str, int] = {}
--- a/src/dotterelstand/connection/network.py
+++ b/src/dotterelstand/connection/network.py
@@ -58,4 +58,8 @@
 
     async def listen(self, address: str, port: int) -> TcpListener:
         """Open a TCP listener; port 0 takes a free one; raises `OSError`."""
-        return TcpListener(await trio.open_tcp_listeners(port, host=address))
+        try:
+            return TcpListener(await trio.open_tcp_listeners(port, host=address))
+        except OSError as error:
+            # The system's message does not say which of the ports is meant.
+            raise OSError(error.errno, f"{address}:{port}: {error.strerror}") from error
--- a/src/dotterelstand/exits.py
+++ b/src/dotterelstand/exits.py
@@ -20,6 +20,7 @@
     NOT_FOUND = 11
     INVARIANT_BROKEN = 12
     FILE_UNREADABLE = 13
+    PORT_UNAVAILABLE = 14
 
 
 class ToolError:
--- a/src/dotterelstand/process/daemon.py
+++ b/src/dotterelstand/process/daemon.py
@@ -161,5 +161,7 @@
             self.metrics.flush()
 
     def _apply(self, document: Document) -> None:
+        if self._front.document is None:
+            log(Event.DAEMON_READY, number=document.number)
         self._front.document = document
         self.broker.apply(document)
--- a/src/dotterelstand/process/main.py
+++ b/src/dotterelstand/process/main.py
@@ -7,10 +7,11 @@
 
 import fire
 import trio
-from absl import logging
+from absl import flags, logging
 from returns.pipeline import is_successful
 
 from dotterelstand.connection.network import TcpNetwork
+from dotterelstand.events import Event, log
 from dotterelstand.exits import ExitCode
 from dotterelstand.process.daemon import Daemon
 from dotterelstand.settings import Settings, load_settings
@@ -18,14 +19,30 @@
 
 def run_daemon(settings: str) -> None:
     """Run one entry daemon with a TOML settings file."""
+    # absl warns about each line that is logged before its own flags are parsed.
+    flags.FLAGS(sys.argv[:1])
+    logging.set_verbosity(logging.INFO)
+    logging.use_absl_handler()
     result = load_settings(Path(settings))
     if not is_successful(result):
         for error in result.failure():
             print(error, file=sys.stderr)
+        log(Event.SETTINGS_INVALID, errors=len(result.failure()))
         sys.exit(ExitCode.SETTINGS_INVALID)
-    logging.set_verbosity(logging.INFO)
-    logging.use_absl_handler()
-    trio.run(_serve, result.unwrap())
+    try:
+        trio.run(_serve, result.unwrap())
+    except* OSError as group:
+        for leaf in leaf_errors(group):
+            print(f"dotterelstandd: {leaf}", file=sys.stderr)
+        sys.exit(ExitCode.PORT_UNAVAILABLE)
+
+
+def leaf_errors(group: BaseExceptionGroup) -> list[BaseException]:
+    """Errors within nested groups, in order."""
+    errors: list[BaseException] = []
+    for error in group.exceptions:
+        errors.extend(leaf_errors(error) if isinstance(error, BaseExceptionGroup) else [error])
+    return errors
 
 
 async def _serve(settings: Settings) -> None:
--- /dev/null
+++ b/tests/test_demo.py
@@ -0,0 +1,95 @@
+"""The demo's verdict sees what must not happen, and a real daemon can be drained with the tool."""
+
+import random
+import threading
+from pathlib import Path
+
+import pytest
+import trio
+from support_operation import TOKEN, run_command
+
+from dotterelstand.connection.network import TcpNetwork
+from dotterelstand.exits import ExitCode
+from dotterelstand.process.daemon import Daemon
+from dotterelstand.process.main import run_daemon
+from dotterelstand.settings import load_settings
+from dotterelstand.standin.demoreport import find_faults, measure_rows
+
+GOOD = {"violations": {}, "series": [{"answered": 5}]}
+BUDGETS = {"hosts": {"a": {"measure": {"links": [
+    {"link": "all", "peak_bytes_per_s": 700, "budget_bytes_per_s": 1000},
+    {"link": "to tema", "peak_bytes_per_s": 10, "budget_bytes_per_s": 100},
+]}}}}  # fmt: skip
+
+
+@pytest.mark.parametrize(
+    ("report", "peak", "line", "fault"),
+    [
+        (GOOD, 10, "E200 request_ended", None),
+        ({**GOOD, "violations": {"double_run": 1}}, 10, "", "double_run: 1"),
+        ({**GOOD, "series": [{"answered": 0}]}, 10, "", "no request was answered"),
+        (GOOD, 101, "", "measuring budget exceeded"),
+        (GOOD, 10, "x] E190 invariant_broken {}", "broken invariant"),
+    ],
+)
+def test_faults_are_found(
+    report: dict, peak: int, line: str, fault: str | None, tmp_path: Path
+) -> None:
+    """Guards against a demo that reports success while a promise is broken."""
+    log = tmp_path / "entry-1.log"
+    log.write_text(line + "\n")
+    BUDGETS["hosts"]["a"]["measure"]["links"][1]["peak_bytes_per_s"] = peak
+    faults = find_faults(report, measure_rows(BUDGETS), [log])
+    assert len(faults) == (fault is not None)
+    assert fault is None or fault in faults[0]
+
+
+def test_tool_drains_a_daemon(capsys: pytest.CaptureFixture[str], tmp_path: Path) -> None:
+    """Guards against a drain that does not end the daemon, or a host that looks ready meanwhile."""
+    path = tmp_path / "entry.toml"
+    ports = "\n".join(f"[{section}]\nport = 0" for section in ("listen", "peers"))
+    path.write_text(f'{ports}\n[control]\nport = 0\ntokens = ["{TOKEN}"]\n')
+    started = threading.Event()
+    daemons: list[Daemon] = []
+
+    async def main() -> None:
+        settings = load_settings(path).unwrap()
+        daemons.append(Daemon(settings, TcpNetwork(), random.Random(1)))
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(daemons[0].run)
+            while not daemons[0].control_port:  # noqa: ASYNC110
+                await trio.sleep(0.01)
+            started.set()
+
+    thread = threading.Thread(target=trio.run, args=(main,))
+    thread.start()
+    started.wait()
+    host = f"127.0.0.1:{daemons[0].control_port}"
+    options = ["--settings", str(path), "--hosts", host]
+    code, out, err = run_command(capsys, "status", *options)
+    assert code == 0, err
+    assert "entry-1" in out
+    assert run_command(capsys, "ownership", *options)[0] == 0
+    code, out, err = run_command(capsys, "drain", host, *options)
+    assert code == 0, err
+    assert "stopped" in out
+    thread.join()
+
+
+@pytest.mark.parametrize(
+    ("text", "code", "words"),
+    [
+        ("[listen]\nport = 70000\n", ExitCode.SETTINGS_INVALID, "listen.port"),
+        ('[listen]\naddress = "192.0.2.1"\n', ExitCode.PORT_UNAVAILABLE, "192.0.2.1"),
+    ],
+)
+def test_daemon_that_cannot_start_says_why(
+    capsys: pytest.CaptureFixture[str], tmp_path: Path, text: str, code: int, words: str
+) -> None:
+    """Guards against a traceback in place of a message and an exit code."""
+    path = tmp_path / "entry.toml"
+    path.write_text(text)
+    with pytest.raises(SystemExit) as end:
+        run_daemon(str(path))
+    assert end.value.code == code
+    assert words in capsys.readouterr().err
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -6,7 +6,9 @@
 from pathlib import Path
 
 import pytest
+from returns.pipeline import is_successful
 
+from dotterelstand.cli.check import check_path
 from dotterelstand.codes import Result
 from dotterelstand.events import Event
 from dotterelstand.exits import ExitCode
@@ -30,6 +32,8 @@
     PartitionFigures,
     SlotCounters,
 )
+# Events whose parts are on their way; a name is removed when its part has landed.
+PENDING_EVENTS = {"CERTIFICATES_INVALID", "CERTIFICATES_RELOADED", "JOURNAL_FULL"}
 ROOT = Path(__file__).parent.parent
 SOURCES = sorted((ROOT / "src").rglob("*.py"))
 COUNTER_NAME = re.compile(r"[a-z_]+(\.([a-z_]+|<>))+")
@@ -115,6 +119,16 @@
         assert used <= described, f"{path.name}:{call.lineno}: {name}: {used - described}"
 
 
+def test_every_log_event_is_used() -> None:
+    """Guards against a documented event that an operator waits for in vain."""
+    used = set()
+    for path in SOURCES:
+        if path.name != "events.py":
+            used.update(re.findall(r"\bEvent\.([A-Z_]+)", path.read_text(encoding="utf-8")))
+    assert used <= set(Event.__members__)
+    assert set(Event.__members__) - used <= PENDING_EVENTS
+
+
 def test_exit_codes_are_described() -> None:
     """Guards against an exit code that a script cannot interpret."""
     rows = _rows("exit-codes.md")
@@ -167,6 +181,17 @@
         assert rows[f"{section}.{key}"][1:3] == [shown, rule.allowed], f"{section}.{key}"
 
 
+@pytest.mark.parametrize("page", ["README.md", "docs/quickstart.md"])
+def test_shown_files_are_valid(page: str, tmp_path: Path) -> None:
+    """Guards against a first document or settings file that a new user cannot use."""
+    blocks = (ROOT / page).read_text(encoding="utf-8").split("```toml\n")[1:]
+    assert blocks
+    for number, block in enumerate(blocks):
+        path = tmp_path / f"file-{number}.toml"
+        path.write_text(block.split("```")[0])
+        assert is_successful(check_path(path)), path.read_text()
+
+
 @pytest.mark.parametrize("page", PAGES, ids=lambda page: page.name)
 def test_links_lead_somewhere(page: Path) -> None:
     """Guards against a reader who follows a link to a page that is gone."""
--- a/tests/test_tool.py
+++ b/tests/test_tool.py
@@ -20,7 +20,8 @@
         metrics.record_latency("quote", "interactive", tenant, 0.002)
     registry.provide("status", lambda: {"host": "entry-1", "ready": True, "document": 7})
     registry.provide("counters", lambda: {"requests.result.1000": 2})
-    registry.provide("budgets.store", lambda: {"breaker": "closed"})
+    links = [{"link": "all", "peak_bytes_per_s": 77}]
+    registry.provide("budgets.store", lambda: {"breaker": "closed", "links": links})
     registry.provide("histograms", lambda: _histograms(metrics))
 
     async def lift(arguments: dict[str, object]) -> Result[object, str]:
@@ -45,7 +46,11 @@
     [
         (["status"], ExitCode.OK, ["entry-1", "yes", "7"]),
         (["counters"], ExitCode.OK, ["requests.result.1000", "4"]),
-        (["budgets"], ExitCode.OK, ["store", "breaker", "closed"]),
+        (
+            ["budgets"],
+            ExitCode.OK,
+            ["store", "breaker", "closed", "links all: peak_bytes_per_s  77"],
+        ),
         (["histogram"], ExitCode.OK, ["quote", "interactive", "all", "4", "2.01"]),
         (["histogram", "--by_tenant"], ExitCode.OK, ["quote", "a", "b", "2"]),
         (["quarantine", "lift", "12e4"], ExitCode.OK, ["12e4"]),
