Let the load tool survive entry hosts that stop

Cause: a run with an entry host stopped by SIGTERM and another by SIGKILL ended the load tool with LocalProtocolError: the reader saw the end of an idle connection before the sender used it.

Ruled out: only catching the error, because a closed idle connection is known before anything is sent and must not make a request unknown.

Change: idle connections that can be read are dropped before use, heads are encoded before the reader starts, and a request for which no connection could be opened counts as unsent, not as unknown.

Measured: the two new tests for closed idle connections fail without the change.

--- a/src/dotterelstand/standin/loadclient.py
+++ b/src/dotterelstand/standin/loadclient.py
@@ -35,6 +35,9 @@
 NO_ANSWER = LoadAnswer(0, 0, "unknown", 0.0, b"")
 
 
+UNSENT = LoadAnswer(0, 0, "unsent", 0.0, b"")
+
+
 class LoadRequest:
     """Head of a request and the size of its body in bytes."""
 
@@ -76,7 +79,7 @@
         self._idle.clear()
 
     async def send(self, request: LoadRequest) -> LoadAnswer:
-        """Answer of one request, or `NO_ANSWER`.
+        """Answer of one request, `NO_ANSWER`, or `UNSENT` if no connection could be opened.
 
         A used connection that the host closed before any answer byte is replaced once: RFC 9112
         section 9.3.1 lets a client do so for idempotent methods only.
@@ -89,13 +92,14 @@
         return answer
 
     async def _attempt(self, request: LoadRequest) -> LoadAnswer:
-        if self._idle:
-            stream, connection = self._idle.pop()
+        kept_open = self._take_idle()
+        if kept_open is not None:
+            stream, connection = kept_open
         else:
             try:
                 stream = await self._network.connect(self._address, self._port)
             except OSError:
-                return NO_ANSWER
+                return UNSENT
             connection = h11.Connection(h11.CLIENT)
         kept = False
         try:
@@ -106,6 +110,16 @@
             if not kept:
                 close_now(stream)
 
+    def _take_idle(self) -> tuple[trio.abc.Stream, h11.Connection] | None:
+        while self._idle:
+            stream, connection = self._idle.pop()
+            # An idle connection that can be read was closed by the host.
+            if isinstance(stream, trio.SocketStream) and stream.socket.is_readable():
+                close_now(stream)
+                continue
+            return stream, connection
+        return None
+
     def _keep(self, stream: trio.abc.Stream, connection: h11.Connection) -> bool:
         done = connection.our_state is h11.DONE and connection.their_state is h11.DONE
         if not done or len(self._idle) >= self._max_idle:
@@ -119,21 +133,21 @@
     stream: trio.abc.Stream, connection: h11.Connection, request: LoadRequest, max_bytes: int
 ) -> LoadAnswer:
     answer = NO_ANSWER
+    length = ("content-length", str(request.body_bytes))
+    fields = [("host", "entry"), length, *request.headers]
+    head = connection.send(h11.Request(method=request.method, target=request.path, headers=fields))
     async with trio.open_nursery() as nursery:
         # The answer is read while the body is sent, since a refusal may come before its end.
-        nursery.start_soon(_send, stream, connection, request)
+        nursery.start_soon(_send, stream, connection, head or b"", request.body_bytes)
         with suppress(*CONNECTION_ERRORS):
             answer = await _receive(stream, connection, max_bytes)
         nursery.cancel_scope.cancel()
     return answer
 
 
-async def _send(stream: trio.abc.Stream, connection: h11.Connection, request: LoadRequest) -> None:
-    length = ("content-length", str(request.body_bytes))
-    fields = [("host", "entry"), length, *request.headers]
-    head = h11.Request(method=request.method, target=request.path, headers=fields)
-    data = connection.send(head) or b""
-    left = request.body_bytes
+async def _send(
+    stream: trio.abc.Stream, connection: h11.Connection, data: bytes, left: int
+) -> None:
     # The host may stop reading while its answer is still on the way.
     with suppress(*CONNECTION_ERRORS):
         while left > 0:
--- a/src/dotterelstand/standin/loadreport.py
+++ b/src/dotterelstand/standin/loadreport.py
@@ -56,14 +56,15 @@
         series.requests += 1
         series.repeats += len(answers) - 1
         runs = [answer.run for answer in answers]
+        safe = all(run in ("not-run", "unsent") for run in runs)
         if runs[-1] == "ran":
             series.answered += 1
             series.latency_us.record_value(min(MAX_LATENCY_US, max(1, int(seconds * 1e6))))
-        elif all(run == "not-run" for run in runs):
+        elif safe:
             series.refused += 1
         else:
             series.unknown += 1
-        self._ended[request.identity] = (request, all(run == "not-run" for run in runs))
+        self._ended[request.identity] = (request, safe)
 
     def check_runs(self, runs: dict[str, int]) -> None:
         """Compare with the targets' records: how often each identity ran."""
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -30,7 +30,7 @@
         self.runs: list[str] = []
         self.keys: list[str] = []
 
-    async def handle(self, request: HttpRequest) -> HttpAnswer:
+    async def handle(self, request: HttpRequest) -> HttpAnswer | None:
         """Answer one request."""
         if request.path == "/_runs":
             return HttpAnswer(200, json.dumps([{"path": run} for run in self.runs]).encode())
@@ -135,6 +135,62 @@
     assert set(entries[0].keys) <= set(entries[1].keys)
 
 
+def test_closed_idle_connections_do_not_end_the_run() -> None:
+    """Guards against a crash of the load tool when an entry host stops and closes connections."""
+
+    class Closing(Entry):
+        answered = 0
+
+        async def handle(self, request: HttpRequest) -> HttpAnswer | None:
+            self.answered += 1
+            # Every other request finds its connection closed.
+            closes = self.answered % 2 == 0 and request.path != "/_runs"
+            return None if closes else await super().handle(request)
+
+    report = _load(LOOKUP, [Closing(0.001, ran)], rate=20, seconds=2)
+    assert report.series["lookup", "fast"].requests > 20
+    report = _load(ORDER, [Closing(0.001, ran), Entry(0.001, ran)], rate=20, seconds=2)
+    assert report.series["orders", "fast"].repeats > 0
+
+
+def test_host_that_is_gone_ran_nothing() -> None:
+    """Guards against requests that count as unknown although they were never sent."""
+
+    async def main() -> LoadReport:
+        network = FakeNetwork(lambda source, destination: 0.001)
+        run = LoadRun(network.at("10.0.0.9"), [("10.0.0.1", 80)], LoadLimits(100, 2, 10.0))
+        return await run.run(LoadPlan([RequestKind(ORDER)], 10, 1, 1, 7))
+
+    series = run_virtual(main, seed=7).series["orders", "fast"]
+    assert series.refused == series.requests > 5
+    assert series.runs == {"unsent": 3 * series.requests}
+
+
+def test_host_that_closes_idle_connections_loses_no_lookup() -> None:
+    """Guards against a connection that the host closed after an answer and that is used again."""
+
+    async def main() -> LoadReport:
+        network = FakeNetwork(lambda source, destination: 0.001)
+        entry = Entry(0.001, ran)
+        listener = await network.at("10.0.0.1").listen("10.0.0.1", 80)
+
+        async def serve(stream: trio.abc.Stream) -> None:
+            # The idle time of the host is shorter than the time between two requests.
+            with trio.move_on_after(0.01):
+                await serve_http(stream, entry.handle)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(listener.serve, serve, nursery)
+            await trio.testing.wait_all_tasks_blocked()
+            run = LoadRun(network.at("10.0.0.9"), [("10.0.0.1", 80)], LoadLimits(100, 2, 10.0))
+            report = await run.run(LoadPlan([RequestKind(LOOKUP)], 10, 5, 1, 7))
+            nursery.cancel_scope.cancel()
+        return report
+
+    series = run_virtual(main, seed=7).series["lookup", "fast"]
+    assert series.answered == series.requests > 30
+
+
 @pytest.mark.parametrize("name", ["asante-boakye", "styrkeloft"])
 def test_example_mixes_are_complete(name: str) -> None:
     """Guards against an example mix that the load tool refuses."""
