Run an example deployment while its parts fail

Cause: the operators' guide claimed behaviour under failures that no run of whole processes showed.

Ruled out: faults inside demo.sh, because its figures are read as those of a healthy system.

Change: tools/deployment.sh holds what demo.sh and faults.sh share; faults.sh replaces one entry host, kills another, lets the store hang for 4 s, kills targets and lets targets hang. make faults runs it.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 SEED ?= 1
 HOURS ?= 0.1
 
-.PHONY: help install demo test format lint bench soak
+.PHONY: help install demo faults test format lint bench soak
 
 help:  ## List the commands.
 	@grep -E '^[a-z]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*##/\t/'
@@ -21,6 +21,9 @@
 demo: $(STAMP)  ## Run both example deployments and print what was measured.
 	tools/demo.sh
 
+faults: $(STAMP)  ## Run an example deployment while its parts fail.
+	tools/faults.sh
+
 test: $(STAMP)  ## Check format, lint and types, then run the tests.
 	$(BIN)/black --check --quiet src tests
 	$(BIN)/ruff check --quiet src tests
--- a/src/dotterelstand/standin/loadclient.py
+++ b/src/dotterelstand/standin/loadclient.py
@@ -88,7 +88,9 @@
         answer = await self._attempt(request)
         if answer is NO_ANSWER and reused and request.method in ("GET", "HEAD"):
             self.close()
-            return await self._attempt(request)
+            again = await self._attempt(request)
+            # The first attempt was sent, whatever became of the second.
+            return answer if again is UNSENT else again
         return answer
 
     async def _attempt(self, request: LoadRequest) -> LoadAnswer:
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -166,6 +166,38 @@
     assert series.runs == {"unsent": 3 * series.requests}
 
 
+def test_second_attempt_that_is_not_sent_does_not_hide_the_first() -> None:
+    """Guards against a lookup that ran on a host that then stopped, reported as never sent."""
+
+    async def main() -> LoadReport:
+        network = FakeNetwork(lambda source, destination: 0.001)
+        entry = Entry(0.001, ran)
+        host = network.at("10.0.0.1")
+        listener = await host.listen("10.0.0.1", 80)
+
+        async def handle(request: HttpRequest) -> HttpAnswer | None:
+            answer = await entry.handle(request)
+            if len(entry.runs) > 5:
+                network.crash("10.0.0.1")
+            return answer
+
+        async def serve(stream: trio.abc.Stream) -> None:
+            await serve_http(stream, handle)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(listener.serve, serve, nursery)
+            await trio.testing.wait_all_tasks_blocked()
+            run = LoadRun(network.at("10.0.0.9"), [("10.0.0.1", 80)], LoadLimits(100, 2, 10.0))
+            report = await run.run(LoadPlan([RequestKind(LOOKUP)], 10, 5, 1, 7))
+            nursery.cancel_scope.cancel()
+        report.check_runs(dict.fromkeys([path.split("id=")[1] for path in entry.runs], 1))
+        return report
+
+    report = run_virtual(main, seed=7)
+    assert report.violations == {}
+    assert report.series["lookup", "fast"].unknown == 1
+
+
 def test_host_that_closes_idle_connections_loses_no_lookup() -> None:
     """Guards against a connection that the host closed after an answer and that is used again."""
 
