Read histograms without holding up requests

Cause: encoding 512 series of 1,000 values each takes 20 ms, in which no request is served; the bound on added latency is 1.6 ms. The parse functions of fire showed up in the help as a group FIRE_METADATA, and help went to standard error.

Ruled out: fewer series, because one call would still take longer than the bound; encoding in a thread, because the histograms change meanwhile.

Change: slow providers of the control port are asynchronous and give way between series. The tool quotes arguments that fire would read as numbers, and numbers are checked with a message. Help goes to standard output.

--- a/src/dotterelstand/cli/groups.py
+++ b/src/dotterelstand/cli/groups.py
@@ -6,12 +6,11 @@
 from typing import TypeVar
 
 import trio
-from fire.decorators import SetParseFn
 from returns.pipeline import is_successful
 from returns.result import Result
 
 from dotterelstand.cli.context import Context, hidden_tokens, read_hosts, show
-from dotterelstand.cli.output import Row, fail, print_json, print_table
+from dotterelstand.cli.output import Row, fail, print_json, print_table, to_version
 from dotterelstand.cli.sections import EditedFile, Sections, edited_text, read_edited
 from dotterelstand.cli.state import list_rows
 from dotterelstand.exits import ExitCode, ToolError
@@ -25,7 +24,6 @@
     def __init__(self, context: Context) -> None:
         self._context = context
 
-    @SetParseFn(str, "name")
     def show(self, name: str = "", version: int | None = None) -> None:
         """Show the list of sections in force, or the text of one section.
 
@@ -34,10 +32,11 @@
             version: an earlier version of the document
         """
         sections = self._sections()
+        number = None if version is None else to_version("version", version)
         if name:
-            print(_unwrap(trio.run(sections.body, name, version)), end="")
+            print(_unwrap(trio.run(sections.body, name, number)), end="")
             return
-        manifest = _unwrap(trio.run(sections.manifest, version))
+        manifest = _unwrap(trio.run(sections.manifest, number))
         rows: list[Row] = [
             {"section": name, "changed_in": entry.number, "owner": entry.owner,
              "author": entry.author, "time": entry.time, "digest": entry.digest}
@@ -49,7 +48,6 @@
             print(f"version {manifest.number}")
             print_table(rows, "no section was accepted yet")
 
-    @SetParseFn(str, "name", "file")
     def edit(self, name: str, file: str) -> None:
         """Write a section to a file for editing; its first line records what was edited.
 
@@ -68,7 +66,6 @@
             fail([ToolError(ExitCode.FILE_UNREADABLE, f"{file}: {error}")])
         print(f"{file}: section {name} of version {manifest.number}")
 
-    @SetParseFn(str, "name", "file")
     def propose(self, name: str, file: str) -> None:
         """Check the whole document with a changed section and show the difference.
 
@@ -82,7 +79,6 @@
         difference = _unwrap(trio.run(self._sections().propose, name, edited))
         print(difference or f"section {name} would not change")
 
-    @SetParseFn(str, "name", "file")
     def accept(self, name: str, file: str) -> None:
         """Accept a changed section; it is in force everywhere within seconds.
 
@@ -92,7 +88,6 @@
         """
         self._submit(name, _unwrap(read_edited(Path(file))))
 
-    @SetParseFn(str, "name")
     def remove(self, name: str) -> None:
         """Remove a section from the document.
 
@@ -101,7 +96,6 @@
         """
         self._submit(name, None)
 
-    @SetParseFn(str, "name")
     def history(self, name: str = "", limit: int = 20) -> None:
         """Show which versions changed a section, newest first.
 
@@ -109,10 +103,9 @@
             name: section; without it the changes of all sections are shown
             limit: versions to look back, at most 100
         """
-        rows = _unwrap(trio.run(self._sections().history, name, int(limit)))
+        rows = _unwrap(trio.run(self._sections().history, name, to_version("limit", limit)))
         show(self._context, rows, rows)
 
-    @SetParseFn(str, "name")
     def diff(self, old: int, new: int | None = None, name: str = "") -> None:
         """Show what changed between two versions.
 
@@ -121,7 +114,9 @@
             new: later version; without it the version in force
             name: only this section
         """
-        difference = _unwrap(trio.run(self._sections().diff, name, int(old), new))
+        later = None if new is None else to_version("new", new)
+        earlier = to_version("old", old)
+        difference = _unwrap(trio.run(self._sections().diff, name, earlier, later))
         print(difference or "no difference")
 
     def _sections(self) -> Sections:
@@ -146,8 +141,6 @@
         """Show the quarantined request fingerprints of each entry host."""
         read_hosts(self._context, "quarantine", list_rows)
 
-    # fire would read a fingerprint such as 12e4 as a number.
-    @SetParseFn(str, "fingerprint")
     def lift(self, fingerprint: str) -> None:
         """Let requests with this fingerprint run again.
 
--- a/src/dotterelstand/cli/main.py
+++ b/src/dotterelstand/cli/main.py
@@ -1,5 +1,6 @@
 """Command-line tool `dotterelstand`: thin commands over the library."""
 
+import contextlib
 import os
 import sys
 from pathlib import Path
@@ -7,7 +8,7 @@
 
 import fire
 import trio
-from fire.decorators import SetParseFn
+from fire.parser import DefaultParseValue
 from returns.pipeline import is_successful
 
 from dotterelstand.cli.check import check_path
@@ -16,7 +17,7 @@
 from dotterelstand.cli.drain import drain_host
 from dotterelstand.cli.groups import QuarantineCommands, SectionCommands, SettingsCommands
 from dotterelstand.cli.histogram import histogram_rows, merge_pages, plot_histograms
-from dotterelstand.cli.output import fail
+from dotterelstand.cli.output import fail, to_number
 from dotterelstand.cli.state import group_rows, list_rows, sum_counters
 from dotterelstand.exits import ExitCode, ToolError
 
@@ -40,7 +41,6 @@
         self.quarantine = QuarantineCommands(self._context)
         self.settings = SettingsCommands(self._context)
 
-    @SetParseFn(str, "path")
     def check(self, path: str) -> None:
         """Check a settings file, a section file or a directory of section files.
 
@@ -76,7 +76,6 @@
         """Show all counters, summed over the hosts."""
         read_hosts(self._context, "counters", sum_counters)
 
-    @SetParseFn(str, "service", "plot")
     def histogram(self, service: str = "", by_tenant: bool = False, plot: str = "") -> None:
         """Show latencies merged over the hosts, and plot them.
 
@@ -100,7 +99,6 @@
         answers.values = {"merged": rows}
         finish(self._context, answers, rows)
 
-    @SetParseFn(str, "host")
     def drain(self, host: str, wait: float = 60.0) -> None:
         """Stop one entry host gracefully: it finishes its requests and exits.
 
@@ -112,18 +110,33 @@
         if not is_successful(parsed):
             fail([parsed.failure()])
         client = self._context.client()
-        result = trio.run(drain_host, client, parsed.unwrap()[0], float(wait))
+        wait_s = to_number("wait", wait)
+        result = trio.run(drain_host, client, parsed.unwrap()[0], wait_s)
         if not is_successful(result):
             fail([result.failure()])
         show(self._context, result.unwrap(), [{"host": host, "drain": result.unwrap()}])
 
 
+def _as_text(argument: str) -> str:
+    """Argument in a form that fire reads as text, since 12e4 may be a fingerprint."""
+    flag, equals, value = (
+        argument.partition("=") if argument.startswith("--") else ("", "", argument)
+    )
+    if (flag and not equals) or isinstance(DefaultParseValue(value), str | bool):
+        return argument
+    return f"{flag}{equals}{value!r}"
+
+
 def run_tool(command: list[str]) -> None:
     """Run one command line; raises `SystemExit` with an exit code."""
     # fire shows only the options of a class but the commands of an object.
     help_wanted = command in ([], ["--help"], ["-h"], ["help"])
     component: Any = Tool() if help_wanted else Tool
-    fire.Fire(component, command=["--help"] if help_wanted else command, name="dotterelstand")
+    arguments = ["--help"] if help_wanted else [_as_text(item) for item in command]
+    # fire prints help as if it were an error, which would be lost in a pipe to a pager.
+    shows_help = any(item in ("--help", "-h") for item in arguments)
+    with contextlib.redirect_stderr(sys.stdout if shows_help else sys.stderr):
+        fire.Fire(component, command=arguments, name="dotterelstand")
 
 
 def main() -> None:
--- a/src/dotterelstand/cli/output.py
+++ b/src/dotterelstand/cli/output.py
@@ -40,6 +40,21 @@
     sys.exit(errors[0].exit_code if errors else ExitCode.INTERNAL)
 
 
+def to_number(name: str, value: object) -> float:
+    """Number that was given for an option; ends the program if it is none."""
+    try:
+        return float(str(value))
+    except ValueError:
+        fail([ToolError(ExitCode.USAGE, f"{name}: found {value!r}; a number")])
+
+
+def to_version(name: str, value: object) -> int:
+    """Version number or count that was given; ends the program if it is none."""
+    if not str(value).isdigit():
+        fail([ToolError(ExitCode.USAGE, f"{name}: found {value!r}; a whole number")])
+    return int(str(value))
+
+
 def _cell(value: object) -> str:
     if value is None:
         return "-"
--- a/src/dotterelstand/process/control.py
+++ b/src/dotterelstand/process/control.py
@@ -6,6 +6,8 @@
   value is made of dict, list, str, int, float, bool and None; the function must not wait.
 - A name with a dot belongs to a group: `budgets.store` and `budgets.measure` are answered together
   under `GET /v1/budgets` as `{"store": ..., "measure": ...}`.
+- `registry.provide_slowly("histograms", function)` is for pages that take long to make: the
+  function is asynchronous and gives way to other tasks in between.
 - `registry.check("document", function)`: the host is ready while every `function()` is True.
 - `registry.act("quarantine/lift", function)`: `POST /v1/quarantine/lift` calls
   `await function(arguments)` with the JSON object of the body; a `Failure` holds the reason.
@@ -35,6 +37,7 @@
 PROVIDER_FAILED = 4205
 
 Provider = Callable[[], object]
+SlowProvider = Callable[[], Awaitable[object]]
 Arguments = dict[str, object]
 Action = Callable[[Arguments], Awaitable[Result[object, str]]]
 
@@ -42,18 +45,24 @@
 class ControlRegistry:
     """Providers, readiness checks and actions, by name."""
 
-    __slots__ = ("_actions", "_checks", "_providers")
+    __slots__ = ("_actions", "_checks", "_providers", "_slow_providers")
 
     def __init__(self) -> None:
         self._providers: dict[str, Provider] = {}
+        self._slow_providers: dict[str, SlowProvider] = {}
         self._checks: dict[str, Callable[[], bool]] = {}
         self._actions: dict[str, Action] = {}
 
     def provide(self, name: str, provider: Provider) -> None:
         """Answer `GET /v1/<name>` with what the provider returns."""
-        assert name not in self._providers, name
+        assert name not in self._providers and name not in self._slow_providers, name
         self._providers[name] = provider
 
+    def provide_slowly(self, name: str, provider: SlowProvider) -> None:
+        """Answer `GET /v1/<name>` with what an asynchronous provider returns."""
+        assert name not in self._providers and name not in self._slow_providers, name
+        self._slow_providers[name] = provider
+
     def check(self, name: str, check: Callable[[], bool]) -> None:
         """Make readiness depend on a check."""
         assert name not in self._checks, name
@@ -70,10 +79,13 @@
 
     def names(self) -> list[str]:
         """Names under which something is provided, groups once."""
-        return sorted({name.partition(".")[0] for name in self._providers})
+        names = {name.partition(".")[0] for name in self._providers}
+        return sorted(names | self._slow_providers.keys())
 
-    def read(self, name: str) -> object:
+    async def read(self, name: str) -> object:
         """Value of a provider or of all parts of a group; raises `KeyError` if there is none."""
+        if name in self._slow_providers:
+            return await self._slow_providers[name]()
         if name in self._providers:
             return self._providers[name]()
         parts = {
@@ -132,7 +144,7 @@
         try:
             if request.method == "POST":
                 return await self._run(name, request.body)
-            return self._read(name)
+            return await self._read(name)
         except Exception as error:
             # A fault in one page must not stop the daemon; the log line reports it.
             log(Event.CONTROL_FAILED, name=name, error=repr(error))
@@ -156,11 +168,11 @@
         given = token.encode("latin-1", "replace")
         return sum(hmac.compare_digest(known, given) for known in self._tokens) > 0
 
-    def _read(self, name: str) -> ControlAnswer:
+    async def _read(self, name: str) -> ControlAnswer:
         if name not in self._registry.names():
             known = ", ".join(self._registry.names())
             return _error(404, UNKNOWN_NAME, f"found {name!r}; one of {known}")
-        return ControlAnswer(200, self._registry.read(name))
+        return ControlAnswer(200, await self._registry.read(name))
 
     async def _run(self, name: str, body: bytes) -> ControlAnswer:
         action = self._registry.action(name)
--- a/src/dotterelstand/process/metrics.py
+++ b/src/dotterelstand/process/metrics.py
@@ -1,6 +1,6 @@
 """Counters and latency histograms of one process, in bounded memory, with statsd output."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from types import TracebackType
 
 import statsd
@@ -126,11 +126,12 @@
 
     def snapshot(self) -> MetricsSnapshot:
         """Copy of all counters and series; snapshots of several hosts can be merged."""
-        series = [
-            Series(*key, histogram.encode().decode("ascii"))
-            for key, histogram in self._series.items()
-        ]
-        return MetricsSnapshot(self.counters(), series)
+        return MetricsSnapshot(self.counters(), list(self.series()))
+
+    def series(self) -> Iterator[Series]:
+        """Each latency series in turn, encoded when it is asked for."""
+        for key, histogram in list(self._series.items()):
+            yield Series(*key, histogram.encode().decode("ascii"))
 
     def counters(self) -> dict[str, int]:
         """Copy of all counters, with those of the sources."""
--- a/src/dotterelstand/process/pages.py
+++ b/src/dotterelstand/process/pages.py
@@ -44,7 +44,7 @@
     registry.provide("document", lambda: _document(state.document()))
     registry.provide("targets", lambda: _targets(state.document(), target_states))
     registry.provide("counters", metrics.counters)
-    registry.provide("histograms", lambda: _histograms(metrics))
+    registry.provide_slowly("histograms", lambda: _histograms(metrics))
     registry.provide("settings", lambda: _settings(settings))
 
     async def drain(arguments: Arguments) -> Result[object, str]:
@@ -95,16 +95,20 @@
     ]
 
 
-def _histograms(metrics: Metrics) -> object:
-    return [
-        {
-            "service": series.service,
-            "class": series.klass,
-            "tenant": series.tenant,
-            "encoded": series.encoded,
-        }
-        for series in metrics.snapshot().series
-    ]
+async def _histograms(metrics: Metrics) -> object:
+    page = []
+    for series in metrics.series():
+        page.append(
+            {
+                "service": series.service,
+                "class": series.klass,
+                "tenant": series.tenant,
+                "encoded": series.encoded,
+            }
+        )
+        # Requests are served between two series, since all of them take 20 ms to encode.
+        await trio.lowlevel.checkpoint()
+    return page
 
 
 def _settings(settings: Settings) -> object:
--- a/tests/test_figures.py
+++ b/tests/test_figures.py
@@ -62,7 +62,7 @@
             nursery.start_soon(daemon.run)
             await trio.sleep(1)
             registry = daemon.registry
-            pages = {name: registry.read(name) for name in registry.names()}
+            pages = {name: await registry.read(name) for name in registry.names()}
             daemon.stop()
         return pages
 
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -3,8 +3,12 @@
 import socket
 
 import pytest
+import trio
 
+from dotterelstand.process.control import ControlRegistry
 from dotterelstand.process.metrics import OVERFLOW, Metrics, Series, StatsdSink, merge_series
+from dotterelstand.process.pages import DaemonState, register_pages
+from dotterelstand.settings import default_settings
 
 
 def test_series_stay_within_bound() -> None:
@@ -32,6 +36,32 @@
     assert histogram.get_value_at_percentile(100) == pytest.approx(1_000_000, rel=0.01)
 
 
+def test_reading_histograms_gives_way_to_requests() -> None:
+    """Guards against a page that stops the loop for the time of all series together."""
+
+    async def main() -> int:
+        metrics, registry = Metrics(512), ControlRegistry()
+        state = DaemonState(lambda: None, lambda: False, lambda: None)
+        register_pages(registry, default_settings(), metrics, state)
+        for index in range(100):
+            metrics.record_latency("quote", "bulk", f"tenant-{index}", 0.001)
+        turns = 0
+
+        async def serve() -> None:
+            nonlocal turns
+            while True:
+                await trio.lowlevel.checkpoint()
+                turns += 1
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(serve)
+            await registry.read("histograms")
+            nursery.cancel_scope.cancel()
+        return turns
+
+    assert trio.run(main) >= 99
+
+
 def test_merge_names_bad_encoding() -> None:
     """Guards against a crash of the tool on a damaged answer."""
     with pytest.raises(ValueError, match="not an encoded histogram"):
--- a/tests/test_tool.py
+++ b/tests/test_tool.py
@@ -22,7 +22,7 @@
     registry.provide("counters", lambda: {"requests.result.1000": 2})
     links = [{"link": "all", "peak_bytes_per_s": 77}]
     registry.provide("budgets.store", lambda: {"breaker": "closed", "links": links})
-    registry.provide("histograms", lambda: _histograms(metrics))
+    registry.provide_slowly("histograms", lambda: _histograms(metrics))
 
     async def lift(arguments: dict[str, object]) -> Result[object, str]:
         known = arguments["fingerprint"] == "12e4"
@@ -57,6 +57,8 @@
         (["quarantine", "lift", "ff"], ExitCode.HOST_REFUSED, ["4204", "not quarantined"]),
         (["members"], ExitCode.NOT_FOUND, ["4202", "members"]),
         (["nothing"], ExitCode.USAGE, ["nothing"]),
+        (["drain", "127.0.0.1:1", "--wait", "x"], ExitCode.USAGE, ["wait", "a number"]),
+        (["section", "diff", "x"], ExitCode.USAGE, ["old", "whole number"]),
         (["--help"], ExitCode.OK, ["histogram", "quarantine"]),
     ],
 )
