--- a/src/dotterelstand/process/daemon.py
+++ b/src/dotterelstand/process/daemon.py
@@ -195,5 +195,7 @@
             self.metrics.flush()
 
     def _apply(self, document: Document) -> None:
+        if self.front.document is None:
+            log(Event.DAEMON_READY, number=document.number)
         self.front.document = document
         self.broker.apply(document)
