--- a/tests/fleet.py
+++ b/src/dotterelstand/standin/entryfleet.py
@@ -1,4 +1,4 @@
-"""Entry hosts over the in-memory network, shared by the tests of links and documents."""
+"""Entry hosts with links, host lists and documents over the in-memory network."""
 
 import random
 from functools import partial
@@ -19,7 +19,6 @@
 from dotterelstand.standin.platform import ObjectStore
 from dotterelstand.standin.virtual import seeded_random
 from dotterelstand.version.accept import Acceptor, Change
-from dotterelstand.version.cache import SectionCache
 from dotterelstand.version.document import Document
 
 REGIONS = ("tema", "kumasi", "takoradi")
@@ -117,7 +116,7 @@
         self.scopes: dict[str, trio.CancelScope] = {}
         self.seed = seed
         self.starts = 0
-        self.store = ObjectStore()
+        self.store = ObjectStore(seed)
         self.store.hosts = host_list(self.hosts)
         self.start_store()
 
@@ -148,7 +147,9 @@
 
     def store_client(self, name: str) -> StoreClient:
         """Store client of a host."""
-        return StoreClient(STORE_ADDRESS, STORE_PORT, self.network.at(self.hosts[name]), 1.0)
+        rng = seeded_random(self.seed, f"store/{name}/{self.starts}")
+        network = self.network.at(self.hosts[name])
+        return StoreClient(STORE_ADDRESS, STORE_PORT, network, 1.0, rng=rng)
 
     def start_store(self) -> None:
         """Serve the store; what it held before is kept."""
@@ -191,10 +192,11 @@
         """Version in force on each running host."""
         return {name: spread.number for name, spread in self.spreads.items()}
 
-    def acceptor(self, name: str, seed: str = "") -> Acceptor:
-        """Acceptor of changes on a host, with its own cache."""
-        rng = seeded_random(self.seed, f"acceptor/{name}/{seed}")
-        return Acceptor(self.store_client(name), SectionCache(8192, 1 << 26), rng)
+    def acceptor(self, name: str, run: int = 0) -> Acceptor:
+        """Acceptor of changes on a running host."""
+        rng = seeded_random(self.seed, f"acceptor/{name}/{run}")
+        spread = self.spreads[name]
+        return Acceptor(self.store_client(name), spread.cache, rng, lambda: spread.number)
 
     def _note_applied(self, name: str, document: Document) -> None:
         self.applied.append((trio.current_time(), name, document.number))
--- a/tests/test_document.py
+++ b/tests/test_document.py
@@ -1,11 +1,11 @@
 """The whole document is checked, and an error names its place."""
 
 import pytest
-from fleet import section_text
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from returns.pipeline import is_successful
 
+from dotterelstand.standin.entryfleet import section_text
 from dotterelstand.version.check import check_bodies, join_sections, parse_bodies
 from dotterelstand.version.document import build_document
 from dotterelstand.version.fields import (
--- a/tests/test_frames.py
+++ b/tests/test_frames.py
@@ -2,7 +2,6 @@
 
 import cbor2
 import trio
-from fleet import PEER_PORT, Fleet
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from returns.pipeline import is_successful
@@ -18,6 +17,7 @@
     encode_message,
     join_messages,
 )
+from dotterelstand.standin.entryfleet import PEER_PORT, Fleet
 from dotterelstand.standin.virtual import run_virtual
 
 KINDS = {kind.TYPE: kind for kind in Message.__subclasses__()}
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -2,12 +2,12 @@
 
 import pytest
 import trio
-from fleet import Fleet, host_list
 
 from dotterelstand.connection.wire import Hello
 from dotterelstand.process.hostlist import parse_host_list
 from dotterelstand.process.membership import ListedHost, Membership
 from dotterelstand.process.mesh import Member
+from dotterelstand.standin.entryfleet import Fleet, host_list
 from dotterelstand.standin.virtual import run_virtual
 
 SUSPECT_AFTER_S = 3.0
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -2,10 +2,10 @@
 
 import pytest
 import trio
-from fleet import Fleet
 
 from dotterelstand.connection.wire import Announce, StrikeConfirmed, TargetLeaving
 from dotterelstand.process.overlay import choose_peers
+from dotterelstand.standin.entryfleet import Fleet
 from dotterelstand.standin.virtual import run_virtual
 
 
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -2,9 +2,9 @@
 
 import pytest
 import trio
-from fleet import Fleet, change
 from returns.pipeline import is_successful
 
+from dotterelstand.standin.entryfleet import Fleet, change
 from dotterelstand.standin.virtual import run_virtual
 from dotterelstand.version.fields import RACE_LOST
 from dotterelstand.version.manifest import parse_manifest
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -6,12 +6,12 @@
 import pytest
 import trio
 import trustme
-from fleet import Fleet, host_settings
 from returns.pipeline import is_successful
 
 from dotterelstand.connection.target import close_now
 from dotterelstand.connection.tls import RELOAD_INTERVAL_S, Certificates, load_certificates
 from dotterelstand.process.metrics import Metrics
+from dotterelstand.standin.entryfleet import Fleet, host_settings
 from dotterelstand.standin.network import FakeNetwork
 from dotterelstand.standin.virtual import run_virtual
 
