Keep the document scenarios apart from those of the request path

Ruled out: sharing the steps, whose fleets differ. Change: the feature file moves to tests/document_features.

--- a/tests/test_document_faults.py
+++ b/tests/test_document_faults.py
@@ -13,7 +13,7 @@
 from dotterelstand.standin.virtual import run_virtual
 from dotterelstand.version.accept import Change
 
-scenarios("features/document.feature")
+scenarios("document_features")
 
 IN_FORCE_S = 3.0
 
