--- a/src/dotterelstand/process/healthprobe.py
+++ b/src/dotterelstand/process/healthprobe.py
@@ -17,6 +17,8 @@
 # Bytes charged to the measuring budget for one probe: request, answer and their framing.
 PROBE_BYTES = 400
 PROBE_TIMEOUT_S = 0.5
+# A health answer is a few bytes; a longer one is no health answer.
+MAX_BODY_BYTES = 16384
 # A connection for a probe may be older than one for a request, since a lost probe does no harm.
 MAX_AGE_S = 60.0
 
@@ -98,8 +100,10 @@
             host = f"{target.address}:{target.port}".encode()
             await connection.send_request("GET", "/health", [(b"host", host)], b"", True)
             head = await connection.receive()
+            received = 0
             while not isinstance(event := await connection.receive(), h11.EndOfMessage):
-                if not isinstance(event, h11.Data):
+                received += len(event.data) if isinstance(event, h11.Data) else MAX_BODY_BYTES
+                if received >= MAX_BODY_BYTES:
                     return False
             clean = True
         finally:
