--- a/src/dotterelstand/connection/caller.py
+++ b/src/dotterelstand/connection/caller.py
@@ -8,8 +8,8 @@
 from returns.pipeline import is_successful
 
 from dotterelstand.codes import Result as ResultCode
-from dotterelstand.connection.stream import abort_now, close_now, has_input, send_bytes
 from dotterelstand.connection.strict import check_raw_head, find_head_end
+from dotterelstand.connection.target import READ_BYTES, abort_now, close_now, has_input
 from dotterelstand.request.head import (
     RESULT_HEADER,
     RUN_HEADER,
@@ -20,7 +20,6 @@
 
 # Bytes of a caller that are read ahead of their use; reading stops when they are exceeded.
 READ_AHEAD_BYTES = 65536
-READ_BYTES = 65536
 # Bytes that a caller may still send after an answer that closes its connection.
 MAX_LINGER_BYTES = 1_048_576
 
@@ -173,7 +172,7 @@
     async def send(self, data: bytes) -> None:
         """Send encoded bytes; raises `trio.BrokenResourceError` if the caller has left."""
         if data:
-            await send_bytes(self._stream, data)
+            await self._stream.send_all(data)
 
     def may_answer(self) -> bool:
         """Whether no answer to the current request has begun."""
--- a/src/dotterelstand/connection/target.py
+++ b/src/dotterelstand/connection/target.py
@@ -1,11 +1,12 @@
 """One HTTP/1.1 connection to a target."""
 
+import socket
+import struct
 from types import TracebackType
 
 import h11
 import trio
 
-from dotterelstand.connection.stream import close_now, has_input, send_bytes
 from dotterelstand.request.head import Headers
 
 READ_BYTES = 65536
@@ -53,17 +54,17 @@
             data += self._h11.send(h11.EndOfMessage()) or b""
         # Set before the call, since a failed call may have sent a part.
         self.handed = True
-        await send_bytes(self._stream, data)
+        await self._stream.send_all(data)
 
     async def send_body(self, data: bytes) -> None:
         """Send one piece of the request body."""
-        await send_bytes(self._stream, self._h11.send(h11.Data(data=data)) or b"")
+        await self._stream.send_all(self._h11.send(h11.Data(data=data)) or b"")
 
     async def finish_request(self) -> None:
         """Mark the request as complete."""
         data = self._h11.send(h11.EndOfMessage())
         if data:
-            await send_bytes(self._stream, data)
+            await self._stream.send_all(data)
 
     def poll(self) -> AnswerEvent:
         """Next event that is already here, or `h11.NEED_DATA`.
@@ -100,3 +101,39 @@
     def close(self) -> None:
         """Close at once; the target sees it as cancellation."""
         close_now(self._stream)
+
+
+def has_input(stream: trio.abc.AsyncResource) -> bool:
+    """Whether bytes or the end of the stream wait to be read."""
+    if isinstance(stream, trio.SocketStream):
+        return stream.socket.fileno() < 0 or stream.socket.is_readable()
+    if isinstance(stream, trio.SSLStream):
+        return has_input(stream.transport_stream)
+    return bool(stream.has_input()) if hasattr(stream, "has_input") else False
+
+
+def close_now(stream: trio.abc.AsyncResource) -> None:
+    """Close a stream without waiting for its peer."""
+    if isinstance(stream, trio.SocketStream):
+        stream.socket.close()
+    elif isinstance(stream, trio.SSLStream):
+        close_now(stream.transport_stream)
+    else:
+        close = getattr(stream, "close", None)
+        if close is not None:
+            close()
+
+
+def abort_now(stream: trio.abc.AsyncResource) -> None:
+    """Reset a stream, so that its peer sees an error and not an end."""
+    if isinstance(stream, trio.SocketStream):
+        if stream.socket.fileno() >= 0:
+            linger = struct.pack("ii", 1, 0)
+            stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        stream.socket.close()
+    elif isinstance(stream, trio.SSLStream):
+        abort_now(stream.transport_stream)
+    else:
+        reset = getattr(stream, "reset", None)
+        if reset is not None:
+            reset()
--- a/src/dotterelstand/connection/tls.py
+++ b/src/dotterelstand/connection/tls.py
@@ -8,7 +8,7 @@
 from returns.result import Failure, Result, Success
 
 from dotterelstand.connection.network import Listener, Network, StreamHandler
-from dotterelstand.connection.stream import close_now
+from dotterelstand.connection.target import close_now
 from dotterelstand.events import Event, log
 from dotterelstand.request.ports import Counters
 from dotterelstand.settings import Settings, SettingsError
--- a/src/dotterelstand/process/front.py
+++ b/src/dotterelstand/process/front.py
@@ -6,7 +6,7 @@
 from dotterelstand.codes import Run
 from dotterelstand.connection.caller import CallerConnection, CallerLimits
 from dotterelstand.connection.network import Listener
-from dotterelstand.connection.stream import close_now
+from dotterelstand.connection.target import close_now
 from dotterelstand.events import Event, log
 from dotterelstand.request.context import RequestContext
 from dotterelstand.request.ending import Ending, EndLog
--- a/src/dotterelstand/process/storeconnection.py
+++ b/src/dotterelstand/process/storeconnection.py
@@ -4,7 +4,7 @@
 import trio
 
 from dotterelstand.connection.network import Network
-from dotterelstand.connection.stream import close_now
+from dotterelstand.connection.target import close_now
 
 # A connection that was idle for longer may have been closed by the store.
 MAX_IDLE_S = 5.0
--- a/src/dotterelstand/standin/loadclient.py
+++ b/src/dotterelstand/standin/loadclient.py
@@ -6,7 +6,7 @@
 import trio
 
 from dotterelstand.connection.network import Network
-from dotterelstand.connection.stream import close_now
+from dotterelstand.connection.target import close_now
 
 CHUNK = b"\x5a" * 65536
 MAX_ANSWER_BYTES = 1_048_576
--- a/src/dotterelstand/standin/target.py
+++ b/src/dotterelstand/standin/target.py
@@ -10,7 +10,7 @@
 import xxhash
 
 from dotterelstand.connection.network import Network, TcpNetwork
-from dotterelstand.connection.stream import abort_now, close_now
+from dotterelstand.connection.target import abort_now, close_now
 from dotterelstand.standin.faults import Faults, matches
 
 # Paths that the stand-in answers itself.
