Keep a strike whose caller leaves or whose deadline passes

Cause: the fingerprint needs the first 64 KiB of the body, and the wait for them was cancelled when the caller left, so a crashing upload left no strike. Ruled out: a strike for the part that arrived alone, since a repetition of the whole upload would not match it.

--- a/src/dotterelstand/request/exchange.py
+++ b/src/dotterelstand/request/exchange.py
@@ -253,15 +253,21 @@
         for attempt in list(self._attempts):
             if attempt.failure in lost and attempt.handed and attempt.target not in self._struck:
                 self._struck.add(attempt.target)
-                try:
-                    with trio.move_on_after(STRIKE_BODY_WAIT_S):
-                        await self._body.fill()
-                except BodyError:
-                    # The fingerprint is then that of the part that the target received.
-                    pass
                 self._context.metrics.count("requests.strikes")
-                suspect = self._admitted is not None and self._admitted.is_suspect
-                await self._context.suspects.strike(self._fingerprint(), attempt.target, suspect)
+                await self._strike(attempt.target)
+
+    async def _strike(self, target: str) -> None:
+        # A deadline that passes or a caller that leaves now must not lose the strike.
+        with trio.CancelScope(shield=True) as scope:
+            scope.deadline = trio.current_time() + STRIKE_BODY_WAIT_S
+            try:
+                await self._body.fill()
+            except BodyError:
+                # The fingerprint is then that of the part that the target received.
+                pass
+        suspect = self._admitted is not None and self._admitted.is_suspect
+        with trio.CancelScope(shield=True):
+            await self._context.suspects.strike(self._fingerprint(), target, suspect)
 
     def _clear_strikes(self) -> None:
         if self._context.suspects.knows(head_digest(self._head)):
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -29,3 +29,21 @@
                 )
 
     run_fleet(scenario, targets=12)
+
+
+def test_strike_survives_a_caller_that_leaves() -> None:
+    """Guards against a crash that leaves no strike because the caller left during its upload."""
+
+    async def scenario(fleet: Fleet) -> None:
+        stream = await fleet.stream()
+        head = b"POST /order/1 HTTP/1.1\r\nhost: x\r\ncontent-length: 90000\r\n\r\n"
+        await stream.send_all(head + bytes(10_000))
+        await trio.sleep(0.1)
+        fleet.targets[0].crash()
+        await trio.sleep(0.002)
+        stream.close()
+        await trio.sleep(0.2)
+        assert fleet.daemon.metrics.value("quarantine.strikes") == 1
+        await fleet.assert_settled()
+
+    run_fleet(scenario, targets=1)
