Route every spelling of a path like the target reads it

Cause: a target that tidies up paths runs `/lookup/../order/1` and `/%6frder/1` as an order, while the route of lookups allowed retries and hedging for them, so an order could run twice. Ruled out: rewriting the path that is forwarded, since targets may give their own meaning to it. Change: dot segments, a leading double slash, backslashes and fragments are refused with 2010; routes are found for the path with unreserved characters decoded; allowed methods come from the route index.

--- a/src/dotterelstand/process/front.py
+++ b/src/dotterelstand/process/front.py
@@ -108,7 +108,7 @@
 
     async def _serve_request(self, connection: CallerConnection, head: RequestHead) -> None:
         document = self.document
-        route = None if document is None else document.find_route(head.path, head.method)
+        route = None if document is None else document.find_route(head.route_path, head.method)
         if document is None or route is None:
             code = _routing_failure(document, head)
             ending = Ending(None, head.tenant)
@@ -190,6 +190,6 @@
 def _routing_failure(document: Document | None, head: RequestHead) -> ResultCode:
     if document is None:
         return ResultCode.NO_CONFIGURATION
-    if any(head.path.startswith(route.prefix) for route in document.routes):
+    if document.allowed_methods(head.route_path):
         return ResultCode.METHOD_NOT_ALLOWED
     return ResultCode.NO_ROUTE
--- a/src/dotterelstand/request/head.py
+++ b/src/dotterelstand/request/head.py
@@ -1,5 +1,7 @@
 """Checked head of a caller's request."""
 
+import re
+
 import h11
 import xxhash
 from returns.result import Failure, Result, Success
@@ -17,6 +19,8 @@
 MAX_KEY_BYTES = 255
 MAX_TENANT_BYTES = 64
 
+_ENCODED_UNRESERVED = re.compile("%([0-9A-Fa-f]{2})")
+
 # RFC 9110 section 7.6.1 and fields that only dotterelstand may set.
 _NOT_FORWARDED = frozenset(
     {
@@ -43,7 +47,7 @@
 class RequestHead:
     """Fields of a request head that dotterelstand acts on."""
 
-    __slots__ = ("deadline_s", "headers", "key", "method", "path", "tenant")
+    __slots__ = ("deadline_s", "headers", "key", "method", "path", "route_path", "tenant")
 
     def __init__(
         self,
@@ -56,6 +60,7 @@
     ) -> None:
         self.method = method
         self.path = path
+        self.route_path = decode_unreserved(path)
         self.headers = headers
         self.key = key
         self.tenant = tenant
@@ -74,6 +79,28 @@
         )
 
 
+def decode_unreserved(path: str) -> str:
+    """Path with the characters decoded that RFC 3986 calls equivalent to their encoding.
+
+    Without this, `/%6frder` would miss the route of `/order` and the promises that it makes.
+    """
+    return _ENCODED_UNRESERVED.sub(_decode_unreserved, path) if "%" in path else path
+
+
+def _decode_unreserved(match: re.Match[str]) -> str:
+    character = chr(int(match.group(1), 16))
+    unreserved = character.isascii() and (character.isalnum() or character in "-._~")
+    return character if unreserved else match.group(0)
+
+
+def _has_one_reading(route_path: str) -> bool:
+    """Whether targets that tidy up paths reach the route that dotterelstand found."""
+    path = route_path.partition("?")[0]
+    if path.startswith("//") or "\\" in path or "#" in path:
+        return False
+    return not any(segment in (".", "..") for segment in path.split("/"))
+
+
 def head_digest(head: RequestHead) -> bytes:
     """First 8 bytes of the fingerprint of a request: method, path and query."""
     return xxhash.xxh3_64_digest(f"{head.method} {head.path}".encode())
@@ -99,16 +126,17 @@
     target = bytes(request.target)
     if not target.startswith(b"/"):
         return Failure(ResultCode.BAD_REQUEST)
-    return Success(
-        RequestHead(
-            bytes(request.method).decode("ascii"),
-            target.decode("latin-1"),
-            headers,
-            values.get(KEY_HEADER),
-            tenant,
-            deadline_s,
-        )
+    head = RequestHead(
+        bytes(request.method).decode("ascii"),
+        target.decode("latin-1"),
+        headers,
+        values.get(KEY_HEADER),
+        tenant,
+        deadline_s,
     )
+    if not _has_one_reading(head.route_path):
+        return Failure(ResultCode.BAD_REQUEST)
+    return Success(head)
 
 
 def forwarded_headers(head: RequestHead, remaining_s: float) -> Headers:
--- a/tests/features/malformed.feature
+++ b/tests/features/malformed.feature
@@ -19,6 +19,10 @@
       | No host                  | 2010 | GET /lookup/1 HTTP/1.1\r\n\r\n |
       | An absolute target       | 2010 | GET http://x/lookup/1 HTTP/1.1\r\nhost: x\r\n\r\n |
       | An asterisk target       | 2010 | OPTIONS * HTTP/1.1\r\nhost: x\r\n\r\n |
+      | Dot segments             | 2010 | POST /lookup/../order/1 HTTP/1.1\r\nhost: x\r\n\r\n |
+      | Encoded dot segments     | 2010 | POST /lookup/%2e%2E/order/1 HTTP/1.1\r\nhost: x\r\n\r\n |
+      | Two leading slashes      | 2010 | POST //order/1 HTTP/1.1\r\nhost: x\r\n\r\n |
+      | A backslash              | 2010 | POST /lookup\\\\..\\\\order HTTP/1.1\r\nhost: x\r\n\r\n |
       | A tunnel                 | 2010 | CONNECT x:80 HTTP/1.1\r\nhost: x\r\n\r\n |
       | Another coding           | 2010 | POST /order/1 HTTP/1.1\r\nhost: x\r\ntransfer-encoding: gzip, chunked\r\n\r\n |
       | Chunks in HTTP/1.0       | 2010 | POST /order/1 HTTP/1.0\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n |
--- a/tests/features/unknown.feature
+++ b/tests/features/unknown.feature
@@ -12,6 +12,12 @@
       | The answer is malformed                 | {"garbage_paths": ["/order/1"]}  | 3008 |
       | The deadline passes                     | {"slow_factor": 5000.0}          | 3004 |
 
+  Scenario: An order whose path is written in percent-encoding is not sent twice
+    Given 3 targets with faults {"crash_paths": ["/%6frder/1"]}
+    When a caller sends POST /%6frder/1
+    Then the last answer is 3001 and says unknown
+    And the request ran 1 times
+
   Scenario: The deadline passes before the target counts as silent
     Given 3 targets with faults {"slow_factor": 5000.0}
     When a caller sends POST /order/1 with a deadline of 300 ms
