Lose entry hosts in the random test of requests

Cause: the random test never lost an entry host, whose replacement must not let a keyed order run again. Ruled out: stopping all three hosts at once, since callers then learn nothing. Change: a daemon is ended with its connections and another one starts under its name after 0.1 to 4 s.

--- a/tests/support.py
+++ b/tests/support.py
@@ -84,7 +84,11 @@
             service += "\nsilence_timeout_s = 0.5"
         text = f"[services.main]\n{service}\n{text}"
         self._body = text + ROUTES.format(deadline_ms=deadline_ms)
-        self.daemons = [self._make_daemon(index, settings, seed) for index in range(entries)]
+        self._settings = settings
+        self._seed = seed
+        self._starts = 0
+        self._scopes = [trio.CancelScope() for _ in range(entries)]
+        self.daemons = [self._make_daemon(index) for index in range(entries)]
         self.store.hosts = [
             {"host": f"entry-{index}", "address": entry_address(index)}
             | {"role": "entry", "state": "live", "region": "local"}
@@ -99,6 +103,7 @@
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Start everything and wait until the daemon serves."""
+        self.nursery = nursery
         digest = section_digest(self._body)
         self.store.put(f"document/sections/{digest}", self._body.encode(), {})
         entry = {"digest": digest, "author": "test", "at": 0}
@@ -109,8 +114,8 @@
         for index, target in enumerate(self.targets):
             address = f"10.1.0.{index}"
             nursery.start_soon(target.serve, self.network.at(address), address, 80)
-        for daemon in self.daemons:
-            nursery.start_soon(self._run_daemon, daemon)
+        for index in range(len(self.daemons)):
+            nursery.start_soon(self._run_daemon, index)
         await trio.sleep(1.0 if len(self.daemons) == 1 else 6.0)
 
     async def stream(self, entry: int = 0) -> FakeStream:
@@ -146,6 +151,15 @@
             assert duty is None or duty.open_grants == 0, "a slot is stuck"
             assert not daemon.metrics.value("requests.faults"), "an invariant was broken"
 
+    async def replace_daemon(self, nursery: trio.Nursery, index: int, down_s: float) -> None:
+        """End a daemon as a lost host does, and start another one under its name."""
+        self._scopes[index].cancel()
+        self.network.crash(entry_address(index))
+        await trio.sleep(down_s)
+        self._scopes[index] = trio.CancelScope()
+        self.daemons[index] = self._make_daemon(index)
+        nursery.start_soon(self._run_daemon, index)
+
     def runs(self, path: str) -> list[str]:
         """States of the executions of a path at all targets."""
         return [run.state for target in self.targets for run in target.runs if run.path == path]
@@ -155,8 +169,9 @@
         for target in self.targets:
             assert target.faults.change(values) is None
 
-    def _make_daemon(self, index: int, settings: str, seed: int) -> Daemon:
-        address = entry_address(index)
+    def _make_daemon(self, index: int) -> Daemon:
+        address, settings = entry_address(index), self._settings
+        self._starts += 1
         overrides = f'[store]\nurl = "http://{PLATFORM}:80"\n{settings}'
         overrides += "" if "[listen]" in settings else "[listen]\n"
         overrides = overrides.replace("[listen]", f'[listen]\naddress = "{address}"')
@@ -165,13 +180,14 @@
         return Daemon(
             parse_settings(overrides, "test").unwrap(),
             self.network.at(address),
-            seeded_random(seed, f"daemon {index}"),
+            seeded_random(self._seed, f"daemon {index} {self._starts}"),
         )
 
-    async def _run_daemon(self, daemon: Daemon) -> None:
-        await daemon.run()
-        if daemon is self.daemon:
-            self.stopped.set()
+    async def _run_daemon(self, index: int) -> None:
+        with self._scopes[index]:
+            await self.daemons[index].run()
+            if index == 0:
+                self.stopped.set()
 
     async def _serve_store(self, stream: trio.abc.Stream) -> None:
         await serve_http(stream, self.store.handle)
--- a/tests/test_random_faults.py
+++ b/tests/test_random_faults.py
@@ -75,8 +75,8 @@
         await trio.sleep(rng.uniform(0.0, 1.0))
 
 
-async def disturb(fleet: Fleet, rng: random.Random) -> None:
-    """Switch faults of targets, break connections and stop the store, until cancelled."""
+async def disturb(fleet: Fleet, rng: random.Random, nursery: trio.Nursery) -> None:
+    """Switch faults of targets, break connections and lose entry hosts, until cancelled."""
     while True:
         await trio.sleep(rng.expovariate(2.0))
         target = rng.choice(fleet.targets)
@@ -87,6 +87,8 @@
             assert target.faults.change(HEALTHY) is None
         elif chosen < 0.9:
             target.crash()
+        elif chosen < 0.93:
+            await fleet.replace_daemon(nursery, rng.randrange(ENTRIES), rng.uniform(0.1, 4.0))
         else:
             entry = entry_address(rng.randrange(ENTRIES))
             for stream in fleet.network.streams(entry, f"10.1.0.{rng.randrange(TARGETS)}"):
@@ -118,7 +120,7 @@
         rng = seeded_random(seed, "callers")
         records = [Record(number, rng) for number in range(CALLS)]
         async with trio.open_nursery() as faults:
-            faults.start_soon(disturb, fleet, seeded_random(seed, "faults"))
+            faults.start_soon(disturb, fleet, seeded_random(seed, "faults"), fleet.nursery)
             async with trio.open_nursery() as callers:
                 for number, record in enumerate(records):
                     callers.start_soon(call, fleet, record, seeded_random(seed, f"caller {number}"))
