Count expired grants as free when the random test checks for stuck slots

Ruled out: a fault of the broker, since no call can meet the old grant. Change: the check lets the dispatcher apply what time changed before it counts open grants; a replacement of a host that has begun is always finished.

--- a/tests/support.py
+++ b/tests/support.py
@@ -147,15 +147,19 @@
             assert daemon.front.open_connections == 0, "a caller connection is stuck"
             assert daemon.pool.in_use() == 0, "a target connection is stuck"
             state = daemon.broker.core.state_of("main")
-            duty = None if state is None else state.duty
-            assert duty is None or duty.open_grants == 0, "a slot is stuck"
+            if state is not None and state.duty is not None:
+                # Grants of a lost entry host expire when the next call asks for a slot.
+                state.duty.advance_health(trio.current_time())
+                assert state.duty.open_grants == 0, "a slot is stuck"
             assert not daemon.metrics.value("requests.faults"), "an invariant was broken"
 
     async def replace_daemon(self, nursery: trio.Nursery, index: int, down_s: float) -> None:
         """End a daemon as a lost host does, and start another one under its name."""
         self._scopes[index].cancel()
         self.network.crash(entry_address(index))
-        await trio.sleep(down_s)
+        # The end of a test's faults must not leave the host lost: its parts would look stuck.
+        with trio.CancelScope(shield=True):
+            await trio.sleep(down_s)
         self._scopes[index] = trio.CancelScope()
         self.daemons[index] = self._make_daemon(index)
         nursery.start_soon(self._run_daemon, index)
