Let the health endpoint of the target stand-in lag

Cause: a lag of any length hid the drain for ever, which no real target does. Ruled out: delaying the answer instead, since a lagging endpoint answers at once with old data.

--- a/src/dotterelstand/standin/target.py
+++ b/src/dotterelstand/standin/target.py
@@ -175,7 +175,7 @@
     def status_of(self, path: str) -> tuple[int, bytes] | None:
         """Answer of the endpoints that report on the target itself."""
         if path == "/health":
-            return (503 if self._drains_by_health() else 200), b""
+            return (503 if self.faults.drains_by_health() else 200), b""
         if path == "/load":
             return 200, json.dumps({"in_flight": self.reported_load()}).encode()
         if path == "/_runs":
@@ -223,9 +223,6 @@
             return self._fixed_s * factor
         return self._random.expovariate(1 / self._mean_s) * factor if self._mean_s else 0.0
 
-    def _drains_by_health(self) -> bool:
-        return self.faults.draining and self.faults.health_lag_s == 0.0
-
 
 class TargetStream:
     """One connection to the stand-in."""
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -2,7 +2,7 @@
 
 import pytest
 import trio
-from support import Answer, Fleet, run_fleet
+from support import Answer, Fleet, exchange, run_fleet
 
 
 @pytest.mark.parametrize("method", ["GET", "HEAD", "POST"])
@@ -47,3 +47,24 @@
         await fleet.assert_settled()
 
     run_fleet(scenario, targets=1)
+
+
+@pytest.mark.parametrize(
+    ("lag_s", "asked_after_s", "draining", "status"),
+    [(0.0, 0.0, True, 503), (2.0, 1.0, True, 200), (2.0, 3.0, True, 503), (2.0, 1.0, False, 503)],
+)
+def test_stand_in_health_lags(
+    lag_s: float, asked_after_s: float, draining: bool, status: int
+) -> None:
+    """Guards against a stand-in whose health endpoint knows more than a real one."""
+
+    async def scenario(fleet: Fleet) -> None:
+        target = fleet.targets[0]
+        target.faults.change({"health_lag_s": lag_s, "draining": not draining})
+        await trio.sleep(10)
+        target.faults.change({"draining": draining})
+        await trio.sleep(asked_after_s)
+        stream = await fleet.network.open_stream("10.0.0.1", "10.1.0.0", 80)
+        assert (await exchange(stream, "GET", "/health", b"", {})).status == status
+
+    run_fleet(scenario, targets=1)
