Follow a changed retry share, and test retry decisions as tables

Cause: the budget of a service kept the share of the document version in which the service was first used. Ruled out: new budgets for each version, since that would allow a burst with every change of the document. Change: the share is set from the document in force at each use. Measured: pytest tests/test_policy.py tests/test_features.py: 95 passed.

--- a/src/dotterelstand/request/context.py
+++ b/src/dotterelstand/request/context.py
@@ -70,6 +70,8 @@
                 del self._policies[next(iter(self._policies))]
             policy = ServicePolicy(service.retry_share, self.limits.retry_min_per_s)
             self._policies[service.name] = policy
+        # The share may have changed with the document.
+        policy.budget.share = service.retry_share
         return policy
 
     def count_request(self, service: Service) -> None:
--- a/src/dotterelstand/request/policy.py
+++ b/src/dotterelstand/request/policy.py
@@ -22,10 +22,10 @@
     `minimum_per_s` a second, are allowed.
     """
 
-    __slots__ = ("_extra", "_minimum_per_s", "_requests", "_second", "_share")
+    __slots__ = ("_extra", "_minimum_per_s", "_requests", "_second", "share")
 
     def __init__(self, share: float, minimum_per_s: float) -> None:
-        self._share = share
+        self.share = share
         self._minimum_per_s = minimum_per_s
         self._requests: deque[int] = deque([0] * BUDGET_WINDOW_S, maxlen=BUDGET_WINDOW_S)
         self._extra: deque[int] = deque([0] * BUDGET_WINDOW_S, maxlen=BUDGET_WINDOW_S)
@@ -48,7 +48,7 @@
     def allowance(self, now: float) -> float:
         """Retries and hedged requests that the window around `now` allows."""
         self._advance(now)
-        return max(self._share * sum(self._requests), self._minimum_per_s * BUDGET_WINDOW_S)
+        return max(self.share * sum(self._requests), self._minimum_per_s * BUDGET_WINDOW_S)
 
     def _advance(self, now: float) -> None:
         second = int(now)
--- /dev/null
+++ b/tests/test_policy.py
@@ -0,0 +1,86 @@
+"""Decisions about retries and hedged requests."""
+
+import pytest
+
+from dotterelstand.request.policy import (
+    MIN_SAMPLES,
+    Failed,
+    RetryDecision,
+    ServicePolicy,
+    decide_retry,
+    hedge_delay_s,
+)
+
+
+def service(requests: int = 1000, duration_s: float = 0.01) -> ServicePolicy:
+    """Policy of a service after some answered requests in the first second."""
+    policy = ServicePolicy(0.1, 1.0)
+    for _ in range(requests):
+        policy.budget.count_request(0.5)
+    for _ in range(MIN_SAMPLES):
+        policy.times.record(duration_s)
+    return policy
+
+
+@pytest.mark.parametrize(
+    ("idempotent", "may_have_run", "body_held", "attempts", "remaining_s", "decision"),
+    [
+        (True, True, True, 1, 1.0, RetryDecision.RETRY),
+        (False, False, True, 1, 1.0, RetryDecision.RETRY),
+        (False, True, True, 1, 1.0, RetryDecision.MAY_HAVE_RUN),
+        (True, True, False, 1, 1.0, RetryDecision.NOT_HELD),
+        (True, True, True, 3, 1.0, RetryDecision.ATTEMPTS_SPENT),
+        (True, True, True, 1, 0.009, RetryDecision.NO_TIME),
+    ],
+)
+def test_retry_decisions(
+    idempotent: bool,
+    may_have_run: bool,
+    body_held: bool,
+    attempts: int,
+    remaining_s: float,
+    decision: RetryDecision,
+) -> None:
+    """Guards against a second run of an order and against attempts that cannot end in time."""
+    failed = Failed(idempotent, may_have_run, body_held, attempts, remaining_s)
+    assert decide_retry(failed, service(), 3, 0.6) is decision
+
+
+@pytest.mark.parametrize(
+    ("requests", "share", "at", "allowed"),
+    [
+        (1000, 0.1, 0.6, 100),
+        (1000, 0.1, 9.9, 100),
+        # The traffic is older than the window; the minimum of 1 a second remains.
+        (1000, 0.1, 10.1, 10),
+        (0, 0.1, 0.6, 10),
+        (1000, 0.02, 0.6, 20),
+    ],
+)
+def test_budget_is_a_share_of_traffic(requests: int, share: float, at: float, allowed: int) -> None:
+    """Guards against retries that multiply the load of a service that fails."""
+    budget = service(requests).budget
+    budget.share = share
+    assert sum(budget.try_take(at) for _ in range(1000)) == allowed
+    assert not budget.try_take(at)
+
+
+@pytest.mark.parametrize(
+    ("idempotent", "enabled", "remaining_s", "delay_s"),
+    [
+        (True, True, 1.0, 0.01),
+        (False, True, 1.0, None),
+        (True, False, 1.0, None),
+        (True, True, 0.015, None),
+    ],
+)
+def test_hedge_delay(
+    idempotent: bool, enabled: bool, remaining_s: float, delay_s: float | None
+) -> None:
+    """Guards against a hedged order and against one that cannot end in time."""
+    assert hedge_delay_s(idempotent, enabled, remaining_s, service().times) == delay_s
+
+
+def test_no_hedge_before_the_usual_duration_is_known() -> None:
+    """Guards against a hedge delay taken from a few samples."""
+    assert hedge_delay_s(True, True, 1.0, ServicePolicy(0.1, 1.0).times) is None
