Read short request bodies before a slot is taken

Cause: a caller that sent the head and then a few bytes a second occupied one of the 2 or 4 slots of a target, and a body that stalled was unknown (3009). Ruled out: the same for chunked bodies, since a live stream may take long for its first 64 KiB.

--- a/src/dotterelstand/request/exchange.py
+++ b/src/dotterelstand/request/exchange.py
@@ -119,6 +119,10 @@
         return final
 
     async def _serve(self) -> ResultCode:
+        length = self._head.declared_length()
+        if length is not None and length <= self._context.limits.held_body_bytes:
+            # A slow caller must not occupy a slot while a short body arrives.
+            await self._body.fill()
         if self._head.key is not None and not self._route.idempotent:
             await self._body.fill()
             self._keyed = KeyedRun(self._context, self._head, self._body, self._service.name)
