--- a/src/dotterelstand/request/exchange.py
+++ b/src/dotterelstand/request/exchange.py
@@ -119,6 +119,10 @@
         return final
 
     async def _serve(self) -> ResultCode:
+        length = self._head.declared_length()
+        if length is not None and length <= self._context.limits.held_body_bytes:
+            # A slow caller must not occupy a slot while a short body arrives.
+            await self._body.fill()
         if self._head.key is not None and not self._route.idempotent:
             await self._body.fill()
             self._keyed = KeyedRun(self._context, self._head, self._body, self._service.name)
@@ -255,17 +259,23 @@
         for attempt in list(self._attempts):
             if attempt.failure in lost and attempt.handed and attempt.target not in self._struck:
                 self._struck.add(attempt.target)
-                try:
-                    with trio.move_on_after(STRIKE_BODY_WAIT_S):
-                        await self._body.fill()
-                except BodyError:
-                    # The fingerprint is then that of the part that the target received.
-                    pass
                 self._context.metrics.count("requests.strikes")
-                # A hedged request that cost both of its targets is as suspect as a repeated one.
-                suspect = len(self._struck) > 1
-                suspect |= self._admitted is not None and self._admitted.is_suspect
-                await self._context.suspects.strike(self._fingerprint(), attempt.target, suspect)
+                await self._strike(attempt.target)
+
+    async def _strike(self, target: str) -> None:
+        # A deadline that passes or a caller that leaves now must not lose the strike.
+        with trio.CancelScope(shield=True) as scope:
+            scope.deadline = trio.current_time() + STRIKE_BODY_WAIT_S
+            try:
+                await self._body.fill()
+            except BodyError:
+                # The fingerprint is then that of the part that the target received.
+                pass
+        # A hedged request that cost both of its targets is as suspect as a repeated one.
+        suspect = len(self._struck) > 1
+        suspect |= self._admitted is not None and self._admitted.is_suspect
+        with trio.CancelScope(shield=True):
+            await self._context.suspects.strike(self._fingerprint(), target, suspect)
 
     def _clear_strikes(self) -> None:
         if self._context.suspects.knows(head_digest(self._head)):
