Keep latency series of the document's tenants only

Cause: callers choose the tenant's name, so that one caller with ever new names could push every known tenant into the overflow series.

Ruled out: evicting the least recently used series, because totals would then fall.

Change: Metrics keeps series of the tenants of the document in force and of requests without a tenant; other names share the series of the tenant "other".

Conclusion: the number of series is bounded by the document, and by metrics.max_series in any case.

--- a/src/dotterelstand/process/daemon.py
+++ b/src/dotterelstand/process/daemon.py
@@ -181,4 +181,5 @@
         if self.front.document is None:
             log(Event.DAEMON_READY, number=document.number)
         self.front.document = document
+        self.metrics.keep_tenants(document.tenants)
         self.broker.apply(document)
--- a/src/dotterelstand/process/metrics.py
+++ b/src/dotterelstand/process/metrics.py
@@ -1,6 +1,6 @@
 """Counters and latency histograms of one process, in bounded memory, with statsd output."""
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Container, Iterator
 from types import TracebackType
 
 import statsd
@@ -14,6 +14,10 @@
 # Service, class and tenant of the series that takes what does not fit in `metrics.max_series`.
 OVERFLOW = ("overflow", "overflow", "overflow")
 
+# Tenant of requests that name none, and that of names that the document lacks.
+DEFAULT_TENANT = "default"
+OTHER_TENANT = "other"
+
 SeriesKey = tuple[str, str, str]
 
 
@@ -76,7 +80,7 @@
 class Metrics:
     """Counts and latencies of one process; use as a context manager to close the statsd socket."""
 
-    __slots__ = ("_counters", "_max_series", "_sent", "_series", "_sink", "_sources")
+    __slots__ = ("_counters", "_max_series", "_sent", "_series", "_sink", "_sources", "_tenants")
 
     def __init__(self, max_series: int, sink: StatsdSink | None = None) -> None:
         self._max_series = max_series
@@ -86,6 +90,7 @@
         self._sent: dict[str, int] = {}
         self._sources: list[Callable[[], dict[str, int]]] = []
         self._series: dict[SeriesKey, HdrHistogram] = {}
+        self._tenants: Container[str] | None = None
 
     def __enter__(self) -> "Metrics":
         return self
@@ -104,6 +109,13 @@
         """Include counters that a part keeps itself; the names must be its own."""
         self._sources.append(read)
 
+    def keep_tenants(self, tenants: Container[str]) -> None:
+        """Keep series of these tenants only; the others share one, since callers choose the names.
+
+        Without this bound a caller that sends ever new names would take the series of all others.
+        """
+        self._tenants = tenants
+
     def count(self, name: str, amount: int = 1) -> None:
         """Add to a counter; docs/counters.md lists the names."""
         assert amount >= 0, (name, amount)
@@ -114,6 +126,8 @@
 
     def record_latency(self, service: str, klass: str, tenant: str, seconds: float) -> None:
         """Record the duration of one request."""
+        if self._tenants is not None and tenant not in self._tenants and tenant != DEFAULT_TENANT:
+            tenant = OTHER_TENANT
         key = (service, klass, tenant)
         histogram = self._series.get(key)
         if histogram is None:
