Answer HEAD on health and readiness, and filter targets by service

Cause: balancers that probe with HEAD got a closed connection, since h11 refuses a body in the answer; with six hosts and 41 targets the table has 246 rows.

Ruled out: merging the rows of the hosts, because their views differ.

--- a/src/dotterelstand/cli/main.py
+++ b/src/dotterelstand/cli/main.py
@@ -12,12 +12,12 @@
 from returns.pipeline import is_successful
 
 from dotterelstand.cli.check import check_path
-from dotterelstand.cli.client import parse_hosts
+from dotterelstand.cli.client import HostAnswers, parse_hosts
 from dotterelstand.cli.context import Context, finish, read_hosts, show
 from dotterelstand.cli.drain import drain_host
 from dotterelstand.cli.groups import QuarantineCommands, SectionCommands, SettingsCommands
 from dotterelstand.cli.histogram import histogram_rows, merge_pages, plot_histograms
-from dotterelstand.cli.output import fail, to_number
+from dotterelstand.cli.output import Row, fail, to_number
 from dotterelstand.cli.state import group_rows, list_rows, sum_counters
 from dotterelstand.exits import ExitCode, ToolError
 
@@ -56,9 +56,17 @@
         """Show for each entry host whether it is ready and which document version is in force."""
         read_hosts(self._context, "status", list_rows)
 
-    def targets(self) -> None:
-        """Show the targets as each entry host sees them."""
-        read_hosts(self._context, "targets", list_rows)
+    def targets(self, service: str = "") -> None:
+        """Show the targets as each entry host sees them.
+
+        Args:
+            service: only this service
+        """
+
+        def make_rows(answers: HostAnswers) -> list[Row]:
+            return [row for row in list_rows(answers) if service in ("", row.get("service"))]
+
+        read_hosts(self._context, "targets", make_rows)
 
     def members(self) -> None:
         """Show the live entry hosts as each of them sees the fleet."""
--- a/src/dotterelstand/connection/control.py
+++ b/src/dotterelstand/connection/control.py
@@ -50,7 +50,7 @@
             with trio.move_on_after(timeout_s):
                 request = await self._read()
                 if request is not None:
-                    await self._send(await handler(request))
+                    await self._send(await handler(request), request.method != "HEAD")
         except (trio.BrokenResourceError, trio.ClosedResourceError, h11.ProtocolError):
             pass
         finally:
@@ -76,7 +76,7 @@
             else:
                 return None
 
-    async def _send(self, answer: ControlAnswer) -> None:
+    async def _send(self, answer: ControlAnswer, with_body: bool) -> None:
         body = json.dumps(answer.value).encode() + b"\n"
         headers = [
             ("content-type", "application/json"),
@@ -84,7 +84,8 @@
             ("connection", "close"),
         ]
         data = self._h11.send(h11.Response(status_code=answer.status, headers=headers)) or b""
-        data += self._h11.send(h11.Data(data=body)) or b""
+        if with_body:
+            data += self._h11.send(h11.Data(data=body)) or b""
         await self._stream.send_all(data + (self._h11.send(h11.EndOfMessage()) or b""))
 
 
--- a/src/dotterelstand/process/control.py
+++ b/src/dotterelstand/process/control.py
@@ -130,9 +130,10 @@
 
     async def handle(self, request: ControlRequest) -> ControlAnswer:
         """Answer one request."""
-        if request.method == "GET" and request.path == "/health":
+        reads = request.method in ("GET", "HEAD")
+        if reads and request.path == "/health":
             return ControlAnswer(200, {"health": "ok"})
-        if request.method == "GET" and request.path == "/ready":
+        if reads and request.path == "/ready":
             failing = self._registry.failing_checks()
             return ControlAnswer(
                 503 if failing else 200, {"ready": not failing, "missing": failing}
--- a/tests/support_operation.py
+++ b/tests/support_operation.py
@@ -39,7 +39,8 @@
             status = event.status_code
         elif isinstance(event, h11.Data):
             parts.append(bytes(event.data))
-    return status, json.loads(b"".join(parts))
+    body = b"".join(parts)
+    return status, json.loads(body) if body else None
 
 
 @contextmanager
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -49,6 +49,8 @@
     [
         ("GET", "/health", "", b"", 200, {"health": "ok"}),
         ("GET", "/ready", "", b"", 503, {"ready": False, "missing": ["document"]}),
+        ("HEAD", "/health", "", b"", 200, None),
+        ("HEAD", "/ready", "", b"", 503, None),
         ("GET", "/v1/members", TOKEN, b"", 200, [{"host": "entry-1"}]),
         ("GET", "/v1/budgets", TOKEN, b"", 200, {"store": {"reads": 1}, "measure": {"bytes": 2}}),
         ("POST", "/v1/quarantine/lift", TOKEN, b'{"fingerprint":"aa"}', 200, {"lifted": "aa"}),
--- a/tests/test_tool.py
+++ b/tests/test_tool.py
@@ -19,6 +19,8 @@
     for tenant in ("a", "b"):
         metrics.record_latency("quote", "interactive", tenant, 0.002)
     registry.provide("status", lambda: {"host": "entry-1", "ready": True, "document": 7})
+    targets = [{"service": name, "target": f"{name}-01"} for name in ("quote", "orders")]
+    registry.provide("targets", lambda: targets)
     registry.provide("counters", lambda: {"requests.result.1000": 2})
     links = [{"link": "all", "peak_bytes_per_s": 77}]
     registry.provide("budgets.store", lambda: {"breaker": "closed", "links": links})
@@ -45,6 +47,7 @@
     ("command", "code", "words"),
     [
         (["status"], ExitCode.OK, ["entry-1", "yes", "7"]),
+        (["targets"], ExitCode.OK, ["quote-01", "orders-01"]),
         (["counters"], ExitCode.OK, ["requests.result.1000", "4"]),
         (
             ["budgets"],
@@ -77,6 +80,14 @@
         assert word in out + err
 
 
+def test_targets_of_one_service(options: list[str], capsys: pytest.CaptureFixture[str]) -> None:
+    """Guards against a filter that an operator sets without effect."""
+    code, out, _ = run_command(capsys, "targets", "--service", "orders", *options)
+    assert code == 0
+    assert out.count("orders-01") == 2
+    assert "quote" not in out
+
+
 def test_plot_is_written(
     options: list[str], capsys: pytest.CaptureFixture[str], tmp_path: Path
 ) -> None:
