Check that the guides name runs and commands that exist

Cause: the operators' guide said that tenants share by their weights; the queue gives equal turns.

Ruled out: leaving claims to review alone, since parts and tests are renamed while the pages stay.

Conclusion: whether a claim is true still needs a reader; whether its run exists does not.

--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -9,6 +9,7 @@
 from returns.pipeline import is_successful
 
 from dotterelstand.cli.check import check_path
+from dotterelstand.cli.main import Tool
 from dotterelstand.codes import Result
 from dotterelstand.events import Event
 from dotterelstand.exits import ExitCode
@@ -192,6 +193,40 @@
         assert is_successful(check_path(path)), path.read_text()
 
 
+def test_named_runs_exist() -> None:
+    """Guards against a claim whose test or run is gone."""
+    makefile = (ROOT / "Makefile").read_text(encoding="utf-8")
+    features = {path.stem for path in (ROOT / "tests").rglob("*.feature")}
+    text = (ROOT / "docs" / "operators.md").read_text(encoding="utf-8")
+    claims = [part.split("\n\n")[0] for part in text.split("\nShown by ")[1:]]
+    assert claims
+    for claim in claims:
+        names = claim.split("`")[1::2]
+        assert names, claim
+        for name in names:
+            target = re.fullmatch(r"make (\w+)", name)
+            known = name in features or (ROOT / name).exists()
+            assert f"\n{target[1]}:" in makefile if target else known, name
+
+
+def test_shown_commands_exist() -> None:
+    """Guards against a command in the documentation that the tool does not have."""
+    tool = Tool()
+    for page in PAGES:
+        # The changelog names commands of their time.
+        if page.name == "CHANGELOG.md":
+            continue
+        shown = re.findall(r"dotterelstand ([a-z]+)(?: ([a-z]+))?", page.read_text("utf-8"))
+        for name, sub in shown:
+            if not hasattr(tool, name):
+                # Prose such as "dotterelstand is a load balancer".
+                assert not re.search(
+                    rf"(`|^    )dotterelstand {name}", page.read_text("utf-8"), re.M
+                )
+            elif not callable(getattr(tool, name)) and sub:
+                assert hasattr(getattr(tool, name), sub), f"{page.name}: {name} {sub}"
+
+
 @pytest.mark.parametrize("page", PAGES, ids=lambda page: page.name)
 def test_links_lead_somewhere(page: Path) -> None:
     """Guards against a reader who follows a link to a page that is gone."""
