Print JSON for every command that a script would read

Ruled out: JSON for edit and drain's progress, which write a file or wait. Change: these commands print one object; errors still go to standard error with their exit code.

--- a/src/dotterelstand/cli/groups.py
+++ b/src/dotterelstand/cli/groups.py
@@ -34,7 +34,11 @@
         sections = self._sections()
         number = None if version is None else to_version("version", version)
         if name:
-            print(_unwrap(trio.run(sections.body, name, number)), end="")
+            body = _unwrap(trio.run(sections.body, name, number))
+            if self._context.json:
+                print_json({"section": name, "version": number, "body": body})
+            else:
+                print(body, end="")
             return
         manifest = _unwrap(trio.run(sections.manifest, number))
         rows: list[Row] = [
@@ -77,7 +81,7 @@
         """
         edited = _unwrap(read_edited(Path(file)))
         difference = _unwrap(trio.run(self._sections().propose, name, edited))
-        print(difference or f"section {name} would not change")
+        self._show_difference(difference, f"section {name} would not change")
 
     def accept(self, name: str, file: str) -> None:
         """Accept a changed section; it is in force everywhere within seconds.
@@ -117,11 +121,17 @@
         later = None if new is None else to_version("new", new)
         earlier = to_version("old", old)
         difference = _unwrap(trio.run(self._sections().diff, name, earlier, later))
-        print(difference or "no difference")
+        self._show_difference(difference, "no difference")
 
     def _sections(self) -> Sections:
         return Sections(self._context.store(), random.SystemRandom())
 
+    def _show_difference(self, difference: str, empty: str) -> None:
+        if self._context.json:
+            print_json({"difference": difference})
+        else:
+            print(difference or empty)
+
     def _submit(self, name: str, edited: EditedFile | None) -> None:
         author = self._context.author()
         number = _unwrap(trio.run(self._sections().accept, name, edited, author))
--- a/src/dotterelstand/cli/main.py
+++ b/src/dotterelstand/cli/main.py
@@ -17,7 +17,7 @@
 from dotterelstand.cli.drain import drain_host
 from dotterelstand.cli.groups import QuarantineCommands, SectionCommands, SettingsCommands
 from dotterelstand.cli.histogram import histogram_rows, merge_pages, plot_histograms
-from dotterelstand.cli.output import Row, fail, to_number
+from dotterelstand.cli.output import Row, fail, print_json, to_number
 from dotterelstand.cli.state import group_rows, list_rows, sum_counters
 from dotterelstand.exits import ExitCode, ToolError
 
@@ -48,9 +48,13 @@
             path: file or directory; nothing is changed and no host is called
         """
         result = check_path(Path(path))
-        if not is_successful(result):
-            fail(result.failure())
-        print(result.unwrap())
+        errors = [] if is_successful(result) else result.failure()
+        if self._context.json:
+            print_json({"valid": not errors, "errors": [str(error) for error in errors]})
+        elif not errors:
+            print(result.unwrap())
+        if errors:
+            fail(errors)
 
     def status(self) -> None:
         """Show for each entry host whether it is ready and which document version is in force."""
--- a/tests/test_sections.py
+++ b/tests/test_sections.py
@@ -1,5 +1,6 @@
 """Section commands show, check and accept sections, and report a lost race with its difference."""
 
+import json
 import queue
 import threading
 from collections.abc import Iterator
@@ -77,6 +78,10 @@
     assert out.count('"author": "esi"') == 2
     assert "+slots = 3" in run("diff", "2")[1]
     assert "slots" not in run("diff", "0", "1")[1]
+    for command, key in ((("diff", "2"), "difference"), (("show", "orders"), "body")):
+        assert "slots = 3" in json.loads(run(*command, "--json")[1])[key]
+    code, out, _ = run_command(capsys, "check", str(theirs), "--json")
+    assert (code, json.loads(out)) == (0, {"valid": True, "errors": []})
     assert run("remove", "orders")[0] == 0
     assert "orders" not in run("show")[1]
 
