Restore the log verbosity after a test that starts the daemon

Cause: test_daemon_that_cannot_start_says_why left the verbosity at INFO, so that every later test logged its events. Ruled out: no verbosity in run_daemon, since the daemon's log is for operators. Change: the test restores it. Conclusion: output of failing tests is short again.

--- a/tests/test_demo.py
+++ b/tests/test_demo.py
@@ -6,6 +6,7 @@
 
 import pytest
 import trio
+from absl import logging
 from support_operation import TOKEN, run_command
 
 from dotterelstand.connection.network import TcpNetwork
@@ -89,7 +90,12 @@
     """Guards against a traceback in place of a message and an exit code."""
     path = tmp_path / "entry.toml"
     path.write_text(text)
-    with pytest.raises(SystemExit) as end:
-        run_daemon(str(path))
+    verbosity = logging.get_verbosity()
+    try:
+        with pytest.raises(SystemExit) as end:
+            run_daemon(str(path))
+    finally:
+        # The daemon's verbosity would make every later test log.
+        logging.set_verbosity(verbosity)
     assert end.value.code == code
     assert words in capsys.readouterr().err
