--- a/src/dotterelstand/process/daemon.py
+++ b/src/dotterelstand/process/daemon.py
@@ -211,6 +211,7 @@
     def _apply(self, document: Document) -> None:
         was_ready = self.front.is_ready
         self.front.document = document
+        self.metrics.keep_tenants(document.tenants)
+        self.broker.apply(document)
         if not was_ready:
             self._report_ready()
-        self.broker.apply(document)
