Script the failures of a keyed request and check that the proof can fail

Cause: a check that cannot fail proves nothing, and each named failure needs its own scenario. Ruled out: waiting for the owner's whole timeout after a takeover, since a request that met a lost owner took up to 1 s more than the takeover. Change: ten mutations, a fixed set of seeds, fourteen scenarios in pytest-bdd, decision tests; begin asks the next owner within its time; a wait of the call budget always moves the clock; armed faults end with the other faults. The unconditional update and the lost answer taken as a failure are caught by the order of epochs in the store, since announcements of the newer owner hide most double runs.

--- a/src/dotterelstand/bench/at_most_once.py
+++ b/src/dotterelstand/bench/at_most_once.py
@@ -19,6 +19,8 @@
 
 REQUESTS_PER_S = 150.0
 MAX_ATTEMPTS = 6
+# Keys that are sent once more after the faults.
+REPEATS = 200
 # Time after the end of the faults within which every host must serve keyed requests again.
 RECOVERY_S = 3.0
 
@@ -74,6 +76,13 @@
             await answered.wait()
         return replies[0] if replies else None
 
+    async def repeat_some(self, keys: list[bytes]) -> None:
+        """Send again keys that ran earlier, each through some host."""
+        async with trio.open_nursery() as nursery:
+            for key in self._random.sample(keys, min(REPEATS, len(keys))):
+                host = self._random.choice(sorted(self._fleet.hosts))
+                nursery.start_soon(self.attempt, host, key, b"body", 2.0)
+
     async def _call(self, key: bytes) -> None:
         rng = self._random
         for _ in range(MAX_ATTEMPTS):
@@ -125,11 +134,12 @@
                 load.start_soon(callers.send_all, requests, REQUESTS_PER_S)
                 report.faults = await run_faults(fleet, seeded_random(seed, "faults"), until)
                 await _recover(fleet, callers, report)
+                await callers.repeat_some(sorted(fleet.target.runs))
             # Hosts that were lost while frozen get no further chance to act than this.
             await trio.sleep(5.0)
             nursery.cancel_scope.cancel()
             freezer.thaw_all()
-    report.violations += judge.violations(fleet.target)
+    report.violations += fleet.store.violations + judge.violations(fleet.target)
     report.codes = judge.codes
     report.requests = len(judge.told)
     report.runs = len(fleet.target.runs)
--- a/src/dotterelstand/bench/faultplan.py
+++ b/src/dotterelstand/bench/faultplan.py
@@ -123,6 +123,20 @@
     fleet.network.heal(name, "r0/store")
 
 
+async def isolate_owner(fleet: Fleet, rng: random.Random) -> None:
+    """The owner loses contact with every host and with the store, and comes back."""
+    name = _owner(fleet, rng)
+    others = [other for other in sorted(fleet.hosts) if other != name]
+    fleet.network.part(name, "r0/store")
+    for other in others:
+        fleet.hub.part(name, other, True)
+    await trio.sleep(rng.uniform(1.0, 5.0))
+    fleet.network.heal(name, "r0/store")
+    await trio.sleep(rng.uniform(0.0, 3.0))
+    for other in others:
+        fleet.hub.part(name, other, False)
+
+
 def _store_fault(longest_s: float, **faults: float | bool) -> Fault:
     async def apply(fleet: Fleet, rng: random.Random) -> None:
         before = {name: getattr(fleet.store.faults, name) for name in faults}
@@ -150,6 +164,7 @@
     "lose_host": lose_host,
     "stop_host": stop_host,
     "part_hosts": part_hosts,
+    "isolate_owner": isolate_owner,
     "part_store": part_store,
     "store_down": _store_fault(6.0, down=True),
     "store_silent": _store_fault(4.0, silent=True),
@@ -186,6 +201,7 @@
 
 def end_faults(fleet: Fleet) -> None:
     """Undo every fault at once; hosts that are lost or stopped are replaced."""
+    fleet.freezer.disarm()
     fleet.store.faults.clear()
     fleet.target.refuse = fleet.target.fail = fleet.target.silent = 0.0
     names = sorted(fleet.hosts)
--- a/src/dotterelstand/bench/fleet.py
+++ b/src/dotterelstand/bench/fleet.py
@@ -12,10 +12,11 @@
 from dotterelstand.process.journalowner import OwnerSettings
 from dotterelstand.process.journalservice import JournalService
 from dotterelstand.process.journaltypes import JournalLimits
+from dotterelstand.process.lease import decode_lease
 from dotterelstand.process.mesh import Member
 from dotterelstand.process.store import StoreClient
 from dotterelstand.standin.freeze import Freezer, enter_host
-from dotterelstand.standin.httpd import serve_http
+from dotterelstand.standin.httpd import HttpAnswer, serve_http
 from dotterelstand.standin.mesh import FakeMesh, MeshHub
 from dotterelstand.standin.network import FakeNetwork
 from dotterelstand.standin.platform import ObjectStore
@@ -68,6 +69,28 @@
             answered(Reply(ResultCode.ANSWERED, b"%d" % attempt))
 
 
+class JudgedStore(ObjectStore):
+    """Object store that notes head updates by which an epoch would go backwards or be shared."""
+
+    __slots__ = ("_heads", "violations")
+
+    def __init__(self, seed: int) -> None:
+        super().__init__(seed)
+        self._heads: dict[str, tuple[int, str]] = {}
+        self.violations: list[str] = []
+
+    def put(self, name: str, body: bytes, headers: dict[str, str]) -> HttpAnswer:
+        """Conditional update."""
+        answer = super().put(name, body, headers)
+        if answer.status == 200 and name.endswith("/head"):
+            record = decode_lease(body).unwrap()
+            epoch, owner = self._heads.get(name, (0, ""))
+            if record.epoch < epoch or (record.epoch == epoch and record.owner != owner):
+                self.violations.append(f"{name}: epoch {record.epoch} written after {epoch}")
+            self._heads[name] = (record.epoch, record.owner)
+        return answer
+
+
 class SimulatedHost:
     """One incarnation of an entry host: its journal service and the requests that it serves."""
 
@@ -227,7 +250,7 @@
         self.limits = JournalLimits(partitions=shape.partitions, segment_bytes=16384)
         self.owner_region = ""
         self.network = FakeNetwork(self._address_latency_s)
-        self.store = ObjectStore(rng.getrandbits(32))
+        self.store = JudgedStore(rng.getrandbits(32))
         self.hub = MeshHub(region_latency_s)
         self.target = FakeTarget(nursery, random.Random(rng.getrandbits(32)), shape.target_s)
         self.hosts: dict[str, SimulatedHost] = {}
--- a/src/dotterelstand/process/callbudget.py
+++ b/src/dotterelstand/process/callbudget.py
@@ -107,6 +107,9 @@
     Priority.HOSTS: 0.5,
 }
 
+# A missing token of 1e-15 gave a wait that did not move the clock, and the caller span.
+_SHORTEST_WAIT_S = 0.001
+
 # Shortest pause before a probe; it doubles up to the limit.
 _FIRST_PAUSE_S = 0.05
 
@@ -168,7 +171,7 @@
             return Run(probe=False)
         missing = floor + 1.0 - self._tokens[kind]
         rate = self._limits.reads_per_s if kind is Kind.READ else self._limits.writes_per_s
-        return Wait(missing / rate * self._random.uniform(1.0, 1.25))
+        return Wait(max(_SHORTEST_WAIT_S, missing / rate * self._random.uniform(1.0, 1.25)))
 
     def start_wait(self, priority: Priority) -> Deny | None:
         """Register a call that waits for its turn; denied if too many wait."""
--- a/src/dotterelstand/process/journalservice.py
+++ b/src/dotterelstand/process/journalservice.py
@@ -175,12 +175,27 @@
         if len(self._waiting) >= self._max_waiting or self._outcomes.full:
             return Refused(ResultCode.OVERLOADED)
         deadline = trio.current_time() + self._owner_timeout_s
-        owner = await self._find_owner(partition, deadline)
-        if owner is None:
-            return Refused(ResultCode.OWNER_UNREACHABLE)
-        self._next_call += 1
-        call = self._next_call
-        waiter = self._waiting[call] = _Waiter(key, partition, owner)
+        while True:
+            owner = await self._find_owner(partition, deadline)
+            if owner is None:
+                return Refused(ResultCode.OWNER_UNREACHABLE)
+            self._next_call += 1
+            call = self._next_call
+            waiter = self._waiting[call] = _Waiter(key, partition, owner)
+            result = await self._ask_owner(call, waiter, body_digest, service, deadline)
+            refused = isinstance(result, Refused) and result.code is ResultCode.OWNER_UNREACHABLE
+            if not refused:
+                return result
+            with trio.move_on_at(deadline):
+                await self._await_other_owner(partition, owner)
+                # The next owner may hold the intent of this call, which has to be freed first.
+                await self._outcomes.wait_confirmed(call)
+            if trio.current_time() >= deadline:
+                return result
+
+    async def _ask_owner(
+        self, call: int, waiter: _Waiter, body_digest: bytes, service: str, deadline: float
+    ) -> Go | Recorded | Refused:
         settled = False
         try:
             if self._send_intent(call, waiter, body_digest, service):
@@ -197,15 +212,18 @@
             if not settled:
                 # A permission that arrives from now on is ignored, so the request never runs.
                 withdrawn = ResultCode.OWNER_UNREACHABLE
-                self._outcomes.add(key, partition, call, 0, withdrawn, None)
+                self._outcomes.add(waiter.key, waiter.partition, call, 0, withdrawn, None)
 
     async def _find_owner(self, partition: int, deadline: float) -> str | None:
         with trio.move_on_at(deadline):
-            while partition not in self._owners:
-                await self._owner_changed.wait()
+            await self._await_other_owner(partition, None)
         known = self._owners.get(partition)
         return None if known is None else known[0]
 
+    async def _await_other_owner(self, partition: int, owner: str | None) -> None:
+        while partition not in self._owners or self._owners[partition][0] == owner:
+            await self._owner_changed.wait()
+
     def _send_intent(self, call: int, waiter: _Waiter, body_digest: bytes, service: str) -> bool:
         if waiter.owner != self._mesh.host:
             intent = wire.Intent(body_digest, call, waiter.key, service)
@@ -324,6 +342,9 @@
             self._owner_changed.set()
             self._owner_changed = trio.Event()
             self._outcomes.set_owner(partition, sender)
+            for call, waiter in list(self._waiting.items()):
+                if waiter.partition == partition and waiter.owner != sender:
+                    self._resolve(call, waiter.owner, Refused(ResultCode.OWNER_UNREACHABLE))
 
 
 def _read_code(code: int) -> ResultCode | None:
--- a/src/dotterelstand/process/lease.py
+++ b/src/dotterelstand/process/lease.py
@@ -142,6 +142,9 @@
             if not is_successful(decoded):
                 return Failure(LeaseError(MALFORMED, decoded.failure()))
             epoch, payload = decoded.unwrap().epoch + 1, decoded.unwrap().payload
+            # Versions order the updates of an object, so a newer one cannot have an older epoch.
+            newer = self._version is not None and seen.version > self._version
+            require(not newer or epoch > self.epoch, "epoch grows", lease=self._name, epoch=epoch)
         self._version = None if seen is None else seen.version
         record = LeaseRecord(self._host, epoch, self._new_write_id(), False, payload)
         written = await self._write(record)
--- a/src/dotterelstand/process/outcomes.py
+++ b/src/dotterelstand/process/outcomes.py
@@ -19,12 +19,13 @@
 class _Unsettled:
     """An outcome that the owner has not confirmed."""
 
-    __slots__ = ("message", "partition", "sent_at")
+    __slots__ = ("confirmed", "message", "partition", "sent_at")
 
     def __init__(self, message: wire.Outcome, partition: int) -> None:
         self.message = message
         self.partition = partition
         self.sent_at = 0.0
+        self.confirmed = trio.Event()
 
 
 class UnsettledOutcomes:
@@ -76,10 +77,17 @@
 
     def confirm(self, call: int) -> None:
         """Forget an outcome that needs no record or has one."""
-        self._items.pop(call, None)
+        item = self._items.pop(call, None)
+        if item is not None:
+            item.confirmed.set()
         if not self._items:
             self._emptied.set()
 
+    async def wait_confirmed(self, call: int) -> None:
+        """Wait until an outcome is confirmed."""
+        if call in self._items:
+            await self._items[call].confirmed.wait()
+
     async def wait_empty(self) -> None:
         """Wait until every outcome is confirmed."""
         while self._items:
--- a/src/dotterelstand/standin/freeze.py
+++ b/src/dotterelstand/standin/freeze.py
@@ -79,6 +79,10 @@
         """Call `act` before the given step of a host's tasks, counted from now."""
         self._armed[host] = (steps, act)
 
+    def disarm(self) -> None:
+        """Forget every act that waits for a step."""
+        self._armed.clear()
+
     def _count_step(self, host: str) -> None:
         armed = self._armed.get(host)
         if armed is None:
--- a/src/dotterelstand/standin/mesh.py
+++ b/src/dotterelstand/standin/mesh.py
@@ -62,8 +62,9 @@
 class MeshHub:
     """Carries messages between hosts in order, each after the latency of its link.
 
-    `latency_s(from_region, to_region)` is in seconds. A host that is lost stays a member for
-    `suspect_after_s` seconds, as heartbeats would show it.
+    `latency_s(from_region, to_region)` is in seconds. `taps` holds, by type, a function that is
+    called once with sender and receiver before the next such message; false drops the message.
+    A host that is lost stays a member for `suspect_after_s` seconds, as heartbeats would show it.
     """
 
     __slots__ = (
@@ -77,6 +78,7 @@
         "_wake",
         "meshes",
         "sent",
+        "taps",
     )
 
     def __init__(
@@ -91,6 +93,7 @@
         self._parted: set[frozenset[str]] = set()
         self._wake = trio.Event()
         self.meshes: dict[str, FakeMesh] = {}
+        self.taps: dict[type[Message], Callable[[str, str], bool]] = {}
         self.sent = 0
 
     def join(self, member: Member) -> FakeMesh:
@@ -163,4 +166,6 @@
         if target.lost or parted or self.meshes.get(target.host) is not target:
             return
         for message in decode_messages(frame).unwrap():
-            target.deliver(sender, message)
+            tap = self.taps.pop(type(message), None)
+            if tap is None or tap(sender, target.host):
+                target.deliver(sender, message)
--- /dev/null
+++ b/tests/test_at_most_once.py
@@ -0,0 +1,34 @@
+"""A short fixed set of the randomised proof, and the mutations that it must catch."""
+
+import pytest
+
+from dotterelstand.bench.at_most_once import run_seed
+from dotterelstand.bench.mutations import MUTATIONS
+
+# Smallest seed that catches each mutation with 600 requests.
+CAUGHT_BY = {
+    "go_before_write": 1,
+    "go_after_failed_write": 6,
+    "unconditional_update": 14,
+    "lost_answer_is_success": 17,
+    "lost_answer_is_failure": 14,
+    "epoch_ignored": 1,
+    "claim_ignored": 1,
+    "unknown_frees_key": 11,
+    "segments_skipped": 21,
+    "segment_after_head": 21,
+}
+
+
+@pytest.mark.parametrize("seed", [1, 3, 14, 17, 21, 40])
+def test_no_key_runs_twice(seed: int) -> None:
+    """Guards against double runs, "not run" that ran, and hosts that do not recover in 3 s."""
+    report = run_seed(seed, 600)
+    assert report.violations == []
+    assert report.runs > 100
+
+
+@pytest.mark.parametrize("mutation", MUTATIONS)
+def test_the_proof_catches(mutation: str) -> None:
+    """Guards against checks that cannot fail."""
+    assert run_seed(CAUGHT_BY[mutation], 600, mutation).violations != []
--- /dev/null
+++ b/tests/test_journal_scenarios.py
@@ -0,0 +1,165 @@
+"""Scripted faults around one keyed request, each named in features/journal.feature."""
+
+import random
+from collections.abc import Callable
+
+import pytest
+import trio
+from pytest_bdd import given, parsers, scenarios, then, when
+
+from dotterelstand.bench.fleet import Fleet, FleetShape, Reply
+from dotterelstand.connection import wire
+from dotterelstand.standin.freeze import Freezer
+from dotterelstand.standin.virtual import run_virtual
+
+scenarios("features/journal.feature")
+
+
+class Story:
+    """What happened in one scenario."""
+
+    def __init__(self) -> None:
+        self.shape = FleetShape(hosts=5, regions=2)
+        self.fault = ""
+        self.first: Reply | None = None
+        self.repeat: Reply | None = None
+        self.runs = 0
+        self.recovery_s = float("inf")
+
+
+def _lose_owner(fleet: Fleet, owner: str) -> Callable[[str, str], bool]:
+    def act(sender: str, receiver: str) -> bool:
+        fleet.lose(owner)
+        return False
+
+    return act
+
+
+def _strike(fleet: Fleet, owner: str, entry: str, fault: str) -> None:
+    faults, taps = fleet.store.faults, fleet.hub.taps
+
+    def lose_owner_and_deliver(sender: str, receiver: str) -> bool:
+        fleet.lose(owner)
+        return True
+
+    def lose_entry(sender: str, receiver: str) -> bool:
+        fleet.lose(entry)
+        return False
+
+    def pause_owner(sender: str, receiver: str) -> bool:
+        fleet.pause(owner, True)
+        return True
+
+    if fault == "the owner is lost between intent and go":
+        taps[wire.Go] = _lose_owner(fleet, owner)
+    elif fault == "the owner is lost between go and forwarding":
+        taps[wire.Go] = lose_owner_and_deliver
+    elif fault == "the entry host is lost before forwarding":
+        taps[wire.Go] = lose_entry
+    elif fault == "the owner is lost between forwarding and outcome":
+        taps[wire.Outcome] = _lose_owner(fleet, owner)
+    elif fault == "the owner is paused after the intent":
+        taps[wire.Intent] = pause_owner
+    elif fault == "the owner is paused before the outcome":
+        taps[wire.Outcome] = pause_owner
+    elif fault == "the answer of the write is lost":
+        faults.lose_answer = 1.0
+    elif fault == "the write takes effect late":
+        faults.late_write, faults.late_write_s = 1.0, 1.5
+    elif fault == "the owner stops as planned":
+        fleet.hosts[owner].stop()
+    elif fault == "the store is down for five seconds":
+        faults.down = True
+    elif fault == "the target refuses":
+        fleet.target.refuse = 1.0
+    elif fault == "the target dies":
+        fleet.target.fail = 1.0
+    elif fault == "clocks differ and the owner is lost":
+        taps[wire.Outcome] = _lose_owner(fleet, owner)
+    else:
+        assert fault == "nothing fails"
+
+
+async def _send(fleet: Fleet, host: str, key: bytes, attempt: int) -> Reply | None:
+    answered = trio.Event()
+    replies: list[Reply] = []
+
+    def told(reply: Reply) -> None:
+        replies.append(reply)
+        answered.set()
+
+    fleet.submit(host, key, b"body", attempt, told)
+    with trio.move_on_after(2.5):
+        await answered.wait()
+    return replies[0] if replies else None
+
+
+async def _play(story: Story) -> None:
+    with Freezer() as freezer:
+        async with trio.open_nursery() as nursery:
+            fleet = Fleet(nursery, freezer, story.shape, random.Random(1))
+            await fleet.start()
+            await trio.sleep(1.0)
+            owner = fleet.owner()
+            assert owner is not None
+            entry, other = [name for name in sorted(fleet.hosts) if name != owner][:2]
+            _strike(fleet, owner, entry, story.fault)
+            began = trio.current_time()
+            story.first = await _send(fleet, entry, b"key", 1)
+            if story.fault in ("the store is down for five seconds", "the write takes effect late"):
+                await trio.sleep(5.0)
+                began = trio.current_time()
+            fleet.store.faults.clear()
+            fleet.target.refuse = fleet.target.fail = 0.0
+            for number in range(100):
+                reply = await _send(fleet, other, b"new-%d" % number, 100 + number)
+                if reply is not None and reply.code == 1000:
+                    story.recovery_s = trio.current_time() - began
+                    break
+                await trio.sleep(0.05)
+            if freezer.is_frozen(fleet.hosts[owner].context):
+                fleet.pause(owner, False)
+            await trio.sleep(2.0)
+            story.repeat = await _send(fleet, other, b"key", 2)
+            story.runs = len(fleet.target.runs.get(b"key", []))
+            nursery.cancel_scope.cancel()
+            freezer.thaw_all()
+
+
+@pytest.fixture
+def story() -> Story:
+    """One scenario."""
+    return Story()
+
+
+@given("a fleet of five entry hosts in two regions")
+def _(story: Story) -> None:
+    story.shape = FleetShape(hosts=5, regions=2)
+
+
+@when(parsers.parse("{fault} during a keyed request"))
+def _(story: Story, fault: str) -> None:
+    story.fault = fault
+    if fault.startswith("clocks differ"):
+        story.shape.clock_spread = 0.05
+
+
+@when("the caller repeats the key through another host after the recovery")
+def _(story: Story) -> None:
+    run_virtual(_play, story, seed=1)
+
+
+@then(parsers.parse("the request was executed {runs:d} times"))
+def _(story: Story, runs: int) -> None:
+    assert story.runs == runs
+
+
+@then(parsers.parse("the caller was told {first} and on the repeat {repeat}"))
+def _(story: Story, first: str, repeat: str) -> None:
+    told = [str(int(reply.code)) if reply else "none" for reply in (story.first, story.repeat)]
+    assert told == [first, repeat]
+
+
+@then(parsers.parse("a new key is served within {bound:d} seconds of the fault"))
+def _(story: Story, bound: int) -> None:
+    assert story.recovery_s <= bound
