--- a/src/dotterelstand/standin/platform.py
+++ b/src/dotterelstand/standin/platform.py
@@ -12,6 +12,7 @@
 from dotterelstand.connection.network import Network, TcpNetwork
 from dotterelstand.standin.httpd import HttpAnswer, HttpRequest, serve_http
 from dotterelstand.standin.objectstore import MAX_VALUE_BYTES, Objects
+from dotterelstand.standin.stopping import run_until_signal
 from dotterelstand.standin.storefaults import CallCounts, StoreFaults
 
 
@@ -210,10 +211,14 @@
 
 
 def run_platform(address: str = "127.0.0.1", port: int = 8060) -> None:
-    """Run the platform stand-in until it is interrupted."""
-    trio.run(_serve, address, port)
+    """Run the platform stand-in until SIGTERM or SIGINT."""
+    trio.run(run_until_signal, _serve, address, port)
 
 
 def main() -> None:
     """Run the platform stand-in from the command line."""
     fire.Fire(run_platform)
+
+
+if __name__ == "__main__":
+    main()
