--- /dev/null
+++ b/src/dotterelstand/bench/confirmations.py
@@ -0,0 +1,194 @@
+"""Cost of confirmations in virtual time: python -m dotterelstand.bench.confirmations."""
+
+import gc
+import random
+import sys
+import time
+import tracemalloc
+
+import fire
+import numpy
+import trio
+
+from dotterelstand.bench.fleet import Fleet, FleetShape
+from dotterelstand.codes import Result as ResultCode
+from dotterelstand.process.entry import Answer, Claim
+from dotterelstand.process.journal import Journal
+from dotterelstand.process.journalcall import Go, done
+from dotterelstand.process.journaltypes import JournalLimits
+from dotterelstand.standin.freeze import Freezer
+from dotterelstand.standin.virtual import run_virtual, seeded_random
+
+# Time that the store takes for a call beside the network, in seconds (median).
+STORE_S = 0.004
+MAX_WRITES_PER_THOUSAND = 20.0
+MAX_RECOVERY_S = 3.0
+SIZES = (2_000, 4_000, 8_000, 16_000)
+
+
+class ConfirmationReport:
+    """Latencies in seconds by region, store writes and head bytes of one run."""
+
+    __slots__ = ("bytes_in", "latencies_s", "refused", "requests", "writes")
+
+    def __init__(self) -> None:
+        self.latencies_s: dict[str, list[float]] = {}
+        self.requests = 0
+        self.refused = 0
+        self.writes = 0
+        self.bytes_in = 0
+
+    @property
+    def writes_per_thousand(self) -> float:
+        """Store writes of all hosts, deletions included, per thousand confirmations."""
+        return 1000 * self.writes / max(1, self.requests)
+
+    def quantile_ms(self, region: str, quantile: float) -> float:
+        """Quantile of the added latency in a region, in milliseconds."""
+        return 1000 * float(numpy.quantile(self.latencies_s[region], quantile))
+
+
+async def _confirm(fleet: Fleet, name: str, key: bytes, report: ConfirmationReport) -> None:
+    began = trio.current_time()
+    service = fleet.hosts[name].service
+    go = await service.begin(key, b"body", "orders")
+    waited_s = trio.current_time() - began
+    if not isinstance(go, Go):
+        report.refused += 1
+        return
+    region = name.split("/")[0]
+    report.latencies_s.setdefault("same" if region == "r0" else "other", []).append(waited_s)
+    await trio.sleep(0.005)
+    service.finish(go, done(200, [(b"content-type", b"text/plain")], b"x" * 100))
+
+
+async def _measure(seed: int, rate: float, seconds: float) -> ConfirmationReport:
+    report, rng = ConfirmationReport(), seeded_random(seed, "load")
+    with Freezer() as freezer:
+        async with trio.open_nursery() as nursery:
+            shape = FleetShape(hosts=16, regions=3)
+            fleet = Fleet(nursery, freezer, shape, seeded_random(seed, "fleet"))
+            # The shipped bound; fleets for the proof use a small one to have many segments.
+            fleet.limits = JournalLimits()
+            fleet.owner_region = "r0"
+            fleet.store.faults.slow_s, fleet.store.faults.slow_spread = STORE_S, 0.3
+            await fleet.start()
+            await trio.sleep(3.0)
+            writes, received = _writes(fleet), fleet.store.counts.bytes_in
+            end = trio.current_time() + seconds
+            async with trio.open_nursery() as load:
+                while trio.current_time() < end:
+                    await trio.sleep(rng.expovariate(rate))
+                    report.requests += 1
+                    name = rng.choice(sorted(fleet.hosts))
+                    load.start_soon(_confirm, fleet, name, b"%d" % report.requests, report)
+            await trio.sleep(0.5)
+            report.writes = _writes(fleet) - writes
+            report.bytes_in = fleet.store.counts.bytes_in - received
+            nursery.cancel_scope.cancel()
+    return report
+
+
+def _writes(fleet: Fleet) -> int:
+    kinds = fleet.store.counts.kinds
+    return kinds.get("write", 0) + kinds.get("delete", 0)
+
+
+async def _recover(seed: int, rate: float) -> float:
+    rng = seeded_random(seed, "load")
+    with Freezer() as freezer:
+        async with trio.open_nursery() as nursery:
+            fleet = Fleet(nursery, freezer, FleetShape(16, 3), seeded_random(seed, "fleet"))
+            fleet.owner_region = "r0"
+            fleet.store.faults.slow_s, fleet.store.faults.slow_spread = STORE_S, 0.3
+            await fleet.start()
+            await trio.sleep(2.0)
+            report = ConfirmationReport()
+            for number in range(int(rate * rng.uniform(3.0, 5.0))):
+                await trio.sleep(rng.expovariate(rate))
+                name = rng.choice(sorted(fleet.hosts))
+                nursery.start_soon(_confirm, fleet, name, b"%d" % number, report)
+            owner = fleet.owner()
+            assert owner is not None
+            fleet.lose(owner)
+            began = trio.current_time()
+            name = next(name for name in sorted(fleet.hosts) if name != owner)
+            number = 0
+            while True:
+                number += 1
+                key = b"after-%d" % number
+                if isinstance(await fleet.hosts[name].service.begin(key, b"", "orders"), Go):
+                    break
+            recovery_s = trio.current_time() - began
+            nursery.cancel_scope.cancel()
+    return recovery_s
+
+
+def _load_journal(count: int) -> tuple[Journal, float]:
+    """A journal with that many finished keys, and the processor seconds that it took."""
+    journal = Journal(JournalLimits(max_records=10 * count, max_staged=1000), 1, 0.0)
+    rng = random.Random(count)
+    began = time.process_time()
+    batch_size = 62
+    for start in range(0, count, batch_size):
+        keys = [rng.randbytes(16) for _ in range(min(batch_size, count - start))]
+        for number, key in enumerate(keys, start):
+            journal.begin(0.0, key, key, "orders", Claim("entry-1", number), ("entry-1",))
+        _commit(journal)
+        for number, key in enumerate(keys, start):
+            answer = Answer(200, [[b"content-type", b"text/plain"]], b"x" * 100)
+            claim = Claim("entry-1", number)
+            journal.finish(0.0, key, claim, ResultCode.ANSWERED, answer)
+        _commit(journal)
+    return journal, time.process_time() - began
+
+
+def _commit(journal: Journal) -> None:
+    batch = journal.take_batch(0.0, refresh=True)
+    assert batch is not None
+    journal.committed(batch)
+
+
+def measure_costs() -> tuple[float, float]:
+    """Slopes over `SIZES`: processor seconds and bytes of memory for each finished key."""
+    seconds, sizes = [], []
+    for count in SIZES:
+        seconds.append(min(_load_journal(count)[1] for _ in range(3)))
+        gc.collect()
+        tracemalloc.start()
+        journal, _ = _load_journal(count)
+        gc.collect()
+        sizes.append(tracemalloc.get_traced_memory()[0])
+        tracemalloc.stop()
+        assert journal.records == count
+    slope = [float(numpy.polyfit(SIZES, values, 1)[0]) for values in (seconds, sizes)]
+    return slope[0], slope[1]
+
+
+def run_confirmations(seed: int = 1, seconds: float = 20.0, recoveries: int = 20) -> None:
+    """Print the figures of the journal; exits with 1 if a bound is missed."""
+    missed = False
+    for rate in (1.0, 10.0, 100.0, 500.0):
+        span = max(seconds, 200.0 / rate)
+        report = run_virtual(_measure, seed, rate, span, seed=seed)
+        for region in ("same", "other"):
+            p50, p99 = (report.quantile_ms(region, q) for q in (0.5, 0.99))
+            print(f"{rate:.0f}/s, {region} region: p50 {p50:.1f} ms, p99 {p99:.1f} ms")
+        print(
+            f"{rate:.0f}/s: {report.requests} confirmations, {report.refused} refused, "
+            f"{report.writes_per_thousand:.1f} writes per thousand, "
+            f"{report.bytes_in / span / 1000:.0f} KB/s to the store",
+            flush=True,
+        )
+        missed |= rate == 500.0 and report.writes_per_thousand > MAX_WRITES_PER_THOUSAND
+    times = [run_virtual(_recover, number, 50.0, seed=number) for number in range(recoveries)]
+    print(f"recovery over {recoveries} seeds: {min(times):.2f} to {max(times):.2f} s")
+    missed |= max(times) > MAX_RECOVERY_S
+    processor_s, memory = measure_costs()
+    print(f"per finished key: {processor_s * 1e6:.1f} us processor time, {memory:.0f} bytes")
+    if missed:
+        sys.exit(1)
+
+
+if __name__ == "__main__":
+    fire.Fire(run_confirmations)
--- a/tests/test_journal_scenarios.py
+++ b/tests/test_journal_scenarios.py
@@ -1,4 +1,4 @@
-"""Scripted faults around one keyed request, each named in features/journal.feature."""
+"""Scripted faults around one keyed request, each named in scenarios/journal.feature."""
 
 import random
 from collections.abc import Callable
@@ -12,7 +12,7 @@
 from dotterelstand.standin.freeze import Freezer
 from dotterelstand.standin.virtual import run_virtual
 
-scenarios("features/journal.feature")
+scenarios("scenarios/journal.feature")
 
 
 class Story:
