Keep recorded answers in their stored form and delete unlisted segments

Cause: 400,000 records of 686 bytes exceed 256 MB, segments beyond sixteen that expired at once stayed in the store, and so did those of owners that were lost between a segment and its head. Ruled out: deleting without charge to the update rate, which would exceed 20 writes per thousand confirmations once segments expire. Change: encoded answers, at most 250,000 records, deletions within the rate, search for orphans of earlier epochs after a takeover, fault that loses writes and then the owner.

--- a/src/dotterelstand/bench/faultplan.py
+++ b/src/dotterelstand/bench/faultplan.py
@@ -94,6 +94,18 @@
     await _replace(fleet, name, rng)
 
 
+async def lose_writes_then_owner(fleet: Fleet, rng: random.Random) -> None:
+    """Writes are lost, and the owner is lost before it can repeat them."""
+    name = _owner(fleet, rng)
+    host = fleet.hosts[name]
+    fleet.store.faults.lose_write = 1.0
+    await trio.sleep(rng.uniform(0.05, 0.3))
+    if fleet.hosts[name] is host and not host.lost:
+        fleet.lose(name)
+    fleet.store.faults.lose_write = 0.0
+    await _replace(fleet, name, rng)
+
+
 async def stop_host(fleet: Fleet, rng: random.Random) -> None:
     """The owner or another host is stopped as planned and replaced."""
     name = rng.choice([_owner, _any_host])(fleet, rng)
@@ -162,6 +174,7 @@
     "pause_owner_at_step": pause_owner_at_step,
     "lose_owner_at_step": lose_owner_at_step,
     "lose_host": lose_host,
+    "lose_writes_then_owner": lose_writes_then_owner,
     "stop_host": stop_host,
     "part_hosts": part_hosts,
     "isolate_owner": isolate_owner,
--- a/src/dotterelstand/process/entry.py
+++ b/src/dotterelstand/process/entry.py
@@ -68,11 +68,12 @@
 class Entry:
     """One state of a key; entries do not change, a later one replaces an earlier one.
 
-    `at` is the journal clock in seconds at which the entry was staged.
+    `at` is the journal clock in seconds at which the entry was staged. The answer is kept in its
+    stored form, which takes less memory than its parts.
     """
 
     __slots__ = (
-        "answer",
+        "_answer",
         "at",
         "body_digest",
         "claim",
@@ -101,9 +102,21 @@
         self.epoch = epoch
         self.claim = claim
         self.at = at
-        self.answer = answer
+        self._answer = b""
+        if answer is not None:
+            self._answer = cbor2.dumps([answer.status, answer.headers, answer.body])
         self.encoded_size = 0
 
+    @property
+    def answer(self) -> Answer | None:
+        """Recorded answer, if there is one."""
+        return Answer(*cbor2.loads(self._answer)) if self._answer else None
+
+    @property
+    def answer_size(self) -> int:
+        """Bytes that the recorded answer takes."""
+        return len(self._answer)
+
     def becomes(self, state: State, at: float, answer: Answer | None = None) -> "Entry":
         """Entry of the same key and claim in another state."""
         return Entry(
@@ -112,10 +125,6 @@
 
     def encode(self) -> bytes:
         """Stored form."""
-        answer = self.answer
-        kept = None
-        if answer is not None:
-            kept = [answer.status, answer.headers, answer.body]
         data = cbor2.dumps(
             [
                 self.key,
@@ -126,7 +135,7 @@
                 self.claim.host,
                 self.claim.call,
                 round(self.at, 3),
-                kept,
+                self._answer,
             ]
         )
         self.encoded_size = len(data)
@@ -158,8 +167,8 @@
 
 
 def _read_entry(data: bytes) -> Entry:
-    key, digest, service, state, epoch, host, call, at, kept = cbor2.loads(data)
-    answer = None if kept is None else Answer(*kept)
-    entry = Entry(key, digest, service, State(state), epoch, Claim(host, call), at, answer)
+    key, digest, service, state, epoch, host, call, at, answer = cbor2.loads(data)
+    entry = Entry(key, digest, service, State(state), epoch, Claim(host, call), at)
+    entry._answer = answer
     entry.encoded_size = len(data)
     return entry
--- a/src/dotterelstand/process/journal.py
+++ b/src/dotterelstand/process/journal.py
@@ -316,10 +316,9 @@
 
     def _apply(self, entry: Entry) -> None:
         before = self._records.pop(entry.key, None)
-        if before is not None and before.answer is not None:
-            self._kept_bytes -= before.answer.size
-        if entry.answer is not None:
-            self._kept_bytes += entry.answer.size
+        if before is not None:
+            self._kept_bytes -= before.answer_size
+        self._kept_bytes += entry.answer_size
         self._records[entry.key] = entry
         self._order.append(entry)
 
@@ -331,8 +330,7 @@
             if self._records.get(entry.key) is entry and entry.key not in self._in_flight:
                 del self._records[entry.key]
                 self.figures.expired += 1
-                if entry.answer is not None:
-                    self._kept_bytes -= entry.answer.size
+                self._kept_bytes -= entry.answer_size
         while self._recent and self._recent[0][0].at < oldest:
             entry, _ = self._recent.popleft()
             self._recent_bytes -= entry.encoded_size
--- a/src/dotterelstand/process/journalowner.py
+++ b/src/dotterelstand/process/journalowner.py
@@ -1,7 +1,7 @@
 """Keeps one journal partition: takes its lease over, commits batches, releases it."""
 
 import random
-from collections.abc import Callable
+from collections import deque
 
 import trio
 from returns.pipeline import is_successful
@@ -22,62 +22,17 @@
     decode_lease,
 )
 from dotterelstand.process.mesh import Mesh
+from dotterelstand.process.ownertypes import OwnerEvents, OwnerSettings, PartitionFigures
 from dotterelstand.process.store import CONFLICT, MISSING, StoreClient, StoreValue
 
 # Updates that may follow each other without a pause before the rate applies.
 UPDATE_BURST = 4.0
-# Segments that are read at the same time in a takeover, and deleted per head update.
+# Segments that are read at the same time in a takeover.
 PARALLEL_READS = 16
-
-
-class OwnerSettings:
-    """Rates and times of a partition's owner, in seconds and updates a second."""
-
-    __slots__ = ("lease_s", "outcome_delay_s", "region", "writes_per_s")
-
-    def __init__(
-        self,
-        lease_s: float = 2.0,
-        writes_per_s: float = 8.0,
-        outcome_delay_s: float = 0.25,
-        region: str = "",
-    ) -> None:
-        self.lease_s = lease_s
-        self.writes_per_s = writes_per_s
-        self.outcome_delay_s = outcome_delay_s
-        self.region = region
-
-
-class OwnerEvents:
-    """What an owner tells its service: permissions, refusals, stored outcomes, ownership."""
-
-    __slots__ = ("allow", "owned", "refuse", "stored")
-
-    def __init__(
-        self,
-        allow: Callable[[Claim, int], None],
-        refuse: Callable[[Claim, Reply], None],
-        stored: Callable[[Claim], None],
-        owned: Callable[[int, int], None],
-    ) -> None:
-        self.allow = allow
-        self.refuse = refuse
-        self.stored = stored
-        self.owned = owned
-
-
-class PartitionFigures:
-    """Store updates and takeovers of a partition on this host."""
-
-    __slots__ = ("acquired", "deleted", "lost", "rejected", "segments", "updates")
-
-    def __init__(self) -> None:
-        self.updates = 0
-        self.segments = 0
-        self.rejected = 0
-        self.acquired = 0
-        self.lost = 0
-        self.deleted = 0
+# Segments that are deleted after a head update.
+DELETES_PER_UPDATE = 2
+# Segments that wait for their deletion; the next owner finds those beyond.
+MAX_GARBAGE = 8192
 
 
 class PartitionOwner:
@@ -86,6 +41,7 @@
     __slots__ = (
         "_events",
         "_filled_at",
+        "_garbage",
         "_journal",
         "_lease",
         "_limits",
@@ -122,6 +78,7 @@
         self._events = events
         self._lease = Lease(store, f"{self._name}/head", mesh.host, rng)
         self._journal: Journal | None = None
+        self._garbage: deque[str] = deque(maxlen=MAX_GARBAGE)
         self._tokens = UPDATE_BURST
         self._filled_at = 0.0
         self._updated_at = 0.0
@@ -147,6 +104,8 @@
             return Reply(ResultCode.OWNER_UNREACHABLE)
         live = {member.host for member in self._mesh.members()}
         reply = self._journal.begin(trio.current_time(), key, body_digest, service, claim, live)
+        if self._journal.figures.full == 1:
+            log(Event.JOURNAL_FULL, partition=self._partition)
         if reply is None and not self._store.budget.available:
             # Nothing was in an update yet, so the intent did not run and never will.
             self._journal.finish(
@@ -283,10 +242,14 @@
         """Commit batches until the lease is lost or released."""
         journal = self._journal
         assert journal is not None
+        searched = False
         while not self._stop.is_set():
             await self._await_work(journal)
             if not await self._commit(journal, False):
                 return self._drop(journal)
+            if not searched:
+                searched = True
+                await self._find_orphans(journal)
         while journal.staged and self._store.budget.available:
             if not await self._commit(journal, False):
                 return self._drop(journal)
@@ -328,7 +291,8 @@
         written = await self._lease.update(batch.payload, released=release)
         if is_successful(written):
             self._apply(journal, batch)
-            await self._delete(batch.removed)
+            self._garbage.extend(map(self._segment_name, batch.removed))
+            await self._delete_some()
             return not release
         self.figures.rejected += 1
         lost = written.failure().code == LOST
@@ -365,13 +329,32 @@
             self._staged_at = self._updated_at
         self._events.owned(self._partition, self._lease.epoch)
 
-    async def _delete(self, removed: list[Segment]) -> None:
-        for segment in removed[:PARALLEL_READS]:
-            deleted = await self._store.delete(self._segment_name(segment))
+    async def _delete_some(self) -> None:
+        """Delete segments that the head no longer lists, within the rate of updates."""
+        for _ in range(min(DELETES_PER_UPDATE, len(self._garbage))):
+            name = self._garbage.popleft()
+            self._tokens -= 1.0
+            deleted = await self._store.delete(name)
             if is_successful(deleted) or deleted.failure().code == MISSING:
                 self.figures.deleted += 1
 
+    async def _find_orphans(self, journal: Journal) -> None:
+        """Note for deletion the segments of earlier epochs that no head lists.
+
+        Later owners list only segments of earlier epochs that this head lists, so deleting the
+        others is safe even if the lease is lost meanwhile.
+        """
+        prefix = f"{self._name}/segments/"
+        found = await self._store.list(prefix, Priority.JOURNAL)
+        listed = {self._segment_name(segment) for segment in journal.segments}
+        for name, _ in found.value_or([]):
+            epoch = name.removeprefix(prefix).split("-")[0]
+            earlier = epoch.isdigit() and int(epoch) < self._lease.epoch
+            if earlier and name not in listed:
+                self._garbage.append(name)
+
     def _drop(self, journal: Journal) -> None:
+        self._garbage.clear()
         self._refuse(journal.drop_intents(), ResultCode.OWNER_UNREACHABLE)
         self._journal = None
         self.figures.lost += 1
--- a/src/dotterelstand/process/journaltypes.py
+++ b/src/dotterelstand/process/journaltypes.py
@@ -24,7 +24,7 @@
         partitions: int = 1,
         retention_s: float = 600.0,
         running_limit_s: float = 60.0,
-        max_records: int = 400_000,
+        max_records: int = 250_000,
         max_answer_bytes: int = 4096,
         max_kept_bytes: int = 67_108_864,
         max_staged: int = 4096,
