--- a/src/dotterelstand/process/journalowner.py
+++ b/src/dotterelstand/process/journalowner.py
@@ -10,9 +10,9 @@
 from dotterelstand.codes import Result as ResultCode
 from dotterelstand.events import Event, log
 from dotterelstand.process.callbudget import Priority
-from dotterelstand.process.entry import Answer, Claim, Entry, decode_entries
+from dotterelstand.process.entry import Answer, Claim, Entry
 from dotterelstand.process.journal import Journal, empty_head
-from dotterelstand.process.journaltypes import Batch, JournalLimits, Reply, Segment
+from dotterelstand.process.journaltypes import Batch, JournalLimits, Reply
 from dotterelstand.process.lease import (
     LOST,
     Lease,
@@ -22,13 +22,12 @@
     decode_lease,
 )
 from dotterelstand.process.mesh import Mesh
-from dotterelstand.process.ownertypes import OwnerEvents, OwnerSettings, PartitionFigures
+from dotterelstand.process.ownertypes import OwnerEvents, OwnerSettings, PartitionFigures, Prepared
+from dotterelstand.process.segments import load_journal, segment_name
 from dotterelstand.process.store import CONFLICT, MISSING, StoreClient, StoreValue
 
 # Updates that may follow each other without a pause before the rate applies.
 UPDATE_BURST = 4.0
-# Segments that are read at the same time in a takeover.
-PARALLEL_READS = 16
 # Segments that are deleted after a head update.
 DELETES_PER_UPDATE = 2
 # Segments that wait for their deletion; the next owner finds those beyond.
@@ -48,6 +47,7 @@
         "_mesh",
         "_name",
         "_partition",
+        "_prepared",
         "_released",
         "_settings",
         "_staged_at",
@@ -78,6 +78,7 @@
         self._events = events
         self._lease = Lease(store, f"{self._name}/head", mesh.host, rng)
         self._journal: Journal | None = None
+        self._prepared: Prepared | None = None
         self._garbage: deque[str] = deque(maxlen=MAX_GARBAGE)
         self._tokens = UPDATE_BURST
         self._filled_at = 0.0
@@ -142,11 +143,23 @@
                 await self._keep()
 
     async def _await_ownership(self) -> None:
+        async with trio.open_nursery() as nursery:
+            await self._follow_lease(nursery)
+            nursery.cancel_scope.cancel()
+        self._prepared = None
+
+    async def _follow_lease(self, nursery: trio.Nursery) -> None:
         watch = LeaseWatch(self._settings.lease_s)
         while not self._stop.is_set():
             rank = self._rank()
             if rank is not None:
                 seen = await self._look(watch, rank)
+                prepared = self._prepared is not None and self._prepared.version == watch.version
+                if watch.is_half_over(trio.current_time()) and not prepared:
+                    # Reading a full journal takes about a second, which the wait for the end of
+                    # the lease covers.
+                    self._prepared = Prepared(watch.version)
+                    nursery.start_soon(self._prepare, self._prepared)
                 if is_successful(seen) and await self._take_over(seen.unwrap()):
                     return
             self._wake = trio.Event()
@@ -194,7 +207,7 @@
         taken = await self._lease.acquire(seen, empty_head(self._limits.partitions))
         if not is_successful(taken):
             return False
-        journal = await self._load(taken.unwrap())
+        journal = await self._use_prepared(taken.unwrap(), seen)
         if not is_successful(journal):
             log(Event.JOURNAL_UNREADABLE, name=self._name, error=journal.failure())
             self._lease.held = False
@@ -205,39 +218,29 @@
         self._events.owned(self._partition, self._lease.epoch)
         return True
 
-    async def _load(self, record: LeaseRecord) -> Result[Journal, str]:
-        journal = Journal(self._limits, record.epoch, trio.current_time())
-        segments = journal.load_head(record.payload)
-        if not is_successful(segments):
-            return Failure(segments.failure())
-        bodies = await self._read_segments(segments.unwrap())
-        for segment in segments.unwrap():
-            # A segment takes milliseconds to decode; requests of this host run in between.
-            await trio.lowlevel.checkpoint()
-            body = bodies.pop(segment.id, None)
-            if body is None:
-                return Failure(f"segment {segment.id} cannot be read")
-            decoded = decode_entries(body)
-            if not is_successful(decoded):
-                return Failure(decoded.failure())
-            journal.apply_segment(decoded.unwrap())
-        journal.finish_load()
-        return Success(journal)
-
-    async def _read_segments(self, segments: list[Segment]) -> dict[str, bytes]:
-        bodies: dict[str, bytes] = {}
-        limiter = trio.CapacityLimiter(PARALLEL_READS)
-
-        async def read(segment: Segment) -> None:
-            async with limiter:
-                value = await self._store.read(self._segment_name(segment))
-            if is_successful(value):
-                bodies[segment.id] = value.unwrap().body
-
-        async with trio.open_nursery() as nursery:
-            for segment in segments:
-                nursery.start_soon(read, segment)
-        return bodies
+    async def _prepare(self, prepared: Prepared) -> None:
+        try:
+            value = await self._store.read(f"{self._name}/head")
+            if not is_successful(value) or value.unwrap().version != prepared.version:
+                return
+            record = decode_lease(value.unwrap().body)
+            if is_successful(record):
+                record.unwrap().epoch += 1
+                journal = await load_journal(self._store, self._name, self._limits, record.unwrap())
+                prepared.epoch, prepared.journal = record.unwrap().epoch, journal.value_or(None)
+        finally:
+            prepared.done.set()
+
+    async def _use_prepared(
+        self, record: LeaseRecord, seen: StoreValue | None
+    ) -> Result[Journal, str]:
+        prepared = self._prepared
+        if prepared is not None and seen is not None and prepared.version == seen.version:
+            await prepared.done.wait()
+            # The new record has the payload of the version that it replaced.
+            if prepared.journal is not None and prepared.epoch == record.epoch:
+                return Success(prepared.journal)
+        return await load_journal(self._store, self._name, self._limits, record)
 
     async def _keep(self) -> None:
         """Commit batches until the lease is lost or released."""
@@ -292,7 +295,7 @@
         written = await self._lease.update(batch.payload, released=release)
         if is_successful(written):
             self._apply(journal, batch)
-            self._garbage.extend(map(self._segment_name, batch.removed))
+            self._garbage.extend(segment_name(self._name, part) for part in batch.removed)
             await self._delete_some()
             return not release
         self.figures.rejected += 1
@@ -311,7 +314,7 @@
         assert batch.segment is not None
         self._tokens -= 1.0
         self.figures.segments += 1
-        name = self._segment_name(batch.segment)
+        name = segment_name(self._name, batch.segment)
         for _ in range(3):
             written = await self._store.write(name, batch.segment_body, None)
             # The name holds the epoch and is used for one content, so a conflict is our own write.
@@ -347,7 +350,7 @@
         """
         prefix = f"{self._name}/segments/"
         found = await self._store.list(prefix, Priority.JOURNAL)
-        listed = {self._segment_name(segment) for segment in journal.segments}
+        listed = {segment_name(self._name, segment) for segment in journal.segments}
         for name, _ in found.value_or([]):
             epoch = name.removeprefix(prefix).split("-")[0]
             earlier = epoch.isdigit() and int(epoch) < self._lease.epoch
@@ -364,6 +367,3 @@
     def _refuse(self, intents: list[Entry], code: ResultCode) -> None:
         for entry in intents:
             self._events.refuse(entry.claim, Reply(code))
-
-    def _segment_name(self, segment: Segment) -> str:
-        return f"{self._name}/segments/{segment.id}"
--- a/src/dotterelstand/process/lease.py
+++ b/src/dotterelstand/process/lease.py
@@ -99,6 +99,10 @@
         self._seen_at: float | None = None
         self.version = -1
 
+    def is_half_over(self, now: float) -> bool:
+        """Whether half of the lease has passed since the version was first seen."""
+        return self._seen_at is not None and now - self._since >= self._lease_s / 2
+
     def observe(self, now: float, version: int) -> bool:
         """Note the version seen at `now` (seconds); true if the lease has run out."""
         gap = self._seen_at is None or now - self._seen_at > self._lease_s / 2
--- a/src/dotterelstand/process/ownertypes.py
+++ b/src/dotterelstand/process/ownertypes.py
@@ -2,7 +2,10 @@
 
 from collections.abc import Callable
 
+import trio
+
 from dotterelstand.process.entry import Claim
+from dotterelstand.process.journal import Journal
 from dotterelstand.process.journaltypes import Reply
 
 
@@ -54,3 +57,15 @@
         self.acquired = 0
         self.lost = 0
         self.deleted = 0
+
+
+class Prepared:
+    """A journal that a candidate reads ahead, valid if it replaces this version of the head."""
+
+    __slots__ = ("done", "epoch", "journal", "version")
+
+    def __init__(self, version: int) -> None:
+        self.version = version
+        self.epoch = 0
+        self.journal: Journal | None = None
+        self.done = trio.Event()
