--- a/src/dotterelstand/process/figures.py
+++ b/src/dotterelstand/process/figures.py
@@ -10,7 +10,9 @@
     "DutyCounters": "duty",
     "JournalFigures": "journal",
     "MeasureCounters": "measure",
+    "OutcomeFigures": "outcomes",
     "PartitionFigures": "partition",
+    "RecordFigures": "records",
     "SlotCounters": "selection",
 }
 
--- a/src/dotterelstand/process/journal.py
+++ b/src/dotterelstand/process/journal.py
@@ -15,8 +15,8 @@
 from dotterelstand.process.journaltypes import (
     Batch,
     Committed,
-    JournalFigures,
     JournalLimits,
+    RecordFigures,
     Reply,
     Segment,
 )
@@ -65,7 +65,7 @@
         self._withdrawn: set[Claim] = set()
         self._allowed: set[Claim] = set()
         self._kept_bytes = 0
-        self.figures = JournalFigures()
+        self.figures = RecordFigures()
 
     @property
     def staged(self) -> int:
--- a/src/dotterelstand/process/journalcall.py
+++ b/src/dotterelstand/process/journalcall.py
@@ -4,6 +4,7 @@
 from dotterelstand.codes import Run
 from dotterelstand.process.entry import Answer
 from dotterelstand.process.invariant import require
+from dotterelstand.process.journaltypes import Reply
 
 
 class Go:
@@ -73,3 +74,13 @@
     """The request may have run and no complete answer arrived."""
     require(code.run is Run.UNKNOWN, "outcome code", code=code)
     return CallOutcome(code, None)
+
+
+def read_reply(reply: Reply) -> Recorded | Refused:
+    """What an owner's immediate answer means for the request."""
+    if reply.code is not ResultCode.REPLAYED or reply.answer is None:
+        return Refused(reply.code)
+    answer = reply.answer
+    headers = [(bytes(name), bytes(value)) for name, value in answer.headers]
+    headers.append((b"content-length", b"%d" % len(answer.body)))
+    return Recorded(answer.status, headers, answer.body)
--- a/src/dotterelstand/process/journalowner.py
+++ b/src/dotterelstand/process/journalowner.py
@@ -12,7 +12,7 @@
 from dotterelstand.process.callbudget import Priority
 from dotterelstand.process.entry import Answer, Claim, Entry
 from dotterelstand.process.journal import Journal, empty_head
-from dotterelstand.process.journaltypes import Batch, JournalLimits, Reply
+from dotterelstand.process.journaltypes import Batch, JournalLimits, RecordFigures, Reply
 from dotterelstand.process.lease import (
     LOST,
     Lease,
@@ -57,6 +57,7 @@
         "_updated_at",
         "_wake",
         "figures",
+        "record_figures",
     )
 
     def __init__(
@@ -88,6 +89,7 @@
         self._wake = trio.Event()
         self._stop = trio.Event()
         self.figures = PartitionFigures()
+        self.record_figures = RecordFigures()
 
     @property
     def journal(self) -> Journal | None:
@@ -213,6 +215,8 @@
             self._lease.held = False
             return False
         self._journal = journal.unwrap()
+        # The counts go on when a partition returns to this host.
+        self._journal.figures = self.record_figures
         self.figures.acquired += 1
         self._updated_at = trio.current_time()
         self._events.owned(self._partition, self._lease.epoch)
--- a/src/dotterelstand/process/journalservice.py
+++ b/src/dotterelstand/process/journalservice.py
@@ -11,11 +11,11 @@
 from dotterelstand.connection import wire
 from dotterelstand.process.entry import Answer, Claim
 from dotterelstand.process.invariant import require
-from dotterelstand.process.journalcall import CallOutcome, Go, Recorded, Refused
+from dotterelstand.process.journalcall import CallOutcome, Go, Recorded, Refused, read_reply
 from dotterelstand.process.journalowner import OwnerEvents, OwnerSettings, PartitionOwner
 from dotterelstand.process.journaltypes import JournalLimits, Reply
 from dotterelstand.process.mesh import Mesh
-from dotterelstand.process.outcomes import UnsettledOutcomes
+from dotterelstand.process.outcomes import OutcomeFigures, UnsettledOutcomes
 from dotterelstand.process.store import StoreClient
 from dotterelstand.settings import Settings
 
@@ -116,6 +116,11 @@
         """Outcomes that no owner has confirmed yet."""
         return len(self._outcomes)
 
+    @property
+    def outcome_figures(self) -> OutcomeFigures:
+        """Counts of the outcomes that this host reported."""
+        return self._outcomes.figures
+
     def owner_of(self, partition: int) -> tuple[str, int] | None:
         """Name of the owner as last announced, and its epoch."""
         return self._owners.get(partition)
@@ -231,7 +236,7 @@
         claim = Claim(self._mesh.host, call)
         reply = self._partitions[waiter.partition].begin(waiter.key, body_digest, service, claim)
         if reply is not None:
-            self._resolve(call, self._mesh.host, _read_reply(reply))
+            self._resolve(call, self._mesh.host, read_reply(reply))
         return True
 
     def _resolve(self, call: int, owner: str, result: Go | Recorded | Refused) -> None:
@@ -282,7 +287,7 @@
 
     def _refuse(self, claim: Claim, reply: Reply) -> None:
         if claim.host == self._mesh.host:
-            self._resolve(claim.call, claim.host, _read_reply(reply))
+            self._resolve(claim.call, claim.host, read_reply(reply))
             return
         answer = reply.answer or Answer(0, [], b"")
         self._mesh.send(
@@ -319,7 +324,7 @@
         code = _read_code(message.code)
         if code is not None and code is not ResultCode.ANSWERED:
             answer = Answer(message.status, message.headers, message.body)
-            self._resolve(message.call, sender, _read_reply(Reply(code, answer)))
+            self._resolve(message.call, sender, read_reply(Reply(code, answer)))
 
     def _on_stored(self, sender: str, message: wire.OutcomeStored) -> None:
         self._outcomes.confirm(message.call)
@@ -354,15 +359,6 @@
         return None
 
 
-def _read_reply(reply: Reply) -> Recorded | Refused:
-    if reply.code is not ResultCode.REPLAYED or reply.answer is None:
-        return Refused(reply.code)
-    answer = reply.answer
-    headers = [(bytes(name), bytes(value)) for name, value in answer.headers]
-    headers.append((b"content-length", b"%d" % len(answer.body)))
-    return Recorded(answer.status, headers, answer.body)
-
-
 def build_journal(
     settings: Settings, store: StoreClient, mesh: Mesh, rng: random.Random
 ) -> JournalService:
--- a/src/dotterelstand/process/journaltypes.py
+++ b/src/dotterelstand/process/journaltypes.py
@@ -93,8 +93,8 @@
         self.stored: list[Claim] = []
 
 
-class JournalFigures:
-    """Counts since the journal was loaded."""
+class RecordFigures:
+    """Counts of the decisions about records on this host."""
 
     __slots__ = ("allowed", "expired", "full", "kept_without_body", "outcomes", "replies")
 
--- a/src/dotterelstand/process/outcomes.py
+++ b/src/dotterelstand/process/outcomes.py
@@ -28,13 +28,24 @@
         self.confirmed = trio.Event()
 
 
+class OutcomeFigures:
+    """Counts of outcomes: reported, handed over again, dropped at the bound."""
+
+    __slots__ = ("added", "dropped", "resent")
+
+    def __init__(self) -> None:
+        self.added = 0
+        self.dropped = 0
+        self.resent = 0
+
+
 class UnsettledOutcomes:
     """Bounded table of outcomes by call number.
 
     `send(owner, message)` may be called again for one outcome; the owner ignores repetitions.
     """
 
-    __slots__ = ("_emptied", "_items", "_limit", "_owners", "_send", "added", "dropped", "resent")
+    __slots__ = ("_emptied", "_items", "_limit", "_owners", "_send", "figures")
 
     def __init__(self, send: Callable[[str, wire.Outcome], None], limit: int) -> None:
         self._send = send
@@ -42,9 +53,7 @@
         self._items: OrderedDict[int, _Unsettled] = OrderedDict()
         self._owners: dict[int, str] = {}
         self._emptied = trio.Event()
-        self.added = 0
-        self.dropped = 0
-        self.resent = 0
+        self.figures = OutcomeFigures()
 
     def __len__(self) -> int:
         return len(self._items)
@@ -64,10 +73,10 @@
         answer: Answer | None,
     ) -> None:
         """Hand an outcome to the owner until it confirms it."""
-        self.added += 1
+        self.figures.added += 1
         if len(self._items) >= 2 * self._limit:
             # Requests that were permitted before the table was full; their keys stay unknown.
-            self.dropped += 1
+            self.figures.dropped += 1
             log(Event.OUTCOME_DROPPED, call=call)
             return
         kept = answer or Answer(0, [], b"")
@@ -112,7 +121,7 @@
 
     def _resend(self, items: list[_Unsettled]) -> None:
         for item in items[:RESEND_BATCH]:
-            self.resent += 1
+            self.figures.resent += 1
             self._hand_over(item)
 
     def _hand_over(self, item: _Unsettled) -> None:
--- a/src/dotterelstand/process/partpages.py
+++ b/src/dotterelstand/process/partpages.py
@@ -38,7 +38,9 @@
     metrics.add_source(lambda: read_figures(slots.core.duty_counters))
     metrics.add_source(lambda: _dispatchers(slots))
     metrics.add_source(lambda: read_figures(journal.figures))
+    metrics.add_source(lambda: read_figures(journal.outcome_figures))
     metrics.add_source(lambda: sum_figures([item.figures for item in journal.partitions]))
+    metrics.add_source(lambda: sum_figures([item.record_figures for item in journal.partitions]))
 
 
 def target_states(slots: SlotBroker, service: str) -> dict[str, dict[str, object]]:
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -15,7 +15,9 @@
 from dotterelstand.process.figures import PREFIXES
 from dotterelstand.process.journalowner import PartitionFigures
 from dotterelstand.process.journalservice import JournalFigures
+from dotterelstand.process.journaltypes import RecordFigures
 from dotterelstand.process.measure import MeasureCounters
+from dotterelstand.process.outcomes import OutcomeFigures
 from dotterelstand.process.slotcore import SlotCounters
 from dotterelstand.process.slotduty import DutyCounters
 from dotterelstand.settings import default_settings
@@ -27,7 +29,9 @@
     DutyCounters,
     JournalFigures,
     MeasureCounters,
+    OutcomeFigures,
     PartitionFigures,
+    RecordFigures,
     SlotCounters,
 )
 ROOT = Path(__file__).parent.parent
