--- a/src/dotterelstand/process/journalowner.py
+++ b/src/dotterelstand/process/journalowner.py
@@ -1,7 +1,7 @@
 """Keeps one journal partition: takes its lease over, commits batches, releases it."""
 
 import random
-from collections.abc import Callable
+from collections import deque
 
 import trio
 from returns.pipeline import is_successful
@@ -10,9 +10,9 @@
 from dotterelstand.codes import Result as ResultCode
 from dotterelstand.events import Event, log
 from dotterelstand.process.callbudget import Priority
-from dotterelstand.process.entry import Answer, Claim, Entry, decode_entries
+from dotterelstand.process.entry import Answer, Claim, Entry
 from dotterelstand.process.journal import Journal, empty_head
-from dotterelstand.process.journaltypes import Batch, JournalLimits, Reply, Segment
+from dotterelstand.process.journaltypes import Batch, JournalLimits, RecordFigures, Reply
 from dotterelstand.process.lease import (
     LOST,
     Lease,
@@ -22,62 +22,16 @@
     decode_lease,
 )
 from dotterelstand.process.mesh import Mesh
+from dotterelstand.process.ownertypes import OwnerEvents, OwnerSettings, PartitionFigures, Prepared
+from dotterelstand.process.segments import load_journal, segment_name
 from dotterelstand.process.store import CONFLICT, MISSING, StoreClient, StoreValue
 
 # Updates that may follow each other without a pause before the rate applies.
 UPDATE_BURST = 4.0
-# Segments that are read at the same time in a takeover, and deleted per head update.
-PARALLEL_READS = 16
-
-
-class OwnerSettings:
-    """Rates and times of a partition's owner, in seconds and updates a second."""
-
-    __slots__ = ("lease_s", "outcome_delay_s", "region", "writes_per_s")
-
-    def __init__(
-        self,
-        lease_s: float = 2.0,
-        writes_per_s: float = 8.0,
-        outcome_delay_s: float = 0.25,
-        region: str = "",
-    ) -> None:
-        self.lease_s = lease_s
-        self.writes_per_s = writes_per_s
-        self.outcome_delay_s = outcome_delay_s
-        self.region = region
-
-
-class OwnerEvents:
-    """What an owner tells its service: permissions, refusals, stored outcomes, ownership."""
-
-    __slots__ = ("allow", "owned", "refuse", "stored")
-
-    def __init__(
-        self,
-        allow: Callable[[Claim, int], None],
-        refuse: Callable[[Claim, Reply], None],
-        stored: Callable[[Claim], None],
-        owned: Callable[[int, int], None],
-    ) -> None:
-        self.allow = allow
-        self.refuse = refuse
-        self.stored = stored
-        self.owned = owned
-
-
-class PartitionFigures:
-    """Store updates and takeovers of a partition on this host."""
-
-    __slots__ = ("acquired", "deleted", "lost", "rejected", "segments", "updates")
-
-    def __init__(self) -> None:
-        self.updates = 0
-        self.segments = 0
-        self.rejected = 0
-        self.acquired = 0
-        self.lost = 0
-        self.deleted = 0
+# Segments that are deleted after a head update.
+DELETES_PER_UPDATE = 2
+# Segments that wait for their deletion; the next owner finds those beyond.
+MAX_GARBAGE = 8192
 
 
 class PartitionOwner:
@@ -86,12 +40,14 @@
     __slots__ = (
         "_events",
         "_filled_at",
+        "_garbage",
         "_journal",
         "_lease",
         "_limits",
         "_mesh",
         "_name",
         "_partition",
+        "_prepared",
         "_released",
         "_settings",
         "_staged_at",
@@ -101,6 +57,7 @@
         "_updated_at",
         "_wake",
         "figures",
+        "record_figures",
     )
 
     def __init__(
@@ -122,6 +79,8 @@
         self._events = events
         self._lease = Lease(store, f"{self._name}/head", mesh.host, rng)
         self._journal: Journal | None = None
+        self._prepared: Prepared | None = None
+        self._garbage: deque[str] = deque(maxlen=MAX_GARBAGE)
         self._tokens = UPDATE_BURST
         self._filled_at = 0.0
         self._updated_at = 0.0
@@ -130,6 +89,7 @@
         self._wake = trio.Event()
         self._stop = trio.Event()
         self.figures = PartitionFigures()
+        self.record_figures = RecordFigures()
 
     @property
     def journal(self) -> Journal | None:
@@ -147,6 +107,8 @@
             return Reply(ResultCode.OWNER_UNREACHABLE)
         live = {member.host for member in self._mesh.members()}
         reply = self._journal.begin(trio.current_time(), key, body_digest, service, claim, live)
+        if self._journal.figures.full == 1:
+            log(Event.JOURNAL_FULL, partition=self._partition)
         if reply is None and not self._store.budget.available:
             # Nothing was in an update yet, so the intent did not run and never will.
             self._journal.finish(
@@ -183,11 +145,23 @@
                 await self._keep()
 
     async def _await_ownership(self) -> None:
+        async with trio.open_nursery() as nursery:
+            await self._follow_lease(nursery)
+            nursery.cancel_scope.cancel()
+        self._prepared = None
+
+    async def _follow_lease(self, nursery: trio.Nursery) -> None:
         watch = LeaseWatch(self._settings.lease_s)
         while not self._stop.is_set():
             rank = self._rank()
             if rank is not None:
                 seen = await self._look(watch, rank)
+                prepared = self._prepared is not None and self._prepared.version == watch.version
+                if watch.is_half_over(trio.current_time()) and not prepared:
+                    # Reading a full journal takes about a second, which the wait for the end of
+                    # the lease covers.
+                    self._prepared = Prepared(watch.version)
+                    nursery.start_soon(self._prepare, self._prepared)
                 if is_successful(seen) and await self._take_over(seen.unwrap()):
                     return
             self._wake = trio.Event()
@@ -235,58 +209,55 @@
         taken = await self._lease.acquire(seen, empty_head(self._limits.partitions))
         if not is_successful(taken):
             return False
-        journal = await self._load(taken.unwrap())
+        journal = await self._use_prepared(taken.unwrap(), seen)
         if not is_successful(journal):
             log(Event.JOURNAL_UNREADABLE, name=self._name, error=journal.failure())
             self._lease.held = False
             return False
         self._journal = journal.unwrap()
+        # The counts go on when a partition returns to this host.
+        self._journal.figures = self.record_figures
         self.figures.acquired += 1
         self._updated_at = trio.current_time()
         self._events.owned(self._partition, self._lease.epoch)
         return True
 
-    async def _load(self, record: LeaseRecord) -> Result[Journal, str]:
-        journal = Journal(self._limits, record.epoch, trio.current_time())
-        segments = journal.load_head(record.payload)
-        if not is_successful(segments):
-            return Failure(segments.failure())
-        bodies = await self._read_segments(segments.unwrap())
-        entries: list[Entry] = []
-        for segment in segments.unwrap():
-            body = bodies.get(segment.id)
-            if body is None:
-                return Failure(f"segment {segment.id} cannot be read")
-            decoded = decode_entries(body)
-            if not is_successful(decoded):
-                return Failure(decoded.failure())
-            entries.extend(decoded.unwrap())
-        journal.load_entries(entries)
-        return Success(journal)
-
-    async def _read_segments(self, segments: list[Segment]) -> dict[str, bytes]:
-        bodies: dict[str, bytes] = {}
-        limiter = trio.CapacityLimiter(PARALLEL_READS)
-
-        async def read(segment: Segment) -> None:
-            async with limiter:
-                value = await self._store.read(self._segment_name(segment))
-            if is_successful(value):
-                bodies[segment.id] = value.unwrap().body
-
-        async with trio.open_nursery() as nursery:
-            for segment in segments:
-                nursery.start_soon(read, segment)
-        return bodies
+    async def _prepare(self, prepared: Prepared) -> None:
+        try:
+            value = await self._store.read(f"{self._name}/head")
+            if not is_successful(value) or value.unwrap().version != prepared.version:
+                return
+            record = decode_lease(value.unwrap().body)
+            if is_successful(record):
+                record.unwrap().epoch += 1
+                journal = await load_journal(self._store, self._name, self._limits, record.unwrap())
+                prepared.epoch, prepared.journal = record.unwrap().epoch, journal.value_or(None)
+        finally:
+            prepared.done.set()
+
+    async def _use_prepared(
+        self, record: LeaseRecord, seen: StoreValue | None
+    ) -> Result[Journal, str]:
+        prepared = self._prepared
+        if prepared is not None and seen is not None and prepared.version == seen.version:
+            await prepared.done.wait()
+            # The new record has the payload of the version that it replaced.
+            if prepared.journal is not None and prepared.epoch == record.epoch:
+                return Success(prepared.journal)
+        return await load_journal(self._store, self._name, self._limits, record)
 
     async def _keep(self) -> None:
         """Commit batches until the lease is lost or released."""
         journal = self._journal
         assert journal is not None
+        searched = False
         while not self._stop.is_set():
             await self._await_work(journal)
             if not await self._commit(journal, False):
                 return self._drop(journal)
+            if not searched:
+                searched = True
+                await self._find_orphans(journal)
         while journal.staged and self._store.budget.available:
             if not await self._commit(journal, False):
                 return self._drop(journal)
@@ -328,7 +299,8 @@
         written = await self._lease.update(batch.payload, released=release)
         if is_successful(written):
             self._apply(journal, batch)
-            await self._delete(batch.removed)
+            self._garbage.extend(segment_name(self._name, part) for part in batch.removed)
+            await self._delete_some()
             return not release
         self.figures.rejected += 1
         lost = written.failure().code == LOST
@@ -346,7 +318,7 @@
         assert batch.segment is not None
         self._tokens -= 1.0
         self.figures.segments += 1
-        name = self._segment_name(batch.segment)
+        name = segment_name(self._name, batch.segment)
         for _ in range(3):
             written = await self._store.write(name, batch.segment_body, None)
             # The name holds the epoch and is used for one content, so a conflict is our own write.
@@ -365,13 +337,32 @@
             self._staged_at = self._updated_at
         self._events.owned(self._partition, self._lease.epoch)
 
-    async def _delete(self, removed: list[Segment]) -> None:
-        for segment in removed[:PARALLEL_READS]:
-            deleted = await self._store.delete(self._segment_name(segment))
+    async def _delete_some(self) -> None:
+        """Delete segments that the head no longer lists, within the rate of updates."""
+        for _ in range(min(DELETES_PER_UPDATE, len(self._garbage))):
+            name = self._garbage.popleft()
+            self._tokens -= 1.0
+            deleted = await self._store.delete(name)
             if is_successful(deleted) or deleted.failure().code == MISSING:
                 self.figures.deleted += 1
 
+    async def _find_orphans(self, journal: Journal) -> None:
+        """Note for deletion the segments of earlier epochs that no head lists.
+
+        Later owners list only segments of earlier epochs that this head lists, so deleting the
+        others is safe even if the lease is lost meanwhile.
+        """
+        prefix = f"{self._name}/segments/"
+        found = await self._store.list(prefix, Priority.JOURNAL)
+        listed = {segment_name(self._name, segment) for segment in journal.segments}
+        for name, _ in found.value_or([]):
+            epoch = name.removeprefix(prefix).split("-")[0]
+            earlier = epoch.isdigit() and int(epoch) < self._lease.epoch
+            if earlier and name not in listed:
+                self._garbage.append(name)
+
     def _drop(self, journal: Journal) -> None:
+        self._garbage.clear()
         self._refuse(journal.drop_intents(), ResultCode.OWNER_UNREACHABLE)
         self._journal = None
         self.figures.lost += 1
@@ -380,6 +371,3 @@
     def _refuse(self, intents: list[Entry], code: ResultCode) -> None:
         for entry in intents:
             self._events.refuse(entry.claim, Reply(code))
-
-    def _segment_name(self, segment: Segment) -> str:
-        return f"{self._name}/segments/{segment.id}"
--- a/src/dotterelstand/process/journalservice.py
+++ b/src/dotterelstand/process/journalservice.py
@@ -11,11 +11,11 @@
 from dotterelstand.connection import wire
 from dotterelstand.process.entry import Answer, Claim
 from dotterelstand.process.invariant import require
-from dotterelstand.process.journalcall import CallOutcome, Go, Recorded, Refused
+from dotterelstand.process.journalcall import CallOutcome, Go, Recorded, Refused, read_reply
 from dotterelstand.process.journalowner import OwnerEvents, OwnerSettings, PartitionOwner
 from dotterelstand.process.journaltypes import JournalLimits, Reply
 from dotterelstand.process.mesh import Mesh
-from dotterelstand.process.outcomes import UnsettledOutcomes
+from dotterelstand.process.outcomes import OutcomeFigures, UnsettledOutcomes
 from dotterelstand.process.store import StoreClient
 from dotterelstand.settings import Settings
 
@@ -116,6 +116,11 @@
         """Outcomes that no owner has confirmed yet."""
         return len(self._outcomes)
 
+    @property
+    def outcome_figures(self) -> OutcomeFigures:
+        """Counts of the outcomes that this host reported."""
+        return self._outcomes.figures
+
     def owner_of(self, partition: int) -> tuple[str, int] | None:
         """Name of the owner as last announced, and its epoch."""
         return self._owners.get(partition)
@@ -175,12 +180,27 @@
         if len(self._waiting) >= self._max_waiting or self._outcomes.full:
             return Refused(ResultCode.OVERLOADED)
         deadline = trio.current_time() + self._owner_timeout_s
-        owner = await self._find_owner(partition, deadline)
-        if owner is None:
-            return Refused(ResultCode.OWNER_UNREACHABLE)
-        self._next_call += 1
-        call = self._next_call
-        waiter = self._waiting[call] = _Waiter(key, partition, owner)
+        while True:
+            owner = await self._find_owner(partition, deadline)
+            if owner is None:
+                return Refused(ResultCode.OWNER_UNREACHABLE)
+            self._next_call += 1
+            call = self._next_call
+            waiter = self._waiting[call] = _Waiter(key, partition, owner)
+            result = await self._ask_owner(call, waiter, body_digest, service, deadline)
+            refused = isinstance(result, Refused) and result.code is ResultCode.OWNER_UNREACHABLE
+            if not refused:
+                return result
+            with trio.move_on_at(deadline):
+                await self._await_other_owner(partition, owner)
+                # The next owner may hold the intent of this call, which has to be freed first.
+                await self._outcomes.wait_confirmed(call)
+            if trio.current_time() >= deadline:
+                return result
+
+    async def _ask_owner(
+        self, call: int, waiter: _Waiter, body_digest: bytes, service: str, deadline: float
+    ) -> Go | Recorded | Refused:
         settled = False
         try:
             if self._send_intent(call, waiter, body_digest, service):
@@ -197,15 +217,18 @@
             if not settled:
                 # A permission that arrives from now on is ignored, so the request never runs.
                 withdrawn = ResultCode.OWNER_UNREACHABLE
-                self._outcomes.add(key, partition, call, 0, withdrawn, None)
+                self._outcomes.add(waiter.key, waiter.partition, call, 0, withdrawn, None)
 
     async def _find_owner(self, partition: int, deadline: float) -> str | None:
         with trio.move_on_at(deadline):
-            while partition not in self._owners:
-                await self._owner_changed.wait()
+            await self._await_other_owner(partition, None)
         known = self._owners.get(partition)
         return None if known is None else known[0]
 
+    async def _await_other_owner(self, partition: int, owner: str | None) -> None:
+        while partition not in self._owners or self._owners[partition][0] == owner:
+            await self._owner_changed.wait()
+
     def _send_intent(self, call: int, waiter: _Waiter, body_digest: bytes, service: str) -> bool:
         if waiter.owner != self._mesh.host:
             intent = wire.Intent(body_digest, call, waiter.key, service)
@@ -213,7 +236,7 @@
         claim = Claim(self._mesh.host, call)
         reply = self._partitions[waiter.partition].begin(waiter.key, body_digest, service, claim)
         if reply is not None:
-            self._resolve(call, self._mesh.host, _read_reply(reply))
+            self._resolve(call, self._mesh.host, read_reply(reply))
         return True
 
     def _resolve(self, call: int, owner: str, result: Go | Recorded | Refused) -> None:
@@ -264,7 +287,7 @@
 
     def _refuse(self, claim: Claim, reply: Reply) -> None:
         if claim.host == self._mesh.host:
-            self._resolve(claim.call, claim.host, _read_reply(reply))
+            self._resolve(claim.call, claim.host, read_reply(reply))
             return
         answer = reply.answer or Answer(0, [], b"")
         self._mesh.send(
@@ -301,7 +324,7 @@
         code = _read_code(message.code)
         if code is not None and code is not ResultCode.ANSWERED:
             answer = Answer(message.status, message.headers, message.body)
-            self._resolve(message.call, sender, _read_reply(Reply(code, answer)))
+            self._resolve(message.call, sender, read_reply(Reply(code, answer)))
 
     def _on_stored(self, sender: str, message: wire.OutcomeStored) -> None:
         self._outcomes.confirm(message.call)
@@ -324,6 +347,9 @@
             self._owner_changed.set()
             self._owner_changed = trio.Event()
             self._outcomes.set_owner(partition, sender)
+            for call, waiter in list(self._waiting.items()):
+                if waiter.partition == partition and waiter.owner != sender:
+                    self._resolve(call, waiter.owner, Refused(ResultCode.OWNER_UNREACHABLE))
 
 
 def _read_code(code: int) -> ResultCode | None:
@@ -333,15 +359,6 @@
         return None
 
 
-def _read_reply(reply: Reply) -> Recorded | Refused:
-    if reply.code is not ResultCode.REPLAYED or reply.answer is None:
-        return Refused(reply.code)
-    answer = reply.answer
-    headers = [(bytes(name), bytes(value)) for name, value in answer.headers]
-    headers.append((b"content-length", b"%d" % len(answer.body)))
-    return Recorded(answer.status, headers, answer.body)
-
-
 def build_journal(
     settings: Settings, store: StoreClient, mesh: Mesh, rng: random.Random
 ) -> JournalService:
--- a/src/dotterelstand/process/lease.py
+++ b/src/dotterelstand/process/lease.py
@@ -99,6 +99,10 @@
         self._seen_at: float | None = None
         self.version = -1
 
+    def is_half_over(self, now: float) -> bool:
+        """Whether half of the lease has passed since the version was first seen."""
+        return self._seen_at is not None and now - self._since >= self._lease_s / 2
+
     def observe(self, now: float, version: int) -> bool:
         """Note the version seen at `now` (seconds); true if the lease has run out."""
         gap = self._seen_at is None or now - self._seen_at > self._lease_s / 2
@@ -142,6 +146,9 @@
             if not is_successful(decoded):
                 return Failure(LeaseError(MALFORMED, decoded.failure()))
             epoch, payload = decoded.unwrap().epoch + 1, decoded.unwrap().payload
+            # Versions order the updates of an object, so a newer one cannot have an older epoch.
+            newer = self._version is not None and seen.version > self._version
+            require(not newer or epoch > self.epoch, "epoch grows", lease=self._name, epoch=epoch)
         self._version = None if seen is None else seen.version
         record = LeaseRecord(self._host, epoch, self._new_write_id(), False, payload)
         written = await self._write(record)
--- a/src/dotterelstand/process/outcomes.py
+++ b/src/dotterelstand/process/outcomes.py
@@ -19,12 +19,24 @@
 class _Unsettled:
     """An outcome that the owner has not confirmed."""
 
-    __slots__ = ("message", "partition", "sent_at")
+    __slots__ = ("confirmed", "message", "partition", "sent_at")
 
     def __init__(self, message: wire.Outcome, partition: int) -> None:
         self.message = message
         self.partition = partition
         self.sent_at = 0.0
+        self.confirmed = trio.Event()
+
+
+class OutcomeFigures:
+    """Counts of outcomes: reported, handed over again, dropped at the bound."""
+
+    __slots__ = ("added", "dropped", "resent")
+
+    def __init__(self) -> None:
+        self.added = 0
+        self.dropped = 0
+        self.resent = 0
 
 
 class UnsettledOutcomes:
@@ -33,7 +45,7 @@
     `send(owner, message)` may be called again for one outcome; the owner ignores repetitions.
     """
 
-    __slots__ = ("_emptied", "_items", "_limit", "_owners", "_send", "added", "dropped", "resent")
+    __slots__ = ("_emptied", "_items", "_limit", "_owners", "_send", "figures")
 
     def __init__(self, send: Callable[[str, wire.Outcome], None], limit: int) -> None:
         self._send = send
@@ -41,9 +53,7 @@
         self._items: OrderedDict[int, _Unsettled] = OrderedDict()
         self._owners: dict[int, str] = {}
         self._emptied = trio.Event()
-        self.added = 0
-        self.dropped = 0
-        self.resent = 0
+        self.figures = OutcomeFigures()
 
     def __len__(self) -> int:
         return len(self._items)
@@ -63,10 +73,10 @@
         answer: Answer | None,
     ) -> None:
         """Hand an outcome to the owner until it confirms it."""
-        self.added += 1
+        self.figures.added += 1
         if len(self._items) >= 2 * self._limit:
             # Requests that were permitted before the table was full; their keys stay unknown.
-            self.dropped += 1
+            self.figures.dropped += 1
             log(Event.OUTCOME_DROPPED, call=call)
             return
         kept = answer or Answer(0, [], b"")
@@ -76,10 +86,17 @@
 
     def confirm(self, call: int) -> None:
         """Forget an outcome that needs no record or has one."""
-        self._items.pop(call, None)
+        item = self._items.pop(call, None)
+        if item is not None:
+            item.confirmed.set()
         if not self._items:
             self._emptied.set()
 
+    async def wait_confirmed(self, call: int) -> None:
+        """Wait until an outcome is confirmed."""
+        if call in self._items:
+            await self._items[call].confirmed.wait()
+
     async def wait_empty(self) -> None:
         """Wait until every outcome is confirmed."""
         while self._items:
@@ -104,7 +121,7 @@
 
     def _resend(self, items: list[_Unsettled]) -> None:
         for item in items[:RESEND_BATCH]:
-            self.resent += 1
+            self.figures.resent += 1
             self._hand_over(item)
 
     def _hand_over(self, item: _Unsettled) -> None:
