--- a/src/dotterelstand/bench/slotpolicy.py
+++ b/src/dotterelstand/bench/slotpolicy.py
@@ -160,7 +160,7 @@
         super().__init__(world)
         self.meshes = ModelMeshes(world)
         self.cores = self.meshes.cores
-        document = Document(1, {}, {"lookup": world.service}, (), ("default",), frozenset())
+        document = Document(1, {}, {"lookup": world.service}, (), ("default",), {})
         for number, place in enumerate(world.entries):
             budget = MeasureBudget(place.region, host_limit, region_limit, 0.0)
             rng = random.Random(f"{world.scenario.seed}/entry/{number}")
--- a/src/dotterelstand/connection/wire.py
+++ b/src/dotterelstand/connection/wire.py
@@ -1,6 +1,6 @@
 """Messages between entry hosts and their CBOR form."""
 
-from typing import ClassVar
+from typing import Any, ClassVar, get_args, get_origin
 
 import cbor2
 from returns.result import Failure, Result, Success
@@ -160,11 +160,12 @@
 
 
 class Outcome(Message):
-    """How a permitted request ended; status 0 with result not run frees the key."""
+    """How the request of an intent ended; a result code of the range not run frees the key."""
 
-    __slots__ = ("body", "code", "epoch", "headers", "key", "status")
+    __slots__ = ("body", "call", "code", "epoch", "headers", "key", "status")
     TYPE = 14
     key: bytes
+    call: int
     epoch: int
     code: int
     status: int
@@ -232,19 +233,61 @@
     allowed: bool
 
 
+class FetchChanges(Message):
+    """Request for the manifest entries that changed after version `since`."""
+
+    __slots__ = ("since", "version")
+    TYPE = 24
+    since: int
+    version: int
+
+
+class Changes(Message):
+    """Manifest entries that changed after `since`, and the digest of the whole manifest."""
+
+    __slots__ = ("body", "digest", "since", "version")
+    TYPE = 25
+    since: int
+    version: int
+    digest: str
+    body: bytes
+
+
+class Ownership(Message):
+    """The sender owns a journal partition under this epoch; epoch 0 when it released it."""
+
+    __slots__ = ("epoch", "partition")
+    TYPE = 22
+    partition: int
+    epoch: int
+
+
+class OutcomeStored(Message):
+    """The owner needs the outcome of this call no longer: it is recorded, or without effect."""
+
+    __slots__ = ("call",)
+    TYPE = 23
+    call: int
+
+
 def _message_types() -> dict[int, type[Message]]:
     return {kind.TYPE: kind for kind in Message.__subclasses__()}
 
 
 _TYPES = _message_types()
 
-# Field types that a decoded message must have, by annotation name.
-_CHECKS: dict[str, type | tuple[type, ...]] = {
-    "int": int,
-    "str": str,
-    "bytes": bytes,
-    "bool": bool,
-}
+# Integers outside this range are refused, since CBOR allows numbers of any length.
+_INTEGER_LIMIT = 2**63
+
+
+def encode_message(message: Message) -> bytes:
+    """CBOR form of one message."""
+    return cbor2.dumps(message.as_list())
+
+
+def join_messages(parts: list[bytes]) -> bytes:
+    """One frame of messages that are already encoded: a CBOR array of indefinite length."""
+    return b"\x9f" + b"".join(parts) + b"\xff"
 
 
 def encode_messages(messages: list[Message]) -> bytes:
@@ -256,7 +299,7 @@
     """Messages of one frame; fails with a description of what is malformed."""
     try:
         items = cbor2.loads(data)
-    except (cbor2.CBORDecodeError, ValueError, RecursionError, OverflowError) as error:
+    except (cbor2.CBORError, ValueError, TypeError, RecursionError, OverflowError) as error:
         return Failure(f"not CBOR: {error}")
     if not isinstance(items, list):
         return Failure("not an array of messages")
@@ -276,15 +319,15 @@
     if kind is None or len(item) != len(kind.__slots__) + 1:
         return None
     for name, value in zip(kind.__slots__, item[1:], strict=True):
-        annotation = kind.__annotations__[name]
-        if not _has_type(value, getattr(annotation, "__name__", str(annotation))):
+        if not _has_type(value, kind.__annotations__[name]):
             return None
     return kind(*item[1:])
 
 
-def _has_type(value: object, name: str) -> bool:
-    if name == "list":
-        return isinstance(value, list)
-    if name == "int" and isinstance(value, bool):
-        return False
-    return isinstance(value, _CHECKS[name])
+def _has_type(value: object, expected: Any) -> bool:
+    if get_origin(expected) is list:
+        (element,) = get_args(expected)
+        return isinstance(value, list) and all(_has_type(item, element) for item in value)
+    if expected is int:
+        return type(value) is int and abs(value) < _INTEGER_LIMIT
+    return isinstance(value, expected)
--- a/src/dotterelstand/process/slotnews.py
+++ b/src/dotterelstand/process/slotnews.py
@@ -1,4 +1,4 @@
-"""Log events and counters of target selection."""
+"""Log events of target selection."""
 
 from dotterelstand.events import Event, log
 from dotterelstand.process.servicestate import ServiceState
@@ -46,24 +46,3 @@
             state.was_silent = silent
             event = Event.DISPATCHER_SILENT if silent else Event.DISPATCHER_ANSWERS
             log(event, service=state.service.name)
-
-
-def selection_counters(core: SlotCore) -> dict[str, int]:
-    """Totals since the start, by counter name, summed over the services in use."""
-    totals: dict[str, int] = {}
-
-    def add(prefix: str, counters: object) -> None:
-        for name in type(counters).__slots__:  # type: ignore[attr-defined]
-            key = f"selection.{prefix}.{name}"
-            totals[key] = totals.get(key, 0) + int(getattr(counters, name))
-
-    add("core", core.counters)
-    add("measure", core.budget.counters)
-    add("duty", core.duty_counters)
-    for state in core.states():
-        add("dispatcher", state.duty.counters)
-        add("local", state.local.counters)
-        for table in (state.duty.table, state.local.table):
-            key = "selection.health.ejections"
-            totals[key] = totals.get(key, 0) + table.ejections
-    return totals
--- a/src/dotterelstand/process/slots.py
+++ b/src/dotterelstand/process/slots.py
@@ -14,7 +14,7 @@
 from dotterelstand.process.mesh import Mesh
 from dotterelstand.process.outcome import AttemptOutcome, SlotCall, SlotGrant, SlotOutcome
 from dotterelstand.process.slotcore import SlotCore
-from dotterelstand.process.slotnews import SlotNews, selection_counters
+from dotterelstand.process.slotnews import SlotNews
 from dotterelstand.process.ticket import Ticket
 from dotterelstand.process.tuning import SelectionTuning, read_tuning
 from dotterelstand.settings import Settings
@@ -105,10 +105,6 @@
         if self._core.note_returned(target):
             log(Event.TARGET_RETURNED, target=target)
 
-    def counters(self) -> dict[str, int]:
-        """Totals since the start, by the counter names of docs/selection.md."""
-        return selection_counters(self._core)
-
     async def run(self) -> None:
         """Apply what time changes, until cancelled."""
         news = SlotNews(self._core)
