--- a/tests/selection_helpers.py
+++ b/tests/selection_helpers.py
@@ -35,6 +35,8 @@
         self.meshes = {member.host: FakeMesh(self, member.host) for member in self.members}
         self.drop: Callable[[str, str, Message], bool] = lambda sender, host, message: False
         self.sent: list[Message] = []
+        # Members as single hosts see them while their views differ.
+        self.views: dict[str, tuple[Member, ...]] = {}
 
     def lose(self, host: str) -> None:
         """Remove a host from the members and drop its messages."""
@@ -60,7 +62,7 @@
         self.handlers: dict[type[Message], list[Callable[..., None]]] = {}
 
     def members(self) -> tuple[Member, ...]:
-        return self.meshes.members
+        return self.meshes.views.get(self.host, self.meshes.members)
 
     def send(self, host: str, message: Message) -> bool:
         self.meshes.sent.append(message)
--- a/tests/test_measure.py
+++ b/tests/test_measure.py
@@ -3,8 +3,13 @@
 import random
 
 import pytest
+from websockets.frames import Frame, Opcode
 
+from dotterelstand.bench.slotpolicy import HEADER_BYTES, MASK_BYTES
+from dotterelstand.connection.wire import Acquire, encode_messages
 from dotterelstand.process.measure import MeasureBudget, MeasureLimit
+from dotterelstand.process.outcome import AttemptOutcome
+from dotterelstand.process.slotcodec import pack_need, pack_result, unpack_need, unpack_result
 
 
 @pytest.mark.parametrize(
@@ -42,3 +47,36 @@
         pass
     assert budget.spend(10, "r1", 0.0)
     assert not budget.spend(10, "r2", 0.0), "a region without budget receives nothing"
+
+
+@pytest.mark.parametrize("mask", [False, True])
+def test_model_counts_frames_as_websockets_does(mask: bool) -> None:
+    """Guards against byte figures that leave out framing."""
+    payload = encode_messages([Acquire(3, pack_need(0, 0, None), 2)])
+    size = len(Frame(Opcode.BINARY, payload).serialize(mask=mask))
+    assert size == len(payload) + HEADER_BYTES + (MASK_BYTES if mask else 0)
+
+
+@pytest.mark.parametrize("klass", [0, 1, 7])
+@pytest.mark.parametrize("tenant", [0, 31, 1023])
+@pytest.mark.parametrize("urgent_s", [None, 0.001, 0.05, 60.0])
+def test_need_survives_packing(klass: int, tenant: int, urgent_s: float | None) -> None:
+    """Guards against a call that is queued under another class, tenant or deadline."""
+    need = unpack_need(pack_need(klass, tenant, urgent_s))
+    assert need is not None
+    assert (need.klass, need.tenant, need.urgent_s) == (klass, tenant, urgent_s)
+
+
+@pytest.mark.parametrize("kind", list(AttemptOutcome))
+@pytest.mark.parametrize("duration_s", [0.0005, 0.005, 0.4])
+def test_result_survives_packing(kind: AttemptOutcome, duration_s: float) -> None:
+    """Guards against a failure that counts as a success, and against wrong durations."""
+    result = unpack_result(pack_result(kind, duration_s))
+    assert result is not None and result.kind is kind
+    assert duration_s / 1.2 <= result.duration_s <= duration_s * 1.2
+
+
+@pytest.mark.parametrize("number", [-1, 1 << 40])
+def test_numbers_out_of_range_are_rejected(number: int) -> None:
+    """Guards against a peer whose message stops the daemon."""
+    assert unpack_need(number) is None and unpack_result(number) is None
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -156,3 +156,25 @@
         assert result.failure() is ResultCode.NO_TARGET
 
     _run(scenario)
+
+
+def test_two_dispatchers_at_once_only_cost_balance() -> None:
+    """Guards against differing views of the members that stop calls or leak slots."""
+
+    async def scenario(meshes: FakeMeshes, brokers: dict, names: list[str]) -> None:
+        parted = names[1]
+        meshes.views[parted] = tuple(m for m in meshes.members if m.host != names[0])
+        grants = [
+            (name, (await brokers[name].acquire(SERVICE, _call())).unwrap()) for name in names
+        ]
+        used = {grant.dispatcher for _, grant in grants if grant.dispatcher}
+        assert len(used) <= 2
+        meshes.views.clear()
+        for name, grant in grants:
+            brokers[name].release(grant, _outcome())
+        await trio.sleep(0.01)
+        for name in names:
+            assert brokers[name].core.state_of(SERVICE.name).duty.open_grants == 0
+        assert (await brokers[names[2]].acquire(SERVICE, _call())).unwrap().dispatcher == names[0]
+
+    _run(scenario)
