Count a second loss by a suspect, and retry failed connections freely

Ruled out: ejection (30% of four targets is one), the queue. Change: a suspect without another target runs where it was struck before, and its second loss starts the quarantine even if it is the same target; one row of the rule table changes from allowed to quarantined, which is stricter. A retry after a failed connection is not charged to the retry budget.

--- a/src/dotterelstand/process/quarantine.py
+++ b/src/dotterelstand/process/quarantine.py
@@ -59,17 +59,6 @@
         self.run_limit_s = run_limit_s
 
 
-class _Entry:
-    """Strikes of one fingerprint: when each target was lost."""
-
-    __slots__ = ("strikes", "suspect", "until")
-
-    def __init__(self) -> None:
-        self.strikes: dict[str, float] = {}
-        self.suspect = False
-        self.until = 0.0
-
-
 class KnownStrike:
     """A target that was lost to a request, with the time in seconds.
 
@@ -84,6 +73,29 @@
         self.suspect = suspect
         self.at = at
 
+    def repeats(self, other: "KnownStrike") -> bool:
+        """Whether both report the same loss."""
+        return self.target == other.target and abs(self.at - other.at) < REPEAT_S
+
+
+class _Entry:
+    """Strikes of one fingerprint, oldest first."""
+
+    __slots__ = ("strikes", "until")
+
+    def __init__(self) -> None:
+        self.strikes: list[KnownStrike] = []
+        self.until = 0.0
+
+    def is_enough(self) -> bool:
+        """Whether the strikes show that the request itself loses targets.
+
+        A suspect runs alone, so its second loss is enough, even of the same target.
+        """
+        targets = {strike.target for strike in self.strikes}
+        suspect = any(strike.suspect for strike in self.strikes)
+        return len(targets) >= LOST_TOGETHER or (suspect and len(self.strikes) >= 2)
+
 
 class StrikeEffect(Enum):
     """What a strike changed."""
@@ -117,14 +129,11 @@
         entry = self._entries.get(strike.fingerprint)
         if entry is None:
             entry = self._add(strike.fingerprint)
-        before = entry.strikes.get(strike.target)
-        known = before is not None and before >= strike.at - REPEAT_S
+        known = any(strike.repeats(other) for other in entry.strikes)
         if not known:
-            entry.strikes[strike.target] = strike.at
-        entry.suspect = entry.suspect or strike.suspect
-        enough = 2 if entry.suspect else LOST_TOGETHER
-        if len(entry.strikes) >= enough and entry.until <= now:
-            entry.until = max(entry.strikes.values()) + self._limits.quarantine_s
+            entry.strikes.append(strike)
+        if entry.is_enough() and entry.until <= now:
+            entry.until = max(other.at for other in entry.strikes) + self._limits.quarantine_s
             return StrikeEffect.QUARANTINED
         return StrikeEffect.KNOWN if known else StrikeEffect.RECORDED
 
@@ -166,16 +175,13 @@
     def strikes(self, now: float) -> list[KnownStrike]:
         """Every strike that still counts."""
         self._expire(now)
-        return [
-            KnownStrike(key, target, entry.suspect, at)
-            for key, entry in self._entries.items()
-            for target, at in entry.strikes.items()
-        ]
+        return [strike for entry in self._entries.values() for strike in entry.strikes]
 
     def lost_targets(self, fingerprint: bytes) -> frozenset[str]:
         """Targets that were lost to a fingerprint."""
         entry = self._entries.get(fingerprint)
-        return frozenset() if entry is None else frozenset(entry.strikes)
+        strikes = [] if entry is None else entry.strikes
+        return frozenset(strike.target for strike in strikes)
 
     def __len__(self) -> int:
         return len(self._entries)
@@ -200,7 +206,7 @@
             if entry.until and entry.until <= now:
                 self.clear(fingerprint)
             elif not entry.until:
-                entry.strikes = {name: at for name, at in entry.strikes.items() if at > limit}
+                entry.strikes = [strike for strike in entry.strikes if strike.at > limit]
                 if not entry.strikes:
                     self.clear(fingerprint)
 
--- a/src/dotterelstand/request/exchange.py
+++ b/src/dotterelstand/request/exchange.py
@@ -4,11 +4,12 @@
 
 import trio
 from returns.pipeline import is_successful
+from returns.result import Result
 
 from dotterelstand.codes import Result as ResultCode
 from dotterelstand.codes import Run
 from dotterelstand.connection.caller import BodyError, CallerConnection
-from dotterelstand.process.outcome import AttemptOutcome, SlotCall
+from dotterelstand.process.outcome import AttemptOutcome, SlotCall, SlotGrant
 from dotterelstand.request.attempt import Attempt, AttemptSetup
 from dotterelstand.request.body import RequestBody
 from dotterelstand.request.context import RequestContext
@@ -148,13 +149,11 @@
         if not can_finish(self._remaining_s(), self._policy.times):
             return ResultCode.DEADLINE_TOO_SHORT
         excluded = frozenset(attempt.target for attempt in self._attempts)
-        if self._admitted is not None:
-            excluded |= self._admitted.lost
-        classes = self._document.classes
-        last = len(classes) - 1
-        klass = classes.index(self._route.klass) if self._route.klass in classes else last
-        call = SlotCall(klass, self._head.tenant, self._scope.deadline, excluded)
-        grant = await self._context.slots.acquire(self._service, call)
+        lost = frozenset[str]() if self._admitted is None else self._admitted.lost
+        grant = await self._acquire(excluded | lost)
+        if lost and not is_successful(grant) and grant.failure() is ResultCode.NO_TARGET:
+            # Without another target, a suspect proves itself where it was struck before.
+            grant = await self._acquire(excluded)
         if not is_successful(grant):
             return grant.failure()
         silent = any(other.failure is ResultCode.TARGET_SILENT for other in self._attempts)
@@ -162,6 +161,13 @@
         self._attempts.append(attempt)
         return attempt
 
+    async def _acquire(self, excluded: frozenset[str]) -> Result[SlotGrant, ResultCode]:
+        classes = self._document.classes
+        last = len(classes) - 1
+        klass = classes.index(self._route.klass) if self._route.klass in classes else last
+        call = SlotCall(klass, self._head.tenant, self._scope.deadline, excluded)
+        return await self._context.slots.acquire(self._service, call)
+
     async def _try(self, attempt: Attempt) -> tuple[ResultCode, bool]:
         """Run an attempt; the code of its end, and whether another attempt follows."""
         if self._body.complete and self._body.held_whole:
@@ -291,6 +297,7 @@
             self._body.held_whole,
             len(self._attempts),
             self._remaining_s(),
+            self._attempts[-1].failure is not ResultCode.CONNECT_FAILED,
         )
         limits = self._context.limits
         decision = decide_retry(failed, self._policy, limits.max_attempts, trio.current_time())
--- a/src/dotterelstand/request/policy.py
+++ b/src/dotterelstand/request/policy.py
@@ -117,9 +117,19 @@
 
 
 class Failed:
-    """What the retry decision needs to know about a request whose attempt failed."""
+    """What the retry decision needs to know about a request whose attempt failed.
 
-    __slots__ = ("attempts", "body_held", "idempotent", "may_have_run", "remaining_s")
+    `connected` is False if the target of the last attempt could not be reached.
+    """
+
+    __slots__ = (
+        "attempts",
+        "body_held",
+        "connected",
+        "idempotent",
+        "may_have_run",
+        "remaining_s",
+    )
 
     def __init__(
         self,
@@ -128,18 +138,23 @@
         body_held: bool,
         attempts: int,
         remaining_s: float,
+        connected: bool = True,
     ) -> None:
         self.idempotent = idempotent
         self.may_have_run = may_have_run
         self.body_held = body_held
         self.attempts = attempts
         self.remaining_s = remaining_s
+        self.connected = connected
 
 
 def decide_retry(
     failed: Failed, service: ServicePolicy, max_attempts: int, now: float
 ) -> RetryDecision:
-    """Decide whether to try again; RETRY has been charged to the budget."""
+    """Decide whether to try again; RETRY has been charged to the budget.
+
+    An attempt that did not connect gave no target any work, so its retry adds no load and is free.
+    """
     if failed.may_have_run and not failed.idempotent:
         return RetryDecision.MAY_HAVE_RUN
     if not failed.body_held:
@@ -148,7 +163,7 @@
         return RetryDecision.ATTEMPTS_SPENT
     if not can_finish(failed.remaining_s, service.times):
         return RetryDecision.NO_TIME
-    if not service.budget.try_take(now):
+    if failed.connected and not service.budget.try_take(now):
         return RetryDecision.BUDGET_SPENT
     return RetryDecision.RETRY
 
