Test the connection limit of a target through the daemon

Cause: no run showed that an entry host keeps its share of the connections that the document allows. Ruled out: a test of the pool alone, since health probes share it. Change: six lookups at once reach a target over at most two connections.

--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -68,3 +68,26 @@
         assert (await exchange(stream, "GET", "/health", b"", {})).status == status
 
     run_fleet(scenario, targets=1)
+
+
+def test_connection_limit_of_a_target() -> None:
+    """Guards against more connections than the document allows, and against waits without end."""
+
+    async def scenario(fleet: Fleet) -> None:
+        answers: list[Answer] = []
+        most = 0
+
+        async def call(number: int) -> None:
+            answers.append(await fleet.call("GET", f"/lookup/{number}"))
+
+        async with trio.open_nursery() as nursery:
+            for number in range(6):
+                nursery.start_soon(call, number)
+            for _ in range(200):
+                most = max(most, fleet.targets[0].open_connections)
+                await trio.sleep(0.001)
+        assert [answer.code for answer in answers] == [1000] * 6
+        # One of 32 connections for each of the 16 entry hosts would be two.
+        assert most == 2
+
+    run_fleet(scenario, targets=1, service="connections = 32")
