--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -66,6 +66,17 @@
     return _answer(request, "not-run", 2002)
 
 
+def recorded_without_body(entry: Entry, request: HttpRequest) -> HttpAnswer:
+    entry.runs.append(request.path)
+    answer = _answer(request, "ran", 1001)
+    return HttpAnswer(200, b"", [*answer.headers, ("dotterelstand-body", "not-kept")])
+
+
+def empty_answer(entry: Entry, request: HttpRequest) -> HttpAnswer:
+    entry.runs.append(request.path)
+    return HttpAnswer(200, b"", _answer(request, "ran", 1000).headers)
+
+
 def refused(entry: Entry, request: HttpRequest) -> HttpAnswer:
     return _answer(request, "not-run", 2002)
 
@@ -110,6 +121,8 @@
     [
         (ran, ORDER, set()),
         (refused, ORDER, set()),
+        (recorded_without_body, ORDER, set()),
+        (empty_answer, ORDER, {"wrong_answer"}),
         (ran_twice, LOOKUP, {"double_run"}),
         (ran_twice, ORDER, {"double_run"}),
         (other_answer, LOOKUP, {"wrong_answer"}),
