--- a/src/dotterelstand/bench/confirmations.py
+++ b/src/dotterelstand/bench/confirmations.py
@@ -24,6 +24,7 @@
 STORE_S = 0.004
 MAX_WRITES_PER_THOUSAND = 20.0
 MAX_RECOVERY_S = 3.0
+LEASE_S = 2.0
 # Shortest time in which a lease of 2 s can run out on a clock that is 5% fast, less one poll.
 LEASE_END_S = 1.65
 RATES = (1.0, 10.0, 100.0, 500.0)
@@ -155,7 +156,7 @@
 
 
 async def _take_over_full(seed: int, count: int) -> tuple[float, float]:
-    """Virtual seconds until a full journal is served, and processor seconds of the takeover."""
+    """Seconds until a full journal is served, and processor seconds that come on top."""
     with Freezer() as freezer:
         async with trio.open_nursery() as nursery:
             fleet = Fleet(nursery, freezer, FleetShape(16, 3), seeded_random(seed, "fleet"))
@@ -174,7 +175,11 @@
                 asked = await service.begin(b"new", b"", "orders")
             taken_s = trio.current_time() - began
             used_s = time.process_time() - prepared
-            print(f"both candidates prepared in {prepared - processor:.2f} s of processor time")
+            # Two candidates read ahead in this one process; on a host of its own each takes half,
+            # from the middle of the lease on.
+            ahead_s = (prepared - processor) / 2
+            print(f"each candidate read ahead in {ahead_s:.2f} s of processor time")
+            taken_s = max(taken_s, LEASE_S / 2 + ahead_s)
             nursery.cancel_scope.cancel()
     return taken_s, used_s
 
