Resolve target indexes in the version in force

Cause: a call that waited while a new document was applied looked up the granted index in its old version, which raised IndexError or gave a target that was removed. Ruled out: keeping old versions per call, since removed targets must not get new work. Change: grants and exclusions use the service of the version in force; test. Measured: the new test failed twice before the change and passes after it; 477 tests pass.

--- a/src/dotterelstand/process/slotcore.py
+++ b/src/dotterelstand/process/slotcore.py
@@ -120,7 +120,7 @@
         if dispatcher is None or dispatcher == self._mesh.host:
             self._counters.duty += 1
             ticket.state = TicketState.QUEUED_DUTY
-            self._settle(state, state.duty.submit(self._waiting(ticket, now), now), now)
+            self._settle(state, state.duty.submit(self._waiting(ticket, state, now), now), now)
         elif state.answer_time.is_silent(now) or not self._ask(ticket, dispatcher, state, now):
             self._choose_locally(ticket, state, now)
         return ticket
@@ -186,7 +186,7 @@
             return
         key = (self._mesh.host, ticket.number)
         state.local.adopt(key, message.target, now)
-        self._give(ticket, message.target, TicketState.GRANTED_REMOTE)
+        self._give(ticket, state, message.target, TicketState.GRANTED_REMOTE)
 
     def on_refuse(self, sender: str, message: Refuse, now: float) -> None:
         """The dispatcher refused a call."""
@@ -268,9 +268,9 @@
             self._refuse(ticket, decision.code)
         elif ticket.state is TicketState.QUEUED_DUTY:
             state.local.adopt(decision.key, decision.target, now)
-            self._give(ticket, decision.target, TicketState.GRANTED_DUTY)
+            self._give(ticket, state, decision.target, TicketState.GRANTED_DUTY)
         else:
-            self._give(ticket, decision.target, TicketState.GRANTED_LOCAL)
+            self._give(ticket, state, decision.target, TicketState.GRANTED_LOCAL)
 
     def _ask(self, ticket: Ticket, dispatcher: str, state: ServiceState, now: float) -> bool:
         """Send an acquire; False if the budget, the link or the document forbids it."""
@@ -295,13 +295,13 @@
         self._counters.local += 1
         ticket.state = TicketState.QUEUED_LOCAL
         ticket.due = ticket.call.deadline
-        self._settle(state, state.local.submit(self._waiting(ticket, now), now), now)
+        self._settle(state, state.local.submit(self._waiting(ticket, state, now), now), now)
 
-    def _waiting(self, ticket: Ticket, now: float) -> WaitingCall:
+    def _waiting(self, ticket: Ticket, state: ServiceState, now: float) -> WaitingCall:
         call = ticket.call
         excluded = frozenset[int]()
         if call.excluded:
-            names = enumerate(ticket.service.targets)
+            names = enumerate(state.service.targets)
             excluded = frozenset(i for i, target in names if target.name in call.excluded)
         key = (self._mesh.host, ticket.number)
         tenant = self._tenant(call.tenant)
@@ -315,9 +315,10 @@
             decisions = dispatcher.finish(key, AttemptOutcome.CANCELLED, 0.0, None, now)
             assert not decisions, "a waiting call held a slot"
 
-    def _give(self, ticket: Ticket, target: int, state: TicketState) -> None:
-        service = ticket.service
-        ticket.state = state
+    def _give(self, ticket: Ticket, state: ServiceState, target: int, granted: TicketState) -> None:
+        # The index belongs to the version in force, which may be newer than the call's.
+        service = state.service
+        ticket.state = granted
         ticket.grant = SlotGrant(
             service.name, service.targets[target], target, ticket.dispatcher, ticket.number
         )
@@ -348,7 +349,7 @@
         return ticket
 
     def _is_unusable(self, ticket: Ticket, target: int, state: ServiceState) -> bool:
-        targets = ticket.service.targets
+        targets = state.service.targets
         if not 0 <= target < len(targets):
             return True
         name = targets[target].name
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -20,6 +20,7 @@
 )
 from dotterelstand.settings import default_settings, parse_settings
 from dotterelstand.standin.virtual import run_virtual
+from dotterelstand.version.document import Service
 
 SERVICE = make_service(4)
 Scenario = Callable[[FakeMeshes, dict[str, SlotBroker], list[str]], Awaitable[None]]
@@ -178,3 +179,32 @@
         assert (await brokers[names[2]].acquire(SERVICE, _call())).unwrap().dispatcher == names[0]
 
     _run(scenario)
+
+
+@pytest.mark.parametrize("asking", [0, 1])
+def test_calls_follow_a_version_that_came_while_they_waited(asking: int) -> None:
+    """Guards against an index of the new version that is looked up in the old one."""
+
+    async def scenario(meshes: FakeMeshes, brokers: dict, names: list[str]) -> None:
+        broker = brokers[names[asking]]
+        held = [(await brokers[names[0]].acquire(SERVICE, _call())).unwrap() for _ in range(12)]
+        grown = make_service(6)
+        kept = Service("lookup", grown.targets[4:], 240, False, 0.1, 4, 1.0)
+        granted: list[str] = []
+
+        async def wait_for_slot() -> None:
+            grant = (await broker.acquire(SERVICE, _call())).unwrap()
+            granted.append(grant.target.name)
+            broker.release(grant, _outcome())
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(wait_for_slot)
+            await trio.sleep(0.002)
+            for other in brokers.values():
+                other.apply(make_document(kept))
+        for grant in held:
+            brokers[names[0]].release(grant, _outcome())
+        await wait_for_slot()
+        assert len(granted) == 2 and set(granted) <= {"t4", "t5"}
+
+    _run(scenario)
