--- a/src/dotterelstand/process/quarantine.py
+++ b/src/dotterelstand/process/quarantine.py
@@ -24,6 +24,8 @@
 MAX_FINGERPRINT_BYTES = 64
 # Targets whose loss starts a quarantine although no run of the request was a suspect's.
 LOST_TOGETHER = 3
+# Longest time between the losses of targets that fail for a common reason, such as a rack.
+TOGETHER_S = 1.0
 # Two reports of one loss differ by the latency between hosts and by rounding.
 REPEAT_S = 0.5
 # Seconds between two requests to the arbiter of a suspect that is running elsewhere.
@@ -90,11 +92,15 @@
     def is_enough(self) -> bool:
         """Whether the strikes show that the request itself loses targets.
 
-        A suspect runs alone, so its second loss is enough, even of the same target.
+        A suspect runs alone, so its second loss is enough, even of the same target. Copies that
+        ran before the first strike may die together when a rack fails, so two of them are not
+        enough unless they were lost at different times.
         """
         targets = {strike.target for strike in self.strikes}
-        suspect = any(strike.suspect for strike in self.strikes)
-        return len(targets) >= LOST_TOGETHER or (suspect and len(self.strikes) >= 2)
+        times = [strike.at for strike in self.strikes]
+        apart = len(targets) >= 2 and max(times) - min(times) > TOGETHER_S
+        suspect = len(times) >= 2 and any(strike.suspect for strike in self.strikes)
+        return apart or suspect or len(targets) >= LOST_TOGETHER
 
 
 class StrikeEffect(Enum):
@@ -119,9 +125,7 @@
     def strike(self, strike: KnownStrike, now: float) -> StrikeEffect:
         """Record that a target was lost.
 
-        A strike that another host repeats keeps its time, so that repeats extend nothing. Copies
-        that ran before the first strike may die together when a rack fails, so two of them are
-        not enough for a quarantine.
+        A strike that another host repeats keeps its time, so that repeats extend nothing.
         """
         self._expire(now)
         if strike.at <= now - self._limits.window_s:
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -148,6 +148,8 @@
         # Two targets that fail together while they run a popular request.
         ([("t1", 0.0), ("t2", 0.0)], False, None, 1.0, False),
         ([("t1", 0.0), ("t2", 0.0), ("t3", 0.0)], False, None, 1.0, True),
+        # A host that was paused ran the request without knowing of the first loss (soak seed 28).
+        ([("t1", 0.0), ("t2", 5.0)], False, None, 6.0, True),
         ([("t1", 0.0), ("t2", 59.0)], True, None, 60.0, True),
         ([("t1", 0.0), ("t2", 61.0)], True, None, 62.0, False),
         ([("t1", 0.0), ("t2", 1.0)], True, None, 62.0, False),
