--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -8,12 +8,8 @@
 from dotterelstand.connection.wire import Hello
 from dotterelstand.process.mesh import Member
 from dotterelstand.process.metrics import Metrics
-from dotterelstand.process.quarantine import (
-    KnownStrike,
-    Quarantine,
-    QuarantineLimits,
-    QuarantineService,
-)
+from dotterelstand.process.quarantine import QuarantineService
+from dotterelstand.process.strikes import KnownStrike, Quarantine, QuarantineLimits
 from dotterelstand.standin.mesh import MeshHub
 from dotterelstand.standin.virtual import run_virtual
 
