Pass strikes and leaving targets on in the overlay

Cause: in fleets of more than 24 entry hosts only linked hosts learnt of a strike, a lifted quarantine or a leaving target, and a suspect whose arbiter had no link was refused until its strikes expired. Ruled out: more links, since their heartbeats grow with the fleet. Change: hosts pass on what was new to them; the arbiter is the highest ranked host with a link. Measured: 32 hosts with real links in virtual time: all know a strike and its end after 0.2 s; before, only the linked ones did. Two runs of one suspect may meet in the overlay.

--- a/src/dotterelstand/bench/slotpolicy.py
+++ b/src/dotterelstand/bench/slotpolicy.py
@@ -43,6 +43,11 @@
         self.host = shared.members_now[number].host
         self.region = shared.members_now[number].region
 
+    @property
+    def is_overlay(self) -> bool:
+        """See `Mesh`; every host of the model is linked with every other."""
+        return False
+
     def members(self) -> tuple[Member, ...]:
         """See `Mesh`."""
         return self._shared.members_now
--- a/src/dotterelstand/process/measuredmesh.py
+++ b/src/dotterelstand/process/measuredmesh.py
@@ -34,6 +34,11 @@
         """The budget that is charged."""
         return self._budget
 
+    @property
+    def is_overlay(self) -> bool:
+        """Whether some live hosts have no link, so that news must be passed on."""
+        return self._mesh.is_overlay
+
     def members(self) -> tuple[Member, ...]:
         """Live entry hosts."""
         return self._mesh.members()
--- a/src/dotterelstand/process/mesh.py
+++ b/src/dotterelstand/process/mesh.py
@@ -31,6 +31,10 @@
     def region(self) -> str:
         """Region of this host."""
 
+    @property
+    def is_overlay(self) -> bool:
+        """Whether some live hosts have no link, so that news must be passed on."""
+
     def members(self) -> tuple[Member, ...]:
         """Live entry hosts, this one included, sorted by name."""
 
@@ -66,6 +70,11 @@
         """Region of this host."""
         return self._member.region
 
+    @property
+    def is_overlay(self) -> bool:
+        """There is no other host."""
+        return False
+
     def members(self) -> tuple[Member, ...]:
         """This host."""
         return (self._member,)
--- a/src/dotterelstand/process/peers.py
+++ b/src/dotterelstand/process/peers.py
@@ -22,7 +22,7 @@
 from dotterelstand.process.membership import ListedHost, Membership
 from dotterelstand.process.mesh import Member
 from dotterelstand.process.metrics import Metrics
-from dotterelstand.process.overlay import choose_peers
+from dotterelstand.process.overlay import FULL_MESH_HOSTS, choose_peers
 from dotterelstand.settings import Settings
 
 M = TypeVar("M", bound=Message)
@@ -128,6 +128,11 @@
         """The record of live hosts that the links feed."""
         return self._membership
 
+    @property
+    def is_overlay(self) -> bool:
+        """Whether some live hosts have no link, so that news must be passed on."""
+        return len(self.members()) > FULL_MESH_HOSTS
+
     def members(self) -> tuple[Member, ...]:
         """Live entry hosts, this one included, sorted by name."""
         return self._membership.members(trio.current_time())
--- a/src/dotterelstand/process/quarantine.py
+++ b/src/dotterelstand/process/quarantine.py
@@ -144,9 +144,7 @@
         admission = Admission(fingerprint, False, self._next_number(), self.arbiter(fingerprint))
         waiting = self._answers[admission.number] = _Waiting(1)
         try:
-            if self._mesh.send(
-                admission.arbiter or "", SuspectBegin(admission.number, fingerprint)
-            ):
+            if self._send_begin(admission):
                 with trio.move_on_after(self._limits.confirm_timeout_s):
                     await waiting.done.wait()
             admission.allowed = waiting.allowed
@@ -157,16 +155,33 @@
                 # A permission may be on its way although nobody waits for it.
                 self.leave(admission)
 
+    def _send_begin(self, admission: Admission) -> bool:
+        """Ask the arbiter; in an overlay, the first of the ranking that has a link."""
+        ranking = self._ranking(admission.fingerprint)
+        for host in ranking if self._mesh.is_overlay else ranking[:1]:
+            admission.arbiter = self._answers[admission.number].source = host
+            if self._mesh.send(host, SuspectBegin(admission.number, admission.fingerprint)):
+                return True
+        return False
+
     def arbiter(self, fingerprint: bytes) -> str:
         """Member with the highest rendezvous hash for a fingerprint."""
+        return self._ranking(fingerprint)[0]
+
+    def _ranking(self, fingerprint: bytes) -> list[str]:
         hosts = [member.host for member in self._mesh.members()] or [self._mesh.host]
-        return max(hosts, key=lambda host: xxhash.xxh3_64_intdigest(host.encode() + fingerprint))
+        return sorted(
+            hosts,
+            key=lambda host: xxhash.xxh3_64_intdigest(host.encode() + fingerprint),
+            reverse=True,
+        )
 
     def _next_number(self) -> int:
         self._number += 1
         return self._number
 
-    def _record(self, strike: KnownStrike, source: str) -> None:
+    def _record(self, strike: KnownStrike, source: str) -> bool:
+        """Record a strike; False if it was known."""
         overflows = self._table.overflows
         effect = self._table.strike(strike, trio.current_time())
         self._metrics.count("quarantine.overflows", self._table.overflows - overflows)
@@ -177,6 +192,7 @@
         if effect is StrikeEffect.QUARANTINED:
             self._metrics.count("quarantine.began")
             log(Event.QUARANTINE_BEGAN, fingerprint=fingerprint)
+        return effect is not StrikeEffect.KNOWN
 
     def _lift(self, fingerprint: bytes) -> bool:
         lifted = self._table.clear(fingerprint)
@@ -186,20 +202,20 @@
 
     def _on_hello(self, sender: str, message: Hello) -> None:
         """Tell a host that was replaced or parted which strikes it missed."""
-        now = trio.current_time()
-        for strike in self._table.strikes(now):
-            age_ms = int((now - strike.at) * 1000)
-            number = self._next_number()
-            self._mesh.send(
-                sender,
-                Strike(age_ms, strike.fingerprint, number, strike.suspect, strike.target),
-            )
+        for strike in self._table.strikes(trio.current_time()):
+            self._mesh.send(sender, self._report(strike))
+
+    def _report(self, strike: KnownStrike) -> Strike:
+        age_ms = int((trio.current_time() - strike.at) * 1000)
+        number = self._next_number()
+        return Strike(age_ms, strike.fingerprint, number, strike.suspect, strike.target)
 
     def _on_strike(self, sender: str, message: Strike) -> None:
         if len(message.fingerprint) <= MAX_FINGERPRINT_BYTES:
             at = trio.current_time() - max(0, message.age_ms) / 1000
             strike = KnownStrike(message.fingerprint, message.target, message.suspect, at)
-            self._record(strike, sender)
+            if self._record(strike, sender) and self._mesh.is_overlay:
+                self._mesh.broadcast(self._report(strike))
         self._mesh.send(sender, StrikeConfirmed(message.number))
 
     def _on_confirmed(self, sender: str, message: StrikeConfirmed) -> None:
@@ -208,7 +224,8 @@
             waiting.arrive(True)
 
     def _on_lift(self, sender: str, message: LiftQuarantine) -> None:
-        self._lift(message.fingerprint)
+        if self._lift(message.fingerprint) and self._mesh.is_overlay:
+            self._mesh.broadcast(message)
 
     def _on_begin(self, sender: str, message: SuspectBegin) -> None:
         now = trio.current_time()
@@ -219,7 +236,7 @@
 
     def _on_end(self, sender: str, message: SuspectEnd) -> None:
         waiting = self._answers.get(message.call)
-        if waiting is not None and sender == self.arbiter(message.fingerprint):
+        if waiting is not None and sender == waiting.source:
             waiting.arrive(message.allowed)
         else:
             self._runs.end(message.fingerprint, sender, message.call)
@@ -241,10 +258,11 @@
 class _Waiting:
     """Peers that still have to answer."""
 
-    __slots__ = ("allowed", "done", "missing")
+    __slots__ = ("allowed", "done", "missing", "source")
 
     def __init__(self, missing: int) -> None:
         self.missing = missing
+        self.source = ""
         self.allowed = False
         self.done = trio.Event()
 
--- a/src/dotterelstand/process/slots.py
+++ b/src/dotterelstand/process/slots.py
@@ -116,6 +116,8 @@
     def _on_leaving(self, sender: str, message: TargetLeaving) -> None:
         if self._core.note_leaving(message.target):
             log(Event.TARGET_LEAVING, target=message.target)
+            if self._mesh.is_overlay:
+                self._mesh.broadcast(message)
 
 
 def make_budget(settings: Settings, region: str, now: float) -> MeasureBudget:
--- a/src/dotterelstand/process/spread.py
+++ b/src/dotterelstand/process/spread.py
@@ -11,7 +11,6 @@
 from dotterelstand.connection.wire import Announce, Beat
 from dotterelstand.events import Event, log
 from dotterelstand.process.mesh import Member
-from dotterelstand.process.overlay import FULL_MESH_HOSTS
 from dotterelstand.process.peers import Peers
 from dotterelstand.process.sectionfetch import PeerFetcher
 from dotterelstand.process.sectionserve import SectionServer
@@ -251,7 +250,7 @@
                 await self._after_failed_fetch(wanted)
             else:
                 self._peers.metrics.count("document.peer_fetches")
-                if await self._put_in_force(record) and self._is_overlay():
+                if await self._put_in_force(record) and self._peers.is_overlay:
                     self._announce()
 
     def _has_announced_digest(self, record: ManifestRecord, source: str) -> bool:
@@ -334,9 +333,6 @@
             if self._peers.region_of(host) == self._peers.region:
                 self._peers.send(host, message)
 
-    def _is_overlay(self) -> bool:
-        return len(self._peers.members()) > FULL_MESH_HOSTS
-
 
 def watch_pause_s(manifest_bytes: int) -> float:
     """Seconds between two answers of a watch, so that a large manifest is not read all the time."""
--- a/src/dotterelstand/standin/mesh.py
+++ b/src/dotterelstand/standin/mesh.py
@@ -33,6 +33,11 @@
         """Region of this host."""
         return self.member.region
 
+    @property
+    def is_overlay(self) -> bool:
+        """Every host is linked with every other."""
+        return False
+
     def members(self) -> tuple[Member, ...]:
         """Hosts that this one believes to be live, itself included, sorted by name."""
         return self._hub.members_seen_by(self.host)
--- a/tests/selection_helpers.py
+++ b/tests/selection_helpers.py
@@ -55,6 +55,7 @@
     """See `dotterelstand.process.mesh.Mesh`."""
 
     region = "r1"
+    is_overlay = False
 
     def __init__(self, meshes: FakeMeshes, host: str) -> None:
         self.host = host
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -10,6 +10,7 @@
 from dotterelstand.process.metrics import Metrics
 from dotterelstand.process.quarantine import QuarantineService
 from dotterelstand.process.strikes import KnownStrike, Quarantine, QuarantineLimits
+from dotterelstand.standin.entryfleet import Fleet
 from dotterelstand.standin.mesh import MeshHub
 from dotterelstand.standin.virtual import run_virtual
 
@@ -177,3 +178,29 @@
         table.strike(KnownStrike(number.to_bytes(24, "big"), "t1", False, 1.0), 1.0)
     assert (len(table), table.overflows) == (16, 85)
     assert table.is_quarantined(FINGERPRINT, 2.0)
+
+
+def test_strikes_reach_hosts_without_a_link() -> None:
+    """Guards against an overlay in which only the neighbours of a host learn of a strike."""
+
+    async def main() -> None:
+        async with trio.open_nursery() as nursery:
+            fleet = Fleet(nursery, 32, seed=1)
+            await fleet.start_all()
+            hosts = {
+                name: QuarantineService(peers, LIMITS, Metrics(64))
+                for name, peers in fleet.peers.items()
+            }
+            await trio.sleep(10)
+            assert all(peers.is_overlay for peers in fleet.peers.values())
+            assert any(len(peers.linked()) < 31 for peers in fleet.peers.values())
+            await hosts["entry-00"].strike(FINGERPRINT, "t0", False)
+            await trio.sleep(0.2)
+            assert all(service.knows(FINGERPRINT[:8]) for service in hosts.values())
+            assert (await hosts["entry-31"].admit(FINGERPRINT)).allowed
+            assert hosts["entry-09"].lift(FINGERPRINT.hex())
+            await trio.sleep(0.2)
+            assert not any(service.knows(FINGERPRINT[:8]) for service in hosts.values())
+            nursery.cancel_scope.cancel()
+
+    run_virtual(main, seed=1)
