Name the serving of slots to other hosts by its usual terms

Cause: the word duty named a class, a state, two counters and a prefix, and a reader could not tell what it stood for. Ruled out: an alias for the old counters, since no release has them. Change: GrantServer serves slots to other hosts; the decisions for the region and the local ones are state.regional and state.local.

--- a/src/dotterelstand/process/figures.py
+++ b/src/dotterelstand/process/figures.py
@@ -7,7 +7,7 @@
 PREFIXES = {
     "CallFigures": "store",
     "DispatcherCounters": "dispatcher",
-    "DutyCounters": "duty",
+    "GrantServerCounters": "grantserver",
     "JournalFigures": "journal",
     "MeasureCounters": "measure",
     "OutcomeFigures": "outcomes",
--- a/src/dotterelstand/process/slotduty.py
+++ b/src/dotterelstand/process/grantserver.py
@@ -1,4 +1,4 @@
-"""Duty of an entry host as dispatcher for the calls of other hosts."""
+"""Serves slots to the calls of other entry hosts, as the dispatcher of some services."""
 
 from dotterelstand.connection.wire import Acquire, Grant, Refuse, Release
 from dotterelstand.process.dispatcher import Decision, Granted
@@ -7,12 +7,12 @@
 from dotterelstand.process.queue import WaitingCall
 from dotterelstand.process.servicestate import ServiceState
 from dotterelstand.process.slotcodec import unpack_need, unpack_result
-from dotterelstand.process.slotcounters import DutyCounters
+from dotterelstand.process.slotcounters import GrantServerCounters
 from dotterelstand.process.tuning import SelectionTuning
 from dotterelstand.version.document import Service
 
 
-class SlotDuty:
+class GrantServer:
     """Calls of other hosts that wait for or hold a slot here."""
 
     __slots__ = ("_by_index", "_calls", "_mesh", "_tuning", "counters")
@@ -23,7 +23,7 @@
         self._by_index: list[Service] = []
         # Service state per host and call number; a host has at most `max_calls` numbers.
         self._calls: dict[str, dict[int, ServiceState]] = {}
-        self.counters = DutyCounters()
+        self.counters = GrantServerCounters()
 
     def apply(self, services: list[Service]) -> None:
         """Follow a new version of the document; `services` are sorted by name."""
@@ -64,12 +64,12 @@
         key = (host, message.call)
         before = calls.get(message.call)
         if before is not None and before is not state:
-            before.duty.finish(key, AttemptOutcome.CANCELLED, 0.0, None, now)
+            before.regional.finish(key, AttemptOutcome.CANCELLED, 0.0, None, now)
         calls[message.call] = state
         remaining_s = need.urgent_s if need.urgent_s is not None else self._tuning.grant_life_s
         zone = self._mesh.zone(host)
         call = WaitingCall(key, need.klass, need.tenant, now, now + remaining_s, zone=zone)
-        return state.duty.submit(call, now)
+        return state.regional.submit(call, now)
 
     def release(
         self, state: ServiceState, host: str, message: Release, now: float
@@ -81,7 +81,7 @@
             return []
         del self._calls[host][message.call]
         key = (host, message.call)
-        return state.duty.finish(key, result.kind, result.duration_s, None, now)
+        return state.regional.finish(key, result.kind, result.duration_s, None, now)
 
     def answer(self, state: ServiceState, decision: Decision, now: float) -> list[Decision]:
         """Send a decision; if that fails the slot is free again, with what follows from it."""
@@ -92,7 +92,7 @@
                 return []
             self.counters.answers_unsent += 1
             self._calls.get(host, {}).pop(number, None)
-            return state.duty.finish(decision.key, AttemptOutcome.CANCELLED, 0.0, None, now)
+            return state.regional.finish(decision.key, AttemptOutcome.CANCELLED, 0.0, None, now)
         self._calls.get(host, {}).pop(number, None)
         if self._mesh.send(host, Refuse(number, int(decision.code)), now):
             self.counters.refusals_sent += 1
--- a/src/dotterelstand/process/partpages.py
+++ b/src/dotterelstand/process/partpages.py
@@ -35,7 +35,7 @@
     metrics.add_source(lambda: read_figures(store.budget.figures))
     metrics.add_source(lambda: read_figures(slots.budget.counters))
     metrics.add_source(lambda: read_figures(slots.core.counters))
-    metrics.add_source(lambda: read_figures(slots.core.duty_counters))
+    metrics.add_source(lambda: read_figures(slots.core.grant_server_counters))
     metrics.add_source(lambda: _dispatchers(slots))
     metrics.add_source(lambda: read_figures(journal.figures))
     metrics.add_source(lambda: read_figures(journal.outcome_figures))
@@ -49,8 +49,8 @@
     if state is None:
         return {}
     # A dispatcher sees the requests of all entry hosts, the local view only its own.
-    dispatches = state.duty.counters.granted > 0
-    chosen: Dispatcher = state.duty if dispatches else state.local
+    dispatches = state.regional.counters.granted > 0
+    chosen: Dispatcher = state.regional if dispatches else state.local
     now = trio.current_time()
     return {health.name: _health(health, now, dispatches) for health in _tables(chosen)}
 
@@ -127,4 +127,6 @@
 
 def _dispatchers(slots: SlotBroker) -> dict[str, int]:
     states = slots.core.states()
-    return sum_figures([part.counters for state in states for part in (state.local, state.duty)])
+    return sum_figures(
+        [part.counters for state in states for part in (state.local, state.regional)]
+    )
--- a/src/dotterelstand/process/servicestate.py
+++ b/src/dotterelstand/process/servicestate.py
@@ -73,14 +73,14 @@
 
 
 class ServiceState:
-    """Local decisions, duty as dispatcher, and the dispatcher's answer time of one service."""
+    """One service: local decisions, those for its region, and the dispatcher's answer time."""
 
-    __slots__ = ("answer_time", "duty", "local", "service", "was_silent")
+    __slots__ = ("answer_time", "local", "regional", "service", "was_silent")
 
-    def __init__(self, service: Service, local: Dispatcher, duty: Dispatcher, grace_s: float):
+    def __init__(self, service: Service, local: Dispatcher, regional: Dispatcher, grace_s: float):
         self.service = service
         self.local = local
-        self.duty = duty
+        self.regional = regional
         self.answer_time = AnswerTime(grace_s)
         self.was_silent = False
 
@@ -89,14 +89,14 @@
         if service is not self.service:
             self.service = service
             self.local.replace_service(service, now)
-            self.duty.replace_service(service, now)
+            self.regional.replace_service(service, now)
 
     def mark_leaving(self, target: str) -> None:
         """Give a target no new work."""
         self.local.mark_leaving(target)
-        self.duty.mark_leaving(target)
+        self.regional.mark_leaving(target)
 
     def mark_returned(self, target: str) -> None:
         """A leaving target is live again."""
         self.local.mark_returned(target)
-        self.duty.mark_returned(target)
+        self.regional.mark_returned(target)
--- a/src/dotterelstand/process/slotcore.py
+++ b/src/dotterelstand/process/slotcore.py
@@ -1,4 +1,4 @@
-"""Slot requests of one entry host, and its duty as dispatcher, without I/O or clock."""
+"""Slot requests of one entry host, and its work as dispatcher, without I/O or clock."""
 
 import heapq
 import random
@@ -8,6 +8,7 @@
 from dotterelstand.connection.wire import Acquire, Grant, Refuse, Release
 from dotterelstand.process.balancer import LeastOccupied, TwoChoices
 from dotterelstand.process.dispatcher import Decision, Dispatcher, Granted
+from dotterelstand.process.grantserver import GrantServer
 from dotterelstand.process.measure import MeasureBudget
 from dotterelstand.process.measuredmesh import MeasuredMesh
 from dotterelstand.process.mesh import Member
@@ -16,8 +17,7 @@
 from dotterelstand.process.rendezvous import DispatcherMap
 from dotterelstand.process.servicestate import ServiceState
 from dotterelstand.process.slotcodec import CLASSES, TENANTS, pack_need, pack_result, refusal_code
-from dotterelstand.process.slotcounters import DutyCounters, SlotCounters
-from dotterelstand.process.slotduty import SlotDuty
+from dotterelstand.process.slotcounters import GrantServerCounters, SlotCounters
 from dotterelstand.process.ticket import Ticket, TicketState
 from dotterelstand.process.tuning import SelectionTuning
 from dotterelstand.version.document import Document, Service
@@ -39,8 +39,8 @@
         "_checked_members",
         "_counters",
         "_dispatchers",
-        "_duty",
         "_free",
+        "_grant_server",
         "_index_of",
         "_leaving",
         "_mesh",
@@ -58,7 +58,7 @@
         self._random = rng
         self._states: dict[str, ServiceState] = {}
         self._active: dict[str, ServiceState] = {}
-        self._duty = SlotDuty(mesh, tuning)
+        self._grant_server = GrantServer(mesh, tuning)
         self._checked_members: tuple[Member, ...] = ()
         self._tickets: dict[int, Ticket] = {}
         self._free: list[int] = []
@@ -75,9 +75,9 @@
         return self._counters
 
     @property
-    def duty_counters(self) -> DutyCounters:
-        """Totals of the duty as dispatcher."""
-        return self._duty.counters
+    def grant_server_counters(self) -> GrantServerCounters:
+        """Totals of the slots served to other hosts."""
+        return self._grant_server.counters
 
     def states(self) -> list[ServiceState]:
         """States of all services in use."""
@@ -103,7 +103,7 @@
             self._active.pop(name, None)
         for name, state in self._states.items():
             state.use(document.services[name], now)
-        self._duty.apply(services)
+        self._grant_server.apply(services)
 
     def open(
         self, service: Service, call: SlotCall, now: float, resolve: Callable[[Ticket], None]
@@ -118,9 +118,9 @@
         state = self._state(service)
         dispatcher = self._dispatchers.host(service.name, self._mesh.members(), self._mesh.region)
         if dispatcher is None or dispatcher == self._mesh.host:
-            self._counters.duty += 1
-            ticket.state = TicketState.QUEUED_DUTY
-            self._settle(state, state.duty.submit(self._waiting(ticket, state, now), now), now)
+            self._counters.regional += 1
+            ticket.state = TicketState.QUEUED_REGIONAL
+            self._settle(state, state.regional.submit(self._waiting(ticket, state, now), now), now)
         elif state.answer_time.is_silent(now) or not self._ask(ticket, dispatcher, state, now):
             self._choose_locally(ticket, state, now)
         return ticket
@@ -164,8 +164,8 @@
             self._send_release(ticket, outcome.kind, outcome.duration_s, now)
         key = (self._mesh.host, ticket.number)
         kind, duration_s, load = outcome.kind, outcome.duration_s, outcome.load
-        if granted is TicketState.GRANTED_DUTY:
-            self._settle(state, state.duty.finish(key, kind, duration_s, load, now), now)
+        if granted is TicketState.GRANTED_REGIONAL:
+            self._settle(state, state.regional.finish(key, kind, duration_s, load, now), now)
         self._settle(state, state.local.finish(key, kind, duration_s, load, now), now)
 
     def ticket(self, number: int) -> Ticket | None:
@@ -228,7 +228,7 @@
         active = list(self._active.values())
         self._active.clear()
         for state in active:
-            for dispatcher in (state.duty, state.local):
+            for dispatcher in (state.regional, state.local):
                 if dispatcher.waiting:
                     # Waiting calls need further steps of time even if no message arrives.
                     self._active[state.service.name] = state
@@ -237,17 +237,17 @@
 
     def on_acquire(self, sender: str, message: Acquire, now: float) -> None:
         """Another host asks for a slot of a service."""
-        service = self._duty.service(message.service)
+        service = self._grant_server.service(message.service)
         if service is None:
             return
         state = self._state(service)
-        self._settle(state, self._duty.acquire(state, sender, message, now), now)
+        self._settle(state, self._grant_server.acquire(state, sender, message, now), now)
 
     def on_release(self, sender: str, message: Release, now: float) -> None:
         """Another host ends a call."""
-        state = self._duty.owner(sender, message.call)
+        state = self._grant_server.owner(sender, message.call)
         if state is not None:
-            self._settle(state, self._duty.release(state, sender, message, now), now)
+            self._settle(state, self._grant_server.release(state, sender, message, now), now)
 
     def _settle(self, state: ServiceState, decisions: list[Decision], now: float) -> None:
         """Hand decisions to their calls; a grant that cannot be sent frees its slot again."""
@@ -256,7 +256,7 @@
             decision = pending.pop(0)
             host, number = decision.key
             if host != self._mesh.host:
-                pending.extend(self._duty.answer(state, decision, now))
+                pending.extend(self._grant_server.answer(state, decision, now))
                 continue
             ticket = self._tickets.get(number)
             assert ticket is not None and not ticket.decided, "decision for a call that ended"
@@ -266,9 +266,9 @@
         if not isinstance(decision, Granted):
             self._end(ticket)
             self._refuse(ticket, decision.code)
-        elif ticket.state is TicketState.QUEUED_DUTY:
+        elif ticket.state is TicketState.QUEUED_REGIONAL:
             state.local.adopt(decision.key, decision.target, now)
-            self._give(ticket, state, decision.target, TicketState.GRANTED_DUTY)
+            self._give(ticket, state, decision.target, TicketState.GRANTED_REGIONAL)
         else:
             self._give(ticket, state, decision.target, TicketState.GRANTED_LOCAL)
 
@@ -311,7 +311,7 @@
 
     def _leave_queue(self, ticket: Ticket, state: ServiceState, now: float) -> None:
         key = (self._mesh.host, ticket.number)
-        for dispatcher in (state.duty, state.local):
+        for dispatcher in (state.regional, state.local):
             decisions = dispatcher.finish(key, AttemptOutcome.CANCELLED, 0.0, None, now)
             assert not decisions, "a waiting call held a slot"
 
@@ -387,7 +387,7 @@
             return
         self._checked_members = members
         live = {member.host for member in members}
-        for host in self._duty.hosts() - live:
+        for host in self._grant_server.hosts() - live:
             for state in self._states.values():
-                self._settle(state, state.duty.drop_host(host, now), now)
-            self._duty.forget(host)
+                self._settle(state, state.regional.drop_host(host, now), now)
+            self._grant_server.forget(host)
--- a/src/dotterelstand/process/slotcounters.py
+++ b/src/dotterelstand/process/slotcounters.py
@@ -1,4 +1,4 @@
-"""Counters of slot requests and of the duty as dispatcher."""
+"""Counters of slot requests and of the slots served to other hosts."""
 
 
 class SlotCounters:
@@ -7,16 +7,16 @@
     __slots__ = (
         "ask_failed",
         "asked",
-        "duty",
         "fallback_timeout",
         "local",
+        "regional",
         "table_full",
         "unusable",
     )
 
     def __init__(self) -> None:
         self.asked = 0
-        self.duty = 0
+        self.regional = 0
         self.local = 0
         self.fallback_timeout = 0
         self.ask_failed = 0
@@ -24,7 +24,7 @@
         self.table_full = 0
 
 
-class DutyCounters:
+class GrantServerCounters:
     """Requests of other hosts, as totals since the start."""
 
     __slots__ = ("answers_unsent", "grants_sent", "malformed", "refusals_sent", "table_full")
--- a/src/dotterelstand/process/slotnews.py
+++ b/src/dotterelstand/process/slotnews.py
@@ -30,7 +30,7 @@
                 self._refused = refused
 
     def _report_health(self, state: ServiceState) -> None:
-        for dispatcher in (state.duty, state.local):
+        for dispatcher in (state.regional, state.local):
             changes = dispatcher.table.changes
             while changes:
                 change = changes.popleft()
--- a/src/dotterelstand/process/ticket.py
+++ b/src/dotterelstand/process/ticket.py
@@ -13,10 +13,10 @@
 
     ASKED = 1
     QUEUED_LOCAL = 2
-    QUEUED_DUTY = 3
+    QUEUED_REGIONAL = 3
     GRANTED_REMOTE = 4
     GRANTED_LOCAL = 5
-    GRANTED_DUTY = 6
+    GRANTED_REGIONAL = 6
     ENDED = 7
 
 
--- a/tests/support.py
+++ b/tests/support.py
@@ -147,10 +147,10 @@
             assert daemon.front.open_connections == 0, "a caller connection is stuck"
             assert daemon.pool.in_use() == 0, "a target connection is stuck"
             state = daemon.broker.core.state_of("main")
-            if state is not None and state.duty is not None:
+            if state is not None and state.regional is not None:
                 # Grants of a lost entry host expire when the next call asks for a slot.
-                state.duty.advance_health(trio.current_time())
-                assert state.duty.open_grants == 0, "a slot is stuck"
+                state.regional.advance_health(trio.current_time())
+                assert state.regional.open_grants == 0, "a slot is stuck"
             assert not daemon.metrics.value("requests.faults"), "an invariant was broken"
 
     async def replace_daemon(self, nursery: trio.Nursery, index: int, down_s: float) -> None:
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -16,20 +16,20 @@
 from dotterelstand.process.callbudget import CallFigures
 from dotterelstand.process.dispatcher import DispatcherCounters
 from dotterelstand.process.figures import PREFIXES
+from dotterelstand.process.grantserver import GrantServerCounters
 from dotterelstand.process.journalowner import PartitionFigures
 from dotterelstand.process.journalservice import JournalFigures
 from dotterelstand.process.journaltypes import RecordFigures
 from dotterelstand.process.measure import MeasureCounters
 from dotterelstand.process.outcomes import OutcomeFigures
 from dotterelstand.process.slotcore import SlotCounters
-from dotterelstand.process.slotduty import DutyCounters
 from dotterelstand.settings import default_settings
 from dotterelstand.settings_rules import RULES
 
 FIGURES = (
     CallFigures,
     DispatcherCounters,
-    DutyCounters,
+    GrantServerCounters,
     JournalFigures,
     MeasureCounters,
     OutcomeFigures,
