--- a/src/dotterelstand/bench/fleet.py
+++ b/src/dotterelstand/bench/fleet.py
@@ -22,9 +22,10 @@
 from dotterelstand.standin.platform import ObjectStore
 
 STORE_PORT = 8060
-# One-way latencies of the deployments, in seconds.
-SAME_REGION_S = 0.00025
-CROSS_REGION_S = 0.006
+# One-way latencies of the deployments, in seconds (design page, section 1.3). The design counts
+# 24 ms for a round trip between regions, so its 12 ms are one way.
+SAME_REGION_S = 0.0005
+CROSS_REGION_S = 0.012
 
 
 class Reply:
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -14,7 +14,7 @@
     "lost_answer_is_failure": 1,
     "epoch_ignored": 1,
     "claim_ignored": 1,
-    "unknown_frees_key": 6,
+    "unknown_frees_key": 3,
     "segments_skipped": 5,
     "segment_after_head": 5,
 }
