--- a/src/dotterelstand/bench/soak.py
+++ b/src/dotterelstand/bench/soak.py
@@ -10,6 +10,7 @@
 from dotterelstand.bench.soakfaults import FaultContext, run_faults
 from dotterelstand.bench.soakfleet import SoakFleet
 from dotterelstand.bench.soakjudge import Violation, find_violations
+from dotterelstand.bench.soakwatch import BrokenInvariants, find_daemon_faults, watch_versions
 from dotterelstand.standin.freeze import Freezer
 from dotterelstand.standin.virtual import run_virtual, seeded_random
 
@@ -24,11 +25,16 @@
 
 
 class SoakReport:
-    """Result of one run; `codes` counts attempts by result code."""
+    """Result of one run; `codes` counts attempts by result code.
 
-    __slots__ = ("answered", "codes", "requests", "violations")
+    `records` has what each caller was told and what each target ran, in order.
+    """
 
-    def __init__(self, requests: list[Request], violations: list[Violation]) -> None:
+    __slots__ = ("answered", "codes", "records", "requests", "violations")
+
+    def __init__(
+        self, fleet: SoakFleet, requests: list[Request], violations: list[Violation]
+    ) -> None:
         self.requests = len(requests)
         self.answered = sum(request.answered for request in requests)
         self.violations = violations
@@ -36,6 +42,12 @@
         for request in requests:
             for told in request.told:
                 self.codes[told.code] = self.codes.get(told.code, 0) + 1
+        self.records = [
+            f"{request.path} {[(told.host, told.code, told.began) for told in request.told]}"
+            for request in requests
+        ]
+        for name, target in sorted(fleet.targets.items()):
+            self.records.extend(f"{name} {run.path} {run.state}" for run in target.runs)
 
 
 def run_soak(seed: int, seconds: float, rate_per_s: float = RATE_PER_S) -> SoakReport:
@@ -45,10 +57,12 @@
 
 async def _run(seed: int, seconds: float, rate_per_s: float) -> SoakReport:
     rng = seeded_random(seed, "soak")
-    with Freezer() as freezer:
+    violations: list[Violation] = []
+    with Freezer() as freezer, BrokenInvariants() as broken:
         async with trio.open_nursery() as nursery:
             fleet = SoakFleet(seed, nursery, freezer)
             await fleet.start(HOSTS_PER_REGION)
+            nursery.start_soon(watch_versions, fleet, violations)
             await trio.sleep(START_S)
             async with trio.open_nursery() as calling:
                 callers = Callers(fleet, calling, seeded_random(seed, "callers"))
@@ -58,10 +72,11 @@
                     failing.start_soon(run_faults, context, failing, seconds)
             fleet.store.faults.clear()
             await trio.sleep(RECOVERY_S)
-            violations = await _check_recovery(fleet, seed)
+            violations.extend(await _check_recovery(fleet, seed))
             violations.extend(find_violations(fleet, callers.requests))
+            violations.extend(find_daemon_faults(fleet, broken))
             nursery.cancel_scope.cancel()
-    return SoakReport(callers.requests, violations)
+    return SoakReport(fleet, callers.requests, violations)
 
 
 async def _check_recovery(fleet: SoakFleet, seed: int) -> list[Violation]:
--- a/src/dotterelstand/bench/soakcallers.py
+++ b/src/dotterelstand/bench/soakcallers.py
@@ -19,7 +19,7 @@
 class Told:
     """What one attempt of a caller was told; code 0 means no complete answer."""
 
-    __slots__ = ("body", "code", "host", "run", "status")
+    __slots__ = ("began", "body", "code", "host", "incarnation", "run", "status")
 
     def __init__(
         self, host: str, code: int = 0, run: str = "", status: int = 0, body: bytes = b""
@@ -29,6 +29,9 @@
         self.run = run
         self.status = status
         self.body = body
+        self.began = 0.0
+        # Context of the entry host that was asked.
+        self.incarnation = ""
 
 
 class Request:
@@ -98,6 +101,7 @@
 
     async def _attempt(self, request: Request, host: EntryHost) -> Told:
         told = Told(host.name)
+        began = trio.current_time()
         network = self._fleet.network.at(f"10.{host.region}.8.1")
         with trio.move_on_after(PATIENCE_S):
             try:
@@ -106,6 +110,7 @@
                     told = await _exchange(stream, host.name, request)
             except (OSError, trio.BrokenResourceError, h11.ProtocolError):
                 pass
+        told.began, told.incarnation = began, host.context
         return told
 
 
--- a/src/dotterelstand/bench/soakfaults.py
+++ b/src/dotterelstand/bench/soakfaults.py
@@ -74,7 +74,7 @@
     host = context.any_host()
     if host is None or host.daemon is None:
         return
-    host.daemon.stop()
+    host.stop()
     await host.ended.wait()
     context.fleet.replace_host(host)
 
@@ -84,6 +84,7 @@
     host = context.any_host()
     if host is None or context.fleet.freezer.is_frozen(host.context):
         return
+    host.disturbed = True
     context.fleet.freezer.freeze(host.context)
     await trio.sleep(context.rng.choice([0.3, 1.0, 2.5, 5.0]))
     context.fleet.freezer.thaw(host.context)
@@ -205,6 +206,7 @@
     """Start random faults for a time: one alone, two together, or up to six at once."""
     end = trio.current_time() + seconds
     while trio.current_time() < end:
-        for fault in context.rng.sample(FAULTS, context.rng.choice([1, 1, 2, 2, 6])):
+        count = min(len(FAULTS), context.rng.choice([1, 1, 2, 2, 6]))
+        for fault in context.rng.sample(FAULTS, count):
             nursery.start_soon(fault, context)
         await trio.sleep(context.rng.uniform(3, 12))
--- a/src/dotterelstand/bench/soakfleet.py
+++ b/src/dotterelstand/bench/soakfleet.py
@@ -82,12 +82,14 @@
         "address",
         "context",
         "daemon",
+        "disturbed",
         "ended",
         "lost",
         "name",
         "region",
         "scope",
         "started",
+        "stopped",
     )
 
     def __init__(self, name: str, region: int, address: str, incarnation: int) -> None:
@@ -101,6 +103,15 @@
         self.started = trio.current_time()
         self.ended = trio.Event()
         self.lost = False
+        # Whether it was paused or failed, so that a stop of it need not be graceful.
+        self.disturbed = False
+        self.stopped: float | None = None
+
+    def stop(self) -> None:
+        """Begin a graceful stop."""
+        if self.daemon is not None and self.stopped is None:
+            self.stopped = trio.current_time()
+            self.daemon.stop()
 
 
 class SoakFleet:
@@ -111,8 +122,10 @@
         "_nursery",
         "_on_applied",
         "_seed",
+        "faults",
         "freezer",
         "hosts",
+        "incarnations",
         "network",
         "number",
         "store",
@@ -130,6 +143,10 @@
         self.hosts: dict[str, EntryHost] = {}
         self.targets: dict[str, TargetServer] = {}
         self.number = 0
+        # Every host that ever ran, by its context.
+        self.incarnations: dict[str, EntryHost] = {}
+        # Daemons that ended with an error.
+        self.faults: list[str] = []
 
     async def start(self, hosts_per_region: int) -> None:
         """Start the platform, the targets and the entry hosts."""
@@ -163,6 +180,7 @@
         self._incarnations += 1
         host = EntryHost(name, region, address, self._incarnations)
         self.hosts[name] = host
+        self.incarnations[host.context] = host
         self._nursery.start_soon(self._run_host, host)
         return host
 
@@ -189,7 +207,7 @@
 
     def lose_host(self, host: EntryHost) -> None:
         """End a host at once, as a failed machine does."""
-        host.lost = True
+        host.lost = host.disturbed = True
         self.freezer.thaw(host.context)
         host.scope.cancel()
         self.network.crash(host.address)
@@ -237,7 +255,11 @@
         rng: random.Random = seeded_random(self._seed, host.context)
         with host.scope:
             host.daemon = Daemon(self._settings(host), self.network.at(host.address), rng)
-            await host.daemon.run()
+            try:
+                await host.daemon.run()
+            except* Exception as group:
+                self.faults.append(f"{host.context}: {group.exceptions!r}")
+                self.network.crash(host.address)
         host.lost = True
         host.ended.set()
 
--- a/src/dotterelstand/bench/soakjudge.py
+++ b/src/dotterelstand/bench/soakjudge.py
@@ -34,9 +34,22 @@
     violations: list[Violation] = []
     for request in requests:
         violations.extend(_judge(request, runs.get(request.path, []), complete))
+        violations.extend(_find_cuts(fleet, request))
     return violations
 
 
+def _find_cuts(fleet: SoakFleet, request: Request) -> list[Violation]:
+    """Attempts without an answer that began before a graceful stop of an undisturbed host."""
+    found = []
+    for told in request.told:
+        host = fleet.incarnations[told.incarnation]
+        stopped = host.stopped is not None and told.began < host.stopped
+        if stopped and not host.disturbed and told.code == 0:
+            detail = f"{request.path} began {told.began:.3f} at {host.context}"
+            found.append(Violation("planned stop", f"{detail}, stopped {host.stopped:.3f}"))
+    return found
+
+
 def _judge(request: Request, runs: list[str], complete: dict[str, int]) -> list[Violation]:
     found: list[Violation] = []
     summary = f"{request.path} told {[told.code for told in request.told]} ran {runs}"
