Bound the takeover in tests by virtual time only

Ruled out: a wider bound, which would come from the machine. Change: the takeover's virtual time always has its bound; with processor time it has it at full scale only, where no test runs it.

--- a/src/dotterelstand/bench/confirmations.py
+++ b/src/dotterelstand/bench/confirmations.py
@@ -272,8 +272,11 @@
     section.plots.append("recovery.png")
     keys = max(1000, round(FULL_JOURNAL * scale))
     taken_s, used_s = run_virtual(_take_over_full, seed, keys, seed=seed)
-    name = f"takeover with {keys} keys, with processor time, s"
-    section.figures.append(Figure(name, taken_s + used_s, MAX_RECOVERY_S))
+    name = f"takeover with {keys} keys"
+    section.figures.append(Figure(f"{name}, virtual s", taken_s, MAX_RECOVERY_S))
+    # Processor time differs between machines, so small runs, which tests repeat, have no bound.
+    bound = MAX_RECOVERY_S if scale >= 1 else None
+    section.figures.append(Figure(f"{name}, with processor time, s", taken_s + used_s, bound))
     processor_s, memory = measure_costs()
     section.figures.append(Figure("processor time per finished key, us", processor_s * 1e6, None))
     section.figures.append(Figure("memory per finished key, bytes", memory, None))
