Keep coded errors and freezing at a step in one place each

Ruled out: nothing else. Change: errors.CodedError is the base of both; faultplan has one function that freezes at a step.

--- a/src/dotterelstand/bench/faultplan.py
+++ b/src/dotterelstand/bench/faultplan.py
@@ -5,7 +5,7 @@
 
 import trio
 
-from dotterelstand.bench.fleet import Fleet
+from dotterelstand.bench.fleet import Fleet, SimulatedHost
 
 Fault = Callable[[Fleet, random.Random], Awaitable[None]]
 
@@ -47,20 +47,26 @@
     await _pause(fleet, _any_host(fleet, rng), rng.uniform(0.1, 5.0))
 
 
-async def pause_owner_at_step(fleet: Fleet, rng: random.Random) -> None:
-    """The owner is paused between two steps of its tasks."""
-    name = _owner(fleet, rng)
+async def _freeze_at_step(fleet: Fleet, rng: random.Random, name: str) -> SimulatedHost:
+    """Pause a host before one of its next steps; it takes none until it is thawed or lost."""
     host = fleet.hosts[name]
-    struck = trio.Event()
+    frozen = trio.Event()
 
-    def strike() -> None:
+    def freeze() -> None:
         if not host.lost and fleet.hosts[name] is host:
             fleet.pause(name, True)
-        struck.set()
+        frozen.set()
 
-    fleet.freezer.after_steps(host.context, rng.randint(1, MAX_STEPS), strike)
+    fleet.freezer.after_steps(host.context, rng.randint(1, MAX_STEPS), freeze)
     with trio.move_on_after(5.0):
-        await struck.wait()
+        await frozen.wait()
+    return host
+
+
+async def pause_owner_at_step(fleet: Fleet, rng: random.Random) -> None:
+    """The owner is paused between two steps of its tasks."""
+    name = _owner(fleet, rng)
+    host = await _freeze_at_step(fleet, rng, name)
     await trio.sleep(rng.choice([1.2, 2.6, 4.0]))
     if fleet.hosts[name] is host:
         fleet.pause(name, False)
@@ -69,18 +75,7 @@
 async def lose_owner_at_step(fleet: Fleet, rng: random.Random) -> None:
     """The owner is lost between two steps of its tasks and replaced later."""
     name = _owner(fleet, rng)
-    host = fleet.hosts[name]
-    struck = trio.Event()
-
-    def strike() -> None:
-        # A frozen host takes no further step, so nothing happens between the strike and the loss.
-        if not host.lost and fleet.hosts[name] is host:
-            fleet.pause(name, True)
-        struck.set()
-
-    fleet.freezer.after_steps(host.context, rng.randint(1, MAX_STEPS), strike)
-    with trio.move_on_after(5.0):
-        await struck.wait()
+    host = await _freeze_at_step(fleet, rng, name)
     if fleet.hosts[name] is host and not host.lost:
         fleet.lose(name)
     await _replace(fleet, name, rng)
--- a/src/dotterelstand/process/lease.py
+++ b/src/dotterelstand/process/lease.py
@@ -9,6 +9,7 @@
 from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
+from dotterelstand.errors import CodedError
 from dotterelstand.events import Event, log
 from dotterelstand.process.invariant import require
 from dotterelstand.process.mesh import Member
@@ -62,17 +63,10 @@
     return Success(LeaseRecord(owner, epoch, write_id, released, payload))
 
 
-class LeaseError:
+class LeaseError(CodedError):
     """Why the lease was not taken or its record not updated."""
 
-    __slots__ = ("code", "text")
-
-    def __init__(self, code: int, text: str) -> None:
-        self.code = code
-        self.text = text
-
-    def __str__(self) -> str:
-        return f"{self.code}: {self.text}"
+    __slots__ = ()
 
 
 # Another host owns the object; nothing that was given to `update` took effect later than that.
--- a/src/dotterelstand/process/store.py
+++ b/src/dotterelstand/process/store.py
@@ -11,6 +11,7 @@
 from returns.result import Failure, Result, Success
 
 from dotterelstand.connection.network import Network
+from dotterelstand.errors import CodedError
 from dotterelstand.events import Event, log
 from dotterelstand.process.callbudget import CallBudget, CallLimits, Deny, Kind, Priority, Run, Wait
 from dotterelstand.process.storeconnection import StoreConnection, StoreConnections
@@ -29,17 +30,10 @@
         self.version = version
 
 
-class StoreError:
+class StoreError(CodedError):
     """Why a store call gave no value."""
 
-    __slots__ = ("code", "text")
-
-    def __init__(self, code: int, text: str) -> None:
-        self.code = code
-        self.text = text
-
-    def __str__(self) -> str:
-        return f"{self.code}: {self.text}"
+    __slots__ = ()
 
 
 MISSING = 5001
