--- a/src/dotterelstand/codes.py
+++ b/src/dotterelstand/codes.py
@@ -21,7 +21,6 @@
     OVERLOADED = 2002
     DEADLINE_TOO_SHORT = 2003
     NO_TARGET = 2004
-    STOPPING = 2005
     QUARANTINED = 2006
     STORE_UNAVAILABLE = 2007
     OWNER_UNREACHABLE = 2008
@@ -85,7 +84,6 @@
         Result.OVERLOADED,
         Result.DEADLINE_TOO_SHORT,
         Result.NO_TARGET,
-        Result.STOPPING,
         Result.STORE_UNAVAILABLE,
         Result.OWNER_UNREACHABLE,
         Result.TARGET_REFUSED,
