--- a/Makefile
+++ b/Makefile
@@ -10,9 +10,9 @@
 help:  ## List the commands.
 	@grep -E '^[a-z]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*##/\t/'
 
-$(STAMP): requirements.txt pyproject.toml
+$(STAMP): requirements.txt requirements-dev.txt pyproject.toml
 	$(PYTHON) -m venv $(VENV)
-	$(BIN)/pip install --quiet -r requirements.txt
+	$(BIN)/pip install --quiet -r requirements-dev.txt
 	$(BIN)/pip install --quiet --no-deps --no-build-isolation -e .
 	touch $(STAMP)
 
--- a/src/dotterelstand/bench/policies.py
+++ b/src/dotterelstand/bench/policies.py
@@ -16,6 +16,7 @@
 from dotterelstand.process.outcome import AttemptOutcome
 from dotterelstand.process.slotindex import NO_TARGETS
 from dotterelstand.process.tuning import SelectionTuning
+from dotterelstand.request.fields import LoadReport
 
 MakeChooser = Callable[[random.Random], Chooser]
 PROBES = 3
@@ -82,7 +83,7 @@
             # The baselines know no fast failures: the slot counts as free at once.
             table.finish(position, AttemptOutcome.CANCELLED, now - attempt.sent_at, now)
             if self._use_load and load is not None:
-                table.report_load(position, load, now)
+                table.report_load(position, LoadReport(load), now)
             self.done(call, outcome is not AttemptOutcome.OK)
 
         self.world.send(call, self._near[call.entry][position], ended)
--- a/src/dotterelstand/bench/slotpolicy.py
+++ b/src/dotterelstand/bench/slotpolicy.py
@@ -21,6 +21,7 @@
 from dotterelstand.process.slotcore import SlotCore
 from dotterelstand.process.ticket import Ticket
 from dotterelstand.process.tuning import SelectionTuning
+from dotterelstand.request.fields import LoadReport
 from dotterelstand.version.document import Document
 
 # RFC 6455: two bytes for a payload below 126 bytes; four more for the mask of a client.
@@ -239,7 +240,8 @@
         core = self.cores[item.call.entry]
         assert item.ticket is not None
         duration_s = now - attempt.sent_at
-        core.release(item.ticket, SlotOutcome(outcome, duration_s, load), now)
+        report = None if load is None else LoadReport(load)
+        core.release(item.ticket, SlotOutcome(outcome, duration_s, report), now)
         if item.call.finished is not None:
             return
         if self._hedges and outcome is AttemptOutcome.OK:
--- a/src/dotterelstand/connection/caller.py
+++ b/src/dotterelstand/connection/caller.py
@@ -10,13 +10,8 @@
 from dotterelstand.codes import Result as ResultCode
 from dotterelstand.connection.strict import check_raw_head, find_head_end
 from dotterelstand.connection.target import READ_BYTES, abort_now, close_now, has_input
-from dotterelstand.request.head import (
-    RESULT_HEADER,
-    RUN_HEADER,
-    Headers,
-    RequestHead,
-    read_head,
-)
+from dotterelstand.request.fields import OWN_FIELDS, RESULT_HEADER, RUN_HEADER, HeaderFields
+from dotterelstand.request.head import Headers, RequestHead, read_head
 
 # Bytes of a caller that are read ahead of their use; reading stops when they are exceeded.
 READ_AHEAD_BYTES = 65536
@@ -59,6 +54,7 @@
 
     __slots__ = (
         "_buffered",
+        "_fields",
         "_h11",
         "_idle",
         "_inbox",
@@ -66,6 +62,7 @@
         "_method",
         "_raw",
         "_readers",
+        "_received_s",
         "_room",
         "_stream",
         "aborted",
@@ -75,11 +72,16 @@
         "on_departure",
     )
 
-    def __init__(self, stream: trio.abc.Stream, limits: CallerLimits) -> None:
+    def __init__(
+        self, stream: trio.abc.Stream, limits: CallerLimits, fields: HeaderFields = OWN_FIELDS
+    ) -> None:
         self._stream = stream
         self._limits = limits
+        self._fields = fields
         self._h11 = self._new_h11()
-        self._inbox: deque[bytes] = deque()
+        # Pieces with the time at which each arrived.
+        self._inbox: deque[tuple[float, bytes]] = deque()
+        self._received_s = trio.current_time()
         self._buffered = 0
         self._method = b""
         self._raw = bytearray()
@@ -103,7 +105,7 @@
                 data = b""
             if not data:
                 break
-            self._inbox.append(data)
+            self._inbox.append((trio.current_time(), data))
             self._buffered += len(data)
             self._readers.unpark_all()
         # An end of stream counts as departure: HTTP has no other sign that a caller left.
@@ -276,10 +278,12 @@
         if not isinstance(event, h11.Request):
             return ResultCode.BAD_REQUEST
         self._method = event.method
-        result = read_head(event)
+        result = read_head(event, self._fields)
         if not is_successful(result):
             return result.failure()
         head = result.unwrap()
+        # A pipelined head may have waited for the answers before it.
+        head.arrived_s = self._received_s
         if not head.has_body() and self._h11.their_state is h11.SEND_BODY:
             self._h11.next_event()
             self._raw = bytearray(self._h11.trailing_data[0])
@@ -290,7 +294,7 @@
             if self.departed:
                 return b""
             await self._readers.park()
-        data = self._inbox.popleft()
+        self._received_s, data = self._inbox.popleft()
         self._buffered -= len(data)
         self._room.unpark_all()
         return data
--- a/src/dotterelstand/connection/pool.py
+++ b/src/dotterelstand/connection/pool.py
@@ -13,6 +13,8 @@
 # No connection is this young: only a new one will do.
 ONLY_NEW_S = -1.0
 SWEEP_S = 1.0
+# Share of the idle time that a target states in its Keep-Alive header which is used.
+IDLE_LIMIT_SHARE = 0.8
 
 
 class PoolLimits:
@@ -119,7 +121,7 @@
         for address, connections in list(self._idle.items()):
             kept = []
             for connection in connections:
-                expired = now - connection.last_proof_s > self._limits.idle_timeout_s
+                expired = now - connection.last_proof_s > self._idle_limit_s(connection)
                 if expired or not connection.is_quiet():
                     self._close(connection)
                 else:
@@ -143,7 +145,7 @@
         while idle:
             connection = idle.pop()
             age_s = now - connection.last_proof_s
-            if age_s > self._limits.idle_timeout_s or not connection.is_quiet():
+            if age_s > self._idle_limit_s(connection) or not connection.is_quiet():
                 self._close(connection)
             elif age_s > max_age_s:
                 # The others are older; all stay for requests that may use them.
@@ -153,6 +155,11 @@
                 return connection
         return None
 
+    def _idle_limit_s(self, connection: TargetConnection) -> float:
+        """Idle time after which the target may be closing the connection already."""
+        limit_s = connection.idle_limit_s * IDLE_LIMIT_SHARE
+        return min(limit_s, self._limits.idle_timeout_s)
+
     def _has_room(self, address: str, share: int) -> bool:
         """Whether a new connection is within the limit, closing an idle one if that helps."""
         idle = self._idle.get(address)
--- a/src/dotterelstand/connection/target.py
+++ b/src/dotterelstand/connection/target.py
@@ -1,5 +1,7 @@
 """One HTTP/1.1 connection to a target."""
 
+import math
+import re
 import socket
 import struct
 from types import TracebackType
@@ -11,20 +13,38 @@
 
 READ_BYTES = 65536
 
+_FRAMING = frozenset({b"content-length", b"transfer-encoding"})
+_KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout\s*=\s*(\d{1,6})")
+
 AnswerEvent = h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]
 
 
 class TargetConnection:
     """An h11 client connection that carries one request at a time."""
 
-    __slots__ = ("_h11", "_stream", "address", "handed", "last_proof_s", "reused")
+    __slots__ = (
+        "_h11",
+        "_max_head_bytes",
+        "_request",
+        "_stream",
+        "address",
+        "handed",
+        "idle_limit_s",
+        "last_proof_s",
+        "reused",
+    )
 
     def __init__(
         self, stream: trio.abc.Stream, address: str, now: float, max_head_bytes: int
     ) -> None:
         self._stream = stream
+        self._max_head_bytes = max_head_bytes
         self._h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=max_head_bytes)
+        # Request whose answer is awaited, without the length of its body.
+        self._request: h11.Request | None = None
         self.address = address
+        # Seconds that the target keeps the connection open while it is idle, if it said so.
+        self.idle_limit_s = math.inf
         self.last_proof_s = now
         self.handed = False
         self.reused = False
@@ -48,6 +68,8 @@
         Raises `trio.BrokenResourceError` if the connection is lost.
         """
         data = self._h11.send(h11.Request(method=method, target=path, headers=headers)) or b""
+        bare = [field for field in headers if field[0] not in _FRAMING]
+        self._request = h11.Request(method=method, target=path, headers=bare)
         if body:
             data += self._h11.send(h11.Data(data=body)) or b""
         if complete:
@@ -77,8 +99,27 @@
         """Next event of the answer; raises like `poll`, or `trio.BrokenResourceError`."""
         while (event := self._h11.next_event()) is h11.NEED_DATA:
             self._h11.receive_data(bytes(await self._stream.receive_some(READ_BYTES)))
+        if isinstance(event, h11.Response):
+            self._note_idle_limit(event)
         return event
 
+    async def skip_answer(self) -> None:
+        """Read an answer to its end and expect another one to the same request.
+
+        Raises `h11.RemoteProtocolError` if the connection cannot carry another answer.
+        """
+        while isinstance(event := await self.receive(), h11.Data):
+            pass
+        if not isinstance(event, h11.EndOfMessage) or self._h11.our_state is not h11.DONE:
+            raise h11.RemoteProtocolError("a stray answer ends the connection")
+        rest = self._h11.trailing_data[0]
+        assert self._request is not None, "an answer was read before a request was sent"
+        self._h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=self._max_head_bytes)
+        self._h11.send(self._request)
+        self._h11.send(h11.EndOfMessage())
+        if rest:
+            self._h11.receive_data(bytes(rest))
+
     def lost(self) -> bool:
         """Whether the target closed the connection."""
         return self._h11.trailing_data[1] or self._h11.their_state is h11.CLOSED
@@ -102,6 +143,12 @@
         """Close at once; the target sees it as cancellation."""
         close_now(self._stream)
 
+    def _note_idle_limit(self, answer: h11.Response) -> None:
+        for name, value in answer.headers:
+            match = _KEEP_ALIVE_TIMEOUT.search(value) if name == b"keep-alive" else None
+            if match is not None:
+                self.idle_limit_s = float(match.group(1))
+
 
 def has_input(stream: trio.abc.AsyncResource) -> bool:
     """Whether bytes or the end of the stream wait to be read."""
--- a/src/dotterelstand/connection/wire.py
+++ b/src/dotterelstand/connection/wire.py
@@ -127,6 +127,16 @@
     code: int
 
 
+class Paces(Message):
+    """Targets of a service (by index) and how long work takes there, in percent of the usual."""
+
+    __slots__ = ("percent", "service", "targets")
+    TYPE = 26
+    percent: list[int]
+    service: int
+    targets: list[int]
+
+
 class Intent(Message):
     """A non-idempotent request with a key that asks to run."""
 
--- a/src/dotterelstand/process/daemon.py
+++ b/src/dotterelstand/process/daemon.py
@@ -8,12 +8,12 @@
 from dotterelstand.connection.pool import TargetPool
 from dotterelstand.connection.tls import Certificates
 from dotterelstand.events import Event, log
+from dotterelstand.platform.build import build_platform, platform_fields
+from dotterelstand.process.backing import Backing
 from dotterelstand.process.control import ControlPort, ControlRegistry
 from dotterelstand.process.front import CallerFront
-from dotterelstand.process.healthprobe import HealthProbes
-from dotterelstand.process.hostlist import HostListReader
+from dotterelstand.process.healthprobe import HealthProbes, ProbeTuning
 from dotterelstand.process.introduction import await_introduction
-from dotterelstand.process.journalservice import JournalService, build_journal
 from dotterelstand.process.limits import (
     caller_limits,
     pool_limits,
@@ -21,19 +21,23 @@
     request_limits,
 )
 from dotterelstand.process.metrics import Metrics, build_metrics
+from dotterelstand.process.objectbacking import ObjectBacking
+from dotterelstand.process.ownbacking import OwnBacking
 from dotterelstand.process.pages import DaemonState, register_pages
 from dotterelstand.process.partpages import register_parts, target_states
 from dotterelstand.process.peers import Peers
 from dotterelstand.process.quarantine import QuarantineService, register_quarantine
+from dotterelstand.process.readiness import ReadinessPort
 from dotterelstand.process.slots import SlotBroker, make_broker
-from dotterelstand.process.spread import DocumentSpread
-from dotterelstand.process.store import StoreClient, build_store
 from dotterelstand.process.targetlist import TargetList
 from dotterelstand.request.context import RequestContext
+from dotterelstand.request.fields import OWN_FIELDS, HeaderFields
 from dotterelstand.settings import Settings
-from dotterelstand.version.accept import Acceptor
 from dotterelstand.version.document import Document
 
+# Value of store.protocol for a platform whose store holds the whole document.
+OBJECT_PROTOCOL = "objects"
+
 
 class Daemon:
     """All parts of one entry host; create it within `trio.run`."""
@@ -41,25 +45,22 @@
     __slots__ = (
         "_certificates",
         "_control",
-        "_hosts",
         "_network",
         "_probes",
+        "_readiness",
         "_registry",
         "_settings",
         "_state",
         "_stopping",
-        "_store",
-        "acceptor",
+        "backing",
         "broker",
         "control_port",
         "front",
-        "journal",
         "metrics",
         "peers",
         "pool",
         "port",
         "quarantine",
-        "spread",
         "targets",
     )
 
@@ -74,7 +75,6 @@
         self._network = network
         self._stopping = trio.Event()
         self.metrics: Metrics = build_metrics(settings)
-        self._store: StoreClient = build_store(settings, network, rng)
         self._certificates = certificates or Certificates(None, None)
         peer_network = self._certificates.peer_network(network, self.metrics)
         self.peers = Peers(settings, peer_network, rng, self.metrics)
@@ -82,30 +82,26 @@
         self.targets = TargetList(
             self.broker, self.peers, settings.number("targets", "return_after_s"), trio.current_time
         )
-        self._hosts = HostListReader(
-            self._store,
-            self.peers,
-            settings.number("peers", "host_list_interval_s"),
-            settings.integer("peers", "port"),
-            rng,
-            self.targets.read,
-        )
-        self.journal: JournalService = build_journal(settings, self._store, self.peers, rng)
+        self.backing: Backing = self._make_backing(rng)
         self.quarantine = QuarantineService(self.peers, quarantine_limits(settings), self.metrics)
         self.pool = TargetPool(network, pool_limits(settings))
-        self.front = self._make_front(settings)
+        fields = platform_fields() if self._on_objects else OWN_FIELDS
+        self.front = self._make_front(fields)
         self._probes = HealthProbes(
             self.peers,
             self.pool,
             self.broker.budget,
             self.targets,
+            self.broker,
             lambda: self.front.document,
             lambda service: self.broker.core.state_of(service) is not None,
             self.metrics,
-            settings.number("targets", "health_interval_s"),
+            ProbeTuning(
+                settings.number("targets", "health_interval_s"),
+                settings.flag("targets", "health_drains"),
+                fields,
+            ),
         )
-        self.spread = DocumentSpread(settings, self._store, self.peers, rng, self._apply)
-        self.acceptor = Acceptor(self._store, self.spread.cache, rng, lambda: self.spread.number)
         self._registry = ControlRegistry()
         self._state = DaemonState(lambda: self.front.document, self._stopping.is_set, self.stop)
         register_pages(
@@ -117,16 +113,10 @@
         )
         self._registry.check("peers", lambda: self.front.introduced)
         register_quarantine(self._registry, self.quarantine)
-        register_parts(
-            self._registry,
-            self.metrics,
-            settings,
-            self._store,
-            self.peers,
-            self.broker,
-            self.journal,
-        )
+        register_parts(self._registry, self.metrics, settings, self.peers, self.broker)
+        self.backing.register(self._registry, self.metrics)
         self._control = ControlPort(settings, self._registry, self.metrics)
+        self._readiness = ReadinessPort(settings, self._registry)
         self.port = 0
         self.control_port = 0
 
@@ -163,31 +153,44 @@
             async with trio.open_nursery() as background:
                 await background.start(self.peers.run)
                 background.start_soon(self._control.serve, control)
-                background.start_soon(self._hosts.run)
+                background.start_soon(self._readiness.run, self._network)
+                background.start_soon(self.backing.run)
                 background.start_soon(self._open_front)
                 background.start_soon(self.broker.run)
-                background.start_soon(self.journal.run)
-                background.start_soon(self.spread.run)
                 background.start_soon(self._certificates.run)
                 background.start_soon(self._flush_metrics)
                 background.start_soon(self.pool.sweep_forever)
                 background.start_soon(self._probes.run)
                 await self.front.serve_until_stopped(listener, self._stopping, grace_s)
-                await self.journal.stop()
+                await self.backing.stop()
                 await self.peers.say_goodbye()
                 background.cancel_scope.cancel()
         self.metrics.flush()
         log(Event.DAEMON_STOPPED)
 
-    def _make_front(self, settings: Settings) -> CallerFront:
+    @property
+    def _on_objects(self) -> bool:
+        """Whether the platform's store holds the whole document and the targets."""
+        return self._settings.text("store", "protocol") == OBJECT_PROTOCOL
+
+    def _make_backing(self, rng: random.Random) -> Backing:
+        settings, network = self._settings, self._network
+        if self._on_objects:
+            platform = build_platform(settings, network)
+            return ObjectBacking(settings, platform, self.peers, rng, self._apply)
+        return OwnBacking(settings, network, self.peers, rng, self._apply, self.targets.read)
+
+    def _make_front(self, fields: HeaderFields) -> CallerFront:
+        settings = self._settings
         context = RequestContext(
             request_limits(settings),
             self.pool,
             self.broker,
-            self.journal,
+            self.backing.journal,
             self.quarantine,
             self.metrics,
             self.targets,
+            fields,
         )
         return CallerFront(
             context, caller_limits(settings), settings.integer("listen", "max_connections")
@@ -200,13 +203,13 @@
 
     async def _open_front(self) -> None:
         limit_s = self._settings.number("peers", "introduction_s")
-        await await_introduction(self.peers, self._hosts, limit_s)
+        await await_introduction(self.peers, self.backing.hosts_known, limit_s)
         self.front.introduced = True
         self._report_ready()
 
     def _report_ready(self) -> None:
         if self.front.is_ready:
-            log(Event.DAEMON_READY, number=self.spread.number)
+            log(Event.DAEMON_READY, number=self.backing.number)
 
     def _apply(self, document: Document) -> None:
         was_ready = self.front.is_ready
--- a/src/dotterelstand/process/dispatcher.py
+++ b/src/dotterelstand/process/dispatcher.py
@@ -10,6 +10,7 @@
 from dotterelstand.process.slotcodec import CLASSES
 from dotterelstand.process.slotindex import NO_TARGETS
 from dotterelstand.process.tuning import SelectionTuning
+from dotterelstand.request.fields import LoadReport
 from dotterelstand.version.document import Service
 
 HOLD_WEIGHT = 0.02
@@ -79,6 +80,7 @@
         "_region",
         "_remote",
         "_tuning",
+        "bulk",
         "counters",
         "service",
     )
@@ -94,6 +96,8 @@
         self._hold_s = 0.0
         self._queue = CallQueue(0, CLASSES)
         self.counters = DispatcherCounters()
+        # Numbers of the classes whose calls stay in the region.
+        self.bulk: frozenset[int] = frozenset()
         self._set_service(service)
 
     @property
@@ -135,15 +139,20 @@
         """Grant a slot, refuse, or queue the call; an evicted call is refused as well."""
         self._clear(call.key, now)
         decisions = self.advance(now)
+        slow: int | None = None
         if not len(self._queue):
             position = self._choose_for(call, self._local, now)
             if position is not None:
-                return [*decisions, self._grant(call.key, self._local, position, now)]
+                if not self._local.targets[position].slow:
+                    return [*decisions, self._grant(call.key, self._local, position, now)]
+                slow = position
         wait_s = self._expected_wait_s(call.klass)
         remaining_s = call.deadline - now
         spilled = self._spill(call, wait_s, remaining_s, now)
         if spilled is not None:
             return [*decisions, spilled]
+        if slow is not None and not self._awaits_usual(call, now):
+            return [*decisions, self._grant(call.key, self._local, slow, now)]
         if not self._fitting(call):
             return [*decisions, Refused(call.key, ResultCode.NO_TARGET)]
         if remaining_s < wait_s + self._local.usual_s:
@@ -163,7 +172,12 @@
         self._grant(key, table, position, now)
 
     def finish(
-        self, key: CallKey, kind: AttemptOutcome, duration_s: float, load: int | None, now: float
+        self,
+        key: CallKey,
+        kind: AttemptOutcome,
+        duration_s: float,
+        load: LoadReport | None,
+        now: float,
     ) -> list[Decision]:
         """End a grant or a wait; returns the decisions that the freed slot allows."""
         if self._queue.remove(key) is not None:
@@ -190,6 +204,10 @@
             call = self._queue.pop()
             assert call is not None
             position = self._choose_for(call, self._local, now)
+            if position is not None and self._local.targets[position].slow:
+                if self._awaits_usual(call, now):
+                    passed_over.append(call)
+                    continue
             if position is None and self._fitting(call):
                 # The open targets are those that this call must avoid; it waits for another.
                 passed_over.append(call)
@@ -241,6 +259,23 @@
         """A leaving target is live again."""
         self._mark(name, HealthTable.mark_returned)
 
+    def report_load(self, target: int, report: LoadReport, now: float) -> bool:
+        """Note a load report; True if the target turned slow or usual."""
+        table, position = self._place_of[target]
+        was_slow = table.targets[position].slow
+        table.report_load(position, report, now)
+        return table.targets[position].slow != was_slow
+
+    def note_pace(self, target: int, pace: float, now: float) -> None:
+        """Note how long work takes at a target."""
+        table, position = self._place_of[target]
+        table.note_pace(position, pace, now)
+
+    def note_unreachable(self, target: int, now: float) -> None:
+        """Count a health request that was not answered."""
+        table, position = self._place_of[target]
+        table.note_unreachable(position, now)
+
     def is_usable(self, target: int) -> bool:
         """Whether a target may receive new work."""
         table, position = self._place_of[target]
@@ -306,10 +341,18 @@
         hold_s = self._hold_s or self._local.usual_s
         return (self._queue.ahead(klass) + 1) * hold_s / slots
 
+    def _awaits_usual(self, call: WaitingCall, now: float) -> bool:
+        """Whether a call that only slow targets could take waits for one that is not slow."""
+        if self._local.slow >= self._local.usable:
+            return False
+        return now - call.arrived < min(self._local.usual_s, (call.deadline - now) / 4)
+
     def _spill(
         self, call: WaitingCall, wait_s: float, remaining_s: float, now: float
     ) -> Granted | None:
         """Slot in another region, if waiting here costs more than crossing."""
+        if call.klass in self.bulk:
+            return None
         crossing_s = self._tuning.crossing_s
         is_full = len(self._queue) >= self._queue.capacity
         if self._fitting(call) and wait_s <= crossing_s and not is_full:
@@ -317,7 +360,7 @@
         if remaining_s < crossing_s + self._local.usual_s:
             return None
         position = self._choose_for(call, self._remote, now)
-        if position is None:
+        if position is None or self._remote.targets[position].slow:
             return None
         self.counters.spilled += 1
         return self._grant(call.key, self._remote, position, now)
--- a/src/dotterelstand/process/front.py
+++ b/src/dotterelstand/process/front.py
@@ -12,7 +12,7 @@
 from dotterelstand.request.ending import Ending, EndLog
 from dotterelstand.request.exchange import Exchange
 from dotterelstand.request.head import RequestHead
-from dotterelstand.version.document import Document
+from dotterelstand.version.document import Document, Route
 
 # Connections over the limit that are told so at the same time; others are closed without a word.
 MAX_REFUSING = 64
@@ -83,7 +83,7 @@
         if len(self._connections) >= self._max_connections:
             await self._refuse_connection(stream)
             return
-        connection = CallerConnection(stream, self._limits)
+        connection = CallerConnection(stream, self._limits, self._context.fields)
         connection.closing = self.stopping
         self._connections.add(connection)
         try:
@@ -116,7 +116,7 @@
 
     async def _serve_request(self, connection: CallerConnection, head: RequestHead) -> None:
         document = self.document if self.introduced else None
-        route = None if document is None else document.find_route(head.route_path, head.method)
+        route = None if document is None else _find_route(document, head)
         if document is None or route is None:
             code = _routing_failure(document, head)
             ending = Ending(None, head.tenant)
@@ -163,7 +163,7 @@
 
     async def _tell_refusal(self, stream: trio.abc.Stream, code: ResultCode) -> None:
         log(Event.CONNECTION_REFUSED, connections=len(self._connections))
-        connection = CallerConnection(stream, self._limits)
+        connection = CallerConnection(stream, self._limits, self._context.fields)
         connection.closing = True
         try:
             with trio.move_on_after(self._limits.linger_s):
@@ -195,9 +195,13 @@
         log(Event.INVARIANT_BROKEN, name="request", detail=errors)
 
 
+def _find_route(document: Document, head: RequestHead) -> Route | None:
+    return document.find_route(head.route_path, head.method, head.host)
+
+
 def _routing_failure(document: Document | None, head: RequestHead) -> ResultCode:
     if document is None:
         return ResultCode.NO_CONFIGURATION
-    if document.allowed_methods(head.route_path):
+    if document.allowed_methods(head.route_path, head.host):
         return ResultCode.METHOD_NOT_ALLOWED
     return ResultCode.NO_ROUTE
--- a/src/dotterelstand/process/grantserver.py
+++ b/src/dotterelstand/process/grantserver.py
@@ -87,7 +87,8 @@
         """Send a decision; if that fails the slot is free again, with what follows from it."""
         host, number = decision.key
         if isinstance(decision, Granted):
-            if self._mesh.send(host, Grant(number, decision.target), now):
+            target = state.service.targets[decision.target]
+            if self._mesh.send(host, Grant(number, target.index), now):
                 self.counters.grants_sent += 1
                 return []
             self.counters.answers_unsent += 1
--- a/src/dotterelstand/process/health.py
+++ b/src/dotterelstand/process/health.py
@@ -4,10 +4,12 @@
 import math
 from collections import deque
 from collections.abc import Set as AbstractSet
+from enum import Enum
 
 from dotterelstand.process.outcome import AttemptOutcome
 from dotterelstand.process.slotindex import NO_TARGETS, SlotIndex
 from dotterelstand.process.tuning import SelectionTuning
+from dotterelstand.request.fields import LoadReport
 from dotterelstand.version.document import Target
 
 # Weight of the newest outcome: three failures in a row exceed a failure bound of 0.5.
@@ -25,6 +27,11 @@
 # Seconds after which a reported load has lost half of its weight: about two lookups.
 REPORT_HALF_LIFE_S = 0.01
 FOREIGN_WEIGHT = 0.02
+# Pace from which a target counts as slow: work takes at least twice the usual time there.
+SLOW_PACE = 2.0
+# Seconds after which a report of a slow target is no longer believed. Neighbours on the same
+# machine come and go several times a second.
+SLOW_LIFE_S = 0.5
 # Time in use after which a target's ejections are forgotten, as a multiple of the last period.
 FORGIVE_MULTIPLE = 10.0
 
@@ -43,8 +50,19 @@
         self.seconds = seconds
 
 
+class Due(Enum):
+    """What happens to a target at a set time."""
+
+    EJECTION_ENDS = 1
+    HOLD_ENDS = 2
+    SLOWNESS_ENDS = 3
+
+
 class TargetHealth:
-    """State of one target; `allowance` is the number of slots it may use now."""
+    """State of one target; `allowance` is the number of slots it may use now.
+
+    `pace` is the time that work takes as a multiple of the usual, believed until `slow_until`.
+    """
 
     __slots__ = (
         "allowance",
@@ -53,17 +71,21 @@
         "ejections",
         "failures",
         "in_flight",
+        "incarnation",
         "leaving",
         "name",
+        "pace",
         "probation",
         "reported",
         "reported_at",
         "returned_at",
         "slots",
+        "slow_until",
         "successes",
     )
 
-    def __init__(self, name: str, slots: int) -> None:
+    def __init__(self, name: str, slots: int, incarnation: int = 0) -> None:
+        self.incarnation = incarnation
         self.name = name
         self.slots = slots
         self.allowance = slots
@@ -78,6 +100,13 @@
         self.successes = 0
         self.reported = 0.0
         self.reported_at = 0.0
+        self.pace = 1.0
+        self.slow_until = -math.inf
+
+    @property
+    def slow(self) -> bool:
+        """Whether work takes much longer than usual at present."""
+        return self.pace >= SLOW_PACE
 
     @property
     def usable(self) -> bool:
@@ -121,15 +150,19 @@
         self._tuning = tuning
         self._lookahead_per_slot = 0.0 if guest else tuning.lookahead_per_slot
         self.targets = [
-            TargetHealth(target.name, max(1, target.slots // 2) if guest else target.slots)
+            TargetHealth(
+                target.name,
+                max(1, target.slots // 2) if guest else target.slots,
+                target.incarnation,
+            )
             for target in targets
         ]
         self.index = SlotIndex()
         self._zones: dict[str, set[int]] = {}
         for position, item in enumerate(targets):
             self._zones.setdefault(item.availability_zone, set()).add(position)
-        # Ends of ejections, and ends of holds after fast failures, as (time, position, is_hold).
-        self._due: list[tuple[float, int, bool]] = []
+        # Changes that time brings, as (time, position, number of the kind of change).
+        self._due: list[tuple[float, int, int]] = []
         self._ejected = 0
         self.usable = len(self.targets)
         self.allowances = sum(target.slots for target in self.targets)
@@ -141,6 +174,11 @@
         for position in range(len(self.targets)):
             self._place(position)
 
+    @property
+    def slow(self) -> int:
+        """Number of usable targets where work takes much longer than usual."""
+        return sum(1 for target in self.targets if target.slow and target.usable)
+
     def in_zone(self, zone: str) -> AbstractSet[int]:
         """Positions of the targets in an availability zone."""
         return self._zones.get(zone, NO_TARGETS)
@@ -155,7 +193,9 @@
         target = self.targets[position]
         if kind.is_failure and duration_s < self.usual_s and target.usable:
             # A fast failure keeps its slot for the usual time: rejecting is not being idle.
-            heapq.heappush(self._due, (now + self.usual_s - duration_s, position, True))
+            heapq.heappush(
+                self._due, (now + self.usual_s - duration_s, position, Due.HOLD_ENDS.value)
+            )
         else:
             target.in_flight -= 1
         assert target.in_flight >= 0, "more attempts ended than started"
@@ -165,17 +205,36 @@
             self._learn_failure(position, now)
         self._place(position)
 
-    def report_load(self, position: int, load: int, now: float) -> None:
+    def report_load(self, position: int, report: LoadReport, now: float) -> None:
         """Note a load report; the requests of others count as far as they exceed their mean.
 
         A target without a recent report is taken to have the mean, so that a report never raises
         trust and merely having answered lately does not lower it.
         """
         target = self.targets[position]
-        foreign = max(0, load - target.in_flight) / target.slots
+        foreign = max(0, report.requests - target.in_flight) / target.slots
         self._usual_foreign += FOREIGN_WEIGHT * (foreign - self._usual_foreign)
         target.reported = max(0.0, foreign - self._usual_foreign) * target.slots
         target.reported_at = now
+        self.note_pace(position, report.pace, now)
+
+    def note_pace(self, position: int, pace: float, now: float) -> bool:
+        """Note how long work takes at a target; True if it turned slow or usual."""
+        target = self.targets[position]
+        was_slow = target.slow
+        target.pace = pace
+        if target.slow:
+            target.slow_until = now + SLOW_LIFE_S
+            heapq.heappush(self._due, (target.slow_until, position, Due.SLOWNESS_ENDS.value))
+        if target.slow != was_slow:
+            self._place(position)
+        return target.slow != was_slow
+
+    def note_unreachable(self, position: int, now: float) -> None:
+        """Count a health request that was not answered as a failed attempt."""
+        if self.targets[position].usable:
+            self._learn_failure(position, now)
+            self._place(position)
 
     def load(self, position: int, now: float) -> float:
         """Own requests plus what is left of the reported load of others, per slot."""
@@ -183,7 +242,8 @@
         foreign = 0.0
         if target.reported:
             foreign = target.reported * 0.5 ** ((now - target.reported_at) / REPORT_HALF_LIFE_S)
-        return (target.in_flight + foreign) / target.allowance
+        handicap = target.pace - 1 if target.slow else 0.0
+        return (target.in_flight + foreign) / target.allowance + handicap
 
     def mark_leaving(self, position: int) -> None:
         """Give the target no new work until `mark_returned`."""
@@ -202,11 +262,15 @@
     def advance(self, now: float) -> None:
         """End the ejections and holds that are due."""
         while self._due and self._due[0][0] <= now:
-            _, position, is_hold = heapq.heappop(self._due)
+            _, position, kind = heapq.heappop(self._due)
             target = self.targets[position]
-            if is_hold:
+            if kind == Due.HOLD_ENDS.value:
                 target.in_flight -= 1
                 self._place(position)
+            elif kind == Due.SLOWNESS_ENDS.value:
+                if target.slow and target.slow_until <= now:
+                    target.pace = 1.0
+                    self._place(position)
             elif target.ejected_until is not None:
                 self._change_use(position, lambda target: _end_ejection(target, now))
                 self.changes.append(HealthChange(target.name, None))
@@ -221,15 +285,21 @@
         self.usual_s, self._usual_samples = old.usual_s, old._usual_samples
         for position, target in enumerate(self.targets):
             before = known.get(target.name)
-            if before is None:
+            if before is None or before.incarnation != target.incarnation:
                 self.mark_cold(position)
                 continue
             target.failures, target.duration_s = before.failures, before.duration_s
             target.ejections = before.ejections
+            target.pace, target.slow_until = before.pace, before.slow_until
+            if target.slow:
+                heapq.heappush(self._due, (target.slow_until, position, Due.SLOWNESS_ENDS.value))
             if before.leaving:
                 self.mark_leaving(position)
             if before.ejected_until is not None or before.allowance < before.slots:
                 self.mark_cold(position)
+            if before.ejected_until is not None:
+                self._eject_until(position, before.ejected_until)
+            self._place(position)
 
     def _learn_success(self, position: int, duration_s: float, now: float) -> None:
         target = self.targets[position]
@@ -291,8 +361,14 @@
         period_s = self._period_s(target.ejections)
         until = now + period_s
         self.changes.append(HealthChange(target.name, period_s))
+        self._eject_until(position, until)
+
+    def _eject_until(self, position: int, until: float) -> None:
+        """Take a target out of use, unless too many are out already."""
+        if self._ejected + 1 > int(self._tuning.eject_share * len(self.targets)):
+            return
         self._change_use(position, lambda target: setattr(target, "ejected_until", until))
-        heapq.heappush(self._due, (until, position, False))
+        heapq.heappush(self._due, (until, position, Due.EJECTION_ENDS.value))
 
     def _period_s(self, ejections: int) -> float:
         longest_s = self._tuning.eject_longest_s
@@ -323,7 +399,8 @@
         limit = target.allowance
         if target.allowance == target.slots:
             limit += math.ceil(self._lookahead_per_slot * target.slots)
-        self.index.place(position, target.in_flight, target.allowance, limit)
+        handicap = target.pace - 1 if target.slow else 0.0
+        self.index.place(position, target.in_flight, target.allowance, limit, handicap)
 
 
 def _return_cold(target: TargetHealth) -> None:
--- a/src/dotterelstand/process/healthprobe.py
+++ b/src/dotterelstand/process/healthprobe.py
@@ -1,6 +1,7 @@
-"""Asks targets for their health, so that one that drains without traffic is noticed."""
+"""Asks targets for their health and load, so that a slow or draining one is noticed early."""
 
 from collections.abc import Callable
+from typing import Protocol
 
 import h11
 import trio
@@ -9,9 +10,8 @@
 from dotterelstand.process.measure import MeasureBudget
 from dotterelstand.process.mesh import Mesh
 from dotterelstand.process.rendezvous import DispatcherMap
-from dotterelstand.process.targetlist import TargetList
-from dotterelstand.request.head import DRAINING_HEADER
-from dotterelstand.request.ports import Counters
+from dotterelstand.request.fields import HeaderFields, LoadReport, read_load
+from dotterelstand.request.ports import Counters, Leaving
 from dotterelstand.version.document import Document, Service, Target
 
 # Bytes charged to the measuring budget for one probe: request, answer and their framing.
@@ -25,23 +25,50 @@
 MAX_AGE_S = 60.0
 
 
+class Observer(Protocol):
+    """Learns what the probes found."""
+
+    def target_load(self, service: str, target: Target, report: LoadReport) -> None:
+        """A target told its load."""
+
+    def target_unreachable(self, service: str, target: Target) -> None:
+        """A target did not answer."""
+
+
+class ProbeTuning:
+    """How targets are asked.
+
+    A target is asked each `interval_s` seconds, 0 for never. With `drains`, an answer 503 says that
+    the target takes no new work.
+    """
+
+    __slots__ = ("drains", "fields", "interval_s")
+
+    def __init__(self, interval_s: float, drains: bool, fields: HeaderFields) -> None:
+        self.interval_s = interval_s
+        self.drains = drains
+        self.fields = fields
+
+
 class HealthProbes:
     """Asks each target of the region once per interval, from the dispatcher of its service.
 
-    Health can only lower the trust in a target: a target that drains takes no new work, and a
-    target that does not answer is left to the outcomes of requests.
+    Health can only lower the trust in a target: one that drains takes no new work, one that does
+    not answer counts as failing, and one that is slow gets work when there is no other.
     """
 
     __slots__ = (
+        "_asked",
         "_budget",
         "_dispatchers",
         "_document",
         "_in_use",
-        "_interval_s",
+        "_leaving",
         "_mesh",
         "_metrics",
+        "_observer",
         "_pool",
-        "_targets",
+        "_tuning",
     )
 
     def __init__(
@@ -49,40 +76,47 @@
         mesh: Mesh,
         pool: TargetPool,
         budget: MeasureBudget,
-        targets: TargetList,
+        leaving: Leaving,
+        observer: Observer,
         document: Callable[[], Document | None],
         in_use: Callable[[str], bool],
         metrics: Counters,
-        interval_s: float,
+        tuning: ProbeTuning,
     ) -> None:
         self._mesh = mesh
         self._pool = pool
         self._budget = budget
-        self._targets = targets
+        self._leaving = leaving
+        self._observer = observer
         self._document = document
         self._in_use = in_use
         self._metrics = metrics
-        self._interval_s = interval_s
+        self._tuning = tuning
         self._dispatchers = DispatcherMap()
+        # Targets whose answer is awaited.
+        self._asked: set[str] = set()
 
     async def run(self) -> None:
         """Probe until cancelled; an interval of 0 turns probing off."""
-        if not self._interval_s:
+        if not self._tuning.interval_s:
             return
-        while True:
-            chosen = await self._own_targets()
-            pause_s = self._interval_s / max(1, len(chosen))
-            # At least one pause, so that a slow target delays but never stops the round.
-            await trio.sleep(0.0 if chosen else self._interval_s)
-            for service, target in chosen:
-                await trio.sleep(pause_s)
-                if not self._budget.spend(
-                    PROBE_BYTES, target.region, trio.current_time(), opens_call=True
-                ):
-                    self._metrics.count("health.probes_refused")
-                elif await self._drains(service, target):
-                    self._metrics.count("health.draining_seen")
-                    self._targets.target_leaving(target.name)
+        async with trio.open_nursery() as nursery:
+            while True:
+                chosen = await self._own_targets()
+                pause_s = self._tuning.interval_s / max(1, len(chosen))
+                if not chosen:
+                    await trio.sleep(self._tuning.interval_s)
+                for service, target in chosen:
+                    await trio.sleep(pause_s)
+                    if target.name in self._asked:
+                        continue
+                    if self._budget.spend(
+                        PROBE_BYTES, target.region, trio.current_time(), opens_call=True
+                    ):
+                        self._asked.add(target.name)
+                        nursery.start_soon(self._probe, service, target)
+                    else:
+                        self._metrics.count("health.probes_refused")
 
     async def _own_targets(self) -> list[tuple[Service, Target]]:
         """Targets of this region whose service is in use and dispatched by this host."""
@@ -98,35 +132,51 @@
                 chosen += [(service, item) for item in service.targets if item.region == region]
         return chosen
 
-    async def _drains(self, service: Service, target: Target) -> bool:
-        with trio.move_on_after(PROBE_TIMEOUT_S):
-            try:
-                return await self._ask(service, target)
-            except (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
-                pass
-            except (ConnectionLimitError, h11.ProtocolError):
-                pass
-        self._metrics.count("health.probes_failed")
-        return False
-
-    async def _ask(self, service: Service, target: Target) -> bool:
+    async def _probe(self, service: Service, target: Target) -> None:
+        head: h11.Response | None = None
+        try:
+            with trio.move_on_after(PROBE_TIMEOUT_S):
+                try:
+                    head = await self._ask(service, target)
+                except (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
+                    pass
+                except (ConnectionLimitError, h11.ProtocolError):
+                    pass
+        finally:
+            self._asked.discard(target.name)
+        values = {bytes(name): bytes(value) for name, value in head.headers} if head else {}
+        fields = self._tuning.fields
+        # Another target may have the address by now.
+        is_other = values.get(fields.identity, target.name.encode()) != target.name.encode()
+        if head is None or is_other:
+            self._metrics.count("health.probes_failed")
+            self._observer.target_unreachable(service.name, target)
+            return
+        if (self._tuning.drains and head.status_code == 503) or values.get(fields.draining) == b"1":
+            self._metrics.count("health.draining_seen")
+            self._leaving.target_leaving(target.name)
+        report = read_load(values.get(fields.load))
+        if report is not None:
+            self._observer.target_load(service.name, target, report)
+
+    async def _ask(self, service: Service, target: Target) -> h11.Response | None:
+        """Head of a complete answer; raises what a connection raises."""
         connection = await self._pool.acquire(target, service.connections, MAX_AGE_S)
         clean = False
         try:
             host = f"{target.address}:{target.port}".encode()
-            await connection.send_request("GET", "/health", [(b"host", host)], b"", True)
+            headers = [(b"host", host)]
+            await connection.send_request("GET", service.health_path, headers, b"", True)
             head = await connection.receive()
             received = 0
             while not isinstance(event := await connection.receive(), h11.EndOfMessage):
                 received += len(event.data) if isinstance(event, h11.Data) else MAX_BODY_BYTES
                 if received >= MAX_BODY_BYTES:
-                    return False
+                    return None
             clean = True
         finally:
             if clean:
                 self._pool.release(connection)
             else:
                 self._pool.discard(connection)
-        if not isinstance(head, h11.Response):
-            return False
-        return head.status_code == 503 or (DRAINING_HEADER, b"1") in list(head.headers)
+        return head if isinstance(head, h11.Response) else None
--- a/src/dotterelstand/process/introduction.py
+++ b/src/dotterelstand/process/introduction.py
@@ -2,20 +2,19 @@
 
 import trio
 
-from dotterelstand.process.hostlist import HostListReader
 from dotterelstand.process.peers import Peers
 
 CHECK_INTERVAL_S = 0.02
 
 
-async def await_introduction(peers: Peers, hosts: HostListReader, limit_s: float) -> bool:
+async def await_introduction(peers: Peers, hosts_known: trio.Event, limit_s: float) -> bool:
     """Wait for links to the live hosts of the region; False if `limit_s` seconds passed first.
 
     A host that serves callers before it heard of quarantines would run a crashing request again.
     The limit lets a host start while its neighbours cannot be reached.
     """
     with trio.move_on_after(limit_s):
-        await hosts.first_attempt.wait()
+        await hosts_known.wait()
         while True:
             if not _missing_neighbours(peers):
                 return True
--- a/src/dotterelstand/process/outcome.py
+++ b/src/dotterelstand/process/outcome.py
@@ -1,7 +1,9 @@
 """How attempts end, and the parameters of one call that asks for a slot."""
 
+from collections.abc import Callable
 from enum import IntEnum
 
+from dotterelstand.request.fields import LoadReport
 from dotterelstand.version.document import Target
 
 
@@ -43,20 +45,26 @@
 
     __slots__ = ("duration_s", "kind", "load")
 
-    def __init__(self, kind: AttemptOutcome, duration_s: float, load: int | None = None) -> None:
+    def __init__(
+        self, kind: AttemptOutcome, duration_s: float, load: LoadReport | None = None
+    ) -> None:
         self.kind = kind
         self.duration_s = duration_s
         self.load = load
 
 
 class SlotGrant:
-    """Permission to send one attempt to `target`; returned with `SlotBroker.release`."""
+    """Permission to send one attempt to `target`; returned with `SlotBroker.release`.
+
+    `on_slow`, if set, is called when the target turns slow while the grant is open.
+    """
 
-    __slots__ = ("dispatcher", "number", "service", "target", "target_index")
+    __slots__ = ("dispatcher", "number", "on_slow", "service", "target", "target_index")
 
     def __init__(
         self, service: str, target: Target, target_index: int, dispatcher: str, number: int
     ) -> None:
+        self.on_slow: Callable[[], object] | None = None
         self.service = service
         self.target = target
         self.target_index = target_index
--- a/src/dotterelstand/process/partpages.py
+++ b/src/dotterelstand/process/partpages.py
@@ -22,21 +22,30 @@
     registry: ControlRegistry,
     metrics: Metrics,
     settings: Settings,
-    store: StoreClient,
     peers: Peers,
     slots: SlotBroker,
-    journal: JournalService,
 ) -> None:
-    """Register the pages and counters of all parts."""
+    """Register the pages and counters of links and target selection."""
     registry.provide("members", lambda: [_member(member) for member in peers.members()])
-    registry.provide("ownership", lambda: _ownership(journal, peers))
-    registry.provide("budgets.store", lambda: _store(store, settings))
     registry.provide("budgets.measure", lambda: _measure(slots.budget, settings, peers.members()))
-    metrics.add_source(lambda: read_figures(store.budget.figures))
     metrics.add_source(lambda: read_figures(slots.budget.counters))
     metrics.add_source(lambda: read_figures(slots.core.counters))
     metrics.add_source(lambda: read_figures(slots.core.grant_server_counters))
     metrics.add_source(lambda: _dispatchers(slots))
+
+
+def register_store_parts(
+    registry: ControlRegistry,
+    metrics: Metrics,
+    settings: Settings,
+    store: StoreClient,
+    peers: Peers,
+    journal: JournalService,
+) -> None:
+    """Register the pages and counters of the store's client and the journal."""
+    registry.provide("ownership", lambda: _ownership(journal, peers))
+    registry.provide("budgets.store", lambda: _store(store, settings))
+    metrics.add_source(lambda: read_figures(store.budget.figures))
     metrics.add_source(lambda: read_figures(journal.figures))
     metrics.add_source(lambda: read_figures(journal.outcome_figures))
     metrics.add_source(lambda: sum_figures([item.figures for item in journal.partitions]))
--- a/src/dotterelstand/process/servicestate.py
+++ b/src/dotterelstand/process/servicestate.py
@@ -91,6 +91,10 @@
             self.local.replace_service(service, now)
             self.regional.replace_service(service, now)
 
+    def keep_in_region(self, classes: frozenset[int]) -> None:
+        """Calls of these classes are not sent to other regions."""
+        self.local.bulk = self.regional.bulk = classes
+
     def mark_leaving(self, target: str) -> None:
         """Give a target no new work."""
         self.local.mark_leaving(target)
--- a/src/dotterelstand/process/slotcore.py
+++ b/src/dotterelstand/process/slotcore.py
@@ -5,10 +5,11 @@
 from collections.abc import Callable
 
 from dotterelstand.codes import Result as ResultCode
-from dotterelstand.connection.wire import Acquire, Grant, Refuse, Release
+from dotterelstand.connection.wire import Acquire, Grant, Message, Refuse, Release
 from dotterelstand.process.balancer import LeastOccupied, TwoChoices
 from dotterelstand.process.dispatcher import Decision, Dispatcher, Granted
 from dotterelstand.process.grantserver import GrantServer
+from dotterelstand.process.health import SLOW_PACE
 from dotterelstand.process.measure import MeasureBudget
 from dotterelstand.process.measuredmesh import MeasuredMesh
 from dotterelstand.process.mesh import Member
@@ -20,7 +21,8 @@
 from dotterelstand.process.slotcounters import GrantServerCounters, SlotCounters
 from dotterelstand.process.ticket import Ticket, TicketState
 from dotterelstand.process.tuning import SelectionTuning
-from dotterelstand.version.document import Document, Service
+from dotterelstand.request.fields import LoadReport
+from dotterelstand.version.document import Document, Service, Target
 
 # A deadline closer than this many usual durations is sent along, else it cannot matter.
 URGENT_MULTIPLE = 20.0
@@ -36,6 +38,7 @@
 
     __slots__ = (
         "_active",
+        "_bulk",
         "_checked_members",
         "_counters",
         "_dispatchers",
@@ -68,6 +71,7 @@
         self._index_of: dict[str, int] = {}
         self._tenants: dict[str, int] = {}
         self._counters = SlotCounters()
+        self._bulk: frozenset[int] = frozenset()
 
     @property
     def counters(self) -> SlotCounters:
@@ -104,6 +108,10 @@
         for name, state in self._states.items():
             state.use(document.services[name], now)
         self._grant_server.apply(services)
+        bulk = (document.classes.index(klass) for klass in document.bulk)
+        self._bulk = frozenset(min(number, CLASSES - 1) for number in bulk)
+        for state in self._states.values():
+            state.keep_in_region(self._bulk)
 
     def open(
         self, service: Service, call: SlotCall, now: float, resolve: Callable[[Ticket], None]
@@ -179,14 +187,15 @@
             return
         state = self._state(ticket.service)
         state.answer_time.answered(now - ticket.asked_at)
-        if self._is_unusable(ticket, message.target, state):
+        target = state.service.position_of(message.target)
+        if target is None or self._is_unusable(ticket, target, state):
             self._counters.unusable += 1
             self._send_release(ticket, AttemptOutcome.CANCELLED, 0.0, now)
             self._choose_locally(ticket, state, now)
             return
         key = (self._mesh.host, ticket.number)
-        state.local.adopt(key, message.target, now)
-        self._give(ticket, state, message.target, TicketState.GRANTED_REMOTE)
+        state.local.adopt(key, target, now)
+        self._give(ticket, state, target, TicketState.GRANTED_REMOTE)
 
     def on_refuse(self, sender: str, message: Refuse, now: float) -> None:
         """The dispatcher refused a call."""
@@ -202,6 +211,42 @@
         self._end(ticket)
         self._refuse(ticket, code)
 
+    def note_load(self, service: str, target: Target, report: LoadReport, now: float) -> bool:
+        """Note a load report; True if the target turned slow or usual, which is news to others."""
+        state, position = self._place_of(service, target.index)
+        if state is None or position is None:
+            return False
+        changed = state.regional.report_load(position, report, now)
+        state.local.report_load(position, report, now)
+        self._settle(state, state.regional.advance(now), now)
+        return self._after_pace(state, position, report.pace) or changed
+
+    def note_pace(self, service: int, index: int, pace: float, now: float) -> None:
+        """Another host says how long work takes at a target."""
+        known = self._grant_server.service(service)
+        state, position = self._place_of(known.name if known else "", index)
+        if state is None or position is None:
+            return
+        state.regional.note_pace(position, pace, now)
+        state.local.note_pace(position, pace, now)
+        self._after_pace(state, position, pace)
+
+    def note_unreachable(self, service: str, target: Target, now: float) -> None:
+        """A health request to a target was not answered."""
+        state, position = self._place_of(service, target.index)
+        if state is not None and position is not None:
+            state.regional.note_unreachable(position, now)
+
+    def tell_region(self, message: Message, now: float) -> None:
+        """Send a message to the other live hosts of the region, as far as the budget allows."""
+        for member in self._mesh.members():
+            if member.region == self._mesh.region and member.host != self._mesh.host:
+                self._mesh.send(member.host, message, now)
+
+    def number_of(self, service: str) -> int | None:
+        """Number of a service in messages, or None if the document lacks it."""
+        return self._index_of.get(service)
+
     def note_leaving(self, target: str) -> bool:
         """Give a target no new work; True if that is news."""
         if target in self._leaving:
@@ -349,10 +394,7 @@
         return ticket
 
     def _is_unusable(self, ticket: Ticket, target: int, state: ServiceState) -> bool:
-        targets = state.service.targets
-        if not 0 <= target < len(targets):
-            return True
-        name = targets[target].name
+        name = state.service.targets[target].name
         return name in ticket.call.excluded or name in self._leaving
 
     def _send_release(
@@ -361,6 +403,23 @@
         result = pack_result(kind, duration_s)
         self._mesh.send(ticket.dispatcher, Release(ticket.number, result), now)
 
+    def _place_of(self, service: str, index: int) -> tuple[ServiceState | None, int | None]:
+        state = self._states.get(service)
+        return state, None if state is None else state.service.position_of(index)
+
+    def _after_pace(self, state: ServiceState, position: int, pace: float) -> bool:
+        """Tell open grants that their target is slow; True if there were any."""
+        if pace < SLOW_PACE:
+            return False
+        target = state.service.targets[position]
+        told = False
+        for ticket in self._tickets.values():
+            grant = ticket.grant
+            if grant is not None and grant.target.index == target.index and grant.on_slow:
+                grant.on_slow()
+                told = True
+        return told
+
     def _tenant(self, name: str) -> int:
         """Number of a tenant; names that the document lacks share number 0."""
         return self._tenants.get(name, 0) % TENANTS
@@ -377,6 +436,7 @@
             )
             for name in self._leaving:
                 state.mark_leaving(name)
+            state.keep_in_region(self._bulk)
             self._states[service.name] = state
         self._active[service.name] = state
         return state
--- a/src/dotterelstand/process/slotindex.py
+++ b/src/dotterelstand/process/slotindex.py
@@ -68,12 +68,17 @@
         self._level: dict[int, int] = {}
         self.open = RandomSet()
 
-    def place(self, item: int, in_flight: int, slots: int, limit: int) -> None:
-        """Record a target's occupancy; at its limit it leaves the index."""
+    def place(
+        self, item: int, in_flight: int, slots: int, limit: int, handicap: float = 0.0
+    ) -> None:
+        """Record a target's occupancy; at its limit it leaves the index.
+
+        A target with a handicap ranks as if so many times its slots were occupied besides.
+        """
         old = self._level.get(item)
         new = None
         if in_flight < limit:
-            new = min(MAX_LEVEL, in_flight * STEPS // slots)
+            new = min(MAX_LEVEL, in_flight * STEPS // slots + int(handicap * STEPS))
         if old == new:
             return
         if old is not None:
--- a/src/dotterelstand/process/slots.py
+++ b/src/dotterelstand/process/slots.py
@@ -7,8 +7,9 @@
 from returns.result import Failure, Result, Success
 
 from dotterelstand.codes import Result as ResultCode
-from dotterelstand.connection.wire import Acquire, Grant, Refuse, Release, TargetLeaving
+from dotterelstand.connection.wire import Acquire, Grant, Paces, Refuse, Release, TargetLeaving
 from dotterelstand.events import Event, log
+from dotterelstand.process.health import SLOW_LIFE_S, SLOW_PACE
 from dotterelstand.process.measure import MeasureBudget, MeasureLimit
 from dotterelstand.process.measuredmesh import MeasuredMesh
 from dotterelstand.process.mesh import Mesh
@@ -17,13 +18,17 @@
 from dotterelstand.process.slotnews import SlotNews
 from dotterelstand.process.ticket import Ticket
 from dotterelstand.process.tuning import SelectionTuning, read_tuning
+from dotterelstand.request.fields import LoadReport
 from dotterelstand.settings import Settings
-from dotterelstand.version.document import Document, Service
+from dotterelstand.version.document import Document, Service, Target
 
 __all__ = ["AttemptOutcome", "SlotBroker", "SlotCall", "SlotGrant", "SlotOutcome", "make_broker"]
 
 # Period in seconds of work that no message causes: expiry, ended ejections, lost hosts.
 TICK_S = 0.02
+# Seconds after which other hosts are told again that a target is still slow; they believe it for
+# `SLOW_LIFE_S`.
+TELL_AGAIN_S = SLOW_LIFE_S / 2
 
 
 class _Waiter:
@@ -41,19 +46,22 @@
 class SlotBroker:
     """Gives each call a slot, from the service's dispatcher or by local choice."""
 
-    __slots__ = ("_budget", "_core", "_mesh", "_tickets")
+    __slots__ = ("_budget", "_core", "_mesh", "_tickets", "_told")
 
     def __init__(self, mesh: Mesh, budget: MeasureBudget, core: SlotCore) -> None:
         self._mesh = mesh
         self._budget = budget
         self._core = core
         self._tickets: dict[int, Ticket] = {}
+        # When the other hosts were last told that a target is slow, by its index.
+        self._told: dict[int, float] = {}
         now = trio.current_time
         mesh.subscribe(Acquire, lambda sender, message: core.on_acquire(sender, message, now()))
         mesh.subscribe(Grant, lambda sender, message: core.on_grant(sender, message, now()))
         mesh.subscribe(Refuse, lambda sender, message: core.on_refuse(sender, message, now()))
         mesh.subscribe(Release, lambda sender, message: core.on_release(sender, message, now()))
         mesh.subscribe(TargetLeaving, self._on_leaving)
+        mesh.subscribe(Paces, self._on_paces)
 
     @property
     def core(self) -> SlotCore:
@@ -105,6 +113,28 @@
         if self._core.note_returned(target):
             log(Event.TARGET_RETURNED, target=target)
 
+    def target_load(self, service: str, target: Target, report: LoadReport) -> None:
+        """A target of the region told its load; the region's other hosts hear of slow targets."""
+        now = trio.current_time()
+        changed = self._core.note_load(service, target, report, now)
+        slow = report.pace >= SLOW_PACE
+        last = self._told.get(target.index)
+        due = slow and (last is None or now - last >= TELL_AGAIN_S)
+        if not changed and not due:
+            return
+        if slow:
+            self._told[target.index] = now
+        else:
+            self._told.pop(target.index, None)
+        number = self._core.number_of(service)
+        if number is not None:
+            message = Paces([round(report.pace * 100)], number, [target.index])
+            self._core.tell_region(message, now)
+
+    def target_unreachable(self, service: str, target: Target) -> None:
+        """A target of the region did not answer a health request."""
+        self._core.note_unreachable(service, target, trio.current_time())
+
     async def run(self) -> None:
         """Apply what time changes, until cancelled."""
         news = SlotNews(self._core)
@@ -113,6 +143,11 @@
             now = trio.current_time()
             news.report(self._core.advance(now), now)
 
+    def _on_paces(self, sender: str, message: Paces) -> None:
+        now = trio.current_time()
+        for index, percent in zip(message.targets, message.percent, strict=False):
+            self._core.note_pace(message.service, index, percent / 100, now)
+
     def _on_leaving(self, sender: str, message: TargetLeaving) -> None:
         if self._core.note_leaving(message.target):
             log(Event.TARGET_LEAVING, target=message.target)
--- a/src/dotterelstand/request/attempt.py
+++ b/src/dotterelstand/request/attempt.py
@@ -12,14 +12,8 @@
 from dotterelstand.connection.target import TargetConnection
 from dotterelstand.process.outcome import AttemptOutcome, SlotGrant, SlotOutcome
 from dotterelstand.request.body import RequestBody
-from dotterelstand.request.head import (
-    DRAINING_HEADER,
-    LOAD_HEADER,
-    RUN_HEADER,
-    Headers,
-    RequestHead,
-    forwarded_headers,
-)
+from dotterelstand.request.fields import HeaderFields, read_load
+from dotterelstand.request.head import Headers, RequestHead, forwarded_headers
 from dotterelstand.request.policy import FAILING_STATUSES
 from dotterelstand.request.ports import Leaving, Slots
 from dotterelstand.version.document import Service
@@ -29,17 +23,25 @@
     ResultCode.OVERLOADED: AttemptOutcome.CANCELLED,
     ResultCode.TARGET_SILENT: AttemptOutcome.TIMED_OUT,
 }
+# A body up to this length is sent before the answer is awaited. A target may answer a longer one
+# early, without reading it, and sending would then block.
+AT_ONCE_BYTES = 16384
+# Statuses that promise a caller that its request has not run.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+# Answers to other requests that are skipped on one connection before it is given up.
+MAX_STRAY_ANSWERS = 4
 _LOST = (trio.BrokenResourceError, trio.ClosedResourceError)
 
 
 class AnswerHead:
     """Status and headers of a target's answer."""
 
-    __slots__ = ("_values", "headers", "status")
+    __slots__ = ("_fields", "_values", "headers", "status")
 
-    def __init__(self, status: int, headers: Headers) -> None:
+    def __init__(self, status: int, headers: Headers, fields: HeaderFields) -> None:
         self.status = status
         self.headers = headers
+        self._fields = fields
         self._values = dict(headers)
 
     def value(self, name: bytes) -> bytes | None:
@@ -48,10 +50,31 @@
 
     def is_refusal(self) -> bool:
         """Whether the target says in the agreed way that the request was not run."""
-        return self.status == 503 and self.value(RUN_HEADER) == b"not-run"
+        if self.status in self._fields.not_run_statuses:
+            return True
+        value = self.value(self._fields.not_run)
+        if value is None:
+            return False
+        expected = self._fields.not_run_value
+        return not expected or (self.status == 503 and value == expected)
+
+    def is_genuine(self) -> bool:
+        """Whether a success is the target's own, with its body as the target encoded it."""
+        if self.value(b"content-encoding") is not None:
+            return False
+        signature = self._fields.signature
+        return not signature or self.status >= 300 or bool(self.value(signature))
+
+    def answers(self, request_id: bytes | None) -> bool:
+        """Whether the answer belongs to a request; one without an id is taken to do so."""
+        return request_id is None or self.value(self._fields.request_id) in (None, request_id)
+
+    def claims_not_run(self) -> bool:
+        """Whether callers would read the status as not run although the target does not say so."""
+        return self.status in NOT_RUN_STATUSES and not self.is_refusal()
 
     def delimits_itself(self, method: str) -> bool:
-        """Whether the end of the answer can be told from a cut."""
+        """Whether the answer states its length; else it ends with its connection."""
         if method == "HEAD" or self.status in (204, 304):
             return True
         lengths = self.value(b"content-length") is not None
@@ -101,6 +124,7 @@
         "failure",
         "head_after_s",
         "on_body_error",
+        "target_slow",
     )
 
     def __init__(
@@ -123,6 +147,7 @@
         self.body_error: ResultCode | None = None
         self.failure: ResultCode | None = None
         self.head_after_s = 0.0
+        self.target_slow = False
         self.on_body_error: Callable[[], object] | None = None
 
     @property
@@ -130,6 +155,15 @@
         """Name of the target."""
         return self._grant.target.name
 
+    def on_slow(self, wake: Callable[[], object]) -> None:
+        """Call `wake` and set `target_slow` when the target turns slow."""
+
+        def note() -> None:
+            self.target_slow = True
+            wake()
+
+        self._grant.on_slow = note
+
     @property
     def connection(self) -> TargetConnection:
         """Connection of an attempt whose answer head has arrived."""
@@ -152,7 +186,7 @@
         if not await self._connect():
             return
         body = self._setup.body
-        whole = body.complete and body.held_whole
+        whole = body.complete and body.held_whole and body.length <= AT_ONCE_BYTES
         try:
             with self._silence:
                 self._watch()
@@ -201,10 +235,10 @@
         if self._ended:
             return
         self._ended = True
-        load = self.answer.value(LOAD_HEADER) if self.answer is not None else None
-        number = int(load) if load is not None and load.isdigit() and len(load) < 7 else None
+        fields = self._setup.head.fields
+        load = read_load(self.answer.value(fields.load)) if self.answer is not None else None
         duration_s = trio.current_time() - self._began
-        self._setup.slots.release(self._grant, SlotOutcome(kind, duration_s, number))
+        self._setup.slots.release(self._grant, SlotOutcome(kind, duration_s, load))
         if self._connection is None:
             return
         if self.failure is None and kind is not AttemptOutcome.CANCELLED:
@@ -235,7 +269,7 @@
     async def _send_first(self, data: bytes, complete: bool) -> None:
         remaining_s = self._deadline - trio.current_time()
         head = self._setup.head
-        headers = forwarded_headers(head, remaining_s)
+        headers = forwarded_headers(head, remaining_s, self.target)
         await self.connection.send_request(head.method, head.path, headers, data, complete)
         self._sent = len(data)
         self._head_sent.set()
@@ -243,21 +277,33 @@
             self._watch()
 
     async def _receive_head(self) -> None:
-        event = await self.connection.receive()
-        while isinstance(event, h11.InformationalResponse):
-            self._watch()
-            event = await self.connection.receive()
-        if not isinstance(event, h11.Response):
-            raise h11.RemoteProtocolError("no answer head")
-        headers: Headers = [(bytes(name), bytes(value)) for name, value in event.headers]
-        self.answer = AnswerHead(event.status_code, headers)
+        self.answer = await self._receive_own_head()
         self.head_after_s = trio.current_time() - self._began
         self._silence.deadline = math.inf
-        if self.answer.value(DRAINING_HEADER) == b"1":
+        fields = self._setup.head.fields
+        if self.answer.value(fields.draining) == b"1":
             self._setup.leaving.target_leaving(self.target)
-        if not self.answer.delimits_itself(self._setup.head.method):
-            # Such an answer ends with its connection, so a cut would look like its end.
+        if not self.answer.is_genuine():
             self.failure = ResultCode.BAD_ANSWER
+        elif self.answer.claims_not_run() and not self._setup.idempotent:
+            self.failure = ResultCode.BAD_ANSWER
+
+    async def _receive_own_head(self) -> AnswerHead:
+        """Head of the answer to this request; late answers to earlier requests are skipped."""
+        head = self._setup.head
+        for _ in range(MAX_STRAY_ANSWERS):
+            event = await self.connection.receive()
+            while isinstance(event, h11.InformationalResponse):
+                self._watch()
+                event = await self.connection.receive()
+            if not isinstance(event, h11.Response):
+                break
+            headers: Headers = [(bytes(name), bytes(value)) for name, value in event.headers]
+            answer = AnswerHead(event.status_code, headers, head.fields)
+            if answer.answers(head.request_id):
+                return answer
+            await self.connection.skip_answer()
+        raise h11.RemoteProtocolError("no answer to this request")
 
     async def _next_piece(self, body: RequestBody) -> bytes | None:
         if self._sent >= body.length and not body.complete:
--- a/src/dotterelstand/request/context.py
+++ b/src/dotterelstand/request/context.py
@@ -3,9 +3,11 @@
 import trio
 
 from dotterelstand.connection.pool import TargetPool
+from dotterelstand.request.fields import OWN_FIELDS, HeaderFields
 from dotterelstand.request.policy import ServicePolicy
 from dotterelstand.request.ports import Counters, Journal, Leaving, Slots, Suspects
-from dotterelstand.version.document import Service
+from dotterelstand.request.split import SplitCounts
+from dotterelstand.version.document import Route, Service
 
 # Services whose budgets and durations are kept; the one that was added first is dropped.
 MAX_SERVICES = 3500
@@ -34,6 +36,8 @@
 
     __slots__ = (
         "_policies",
+        "_splits",
+        "fields",
         "journal",
         "leaving",
         "limits",
@@ -48,11 +52,14 @@
         limits: RequestLimits,
         pool: TargetPool,
         slots: Slots,
-        journal: Journal,
+        journal: Journal | None,
         suspects: Suspects,
         metrics: Counters,
         leaving: Leaving,
+        fields: HeaderFields = OWN_FIELDS,
     ) -> None:
+        self.fields = fields
+        self._splits = SplitCounts()
         self.limits = limits
         self.pool = pool
         self.slots = slots
@@ -62,6 +69,10 @@
         self.leaving = leaving
         self._policies: dict[str, ServicePolicy] = {}
 
+    def choose_service(self, route: Route) -> str:
+        """Service for the next request of a route."""
+        return self._splits.choose(route)
+
     def policy(self, service: Service) -> ServicePolicy:
         """Budget and durations of a service."""
         policy = self._policies.get(service.name)
--- a/src/dotterelstand/request/exchange.py
+++ b/src/dotterelstand/request/exchange.py
@@ -10,7 +10,7 @@
 from dotterelstand.codes import Run
 from dotterelstand.connection.caller import BodyError, CallerConnection
 from dotterelstand.process.outcome import AttemptOutcome, SlotCall, SlotGrant
-from dotterelstand.request.attempt import Attempt, AttemptSetup
+from dotterelstand.request.attempt import AT_ONCE_BYTES, Attempt, AttemptSetup
 from dotterelstand.request.body import RequestBody
 from dotterelstand.request.context import RequestContext
 from dotterelstand.request.ending import Ending
@@ -43,11 +43,11 @@
         "_attempts",
         "_body",
         "_caller",
-        "_caller_deadline",
         "_context",
         "_document",
         "_head",
         "_keyed",
+        "_latest_end",
         "_policy",
         "_route",
         "_scope",
@@ -70,7 +70,7 @@
         self._document = document
         self._route = route
         self._context = context
-        self._service: Service = document.services[route.service]
+        self._service: Service = document.services[context.choose_service(route)]
         self._policy: ServicePolicy = context.policy(self._service)
         self._body = RequestBody(self._read_body, head.has_body(), context.limits.held_body_bytes)
         self._attempts: list[Attempt] = []
@@ -78,8 +78,11 @@
         self._struck: set[str] = set()
         self._keyed: KeyedRun | None = None
         self._scope = trio.CancelScope()
+        began = trio.current_time() if head.arrived_s is None else head.arrived_s
         limit_s = math.inf if head.deadline_s is None else head.deadline_s
-        self._caller_deadline = trio.current_time() + limit_s
+        if route.timeout_s is not None:
+            limit_s = min(limit_s, route.timeout_s)
+        self._latest_end = began + limit_s
         self._setup = AttemptSetup(
             head,
             self._body,
@@ -124,9 +127,10 @@
         if length is not None and length <= self._context.limits.held_body_bytes:
             # A slow caller must not occupy a slot while a short body arrives.
             await self._body.fill()
-        if self._head.key is not None and not self._route.idempotent:
+        journal = self._context.journal
+        if journal is not None and self._head.key is not None and not self._route.idempotent:
             await self._body.fill()
-            self._keyed = KeyedRun(self._context, self._head, self._body, self._service.name)
+            self._keyed = KeyedRun(journal, self._head, self._body, self._service.name)
             code = await self._keyed.begin(self._caller)
             if code is not None:
                 return code
@@ -170,7 +174,8 @@
 
     async def _try(self, attempt: Attempt) -> tuple[ResultCode, bool]:
         """Run an attempt; the code of its end, and whether another attempt follows."""
-        if self._body.complete and self._body.held_whole:
+        whole = self._body.complete and self._body.held_whole
+        if whole and self._body.length <= AT_ONCE_BYTES:
             return await self._settle(await self._run_hedged(attempt))
         outcome: tuple[ResultCode, bool] | None = None
         async with trio.open_nursery() as nursery:
@@ -193,7 +198,12 @@
             return attempt
         return await run_race(attempt, delay_s, self._start_hedge)
 
+    def _max_attempts(self) -> int:
+        return self._route.attempts or self._context.limits.max_attempts
+
     async def _start_hedge(self) -> Attempt | None:
+        if len(self._attempts) >= self._max_attempts():
+            return None
         if self._admitted is not None or not self._policy.budget.try_take(trio.current_time()):
             return None
         attempt = await self._next_attempt()
@@ -232,7 +242,7 @@
     async def _relay(self, attempt: Attempt) -> ResultCode:
         assert attempt.answer is not None
         max_kept = self._context.limits.max_recorded_bytes if self._keyed is not None else 0
-        relay = Relay(self._caller, attempt.connection, max_kept, self._progress)
+        relay = Relay(self._caller, attempt.connection, max_kept, self._progress, self._head.fields)
         try:
             code = await relay.run(attempt.answer)
         finally:
@@ -299,8 +309,7 @@
             self._remaining_s(),
             self._attempts[-1].failure is not ResultCode.CONNECT_FAILED,
         )
-        limits = self._context.limits
-        decision = decide_retry(failed, self._policy, limits.max_attempts, trio.current_time())
+        decision = decide_retry(failed, self._policy, self._max_attempts(), trio.current_time())
         if decision is not RetryDecision.RETRY:
             self._context.metrics.count(f"requests.no_retry.{decision.value}")
         return decision
@@ -313,7 +322,7 @@
     def _progress(self) -> None:
         """Move the route's deadline: it bounds the time without progress of a long transfer."""
         limit_s = self._route.deadline_s
-        deadline = min(self._caller_deadline, trio.current_time() + limit_s)
+        deadline = min(self._latest_end, trio.current_time() + limit_s)
         # Setting a deadline costs more than the rest of a piece's way; small steps are left out.
         if abs(deadline - self._scope.deadline) > limit_s * DEADLINE_STEP:
             self._scope.deadline = deadline
--- a/src/dotterelstand/request/head.py
+++ b/src/dotterelstand/request/head.py
@@ -7,18 +7,17 @@
 from returns.result import Failure, Result, Success
 
 from dotterelstand.codes import Result as ResultCode
+from dotterelstand.request.fields import OWN_FIELDS, RESULT_HEADER, RUN_HEADER, HeaderFields
+from dotterelstand.version.document import route_host
 
-DEADLINE_HEADER = b"dotterelstand-deadline-ms"
 TENANT_HEADER = b"dotterelstand-tenant"
 KEY_HEADER = b"idempotency-key"
-RUN_HEADER = b"dotterelstand-run"
-RESULT_HEADER = b"dotterelstand-result"
-LOAD_HEADER = b"dotterelstand-load"
-DRAINING_HEADER = b"dotterelstand-draining"
 
 MAX_KEY_BYTES = 255
 MAX_TENANT_BYTES = 64
 
+Headers = list[tuple[bytes, bytes]]
+
 _ENCODED_UNRESERVED = re.compile("%([0-9A-Fa-f]{2})")
 
 # RFC 9110 section 7.6.1 and fields that only dotterelstand may set.
@@ -33,7 +32,6 @@
         b"proxy-authenticate",
         b"proxy-authorization",
         b"expect",
-        DEADLINE_HEADER,
         RESULT_HEADER,
         RUN_HEADER,
     }
@@ -41,13 +39,23 @@
 
 _NEVER_DROPPED = frozenset({b"host", b"content-length", b"transfer-encoding"})
 
-Headers = list[tuple[bytes, bytes]]
-
 
 class RequestHead:
-    """Fields of a request head that dotterelstand acts on."""
-
-    __slots__ = ("deadline_s", "headers", "key", "method", "path", "route_path", "tenant")
+    """Fields of a request head that dotterelstand acts on; `arrived_s` is in monotonic seconds."""
+
+    __slots__ = (
+        "arrived_s",
+        "deadline_s",
+        "fields",
+        "headers",
+        "host",
+        "key",
+        "method",
+        "path",
+        "request_id",
+        "route_path",
+        "tenant",
+    )
 
     def __init__(
         self,
@@ -57,6 +65,7 @@
         key: bytes | None,
         tenant: str,
         deadline_s: float | None,
+        fields: HeaderFields = OWN_FIELDS,
     ) -> None:
         self.method = method
         self.path = path
@@ -65,6 +74,11 @@
         self.key = key
         self.tenant = tenant
         self.deadline_s = deadline_s
+        self.fields = fields
+        values = dict(headers)
+        self.host = route_host(values.get(b"host", b"").decode("latin-1"))
+        self.request_id = values.get(fields.request_id)
+        self.arrived_s: float | None = None
 
     def declared_length(self) -> int | None:
         """Length of the body in bytes that the head declares, or None."""
@@ -106,7 +120,9 @@
     return xxhash.xxh3_64_digest(f"{head.method} {head.path}".encode())
 
 
-def read_head(request: h11.Request) -> Result[RequestHead, ResultCode]:
+def read_head(
+    request: h11.Request, fields: HeaderFields = OWN_FIELDS
+) -> Result[RequestHead, ResultCode]:
     """Check a parsed head; fails with the result code of the refusal."""
     headers: Headers = [(bytes(name), bytes(value)) for name, value in request.headers]
     names = [name for name, _ in headers]
@@ -118,8 +134,8 @@
         return Failure(ResultCode.BAD_REQUEST)
     tenant = values.get(TENANT_HEADER, b"")[:MAX_TENANT_BYTES].decode("latin-1") or "default"
     deadline_s: float | None = None
-    if DEADLINE_HEADER in values:
-        text = values[DEADLINE_HEADER]
+    if fields.deadline in values:
+        text = values[fields.deadline]
         if not text.isdigit() or len(text) > 9:
             return Failure(ResultCode.BAD_REQUEST)
         deadline_s = int(text) / 1000
@@ -133,15 +149,18 @@
         values.get(KEY_HEADER),
         tenant,
         deadline_s,
+        fields,
     )
     if not _has_one_reading(head.route_path):
         return Failure(ResultCode.BAD_REQUEST)
     return Success(head)
 
 
-def forwarded_headers(head: RequestHead, remaining_s: float) -> Headers:
-    """Headers of the request to a target, with the deadline counted down."""
-    dropped: frozenset[bytes] | set[bytes] = _NOT_FORWARDED
+def forwarded_headers(head: RequestHead, remaining_s: float, target: str) -> Headers:
+    """Headers of the request to a target, with its name and the deadline counted down."""
+    fields = head.fields
+    own = {fields.deadline, fields.target, RESULT_HEADER, RUN_HEADER}
+    dropped: frozenset[bytes] | set[bytes] = _NOT_FORWARDED | own
     has_host = False
     for name, value in head.headers:
         if name == b"host":
@@ -149,18 +168,17 @@
         elif name == b"connection":
             dropped = dropped | {token.strip().lower() for token in value.split(b",")}
     # A caller may not have framing or the host removed, whatever its connection header names.
-    dropped = dropped - _NEVER_DROPPED if dropped is not _NOT_FORWARDED else dropped
+    dropped = dropped - _NEVER_DROPPED - {fields.request_id}
     headers = [field for field in head.headers if field[0] not in dropped]
     if not has_host:
         # HTTP/1.0 does without; RFC 9112 section 3.2 asks for an empty value then.
         headers.insert(0, (b"host", b""))
-    headers.append((DEADLINE_HEADER, b"%d" % max(1, int(remaining_s * 1000))))
+    headers.append((fields.deadline, b"%d" % max(1, int(remaining_s * 1000))))
+    headers.append((fields.target, target.encode("latin-1", "replace")))
     return headers
 
 
-def returned_headers(headers: Headers) -> Headers:
+def returned_headers(headers: Headers, fields: HeaderFields) -> Headers:
     """Headers of a target's answer that go on to the caller."""
-    return [(name, value) for name, value in headers if name not in _NOT_RETURNED]
-
-
-_NOT_RETURNED = _NOT_FORWARDED | {LOAD_HEADER, DRAINING_HEADER}
+    dropped = _NOT_FORWARDED | {fields.load, fields.draining, fields.deadline}
+    return [(name, value) for name, value in headers if name not in dropped]
--- a/src/dotterelstand/request/keyed.py
+++ b/src/dotterelstand/request/keyed.py
@@ -6,20 +6,30 @@
 from dotterelstand.process.journalcall import Go, Recorded, done, not_run, unknown
 from dotterelstand.request.attempt import AnswerHead
 from dotterelstand.request.body import RequestBody
-from dotterelstand.request.context import RequestContext
 from dotterelstand.request.head import RequestHead, head_digest, returned_headers
+from dotterelstand.request.ports import Journal
 
 
 class KeyedRun:
     """A keyed request from the journal's permission to the report of its outcome."""
 
-    __slots__ = ("_answer", "_body", "_body_digest", "_context", "_go", "_key", "_service")
+    __slots__ = (
+        "_answer",
+        "_body",
+        "_body_digest",
+        "_fields",
+        "_go",
+        "_journal",
+        "_key",
+        "_service",
+    )
 
     def __init__(
-        self, context: RequestContext, head: RequestHead, body: RequestBody, service: str
+        self, journal: Journal, head: RequestHead, body: RequestBody, service: str
     ) -> None:
         assert head.key is not None
-        self._context = context
+        self._journal = journal
+        self._fields = head.fields
         self._key = head.key
         self._service = service
         # A chunked body has no declared length; its held part counts alone.
@@ -35,7 +45,7 @@
 
         An answer that was recorded earlier has been sent when `REPLAYED` is returned.
         """
-        verdict = await self._context.journal.begin(self._key, self._body_digest, self._service)
+        verdict = await self._journal.begin(self._key, self._body_digest, self._service)
         if isinstance(verdict, Go):
             self._go = verdict
             return None
@@ -54,12 +64,12 @@
         if self._go is None:
             return
         if self._answer is not None:
-            headers = returned_headers(self._answer.headers)
+            headers = returned_headers(self._answer.headers, self._fields)
             outcome = done(self._answer.status, headers, self._body)
         elif code.run is Run.NOT_RUN:
             outcome = not_run(code)
         else:
             assert code.run is Run.UNKNOWN, "a run without a complete answer"
             outcome = unknown(code)
-        self._context.journal.finish(self._go, outcome)
+        self._journal.finish(self._go, outcome)
         self._go = None
--- a/src/dotterelstand/request/race.py
+++ b/src/dotterelstand/request/race.py
@@ -14,7 +14,8 @@
 async def run_race(first: Attempt, delay_s: float, start_hedge: StartHedge) -> Attempt:
     """Run `first` and, after `delay_s` seconds, what `start_hedge` gives; return the winner.
 
-    The loser's connection is closed. Without a good answer the attempt that ended last is returned.
+    The second one starts at once when the target of the first turns slow. The loser's connection
+    is closed. Without a good answer the attempt that ended last is returned.
     """
     ended: list[Attempt] = []
     attempts = [first]
@@ -36,11 +37,12 @@
         else:
             changed.unpark_all()
 
+    first.on_slow(changed.unpark_all)
     try:
         async with trio.open_nursery() as nursery:
             nursery.start_soon(run, first)
             with trio.move_on_after(delay_s):
-                while not ended:
+                while not ended and not first.target_slow:
                     await changed.park()
             if not ended:
                 nursery.start_soon(hedge)
--- a/src/dotterelstand/settings.py
+++ b/src/dotterelstand/settings.py
@@ -105,6 +105,7 @@
             else:
                 errors.append(problem)
     if not errors:
+        _apply_endpoints(values)
         errors.extend(_check_together(values, source))
     return Failure(errors) if errors else Success(Settings(values))
 
@@ -136,6 +137,14 @@
     return None
 
 
+def _apply_endpoints(values: dict[str, dict[str, Any]]) -> None:
+    """Take address and port of each section from its endpoint, where one is set."""
+    for keys in values.values():
+        if keys.get("endpoint"):
+            address, _, port = keys["endpoint"].rpartition(":")
+            keys["address"], keys["port"] = address.strip("[]"), int(port)
+
+
 def _check_together(values: dict[str, dict[str, Any]], source: str) -> list[SettingsError]:
     errors = []
     for conflict in find_conflicts(values):
--- a/src/dotterelstand/settings_rules.py
+++ b/src/dotterelstand/settings_rules.py
@@ -123,6 +123,9 @@
 # Processes find each other by IP numbers; a name would need a lookup that blocks the loop.
 ADDRESS = Matching("an IP address", _is_address)
 HOST_PORT = Matching('"address:port" with an IP address', _is_host_port)
+OPTIONAL_HOST_PORT = Matching(
+    "empty or " + HOST_PORT.allowed, lambda text: not text or _is_host_port(text)
+)
 NAME = Matching(
     "1 to 64 letters, digits, '.', '_' or '-'",
     lambda text: re.fullmatch(r"[A-Za-z0-9._-]{1,64}", text) is not None,
@@ -132,14 +135,21 @@
     "up to 256 printable characters", lambda text: len(text) <= 256 and text.isprintable()
 )
 TOKEN = Matching(f"{MIN_TOKEN_CHARACTERS} to 256 ASCII characters without spaces", _is_token)
+ZONE = Matching(
+    '"zone=region"',
+    lambda text: len(parts := text.split("=")) == 2 and all(map(NAME.accepts, parts)),
+)
+PATH = Matching('a path that begins with "/"', lambda text: text.startswith("/"))
+PROTOCOL = Matching('"own" or "objects"', lambda text: text in ("own", "objects"))
 STORE_URL = Matching('"http://address:port" with an IP address', _is_store_url)
 FLAG = AnyFlag()
 PORT = Between(0, 65535)
 MIB = 1024 * 1024
 
 RULES: dict[str, dict[str, Rule]] = {
-    "host": {"name": NAME, "region": NAME, "availability_zone": NAME},
+    "host": {"name": NAME, "region": NAME, "availability_zone": NAME, "regions": ListOf(ZONE, 64)},
     "listen": {
+        "endpoint": OPTIONAL_HOST_PORT,
         "address": ADDRESS,
         "port": PORT,
         "max_connections": Between(1, 100_000),
@@ -175,8 +185,18 @@
         "max_body_bytes": Between(256, MIB),
         "timeout_s": Between(0.1, 60),
     },
+    "readiness": {
+        "enabled": FLAG,
+        "endpoint": OPTIONAL_HOST_PORT,
+        "address": ADDRESS,
+        "port": PORT,
+        "path": PATH,
+    },
     "store": {
+        "protocol": PROTOCOL,
         "url": STORE_URL,
+        "targets_pause_s": Between(0, 60),
+        "document_pause_s": Between(0, 60),
         "timeout_s": Between(0.05, 30),
         "reads_per_s": Between(1, 2000),
         "read_burst": Between(0, 1000),
@@ -201,6 +221,7 @@
         "max_answer_head_bytes": Between(1024, MIB),
         "sharing_hosts": Between(1, 10_000),
         "health_interval_s": Between(0, 60),
+        "health_drains": FLAG,
         "return_after_s": Between(1, 3600),
     },
     "measure": {
@@ -232,6 +253,12 @@
         "retry_min_per_s": Between(0, 1000),
         "held_body_bytes": Between(0, 16 * MIB),
     },
+    "services": {
+        "hedge": FLAG,
+        "retry_share": Between(0, 1),
+        "max_queue_per_slot": Between(0, 1000),
+        "silence_timeout_s": Between(0.01, 3600),
+    },
     "quarantine": {
         "window_s": Between(1, 3600),
         "quarantine_s": Between(1, 86400),
@@ -305,7 +332,10 @@
 def _find_shared_ports(values: Values) -> list[Conflict]:
     used: dict[tuple[str, int], str] = {}
     conflicts = []
-    for section in ("listen", "peers", "control"):
+    sections = ["listen", "peers", "control"]
+    if values["readiness"]["enabled"]:
+        sections.append("readiness")
+    for section in sections:
         place = (values[section]["address"], values[section]["port"])
         if place in used:
             allowed = f"a port that differs from {used[place]}.port"
--- a/src/dotterelstand/version/document.py
+++ b/src/dotterelstand/version/document.py
@@ -8,7 +8,9 @@
     DocumentError,
     Route,
     Service,
+    Share,
     Target,
+    route_host,
     section_digest,
 )
 
@@ -17,8 +19,10 @@
     "DocumentError",
     "Route",
     "Service",
+    "Share",
     "Target",
     "build_document",
+    "route_host",
     "section_digest",
 ]
 
--- a/src/dotterelstand/version/model.py
+++ b/src/dotterelstand/version/model.py
@@ -8,6 +8,8 @@
 INDEX_BITS = 32
 # Routes with more path segments than this are refused, which bounds the cost of a look-up.
 MAX_PREFIX_SEGMENTS = 16
+# Key of a route that takes every method.
+ANY_METHOD = "*"
 
 
 class DocumentError:
@@ -39,14 +41,32 @@
     """One server instance that runs requests of a service.
 
     `index` names it within its service in messages. It depends on the target's name alone, so
-    two hosts with different versions of the document mean the same target by it.
+    two hosts with different versions of the document mean the same target by it. `incarnation`
+    differs between two starts under one name, 0 if that is not known.
     """
 
-    __slots__ = ("address", "availability_zone", "index", "name", "port", "region", "slots")
+    __slots__ = (
+        "address",
+        "availability_zone",
+        "incarnation",
+        "index",
+        "name",
+        "port",
+        "region",
+        "slots",
+    )
 
     def __init__(
-        self, name: str, address: str, port: int, region: str, availability_zone: str, slots: int
+        self,
+        name: str,
+        address: str,
+        port: int,
+        region: str,
+        availability_zone: str,
+        slots: int,
+        incarnation: int = 0,
     ) -> None:
+        self.incarnation = incarnation
         self.name = name
         self.address = address
         self.port = port
@@ -57,11 +77,12 @@
 
 
 class Service:
-    """A named group of targets with its limits."""
+    """A named group of targets with its limits; `health_path` is where targets tell their load."""
 
     __slots__ = (
-        "_by_index",
+        "_positions",
         "connections",
+        "health_path",
         "hedge",
         "max_queue_per_slot",
         "measuring_weight",
@@ -81,6 +102,7 @@
         max_queue_per_slot: int,
         silence_timeout_s: float,
         measuring_weight: float = 1.0,
+        health_path: str = "/health",
     ) -> None:
         self.name = name
         self.targets = targets
@@ -90,17 +112,48 @@
         self.max_queue_per_slot = max_queue_per_slot
         self.silence_timeout_s = silence_timeout_s
         self.measuring_weight = measuring_weight
-        self._by_index = {target.index: target for target in targets}
+        self.health_path = health_path
+        self._positions = {target.index: place for place, target in enumerate(targets)}
 
-    def target_at(self, index: int) -> Target | None:
-        """Target with an index, or None if this version has no such target."""
-        return self._by_index.get(index)
+    def position_of(self, index: int) -> int | None:
+        """Position of the target with an index, or None if this version has no such target."""
+        return self._positions.get(index)
+
+
+class Share:
+    """A service that gets a share of a route's requests, in proportion to its weight."""
+
+    __slots__ = ("service", "weight")
+
+    def __init__(self, service: str, weight: float) -> None:
+        self.service = service
+        self.weight = weight
 
 
 class Route:
-    """Requests of one path prefix and the promises that hold for them."""
+    """Requests of one path prefix and the promises that hold for them.
+
+    `host` is empty for any host, and `methods` for any method. `deadline_s` bounds the time
+    without progress; `timeout_s`, unless None, the time to the end of the answer. `attempts` is
+    the largest number of targets for one request, None for that of the settings. `latency_s` is
+    the time within which an answer has its full worth. `split` divides the requests among
+    services in place of `service`.
+    """
 
-    __slots__ = ("deadline_s", "idempotent", "key", "klass", "methods", "prefix", "service")
+    __slots__ = (
+        "attempts",
+        "deadline_s",
+        "host",
+        "idempotent",
+        "key",
+        "klass",
+        "latency_s",
+        "methods",
+        "prefix",
+        "service",
+        "split",
+        "timeout_s",
+    )
 
     def __init__(
         self,
@@ -111,7 +164,18 @@
         key: str,
         klass: str,
         deadline_s: float,
+        *,
+        host: str = "",
+        timeout_s: float | None = None,
+        attempts: int | None = None,
+        latency_s: float | None = None,
+        split: tuple[Share, ...] = (),
     ) -> None:
+        self.host = route_host(host)
+        self.timeout_s = timeout_s
+        self.attempts = attempts
+        self.latency_s = latency_s
+        self.split = split
         self.prefix = prefix
         self.methods = methods
         self.service = service
@@ -122,12 +186,12 @@
 
 
 class RouteIndex:
-    """Routes by prefix and method; a look-up costs one step per path segment."""
+    """Routes by host, prefix and method; a look-up costs one step per path segment."""
 
     __slots__ = ("_depth", "_routes")
 
     def __init__(self, routes: Iterable[Route] = ()) -> None:
-        self._routes: dict[str, dict[str, Route]] = {}
+        self._routes: dict[tuple[str, str], dict[str, Route]] = {}
         self._depth = 0
         for route in routes:
             self.add(route)
@@ -135,38 +199,44 @@
     def add(self, route: Route) -> None:
         """Add a route; only before the document that has the index is in use."""
         prefix = route.prefix.rstrip("/")
-        methods = self._routes.setdefault(prefix, {})
-        methods.update({method: route for method in route.methods})
+        methods = self._routes.setdefault((route.host, prefix), {})
+        methods.update({method: route for method in route.methods or (ANY_METHOD,)})
         self._depth = max(self._depth, prefix.count("/") + 1)
 
-    def find(self, path: str, method: str) -> Route | None:
-        """Route with the longest prefix, in whole segments, that has the method."""
-        for methods in self._matches(path):
-            if method in methods:
-                return methods[method]
+    def find(self, path: str, method: str, host: str = "") -> Route | None:
+        """Route with the longest prefix, in whole segments, that has the method.
+
+        A route of the host goes before one of any host.
+        """
+        for methods in self._matches(path, host):
+            route = methods.get(method) or methods.get(ANY_METHOD)
+            if route is not None:
+                return route
         return None
 
-    def methods(self, path: str) -> frozenset[str]:
+    def methods(self, path: str, host: str = "") -> frozenset[str]:
         """Methods of every route that matches a path; empty if there is none."""
-        return frozenset(method for methods in self._matches(path) for method in methods)
+        return frozenset(method for methods in self._matches(path, host) for method in methods)
 
-    def _matches(self, path: str) -> Iterator[dict[str, Route]]:
+    def _matches(self, path: str, host: str) -> Iterator[dict[str, Route]]:
         segments = path.partition("?")[0].split("/", self._depth)[: self._depth]
-        for length in range(len(segments), 0, -1):
-            methods = self._routes.get("/".join(segments[:length]))
-            if methods is not None:
-                yield methods
+        for name in (host, "") if host else ("",):
+            for length in range(len(segments), 0, -1):
+                methods = self._routes.get((name, "/".join(segments[:length])))
+                if methods is not None:
+                    yield methods
 
 
 class Document:
     """One accepted version of all sections; immutable.
 
     `sections` maps names to digests, `owners` sections to teams, and `classes` is in order of
-    priority, the highest first.
+    priority, the highest first. Requests of the `bulk` classes are too large to leave the region.
     """
 
     __slots__ = (
         "_index",
+        "bulk",
         "classes",
         "number",
         "owners",
@@ -186,7 +256,9 @@
         tenants: Mapping[str, float],
         owners: Mapping[str, str] | None = None,
         index: RouteIndex | None = None,
+        bulk: frozenset[str] = frozenset(),
     ) -> None:
+        self.bulk = bulk
         self.number = number
         self.sections = sections
         self.services = services
@@ -196,13 +268,18 @@
         self.owners = owners or {}
         self._index = index or RouteIndex(routes)
 
-    def find_route(self, path: str, method: str) -> Route | None:
-        """Most specific route for a path and method, or None."""
-        return self._index.find(path, method)
+    def find_route(self, path: str, method: str, host: str = "") -> Route | None:
+        """Most specific route for a host, path and method, or None."""
+        return self._index.find(path, method, host)
 
-    def allowed_methods(self, path: str) -> frozenset[str]:
+    def allowed_methods(self, path: str, host: str = "") -> frozenset[str]:
         """Methods that some route allows for a path; empty if no route matches it."""
-        return self._index.methods(path)
+        return self._index.methods(path, host)
+
+
+def route_host(value: str) -> str:
+    """Host of a Host header or of a route: lower case, without a port."""
+    return value.strip().lower().partition(":")[0]
 
 
 def section_digest(body: str) -> str:
