--- a/src/dotterelstand/connection/caller.py
+++ b/src/dotterelstand/connection/caller.py
@@ -49,82 +49,55 @@
         self.code = code
 
 
-class CallerConnection:
-    """The h11 server side of one caller connection, with a task that reads ahead."""
+class CallerRequest:
+    """One request of a caller connection, with the h11 state of its body and its answer.
+
+    Requests of one connection may be served at the same time; `send` waits until the answers
+    before it were sent.
+    """
 
     __slots__ = (
-        "_buffered",
-        "_fields",
+        "_connection",
         "_h11",
-        "_idle",
-        "_inbox",
-        "_limits",
         "_method",
-        "_raw",
-        "_readers",
-        "_received_s",
-        "_room",
-        "_stream",
-        "aborted",
+        "_previous",
         "answer_started",
-        "closing",
-        "departed",
+        "ended",
+        "head",
         "on_departure",
     )
 
     def __init__(
-        self, stream: trio.abc.Stream, limits: CallerLimits, fields: HeaderFields = OWN_FIELDS
+        self,
+        connection: "CallerConnection",
+        state: h11.Connection,
+        method: bytes,
+        head: RequestHead | None,
+        previous: trio.Event | None,
     ) -> None:
-        self._stream = stream
-        self._limits = limits
-        self._fields = fields
-        self._h11 = self._new_h11()
-        # Pieces with the time at which each arrived.
-        self._inbox: deque[tuple[float, bytes]] = deque()
-        self._received_s = trio.current_time()
-        self._buffered = 0
-        self._method = b""
-        self._raw = bytearray()
-        self._readers = trio.lowlevel.ParkingLot()
-        self._room = trio.lowlevel.ParkingLot()
-        self.aborted = False
+        self._connection = connection
+        self._h11 = state
+        self._method = method
+        self._previous = previous
+        self.head = head
         self.answer_started = False
-        self.closing = False
-        self.departed = False
-        self._idle = False
+        self.ended = trio.Event()
         self.on_departure: Callable[[], object] | None = None
 
-    async def read_ahead(self) -> None:
-        """Read from the caller until it leaves, at most `READ_AHEAD_BYTES` ahead of use."""
-        while True:
-            while self._buffered >= READ_AHEAD_BYTES:
-                await self._room.park()
-            try:
-                data = bytes(await self._stream.receive_some(READ_BYTES))
-            except (trio.BrokenResourceError, trio.ClosedResourceError):
-                data = b""
-            if not data:
-                break
-            self._inbox.append((trio.current_time(), data))
-            self._buffered += len(data)
-            self._readers.unpark_all()
-        # An end of stream counts as departure: HTTP has no other sign that a caller left.
-        self.departed = True
-        self._readers.unpark_all()
-        if self.on_departure is not None:
-            self.on_departure()
+    @property
+    def departed(self) -> bool:
+        """Whether the caller has left."""
+        return self._connection.departed
 
-    async def next_request(self) -> RequestHead | ResultCode | None:
-        """Next request head, the code of its refusal, or None if the connection ends."""
-        self.answer_started = False
-        if not self._raw and not await self._wait_idle():
-            return None
-        # Most heads arrive in one piece, and a cancel scope costs more than this search.
-        if find_head_end(self._raw, 0) >= 0:
-            return await self._read_head()
-        with trio.move_on_after(self._limits.head_timeout_s):
-            return await self._read_head()
-        return ResultCode.CALLER_TOO_SLOW
+    @property
+    def is_read(self) -> bool:
+        """Whether the request was read to its end."""
+        return self._h11.their_state is h11.DONE
+
+    @property
+    def is_answered(self) -> bool:
+        """Whether the whole answer was encoded."""
+        return self._h11.our_state in (h11.DONE, h11.MUST_CLOSE)
 
     async def next_body(self) -> bytes | None:
         """Next piece of the request body, or None at its end; raises `BodyError`."""
@@ -136,15 +109,15 @@
             if isinstance(event, h11.Data):
                 return bytes(event.data)
             if isinstance(event, h11.EndOfMessage):
-                self._raw = bytearray(self._h11.trailing_data[0])
+                self._connection.unread(bytes(self._h11.trailing_data[0]))
                 return None
             if event is not h11.NEED_DATA:
                 raise BodyError(ResultCode.BAD_REQUEST)
             if self._h11.they_are_waiting_for_100_continue:
                 informational = h11.InformationalResponse(status_code=100, headers=[])
                 await self.send(self._h11.send(informational) or b"")
-            with trio.move_on_after(self._limits.body_idle_timeout_s):
-                data = await self._receive()
+            with trio.move_on_after(self._connection.body_idle_timeout_s):
+                data = await self._connection.receive()
                 if not data:
                     raise BodyError(ResultCode.BAD_REQUEST)
                 self._h11.receive_data(data)
@@ -159,7 +132,7 @@
             (RESULT_HEADER, b"%d" % code),
             (RUN_HEADER, code.run.value.encode()),
         ]
-        if self.closing:
+        if self._connection.closes_after(self):
             headers.append((b"connection", b"close"))
         return self._h11.send(h11.Response(status_code=status, headers=headers)) or b""
 
@@ -172,9 +145,14 @@
         return self._h11.send(h11.EndOfMessage()) or b""
 
     async def send(self, data: bytes) -> None:
-        """Send encoded bytes; raises `trio.BrokenResourceError` if the caller has left."""
-        if data:
-            await self._stream.send_all(data)
+        """Send encoded bytes after the answers before them.
+
+        Raises `trio.BrokenResourceError` if the caller has left.
+        """
+        if self._previous is not None:
+            await self._previous.wait()
+            self._previous = None
+        await self._connection.send(data)
 
     def may_answer(self) -> bool:
         """Whether no answer to the current request has begun."""
@@ -182,8 +160,8 @@
 
     async def answer(self, status: int, headers: Headers, body: bytes, code: ResultCode) -> None:
         """Send an answer that is held completely."""
-        if not self._request_read():
-            self.closing = True
+        if not self.is_read:
+            self._connection.closing = True
         data = self.encode_head(status, [*headers, (b"content-length", b"%d" % len(body))], code)
         if body and self._method != b"HEAD":
             data += self.encode_body(body)
@@ -193,35 +171,159 @@
         """Answer a request that dotterelstand itself ends."""
         headers: Headers = [(b"content-type", b"text/plain")]
         if code.retry_after_s is not None:
-            headers.append((b"retry-after", b"%d" % code.retry_after_s))
+            headers.append((b"retry-after", f"{code.retry_after_s:g}".encode()))
         body = f"{code:d} {code.name.lower()}\n".encode()
         await self.answer(code.http_status, headers, body, code)
 
-    def start_next_cycle(self) -> bool:
-        """Prepare for the next request; False if the connection must be closed."""
-        if self.closing or self._h11.our_state is not h11.DONE or not self._request_read():
-            return False
-        self._h11 = self._new_h11()
-        # A refusal of the next head must not take it for a HEAD request.
-        self._method = b""
-        return True
+    def abort(self) -> None:
+        """Break the connection, so that an unfinished answer cannot look complete."""
+        self._connection.abort()
+
+
+class CallerConnection:
+    """The requests of one caller connection in order, with a task that reads ahead."""
+
+    __slots__ = (
+        "_buffered",
+        "_fields",
+        "_idle",
+        "_inbox",
+        "_limits",
+        "_newest",
+        "_raw",
+        "_readers",
+        "_received_s",
+        "_room",
+        "_serving",
+        "_stream",
+        "_will_close",
+        "aborted",
+        "closing",
+        "departed",
+    )
+
+    def __init__(
+        self, stream: trio.abc.Stream, limits: CallerLimits, fields: HeaderFields = OWN_FIELDS
+    ) -> None:
+        self._stream = stream
+        self._limits = limits
+        self._fields = fields
+        # Pieces with the time at which each arrived.
+        self._inbox: deque[tuple[float, bytes]] = deque()
+        self._received_s = trio.current_time()
+        self._buffered = 0
+        self._newest: CallerRequest | None = None
+        self._serving: set[CallerRequest] = set()
+        # Whether an answer told the caller that the connection ends.
+        self._will_close = False
+        self._raw = bytearray()
+        self._readers = trio.lowlevel.ParkingLot()
+        self._room = trio.lowlevel.ParkingLot()
+        self.aborted = False
+        self.closing = False
+        self.departed = False
+        self._idle = False
+
+    @property
+    def body_idle_timeout_s(self) -> float:
+        """Longest time in seconds between two pieces of a request's body."""
+        return self._limits.body_idle_timeout_s
+
+    @property
+    def serving(self) -> int:
+        """Number of requests that have no answer yet."""
+        return len(self._serving)
+
+    async def read_ahead(self) -> None:
+        """Read from the caller until it leaves, at most `READ_AHEAD_BYTES` ahead of use."""
+        while True:
+            while self._buffered >= READ_AHEAD_BYTES:
+                await self._room.park()
+            try:
+                data = bytes(await self._stream.receive_some(READ_BYTES))
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                data = b""
+            if not data:
+                break
+            self._inbox.append((trio.current_time(), data))
+            self._buffered += len(data)
+            self._readers.unpark_all()
+        # An end of stream counts as departure: HTTP has no other sign that a caller left.
+        self.departed = True
+        self._readers.unpark_all()
+        for request in list(self._serving):
+            if request.on_departure is not None:
+                request.on_departure()
+
+    async def next_request(self) -> CallerRequest | ResultCode | None:
+        """Next request, the code of its refusal, or None if the connection ends.
+
+        The one before it must have been read to its end.
+        """
+        if not self._raw and not await self._wait_idle():
+            return None
+        # Most heads arrive in one piece, and a cancel scope costs more than this search.
+        if find_head_end(self._raw, 0) >= 0:
+            return await self._read_head()
+        with trio.move_on_after(self._limits.head_timeout_s):
+            return await self._read_head()
+        return ResultCode.CALLER_TOO_SLOW
+
+    def begin(self, request: CallerRequest) -> None:
+        """Count a request as being served until `end`."""
+        self._serving.add(request)
+
+    def end(self, request: CallerRequest) -> None:
+        """A request was answered, or will not be."""
+        self._serving.discard(request)
+        request.ended.set()
+        self._readers.unpark_all()
+
+    async def others_ended(self, request: CallerRequest | None) -> None:
+        """Wait until every request but one has ended."""
+        for other in [item for item in self._serving if item is not request]:
+            await other.ended.wait()
+
+    def refusal(self) -> CallerRequest:
+        """Stands for a request that could not be read, so that it can be refused."""
+        return self._make_request(self._new_h11(), b"", None)
+
+    def closes_after(self, request: CallerRequest) -> bool:
+        """Whether the connection ends with the answer to a request."""
+        if self.closing and request is self._newest:
+            self._will_close = True
+        return self._will_close
+
+    def may_continue(self, request: CallerRequest) -> bool:
+        """Whether the connection can carry another request after one that was served."""
+        return request.is_read and request.is_answered and not self._will_close
+
+    def unread(self, data: bytes) -> None:
+        """Bytes that follow the body of a request."""
+        self._raw = bytearray(data)
+
+    async def send(self, data: bytes) -> None:
+        """Send encoded bytes; raises `trio.BrokenResourceError` if the caller has left."""
+        if data:
+            await self._stream.send_all(data)
 
     def is_idle(self) -> bool:
         """Whether the caller has sent nothing since its last answer."""
-        return self._idle and not self._inbox and not has_input(self._stream)
+        quiet = self._idle and not self._serving and not self._inbox
+        return quiet and not has_input(self._stream)
 
     async def linger(self) -> None:
         """Let a caller that is still sending read the answer before the connection is closed.
 
         Closing with unread input resets the connection, which can discard the answer.
         """
-        if self.aborted or self.departed or self._request_read():
+        if self.aborted or self.departed or (self._newest is not None and self._newest.is_read):
             return
         if isinstance(self._stream, trio.SocketStream):
             await self._stream.send_eof()
         dropped = 0
         with trio.move_on_after(self._limits.linger_s):
-            while dropped < MAX_LINGER_BYTES and (data := await self._receive()):
+            while dropped < MAX_LINGER_BYTES and (data := await self.receive()):
                 dropped += len(data)
 
     def abort(self) -> None:
@@ -234,31 +336,30 @@
         """Close the connection at once."""
         close_now(self._stream)
 
-    def _request_read(self) -> bool:
-        return self._h11.their_state is h11.DONE
-
     def _new_h11(self) -> h11.Connection:
         return h11.Connection(h11.SERVER, max_incomplete_event_size=self._limits.max_head)
 
     async def _wait_idle(self) -> bool:
         if self._inbox:
-            self._raw += await self._receive()
+            self._raw += await self.receive()
             return True
         self._idle = True
-        with trio.move_on_after(self._limits.idle_timeout_s):
-            data = await self._receive()
-            self._idle = False
-            self._raw += data
-            return bool(data)
-        return False
-
-    async def _read_head(self) -> RequestHead | ResultCode | None:
+        while True:
+            with trio.move_on_after(self._limits.idle_timeout_s):
+                data = await self.receive()
+                self._idle = False
+                self._raw += data
+                return bool(data)
+            if not self._serving:
+                return False
+
+    async def _read_head(self) -> CallerRequest | ResultCode | None:
         searched = 0
         while (end := find_head_end(self._raw, searched)) < 0:
             searched = len(self._raw)
             if searched > self._limits.max_head:
                 return ResultCode.HEAD_TOO_LARGE
-            data = await self._receive()
+            data = await self.receive()
             if not data:
                 return None
             self._raw += data
@@ -268,30 +369,38 @@
             return ResultCode.BAD_REQUEST
         return self._parse_head()
 
-    def _parse_head(self) -> RequestHead | ResultCode:
-        self._h11.receive_data(bytes(self._raw))
+    def _parse_head(self) -> CallerRequest | ResultCode:
+        state = self._new_h11()
+        state.receive_data(bytes(self._raw))
         self._raw.clear()
         try:
-            event = self._h11.next_event()
+            event = state.next_event()
         except h11.RemoteProtocolError:
             return ResultCode.BAD_REQUEST
         if not isinstance(event, h11.Request):
             return ResultCode.BAD_REQUEST
-        self._method = event.method
         result = read_head(event, self._fields)
         if not is_successful(result):
             return result.failure()
         head = result.unwrap()
         # A pipelined head may have waited for the answers before it.
         head.arrived_s = self._received_s
-        if not head.has_body() and self._h11.their_state is h11.SEND_BODY:
-            self._h11.next_event()
-            self._raw = bytearray(self._h11.trailing_data[0])
-        return head
-
-    async def _receive(self) -> bytes:
+        if not head.has_body() and state.their_state is h11.SEND_BODY:
+            state.next_event()
+            self.unread(bytes(state.trailing_data[0]))
+        return self._make_request(state, event.method, head)
+
+    def _make_request(
+        self, state: h11.Connection, method: bytes, head: RequestHead | None
+    ) -> CallerRequest:
+        previous = self._newest.ended if self._newest is not None else None
+        self._newest = CallerRequest(self, state, method, head, previous)
+        return self._newest
+
+    async def receive(self) -> bytes:
+        """Next bytes of the caller; empty when no more come or the last answer was sent."""
         while not self._inbox:
-            if self.departed:
+            if self.departed or (self._will_close and not self._serving):
                 return b""
             await self._readers.park()
         self._received_s, data = self._inbox.popleft()
--- a/src/dotterelstand/process/front.py
+++ b/src/dotterelstand/process/front.py
@@ -4,7 +4,7 @@
 
 from dotterelstand.codes import Result as ResultCode
 from dotterelstand.codes import Run
-from dotterelstand.connection.caller import CallerConnection, CallerLimits
+from dotterelstand.connection.caller import CallerConnection, CallerLimits, CallerRequest
 from dotterelstand.connection.network import Listener
 from dotterelstand.connection.target import close_now
 from dotterelstand.events import Event, log
@@ -16,6 +16,8 @@
 
 # Connections over the limit that are told so at the same time; others are closed without a word.
 MAX_REFUSING = 64
+# Requests of one connection that are served at the same time.
+MAX_OVERLAPPING = 8
 
 
 class CallerFront:
@@ -89,7 +91,7 @@
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(connection.read_ahead)
-                await self._serve_requests(connection)
+                await self._serve_requests(connection, nursery)
                 nursery.cancel_scope.cancel()
         except* (trio.BrokenResourceError, trio.ClosedResourceError):
             # The caller left while an answer was on its way.
@@ -101,52 +103,77 @@
             if not connection.aborted:
                 connection.close()
 
-    async def _serve_requests(self, connection: CallerConnection) -> None:
+    async def _serve_requests(self, connection: CallerConnection, nursery: trio.Nursery) -> None:
+        """Serve requests until the connection ends; those that wait in line overlap if they may."""
         while True:
-            head = await connection.next_request()
-            if head is None:
-                return
-            if isinstance(head, ResultCode):
-                await self._reject(connection, head)
-                return
-            await self._serve_request(connection, head)
-            if not connection.start_next_cycle():
-                await connection.linger()
+            request = await connection.next_request()
+            if request is None:
+                break
+            if isinstance(request, ResultCode):
+                await self._reject(connection, connection.refusal(), request)
                 return
+            connection.begin(request)
+            if self._may_overlap(request) and connection.serving < MAX_OVERLAPPING:
+                nursery.start_soon(self._serve_request, connection, request)
+            else:
+                await connection.others_ended(request)
+                await self._serve_request(connection, request)
+                if not connection.may_continue(request):
+                    await connection.linger()
+                    return
+        await connection.others_ended(None)
+
+    def _may_overlap(self, request: CallerRequest) -> bool:
+        """Whether a request may run beside those that its caller sends behind it."""
+        head = request.head
+        if head is None or not request.is_read or self.document is None:
+            return False
+        route = _find_route(self.document, head)
+        return route is not None and route.idempotent
+
+    async def _serve_request(self, connection: CallerConnection, request: CallerRequest) -> None:
+        try:
+            await self._answer_request(request)
+        finally:
+            connection.end(request)
 
-    async def _serve_request(self, connection: CallerConnection, head: RequestHead) -> None:
+    async def _answer_request(self, request: CallerRequest) -> None:
+        head = request.head
+        assert head is not None, "a request without a head is refused"
         document = self.document if self.introduced else None
         route = None if document is None else _find_route(document, head)
         if document is None or route is None:
             code = _routing_failure(document, head)
             ending = Ending(None, head.tenant)
         else:
-            exchange = Exchange(connection, head, document, route, self._context)
+            exchange = Exchange(request, head, document, route, self._context)
             ending = exchange.ending
             code = await exchange.run()
-        await self._conclude(connection, code)
+        await self._conclude(request, code)
         ending.count(self._context.metrics, code)
         self._end_log.write(code, head.path)
 
-    async def _conclude(self, connection: CallerConnection, code: ResultCode) -> None:
+    async def _conclude(self, request: CallerRequest, code: ResultCode) -> None:
         """Send a refusal, or break off an answer that did not become complete."""
-        if connection.answer_started:
+        if request.answer_started:
             if code.run is not Run.RAN:
-                connection.abort()
-        elif not connection.departed:
-            await self._send_refusal(connection, code)
+                request.abort()
+        elif not request.departed:
+            await self._send_refusal(request, code)
 
-    async def _reject(self, connection: CallerConnection, code: ResultCode) -> None:
+    async def _reject(
+        self, connection: CallerConnection, request: CallerRequest, code: ResultCode
+    ) -> None:
         self._context.metrics.count(f"requests.result.{code:d}")
         self._end_log.write(code, "")
-        await self._send_refusal(connection, code)
+        await self._send_refusal(request, code)
         await connection.linger()
 
-    async def _send_refusal(self, connection: CallerConnection, code: ResultCode) -> None:
+    async def _send_refusal(self, request: CallerRequest, code: ResultCode) -> None:
         with trio.move_on_after(self._limits.body_idle_timeout_s) as scope:
-            await connection.refuse(code)
+            await request.refuse(code)
         if scope.cancelled_caught:
-            connection.abort()
+            request.abort()
 
     async def _refuse_connection(self, stream: trio.abc.Stream) -> None:
         code = ResultCode.TOO_MANY_CONNECTIONS
@@ -169,7 +196,7 @@
             with trio.move_on_after(self._limits.linger_s):
                 async with trio.open_nursery() as nursery:
                     nursery.start_soon(connection.read_ahead)
-                    await connection.refuse(code)
+                    await connection.refusal().refuse(code)
                     await connection.linger()
                     nursery.cancel_scope.cancel()
         except* (trio.BrokenResourceError, trio.ClosedResourceError):
--- a/src/dotterelstand/process/slotcore.py
+++ b/src/dotterelstand/process/slotcore.py
@@ -27,6 +27,8 @@
 # A deadline closer than this many usual durations is sent along, else it cannot matter.
 URGENT_MULTIPLE = 20.0
 MAX_LEAVING = 8192
+# Up to this many services are watched before their first request; more would cost start time.
+EAGER_SERVICES = 64
 
 
 class SlotCore:
@@ -108,6 +110,9 @@
         for name, state in self._states.items():
             state.use(document.services[name], now)
         self._grant_server.apply(services)
+        if len(services) <= EAGER_SERVICES:
+            for service in services:
+                self._state(service)
         bulk = (document.classes.index(klass) for klass in document.bulk)
         self._bulk = frozenset(min(number, CLASSES - 1) for number in bulk)
         for state in self._states.values():
--- a/src/dotterelstand/request/exchange.py
+++ b/src/dotterelstand/request/exchange.py
@@ -8,7 +8,7 @@
 
 from dotterelstand.codes import Result as ResultCode
 from dotterelstand.codes import Run
-from dotterelstand.connection.caller import BodyError, CallerConnection
+from dotterelstand.connection.caller import BodyError, CallerRequest
 from dotterelstand.process.outcome import AttemptOutcome, SlotCall, SlotGrant
 from dotterelstand.request.attempt import AT_ONCE_BYTES, Attempt, AttemptSetup
 from dotterelstand.request.body import RequestBody
@@ -41,6 +41,7 @@
     __slots__ = (
         "_admitted",
         "_attempts",
+        "_began",
         "_body",
         "_caller",
         "_context",
@@ -59,7 +60,7 @@
 
     def __init__(
         self,
-        caller: CallerConnection,
+        caller: CallerRequest,
         head: RequestHead,
         document: Document,
         route: Route,
@@ -78,11 +79,11 @@
         self._struck: set[str] = set()
         self._keyed: KeyedRun | None = None
         self._scope = trio.CancelScope()
-        began = trio.current_time() if head.arrived_s is None else head.arrived_s
+        self._began = trio.current_time() if head.arrived_s is None else head.arrived_s
         limit_s = math.inf if head.deadline_s is None else head.deadline_s
         if route.timeout_s is not None:
             limit_s = min(limit_s, route.timeout_s)
-        self._latest_end = began + limit_s
+        self._latest_end = self._began + limit_s
         self._setup = AttemptSetup(
             head,
             self._body,
@@ -191,7 +192,11 @@
 
     async def _run_hedged(self, attempt: Attempt) -> Attempt:
         delay_s = hedge_delay_s(
-            self._route.idempotent, self._service.hedge, self._remaining_s(), self._policy.times
+            self._route.idempotent,
+            self._service.hedge,
+            self._remaining_s(),
+            self._policy.times,
+            self._latency_left_s(),
         )
         if delay_s is None:
             await attempt.run()
@@ -330,6 +335,11 @@
     def _remaining_s(self) -> float:
         return self._scope.deadline - trio.current_time()
 
+    def _latency_left_s(self) -> float | None:
+        if self._route.latency_s is None:
+            return None
+        return self._began + self._route.latency_s - trio.current_time()
+
     def _may_have_run(self) -> bool:
         return any(attempt.may_have_run for attempt in self._attempts)
 
--- a/src/dotterelstand/request/keyed.py
+++ b/src/dotterelstand/request/keyed.py
@@ -2,7 +2,7 @@
 
 from dotterelstand.codes import Result as ResultCode
 from dotterelstand.codes import Run
-from dotterelstand.connection.caller import CallerConnection
+from dotterelstand.connection.caller import CallerRequest
 from dotterelstand.process.journalcall import Go, Recorded, done, not_run, unknown
 from dotterelstand.request.attempt import AnswerHead
 from dotterelstand.request.body import RequestBody
@@ -40,7 +40,7 @@
         self._answer: AnswerHead | None = None
         self._body: bytes | None = None
 
-    async def begin(self, caller: CallerConnection) -> ResultCode | None:
+    async def begin(self, caller: CallerRequest) -> ResultCode | None:
         """Ask the journal; None permits sending, a code is how the request ended.
 
         An answer that was recorded earlier has been sent when `REPLAYED` is returned.
--- a/src/dotterelstand/request/policy.py
+++ b/src/dotterelstand/request/policy.py
@@ -10,6 +10,9 @@
 # A p95 of fewer samples than this is decided by one slow request.
 MIN_SAMPLES = 20
 BUDGET_WINDOW_S = 10
+# An answer is later than usual after this multiple of the median duration, about the 75th
+# percentile of work whose duration varies by 30%.
+LATE_MULTIPLE = 1.2
 
 # Statuses of a target that fails; answers with them are tried again if the request is idempotent.
 FAILING_STATUSES = frozenset({500, 502, 503, 504})
@@ -174,10 +177,21 @@
 
 
 def hedge_delay_s(
-    idempotent: bool, enabled: bool, remaining_s: float, times: ServiceTimes
+    idempotent: bool,
+    enabled: bool,
+    remaining_s: float,
+    times: ServiceTimes,
+    latency_left_s: float | None = None,
 ) -> float | None:
-    """Seconds after which a second attempt starts beside the first, or None for never."""
+    """Seconds after which a second attempt starts beside the first, or None for never.
+
+    `latency_left_s` is the time in which an answer has its full worth. The second attempt then
+    starts while it can still end in that time, but not before the first is later than usual.
+    """
     delay_s = times.hedge_after_s
+    if latency_left_s is not None:
+        usual_s = times.usual_s or latency_left_s / 2
+        delay_s = max(LATE_MULTIPLE * usual_s, latency_left_s - LATE_MULTIPLE * usual_s)
     if not idempotent or not enabled or delay_s is None:
         return None
     return delay_s if remaining_s - delay_s > max(times.usual_s, 0.001) else None
--- a/src/dotterelstand/request/relay.py
+++ b/src/dotterelstand/request/relay.py
@@ -7,7 +7,7 @@
 import trio
 
 from dotterelstand.codes import Result as ResultCode
-from dotterelstand.connection.caller import CallerConnection
+from dotterelstand.connection.caller import CallerRequest
 from dotterelstand.connection.target import AnswerEvent, TargetConnection
 from dotterelstand.request.attempt import AnswerHead
 from dotterelstand.request.fields import HeaderFields
@@ -31,7 +31,7 @@
 
     def __init__(
         self,
-        caller: CallerConnection,
+        caller: CallerRequest,
         target: TargetConnection,
         max_kept: int,
         progress: Callable[[], None],
--- /dev/null
+++ b/target/deps/_distutils_hack/override.py
@@ -0,0 +1,1 @@
+__import__('_distutils_hack').do_override()
--- /dev/null
+++ b/target/deps/attrs/converters.py
@@ -0,0 +1,3 @@
+# SPDX-License-Identifier: MIT
+
+from attr.converters import *  # noqa: F403
--- /dev/null
+++ b/target/deps/attrs/exceptions.py
@@ -0,0 +1,3 @@
+# SPDX-License-Identifier: MIT
+
+from attr.exceptions import *  # noqa: F403
--- /dev/null
+++ b/target/deps/attrs/filters.py
@@ -0,0 +1,3 @@
+# SPDX-License-Identifier: MIT
+
+from attr.filters import *  # noqa: F403
--- /dev/null
+++ b/target/deps/attrs/setters.py
@@ -0,0 +1,3 @@
+# SPDX-License-Identifier: MIT
+
+from attr.setters import *  # noqa: F403
--- /dev/null
+++ b/target/deps/attrs/validators.py
@@ -0,0 +1,3 @@
+# SPDX-License-Identifier: MIT
+
+from attr.validators import *  # noqa: F403
--- /dev/null
+++ b/target/deps/dotterelstand/__init__.py
@@ -0,0 +1,1 @@
+"""A load balancer for servers whose load shifts in milliseconds."""
--- /dev/null
+++ b/target/deps/dotterelstand/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the policies and randomised runs."""
--- /dev/null
+++ b/target/deps/dotterelstand/bench/capacity.py
@@ -0,0 +1,162 @@
+"""Slopes from which docs/CAPACITY.md works out the cost of control at the two-year size."""
+
+import gc
+import random
+import sys
+import time
+import tracemalloc
+
+import fire
+import trio
+from absl import logging
+
+from dotterelstand.bench.soakcallers import Callers
+from dotterelstand.bench.soakfleet import SoakFleet
+from dotterelstand.process.daemon import Daemon
+from dotterelstand.settings import default_settings
+from dotterelstand.standin.freeze import Freezer
+from dotterelstand.standin.network import FakeNetwork
+from dotterelstand.standin.virtual import run_virtual, seeded_random
+from dotterelstand.version.document import build_document
+
+HOST_COUNTS = (3, 6, 12, 24)
+SERVICE_COUNTS = (300, 750, 1500, 3000)
+RATES_PER_S = (10, 20, 40, 80)
+# 26,000 instances in 3,000 services.
+TARGETS_PER_SERVICE = 9
+SETTLE_S = 10.0
+MEASURED_S = 30.0
+
+
+class Row:
+    """Measured values of one size, by name."""
+
+    __slots__ = ("size", "values")
+
+    def __init__(self, size: int, values: dict[str, float]) -> None:
+        self.size = size
+        self.values = values
+
+
+def measure_document(services: int) -> Row:
+    """Memory and processor time of a daemon that puts a document of many services in force."""
+    bodies = {f"team-{number}": _section(number) for number in range(services)}
+    gc.collect()
+    tracemalloc.start()
+    document = build_document(1, bodies).unwrap()
+    held, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    began = time.process_time()
+    build_document(2, bodies).unwrap()
+    build_s = time.process_time() - began
+    apply_s = run_virtual(_apply, document, seed=1)
+    return Row(
+        services,
+        {"document MB": held / 1e6, "build ms": build_s * 1e3, "apply ms": apply_s * 1e3},
+    )
+
+
+async def _apply(document: object) -> float:
+    network = FakeNetwork(lambda one, other: 0.0)
+    daemon = Daemon(default_settings(), network.at("10.0.0.1"), random.Random(1))
+    began = time.process_time()
+    daemon.broker.apply(document)  # type: ignore[arg-type]
+    return time.process_time() - began
+
+
+def measure_fleet(hosts: int, rate_per_s: float, seed: int) -> Row:
+    """Control of one daemon in a fleet of `hosts` with calls at a rate over the whole fleet."""
+    values = run_virtual(_run_fleet, hosts, rate_per_s, seed, seed=seed)
+    return Row(hosts if not rate_per_s else int(rate_per_s), values)
+
+
+async def _run_fleet(hosts: int, rate_per_s: float, seed: int) -> dict[str, float]:
+    with Freezer() as freezer:
+        async with trio.open_nursery() as nursery:
+            fleet = SoakFleet(seed, nursery, freezer)
+            await fleet.start(hosts // 3)
+            await trio.sleep(SETTLE_S)
+            before = _counters(fleet)
+            began = time.process_time()
+            if rate_per_s:
+                async with trio.open_nursery() as calling:
+                    callers = Callers(fleet, calling, seeded_random(seed, "callers"))
+                    calling.start_soon(callers.run, rate_per_s, MEASURED_S)
+            else:
+                await trio.sleep(MEASURED_S)
+            used_s = time.process_time() - began
+            after = _counters(fleet)
+            nursery.cancel_scope.cancel()
+    per_host_s = hosts * MEASURED_S
+    values = {name: (after[name] - before[name]) / per_host_s for name in after}
+    values["core %"] = 100 * used_s / per_host_s
+    return values
+
+
+def _counters(fleet: SoakFleet) -> dict[str, float]:
+    sums = {"peer bytes/s": 0.0, "other-region bytes/s": 0.0, "measuring bytes/s": 0.0}
+    for host in fleet.live_hosts():
+        assert host.daemon is not None
+        counters = host.daemon.metrics.counters()
+        local = counters.get("peers.sent_bytes.local", 0)
+        other = counters.get("peers.sent_bytes.other", 0)
+        sums["peer bytes/s"] += local + other
+        sums["other-region bytes/s"] += other
+        sums["measuring bytes/s"] += counters.get("measure.sent_bytes", 0)
+    sums["store calls/s"] = float(sum(fleet.store.counts.kinds.values()))
+    return sums
+
+
+def _section(number: int) -> str:
+    targets = "".join(
+        f'[[services.s{number}.targets]]\nname = "s{number}-{place}"\n'
+        f'address = "10.{number // 250}.{number % 250}.{place + 1}"\nport = 8000\n'
+        'region = "tema"\navailability_zone = "tema-1"\n'
+        for place in range(TARGETS_PER_SERVICE)
+    )
+    route = f'[[routes]]\nprefix = "/s{number}"\nmethods = ["GET"]\nservice = "s{number}"\n'
+    return f'owner = "team-{number}"\n[services.s{number}]\nslots = 2\n{targets}{route}'
+
+
+def format_table(title: str, unit: str, rows: list[Row]) -> str:
+    """Markdown table with one line for each size."""
+    names = list(rows[0].values)
+    lines = [f"### {title}", "", "| " + " | ".join([unit, *names]) + " |"]
+    lines.append("| --- " * (len(names) + 1) + "|")
+    for row in rows:
+        cells = [f"{row.values[name]:.3g}" for name in names]
+        lines.append("| " + " | ".join([str(row.size), *cells]) + " |")
+    return "\n".join([*lines, ""])
+
+
+def capacity_report(seed: int) -> str:
+    """All slopes as Markdown tables."""
+    return "\n".join(
+        [
+            format_table(
+                f"Document, {TARGETS_PER_SERVICE} targets a service",
+                "services",
+                [measure_document(count) for count in SERVICE_COUNTS],
+            ),
+            format_table(
+                "Idle daemon in a full mesh, each host",
+                "hosts",
+                [measure_fleet(count, 0, seed) for count in HOST_COUNTS],
+            ),
+            format_table(
+                "Six hosts under load, each host",
+                "calls/s in all",
+                [measure_fleet(6, rate, seed) for rate in RATES_PER_S],
+            ),
+        ]
+    )
+
+
+def main(seed: int = 1) -> None:
+    """Print the slopes; processor times include the in-memory network and fake targets."""
+    logging.set_verbosity(logging.ERROR)
+    sys.stdout.write(capacity_report(seed))
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- /dev/null
+++ b/target/deps/dotterelstand/bench/documentfaults.py
@@ -0,0 +1,201 @@
+"""Random faults around accepted versions of the document, in virtual time, and their judge.
+
+Run `python -m dotterelstand.bench.documentfaults --seeds 1000` for more seeds than the tests use.
+"""
+
+import random
+import sys
+from collections import Counter
+
+import fire
+import trio
+from returns.pipeline import is_successful
+
+from dotterelstand.standin.entryfleet import REGIONS, Fleet, change
+from dotterelstand.standin.virtual import run_virtual, seeded_random
+from dotterelstand.version.accept import OUTCOME_UNKNOWN
+from dotterelstand.version.manifest import ManifestRecord, parse_manifest
+
+HOSTS = 6
+SECTIONS = ("quotes", "orders", "artwork", "booking")
+FAULTS_FOR_S = 25.0
+# Time without faults after which every host must have the last version. The longest late write
+# and the bound of 3 s fit in it, and the pauses of links and watches after an outage.
+CALM_S = 15.0
+
+
+class Edit:
+    """One submitted change and how it ended: its number, or the code of its refusal."""
+
+    __slots__ = ("code", "digest", "number", "section")
+
+    def __init__(self, section: str, digest: str, number: int, code: int) -> None:
+        self.section = section
+        self.digest = digest
+        self.number = number
+        self.code = code
+
+
+class DocumentRun:
+    """One run: a small fleet, editors, and faults that overlap."""
+
+    __slots__ = ("_ports", "edits", "faults", "fleet", "rng")
+
+    def __init__(self, fleet: Fleet, rng: random.Random) -> None:
+        self.fleet = fleet
+        self.rng = rng
+        self.edits: list[Edit] = []
+        self.faults: Counter[str] = Counter()
+        self._ports = iter(range(1024, 65536))
+
+    async def run(self) -> None:
+        """Edit under faults, end the faults, and judge what is stored and in force."""
+        await self.fleet.start_all()
+        await trio.sleep(2)
+        async with trio.open_nursery() as nursery:
+            with trio.move_on_after(FAULTS_FOR_S):
+                async with trio.open_nursery() as faulty:
+                    for _ in range(3):
+                        faulty.start_soon(self._make_faults)
+                    for _ in range(2):
+                        faulty.start_soon(self._edit_often, nursery)
+            await self._end_faults()
+            # Edits that began under faults end by themselves.
+        await trio.sleep(CALM_S)
+        self.judge()
+
+    def judge(self) -> None:
+        """Assert that accepted edits are in the history once, refused ones never, all in force."""
+        head = self._stored("document/head")
+        final = head.number if head is not None else 0
+        assert set(self.fleet.numbers().values()) == {final}, (final, self.fleet.numbers())
+        chain = [self._stored(f"document/history/{number}") for number in range(1, final)]
+        chain.append(head)
+        changes: Counter[str] = Counter()
+        former: dict[str, str] = {}
+        for number, record in enumerate(chain, start=1):
+            if record is None:
+                assert final == 0, f"history lacks version {number}"
+                continue
+            assert record.number == number, (record.number, number)
+            digests = record.digests()
+            fresh = [name for name, digest in digests.items() if former.get(name) != digest]
+            assert len(fresh) == 1, f"version {number} changes {fresh}"
+            changes[digests[fresh[0]]] += 1
+            former = digests
+        for edit in self.edits:
+            count = changes[edit.digest]
+            if edit.code == 0:
+                assert count == 1, f"accepted edit {edit.number} is {count} times in the history"
+            elif edit.code != OUTCOME_UNKNOWN:
+                assert count == 0, f"edit refused with {edit.code} is in the history"
+
+    def _stored(self, name: str) -> ManifestRecord | None:
+        answer = self.fleet.store.get(name)
+        return parse_manifest(answer.body).unwrap() if answer.status == 200 else None
+
+    async def _edit_often(self, nursery: trio.Nursery) -> None:
+        while True:
+            await trio.sleep(self.rng.expovariate(1.0))
+            running = sorted(self.fleet.spreads)
+            if running:
+                nursery.start_soon(self._edit, self.rng.choice(running))
+
+    async def _edit(self, host: str) -> None:
+        port = next(self._ports)
+        edited = change(self.rng.choice(SECTIONS), port)
+        # Every edit draws its write identifier from a source of its own.
+        acceptor = self.fleet.acceptor(host, port)
+        result = await acceptor.submit(edited)
+        accepted = is_successful(result)
+        number = result.unwrap() if accepted else 0
+        code = 0 if accepted else result.failure().code
+        self.edits.append(Edit(edited.section, edited.digest, number, code))
+
+    async def _make_faults(self) -> None:
+        kinds = (self._trouble_store, self._crash_host, self._part_region)
+        while True:
+            await trio.sleep(self.rng.uniform(0.5, 4.0))
+            await self.rng.choice(kinds)()
+
+    async def _trouble_store(self) -> None:
+        faults, rng = self.fleet.store.faults, self.rng
+        name, value = rng.choice(
+            (
+                ("down", True),
+                ("silent", True),
+                ("slow_s", 0.4),
+                ("read_lag_s", 2.0),
+                ("watch_lag_s", 1.0),
+                ("hosts_lag_s", 5.0),
+                ("lose_answer", 0.5),
+                ("lose_write", 0.3),
+                ("late_write", 0.3),
+            )
+        )
+        self.faults[name] += 1
+        faults.late_write_s = 2.5
+        faults.slow_spread = 0.8
+        setattr(faults, name, value)
+        await trio.sleep(rng.uniform(1.0, 6.0))
+        setattr(faults, name, False if value is True else 0.0)
+
+    async def _crash_host(self) -> None:
+        running = sorted(self.fleet.peers)
+        if len(running) < 3:
+            return
+        name = self.rng.choice(running)
+        self.faults["crash"] += 1
+        self.fleet.crash(name)
+        with trio.CancelScope(shield=True):
+            await trio.sleep(self.rng.uniform(0.2, 5.0))
+            await self.fleet.start(name)
+
+    async def _part_region(self) -> None:
+        region = self.rng.choice(REGIONS)
+        self.faults["parting"] += 1
+        self.fleet.part_region(region)
+        await trio.sleep(self.rng.uniform(1.0, 8.0))
+        self.fleet.heal_region(region)
+
+    async def _end_faults(self) -> None:
+        self.fleet.store.faults.clear()
+        for region in REGIONS:
+            self.fleet.heal_region(region)
+
+
+async def _run(seed: int) -> DocumentRun:
+    async with trio.open_nursery() as nursery:
+        fleet = Fleet(nursery, HOSTS, seed, documents=True)
+        run = DocumentRun(fleet, seeded_random(seed, "faults"))
+        await run.run()
+        nursery.cancel_scope.cancel()
+    return run
+
+
+def run_seed(seed: int) -> DocumentRun:
+    """One run; raises `AssertionError` if a promise is broken."""
+    return run_virtual(_run, seed, seed=seed)
+
+
+def run_seeds(seeds: int = 50, first: int = 1) -> None:
+    """Run several seeds and print what happened in them."""
+    codes: Counter[int] = Counter()
+    faults: Counter[str] = Counter()
+    failed = []
+    for seed in range(first, first + seeds):
+        try:
+            run = run_seed(seed)
+        except BaseExceptionGroup as group:
+            failed.append(seed)
+            print(f"seed {seed}: {group.exceptions}", file=sys.stderr)
+            continue
+        codes.update(edit.code for edit in run.edits)
+        faults.update(run.faults)
+    print(f"{seeds} seeds, {len(failed)} failed {failed}")
+    print("edits by code, 0 is accepted:", dict(sorted(codes.items())))
+    print("faults:", dict(sorted(faults.items())))
+
+
+if __name__ == "__main__":
+    fire.Fire(run_seeds)
--- /dev/null
+++ b/target/deps/dotterelstand/bench/fleet.py
@@ -0,0 +1,337 @@
+"""Entry hosts with the real journal code in virtual time, for runs with faults."""
+
+import random
+from collections.abc import Callable
+
+import trio
+
+from dotterelstand.codes import Result as ResultCode
+from dotterelstand.codes import Run
+from dotterelstand.process.callbudget import CallLimits
+from dotterelstand.process.journalcall import Go, Recorded, done, not_run, unknown
+from dotterelstand.process.journalowner import OwnerSettings
+from dotterelstand.process.journalservice import JournalService
+from dotterelstand.process.journaltypes import JournalLimits
+from dotterelstand.process.lease import decode_lease
+from dotterelstand.process.mesh import Member
+from dotterelstand.process.store import StoreClient
+from dotterelstand.standin.freeze import Freezer, enter_host
+from dotterelstand.standin.httpd import HttpAnswer, serve_http
+from dotterelstand.standin.mesh import FakeMesh, MeshHub
+from dotterelstand.standin.network import FakeNetwork
+from dotterelstand.standin.platform import ObjectStore
+
+STORE_PORT = 8060
+# One-way latencies of the deployments, in seconds (design page, section 1.3). The design counts
+# 24 ms for a round trip between regions, so its 12 ms are one way.
+SAME_REGION_S = 0.0005
+CROSS_REGION_S = 0.012
+
+
+class Reply:
+    """What a caller is told: result code and body."""
+
+    __slots__ = ("body", "code")
+
+    def __init__(self, code: ResultCode, body: bytes = b"") -> None:
+        self.code = code
+        self.body = body
+
+
+class FakeTarget:
+    """Executes requests and records each attempt that it ran; the judge of a run."""
+
+    __slots__ = ("_nursery", "_random", "fail", "mean_s", "refuse", "runs", "silent")
+
+    def __init__(self, nursery: trio.Nursery, rng: random.Random, mean_s: float) -> None:
+        self._nursery = nursery
+        self._random = rng
+        self.mean_s = mean_s
+        self.runs: dict[bytes, list[int]] = {}
+        self.refuse = 0.0
+        self.fail = 0.0
+        self.silent = 0.0
+
+    def start(self, key: bytes, attempt: int, answered: Callable[[Reply], None]) -> None:
+        """Take over a request; it runs even if the host that sent it is lost."""
+        self._nursery.start_soon(self._execute, key, attempt, answered)
+
+    async def _execute(self, key: bytes, attempt: int, answered: Callable[[Reply], None]) -> None:
+        enter_host("")
+        await trio.sleep(SAME_REGION_S)
+        if self._random.random() < self.refuse:
+            answered(Reply(ResultCode.TARGET_REFUSED))
+            return
+        self.runs.setdefault(key, []).append(attempt)
+        await trio.sleep(self._random.expovariate(1 / self.mean_s))
+        if self._random.random() < self.fail:
+            answered(Reply(ResultCode.CONNECTION_LOST))
+        elif self._random.random() >= self.silent:
+            answered(Reply(ResultCode.ANSWERED, b"%d" % attempt))
+
+
+class JudgedStore(ObjectStore):
+    """Object store that notes head updates by which an epoch would go backwards or be shared."""
+
+    __slots__ = ("_heads", "violations")
+
+    def __init__(self, seed: int) -> None:
+        super().__init__(seed)
+        self._heads: dict[str, tuple[int, str]] = {}
+        self.violations: list[str] = []
+
+    def put(self, name: str, body: bytes, headers: dict[str, str]) -> HttpAnswer:
+        """Conditional update."""
+        answer = super().put(name, body, headers)
+        if answer.status == 200 and name.endswith("/head"):
+            record = decode_lease(body).unwrap()
+            epoch, owner = self._heads.get(name, (0, ""))
+            if record.epoch < epoch or (record.epoch == epoch and record.owner != owner):
+                self.violations.append(f"{name}: epoch {record.epoch} written after {epoch}")
+            self._heads[name] = (record.epoch, record.owner)
+        return answer
+
+
+class SimulatedHost:
+    """One incarnation of an entry host: its journal service and the requests that it serves."""
+
+    __slots__ = (
+        "_nursery",
+        "_request_limit_s",
+        "_target",
+        "context",
+        "lost",
+        "mesh",
+        "name",
+        "service",
+    )
+
+    def __init__(
+        self,
+        name: str,
+        context: str,
+        mesh: FakeMesh,
+        service: JournalService,
+        target: FakeTarget,
+        request_limit_s: float,
+    ) -> None:
+        self.name = name
+        # Differs between the incarnations of a host, so that a frozen one stays frozen alone.
+        self.context = context
+        self.mesh = mesh
+        self.service = service
+        self.lost = False
+        self._target = target
+        self._request_limit_s = request_limit_s
+        self._nursery: trio.Nursery | None = None
+
+    async def run(self) -> None:
+        """Run until the host is lost or has stopped."""
+        enter_host(self.context)
+        async with trio.open_nursery() as self._nursery:
+            await self.service.run()
+            # A host that stopped answers requests, as not run, until it is gone.
+            await trio.sleep_forever()
+
+    def crash(self) -> None:
+        """End all tasks of the host."""
+        self.lost = True
+        if self._nursery is not None:
+            self._nursery.cancel_scope.cancel()
+
+    def stop(self) -> None:
+        """Begin a planned stop."""
+        self.mesh.member.leaving = True
+        if self._nursery is not None:
+            self._nursery.start_soon(self.service.stop)
+
+    def accept(self, key: bytes, body: bytes, attempt: int, told: Callable[[Reply], None]) -> None:
+        """Begin to serve a request; a lost host ignores it."""
+        if self._nursery is not None and not self.lost:
+            self._nursery.start_soon(self.serve, key, body, attempt, told)
+
+    async def serve(
+        self, key: bytes, body: bytes, attempt: int, told: Callable[[Reply], None]
+    ) -> None:
+        """Serve one keyed request as the request path does; `told` gets the caller's answer."""
+        enter_host(self.context)
+        await trio.lowlevel.checkpoint()
+        reply = Reply(ResultCode.DEADLINE_PASSED)
+        with trio.move_on_after(self._request_limit_s):
+            begun = await self.service.begin(key, body, "orders")
+            if isinstance(begun, Recorded):
+                reply = Reply(ResultCode.REPLAYED, begun.body)
+            elif isinstance(begun, Go):
+                reply = await self._forward(begun, key, attempt)
+            else:
+                reply = Reply(begun.code)
+        await trio.lowlevel.checkpoint()
+        if not self.lost:
+            told(reply)
+
+    async def _forward(self, go: Go, key: bytes, attempt: int) -> Reply:
+        outcome = unknown(ResultCode.CONNECTION_LOST)
+        reply = Reply(ResultCode.CONNECTION_LOST)
+        sent = False
+        try:
+            await trio.sleep(SAME_REGION_S)
+            reply = Reply(ResultCode.DEADLINE_PASSED)
+            sent = True
+            reply = await self._await_answer(key, attempt)
+            if reply.code is ResultCode.ANSWERED:
+                outcome = done(200, [(b"x-attempt", b"%d" % attempt)], reply.body)
+            elif reply.code.run is Run.NOT_RUN:
+                outcome = not_run(reply.code)
+            return reply
+        finally:
+            if not sent:
+                outcome = not_run(ResultCode.CONNECT_FAILED)
+            self.service.finish(go, outcome)
+
+    async def _await_answer(self, key: bytes, attempt: int) -> Reply:
+        answered = trio.Event()
+        replies: list[Reply] = []
+
+        def receive(reply: Reply) -> None:
+            replies.append(reply)
+            answered.set()
+
+        self._target.start(key, attempt, receive)
+        await answered.wait()
+        return replies[0]
+
+
+class FleetShape:
+    """Size and times of a simulated fleet, in seconds."""
+
+    __slots__ = ("clock_spread", "hosts", "partitions", "regions", "request_limit_s", "target_s")
+
+    def __init__(
+        self,
+        hosts: int = 5,
+        regions: int = 2,
+        partitions: int = 1,
+        clock_spread: float = 0.05,
+        request_limit_s: float = 2.0,
+        target_s: float = 0.01,
+    ) -> None:
+        self.hosts = hosts
+        self.regions = regions
+        self.partitions = partitions
+        self.clock_spread = clock_spread
+        self.request_limit_s = request_limit_s
+        self.target_s = target_s
+
+
+class Fleet:
+    """Hosts, store, mesh and target of one run."""
+
+    __slots__ = (
+        "_incarnation",
+        "_nursery",
+        "_random",
+        "freezer",
+        "hosts",
+        "hub",
+        "limits",
+        "network",
+        "owner_region",
+        "shape",
+        "store",
+        "target",
+    )
+
+    def __init__(
+        self, nursery: trio.Nursery, freezer: Freezer, shape: FleetShape, rng: random.Random
+    ) -> None:
+        self._nursery = nursery
+        self._random = rng
+        self.freezer = freezer
+        self.shape = shape
+        self.limits = JournalLimits(partitions=shape.partitions, segment_bytes=6000)
+        self.owner_region = ""
+        self.network = FakeNetwork(self._address_latency_s)
+        self.store = JudgedStore(rng.getrandbits(32))
+        self.hub = MeshHub(region_latency_s)
+        self.target = FakeTarget(nursery, random.Random(rng.getrandbits(32)), shape.target_s)
+        self.hosts: dict[str, SimulatedHost] = {}
+        self._incarnation = 0
+
+    async def start(self) -> None:
+        """Start the store, the mesh and the hosts."""
+        listener = await self.network.at("r0/store").listen("r0/store", STORE_PORT)
+
+        async def serve(stream: trio.abc.Stream) -> None:
+            enter_host("")
+            await serve_http(stream, self.store.handle)
+
+        self._nursery.start_soon(listener.serve, serve, self._nursery)
+        self._nursery.start_soon(self.hub.run)
+        await trio.lowlevel.checkpoint()
+        for number in range(self.shape.hosts):
+            self.start_host(f"r{number % self.shape.regions}/entry-{number}")
+
+    def start_host(self, name: str) -> None:
+        """Start a host, or the replacement of a lost one of the same name."""
+        region = name.split("/")[0]
+        mesh = self.hub.join(Member(name, region, f"{region}-1", False))
+        # Times that are scaled by one factor stand for a clock that runs at another rate.
+        rate = 1.0 + self._random.uniform(-self.shape.clock_spread, self.shape.clock_spread)
+        client = StoreClient(
+            "r0/store",
+            STORE_PORT,
+            self.network.at(name),
+            1.0 * rate,
+            CallLimits(read_burst=256),
+            random.Random(self._random.getrandbits(32)),
+        )
+        service = JournalService(
+            client,
+            mesh,
+            OwnerSettings(2.0 * rate, 8.0 / rate, 0.25 * rate, self.owner_region),
+            self.limits,
+            random.Random(self._random.getrandbits(32)),
+            1.0 * rate,
+        )
+        self._incarnation += 1
+        context = f"{name}#{self._incarnation}"
+        host = SimulatedHost(name, context, mesh, service, self.target, self.shape.request_limit_s)
+        self.hosts[name] = host
+        self._nursery.start_soon(host.run)
+
+    def owner(self, partition: int = 0) -> str | None:
+        """Name of a live host that holds the partition, or None."""
+        for name, host in self.hosts.items():
+            if not host.lost and host.service.partitions[partition].epoch:
+                return name
+        return None
+
+    def lose(self, name: str) -> None:
+        """Lose a host with everything in its memory."""
+        self.hub.lose(name)
+        self.network.crash(name)
+        self.hosts[name].crash()
+
+    def pause(self, name: str, paused: bool) -> None:
+        """Freeze a host, or let it continue."""
+        host = self.hosts[name]
+        host.mesh.paused = paused
+        if paused:
+            self.freezer.freeze(host.context)
+        else:
+            self.freezer.thaw(host.context)
+            self.hub.wake()
+
+    def submit(
+        self, name: str, key: bytes, body: bytes, attempt: int, told: Callable[[Reply], None]
+    ) -> None:
+        """Send a request to a host; a lost host never answers."""
+        self.hosts[name].accept(key, body, attempt, told)
+
+    def _address_latency_s(self, one: str, other: str) -> float:
+        return region_latency_s(one.split("/")[0], other.split("/")[0])
+
+
+def region_latency_s(one: str, other: str) -> float:
+    """One-way latency between two regions, in seconds."""
+    return SAME_REGION_S if one == other else CROSS_REGION_S
--- /dev/null
+++ b/target/deps/dotterelstand/bench/mutations.py
@@ -0,0 +1,158 @@
+"""Deliberate faults in the journal, which the randomised proof must catch."""
+
+from collections.abc import Callable, Iterator
+from contextlib import AbstractContextManager, contextmanager, nullcontext
+from typing import Any
+from unittest import mock
+
+import trio
+from returns.pipeline import is_successful
+from returns.result import Failure, Result, Success
+
+from dotterelstand.codes import Result as ResultCode
+from dotterelstand.codes import Run
+from dotterelstand.process.entry import Answer, Claim, Entry, State
+from dotterelstand.process.journal import Journal
+from dotterelstand.process.journalowner import PartitionOwner
+from dotterelstand.process.journaltypes import Batch, Reply
+from dotterelstand.process.lease import LOST, NOT_WRITTEN, Lease, LeaseError, LeaseRecord
+from dotterelstand.process.store import CONFLICT, UNCERTAIN
+from dotterelstand.standin.platform import ObjectStore
+
+Mutation = AbstractContextManager[Any]
+
+
+def _go_before_write() -> Mutation:
+    """The permission is given when the intent is staged, before it is written."""
+    begin = PartitionOwner.begin
+
+    def mutant(
+        self: PartitionOwner, key: bytes, digest: bytes, service: str, claim: Claim
+    ) -> Reply | None:
+        reply = begin(self, key, digest, service, claim)
+        if reply is None:
+            self._events.allow(claim, self.epoch)
+        return reply
+
+    return mock.patch.object(PartitionOwner, "begin", mutant)
+
+
+def _go_after_failed_write() -> Mutation:
+    """The permission is given although the update did not take effect."""
+
+    def mutant(self: PartitionOwner, intents: list[Entry], code: ResultCode) -> None:
+        for entry in intents:
+            self._events.allow(entry.claim, entry.epoch)
+
+    return mock.patch.object(PartitionOwner, "_refuse", mutant)
+
+
+def _unconditional_update() -> Mutation:
+    """Updates of the head carry no condition."""
+    return mock.patch.object(ObjectStore, "_matches", lambda self, name, headers: True)
+
+
+def _lost_answer_is_success() -> Mutation:
+    """An update without an answer counts as written."""
+
+    async def mutant(self: Lease, record: LeaseRecord) -> Result[None, LeaseError]:
+        result = await self._store.write(self._name, record.encode(), self._version)
+        if is_successful(result):
+            self._version = result.unwrap().version
+        elif result.failure().code != UNCERTAIN:
+            lost = result.failure().code == CONFLICT
+            return Failure(LeaseError(LOST if lost else NOT_WRITTEN, str(result.failure())))
+        return Success(None)
+
+    return mock.patch.object(Lease, "_write_until_settled", mutant)
+
+
+def _lost_answer_is_failure() -> Mutation:
+    """An update without an answer counts as not written, whatever the store holds then."""
+
+    async def mutant(self: Lease, record: LeaseRecord) -> Result[None, LeaseError]:
+        result = await self._store.write(self._name, record.encode(), self._version)
+        if is_successful(result):
+            self._version = result.unwrap().version
+            return Success(None)
+        await trio.sleep(0.05)
+        seen = await self._store.read(self._name)
+        if is_successful(seen):
+            self._version = seen.unwrap().version
+        return Failure(LeaseError(NOT_WRITTEN, str(result.failure())))
+
+    return mock.patch.object(Lease, "_write_until_settled", mutant)
+
+
+def _epoch_ignored() -> Mutation:
+    """A takeover treats the intents of older epochs as if they had never been recorded."""
+    load = Journal.finish_load
+
+    def mutant(self: Journal) -> None:
+        load(self)
+        for key, entry in list(self._records.items()):
+            if entry.state is State.RUNNING:
+                del self._records[key]
+
+    return mock.patch.object(Journal, "finish_load", mutant)
+
+
+def _claim_ignored() -> Mutation:
+    """An outcome counts for whatever request the key has now."""
+    finish = Journal.finish
+
+    def mutant(
+        self: Journal, now: float, key: bytes, claim: Claim, code: ResultCode, answer: Answer | None
+    ) -> bool:
+        known = self._records.get(key)
+        return finish(self, now, key, known.claim if known else claim, code, answer)
+
+    return mock.patch.object(Journal, "finish", mutant)
+
+
+def _unknown_frees_key() -> Mutation:
+    """A request whose outcome is unknown counts as not run."""
+    finish = Journal.finish
+
+    def mutant(
+        self: Journal, now: float, key: bytes, claim: Claim, code: ResultCode, answer: Answer | None
+    ) -> bool:
+        freed = ResultCode.CONNECT_FAILED if code.run is Run.UNKNOWN else code
+        return finish(self, now, key, claim, freed, answer)
+
+    return mock.patch.object(Journal, "finish", mutant)
+
+
+def _segments_skipped() -> Mutation:
+    """A takeover reads the head and not the segments."""
+    return mock.patch.object(Journal, "apply_segment", lambda self, entries: None)
+
+
+def _segment_after_head() -> Mutation:
+    """The head lists a segment that was not written."""
+
+    async def mutant(self: PartitionOwner, batch: Batch) -> bool:
+        return True
+
+    return mock.patch.object(PartitionOwner, "_write_segment", mutant)
+
+
+MUTATIONS: dict[str, Callable[[], Mutation]] = {
+    "go_before_write": _go_before_write,
+    "go_after_failed_write": _go_after_failed_write,
+    "unconditional_update": _unconditional_update,
+    "lost_answer_is_success": _lost_answer_is_success,
+    "lost_answer_is_failure": _lost_answer_is_failure,
+    "epoch_ignored": _epoch_ignored,
+    "claim_ignored": _claim_ignored,
+    "unknown_frees_key": _unknown_frees_key,
+    "segments_skipped": _segments_skipped,
+    "segment_after_head": _segment_after_head,
+}
+
+
+@contextmanager
+def mutated(name: str) -> Iterator[None]:
+    """Run with one mutation in force; "" for none."""
+    with MUTATIONS[name]() if name else nullcontext():
+        yield
--- /dev/null
+++ b/target/deps/dotterelstand/bench/policy.py
@@ -0,0 +1,228 @@
+"""Policy benchmark: latencies of all policies, and the figures of design 1.6 on selection."""
+
+from collections.abc import Callable
+from pathlib import Path
+
+import numpy as np
+
+from dotterelstand.bench.plots import plot_latencies
+from dotterelstand.bench.policies import BASELINES, Policy, baseline
+from dotterelstand.bench.probebytes import probe_bytes
+from dotterelstand.bench.report import Figure, Section
+from dotterelstand.bench.runs import RunResult, run_scenario
+from dotterelstand.bench.slotpolicy import SlotPolicy
+from dotterelstand.bench.world import Scenario, World
+from dotterelstand.process.measure import MeasureLimit
+from dotterelstand.process.tuning import SelectionTuning
+
+SLOTS = "slot dispatcher"
+HEDGED = "slot dispatcher, hedged"
+POLICIES = (*BASELINES[:-1], SLOTS, HEDGED, BASELINES[-1])
+RETRY_SHARE = 0.1
+CALLS = 20000
+SEEDS = 3
+
+
+class Deployment:
+    """Main service of one operator."""
+
+    __slots__ = ("instances", "name", "slots")
+
+    def __init__(self, name: str, instances: int, slots: int) -> None:
+        self.name = name
+        self.instances = instances
+        self.slots = slots
+
+
+DEPLOYMENTS = (
+    Deployment("Asante-Boakye 17x2", 17, 2),
+    Deployment("Styrkeloft 21x4", 21, 4),
+)
+NETWORKS = {"flat": 1, "three regions": 3}
+# Bounds of design 1.6 by load: ratio of the p99 to the single queue's.
+QUEUE_BOUNDS = {0.75: 1.10, 0.9: 1.25}
+TWO_CHOICES_BOUND = 0.75
+BYTES_BOUND = 0.1
+STRAGGLER_BOUND = 1.3
+FAILURE_BOUND = 0.02
+LOADS = (0.5, 0.75, 0.9)
+
+
+class Pooled:
+    """Latencies of runs that differ only by their seed."""
+
+    __slots__ = ("bytes_per_call", "failed", "latencies", "results")
+
+    def __init__(self, results: list[RunResult]) -> None:
+        self.results = results
+        self.latencies = np.concatenate([result.latencies for result in results])
+        self.bytes_per_call = float(np.mean([result.bytes_per_call for result in results]))
+        self.failed = sum(result.failed for result in results)
+
+    def quantile_ms(self, percent: float) -> float:
+        """Latency in milliseconds at a percentile."""
+        return float(np.percentile(self.latencies, percent)) * 1000
+
+
+def make_policy(name: str) -> Callable[[World], Policy]:
+    """Maker of a policy by its name in the report."""
+    if name == SLOTS:
+        return lambda world: SlotPolicy(world, SelectionTuning())
+    if name == HEDGED:
+        return lambda world: SlotPolicy(world, SelectionTuning(), hedge_share=RETRY_SHARE)
+    return lambda world: baseline(world, name, probe_bytes())
+
+
+def run_pooled(name: str, seeds: range, make_scenario: Callable[[int], Scenario]) -> Pooled:
+    """Run a policy on the scenario of each seed."""
+    make = make_policy(name)
+    return Pooled([run_scenario(make_scenario(seed), make) for seed in seeds])
+
+
+def _scenario(
+    deployment: Deployment,
+    regions: int,
+    load: float,
+    calls: int,
+    straggler: float = 1.0,
+    failing: bool = False,
+) -> Callable[[int], Scenario]:
+    def make(seed: int) -> Scenario:
+        return Scenario(
+            deployment.instances,
+            deployment.slots,
+            regions,
+            load,
+            calls,
+            seed,
+            straggler=straggler,
+            failing=failing,
+        )
+
+    return make
+
+
+def run_policy(seed: int, out: Path, scale: float) -> Section:
+    """Run every policy on both deployments and networks."""
+    section = Section("Target selection")
+    section.text.append(_assumptions())
+    calls = max(2000, int(CALLS * scale))
+    seeds = range(seed, seed + SEEDS)
+    for deployment in DEPLOYMENTS:
+        for network, regions in NETWORKS.items():
+            where = f"{deployment.name}, {network}"
+            _compare_policies(section, deployment, regions, where, seeds, calls, out)
+            _measure_straggler(section, deployment, regions, where, seeds, calls)
+            _measure_fail_fast(section, deployment, regions, where, seeds, calls)
+    _measure_region_links(section, seed, calls)
+    return section
+
+
+def _compare_policies(
+    section: Section,
+    deployment: Deployment,
+    regions: int,
+    where: str,
+    seeds: range,
+    calls: int,
+    out: Path,
+) -> None:
+    curves: dict[str, list[float]] = {name: [] for name in POLICIES}
+    rows = []
+    for load in LOADS:
+        runs = {
+            name: run_pooled(name, seeds, _scenario(deployment, regions, load, calls))
+            for name in POLICIES
+        }
+        ideal = runs["single queue"].quantile_ms(99)
+        for name, run in runs.items():
+            p99 = run.quantile_ms(99)
+            curves[name].append(p99)
+            cells = [f"{run.quantile_ms(50):.2f}", f"{p99:.2f}", f"{run.quantile_ms(99.9):.2f}"]
+            cells += [f"{p99 / ideal:.3f}", f"{run.bytes_per_call:.1f}", str(run.failed)]
+            rows.append([f"{load:.0%}", name, *cells])
+        if load in QUEUE_BOUNDS:
+            _add_ratios(section, runs, load, where)
+    section.text.append(f"### {where}\n")
+    heads = ["load", "policy", "p50 ms", "p99 ms", "p99.9 ms", "p99 / single queue"]
+    section.add_table([*heads, "bytes/call", "refused"], rows)
+    name = f"latency-{deployment.instances}x{deployment.slots}-{regions}.png"
+    plot_latencies(out / name, where, LOADS, curves)
+    section.plots.append(name)
+
+
+def _add_ratios(section: Section, runs: dict[str, Pooled], load: float, where: str) -> None:
+    ours = runs[SLOTS].quantile_ms(99)
+    ideal = runs["single queue"].quantile_ms(99)
+    two = runs["two choices"].quantile_ms(99)
+    add = section.figures.append
+    add(Figure(f"p99 / single queue, {load:.0%}, {where}", ours / ideal, QUEUE_BOUNDS[load]))
+    if load == 0.75:
+        add(Figure(f"p99 / two choices, 75%, {where}", ours / two, TWO_CHOICES_BOUND))
+        add(Figure(f"single queue / two choices, 75%, {where}", ideal / two, None))
+        share = runs[SLOTS].bytes_per_call / runs["three probes"].bytes_per_call
+        add(Figure(f"measuring bytes / three probes, {where}", share, BYTES_BOUND))
+
+
+def _measure_straggler(
+    section: Section, deployment: Deployment, regions: int, where: str, seeds: range, calls: int
+) -> None:
+    for name in (SLOTS, HEDGED):
+        p999 = [
+            run_pooled(
+                name, seeds, _scenario(deployment, regions, 0.75, 2 * calls, straggler=factor)
+            ).quantile_ms(99.9)
+            for factor in (1.0, 10.0)
+        ]
+        ratio = p999[1] / p999[0]
+        section.figures.append(
+            Figure(f"p99.9 with straggler / without, {name}, {where}", ratio, STRAGGLER_BOUND)
+        )
+
+
+def _measure_fail_fast(
+    section: Section, deployment: Deployment, regions: int, where: str, seeds: range, calls: int
+) -> None:
+    make = _scenario(deployment, regions, 0.75, calls, failing=True)
+    failed = {name: run_pooled(name, seeds, make).failed for name in ("random", SLOTS)}
+    share = failed[SLOTS] / max(1, failed["random"])
+    section.figures.append(
+        Figure(f"failures / random, one target fails fast, {where}", share, FAILURE_BOUND)
+    )
+    least = run_pooled("least own in flight", seeds, make).failed / max(1, failed["random"])
+    section.figures.append(
+        Figure(f"the same, least own in flight without ejection, {where}", least, None)
+    )
+
+
+def _measure_region_links(section: Section, seed: int, calls: int) -> None:
+    """Run with the default limits; the budget asserts them in every one-second window."""
+    host = MeasureLimit(65536, 4000)
+    region = MeasureLimit(4096, 50)
+    scenario = Scenario(17, 2, 3, 0.9, calls, seed)
+    result = run_scenario(
+        scenario, lambda world: SlotPolicy(world, SelectionTuning(), host, region)
+    )
+    assert isinstance(result.policy, SlotPolicy)
+    budgets = [core.budget for core in result.policy.cores]
+    peak_host = max(budget.peak_bytes() for budget in budgets)
+    peak_region = max(budget.peak_bytes(f"r{i}") for budget in budgets for i in range(3))
+    add = section.figures.append
+    add(Figure("most measuring bytes between regions in a second", peak_region, 4096))
+    add(Figure("most measuring bytes of a host in a second", peak_host, 65536))
+
+
+def _assumptions() -> str:
+    return (
+        "Queue model in virtual time, 16 entry hosts. Poisson arrivals, to each region in "
+        "proportion to its slots; service times exponential, mean 5 ms; each instance runs at a "
+        "third of its speed for 20 ms (mean) a tenth of the time. Load is relative to the "
+        "capacity with these disturbances. One-way latency: 0.1 ms in a zone (assumed; the flat "
+        "network is one zone), 0.5 ms between zones, 12 ms between regions. The single queue is "
+        "one per region, without any delay of knowledge. Latencies run from arrival at the entry "
+        f"host, without the first tenth of {CALLS} calls for each of {SEEDS} seeds. Measuring "
+        "bytes are the CBOR bytes of acquire, grant, release and refuse, each in its own websocket "
+        "frame (2 bytes, and 4 for the mask from the host that opened the link); a probe is "
+        f"{probe_bytes()} bytes of HTTP request and answer as h11 encodes them. TCP and IP headers "
+        "are counted on neither side.\n"
+    )
--- /dev/null
+++ b/target/deps/dotterelstand/bench/soak.py
@@ -0,0 +1,128 @@
+"""Long randomised runs of whole fleets in virtual time, with every fault of the requirements."""
+
+import sys
+
+import fire
+import trio
+from absl import logging
+
+from dotterelstand.bench.soakcallers import Callers, Request
+from dotterelstand.bench.soakfaults import FaultContext, run_faults
+from dotterelstand.bench.soakfleet import SoakFleet
+from dotterelstand.bench.soakjudge import Violation, find_violations
+from dotterelstand.bench.soakwatch import BrokenInvariants, find_daemon_faults, watch_versions
+from dotterelstand.standin.freeze import Freezer
+from dotterelstand.standin.virtual import run_virtual, seeded_random
+
+HOSTS_PER_REGION = 2
+RATE_PER_S = 20.0
+START_S = 5.0
+# Time after the last fault within which every promise about recovery must hold again.
+RECOVERY_S = 30.0
+# An accepted document is in force in every region within this time.
+DOCUMENT_BOUND_S = 3.0
+CALM_S = 10.0
+
+
+class SoakReport:
+    """Result of one run; `codes` counts attempts by result code.
+
+    `records` has what each caller was told and what each target ran, in order.
+    """
+
+    __slots__ = ("answered", "codes", "records", "requests", "violations")
+
+    def __init__(
+        self, fleet: SoakFleet, requests: list[Request], violations: list[Violation]
+    ) -> None:
+        self.requests = len(requests)
+        self.answered = sum(request.answered for request in requests)
+        self.violations = violations
+        self.codes: dict[int, int] = {}
+        for request in requests:
+            for told in request.told:
+                self.codes[told.code] = self.codes.get(told.code, 0) + 1
+        self.records = [
+            f"{request.path} {[(told.host, told.code, told.began) for told in request.told]}"
+            for request in requests
+        ]
+        for name, target in sorted(fleet.targets.items()):
+            self.records.extend(f"{name} {run.path} {run.state}" for run in target.runs)
+
+
+def run_soak(seed: int, seconds: float, rate_per_s: float = RATE_PER_S) -> SoakReport:
+    """Run one fleet for a time of faults, in virtual seconds; one seed gives one run."""
+    return run_virtual(_run, seed, seconds, rate_per_s, seed=seed)
+
+
+async def _run(seed: int, seconds: float, rate_per_s: float) -> SoakReport:
+    rng = seeded_random(seed, "soak")
+    violations: list[Violation] = []
+    with Freezer() as freezer, BrokenInvariants() as broken:
+        async with trio.open_nursery() as nursery:
+            fleet = SoakFleet(seed, nursery, freezer)
+            await fleet.start(HOSTS_PER_REGION)
+            nursery.start_soon(watch_versions, fleet, violations)
+            await trio.sleep(START_S)
+            async with trio.open_nursery() as calling:
+                callers = Callers(fleet, calling, seeded_random(seed, "callers"))
+                calling.start_soon(callers.run, rate_per_s, seconds)
+                async with trio.open_nursery() as failing:
+                    context = FaultContext(fleet, callers, rng)
+                    failing.start_soon(run_faults, context, failing, seconds)
+            fleet.store.faults.clear()
+            await trio.sleep(RECOVERY_S)
+            violations.extend(await _check_recovery(fleet, seed))
+            violations.extend(find_violations(fleet, callers.requests))
+            violations.extend(find_daemon_faults(fleet, broken))
+            nursery.cancel_scope.cancel()
+    return SoakReport(fleet, callers.requests, violations)
+
+
+async def _check_recovery(fleet: SoakFleet, seed: int) -> list[Violation]:
+    violations = []
+    number = fleet.accept_document()
+    await trio.sleep(DOCUMENT_BOUND_S)
+    for host in fleet.live_hosts():
+        document = host.daemon.document if host.daemon is not None else None
+        if document is None or document.number != number:
+            found = None if document is None else document.number
+            violations.append(
+                Violation("in force everywhere", f"{host.name} has {found}, not {number}")
+            )
+    async with trio.open_nursery() as nursery:
+        callers = Callers(fleet, nursery, seeded_random(seed, "calm"))
+        for index in range(100):
+            await trio.sleep(CALM_S / 100)
+            callers.send(
+                ("prices", "orders", "artwork")[index % 3], f"/{_KINDS[index % 3]}/c{index}"
+            )
+    for request in callers.requests:
+        if not request.answered or len(request.told) > 2:
+            codes = [told.code for told in request.told]
+            violations.append(Violation("recovery", f"{request.path} told {codes}"))
+    violations.extend(find_violations(fleet, callers.requests))
+    return violations
+
+
+_KINDS = ("prices", "orders", "artwork")
+
+
+def run_many(seed: int = 1, hours: float = 0.1, seeds: int = 1, rate: float = RATE_PER_S) -> None:
+    """Run `seeds` fleets from `seed` on for `hours` of virtual time; exit 1 on a violation."""
+    logging.set_verbosity(logging.ERROR)
+    failed = False
+    for number in range(seed, seed + seeds):
+        report = run_soak(number, hours * 3600, rate)
+        print(f"seed {number}: {report.requests} requests, {report.answered} answered", end="")
+        print(f", {len(report.violations)} violations, codes {dict(sorted(report.codes.items()))}")
+        for violation in report.violations[:20]:
+            failed = True
+            print(f"  {violation}")
+        if report.violations:
+            print(f"  repeat with: make soak SEED={number} HOURS={hours}")
+    sys.exit(1 if failed else 0)
+
+
+if __name__ == "__main__":
+    fire.Fire(run_many)
--- /dev/null
+++ b/target/deps/dotterelstand/bench/soakfleet.py
@@ -0,0 +1,291 @@
+"""A whole fleet of real daemons with fake targets and a fake platform, in virtual time."""
+
+import json
+import random
+from collections.abc import Callable
+
+import trio
+
+from dotterelstand.process.daemon import Daemon
+from dotterelstand.settings import Settings, parse_settings
+from dotterelstand.standin.freeze import Freezer, enter_host
+from dotterelstand.standin.httpd import serve_http
+from dotterelstand.standin.network import FakeNetwork
+from dotterelstand.standin.platform import ObjectStore
+from dotterelstand.standin.target import TargetServer
+from dotterelstand.standin.virtual import seeded_random
+from dotterelstand.version.document import section_digest
+
+REGIONS = ("tema", "kumasi", "takoradi")
+STORE_ADDRESS = "10.0.9.1"
+CALLER_PORT = 8080
+PEER_PORT = 8090
+STORE_PORT = 8060
+TARGET_PORT = 8000
+
+# One-way latencies of the deployments, in seconds.
+SAME_REGION_S = 0.0005
+CROSS_REGION_S = 0.012
+CALLER_S = 0.003
+
+# Targets of each service in each region, a third of the size of a deployment.
+TARGETS_PER_REGION = {"lookup": 3, "orders": 2, "artwork": 2}
+SLOTS = 2
+MEAN_SERVICE_S = 0.005
+
+# A request whose path begins so crashes each target that runs it.
+CRASH_PATH = "/prices/crash-"
+
+_ROUTES = """
+classes = ["interactive", "orders", "bulk"]
+
+[[routes]]
+prefix = "/prices"
+methods = ["GET"]
+service = "lookup"
+idempotent = true
+class = "interactive"
+deadline_ms = 2000
+
+[[routes]]
+prefix = "/orders"
+methods = ["POST"]
+service = "orders"
+idempotent = false
+key = "required"
+class = "orders"
+deadline_ms = 5000
+
+[[routes]]
+prefix = "/artwork"
+methods = ["POST"]
+service = "artwork"
+idempotent = false
+key = "none"
+class = "bulk"
+deadline_ms = 20000
+"""
+
+
+def latency_s(one: str, other: str) -> float:
+    """One-way latency between two addresses 10.<region>.<kind>.<number>."""
+    first, second = one.split("."), other.split(".")
+    if "8" in (first[2], second[2]):
+        return CALLER_S
+    return SAME_REGION_S if first[1] == second[1] else CROSS_REGION_S
+
+
+class EntryHost:
+    """One incarnation of an entry host."""
+
+    __slots__ = (
+        "address",
+        "context",
+        "daemon",
+        "disturbed",
+        "ended",
+        "lost",
+        "name",
+        "region",
+        "scope",
+        "started",
+        "stopped",
+    )
+
+    def __init__(self, name: str, region: int, address: str, incarnation: int) -> None:
+        self.name = name
+        self.region = region
+        self.address = address
+        # Differs between incarnations, so that a frozen one stays frozen alone.
+        self.context = f"{name}/{incarnation}"
+        self.daemon: Daemon | None = None
+        self.scope = trio.CancelScope()
+        self.started = trio.current_time()
+        self.ended = trio.Event()
+        self.lost = False
+        # Whether it was paused or failed, so that a stop of it need not be graceful.
+        self.disturbed = False
+        self.stopped: float | None = None
+
+    def stop(self) -> None:
+        """Begin a graceful stop."""
+        if self.daemon is not None and self.stopped is None:
+            self.stopped = trio.current_time()
+            self.daemon.stop()
+
+
+class SoakFleet:
+    """Entry hosts, targets and platform of one run; a context manager."""
+
+    __slots__ = (
+        "_incarnations",
+        "_nursery",
+        "_on_applied",
+        "_seed",
+        "faults",
+        "freezer",
+        "hosts",
+        "incarnations",
+        "network",
+        "number",
+        "store",
+        "targets",
+    )
+
+    def __init__(self, seed: int, nursery: trio.Nursery, freezer: Freezer) -> None:
+        self._seed = seed
+        self._nursery = nursery
+        self._incarnations = 0
+        self._on_applied: Callable[[EntryHost, int], None] = lambda host, number: None
+        self.freezer = freezer
+        self.network = FakeNetwork(latency_s)
+        self.store = ObjectStore(seed)
+        self.hosts: dict[str, EntryHost] = {}
+        self.targets: dict[str, TargetServer] = {}
+        self.number = 0
+        # Every host that ever ran, by its context.
+        self.incarnations: dict[str, EntryHost] = {}
+        # Daemons that ended with an error.
+        self.faults: list[str] = []
+
+    async def start(self, hosts_per_region: int) -> None:
+        """Start the platform, the targets and the entry hosts."""
+        store_network = self.network.at(STORE_ADDRESS)
+        listener = await store_network.listen(STORE_ADDRESS, STORE_PORT)
+        self._nursery.start_soon(listener.serve, self._serve_store, self._nursery)
+        self._start_targets()
+        self.accept_document()
+        for region in range(len(REGIONS)):
+            for number in range(hosts_per_region):
+                self.start_host(f"entry-{region}-{number}", region, f"10.{region}.1.{number + 1}")
+        self.list_hosts()
+
+    def accept_document(self) -> int:
+        """Put the next version of the document into the store, as the tool does."""
+        self.number += 1
+        body = f"{_ROUTES}\n[tenants]\nversion-{self.number} = 1.0\n{self._services()}"
+        digest = section_digest(body)
+        entry = {"digest": digest, "author": "soak", "at": 0}
+        manifest = {
+            "number": self.number,
+            "write": f"soak-{self.number}",
+            "sections": {"all": entry},
+        }
+        self.store.put(f"document/sections/{digest}", body.encode(), {})
+        self.store.put("document/head", json.dumps(manifest).encode(), {})
+        return self.number
+
+    def start_host(self, name: str, region: int, address: str) -> EntryHost:
+        """Start an entry host, also in place of one that was lost."""
+        self._incarnations += 1
+        host = EntryHost(name, region, address, self._incarnations)
+        self.hosts[name] = host
+        self.incarnations[host.context] = host
+        self._nursery.start_soon(self._run_host, host)
+        return host
+
+    def replace_host(self, host: EntryHost) -> None:
+        """Start a host in place of one that ended, unless another fault did so already."""
+        if self.hosts[host.name] is host:
+            self.start_host(host.name, host.region, host.address)
+            self.list_hosts()
+
+    def list_hosts(self) -> None:
+        """Bring the platform's host list up to date."""
+        self.store.hosts = [
+            {
+                "host": host.name,
+                "address": f"{host.address}:{PEER_PORT}",
+                "role": "entry",
+                "state": "live",
+                "region": REGIONS[host.region],
+                "availability_zone": f"{REGIONS[host.region]}-1",
+            }
+            for host in self.hosts.values()
+            if not host.lost
+        ]
+
+    def lose_host(self, host: EntryHost) -> None:
+        """End a host at once, as a failed machine does."""
+        host.lost = host.disturbed = True
+        self.freezer.thaw(host.context)
+        host.scope.cancel()
+        self.network.crash(host.address)
+
+    def live_hosts(self) -> list[EntryHost]:
+        """Hosts that were not lost, in order of their names."""
+        return [host for _, host in sorted(self.hosts.items()) if not host.lost]
+
+    def targets_of(self, service: str) -> list[TargetServer]:
+        """Targets of a service, in order of their names."""
+        return [self.targets[name] for name in sorted(self.targets) if name.startswith(service)]
+
+    def _start_targets(self) -> None:
+        for kind, (service, count) in enumerate(TARGETS_PER_REGION.items(), start=2):
+            for region in range(len(REGIONS)):
+                for number in range(count):
+                    name = f"{service}-{region}-{number}"
+                    address = f"10.{region}.{kind}.{number + 1}"
+                    target = TargetServer(name, SLOTS, MEAN_SERVICE_S, self._seed)
+                    target.faults.change({"crash_paths": [CRASH_PATH]})
+                    self.targets[name] = target
+                    self._nursery.start_soon(
+                        target.serve, self.network.at(address), address, TARGET_PORT
+                    )
+
+    def _services(self) -> str:
+        lines = []
+        for kind, (service, count) in enumerate(TARGETS_PER_REGION.items(), start=2):
+            hedge = str(service == "lookup").lower()
+            lines.append(f"[services.{service}]\nslots = {SLOTS}\nhedge = {hedge}")
+            lines.append("silence_timeout_s = 0.5" if service != "artwork" else "")
+            for region, region_name in enumerate(REGIONS):
+                for number in range(count):
+                    lines.append(
+                        f"[[services.{service}.targets]]\n"
+                        f'name = "{service}-{region}-{number}"\n'
+                        f'address = "10.{region}.{kind}.{number + 1}"\n'
+                        f"port = {TARGET_PORT}\n"
+                        f'region = "{region_name}"\navailability_zone = "{region_name}-1"'
+                    )
+        return "\n".join(lines) + "\n"
+
+    async def _run_host(self, host: EntryHost) -> None:
+        enter_host(host.context)
+        rng: random.Random = seeded_random(self._seed, host.context)
+        with host.scope:
+            host.daemon = Daemon(self._settings(host), self.network.at(host.address), rng)
+            try:
+                await host.daemon.run()
+            except* Exception as group:
+                self.faults.append(f"{host.context}: {group.exceptions!r}")
+                self.network.crash(host.address)
+        host.lost = True
+        host.ended.set()
+
+    async def _serve_store(self, stream: trio.abc.Stream) -> None:
+        await serve_http(stream, self.store.handle)
+
+    def _settings(self, host: EntryHost) -> Settings:
+        region = REGIONS[host.region]
+        text = f"""
+[host]
+name = "{host.name}"
+region = "{region}"
+availability_zone = "{region}-1"
+[listen]
+address = "{host.address}"
+port = {CALLER_PORT}
+close_grace_s = 1.0
+[peers]
+address = "{host.address}"
+port = {PEER_PORT}
+host_list_interval_s = 2.0
+[control]
+address = "{host.address}"
+[store]
+url = "http://{STORE_ADDRESS}:{STORE_PORT}"
+[journal]
+region = "{REGIONS[0]}"
+"""
+        return parse_settings(text, host.name).unwrap()
--- /dev/null
+++ b/target/deps/dotterelstand/bench/soakjudge.py
@@ -0,0 +1,74 @@
+"""Compares what callers were told with what the targets recorded."""
+
+from dotterelstand.bench.soakcallers import UPLOAD_BYTES, Request, answered_path
+from dotterelstand.bench.soakfleet import CRASH_PATH, SoakFleet
+from dotterelstand.codes import Run
+
+# Targets that one crashing request may take down in the whole fleet.
+MAX_CRASHES = 2
+SIZES = {"prices": 0, "orders": 64, "artwork": UPLOAD_BYTES}
+
+
+class Violation:
+    """A promise that a run broke."""
+
+    __slots__ = ("detail", "promise")
+
+    def __init__(self, promise: str, detail: str) -> None:
+        self.promise = promise
+        self.detail = detail
+
+    def __str__(self) -> str:
+        return f"{self.promise}: {self.detail}"
+
+
+def find_violations(fleet: SoakFleet, requests: list[Request]) -> list[Violation]:
+    """Every broken promise among finished requests."""
+    runs: dict[str, list[str]] = {}
+    complete: dict[str, int] = {}
+    for target in fleet.targets.values():
+        for run in target.runs:
+            runs.setdefault(run.path, []).append(run.state)
+            if run.state == "done":
+                complete[run.path] = run.body_bytes
+    violations: list[Violation] = []
+    for request in requests:
+        violations.extend(_judge(request, runs.get(request.path, []), complete))
+        violations.extend(_find_cuts(fleet, request))
+    return violations
+
+
+def _find_cuts(fleet: SoakFleet, request: Request) -> list[Violation]:
+    """Attempts without an answer that began before a graceful stop of an undisturbed host."""
+    found = []
+    for told in request.told:
+        host = fleet.incarnations[told.incarnation]
+        stopped = host.stopped is not None and told.began < host.stopped
+        if stopped and not host.disturbed and told.code == 0:
+            detail = f"{request.path} began {told.began:.3f} at {host.context}"
+            found.append(Violation("planned stop", f"{detail}, stopped {host.stopped:.3f}"))
+    return found
+
+
+def _judge(request: Request, runs: list[str], complete: dict[str, int]) -> list[Violation]:
+    found: list[Violation] = []
+    summary = f"{request.path} told {[told.code for told in request.told]} ran {runs}"
+    if request.path.startswith(CRASH_PATH) and len(runs) > MAX_CRASHES:
+        found.append(Violation("targets lost to one request", summary))
+    if request.kind != "prices" and len(runs) > 1:
+        found.append(Violation("at most once", summary))
+    told_not_run = [told.run == Run.NOT_RUN.value for told in request.told]
+    if request.told and all(told_not_run) and runs:
+        found.append(Violation("not run", summary))
+    for told in request.told:
+        # A target that fails fast answers without running anything, which its status shows.
+        if told.run != Run.RAN.value or told.status >= 500:
+            continue
+        if answered_path(told) != (request.path, SIZES[request.kind]):
+            found.append(Violation("own answer", f"{summary} got {told.body[:80]!r}"))
+        if "done" not in runs:
+            found.append(Violation("answered but not done", summary))
+    if request.kind == "artwork" and request.path in complete:
+        if complete[request.path] != UPLOAD_BYTES:
+            found.append(Violation("whole upload", f"{summary} {complete[request.path]} bytes"))
+    return found
--- /dev/null
+++ b/target/deps/dotterelstand/bench/soakwatch.py
@@ -0,0 +1,64 @@
+"""Watches the daemons of a soak run: broken invariants, faults and versions in force."""
+
+import logging as standard_logging
+from types import TracebackType
+
+import trio
+from absl import logging
+
+from dotterelstand.bench.soakfleet import SoakFleet
+from dotterelstand.bench.soakjudge import Violation
+from dotterelstand.events import Event
+
+SAMPLE_S = 1.0
+
+
+class BrokenInvariants(standard_logging.Handler):
+    """Collects the log events of broken invariants; a context manager."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.lines: list[str] = []
+
+    def emit(self, record: standard_logging.LogRecord) -> None:
+        """Keep the line if it tells of a broken invariant."""
+        if isinstance(record.args, tuple) and Event.INVARIANT_BROKEN in record.args:
+            self.lines.append(record.getMessage())
+
+    def __enter__(self) -> "BrokenInvariants":
+        logging.get_absl_logger().addHandler(self)
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        logging.get_absl_logger().removeHandler(self)
+
+
+def find_daemon_faults(fleet: SoakFleet, broken: BrokenInvariants) -> list[Violation]:
+    """Daemons that ended with an error, counted a fault or logged a broken invariant."""
+    found = [Violation("invariant in a daemon", line) for line in broken.lines]
+    found.extend(Violation("daemon ended", detail) for detail in fleet.faults)
+    for context, host in fleet.incarnations.items():
+        faults = 0 if host.daemon is None else host.daemon.metrics.value("requests.faults")
+        if faults:
+            found.append(Violation("requests.faults", f"{context} counted {faults}"))
+    return found
+
+
+async def watch_versions(fleet: SoakFleet, violations: list[Violation]) -> None:
+    """Sample the version in force of every live host until cancelled; it never gets smaller."""
+    highest: dict[str, int] = {}
+    while True:
+        await trio.sleep(SAMPLE_S)
+        for host in fleet.live_hosts():
+            document = host.daemon.document if host.daemon is not None else None
+            number = 0 if document is None else document.number
+            before = highest.get(host.context, 0)
+            if number < before:
+                detail = f"{host.context} went from {before} to {number}"
+                violations.append(Violation("version goes forward", detail))
+            highest[host.context] = number
--- /dev/null
+++ b/target/deps/dotterelstand/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The dotterelstand command-line tool."""
--- /dev/null
+++ b/target/deps/dotterelstand/cli/sections.py
@@ -0,0 +1,224 @@
+"""Reads, proposes and accepts sections of the document in the store."""
+
+import random
+import re
+from datetime import UTC, datetime
+from pathlib import Path
+
+from returns.pipeline import is_successful
+from returns.result import Failure, Result, Success
+
+from dotterelstand.cli.output import Row
+from dotterelstand.exits import ExitCode, ToolError
+from dotterelstand.process.store import MISSING, StoreClient
+from dotterelstand.version.accept import (
+    DAMAGED,
+    HEAD,
+    INVALID,
+    NO_SUCH_SECTION,
+    OUTCOME_UNKNOWN,
+    STORE_DOWN,
+    Acceptor,
+    Change,
+    Rejection,
+    section_object,
+)
+from dotterelstand.version.cache import SectionCache
+from dotterelstand.version.check import check_bodies
+from dotterelstand.version.diff import diff_bodies, diff_manifests
+from dotterelstand.version.fields import RACE_LOST
+from dotterelstand.version.manifest import EMPTY_MANIFEST, ManifestRecord, parse_manifest
+from dotterelstand.version.model import section_digest
+
+HISTORY = "document/history/"
+MAX_HISTORY = 100
+MAX_CACHED_SECTIONS = 4096
+MAX_CACHED_BYTES = 64 * 1024 * 1024
+
+# First line of a file that `section edit` writes: the digest of the text that was edited.
+_BASE_LINE = re.compile(r"# dotterelstand base: ([0-9a-f]{32}|new)\n")
+
+_EXIT_CODES = {
+    INVALID: ExitCode.DOCUMENT_INVALID,
+    RACE_LOST: ExitCode.CONFLICT,
+    STORE_DOWN: ExitCode.STORE_UNAVAILABLE,
+    OUTCOME_UNKNOWN: ExitCode.UNCERTAIN,
+    DAMAGED: ExitCode.DOCUMENT_INVALID,
+    NO_SUCH_SECTION: ExitCode.NOT_FOUND,
+}
+
+
+class EditedFile:
+    """Text of a section file and the digest on which it is based, None if it does not say."""
+
+    __slots__ = ("base", "body")
+
+    def __init__(self, body: str, base: str | None) -> None:
+        self.body = body
+        self.base = base
+
+
+class Sections:
+    """The document in the store, as the command-line tool uses it."""
+
+    __slots__ = ("_rng", "_store")
+
+    def __init__(self, store: StoreClient, rng: random.Random) -> None:
+        self._store = store
+        self._rng = rng
+
+    async def manifest(self, number: int | None = None) -> Result[ManifestRecord, ToolError]:
+        """Manifest in force, or of an earlier version; empty if nothing was ever accepted."""
+        name = HEAD if number is None else f"{HISTORY}{number}"
+        result = await self._store.read(name)
+        if not is_successful(result):
+            error = result.failure()
+            if error.code == MISSING and number is None:
+                return Success(EMPTY_MANIFEST)
+            if error.code == MISSING:
+                return Failure(ToolError(ExitCode.NOT_FOUND, f"there is no version {number}"))
+            return Failure(ToolError(ExitCode.STORE_UNAVAILABLE, f"{name}: {error}"))
+        parsed = parse_manifest(result.unwrap().body)
+        if not is_successful(parsed):
+            text = f"{name} is damaged: {parsed.failure()}"
+            return Failure(ToolError(ExitCode.DOCUMENT_INVALID, text))
+        return Success(parsed.unwrap())
+
+    async def body(self, name: str, number: int | None = None) -> Result[str, ToolError]:
+        """Text of a section in force, or of an earlier version."""
+        manifest = await self.manifest(number)
+        if not is_successful(manifest):
+            return Failure(manifest.failure())
+        entry = manifest.unwrap().entries.get(name)
+        if entry is None:
+            known = ", ".join(sorted(manifest.unwrap().entries)) or "none"
+            text = f"no section {name} in version {manifest.unwrap().number}; there are: {known}"
+            return Failure(ToolError(ExitCode.NOT_FOUND, text))
+        return await self._read_body(entry.digest)
+
+    async def propose(self, name: str, edited: EditedFile) -> Result[str, ToolError]:
+        """Difference that a change would make; fails with every error of the whole document."""
+        bodies = await self._all_bodies()
+        if not is_successful(bodies):
+            return Failure(bodies.failure())
+        current = bodies.unwrap().get(name)
+        if edited.base is not None and edited.base != _digest_of(current):
+            text = f"{RACE_LOST}: section {name} was changed by another edit:\n"
+            return Failure(ToolError(ExitCode.CONFLICT, text + self._missed(name, edited, current)))
+        errors = check_bodies({**bodies.unwrap(), name: edited.body})
+        if errors:
+            text = "\n".join([f"{INVALID}: nothing changed", *map(str, errors)])
+            return Failure(ToolError(ExitCode.DOCUMENT_INVALID, text))
+        return Success(diff_bodies(name, current or "", edited.body))
+
+    async def accept(
+        self, name: str, edited: EditedFile | None, author: str
+    ) -> Result[int, ToolError]:
+        """Accept a section, or remove it for None; returns the version that has the change."""
+        time = datetime.now(UTC).isoformat(timespec="seconds")
+        body = None if edited is None else edited.body
+        change = Change(name, body, author, time, None if edited is None else edited.base)
+        cache = SectionCache(MAX_CACHED_SECTIONS, MAX_CACHED_BYTES)
+        result = await Acceptor(self._store, cache, self._rng).submit(change)
+        return result.alt(_rejected)
+
+    async def history(self, name: str, limit: int) -> Result[list[Row], ToolError]:
+        """Versions that changed a section, or any for an empty name, newest first."""
+        manifest = await self.manifest()
+        if not is_successful(manifest):
+            return Failure(manifest.failure())
+        newer, rows = manifest.unwrap(), []
+        for _ in range(min(limit, MAX_HISTORY)):
+            if newer.number == 0:
+                break
+            older = await self._before(newer)
+            if not is_successful(older):
+                return Failure(older.failure())
+            for change in diff_manifests(older.unwrap(), newer):
+                entry = newer.entries.get(change.name)
+                if name in ("", change.name):
+                    rows.append(
+                        {
+                            "version": newer.number,
+                            "section": change.name,
+                            "change": change.kind,
+                            "author": change.author or None,
+                            "time": entry.time if entry else None,
+                            "digest": change.new or None,
+                        }
+                    )
+            newer = older.unwrap()
+        return Success(rows)
+
+    async def diff(self, name: str, old: int, new: int | None) -> Result[str, ToolError]:
+        """Difference of one section, or of all for an empty name, between two versions."""
+        before = await self.manifest(old) if old else Success(EMPTY_MANIFEST)
+        after = await self.manifest(new)
+        for result in (before, after):
+            if not is_successful(result):
+                return Failure(result.failure())
+        texts = []
+        for change in diff_manifests(before.unwrap(), after.unwrap()):
+            if name not in ("", change.name):
+                continue
+            bodies = []
+            for digest in (change.old, change.new):
+                body = await self._read_body(digest) if digest else Success("")
+                if not is_successful(body):
+                    return Failure(body.failure())
+                bodies.append(body.unwrap())
+            texts.append(diff_bodies(change.name, *bodies))
+        return Success("\n".join(texts))
+
+    async def _before(self, record: ManifestRecord) -> Result[ManifestRecord, ToolError]:
+        if record.number == 1:
+            return Success(EMPTY_MANIFEST)
+        return await self.manifest(record.number - 1)
+
+    async def _all_bodies(self) -> Result[dict[str, str], ToolError]:
+        manifest = await self.manifest()
+        if not is_successful(manifest):
+            return Failure(manifest.failure())
+        bodies = {}
+        for name, entry in manifest.unwrap().entries.items():
+            body = await self._read_body(entry.digest)
+            if not is_successful(body):
+                return Failure(body.failure())
+            bodies[name] = body.unwrap()
+        return Success(bodies)
+
+    async def _read_body(self, digest: str) -> Result[str, ToolError]:
+        result = await self._store.read(section_object(digest))
+        if not is_successful(result):
+            text = f"{section_object(digest)}: {result.failure()}"
+            return Failure(ToolError(ExitCode.STORE_UNAVAILABLE, text))
+        return Success(result.unwrap().body.decode(errors="replace"))
+
+    def _missed(self, name: str, edited: EditedFile, current: str | None) -> str:
+        return diff_bodies(name, edited.body, current or "")
+
+
+def read_edited(path: Path) -> Result[EditedFile, ToolError]:
+    """A section file, with or without the line that `section edit` puts before the text."""
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        return Failure(ToolError(ExitCode.FILE_UNREADABLE, f"{path}: {error}"))
+    match = _BASE_LINE.match(text)
+    if match is None:
+        return Success(EditedFile(text, None))
+    base = "" if match[1] == "new" else match[1]
+    return Success(EditedFile(text[match.end() :], base))
+
+
+def edited_text(body: str | None) -> str:
+    """Text of a file for editing: the base line and the section, empty for a new one."""
+    return f"# dotterelstand base: {_digest_of(body) or 'new'}\n{body or ''}"
+
+
+def _digest_of(body: str | None) -> str:
+    return "" if body is None else section_digest(body)
+
+
+def _rejected(rejection: Rejection) -> ToolError:
+    return ToolError(_EXIT_CODES.get(rejection.code, ExitCode.INTERNAL), str(rejection))
--- /dev/null
+++ b/target/deps/dotterelstand/connection/__init__.py
@@ -0,0 +1,1 @@
+"""What lives as long as one connection."""
--- /dev/null
+++ b/target/deps/dotterelstand/connection/caller.py
@@ -0,0 +1,300 @@
+"""One HTTP/1.1 connection from a caller."""
+
+from collections import deque
+from collections.abc import Callable
+
+import h11
+import trio
+from returns.pipeline import is_successful
+
+from dotterelstand.codes import Result as ResultCode
+from dotterelstand.connection.strict import check_raw_head, find_head_end
+from dotterelstand.connection.target import READ_BYTES, abort_now, close_now, has_input
+from dotterelstand.request.fields import OWN_FIELDS, RESULT_HEADER, RUN_HEADER, HeaderFields
+from dotterelstand.request.head import Headers, RequestHead, read_head
+
+# Bytes of a caller that are read ahead of their use; reading stops when they are exceeded.
+READ_AHEAD_BYTES = 65536
+# Bytes that a caller may still send after an answer that closes its connection.
+MAX_LINGER_BYTES = 1_048_576
+
+
+class CallerLimits:
+    """Bounds on one caller connection; times in seconds."""
+
+    __slots__ = ("body_idle_timeout_s", "head_timeout_s", "idle_timeout_s", "linger_s", "max_head")
+
+    def __init__(
+        self,
+        max_head: int,
+        idle_timeout_s: float,
+        head_timeout_s: float,
+        body_idle_timeout_s: float,
+        linger_s: float,
+    ) -> None:
+        self.max_head = max_head
+        self.idle_timeout_s = idle_timeout_s
+        self.head_timeout_s = head_timeout_s
+        self.body_idle_timeout_s = body_idle_timeout_s
+        self.linger_s = linger_s
+
+
+class BodyError(Exception):
+    """A request body that ended early, stalled or was malformed; `code` if no byte was sent on."""
+
+    __slots__ = ("code",)
+
+    def __init__(self, code: ResultCode) -> None:
+        super().__init__(code.name)
+        self.code = code
+
+
+class CallerConnection:
+    """The h11 server side of one caller connection, with a task that reads ahead."""
+
+    __slots__ = (
+        "_buffered",
+        "_fields",
+        "_h11",
+        "_idle",
+        "_inbox",
+        "_limits",
+        "_method",
+        "_raw",
+        "_readers",
+        "_received_s",
+        "_room",
+        "_stream",
+        "aborted",
+        "answer_started",
+        "closing",
+        "departed",
+        "on_departure",
+    )
+
+    def __init__(
+        self, stream: trio.abc.Stream, limits: CallerLimits, fields: HeaderFields = OWN_FIELDS
+    ) -> None:
+        self._stream = stream
+        self._limits = limits
+        self._fields = fields
+        self._h11 = self._new_h11()
+        # Pieces with the time at which each arrived.
+        self._inbox: deque[tuple[float, bytes]] = deque()
+        self._received_s = trio.current_time()
+        self._buffered = 0
+        self._method = b""
+        self._raw = bytearray()
+        self._readers = trio.lowlevel.ParkingLot()
+        self._room = trio.lowlevel.ParkingLot()
+        self.aborted = False
+        self.answer_started = False
+        self.closing = False
+        self.departed = False
+        self._idle = False
+        self.on_departure: Callable[[], object] | None = None
+
+    async def read_ahead(self) -> None:
+        """Read from the caller until it leaves, at most `READ_AHEAD_BYTES` ahead of use."""
+        while True:
+            while self._buffered >= READ_AHEAD_BYTES:
+                await self._room.park()
+            try:
+                data = bytes(await self._stream.receive_some(READ_BYTES))
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                data = b""
+            if not data:
+                break
+            self._inbox.append((trio.current_time(), data))
+            self._buffered += len(data)
+            self._readers.unpark_all()
+        # An end of stream counts as departure: HTTP has no other sign that a caller left.
+        self.departed = True
+        self._readers.unpark_all()
+        if self.on_departure is not None:
+            self.on_departure()
+
+    async def next_request(self) -> RequestHead | ResultCode | None:
+        """Next request head, the code of its refusal, or None if the connection ends."""
+        self.answer_started = False
+        if not self._raw and not await self._wait_idle():
+            return None
+        # Most heads arrive in one piece, and a cancel scope costs more than this search.
+        if find_head_end(self._raw, 0) >= 0:
+            return await self._read_head()
+        with trio.move_on_after(self._limits.head_timeout_s):
+            return await self._read_head()
+        return ResultCode.CALLER_TOO_SLOW
+
+    async def next_body(self) -> bytes | None:
+        """Next piece of the request body, or None at its end; raises `BodyError`."""
+        while True:
+            try:
+                event = self._h11.next_event()
+            except h11.RemoteProtocolError:
+                raise BodyError(ResultCode.BAD_REQUEST) from None
+            if isinstance(event, h11.Data):
+                return bytes(event.data)
+            if isinstance(event, h11.EndOfMessage):
+                self._raw = bytearray(self._h11.trailing_data[0])
+                return None
+            if event is not h11.NEED_DATA:
+                raise BodyError(ResultCode.BAD_REQUEST)
+            if self._h11.they_are_waiting_for_100_continue:
+                informational = h11.InformationalResponse(status_code=100, headers=[])
+                await self.send(self._h11.send(informational) or b"")
+            with trio.move_on_after(self._limits.body_idle_timeout_s):
+                data = await self._receive()
+                if not data:
+                    raise BodyError(ResultCode.BAD_REQUEST)
+                self._h11.receive_data(data)
+                continue
+            raise BodyError(ResultCode.CALLER_TOO_SLOW)
+
+    def encode_head(self, status: int, headers: Headers, code: ResultCode) -> bytes:
+        """Bytes of an answer's head with its result code."""
+        self.answer_started = True
+        headers = [
+            *headers,
+            (RESULT_HEADER, b"%d" % code),
+            (RUN_HEADER, code.run.value.encode()),
+        ]
+        if self.closing:
+            headers.append((b"connection", b"close"))
+        return self._h11.send(h11.Response(status_code=status, headers=headers)) or b""
+
+    def encode_body(self, data: bytes) -> bytes:
+        """Bytes of one piece of the answer's body."""
+        return self._h11.send(h11.Data(data=data)) or b""
+
+    def encode_end(self) -> bytes:
+        """Bytes that mark the answer as complete."""
+        return self._h11.send(h11.EndOfMessage()) or b""
+
+    async def send(self, data: bytes) -> None:
+        """Send encoded bytes; raises `trio.BrokenResourceError` if the caller has left."""
+        if data:
+            await self._stream.send_all(data)
+
+    def may_answer(self) -> bool:
+        """Whether no answer to the current request has begun."""
+        return self._h11.our_state in (h11.IDLE, h11.SEND_RESPONSE)
+
+    async def answer(self, status: int, headers: Headers, body: bytes, code: ResultCode) -> None:
+        """Send an answer that is held completely."""
+        if not self._request_read():
+            self.closing = True
+        data = self.encode_head(status, [*headers, (b"content-length", b"%d" % len(body))], code)
+        if body and self._method != b"HEAD":
+            data += self.encode_body(body)
+        await self.send(data + self.encode_end())
+
+    async def refuse(self, code: ResultCode) -> None:
+        """Answer a request that dotterelstand itself ends."""
+        headers: Headers = [(b"content-type", b"text/plain")]
+        if code.retry_after_s is not None:
+            headers.append((b"retry-after", b"%d" % code.retry_after_s))
+        body = f"{code:d} {code.name.lower()}\n".encode()
+        await self.answer(code.http_status, headers, body, code)
+
+    def start_next_cycle(self) -> bool:
+        """Prepare for the next request; False if the connection must be closed."""
+        if self.closing or self._h11.our_state is not h11.DONE or not self._request_read():
+            return False
+        self._h11 = self._new_h11()
+        # A refusal of the next head must not take it for a HEAD request.
+        self._method = b""
+        return True
+
+    def is_idle(self) -> bool:
+        """Whether the caller has sent nothing since its last answer."""
+        return self._idle and not self._inbox and not has_input(self._stream)
+
+    async def linger(self) -> None:
+        """Let a caller that is still sending read the answer before the connection is closed.
+
+        Closing with unread input resets the connection, which can discard the answer.
+        """
+        if self.aborted or self.departed or self._request_read():
+            return
+        if isinstance(self._stream, trio.SocketStream):
+            await self._stream.send_eof()
+        dropped = 0
+        with trio.move_on_after(self._limits.linger_s):
+            while dropped < MAX_LINGER_BYTES and (data := await self._receive()):
+                dropped += len(data)
+
+    def abort(self) -> None:
+        """Break the connection so that an unfinished answer cannot look complete."""
+        self.aborted = True
+        self.closing = True
+        abort_now(self._stream)
+
+    def close(self) -> None:
+        """Close the connection at once."""
+        close_now(self._stream)
+
+    def _request_read(self) -> bool:
+        return self._h11.their_state is h11.DONE
+
+    def _new_h11(self) -> h11.Connection:
+        return h11.Connection(h11.SERVER, max_incomplete_event_size=self._limits.max_head)
+
+    async def _wait_idle(self) -> bool:
+        if self._inbox:
+            self._raw += await self._receive()
+            return True
+        self._idle = True
+        with trio.move_on_after(self._limits.idle_timeout_s):
+            data = await self._receive()
+            self._idle = False
+            self._raw += data
+            return bool(data)
+        return False
+
+    async def _read_head(self) -> RequestHead | ResultCode | None:
+        searched = 0
+        while (end := find_head_end(self._raw, searched)) < 0:
+            searched = len(self._raw)
+            if searched > self._limits.max_head:
+                return ResultCode.HEAD_TOO_LARGE
+            data = await self._receive()
+            if not data:
+                return None
+            self._raw += data
+        if end > self._limits.max_head:
+            return ResultCode.HEAD_TOO_LARGE
+        if not check_raw_head(bytes(self._raw[:end])):
+            return ResultCode.BAD_REQUEST
+        return self._parse_head()
+
+    def _parse_head(self) -> RequestHead | ResultCode:
+        self._h11.receive_data(bytes(self._raw))
+        self._raw.clear()
+        try:
+            event = self._h11.next_event()
+        except h11.RemoteProtocolError:
+            return ResultCode.BAD_REQUEST
+        if not isinstance(event, h11.Request):
+            return ResultCode.BAD_REQUEST
+        self._method = event.method
+        result = read_head(event, self._fields)
+        if not is_successful(result):
+            return result.failure()
+        head = result.unwrap()
+        # A pipelined head may have waited for the answers before it.
+        head.arrived_s = self._received_s
+        if not head.has_body() and self._h11.their_state is h11.SEND_BODY:
+            self._h11.next_event()
+            self._raw = bytearray(self._h11.trailing_data[0])
+        return head
+
+    async def _receive(self) -> bytes:
+        while not self._inbox:
+            if self.departed:
+                return b""
+            await self._readers.park()
+        self._received_s, data = self._inbox.popleft()
+        self._buffered -= len(data)
+        self._room.unpark_all()
+        return data
--- /dev/null
+++ b/target/deps/dotterelstand/connection/control.py
@@ -0,0 +1,100 @@
+"""The h11 server side of the control port: small requests, answered as JSON."""
+
+import json
+from collections.abc import Awaitable, Callable
+
+import h11
+import trio
+
+from dotterelstand.connection.target import READ_BYTES, close_now
+
+
+class ControlRequest:
+    """A request to the control port, read completely."""
+
+    __slots__ = ("body", "method", "path", "token")
+
+    def __init__(self, method: str, path: str, token: str, body: bytes) -> None:
+        self.method = method
+        self.path = path
+        self.token = token
+        self.body = body
+
+
+class ControlAnswer:
+    """HTTP status and the value that is sent as JSON."""
+
+    __slots__ = ("status", "value")
+
+    def __init__(self, status: int, value: object) -> None:
+        self.status = status
+        self.value = value
+
+
+ControlHandler = Callable[[ControlRequest], Awaitable[ControlAnswer]]
+
+
+class ControlConnection:
+    """One connection to the control port; it carries one request and is then closed."""
+
+    __slots__ = ("_h11", "_max_body_bytes", "_stream")
+
+    def __init__(self, stream: trio.abc.Stream, max_body_bytes: int) -> None:
+        self._stream = stream
+        self._max_body_bytes = max_body_bytes
+        self._h11 = h11.Connection(h11.SERVER)
+
+    async def serve(self, handler: ControlHandler, timeout_s: float) -> None:
+        """Answer one request; a caller slower than `timeout_s` seconds is cut off."""
+        try:
+            with trio.move_on_after(timeout_s):
+                request = await self._read()
+                if request is not None:
+                    await self._send(await handler(request), request.method != "HEAD")
+        except (trio.BrokenResourceError, trio.ClosedResourceError, h11.ProtocolError):
+            pass
+        finally:
+            close_now(self._stream)
+
+    async def _read(self) -> ControlRequest | None:
+        head: h11.Request | None = None
+        body = b""
+        while True:
+            event = self._h11.next_event()
+            if event is h11.NEED_DATA:
+                if self._h11.they_are_waiting_for_100_continue:
+                    return None
+                self._h11.receive_data(bytes(await self._stream.receive_some(READ_BYTES)))
+            elif isinstance(event, h11.Request):
+                head = event
+            elif (
+                isinstance(event, h11.Data) and len(body) + len(event.data) <= self._max_body_bytes
+            ):
+                body += bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage) and head is not None:
+                return _make_request(head, body)
+            else:
+                return None
+
+    async def _send(self, answer: ControlAnswer, with_body: bool) -> None:
+        body = json.dumps(answer.value).encode() + b"\n"
+        headers = [
+            ("content-type", "application/json"),
+            ("content-length", str(len(body))),
+            ("connection", "close"),
+        ]
+        data = self._h11.send(h11.Response(status_code=answer.status, headers=headers)) or b""
+        if with_body:
+            data += self._h11.send(h11.Data(data=body)) or b""
+        await self._stream.send_all(data + (self._h11.send(h11.EndOfMessage()) or b""))
+
+
+def _make_request(head: h11.Request, body: bytes) -> ControlRequest:
+    fields = {bytes(name): bytes(value) for name, value in head.headers}
+    scheme, _, token = fields.get(b"authorization", b"").decode("latin-1").partition(" ")
+    return ControlRequest(
+        head.method.decode("ascii"),
+        head.target.decode("latin-1").partition("?")[0],
+        token if scheme.lower() == "bearer" else "",
+        body,
+    )
--- /dev/null
+++ b/target/deps/dotterelstand/connection/network.py
@@ -0,0 +1,65 @@
+"""Access to the network, so that the whole daemon also runs over an in-memory network."""
+
+from collections.abc import Awaitable, Callable
+from typing import Protocol
+
+import trio
+
+StreamHandler = Callable[[trio.abc.Stream], Awaitable[None]]
+
+
+class Listener(Protocol):
+    """An open listening port."""
+
+    @property
+    def port(self) -> int:
+        """Port number that was bound."""
+
+    async def serve(self, handler: StreamHandler, nursery: trio.Nursery) -> None:
+        """Run `handler` in `nursery` for each new stream until cancelled, then close the port."""
+
+
+class Network(Protocol):
+    """Opens streams and listeners by numeric address."""
+
+    async def connect(self, address: str, port: int) -> trio.abc.Stream:
+        """Open a stream; raises `OSError` if the address cannot be reached."""
+
+    async def listen(self, address: str, port: int) -> Listener:
+        """Open a listener; port 0 takes a free one; raises `OSError`."""
+
+
+class TcpListener:
+    """A listener on a TCP port."""
+
+    __slots__ = ("_listeners",)
+
+    def __init__(self, listeners: list[trio.SocketListener]) -> None:
+        self._listeners = listeners
+
+    @property
+    def port(self) -> int:
+        """Port number that was bound."""
+        return self._listeners[0].socket.getsockname()[1]
+
+    async def serve(self, handler: StreamHandler, nursery: trio.Nursery) -> None:
+        """Run `handler` in `nursery` for each new stream until cancelled, then close the port."""
+        await trio.serve_listeners(handler, self._listeners, handler_nursery=nursery)
+
+
+class TcpNetwork:
+    """The host's own TCP."""
+
+    __slots__ = ()
+
+    async def connect(self, address: str, port: int) -> trio.abc.Stream:
+        """Open a TCP stream to a numeric address; raises `OSError`."""
+        return await trio.open_tcp_stream(address, port)
+
+    async def listen(self, address: str, port: int) -> TcpListener:
+        """Open a TCP listener; port 0 takes a free one; raises `OSError`."""
+        try:
+            return TcpListener(await trio.open_tcp_listeners(port, host=address))
+        except OSError as error:
+            # The system's message does not say which of the ports is meant.
+            raise OSError(error.errno, f"{address}:{port}: {error.strerror}") from error
--- /dev/null
+++ b/target/deps/dotterelstand/connection/pool.py
@@ -0,0 +1,217 @@
+"""Connections to targets, bounded per target and reused while they are proven."""
+
+from types import TracebackType
+
+import trio
+
+from dotterelstand.connection.network import Network
+from dotterelstand.connection.target import TargetConnection
+from dotterelstand.version.document import Target
+
+# Seconds within which a connection that answered may carry a non-idempotent request.
+PROOF_LIFE_S = 1.0
+# No connection is this young: only a new one will do.
+ONLY_NEW_S = -1.0
+SWEEP_S = 1.0
+# Share of the idle time that a target states in its Keep-Alive header which is used.
+IDLE_LIMIT_SHARE = 0.8
+
+
+class PoolLimits:
+    """Bounds on the connections to targets; times in seconds.
+
+    `sharing_hosts` is the number of entry hosts that share a target's connections.
+    """
+
+    __slots__ = (
+        "connect_timeout_s",
+        "idle_timeout_s",
+        "max_head_bytes",
+        "max_idle",
+        "sharing_hosts",
+    )
+
+    def __init__(
+        self,
+        max_idle: int,
+        idle_timeout_s: float,
+        max_head_bytes: int,
+        connect_timeout_s: float,
+        sharing_hosts: int,
+    ) -> None:
+        self.max_idle = max_idle
+        self.idle_timeout_s = idle_timeout_s
+        self.max_head_bytes = max_head_bytes
+        self.connect_timeout_s = connect_timeout_s
+        self.sharing_hosts = sharing_hosts
+
+
+class ConnectionLimitError(Exception):
+    """Every connection that this host may have to a target is in use."""
+
+
+class TargetPool:
+    """Reuses connections to targets, newest first, and closes them when idle."""
+
+    __slots__ = ("_idle", "_limits", "_network", "_open", "_waiting")
+
+    def __init__(self, network: Network, limits: PoolLimits) -> None:
+        self._network = network
+        self._limits = limits
+        self._idle: dict[str, list[TargetConnection]] = {}
+        self._open: dict[str, int] = {}
+        self._waiting: dict[str, trio.lowlevel.ParkingLot] = {}
+
+    def __enter__(self) -> "TargetPool":
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        for connections in self._idle.values():
+            for connection in connections:
+                self._close(connection)
+        self._idle.clear()
+
+    async def acquire(self, target: Target, connections: int, max_age_s: float) -> TargetConnection:
+        """Connection for one request, to be given back with `release` or `discard`.
+
+        It is new, or its last answer ended at most `max_age_s` seconds ago.
+
+        Raises `OSError` if the target cannot be reached in time, and `ConnectionLimitError` if
+        this host's share of the target's `connections` stays in use for the connect time-out or
+        as many requests as it has connections already wait.
+        """
+        address = f"{target.address}:{target.port}"
+        share = max(1, connections // self._limits.sharing_hosts)
+        connection = self._take_idle(address, max_age_s)
+        if connection is None and not self._has_room(address, share):
+            connection = await self._wait_for_room(address, share, max_age_s)
+        return connection if connection is not None else await self._connect(target, address)
+
+    def release(self, connection: TargetConnection) -> None:
+        """Take back a connection after its answer was read completely."""
+        idle = self._idle.setdefault(connection.address, [])
+        if len(idle) < self._limits.max_idle and connection.recycle(trio.current_time()):
+            idle.append(connection)
+            self._wake(connection.address)
+        else:
+            self._close(connection)
+
+    def discard(self, connection: TargetConnection) -> None:
+        """Close a connection whose answer was not read completely."""
+        self._close(connection)
+
+    def distrust(self, address: str) -> None:
+        """Close the idle connections to a target after one of its connections went silent."""
+        for connection in self._idle.pop(address, []):
+            self._close(connection)
+
+    async def sweep_forever(self) -> None:
+        """Close idle connections that expired, were closed or sent unexpected bytes."""
+        while True:
+            await trio.sleep(SWEEP_S)
+            self.sweep(trio.current_time())
+
+    def sweep(self, now: float) -> None:
+        """Close idle connections that are of no use any more."""
+        for address, connections in list(self._idle.items()):
+            kept = []
+            for connection in connections:
+                expired = now - connection.last_proof_s > self._idle_limit_s(connection)
+                if expired or not connection.is_quiet():
+                    self._close(connection)
+                else:
+                    kept.append(connection)
+            if kept:
+                self._idle[address] = kept
+            else:
+                del self._idle[address]
+
+    def in_use(self) -> int:
+        """Number of connections that carry a request or are being opened."""
+        return self.open_connections() - sum(map(len, self._idle.values()))
+
+    def open_connections(self) -> int:
+        """Number of open connections, idle ones included."""
+        return sum(self._open.values())
+
+    def _take_idle(self, address: str, max_age_s: float) -> TargetConnection | None:
+        idle = self._idle.get(address)
+        now = trio.current_time()
+        while idle:
+            connection = idle.pop()
+            age_s = now - connection.last_proof_s
+            if age_s > self._idle_limit_s(connection) or not connection.is_quiet():
+                self._close(connection)
+            elif age_s > max_age_s:
+                # The others are older; all stay for requests that may use them.
+                idle.append(connection)
+                return None
+            else:
+                return connection
+        return None
+
+    def _idle_limit_s(self, connection: TargetConnection) -> float:
+        """Idle time after which the target may be closing the connection already."""
+        limit_s = connection.idle_limit_s * IDLE_LIMIT_SHARE
+        return min(limit_s, self._limits.idle_timeout_s)
+
+    def _has_room(self, address: str, share: int) -> bool:
+        """Whether a new connection is within the limit, closing an idle one if that helps."""
+        idle = self._idle.get(address)
+        if idle and self._open.get(address, 0) >= share:
+            self._close(idle.pop(0))
+        return self._open.get(address, 0) < share
+
+    async def _wait_for_room(
+        self, address: str, share: int, max_age_s: float
+    ) -> TargetConnection | None:
+        """Wait for a connection or for room for a new one, in which case None is returned."""
+        lot = self._waiting.setdefault(address, trio.lowlevel.ParkingLot())
+        if len(lot) >= share:
+            raise ConnectionLimitError(address)
+        try:
+            with trio.move_on_after(self._limits.connect_timeout_s):
+                while True:
+                    await lot.park()
+                    connection = self._take_idle(address, max_age_s)
+                    if connection is not None or self._has_room(address, share):
+                        return connection
+            raise ConnectionLimitError(address)
+        finally:
+            if not lot and self._waiting.get(address) is lot:
+                del self._waiting[address]
+
+    def _wake(self, address: str) -> None:
+        lot = self._waiting.get(address)
+        if lot is not None:
+            lot.unpark()
+
+    async def _connect(self, target: Target, address: str) -> TargetConnection:
+        self._open[address] = self._open.get(address, 0) + 1
+        connected = False
+        try:
+            with trio.move_on_after(self._limits.connect_timeout_s):
+                stream = await self._network.connect(target.address, target.port)
+                connected = True
+                now = trio.current_time()
+                return TargetConnection(stream, address, now, self._limits.max_head_bytes)
+            raise OSError(f"{address} did not answer in time")
+        finally:
+            if not connected:
+                self._count_closed(address)
+
+    def _close(self, connection: TargetConnection) -> None:
+        connection.close()
+        self._count_closed(connection.address)
+
+    def _count_closed(self, address: str) -> None:
+        self._open[address] -= 1
+        assert self._open[address] >= 0, f"{address} was closed twice"
+        if not self._open[address]:
+            del self._open[address]
+        self._wake(address)
--- /dev/null
+++ b/target/deps/dotterelstand/connection/target.py
@@ -0,0 +1,186 @@
+"""One HTTP/1.1 connection to a target."""
+
+import math
+import re
+import socket
+import struct
+from types import TracebackType
+
+import h11
+import trio
+
+from dotterelstand.request.head import Headers
+
+READ_BYTES = 65536
+
+_FRAMING = frozenset({b"content-length", b"transfer-encoding"})
+_KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout\s*=\s*(\d{1,6})")
+
+AnswerEvent = h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]
+
+
+class TargetConnection:
+    """An h11 client connection that carries one request at a time."""
+
+    __slots__ = (
+        "_h11",
+        "_max_head_bytes",
+        "_request",
+        "_stream",
+        "address",
+        "handed",
+        "idle_limit_s",
+        "last_proof_s",
+        "reused",
+    )
+
+    def __init__(
+        self, stream: trio.abc.Stream, address: str, now: float, max_head_bytes: int
+    ) -> None:
+        self._stream = stream
+        self._max_head_bytes = max_head_bytes
+        self._h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=max_head_bytes)
+        # Request whose answer is awaited, without the length of its body.
+        self._request: h11.Request | None = None
+        self.address = address
+        # Seconds that the target keeps the connection open while it is idle, if it said so.
+        self.idle_limit_s = math.inf
+        self.last_proof_s = now
+        self.handed = False
+        self.reused = False
+
+    def __enter__(self) -> "TargetConnection":
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        self.close()
+
+    async def send_request(
+        self, method: str, path: str, headers: Headers, body: bytes, complete: bool
+    ) -> None:
+        """Send the head with the first bytes of the body in one call.
+
+        Raises `trio.BrokenResourceError` if the connection is lost.
+        """
+        data = self._h11.send(h11.Request(method=method, target=path, headers=headers)) or b""
+        bare = [field for field in headers if field[0] not in _FRAMING]
+        self._request = h11.Request(method=method, target=path, headers=bare)
+        if body:
+            data += self._h11.send(h11.Data(data=body)) or b""
+        if complete:
+            data += self._h11.send(h11.EndOfMessage()) or b""
+        # Set before the call, since a failed call may have sent a part.
+        self.handed = True
+        await self._stream.send_all(data)
+
+    async def send_body(self, data: bytes) -> None:
+        """Send one piece of the request body."""
+        await self._stream.send_all(self._h11.send(h11.Data(data=data)) or b"")
+
+    async def finish_request(self) -> None:
+        """Mark the request as complete."""
+        data = self._h11.send(h11.EndOfMessage())
+        if data:
+            await self._stream.send_all(data)
+
+    def poll(self) -> AnswerEvent:
+        """Next event that is already here, or `h11.NEED_DATA`.
+
+        Raises `h11.RemoteProtocolError` if the answer is malformed or cut off.
+        """
+        return self._h11.next_event()
+
+    async def receive(self) -> AnswerEvent:
+        """Next event of the answer; raises like `poll`, or `trio.BrokenResourceError`."""
+        while (event := self._h11.next_event()) is h11.NEED_DATA:
+            self._h11.receive_data(bytes(await self._stream.receive_some(READ_BYTES)))
+        if isinstance(event, h11.Response):
+            self._note_idle_limit(event)
+        return event
+
+    async def skip_answer(self) -> None:
+        """Read an answer to its end and expect another one to the same request.
+
+        Raises `h11.RemoteProtocolError` if the connection cannot carry another answer.
+        """
+        while isinstance(event := await self.receive(), h11.Data):
+            pass
+        if not isinstance(event, h11.EndOfMessage) or self._h11.our_state is not h11.DONE:
+            raise h11.RemoteProtocolError("a stray answer ends the connection")
+        rest = self._h11.trailing_data[0]
+        assert self._request is not None, "an answer was read before a request was sent"
+        self._h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=self._max_head_bytes)
+        self._h11.send(self._request)
+        self._h11.send(h11.EndOfMessage())
+        if rest:
+            self._h11.receive_data(bytes(rest))
+
+    def lost(self) -> bool:
+        """Whether the target closed the connection."""
+        return self._h11.trailing_data[1] or self._h11.their_state is h11.CLOSED
+
+    def recycle(self, now: float) -> bool:
+        """Prepare for the next request; False if the connection must be closed."""
+        clean = self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE
+        if not clean or self._h11.trailing_data[0]:
+            return False
+        self._h11.start_next_cycle()
+        self.last_proof_s = now
+        self.handed = False
+        self.reused = True
+        return True
+
+    def is_quiet(self) -> bool:
+        """Whether an idle connection is open and has sent nothing unexpected."""
+        return not has_input(self._stream)
+
+    def close(self) -> None:
+        """Close at once; the target sees it as cancellation."""
+        close_now(self._stream)
+
+    def _note_idle_limit(self, answer: h11.Response) -> None:
+        for name, value in answer.headers:
+            match = _KEEP_ALIVE_TIMEOUT.search(value) if name == b"keep-alive" else None
+            if match is not None:
+                self.idle_limit_s = float(match.group(1))
+
+
+def has_input(stream: trio.abc.AsyncResource) -> bool:
+    """Whether bytes or the end of the stream wait to be read."""
+    if isinstance(stream, trio.SocketStream):
+        return stream.socket.fileno() < 0 or stream.socket.is_readable()
+    if isinstance(stream, trio.SSLStream):
+        return has_input(stream.transport_stream)
+    return bool(stream.has_input()) if hasattr(stream, "has_input") else False
+
+
+def close_now(stream: trio.abc.AsyncResource) -> None:
+    """Close a stream without waiting for its peer."""
+    if isinstance(stream, trio.SocketStream):
+        stream.socket.close()
+    elif isinstance(stream, trio.SSLStream):
+        close_now(stream.transport_stream)
+    else:
+        close = getattr(stream, "close", None)
+        if close is not None:
+            close()
+
+
+def abort_now(stream: trio.abc.AsyncResource) -> None:
+    """Reset a stream, so that its peer sees an error and not an end."""
+    if isinstance(stream, trio.SocketStream):
+        if stream.socket.fileno() >= 0:
+            linger = struct.pack("ii", 1, 0)
+            stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        stream.socket.close()
+    elif isinstance(stream, trio.SSLStream):
+        abort_now(stream.transport_stream)
+    else:
+        reset = getattr(stream, "reset", None)
+        if reset is not None:
+            reset()
--- /dev/null
+++ b/target/deps/dotterelstand/connection/tls.py
@@ -0,0 +1,242 @@
+"""TLS towards callers and, with mutual authentication, between entry hosts."""
+
+import ssl
+from pathlib import Path
+
+import trio
+from returns.pipeline import is_successful
+from returns.result import Failure, Result, Success
+
+from dotterelstand.connection.network import Listener, Network, StreamHandler
+from dotterelstand.connection.target import close_now
+from dotterelstand.events import Event, log
+from dotterelstand.request.ports import Counters
+from dotterelstand.settings import Settings, SettingsError
+
+CERTIFICATE_FILES = 4007
+
+HANDSHAKE_TIMEOUT_S = 5.0
+# Handshakes of one listener at the same time; further connections are closed.
+MAX_HANDSHAKES = 256
+RELOAD_INTERVAL_S = 5.0
+
+
+class CertificateFiles:
+    """Paths of a certificate with its key, and of the authority that peers must be signed by."""
+
+    __slots__ = ("authority", "certificate", "key", "prefix")
+
+    def __init__(self, settings: Settings, prefix: str) -> None:
+        self.prefix = prefix
+        self.certificate = settings.text("tls", f"{prefix}_certificate")
+        self.key = settings.text("tls", f"{prefix}_key")
+        self.authority = settings.text("tls", "peer_authority") if prefix == "peer" else ""
+
+    @property
+    def configured(self) -> bool:
+        """Whether TLS is on."""
+        return bool(self.certificate)
+
+    def stamps(self) -> list[tuple[int, int]]:
+        """Modification time and size of each file; empty for one that cannot be read."""
+        stamps = []
+        for name in (self.certificate, self.key, self.authority):
+            try:
+                status = Path(name).stat()
+            except OSError:
+                stamps.append((0, 0))
+            else:
+                stamps.append((status.st_mtime_ns, status.st_size))
+        return stamps
+
+
+class CertificateContexts:
+    """TLS contexts of one set of files; new connections use the latest that was valid."""
+
+    __slots__ = ("_client", "_files", "_server", "_stamps")
+
+    def __init__(self, files: CertificateFiles) -> None:
+        self._files = files
+        self._stamps = files.stamps()
+        self._server: ssl.SSLContext | None = None
+        self._client: ssl.SSLContext | None = None
+
+    @property
+    def server(self) -> ssl.SSLContext:
+        """Context for accepted connections."""
+        assert self._server is not None
+        return self._server
+
+    @property
+    def client(self) -> ssl.SSLContext:
+        """Context for opened connections."""
+        assert self._client is not None
+        return self._client
+
+    def load(self) -> SettingsError | None:
+        """Read the files; returns what is wrong, in which case the former contexts stay."""
+        server = self._build(ssl.PROTOCOL_TLS_SERVER)
+        client = self._build(ssl.PROTOCOL_TLS_CLIENT)
+        if not is_successful(server) or not is_successful(client):
+            return server.failure() if not is_successful(server) else client.failure()
+        self._server, self._client = server.unwrap(), client.unwrap()
+        return None
+
+    def reload_if_changed(self) -> None:
+        """Read the files again if one of them changed since the last time."""
+        stamps = self._files.stamps()
+        if stamps == self._stamps:
+            return
+        self._stamps = stamps
+        error = self.load()
+        if error is None:
+            log(Event.CERTIFICATES_RELOADED)
+        else:
+            log(Event.CERTIFICATES_INVALID, key=error.key, reason=error.found)
+
+    def _build(self, protocol: int) -> Result[ssl.SSLContext, SettingsError]:
+        files = self._files
+        context = ssl.SSLContext(protocol)
+        context.minimum_version = ssl.TLSVersion.TLSv1_2
+        try:
+            # An empty password makes an encrypted key an error; without it OpenSSL would ask.
+            context.load_cert_chain(files.certificate, files.key, password="")
+        except (OSError, ValueError) as error:
+            return Failure(self._error("certificate", "key", error))
+        # Peers are found by IP number, and every one with a certificate of the authority is one.
+        context.check_hostname = False
+        context.verify_mode = ssl.CERT_NONE
+        if files.authority:
+            context.verify_mode = ssl.CERT_REQUIRED
+            try:
+                context.load_verify_locations(files.authority)
+            except (OSError, ValueError) as error:
+                return Failure(self._error("authority", "", error))
+        return Success(context)
+
+    def _error(self, name: str, other: str, error: Exception) -> SettingsError:
+        key = f"tls.{self._files.prefix}_{name}"
+        allowed = "a PEM file that can be read"
+        if other:
+            allowed = f"a PEM file that fits the key without password in tls.peer_{other}"
+            allowed = allowed.replace("peer", self._files.prefix)
+        return SettingsError(CERTIFICATE_FILES, "certificates", key, str(error), allowed)
+
+
+class TlsListener:
+    """A listener whose streams speak TLS; a failed handshake closes its connection."""
+
+    __slots__ = ("_contexts", "_counters", "_handler", "_handshakes", "_inner")
+
+    def __init__(self, inner: Listener, contexts: CertificateContexts, counters: Counters) -> None:
+        self._inner = inner
+        self._contexts = contexts
+        self._counters = counters
+        self._handshakes = 0
+        self._handler: StreamHandler | None = None
+
+    @property
+    def port(self) -> int:
+        """Port number that was bound."""
+        return self._inner.port
+
+    async def serve(self, handler: StreamHandler, nursery: trio.Nursery) -> None:
+        """Run `handler` in `nursery` for each new stream until cancelled, then close the port."""
+        self._handler = handler
+        await self._inner.serve(self._secure, nursery)
+
+    async def _secure(self, stream: trio.abc.Stream) -> None:
+        if self._handshakes >= MAX_HANDSHAKES:
+            self._counters.count("tls.handshakes_refused")
+            close_now(stream)
+            return
+        secured = _wrap(stream, self._contexts.server, server_side=True)
+        self._handshakes += 1
+        try:
+            with trio.fail_after(HANDSHAKE_TIMEOUT_S):
+                await secured.do_handshake()
+        except (trio.BrokenResourceError, trio.ClosedResourceError, trio.TooSlowError):
+            self._counters.count("tls.handshake_failures")
+            close_now(stream)
+            return
+        finally:
+            self._handshakes -= 1
+        assert self._handler is not None
+        await self._handler(secured)
+
+
+class TlsNetwork:
+    """A network whose streams all speak TLS."""
+
+    __slots__ = ("_contexts", "_counters", "_inner")
+
+    def __init__(self, inner: Network, contexts: CertificateContexts, counters: Counters) -> None:
+        self._inner = inner
+        self._contexts = contexts
+        self._counters = counters
+
+    async def connect(self, address: str, port: int) -> trio.abc.Stream:
+        """Open a stream; raises `OSError` if that or the handshake fails."""
+        stream = await self._inner.connect(address, port)
+        secured = _wrap(stream, self._contexts.client, server_side=False)
+        try:
+            await secured.do_handshake()
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            self._counters.count("tls.handshake_failures")
+            close_now(stream)
+            raise OSError(f"TLS handshake with {address}:{port} failed") from error
+        except BaseException:
+            close_now(stream)
+            raise
+        return secured
+
+    async def listen(self, address: str, port: int) -> TlsListener:
+        """Open a listener; raises `OSError`."""
+        return TlsListener(await self._inner.listen(address, port), self._contexts, self._counters)
+
+
+class Certificates:
+    """All TLS contexts of a daemon; those that are not configured are None."""
+
+    __slots__ = ("_callers", "_peers")
+
+    def __init__(
+        self, callers: CertificateContexts | None, peers: CertificateContexts | None
+    ) -> None:
+        self._callers = callers
+        self._peers = peers
+
+    def caller_network(self, network: Network, counters: Counters) -> Network:
+        """Network on which callers are accepted."""
+        return network if self._callers is None else TlsNetwork(network, self._callers, counters)
+
+    def peer_network(self, network: Network, counters: Counters) -> Network:
+        """Network for links between entry hosts."""
+        return network if self._peers is None else TlsNetwork(network, self._peers, counters)
+
+    async def run(self) -> None:
+        """Reload changed files until cancelled."""
+        while True:
+            await trio.sleep(RELOAD_INTERVAL_S)
+            for contexts in (self._callers, self._peers):
+                if contexts is not None:
+                    contexts.reload_if_changed()
+
+
+def load_certificates(settings: Settings) -> Result[Certificates, list[SettingsError]]:
+    """Read the files that the settings name; fails with what is wrong with each."""
+    loaded: list[CertificateContexts | None] = []
+    errors: list[SettingsError] = []
+    for prefix in ("caller", "peer"):
+        files = CertificateFiles(settings, prefix)
+        contexts = CertificateContexts(files) if files.configured else None
+        error = contexts.load() if contexts is not None else None
+        if error is not None:
+            errors.append(error)
+        loaded.append(contexts)
+    return Failure(errors) if errors else Success(Certificates(*loaded))
+
+
+def _wrap(stream: trio.abc.Stream, context: ssl.SSLContext, server_side: bool) -> trio.SSLStream:
+    # Both protocols inside mark the end of a message, so an end without notice cuts nothing off.
+    return trio.SSLStream(stream, context, server_side=server_side, https_compatible=True)
--- /dev/null
+++ b/target/deps/dotterelstand/connection/wire.py
@@ -0,0 +1,348 @@
+"""Messages between entry hosts and their CBOR form."""
+
+from typing import Any, ClassVar, get_args, get_origin
+
+import cbor2
+from returns.result import Failure, Result, Success
+
+
+class Message:
+    """A message; on the wire a CBOR array of its type number and its fields in order."""
+
+    __slots__: ClassVar[tuple[str, ...]] = ()
+    TYPE: ClassVar[int] = 0
+
+    def __init__(self, *values: object) -> None:
+        assert len(values) == len(self.__slots__), (type(self).__name__, values)
+        for name, value in zip(self.__slots__, values, strict=True):
+            setattr(self, name, value)
+
+    def __eq__(self, other: object) -> bool:
+        return type(self) is type(other) and self.as_list() == other.as_list()  # type: ignore
+
+    def __repr__(self) -> str:
+        return f"{type(self).__name__}({', '.join(map(repr, self.as_list()[1:]))})"
+
+    def as_list(self) -> list[object]:
+        """Type number followed by the fields."""
+        return [self.TYPE, *(getattr(self, name) for name in self.__slots__)]
+
+
+class Hello(Message):
+    """First message on a link: who the sender is."""
+
+    __slots__ = ("address", "availability_zone", "host", "incarnation", "port", "region")
+    TYPE = 1
+    host: str
+    region: str
+    availability_zone: str
+    address: str
+    port: int
+    incarnation: int
+
+
+class Beat(Message):
+    """Heartbeat: document version in force, and whether the sender is leaving."""
+
+    __slots__ = ("leaving", "version")
+    TYPE = 2
+    version: int
+    leaving: bool
+
+
+class Announce(Message):
+    """A document version that the sender holds."""
+
+    __slots__ = ("digest", "version")
+    TYPE = 3
+    version: int
+    digest: str
+
+
+class Fetch(Message):
+    """Request for the manifest (empty digests) or for sections by digest."""
+
+    __slots__ = ("digests", "version")
+    TYPE = 4
+    version: int
+    digests: list[str]
+
+
+class Manifest(Message):
+    """A manifest in its stored form."""
+
+    __slots__ = ("body", "version")
+    TYPE = 5
+    version: int
+    body: bytes
+
+
+class Section(Message):
+    """A section body."""
+
+    __slots__ = ("body", "digest")
+    TYPE = 6
+    digest: str
+    body: bytes
+
+
+class Acquire(Message):
+    """Request to the dispatcher of a service for one slot.
+
+    `service` is the index in the sorted service names of the document; `need` packs class, tenant
+    and deadline (`process/slotcodec.py`).
+    """
+
+    __slots__ = ("call", "need", "service")
+    TYPE = 7
+    call: int
+    need: int
+    service: int
+
+
+class Grant(Message):
+    """A slot on a target (index in the service's targets), given to one call."""
+
+    __slots__ = ("call", "target")
+    TYPE = 8
+    call: int
+    target: int
+
+
+class Release(Message):
+    """The end of a granted or waiting call; `result` packs outcome and duration."""
+
+    __slots__ = ("call", "result")
+    TYPE = 9
+    call: int
+    result: int
+
+
+class Refuse(Message):
+    """The dispatcher's refusal of a call, by result code."""
+
+    __slots__ = ("call", "code")
+    TYPE = 10
+    call: int
+    code: int
+
+
+class Paces(Message):
+    """Targets of a service (by index) and how long work takes there, in percent of the usual."""
+
+    __slots__ = ("percent", "service", "targets")
+    TYPE = 26
+    percent: list[int]
+    service: int
+    targets: list[int]
+
+
+class Intent(Message):
+    """A non-idempotent request with a key that asks to run."""
+
+    __slots__ = ("body_digest", "call", "key", "service")
+    TYPE = 11
+    call: int
+    key: bytes
+    body_digest: bytes
+    service: str
+
+
+class Go(Message):
+    """Permission to send the request of an intent to a target, given once."""
+
+    __slots__ = ("call", "epoch")
+    TYPE = 12
+    call: int
+    epoch: int
+
+
+class Verdict(Message):
+    """Answer to an intent that may not run: result code, and the recorded answer if any."""
+
+    __slots__ = ("body", "call", "code", "headers", "status")
+    TYPE = 13
+    call: int
+    code: int
+    status: int
+    headers: list[list[bytes]]
+    body: bytes
+
+
+class Outcome(Message):
+    """How the request of an intent ended; a result code of the range not run frees the key."""
+
+    __slots__ = ("body", "call", "code", "epoch", "headers", "key", "status")
+    TYPE = 14
+    key: bytes
+    call: int
+    epoch: int
+    code: int
+    status: int
+    headers: list[list[bytes]]
+    body: bytes
+
+
+class Strike(Message):
+    """A target died, `age_ms` milliseconds ago, while it ran a request with this fingerprint.
+
+    `suspect` tells that the request already had a strike when the run began.
+    """
+
+    __slots__ = ("age_ms", "fingerprint", "number", "suspect", "target")
+    TYPE = 15
+    age_ms: int
+    fingerprint: bytes
+    number: int
+    suspect: bool
+    target: str
+
+
+class StrikeConfirmed(Message):
+    """The receiver recorded a strike."""
+
+    __slots__ = ("number",)
+    TYPE = 16
+    number: int
+
+
+class TargetLeaving(Message):
+    """A target takes no new work from now on."""
+
+    __slots__ = ("target",)
+    TYPE = 17
+    target: str
+
+
+class LiftQuarantine(Message):
+    """An operator lifted a quarantine, or a success cleared its strikes."""
+
+    __slots__ = ("fingerprint",)
+    TYPE = 18
+    fingerprint: bytes
+
+
+class Goodbye(Message):
+    """The sender stops now."""
+
+    __slots__ = ()
+    TYPE = 19
+
+
+class SuspectBegin(Message):
+    """Request to the arbiter of a fingerprint to run it once."""
+
+    __slots__ = ("call", "fingerprint")
+    TYPE = 20
+    fingerprint: bytes
+    call: int
+
+
+class SuspectEnd(Message):
+    """Answer to `SuspectBegin` (allowed or not), or the end of a permitted run."""
+
+    __slots__ = ("allowed", "call", "fingerprint")
+    TYPE = 21
+    fingerprint: bytes
+    call: int
+    allowed: bool
+
+
+class FetchChanges(Message):
+    """Request for the manifest entries that changed after version `since`."""
+
+    __slots__ = ("since", "version")
+    TYPE = 24
+    since: int
+    version: int
+
+
+class Changes(Message):
+    """Manifest entries that changed after `since`, and the digest of the whole manifest."""
+
+    __slots__ = ("body", "digest", "since", "version")
+    TYPE = 25
+    since: int
+    version: int
+    digest: str
+    body: bytes
+
+
+class Ownership(Message):
+    """The sender owns a journal partition under this epoch; epoch 0 when it released it."""
+
+    __slots__ = ("epoch", "partition")
+    TYPE = 22
+    partition: int
+    epoch: int
+
+
+class OutcomeStored(Message):
+    """The owner needs the outcome of this call no longer: it is recorded, or without effect."""
+
+    __slots__ = ("call",)
+    TYPE = 23
+    call: int
+
+
+def _message_types() -> dict[int, type[Message]]:
+    return {kind.TYPE: kind for kind in Message.__subclasses__()}
+
+
+_TYPES = _message_types()
+
+# Integers outside this range are refused, since CBOR allows numbers of any length.
+_INTEGER_LIMIT = 2**63
+
+
+def encode_message(message: Message) -> bytes:
+    """CBOR form of one message."""
+    return cbor2.dumps(message.as_list())
+
+
+def join_messages(parts: list[bytes]) -> bytes:
+    """One frame of messages that are already encoded: a CBOR array of indefinite length."""
+    return b"\x9f" + b"".join(parts) + b"\xff"
+
+
+def encode_messages(messages: list[Message]) -> bytes:
+    """CBOR form of the messages that share one frame."""
+    return cbor2.dumps([message.as_list() for message in messages])
+
+
+def decode_messages(data: bytes) -> Result[list[Message], str]:
+    """Messages of one frame; fails with a description of what is malformed."""
+    try:
+        items = cbor2.loads(data)
+    except (cbor2.CBORError, ValueError, TypeError, RecursionError, OverflowError) as error:
+        return Failure(f"not CBOR: {error}")
+    if not isinstance(items, list):
+        return Failure("not an array of messages")
+    messages: list[Message] = []
+    for item in items:
+        message = _decode_message(item)
+        if message is None:
+            return Failure(f"malformed message {str(item)[:80]}")
+        messages.append(message)
+    return Success(messages)
+
+
+def _decode_message(item: object) -> Message | None:
+    if not isinstance(item, list) or not item or not isinstance(item[0], int):
+        return None
+    kind = _TYPES.get(item[0])
+    if kind is None or len(item) != len(kind.__slots__) + 1:
+        return None
+    for name, value in zip(kind.__slots__, item[1:], strict=True):
+        if not _has_type(value, kind.__annotations__[name]):
+            return None
+    return kind(*item[1:])
+
+
+def _has_type(value: object, expected: Any) -> bool:
+    if get_origin(expected) is list:
+        (element,) = get_args(expected)
+        return isinstance(value, list) and all(_has_type(item, element) for item in value)
+    if expected is int:
+        return type(value) is int and abs(value) < _INTEGER_LIMIT
+    return isinstance(value, expected)
--- /dev/null
+++ b/target/deps/dotterelstand/events.py
@@ -0,0 +1,114 @@
+"""Numbered, structured log events."""
+
+import json
+from enum import IntEnum
+
+from absl import logging
+
+
+class Event(IntEnum):
+    """Number of a log event; docs/log-events.md describes each."""
+
+    DAEMON_STARTED = 100
+    DAEMON_READY = 101
+    DAEMON_STOPPING = 102
+    DAEMON_STOPPED = 103
+    SETTINGS_INVALID = 110
+    CONTROL_ACTION = 120
+    CONTROL_FAILED = 121
+    INVARIANT_BROKEN = 190
+
+    REQUEST_ENDED = 200
+    REQUEST_ANSWERED = 202
+    REQUEST_LINES_SUPPRESSED = 203
+    CONNECTION_REFUSED = 210
+    CALLERS_CLOSED = 211
+    STRIKE_RECORDED = 220
+    QUARANTINE_BEGAN = 221
+    QUARANTINE_LIFTED = 222
+
+    DOCUMENT_APPLIED = 300
+    DOCUMENT_REJECTED = 301
+    DOCUMENT_UNAVAILABLE = 302
+    DOCUMENT_DAMAGED = 303
+    DOCUMENT_OLDER = 304
+
+    PEER_LINKED = 310
+    PEER_LOST = 311
+    PEER_MALFORMED = 312
+    PEER_REFUSED = 313
+    PEER_QUEUE_FULL = 314
+
+    HOST_LIST_UNAVAILABLE = 320
+    HOST_LIST_AVAILABLE = 321
+    HOST_LIST_MALFORMED = 322
+
+    OBJECT_UNREADABLE = 323
+    HISTORY_LOST = 324
+    PLATFORM_UNAVAILABLE = 325
+    PLATFORM_AVAILABLE = 326
+
+    CERTIFICATES_RELOADED = 330
+    CERTIFICATES_INVALID = 331
+
+    STORE_UNAVAILABLE = 400
+    STORE_AVAILABLE = 401
+    LEASE_ACQUIRED = 410
+    LEASE_LOST = 411
+    LEASE_RELEASED = 412
+    LEASE_WRITE_SETTLED = 413
+    JOURNAL_UNREADABLE = 420
+    JOURNAL_FULL = 421
+    OUTCOME_DROPPED = 422
+
+    TARGET_EJECTED = 500
+    TARGET_RESTORED = 501
+    TARGET_LEAVING = 502
+    TARGET_RETURNED = 503
+    DISPATCHER_SILENT = 504
+    DISPATCHER_ANSWERS = 505
+    MEASURE_BUDGET_SPENT = 506
+
+
+_WARNINGS = frozenset(
+    {
+        Event.SETTINGS_INVALID,
+        Event.CONTROL_FAILED,
+        Event.QUARANTINE_BEGAN,
+        Event.DOCUMENT_REJECTED,
+        Event.DOCUMENT_UNAVAILABLE,
+        Event.DOCUMENT_DAMAGED,
+        Event.PEER_MALFORMED,
+        Event.PEER_REFUSED,
+        Event.PEER_QUEUE_FULL,
+        Event.HOST_LIST_UNAVAILABLE,
+        Event.HOST_LIST_MALFORMED,
+        Event.OBJECT_UNREADABLE,
+        Event.PLATFORM_UNAVAILABLE,
+        Event.CERTIFICATES_INVALID,
+        Event.STORE_UNAVAILABLE,
+        Event.LEASE_LOST,
+        Event.JOURNAL_UNREADABLE,
+        Event.JOURNAL_FULL,
+        Event.OUTCOME_DROPPED,
+        Event.TARGET_EJECTED,
+        Event.DISPATCHER_SILENT,
+        Event.MEASURE_BUDGET_SPENT,
+    }
+)
+
+_DEBUG = frozenset({Event.REQUEST_ANSWERED})
+
+
+def log(event: Event, **fields: object) -> None:
+    """Write one event as a line: number, name, and its fields as JSON."""
+    level = logging.INFO
+    if event is Event.INVARIANT_BROKEN:
+        level = logging.ERROR
+    elif event in _WARNINGS:
+        level = logging.WARNING
+    elif event in _DEBUG:
+        level = logging.DEBUG
+    if logging.get_verbosity() < level:
+        return
+    logging.log(level, "E%d %s %s", event, event.name.lower(), json.dumps(fields, default=str))
--- /dev/null
+++ b/target/deps/dotterelstand/platform/client.py
@@ -0,0 +1,165 @@
+"""Calls to the platform's metadata store."""
+
+import json
+from typing import Any
+from urllib.parse import quote
+
+import h11
+import trio
+from returns.pipeline import is_successful
+from returns.result import Failure, Result, Success
+
+from dotterelstand.connection.network import Network
+from dotterelstand.events import Event, log
+from dotterelstand.platform.decode import read_configuration, read_host, read_target, write_host
+from dotterelstand.process.membership import ListedHost
+from dotterelstand.process.registry import (
+    EXISTS,
+    HISTORY_LOST,
+    REFUSED,
+    UNANSWERED,
+    UNREADABLE,
+    Entry,
+    Item,
+    Kind,
+    Listing,
+    PlatformError,
+)
+from dotterelstand.process.storeconnection import StoreAnswer, StoreConnection, StoreConnections
+
+OBJECTS = "/dotterelstand/objects"
+CONFIGURATION_NAME = "main"
+# Names of the store's kinds; the kind of the entry hosts is the product's own.
+KIND_NAMES = {
+    Kind.CONFIGURATION: "config",
+    Kind.TARGETS: "servers",
+    Kind.HOSTS: "dotterelstand-hosts",
+}
+# The store keeps a waiting watch for at most this long.
+MAX_WAIT_MS = 30_000
+# Pages of one listing; the store gives about 500 objects a page.
+MAX_PAGES = 200
+
+
+class PlatformClient:
+    """Implements `Platform` over HTTP; each watch has a connection of its own."""
+
+    __slots__ = ("_connections", "_timeout_s", "calls")
+
+    def __init__(self, address: str, port: int, network: Network, timeout_s: float) -> None:
+        self._connections = StoreConnections(address, port, network, len(Kind) + 1)
+        self._timeout_s = timeout_s
+        self.calls = 0
+
+    async def list(self, kind: Kind) -> Result[Listing[Item], PlatformError]:
+        """All objects of a kind, as of the revision of the first page."""
+        entries: list[Entry[Item]] = []
+        after, revision = "", 0
+        for _ in range(MAX_PAGES):
+            query = f"?after={quote(after, safe='')}" if after else ""
+            page = await self._read(f"{OBJECTS}/{KIND_NAMES[kind]}{query}", self._timeout_s)
+            if not is_successful(page):
+                return Failure(page.failure())
+            try:
+                body = page.unwrap()
+                items = list(body["items"])
+                entries += [_read_entry(kind, item, False) for item in items]
+                # A change between two pages may be missed by the later one, not by a watch that
+                # begins at the first.
+                revision = revision or int(body["currentRev"])
+                if not body["hasMore"]:
+                    return Success(Listing(entries, revision))
+                after = str(items[-1]["metadata"]["name"])
+            except (KeyError, TypeError, ValueError, IndexError) as error:
+                return Failure(PlatformError(UNREADABLE, repr(error)))
+        return Failure(PlatformError(UNREADABLE, f"more than {MAX_PAGES} pages"))
+
+    async def watch(
+        self, kind: Kind, revision: int, wait_s: float
+    ) -> Result[Listing[Item], PlatformError]:
+        """Changes after a revision; fails with `HISTORY_LOST` if they are gone."""
+        wait_ms = min(MAX_WAIT_MS, int(wait_s * 1000))
+        path = f"{OBJECTS}/{KIND_NAMES[kind]}?watch={revision}&waitMs={wait_ms}"
+        answer = await self._read(path, wait_ms / 1000 + self._timeout_s)
+        if not is_successful(answer):
+            return Failure(answer.failure())
+        try:
+            body = answer.unwrap()
+            events = [
+                _read_entry(kind, event["object"], bool(event["removed"]))
+                for event in body["events"]
+            ]
+            return Success(Listing(events, int(body["currentRev"])))
+        except (KeyError, TypeError, ValueError) as error:
+            return Failure(PlatformError(UNREADABLE, repr(error)))
+
+    async def register_host(self, host: ListedHost) -> Result[None, PlatformError]:
+        """Create or replace this host's object."""
+        kind = f"{OBJECTS}/{KIND_NAMES[Kind.HOSTS]}"
+        body = {"metadata": {"name": host.host}, "spec": write_host(host)}
+        created = await self._call("POST", kind, body, self._timeout_s)
+        if is_successful(created) or created.failure().code != EXISTS:
+            return created.map(lambda _: None)
+        path = f"{kind}/{quote(host.host, safe='')}"
+        replaced = await self._call("PUT", path, body, self._timeout_s)
+        return replaced.map(lambda _: None)
+
+    async def _read(self, path: str, timeout_s: float) -> Result[dict[str, Any], PlatformError]:
+        return (await self._call("GET", path, None, timeout_s)).bind(_read_body)
+
+    async def _call(
+        self, method: str, path: str, body: object, timeout_s: float
+    ) -> Result[StoreAnswer, PlatformError]:
+        data = b"" if body is None else json.dumps(body).encode()
+        self.calls += 1
+        connection: StoreConnection | None = None
+        try:
+            with trio.fail_after(timeout_s):
+                connection = await self._connections.acquire(reuse=method == "GET")
+                headers = [(b"content-type", b"application/json")]
+                answer = await connection.exchange(method, path, headers, data)
+        except (OSError, trio.BrokenResourceError, trio.TooSlowError, h11.ProtocolError) as error:
+            return Failure(PlatformError(UNANSWERED, repr(error)))
+        finally:
+            if connection is not None:
+                self._connections.release(connection)
+        return _read_status(answer)
+
+
+def _read_status(answer: StoreAnswer) -> Result[StoreAnswer, PlatformError]:
+    if 200 <= answer.status < 300:
+        return Success(answer)
+    codes = {410: HISTORY_LOST, 409: EXISTS}
+    return Failure(PlatformError(codes.get(answer.status, REFUSED), f"status {answer.status}"))
+
+
+def _read_body(answer: StoreAnswer) -> Result[dict[str, Any], PlatformError]:
+    try:
+        body = json.loads(answer.body)
+    except ValueError as error:
+        return Failure(PlatformError(UNREADABLE, str(error)))
+    if not isinstance(body, dict):
+        return Failure(PlatformError(UNREADABLE, "not an object"))
+    return Success(body)
+
+
+def _read_entry(kind: Kind, item: object, removed: bool) -> Entry[Item]:
+    """Entry of an object; one that cannot be read is logged and has no item."""
+    if not isinstance(item, dict) or not isinstance(item.get("metadata"), dict):
+        raise TypeError("an object without metadata")
+    name = str(item["metadata"]["name"])
+    if removed:
+        return Entry(name, None, removed=True)
+    result: Result[Any, str]
+    if kind is Kind.TARGETS:
+        result = read_target(name, item.get("spec"))
+    elif kind is Kind.HOSTS:
+        result = read_host(name, item.get("spec"))
+    elif name != CONFIGURATION_NAME:
+        return Entry(name, None)
+    else:
+        result = read_configuration(item.get("spec"))
+    if not is_successful(result):
+        log(Event.OBJECT_UNREADABLE, kind=kind.value, name=name, reason=result.failure())
+        return Entry(name, None)
+    return Entry(name, result.unwrap())
--- /dev/null
+++ b/target/deps/dotterelstand/platform/headers.py
@@ -0,0 +1,17 @@
+"""Header fields between the platform's clients, the entry hosts and the instances."""
+
+from dotterelstand.request.fields import HeaderFields
+
+PLATFORM_FIELDS = HeaderFields(
+    request_id=b"x-dotterelstand-request-id",
+    deadline=b"x-dotterelstand-deadline-ms",
+    target=b"x-dotterelstand-target-instance",
+    load=b"x-dotterelstand-server-load",
+    # Instances announce that they leave only in the store.
+    draining=b"",
+    not_run=b"x-dotterelstand-not-executed",
+    # Misdirected Request: another instance has the address.
+    not_run_statuses=frozenset({421}),
+    signature=b"x-dotterelstand-server-signature",
+    identity=b"x-dotterelstand-instance-id",
+)
--- /dev/null
+++ b/target/deps/dotterelstand/process/catalogue.py
@@ -0,0 +1,169 @@
+"""Decides which targets and which configuration are in force, from what the platform tells."""
+
+from dotterelstand.process.registry import Configuration, Entry, RegisteredTarget
+from dotterelstand.version.document import Document, Service, Target
+
+# Seconds for which a target that vanished while the platform was away stays in use after its
+# return; the platform states that a live target is back within about two seconds.
+LAPSE_S = 2.2
+# Entries that vanish within this time after the platform's return may have lapsed meanwhile.
+RETURN_WINDOW_S = 1.0
+
+
+class ServiceTuning:
+    """What the document of a platform does not say about services; times in seconds."""
+
+    __slots__ = ("hedge", "max_queue_per_slot", "retry_share", "silence_timeout_s")
+
+    def __init__(
+        self, hedge: bool, retry_share: float, max_queue_per_slot: int, silence_timeout_s: float
+    ) -> None:
+        self.hedge = hedge
+        self.retry_share = retry_share
+        self.max_queue_per_slot = max_queue_per_slot
+        self.silence_timeout_s = silence_timeout_s
+
+
+class Catalogue:
+    """Targets and configuration of one entry host; the time is passed in, in seconds.
+
+    A configuration is replaced only by one with a higher number. Targets that vanish while the
+    platform is away are kept until they had time to register again.
+    """
+
+    __slots__ = (
+        "_configuration",
+        "_lapsed",
+        "_regions",
+        "_returned_at",
+        "_targets",
+        "_tuning",
+        "_was_away",
+    )
+
+    def __init__(self, regions: dict[str, str], tuning: ServiceTuning) -> None:
+        self._regions = regions
+        self._tuning = tuning
+        self._configuration: Configuration | None = None
+        self._targets: dict[str, RegisteredTarget] = {}
+        # Targets that vanished and are still in use, with the time at which they go.
+        self._lapsed: dict[str, float] = {}
+        self._was_away = False
+        self._returned_at = float("-inf")
+
+    @property
+    def number(self) -> int:
+        """Number of the configuration in force, 0 before the first."""
+        return self._configuration.number if self._configuration else 0
+
+    @property
+    def configuration(self) -> Configuration | None:
+        """Configuration in force."""
+        return self._configuration
+
+    def platform_lost(self) -> None:
+        """The list of targets cannot be read or watched."""
+        self._was_away = True
+
+    def platform_found(self, now: float) -> None:
+        """The list of targets can be read again."""
+        if self._was_away:
+            self._was_away = False
+            self._returned_at = now
+
+    def offer(self, configuration: Configuration) -> bool:
+        """Take a configuration; False if it is not newer than the one in force."""
+        if configuration.number <= self.number:
+            return False
+        self._configuration = configuration
+        return True
+
+    def replace_targets(self, entries: list[Entry[RegisteredTarget]], now: float) -> None:
+        """Take a complete list of targets."""
+        listed = {entry.name for entry in entries if entry.item is not None}
+        for name in [name for name in self._targets if name not in listed]:
+            self._drop(name, now)
+        for entry in entries:
+            self._put(entry, now)
+
+    def change_targets(self, entries: list[Entry[RegisteredTarget]], now: float) -> None:
+        """Take changes of the list of targets, in order."""
+        for entry in entries:
+            if entry.removed or entry.item is None:
+                self._drop(entry.name, now)
+            else:
+                self._put(entry, now)
+
+    def expire(self, now: float) -> bool:
+        """Give up vanished targets whose time is over; True if there were any."""
+        gone = [name for name, until in self._lapsed.items() if until <= now]
+        for name in gone:
+            del self._lapsed[name]
+            self._targets.pop(name, None)
+        return bool(gone)
+
+    def next_due(self) -> float | None:
+        """Time of the next change by `expire`, or None."""
+        return min(self._lapsed.values(), default=None)
+
+    def document(self) -> Document | None:
+        """The document in force, or None before the first configuration."""
+        configuration = self._configuration
+        if configuration is None:
+            return None
+        members: dict[str, list[Target]] = {name: [] for name in configuration.services}
+        for target in self._targets.values():
+            region = self._regions.get(target.availability_zone)
+            if target.service in members and region is not None and not target.draining:
+                members[target.service].append(_make_target(target, region))
+        services = {
+            name: Service(
+                name,
+                tuple(sorted(members[name], key=lambda target: target.name)),
+                spec.connections,
+                self._tuning.hedge,
+                self._tuning.retry_share,
+                self._tuning.max_queue_per_slot,
+                self._tuning.silence_timeout_s,
+                health_path=spec.health_path,
+            )
+            for name, spec in configuration.services.items()
+        }
+        return Document(
+            configuration.number,
+            {},
+            services,
+            configuration.routes,
+            configuration.classes,
+            {},
+            bulk=configuration.bulk,
+        )
+
+    def _put(self, entry: Entry[RegisteredTarget], now: float) -> None:
+        if entry.item is None:
+            self._drop(entry.name, now)
+            return
+        self._lapsed.pop(entry.name, None)
+        self._targets[entry.name] = entry.item
+
+    def _drop(self, name: str, now: float) -> None:
+        target = self._targets.get(name)
+        if target is None or name in self._lapsed:
+            return
+        returning = now - self._returned_at <= RETURN_WINDOW_S
+        if (self._was_away or returning) and not target.draining:
+            self._lapsed[name] = max(now, self._returned_at) + LAPSE_S
+        else:
+            del self._targets[name]
+
+
+def _make_target(target: RegisteredTarget, region: str) -> Target:
+    return Target(
+        target.name,
+        target.address,
+        target.port,
+        region,
+        target.availability_zone,
+        target.slots,
+        target.started_ms,
+    )
--- /dev/null
+++ b/target/deps/dotterelstand/process/control.py
@@ -0,0 +1,196 @@
+"""Control port of a daemon: reads state from the parts and runs operators' actions.
+
+How a part registers, with the `ControlRegistry` that the daemon holds:
+
+- `registry.provide("members", function)`: `GET /v1/members` answers what `function()` returns. The
+  value is made of dict, list, str, int, float, bool and None; the function must not wait.
+- A name with a dot belongs to a group: `budgets.store` and `budgets.measure` are answered together
+  under `GET /v1/budgets` as `{"store": ..., "measure": ...}`.
+- `registry.provide_slowly("histograms", function)` is for pages that take long to make: the
+  function is asynchronous and gives way to other tasks in between.
+- `registry.check("document", function)`: the host is ready while every `function()` is True.
+- `registry.act("quarantine/lift", function)`: `POST /v1/quarantine/lift` calls
+  `await function(arguments)` with the JSON object of the body; a `Failure` holds the reason.
+
+Shapes that the command-line tool prints as tables: `targets`, `members`, `ownership` and
+`quarantine` are lists of flat objects; `status` and each part of `budgets` are flat objects.
+"""
+
+import hmac
+import json
+from collections.abc import Awaitable, Callable
+
+import trio
+from returns.pipeline import is_successful
+from returns.result import Result
+
+from dotterelstand.connection.control import ControlAnswer, ControlConnection, ControlRequest
+from dotterelstand.connection.network import Listener, Network
+from dotterelstand.events import Event, log
+from dotterelstand.process.metrics import Metrics
+from dotterelstand.settings import Settings
+
+NOT_AUTHORIZED = 4201
+UNKNOWN_NAME = 4202
+BAD_ARGUMENTS = 4203
+ACTION_FAILED = 4204
+PROVIDER_FAILED = 4205
+
+Provider = Callable[[], object]
+SlowProvider = Callable[[], Awaitable[object]]
+Arguments = dict[str, object]
+Action = Callable[[Arguments], Awaitable[Result[object, str]]]
+
+
+class ControlRegistry:
+    """Providers, readiness checks and actions, by name."""
+
+    __slots__ = ("_actions", "_checks", "_providers", "_slow_providers")
+
+    def __init__(self) -> None:
+        self._providers: dict[str, Provider] = {}
+        self._slow_providers: dict[str, SlowProvider] = {}
+        self._checks: dict[str, Callable[[], bool]] = {}
+        self._actions: dict[str, Action] = {}
+
+    def provide(self, name: str, provider: Provider) -> None:
+        """Answer `GET /v1/<name>` with what the provider returns."""
+        assert name not in self._providers and name not in self._slow_providers, name
+        self._providers[name] = provider
+
+    def provide_slowly(self, name: str, provider: SlowProvider) -> None:
+        """Answer `GET /v1/<name>` with what an asynchronous provider returns."""
+        assert name not in self._providers and name not in self._slow_providers, name
+        self._slow_providers[name] = provider
+
+    def check(self, name: str, check: Callable[[], bool]) -> None:
+        """Make readiness depend on a check."""
+        assert name not in self._checks, name
+        self._checks[name] = check
+
+    def act(self, name: str, action: Action) -> None:
+        """Run an action on `POST /v1/<name>`."""
+        assert name not in self._actions, name
+        self._actions[name] = action
+
+    def failing_checks(self) -> list[str]:
+        """Names of the readiness checks that do not hold."""
+        return [name for name, check in self._checks.items() if not check()]
+
+    def names(self) -> list[str]:
+        """Names under which something is provided, groups once."""
+        names = {name.partition(".")[0] for name in self._providers}
+        return sorted(names | self._slow_providers.keys())
+
+    async def read(self, name: str) -> object:
+        """Value of a provider or of all parts of a group; raises `KeyError` if there is none."""
+        if name in self._slow_providers:
+            return await self._slow_providers[name]()
+        if name in self._providers:
+            return self._providers[name]()
+        parts = {
+            part.partition(".")[2]: provider()
+            for part, provider in self._providers.items()
+            if part.partition(".")[0] == name
+        }
+        if not parts:
+            raise KeyError(name)
+        return parts
+
+    def action(self, name: str) -> Action | None:
+        """Action under a name, or None."""
+        return self._actions.get(name)
+
+
+class ControlPort:
+    """Serves the control port; everything but health and readiness needs a token."""
+
+    __slots__ = ("_metrics", "_open", "_registry", "_settings", "_tokens", "port")
+
+    def __init__(self, settings: Settings, registry: ControlRegistry, metrics: Metrics) -> None:
+        self._settings = settings
+        self._registry = registry
+        self._metrics = metrics
+        self._tokens = [token.encode() for token in settings.texts("control", "tokens")]
+        self._open = 0
+        self.port = 0
+
+    async def listen(self, network: Network) -> Listener:
+        """Open the port of the settings; raises `OSError`."""
+        listener = await network.listen(
+            self._settings.text("control", "address"), self._settings.integer("control", "port")
+        )
+        self.port = listener.port
+        return listener
+
+    async def serve(self, listener: Listener) -> None:
+        """Serve until cancelled."""
+        async with trio.open_nursery() as nursery:
+            await listener.serve(self._serve_stream, nursery)
+
+    async def handle(self, request: ControlRequest) -> ControlAnswer:
+        """Answer one request."""
+        reads = request.method in ("GET", "HEAD")
+        if reads and request.path == "/health":
+            return ControlAnswer(200, {"health": "ok"})
+        if reads and request.path == "/ready":
+            failing = self._registry.failing_checks()
+            return ControlAnswer(
+                503 if failing else 200, {"ready": not failing, "missing": failing}
+            )
+        if not self._authorized(request.token):
+            self._metrics.count("control.denied")
+            return _error(401, NOT_AUTHORIZED, "send one of control.tokens as bearer token")
+        name = request.path.removeprefix("/v1/")
+        try:
+            if request.method == "POST":
+                return await self._run(name, request.body)
+            return await self._read(name)
+        except Exception as error:
+            # A fault in one page must not stop the daemon; the log line reports it.
+            log(Event.CONTROL_FAILED, name=name, error=repr(error))
+            return _error(500, PROVIDER_FAILED, f"{name}: {error!r}")
+
+    async def _serve_stream(self, stream: trio.abc.Stream) -> None:
+        if self._open >= self._settings.integer("control", "max_connections"):
+            self._metrics.count("control.connections_refused")
+            await trio.aclose_forcefully(stream)
+            return
+        self._open += 1
+        try:
+            limit = self._settings.integer("control", "max_body_bytes")
+            connection = ControlConnection(stream, limit)
+            await connection.serve(self.handle, self._settings.number("control", "timeout_s"))
+        finally:
+            self._open -= 1
+
+    def _authorized(self, token: str) -> bool:
+        # Every token is compared, so that the time does not tell which one matched.
+        given = token.encode("latin-1", "replace")
+        return sum(hmac.compare_digest(known, given) for known in self._tokens) > 0
+
+    async def _read(self, name: str) -> ControlAnswer:
+        if name not in self._registry.names():
+            known = ", ".join(self._registry.names())
+            return _error(404, UNKNOWN_NAME, f"found {name!r}; one of {known}")
+        return ControlAnswer(200, await self._registry.read(name))
+
+    async def _run(self, name: str, body: bytes) -> ControlAnswer:
+        action = self._registry.action(name)
+        if action is None:
+            return _error(404, UNKNOWN_NAME, f"found {name!r}; no such action on this host")
+        try:
+            arguments = json.loads(body or b"{}")
+        except ValueError:
+            arguments = None
+        if not isinstance(arguments, dict):
+            return _error(400, BAD_ARGUMENTS, "the body must be a JSON object")
+        log(Event.CONTROL_ACTION, name=name, arguments=arguments)
+        result = await action(arguments)
+        if is_successful(result):
+            return ControlAnswer(200, result.unwrap())
+        return _error(409, ACTION_FAILED, result.failure())
+
+
+def _error(status: int, code: int, text: str) -> ControlAnswer:
+    return ControlAnswer(status, {"code": code, "error": text})
--- /dev/null
+++ b/target/deps/dotterelstand/process/daemon.py
@@ -0,0 +1,220 @@
+"""The entry daemon: wires the parts together and owns their tasks."""
+
+import random
+
+import trio
+
+from dotterelstand.connection.network import Network
+from dotterelstand.connection.pool import TargetPool
+from dotterelstand.connection.tls import Certificates
+from dotterelstand.events import Event, log
+from dotterelstand.platform.build import build_platform, platform_fields
+from dotterelstand.process.backing import Backing
+from dotterelstand.process.control import ControlPort, ControlRegistry
+from dotterelstand.process.front import CallerFront
+from dotterelstand.process.healthprobe import HealthProbes, ProbeTuning
+from dotterelstand.process.introduction import await_introduction
+from dotterelstand.process.limits import (
+    caller_limits,
+    pool_limits,
+    quarantine_limits,
+    request_limits,
+)
+from dotterelstand.process.metrics import Metrics, build_metrics
+from dotterelstand.process.objectbacking import ObjectBacking
+from dotterelstand.process.ownbacking import OwnBacking
+from dotterelstand.process.pages import DaemonState, register_pages
+from dotterelstand.process.partpages import register_parts, target_states
+from dotterelstand.process.peers import Peers
+from dotterelstand.process.quarantine import QuarantineService, register_quarantine
+from dotterelstand.process.readiness import ReadinessPort
+from dotterelstand.process.slots import SlotBroker, make_broker
+from dotterelstand.process.targetlist import TargetList
+from dotterelstand.request.context import RequestContext
+from dotterelstand.request.fields import OWN_FIELDS, HeaderFields
+from dotterelstand.settings import Settings
+from dotterelstand.version.document import Document
+
+# Value of store.protocol for a platform whose store holds the whole document.
+OBJECT_PROTOCOL = "objects"
+
+
+class Daemon:
+    """All parts of one entry host; create it within `trio.run`."""
+
+    __slots__ = (
+        "_certificates",
+        "_control",
+        "_network",
+        "_probes",
+        "_readiness",
+        "_registry",
+        "_settings",
+        "_state",
+        "_stopping",
+        "backing",
+        "broker",
+        "control_port",
+        "front",
+        "metrics",
+        "peers",
+        "pool",
+        "port",
+        "quarantine",
+        "targets",
+    )
+
+    def __init__(
+        self,
+        settings: Settings,
+        network: Network,
+        rng: random.Random,
+        certificates: Certificates | None = None,
+    ) -> None:
+        self._settings = settings
+        self._network = network
+        self._stopping = trio.Event()
+        self.metrics: Metrics = build_metrics(settings)
+        self._certificates = certificates or Certificates(None, None)
+        peer_network = self._certificates.peer_network(network, self.metrics)
+        self.peers = Peers(settings, peer_network, rng, self.metrics)
+        self.broker: SlotBroker = make_broker(self.peers, settings, rng)
+        self.targets = TargetList(
+            self.broker, self.peers, settings.number("targets", "return_after_s"), trio.current_time
+        )
+        self.backing: Backing = self._make_backing(rng)
+        self.quarantine = QuarantineService(self.peers, quarantine_limits(settings), self.metrics)
+        self.pool = TargetPool(network, pool_limits(settings))
+        fields = platform_fields() if self._on_objects else OWN_FIELDS
+        self.front = self._make_front(fields)
+        self._probes = HealthProbes(
+            self.peers,
+            self.pool,
+            self.broker.budget,
+            self.targets,
+            self.broker,
+            lambda: self.front.document,
+            lambda service: self.broker.core.state_of(service) is not None,
+            self.metrics,
+            ProbeTuning(
+                settings.number("targets", "health_interval_s"),
+                settings.flag("targets", "health_drains"),
+                fields,
+            ),
+        )
+        self._registry = ControlRegistry()
+        self._state = DaemonState(lambda: self.front.document, self._stopping.is_set, self.stop)
+        register_pages(
+            self._registry,
+            settings,
+            self.metrics,
+            self._state,
+            lambda service: target_states(self.broker, service),
+        )
+        self._registry.check("peers", lambda: self.front.introduced)
+        register_quarantine(self._registry, self.quarantine)
+        register_parts(self._registry, self.metrics, settings, self.peers, self.broker)
+        self.backing.register(self._registry, self.metrics)
+        self._control = ControlPort(settings, self._registry, self.metrics)
+        self._readiness = ReadinessPort(settings, self._registry)
+        self.port = 0
+        self.control_port = 0
+
+    @property
+    def document(self) -> Document | None:
+        """Document in force."""
+        return self.front.document
+
+    @property
+    def registry(self) -> ControlRegistry:
+        """Pages and actions of the control port."""
+        return self._registry
+
+    def stop(self) -> None:
+        """Begin a graceful stop."""
+        if not self._stopping.is_set():
+            log(Event.DAEMON_STOPPING)
+            self._stopping.set()
+            self.peers.leave()
+
+    async def run(self) -> None:
+        """Serve callers until `stop` is called and every request has ended."""
+        caller_network = self._certificates.caller_network(self._network, self.metrics)
+        listener = await caller_network.listen(
+            self._settings.text("listen", "address"), self._settings.integer("listen", "port")
+        )
+        self.port = listener.port
+        log(Event.DAEMON_STARTED, port=self.port)
+        control = await self._control.listen(self._network)
+        self.control_port = control.port
+        self._state.started_s = trio.current_time()
+        grace_s = self._settings.number("listen", "close_grace_s")
+        with self.pool:
+            async with trio.open_nursery() as background:
+                await background.start(self.peers.run)
+                background.start_soon(self._control.serve, control)
+                background.start_soon(self._readiness.run, self._network)
+                background.start_soon(self.backing.run)
+                background.start_soon(self._open_front)
+                background.start_soon(self.broker.run)
+                background.start_soon(self._certificates.run)
+                background.start_soon(self._flush_metrics)
+                background.start_soon(self.pool.sweep_forever)
+                background.start_soon(self._probes.run)
+                await self.front.serve_until_stopped(listener, self._stopping, grace_s)
+                await self.backing.stop()
+                await self.peers.say_goodbye()
+                background.cancel_scope.cancel()
+        self.metrics.flush()
+        log(Event.DAEMON_STOPPED)
+
+    @property
+    def _on_objects(self) -> bool:
+        """Whether the platform's store holds the whole document and the targets."""
+        return self._settings.text("store", "protocol") == OBJECT_PROTOCOL
+
+    def _make_backing(self, rng: random.Random) -> Backing:
+        settings, network = self._settings, self._network
+        if self._on_objects:
+            platform = build_platform(settings, network)
+            return ObjectBacking(settings, platform, self.peers, rng, self._apply)
+        return OwnBacking(settings, network, self.peers, rng, self._apply, self.targets.read)
+
+    def _make_front(self, fields: HeaderFields) -> CallerFront:
+        settings = self._settings
+        context = RequestContext(
+            request_limits(settings),
+            self.pool,
+            self.broker,
+            self.backing.journal,
+            self.quarantine,
+            self.metrics,
+            self.targets,
+            fields,
+        )
+        return CallerFront(
+            context, caller_limits(settings), settings.integer("listen", "max_connections")
+        )
+
+    async def _flush_metrics(self) -> None:
+        while True:
+            await trio.sleep(self._settings.number("metrics", "flush_interval_s"))
+            self.metrics.flush()
+
+    async def _open_front(self) -> None:
+        limit_s = self._settings.number("peers", "introduction_s")
+        await await_introduction(self.peers, self.backing.hosts_known, limit_s)
+        self.front.introduced = True
+        self._report_ready()
+
+    def _report_ready(self) -> None:
+        if self.front.is_ready:
+            log(Event.DAEMON_READY, number=self.backing.number)
+
+    def _apply(self, document: Document) -> None:
+        was_ready = self.front.is_ready
+        self.front.document = document
+        self.metrics.keep_tenants(document.tenants)
+        self.broker.apply(document)
+        if not was_ready:
+            self._report_ready()
