--- /dev/null
+++ b/target/deps/dotterelstand/process/dispatcher.py
@@ -0,0 +1,373 @@
+"""Grants the slots of one service's targets in one region."""
+
+from collections import deque
+
+from dotterelstand.codes import Result as ResultCode
+from dotterelstand.process.balancer import Chooser
+from dotterelstand.process.health import HealthTable
+from dotterelstand.process.outcome import AttemptOutcome
+from dotterelstand.process.queue import CallKey, CallQueue, WaitingCall
+from dotterelstand.process.slotcodec import CLASSES
+from dotterelstand.process.slotindex import NO_TARGETS
+from dotterelstand.process.tuning import SelectionTuning
+from dotterelstand.request.fields import LoadReport
+from dotterelstand.version.document import Service
+
+HOLD_WEIGHT = 0.02
+
+
+class Granted:
+    """A slot on the target with this index in the service's targets."""
+
+    __slots__ = ("key", "target")
+
+    def __init__(self, key: CallKey, target: int) -> None:
+        self.key = key
+        self.target = target
+
+
+class Refused:
+    """A call that gets no slot, with the result code of the refusal."""
+
+    __slots__ = ("code", "key")
+
+    def __init__(self, key: CallKey, code: ResultCode) -> None:
+        self.key = key
+        self.code = code
+
+
+Decision = Granted | Refused
+
+
+class _OpenGrant:
+    """A grant that was not released yet."""
+
+    __slots__ = ("granted_at", "key", "position", "table")
+
+    def __init__(self, key: CallKey, table: HealthTable, position: int, granted_at: float) -> None:
+        self.key = key
+        self.table = table
+        self.position = position
+        self.granted_at = granted_at
+
+
+class DispatcherCounters:
+    """Totals since the start."""
+
+    __slots__ = ("deadline_refused", "expired", "granted", "queue_refused", "spilled", "waited")
+
+    def __init__(self) -> None:
+        self.granted = 0
+        self.waited = 0
+        self.queue_refused = 0
+        self.deadline_refused = 0
+        self.expired = 0
+        self.spilled = 0
+
+
+class Dispatcher:
+    """Slots, queue and grants of one service; soft state that may be lost at any time."""
+
+    __slots__ = (
+        "_chooser",
+        "_expiry",
+        "_grants",
+        "_hold_s",
+        "_local",
+        "_numbers",
+        "_place_of",
+        "_queue",
+        "_region",
+        "_remote",
+        "_tuning",
+        "bulk",
+        "counters",
+        "service",
+    )
+
+    def __init__(
+        self, service: Service, region: str, tuning: SelectionTuning, chooser: Chooser
+    ) -> None:
+        self._region = region
+        self._tuning = tuning
+        self._chooser = chooser
+        self._grants: dict[CallKey, _OpenGrant] = {}
+        self._expiry: deque[_OpenGrant] = deque()
+        self._hold_s = 0.0
+        self._queue = CallQueue(0, CLASSES)
+        self.counters = DispatcherCounters()
+        # Numbers of the classes whose calls stay in the region.
+        self.bulk: frozenset[int] = frozenset()
+        self._set_service(service)
+
+    @property
+    def waiting(self) -> int:
+        """Calls in the queue."""
+        return len(self._queue)
+
+    @property
+    def open_grants(self) -> int:
+        """Grants that were not released yet."""
+        return len(self._grants)
+
+    @property
+    def table(self) -> HealthTable:
+        """Targets of the own region, or all if there are none there."""
+        return self._local
+
+    @property
+    def tables(self) -> tuple[HealthTable, HealthTable]:
+        """Targets of the own region, and those of the others."""
+        return self._local, self._remote
+
+    def replace_service(self, service: Service, now: float) -> None:
+        """Use a new version of the service; targets that are new start cold."""
+        tables = (self._local, self._remote)
+        self._set_service(service)
+        self._local.inherit(tables[0])
+        self._remote.inherit(tables[1])
+        places = {target.name: index for index, target in enumerate(service.targets)}
+        for grant in list(self._grants.values()):
+            number = places.get(grant.table.targets[grant.position].name)
+            if number is None:
+                del self._grants[grant.key]
+                continue
+            grant.table, grant.position = self._place_of[number]
+            grant.table.start(grant.position)
+
+    def submit(self, call: WaitingCall, now: float) -> list[Decision]:
+        """Grant a slot, refuse, or queue the call; an evicted call is refused as well."""
+        self._clear(call.key, now)
+        decisions = self.advance(now)
+        slow: int | None = None
+        if not len(self._queue):
+            position = self._choose_for(call, self._local, now)
+            if position is not None:
+                if not self._local.targets[position].slow:
+                    return [*decisions, self._grant(call.key, self._local, position, now)]
+                slow = position
+        wait_s = self._expected_wait_s(call.klass)
+        remaining_s = call.deadline - now
+        spilled = self._spill(call, wait_s, remaining_s, now)
+        if spilled is not None:
+            return [*decisions, spilled]
+        if slow is not None and not self._awaits_usual(call, now):
+            return [*decisions, self._grant(call.key, self._local, slow, now)]
+        if not self._fitting(call):
+            return [*decisions, Refused(call.key, ResultCode.NO_TARGET)]
+        if remaining_s < wait_s + self._local.usual_s:
+            self.counters.deadline_refused += 1
+            return [*decisions, Refused(call.key, ResultCode.DEADLINE_TOO_SHORT)]
+        self.counters.waited += 1
+        evicted = self._queue.push(call)
+        if evicted is None:
+            return decisions
+        self.counters.queue_refused += 1
+        return [*decisions, Refused(evicted.key, ResultCode.OVERLOADED)]
+
+    def adopt(self, key: CallKey, target: int, now: float) -> None:
+        """Count a slot that somebody else granted on one of our targets."""
+        self._clear(key, now)
+        table, position = self._place_of[target]
+        self._grant(key, table, position, now)
+
+    def finish(
+        self,
+        key: CallKey,
+        kind: AttemptOutcome,
+        duration_s: float,
+        load: LoadReport | None,
+        now: float,
+    ) -> list[Decision]:
+        """End a grant or a wait; returns the decisions that the freed slot allows."""
+        if self._queue.remove(key) is not None:
+            return []
+        grant = self._grants.pop(key, None)
+        if grant is None:
+            return []
+        if kind is AttemptOutcome.OK:
+            held_s = now - grant.granted_at
+            self._hold_s += HOLD_WEIGHT * (held_s - self._hold_s) if self._hold_s else held_s
+        grant.table.finish(grant.position, kind, duration_s, now)
+        if load is not None:
+            grant.table.report_load(grant.position, load, now)
+        return self.advance(now)
+
+    def advance(self, now: float) -> list[Decision]:
+        """Apply what time changed and serve waiting calls as far as slots allow."""
+        self.advance_health(now)
+        decisions: list[Decision] = []
+        passed_over: list[WaitingCall] = []
+        while len(self._queue):
+            if self._local.usable and self._chooser.choose(self._local, NO_TARGETS, now) is None:
+                break
+            call = self._queue.pop()
+            assert call is not None
+            position = self._choose_for(call, self._local, now)
+            if position is not None and self._local.targets[position].slow:
+                if self._awaits_usual(call, now):
+                    passed_over.append(call)
+                    continue
+            if position is None and self._fitting(call):
+                # The open targets are those that this call must avoid; it waits for another.
+                passed_over.append(call)
+            else:
+                decisions.append(self._serve_waiting(call, position, now))
+        for call in passed_over:
+            self._queue.push(call)
+        return decisions
+
+    def advance_health(self, now: float) -> None:
+        """End ejections and holds that are due, and expire old grants."""
+        self._local.advance(now)
+        self._remote.advance(now)
+        limit = now - self._tuning.grant_life_s
+        while self._expiry:
+            grant = self._expiry[0]
+            is_open = self._grants.get(grant.key) is grant
+            if is_open and grant.granted_at > limit:
+                break
+            self._expiry.popleft()
+            if is_open:
+                del self._grants[grant.key]
+                grant.table.finish(grant.position, AttemptOutcome.CANCELLED, 0.0, now)
+                self.counters.expired += 1
+
+    def next_due(self, now: float) -> float:
+        """Time at which `advance` has work again without further calls, in seconds."""
+        due = now + self._tuning.grant_life_s
+        if self._expiry:
+            due = self._expiry[0].granted_at + self._tuning.grant_life_s
+        for table in (self._local, self._remote):
+            other = table.next_due()
+            due = due if other is None else min(due, other)
+        return due
+
+    def drop_host(self, host: str, now: float) -> list[Decision]:
+        """Free everything that a lost host holds or waits for."""
+        for key in [key for key in self._grants if key[0] == host]:
+            grant = self._grants.pop(key)
+            grant.table.finish(grant.position, AttemptOutcome.CANCELLED, 0.0, now)
+        self._queue.remove_host(host)
+        return self.advance(now)
+
+    def mark_leaving(self, name: str) -> None:
+        """Give a target no new work."""
+        self._mark(name, HealthTable.mark_leaving)
+
+    def mark_returned(self, name: str) -> None:
+        """A leaving target is live again."""
+        self._mark(name, HealthTable.mark_returned)
+
+    def report_load(self, target: int, report: LoadReport, now: float) -> bool:
+        """Note a load report; True if the target turned slow or usual."""
+        table, position = self._place_of[target]
+        was_slow = table.targets[position].slow
+        table.report_load(position, report, now)
+        return table.targets[position].slow != was_slow
+
+    def note_pace(self, target: int, pace: float, now: float) -> None:
+        """Note how long work takes at a target."""
+        table, position = self._place_of[target]
+        table.note_pace(position, pace, now)
+
+    def note_unreachable(self, target: int, now: float) -> None:
+        """Count a health request that was not answered."""
+        table, position = self._place_of[target]
+        table.note_unreachable(position, now)
+
+    def is_usable(self, target: int) -> bool:
+        """Whether a target may receive new work."""
+        table, position = self._place_of[target]
+        return table.targets[position].usable
+
+    def _mark(self, name: str, mark) -> None:  # type: ignore[no-untyped-def]
+        for table, position in self._place_of:
+            if table.targets[position].name == name:
+                mark(table, position)
+
+    def _set_service(self, service: Service) -> None:
+        self.service = service
+        near = [target for target in service.targets if target.region == self._region]
+        far = [target for target in service.targets if target.region != self._region]
+        if not near:
+            near, far = far, []
+        self._local = HealthTable(near, self._tuning)
+        self._remote = HealthTable(far, self._tuning, guest=True)
+        places = {target.name: (self._local, place) for place, target in enumerate(near)}
+        places.update((target.name, (self._remote, place)) for place, target in enumerate(far))
+        self._place_of = [places[target.name] for target in service.targets]
+        numbers = {target.name: index for index, target in enumerate(service.targets)}
+        self._numbers = {
+            id(self._local): [numbers[target.name] for target in near],
+            id(self._remote): [numbers[target.name] for target in far],
+        }
+        slots = sum(target.slots for target in near)
+        self._queue.capacity = service.max_queue_per_slot * slots
+
+    def _choose_for(self, call: WaitingCall, table: HealthTable, now: float) -> int | None:
+        return self._chooser.choose(table, self._positions(call, table), now, call.zone)
+
+    def _positions(self, call: WaitingCall, table: HealthTable) -> frozenset[int]:
+        """Positions in a table that a call must avoid."""
+        if not call.excluded:
+            return NO_TARGETS
+        places = (self._place_of[index] for index in call.excluded)
+        return frozenset(position for other, position in places if other is table)
+
+    def _fitting(self, call: WaitingCall) -> int:
+        """Number of usable targets of the region that the call need not avoid."""
+        avoided = self._positions(call, self._local)
+        return self._local.usable - sum(self._local.targets[place].usable for place in avoided)
+
+    def _grant(self, key: CallKey, table: HealthTable, position: int, now: float) -> Granted:
+        grant = _OpenGrant(key, table, position, now)
+        self._grants[key] = grant
+        self._expiry.append(grant)
+        table.start(position)
+        self.counters.granted += 1
+        return Granted(key, self._numbers[id(table)][position])
+
+    def _serve_waiting(self, call: WaitingCall, position: int | None, now: float) -> Decision:
+        if position is None:
+            return Refused(call.key, ResultCode.NO_TARGET)
+        if call.deadline - now < self._local.usual_s:
+            self.counters.deadline_refused += 1
+            return Refused(call.key, ResultCode.DEADLINE_TOO_SHORT)
+        return self._grant(call.key, self._local, position, now)
+
+    def _expected_wait_s(self, klass: int) -> float:
+        slots = max(1, self._local.allowances)
+        hold_s = self._hold_s or self._local.usual_s
+        return (self._queue.ahead(klass) + 1) * hold_s / slots
+
+    def _awaits_usual(self, call: WaitingCall, now: float) -> bool:
+        """Whether a call that only slow targets could take waits for one that is not slow."""
+        if self._local.slow >= self._local.usable:
+            return False
+        return now - call.arrived < min(self._local.usual_s, (call.deadline - now) / 4)
+
+    def _spill(
+        self, call: WaitingCall, wait_s: float, remaining_s: float, now: float
+    ) -> Granted | None:
+        """Slot in another region, if waiting here costs more than crossing."""
+        if call.klass in self.bulk:
+            return None
+        crossing_s = self._tuning.crossing_s
+        is_full = len(self._queue) >= self._queue.capacity
+        if self._fitting(call) and wait_s <= crossing_s and not is_full:
+            return None
+        if remaining_s < crossing_s + self._local.usual_s:
+            return None
+        position = self._choose_for(call, self._remote, now)
+        if position is None or self._remote.targets[position].slow:
+            return None
+        self.counters.spilled += 1
+        return self._grant(call.key, self._remote, position, now)
+
+    def _clear(self, key: CallKey, now: float) -> None:
+        """Forget an older use of a call number, whose release was lost."""
+        self._queue.remove(key)
+        grant = self._grants.pop(key, None)
+        if grant is not None:
+            grant.table.finish(grant.position, AttemptOutcome.CANCELLED, 0.0, now)
--- /dev/null
+++ b/target/deps/dotterelstand/process/figures.py
@@ -0,0 +1,49 @@
+"""Reads the totals that parts keep as attributes as counters with names."""
+
+from collections.abc import Mapping
+from enum import Enum
+
+# Prefix of the counters that each class of totals gives; docs/counters.md has a row for each.
+PREFIXES = {
+    "CallFigures": "store",
+    "DispatcherCounters": "dispatcher",
+    "GrantServerCounters": "grantserver",
+    "JournalFigures": "journal",
+    "MeasureCounters": "measure",
+    "OutcomeFigures": "outcomes",
+    "PartitionFigures": "partition",
+    "RecordFigures": "records",
+    "SlotCounters": "selection",
+}
+
+
+def read_figures(thing: object) -> dict[str, int]:
+    """Counters `<prefix>.<attribute>` of an object; a table gives one counter per key."""
+    prefix = PREFIXES[type(thing).__name__]
+    counters: dict[str, int] = {}
+    for name in type(thing).__slots__:  # type: ignore[attr-defined]
+        value = getattr(thing, name)
+        if isinstance(value, Mapping):
+            for key, amount in value.items():
+                counters[f"{prefix}.{name}.{_key_name(key)}"] = int(amount)
+        elif isinstance(value, int):
+            counters[f"{prefix}.{name}"] = value
+    return counters
+
+
+def sum_figures(things: list[object]) -> dict[str, int]:
+    """Counters of several objects of one class, added up."""
+    total: dict[str, int] = {}
+    for thing in things:
+        for name, amount in read_figures(thing).items():
+            total[name] = total.get(name, 0) + amount
+    return total
+
+
+def _key_name(key: object) -> str:
+    if isinstance(key, tuple):
+        return ".".join(map(_key_name, key))
+    # Result codes are known by number, everything else by name.
+    if isinstance(key, int) and isinstance(key, Enum) and key >= 1000:
+        return str(int(key))
+    return key.name.lower() if isinstance(key, Enum) else str(key)
--- /dev/null
+++ b/target/deps/dotterelstand/process/follow.py
@@ -0,0 +1,278 @@
+"""Follows the platform's lists of targets, configurations and entry hosts."""
+
+import random
+from collections.abc import Callable
+
+import trio
+from returns.pipeline import is_successful
+
+from dotterelstand.events import Event, log
+from dotterelstand.process.catalogue import Catalogue
+from dotterelstand.process.membership import ListedHost
+from dotterelstand.process.registry import (
+    HISTORY_LOST,
+    Configuration,
+    Entry,
+    Item,
+    Kind,
+    Platform,
+    PlatformError,
+    RegisteredTarget,
+)
+from dotterelstand.version.document import Document
+
+# Pause before the next call to a platform that does not answer; it doubles up to the longest, which
+# leaves time to read a configuration within two seconds of the platform's return.
+RETRY_FIRST_S = 0.1
+RETRY_LONGEST_S = 0.8
+
+
+class FollowTuning:
+    """Times in seconds: longest wait of a watch, pauses between two watches, host list interval."""
+
+    __slots__ = ("configuration_pause_s", "hosts_interval_s", "targets_pause_s", "watch_s")
+
+    def __init__(
+        self,
+        watch_s: float,
+        targets_pause_s: float,
+        configuration_pause_s: float,
+        hosts_interval_s: float,
+    ) -> None:
+        self.watch_s = watch_s
+        self.targets_pause_s = targets_pause_s
+        self.configuration_pause_s = configuration_pause_s
+        self.hosts_interval_s = hosts_interval_s
+
+
+class _Backoff:
+    """Jittered pauses between failed calls."""
+
+    __slots__ = ("_pause_s", "_rng")
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+        self._pause_s = RETRY_FIRST_S
+
+    def reset(self) -> None:
+        """The last call was answered."""
+        self._pause_s = RETRY_FIRST_S
+
+    async def sleep(self) -> None:
+        """Wait before the next call."""
+        await trio.sleep(self._pause_s * self._rng.uniform(0.5, 1.0))
+        self._pause_s = min(RETRY_LONGEST_S, 2 * self._pause_s)
+
+
+class Follower:
+    """Keeps one list up to date: reads it once, then watches it.
+
+    `replace` gets a complete list, `change` later changes, and `lost` is called when the platform
+    does not answer.
+    """
+
+    __slots__ = (
+        "_available",
+        "_backoff",
+        "_change",
+        "_kind",
+        "_lost",
+        "_pause_s",
+        "_platform",
+        "_replace",
+        "_watch_s",
+    )
+
+    def __init__(
+        self,
+        platform: Platform,
+        kind: Kind,
+        watch_s: float,
+        pause_s: float,
+        rng: random.Random,
+        replace: Callable[[list[Entry[Item]]], None],
+        change: Callable[[list[Entry[Item]]], None],
+        lost: Callable[[], None],
+    ) -> None:
+        self._platform = platform
+        self._kind = kind
+        self._watch_s = watch_s
+        self._pause_s = pause_s
+        self._backoff = _Backoff(rng)
+        self._replace = replace
+        self._change = change
+        self._lost = lost
+        self._available = True
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        while True:
+            listing = await self._platform.list(self._kind)
+            if not is_successful(listing):
+                self._note_failure(listing.failure())
+                await self._backoff.sleep()
+                continue
+            self._note_answer()
+            self._replace(listing.unwrap().entries)
+            await self._watch(listing.unwrap().revision)
+
+    async def _watch(self, revision: int) -> None:
+        """Watch from a revision until the history is lost."""
+        while True:
+            changes = await self._platform.watch(self._kind, revision, self._watch_s)
+            if is_successful(changes):
+                self._note_answer()
+                revision = changes.unwrap().revision
+                self._change(changes.unwrap().entries)
+                # Changes that come together are read together.
+                await trio.sleep(self._pause_s)
+            elif changes.failure().code == HISTORY_LOST:
+                log(Event.HISTORY_LOST, kind=self._kind.value, revision=revision)
+                return
+            else:
+                self._note_failure(changes.failure())
+                await self._backoff.sleep()
+
+    def _note_answer(self) -> None:
+        self._backoff.reset()
+        if not self._available:
+            self._available = True
+            log(Event.PLATFORM_AVAILABLE, kind=self._kind.value)
+
+    def _note_failure(self, error: PlatformError) -> None:
+        self._lost()
+        if self._available:
+            self._available = False
+            log(Event.PLATFORM_UNAVAILABLE, kind=self._kind.value, error=str(error))
+
+
+class PlatformFeed:
+    """Calls `apply(document)` when targets or configuration change, and `read_hosts` with hosts."""
+
+    __slots__ = (
+        "_apply",
+        "_backoff",
+        "_catalogue",
+        "_changed",
+        "_own",
+        "_platform",
+        "_read_hosts",
+        "_rng",
+        "_tuning",
+        "hosts_known",
+    )
+
+    def __init__(
+        self,
+        platform: Platform,
+        catalogue: Catalogue,
+        own: Callable[[], ListedHost],
+        tuning: FollowTuning,
+        rng: random.Random,
+        apply: Callable[[Document], None],
+        read_hosts: Callable[[list[ListedHost]], None],
+    ) -> None:
+        self._platform = platform
+        self._catalogue = catalogue
+        self._own = own
+        self._tuning = tuning
+        self._rng = rng
+        self._apply = apply
+        self._read_hosts = read_hosts
+        self._backoff = _Backoff(rng)
+        self._changed = trio.Event()
+        self.hosts_known = trio.Event()
+
+    async def run(self) -> None:
+        """Follow the platform until cancelled."""
+        tuning = self._tuning
+        targets = Follower(
+            self._platform,
+            Kind.TARGETS,
+            tuning.watch_s,
+            tuning.targets_pause_s,
+            self._rng,
+            self._replace_targets,
+            self._change_targets,
+            self._catalogue.platform_lost,
+        )
+        configuration = Follower(
+            self._platform,
+            Kind.CONFIGURATION,
+            tuning.watch_s,
+            tuning.configuration_pause_s,
+            self._rng,
+            self._take_configuration,
+            self._take_configuration,
+            lambda: None,
+        )
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(targets.run)
+            nursery.start_soon(configuration.run)
+            nursery.start_soon(self._follow_hosts)
+            nursery.start_soon(self._expire)
+
+    async def _follow_hosts(self) -> None:
+        """Register this host, then read the others: the later of two hosts finds the earlier."""
+        registered = False
+        while True:
+            if not registered:
+                registered = is_successful(await self._platform.register_host(self._own()))
+            listing = await self._platform.list(Kind.HOSTS) if registered else None
+            if listing is None or not is_successful(listing):
+                self.hosts_known.set()
+                await self._backoff.sleep()
+                continue
+            self._backoff.reset()
+            entries = listing.unwrap().entries
+            self._read_hosts([item.item for item in entries if isinstance(item.item, ListedHost)])
+            self.hosts_known.set()
+            await trio.sleep(self._tuning.hosts_interval_s * self._rng.uniform(0.8, 1.2))
+
+    def _replace_targets(self, entries: list[Entry[Item]]) -> None:
+        now = trio.current_time()
+        self._catalogue.platform_found(now)
+        self._catalogue.replace_targets(_targets(entries), now)
+        self._publish()
+
+    def _change_targets(self, entries: list[Entry[Item]]) -> None:
+        now = trio.current_time()
+        self._catalogue.platform_found(now)
+        if entries:
+            self._catalogue.change_targets(_targets(entries), now)
+            self._publish()
+
+    def _take_configuration(self, entries: list[Entry[Item]]) -> None:
+        for entry in entries:
+            if isinstance(entry.item, Configuration):
+                if self._catalogue.offer(entry.item):
+                    log(Event.DOCUMENT_APPLIED, number=entry.item.number)
+                    self._publish()
+                elif entry.item.number < self._catalogue.number:
+                    log(Event.DOCUMENT_OLDER, number=entry.item.number)
+
+    def _publish(self) -> None:
+        self._changed.set()
+        document = self._catalogue.document()
+        if document is not None:
+            self._apply(document)
+
+    async def _expire(self) -> None:
+        while True:
+            self._changed = trio.Event()
+            due = self._catalogue.next_due()
+            with trio.move_on_at(float("inf") if due is None else due):
+                await self._changed.wait()
+            if self._catalogue.expire(trio.current_time()):
+                self._publish()
+
+
+def _targets(entries: list[Entry[Item]]) -> list[Entry[RegisteredTarget]]:
+    return [
+        Entry(
+            entry.name,
+            entry.item if isinstance(entry.item, RegisteredTarget) else None,
+            entry.removed,
+        )
+        for entry in entries
+    ]
--- /dev/null
+++ b/target/deps/dotterelstand/process/front.py
@@ -0,0 +1,207 @@
+"""The caller side of a daemon: accepts connections, serves their requests and stops gracefully."""
+
+import trio
+
+from dotterelstand.codes import Result as ResultCode
+from dotterelstand.codes import Run
+from dotterelstand.connection.caller import CallerConnection, CallerLimits
+from dotterelstand.connection.network import Listener
+from dotterelstand.connection.target import close_now
+from dotterelstand.events import Event, log
+from dotterelstand.request.context import RequestContext
+from dotterelstand.request.ending import Ending, EndLog
+from dotterelstand.request.exchange import Exchange
+from dotterelstand.request.head import RequestHead
+from dotterelstand.version.document import Document, Route
+
+# Connections over the limit that are told so at the same time; others are closed without a word.
+MAX_REFUSING = 64
+
+
+class CallerFront:
+    """Serves callers with the document in force."""
+
+    __slots__ = (
+        "_connections",
+        "_context",
+        "_end_log",
+        "_limits",
+        "_max_connections",
+        "_refusing",
+        "document",
+        "introduced",
+        "stopping",
+    )
+
+    def __init__(self, context: RequestContext, limits: CallerLimits, max_connections: int) -> None:
+        self._context = context
+        self._limits = limits
+        self._max_connections = max_connections
+        self._connections: set[CallerConnection] = set()
+        self._refusing = 0
+        self._end_log = EndLog()
+        self.document: Document | None = None
+        # Whether the neighbours had their time to tell this host about quarantines.
+        self.introduced = False
+        self.stopping = False
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether requests of callers are served."""
+        return self.introduced and self.document is not None
+
+    @property
+    def open_connections(self) -> int:
+        """Number of caller connections being served."""
+        return len(self._connections)
+
+    async def serve_until_stopped(
+        self, listener: Listener, stop: trio.Event, grace_s: float
+    ) -> None:
+        """Serve callers until `stop` is set, then end gracefully.
+
+        After `grace_s` seconds the listener and idle connections are closed. Returns when the
+        last request in flight has ended.
+        """
+        async with trio.open_nursery() as callers:
+            accepting = trio.CancelScope()
+            callers.start_soon(self._accept, listener, callers, accepting)
+            await stop.wait()
+            self.begin_stop()
+            await trio.sleep(grace_s)
+            accepting.cancel()
+            self._close_idle()
+
+    def begin_stop(self) -> None:
+        """Ask every caller to use another connection for its next request."""
+        self.stopping = True
+        for connection in self._connections:
+            connection.closing = True
+
+    async def serve_caller(self, stream: trio.abc.Stream) -> None:
+        """Serve the requests of one caller connection."""
+        if len(self._connections) >= self._max_connections:
+            await self._refuse_connection(stream)
+            return
+        connection = CallerConnection(stream, self._limits, self._context.fields)
+        connection.closing = self.stopping
+        self._connections.add(connection)
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(connection.read_ahead)
+                await self._serve_requests(connection)
+                nursery.cancel_scope.cancel()
+        except* (trio.BrokenResourceError, trio.ClosedResourceError):
+            # The caller left while an answer was on its way.
+            pass
+        except* Exception as group:
+            self._report_fault(group)
+        finally:
+            self._connections.discard(connection)
+            if not connection.aborted:
+                connection.close()
+
+    async def _serve_requests(self, connection: CallerConnection) -> None:
+        while True:
+            head = await connection.next_request()
+            if head is None:
+                return
+            if isinstance(head, ResultCode):
+                await self._reject(connection, head)
+                return
+            await self._serve_request(connection, head)
+            if not connection.start_next_cycle():
+                await connection.linger()
+                return
+
+    async def _serve_request(self, connection: CallerConnection, head: RequestHead) -> None:
+        document = self.document if self.introduced else None
+        route = None if document is None else _find_route(document, head)
+        if document is None or route is None:
+            code = _routing_failure(document, head)
+            ending = Ending(None, head.tenant)
+        else:
+            exchange = Exchange(connection, head, document, route, self._context)
+            ending = exchange.ending
+            code = await exchange.run()
+        await self._conclude(connection, code)
+        ending.count(self._context.metrics, code)
+        self._end_log.write(code, head.path)
+
+    async def _conclude(self, connection: CallerConnection, code: ResultCode) -> None:
+        """Send a refusal, or break off an answer that did not become complete."""
+        if connection.answer_started:
+            if code.run is not Run.RAN:
+                connection.abort()
+        elif not connection.departed:
+            await self._send_refusal(connection, code)
+
+    async def _reject(self, connection: CallerConnection, code: ResultCode) -> None:
+        self._context.metrics.count(f"requests.result.{code:d}")
+        self._end_log.write(code, "")
+        await self._send_refusal(connection, code)
+        await connection.linger()
+
+    async def _send_refusal(self, connection: CallerConnection, code: ResultCode) -> None:
+        with trio.move_on_after(self._limits.body_idle_timeout_s) as scope:
+            await connection.refuse(code)
+        if scope.cancelled_caught:
+            connection.abort()
+
+    async def _refuse_connection(self, stream: trio.abc.Stream) -> None:
+        code = ResultCode.TOO_MANY_CONNECTIONS
+        self._context.metrics.count(f"requests.result.{code:d}")
+        try:
+            if self._refusing < MAX_REFUSING:
+                self._refusing += 1
+                try:
+                    await self._tell_refusal(stream, code)
+                finally:
+                    self._refusing -= 1
+        finally:
+            close_now(stream)
+
+    async def _tell_refusal(self, stream: trio.abc.Stream, code: ResultCode) -> None:
+        log(Event.CONNECTION_REFUSED, connections=len(self._connections))
+        connection = CallerConnection(stream, self._limits, self._context.fields)
+        connection.closing = True
+        try:
+            with trio.move_on_after(self._limits.linger_s):
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(connection.read_ahead)
+                    await connection.refuse(code)
+                    await connection.linger()
+                    nursery.cancel_scope.cancel()
+        except* (trio.BrokenResourceError, trio.ClosedResourceError):
+            pass
+
+    async def _accept(
+        self, listener: Listener, callers: trio.Nursery, accepting: trio.CancelScope
+    ) -> None:
+        with accepting:
+            await listener.serve(self.serve_caller, callers)
+
+    def _close_idle(self) -> None:
+        closed = 0
+        for connection in list(self._connections):
+            if connection.is_idle():
+                connection.close()
+                closed += 1
+        log(Event.CALLERS_CLOSED, idle=closed, in_flight=len(self._connections) - closed)
+
+    def _report_fault(self, group: BaseExceptionGroup) -> None:
+        self._context.metrics.count("requests.faults")
+        errors = [repr(error) for error in group.exceptions]
+        log(Event.INVARIANT_BROKEN, name="request", detail=errors)
+
+
+def _find_route(document: Document, head: RequestHead) -> Route | None:
+    return document.find_route(head.route_path, head.method, head.host)
+
+
+def _routing_failure(document: Document | None, head: RequestHead) -> ResultCode:
+    if document is None:
+        return ResultCode.NO_CONFIGURATION
+    if document.allowed_methods(head.route_path, head.host):
+        return ResultCode.METHOD_NOT_ALLOWED
+    return ResultCode.NO_ROUTE
--- /dev/null
+++ b/target/deps/dotterelstand/process/grantserver.py
@@ -0,0 +1,102 @@
+"""Serves slots to the calls of other entry hosts, as the dispatcher of some services."""
+
+from dotterelstand.connection.wire import Acquire, Grant, Refuse, Release
+from dotterelstand.process.dispatcher import Decision, Granted
+from dotterelstand.process.measuredmesh import MeasuredMesh
+from dotterelstand.process.outcome import AttemptOutcome
+from dotterelstand.process.queue import WaitingCall
+from dotterelstand.process.servicestate import ServiceState
+from dotterelstand.process.slotcodec import unpack_need, unpack_result
+from dotterelstand.process.slotcounters import GrantServerCounters
+from dotterelstand.process.tuning import SelectionTuning
+from dotterelstand.version.document import Service
+
+
+class GrantServer:
+    """Calls of other hosts that wait for or hold a slot here."""
+
+    __slots__ = ("_by_index", "_calls", "_mesh", "_tuning", "counters")
+
+    def __init__(self, mesh: MeasuredMesh, tuning: SelectionTuning) -> None:
+        self._mesh = mesh
+        self._tuning = tuning
+        self._by_index: list[Service] = []
+        # Service state per host and call number; a host has at most `max_calls` numbers.
+        self._calls: dict[str, dict[int, ServiceState]] = {}
+        self.counters = GrantServerCounters()
+
+    def apply(self, services: list[Service]) -> None:
+        """Follow a new version of the document; `services` are sorted by name."""
+        self._by_index = services
+
+    def service(self, index: int) -> Service | None:
+        """Service with this number, or None if there is none."""
+        if 0 <= index < len(self._by_index):
+            return self._by_index[index]
+        self.counters.malformed += 1
+        return None
+
+    def owner(self, host: str, number: int) -> ServiceState | None:
+        """State of the service for which a call waits or holds a slot."""
+        return self._calls.get(host, {}).get(number)
+
+    def hosts(self) -> set[str]:
+        """Hosts that ever asked and were not forgotten."""
+        return set(self._calls)
+
+    def forget(self, host: str) -> None:
+        """Drop the calls of a lost host."""
+        self._calls.pop(host, None)
+
+    def acquire(
+        self, state: ServiceState, host: str, message: Acquire, now: float
+    ) -> list[Decision]:
+        """Handle a request for a slot."""
+        need = unpack_need(message.need)
+        if need is None or message.call < 0:
+            self.counters.malformed += 1
+            return []
+        if message.call >= self._tuning.max_calls:
+            # The host numbers its calls from 0, so a higher number means more open calls.
+            self.counters.table_full += 1
+            return []
+        calls = self._calls.setdefault(host, {})
+        key = (host, message.call)
+        before = calls.get(message.call)
+        if before is not None and before is not state:
+            before.regional.finish(key, AttemptOutcome.CANCELLED, 0.0, None, now)
+        calls[message.call] = state
+        remaining_s = need.urgent_s if need.urgent_s is not None else self._tuning.grant_life_s
+        zone = self._mesh.zone(host)
+        call = WaitingCall(key, need.klass, need.tenant, now, now + remaining_s, zone=zone)
+        return state.regional.submit(call, now)
+
+    def release(
+        self, state: ServiceState, host: str, message: Release, now: float
+    ) -> list[Decision]:
+        """Handle the end of a call."""
+        result = unpack_result(message.result)
+        if result is None:
+            self.counters.malformed += 1
+            return []
+        del self._calls[host][message.call]
+        key = (host, message.call)
+        return state.regional.finish(key, result.kind, result.duration_s, None, now)
+
+    def answer(self, state: ServiceState, decision: Decision, now: float) -> list[Decision]:
+        """Send a decision; if that fails the slot is free again, with what follows from it."""
+        host, number = decision.key
+        if isinstance(decision, Granted):
+            target = state.service.targets[decision.target]
+            if self._mesh.send(host, Grant(number, target.index), now):
+                self.counters.grants_sent += 1
+                return []
+            self.counters.answers_unsent += 1
+            self._calls.get(host, {}).pop(number, None)
+            return state.regional.finish(decision.key, AttemptOutcome.CANCELLED, 0.0, None, now)
+        self._calls.get(host, {}).pop(number, None)
+        if self._mesh.send(host, Refuse(number, int(decision.code)), now):
+            self.counters.refusals_sent += 1
+        else:
+            self.counters.answers_unsent += 1
+        return []
--- /dev/null
+++ b/target/deps/dotterelstand/process/introduction.py
@@ -0,0 +1,32 @@
+"""Holds a starting host back until its neighbours have told it what it must not run."""
+
+import trio
+
+from dotterelstand.process.peers import Peers
+
+CHECK_INTERVAL_S = 0.02
+
+
+async def await_introduction(peers: Peers, hosts_known: trio.Event, limit_s: float) -> bool:
+    """Wait for links to the live hosts of the region; False if `limit_s` seconds passed first.
+
+    A host that serves callers before it heard of quarantines would run a crashing request again.
+    The limit lets a host start while its neighbours cannot be reached.
+    """
+    with trio.move_on_after(limit_s):
+        await hosts_known.wait()
+        while True:
+            if not _missing_neighbours(peers):
+                return True
+            await trio.sleep(CHECK_INTERVAL_S)
+    return False
+
+
+def _missing_neighbours(peers: Peers) -> list[str]:
+    linked = set(peers.linked())
+    return [
+        member.host
+        for member in peers.members()
+        if member.region in (peers.region, "") and not member.leaving
+        if member.host != peers.host and member.host not in linked
+    ]
--- /dev/null
+++ b/target/deps/dotterelstand/process/journaltypes.py
@@ -0,0 +1,107 @@
+"""Bounds, batches and figures of a journal partition."""
+
+from dotterelstand.codes import Result as ResultCode
+from dotterelstand.process.entry import Answer, Claim, Entry
+
+
+class JournalLimits:
+    """Bounds of one partition; times in seconds, sizes in bytes."""
+
+    __slots__ = (
+        "max_answer_bytes",
+        "max_kept_bytes",
+        "max_records",
+        "max_segments",
+        "max_staged",
+        "partitions",
+        "retention_s",
+        "running_limit_s",
+        "segment_bytes",
+    )
+
+    def __init__(
+        self,
+        partitions: int = 1,
+        retention_s: float = 600.0,
+        running_limit_s: float = 60.0,
+        max_records: int = 250_000,
+        max_answer_bytes: int = 4096,
+        max_kept_bytes: int = 67_108_864,
+        max_staged: int = 4096,
+        max_segments: int = 4096,
+        segment_bytes: int = 262_144,
+    ) -> None:
+        self.partitions = partitions
+        self.retention_s = retention_s
+        self.running_limit_s = running_limit_s
+        self.max_records = max_records
+        self.max_answer_bytes = max_answer_bytes
+        self.max_kept_bytes = max_kept_bytes
+        self.max_staged = max_staged
+        self.max_segments = max_segments
+        self.segment_bytes = segment_bytes
+
+
+class Reply:
+    """An immediate answer to an intent: result code, and the recorded answer with `REPLAYED`."""
+
+    __slots__ = ("answer", "code")
+
+    def __init__(self, code: ResultCode, answer: Answer | None = None) -> None:
+        self.code = code
+        self.answer = answer
+
+
+class Segment:
+    """An immutable object that holds older entries; `newest` is the journal clock of the last."""
+
+    __slots__ = ("count", "epoch", "newest", "number")
+
+    def __init__(self, epoch: int, number: int, newest: float, count: int) -> None:
+        self.epoch = epoch
+        self.number = number
+        self.newest = newest
+        self.count = count
+
+    @property
+    def id(self) -> str:
+        """Last part of the object's name."""
+        return f"{self.epoch}-{self.number}"
+
+
+class Batch:
+    """Entries of one head update, and the segment that must be written before it, if any."""
+
+    __slots__ = ("encoded", "entries", "payload", "removed", "segment", "segment_body")
+
+    def __init__(self, entries: list[Entry], encoded: list[bytes]) -> None:
+        self.entries = entries
+        self.encoded = encoded
+        self.payload = b""
+        self.segment: Segment | None = None
+        self.segment_body = b""
+        self.removed: list[Segment] = []
+
+
+class Committed:
+    """What follows from a batch that the store holds."""
+
+    __slots__ = ("allowed", "stored")
+
+    def __init__(self) -> None:
+        self.allowed: list[Entry] = []
+        self.stored: list[Claim] = []
+
+
+class RecordFigures:
+    """Counts of the decisions about records on this host."""
+
+    __slots__ = ("allowed", "expired", "full", "kept_without_body", "outcomes", "replies")
+
+    def __init__(self) -> None:
+        self.allowed = 0
+        self.outcomes = 0
+        self.expired = 0
+        self.full = 0
+        self.kept_without_body = 0
+        self.replies: dict[ResultCode, int] = {}
--- /dev/null
+++ b/target/deps/dotterelstand/process/limits.py
@@ -0,0 +1,51 @@
+"""Bounds of the request parts, read from the settings."""
+
+from dotterelstand.connection.caller import CallerLimits
+from dotterelstand.connection.pool import PoolLimits
+from dotterelstand.process.strikes import QuarantineLimits
+from dotterelstand.request.context import RequestLimits
+from dotterelstand.settings import Settings
+
+
+def quarantine_limits(settings: Settings) -> QuarantineLimits:
+    """Bounds on strikes and quarantines."""
+    return QuarantineLimits(
+        settings.number("quarantine", "window_s"),
+        settings.number("quarantine", "quarantine_s"),
+        settings.integer("quarantine", "max_entries"),
+        settings.number("quarantine", "confirm_timeout_s"),
+        settings.number("quarantine", "admit_wait_s"),
+        settings.number("quarantine", "run_limit_s"),
+    )
+
+
+def pool_limits(settings: Settings) -> PoolLimits:
+    """Bounds on connections to targets."""
+    return PoolLimits(
+        settings.integer("targets", "max_idle_connections"),
+        settings.number("targets", "idle_timeout_s"),
+        settings.integer("targets", "max_answer_head_bytes"),
+        settings.number("targets", "connect_timeout_s"),
+        max(1, settings.integer("targets", "sharing_hosts")),
+    )
+
+
+def request_limits(settings: Settings) -> RequestLimits:
+    """Bounds on one request."""
+    return RequestLimits(
+        settings.integer("requests", "max_attempts"),
+        settings.number("requests", "retry_min_per_s"),
+        settings.integer("requests", "held_body_bytes"),
+        settings.integer("journal", "max_answer_bytes"),
+    )
+
+
+def caller_limits(settings: Settings) -> CallerLimits:
+    """Bounds on one caller connection."""
+    return CallerLimits(
+        settings.integer("listen", "max_head_bytes"),
+        settings.number("listen", "idle_timeout_s"),
+        settings.number("listen", "head_timeout_s"),
+        settings.number("listen", "body_idle_timeout_s"),
+        settings.number("listen", "linger_s"),
+    )
--- /dev/null
+++ b/target/deps/dotterelstand/process/main.py
@@ -0,0 +1,92 @@
+"""Entry point of dotterelstandd."""
+
+import gc
+import random
+import signal
+import sys
+from pathlib import Path
+from typing import NoReturn
+
+import fire
+import trio
+from absl import flags, logging
+from returns.pipeline import is_successful
+
+from dotterelstand.connection.network import TcpNetwork
+from dotterelstand.connection.tls import Certificates, load_certificates
+from dotterelstand.events import Event, log
+from dotterelstand.exits import ExitCode
+from dotterelstand.process.daemon import Daemon
+from dotterelstand.settings import Settings, SettingsError, load_settings
+
+# New objects after which the youngest generation is collected.
+YOUNG_OBJECTS = 10_000
+
+
+def run_daemon(settings: str) -> None:
+    """Run one entry daemon with a TOML settings file."""
+    # absl warns about each line that is logged before its own flags are parsed.
+    flags.FLAGS(sys.argv[:1])
+    logging.set_verbosity(logging.INFO)
+    logging.use_absl_handler()
+    result = load_settings(Path(settings))
+    if not is_successful(result):
+        _end_for_settings(result.failure())
+    certificates = load_certificates(result.unwrap())
+    if not is_successful(certificates):
+        _end_for_settings(certificates.failure())
+    try:
+        trio.run(_serve, result.unwrap(), certificates.unwrap())
+    except* OSError as group:
+        for error in leaf_errors(group):
+            print(f"dotterelstandd: {error}", file=sys.stderr)
+        sys.exit(ExitCode.PORT_UNAVAILABLE)
+
+
+def leaf_errors(group: BaseExceptionGroup) -> list[BaseException]:
+    """Errors within nested groups, in order."""
+    errors: list[BaseException] = []
+    for error in group.exceptions:
+        errors.extend(leaf_errors(error) if isinstance(error, BaseExceptionGroup) else [error])
+    return errors
+
+
+def _end_for_settings(errors: list[SettingsError]) -> NoReturn:
+    for error in errors:
+        print(error, file=sys.stderr)
+    log(Event.SETTINGS_INVALID, errors=len(errors))
+    sys.exit(ExitCode.SETTINGS_INVALID)
+
+
+async def _serve(settings: Settings, certificates: Certificates) -> None:
+    _tune_collector()
+    daemon = Daemon(settings, TcpNetwork(), random.Random(), certificates)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_stop_on_signal, daemon)
+        await daemon.run()
+        nursery.cancel_scope.cancel()
+
+
+def _tune_collector() -> None:
+    """Keep the garbage collector's full passes out of the latency of requests.
+
+    Objects of a request are freed by reference counts; only a few are in cycles.
+    """
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(YOUNG_OBJECTS, 20, 50)
+
+
+async def _stop_on_signal(daemon: Daemon) -> None:
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for _ in signals:
+            daemon.stop()
+
+
+def main() -> None:
+    """Run dotterelstandd from the command line."""
+    fire.Fire(run_daemon)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/target/deps/dotterelstand/process/mesh.py
@@ -0,0 +1,96 @@
+"""What the parts of a process need from the links to other entry hosts."""
+
+from collections.abc import Callable
+from typing import Protocol, TypeVar
+
+from dotterelstand.connection.wire import Message
+
+M = TypeVar("M", bound=Message)
+
+
+class Member:
+    """A live entry host."""
+
+    __slots__ = ("availability_zone", "host", "leaving", "region")
+
+    def __init__(self, host: str, region: str, availability_zone: str, leaving: bool) -> None:
+        self.host = host
+        self.region = region
+        self.availability_zone = availability_zone
+        self.leaving = leaving
+
+
+class Mesh(Protocol):
+    """Sends messages to other entry hosts and knows which of them live."""
+
+    @property
+    def host(self) -> str:
+        """Name of this host."""
+
+    @property
+    def region(self) -> str:
+        """Region of this host."""
+
+    @property
+    def is_overlay(self) -> bool:
+        """Whether some live hosts have no link, so that news must be passed on."""
+
+    def members(self) -> tuple[Member, ...]:
+        """Live entry hosts, this one included, sorted by name."""
+
+    def send(self, host: str, message: Message) -> bool:
+        """Queue a message for a host; False if there is no link or its queue is full.
+
+        A message to this host itself is handed to its subscribers.
+        """
+
+    def broadcast(self, message: Message) -> int:
+        """Queue a message for every other linked host; returns how many."""
+
+    def subscribe(self, kind: type[M], handler: Callable[[str, M], None]) -> None:
+        """Call `handler(sender, message)` for each message of a type."""
+
+
+class SingleHost:
+    """Mesh of a host without peers."""
+
+    __slots__ = ("_handlers", "_member")
+
+    def __init__(self, member: Member) -> None:
+        self._member = member
+        self._handlers: dict[type[Message], list[Callable[[str, Message], None]]] = {}
+
+    @property
+    def host(self) -> str:
+        """Name of this host."""
+        return self._member.host
+
+    @property
+    def region(self) -> str:
+        """Region of this host."""
+        return self._member.region
+
+    @property
+    def is_overlay(self) -> bool:
+        """There is no other host."""
+        return False
+
+    def members(self) -> tuple[Member, ...]:
+        """This host."""
+        return (self._member,)
+
+    def send(self, host: str, message: Message) -> bool:
+        """Hand a message for this host to its subscribers; False for any other host."""
+        if host != self.host:
+            return False
+        for handler in self._handlers.get(type(message), []):
+            handler(self.host, message)
+        return True
+
+    def broadcast(self, message: Message) -> int:
+        """There is nobody to send to."""
+        return 0
+
+    def subscribe(self, kind: type[M], handler: Callable[[str, M], None]) -> None:
+        """Call `handler(sender, message)` for each message of a type."""
+        self._handlers.setdefault(kind, []).append(handler)  # type: ignore[arg-type]
--- /dev/null
+++ b/target/deps/dotterelstand/process/metrics.py
@@ -0,0 +1,218 @@
+"""Counters and latency histograms of one process, in bounded memory, with statsd output."""
+
+from collections.abc import Callable, Container, Iterator
+from types import TracebackType
+
+import statsd
+from hdrh.histogram import HdrHistogram
+
+from dotterelstand.settings import Settings
+
+MAX_LATENCY_US = 120_000_000
+# Two digits keep a series at about 22 kB; quantiles are off by at most 1%.
+LATENCY_DIGITS = 2
+# Service, class and tenant of the series that takes what does not fit in `metrics.max_series`.
+OVERFLOW = ("overflow", "overflow", "overflow")
+
+# Tenant of requests that name none, and that of names that the document lacks.
+DEFAULT_TENANT = "default"
+OTHER_TENANT = "other"
+
+SeriesKey = tuple[str, str, str]
+
+
+class Series:
+    """Latencies in microseconds of one service, class and tenant, in encoded form."""
+
+    __slots__ = ("encoded", "klass", "service", "tenant")
+
+    def __init__(self, service: str, klass: str, tenant: str, encoded: str) -> None:
+        self.service = service
+        self.klass = klass
+        self.tenant = tenant
+        self.encoded = encoded
+
+
+class MetricsSnapshot:
+    """Counters since the start of the process, and every latency series."""
+
+    __slots__ = ("counters", "series")
+
+    def __init__(self, counters: dict[str, int], series: list[Series]) -> None:
+        self.counters = counters
+        self.series = series
+
+
+class StatsdSink:
+    """Sends counter increments over UDP; a datagram that would block is dropped."""
+
+    __slots__ = ("_client",)
+
+    def __init__(self, address: str, port: int, prefix: str) -> None:
+        self._client = _NonBlockingClient(address, port, prefix)
+
+    def send(self, increments: dict[str, int]) -> int:
+        """Send the increments in as few datagrams as fit; returns how many were dropped."""
+        dropped = self._client.dropped
+        with self._client.pipeline() as pipeline:
+            for name, amount in increments.items():
+                pipeline.incr(name, amount)
+        return self._client.dropped - dropped
+
+    def close(self) -> None:
+        """Close the socket."""
+        self._client.close()
+
+
+class _NonBlockingClient(statsd.StatsClient):
+    def __init__(self, address: str, port: int, prefix: str) -> None:
+        super().__init__(address, port, prefix, ipv6=":" in address)
+        self._sock.setblocking(False)
+        self.dropped = 0
+
+    def _send(self, data: str) -> None:
+        try:
+            self._sock.sendto(data.encode("ascii", "replace"), self._addr)
+        except OSError:
+            self.dropped += 1
+
+
+class Metrics:
+    """Counts and latencies of one process; use as a context manager to close the statsd socket."""
+
+    __slots__ = ("_counters", "_max_series", "_sent", "_series", "_sink", "_sources", "_tenants")
+
+    def __init__(self, max_series: int, sink: StatsdSink | None = None) -> None:
+        self._max_series = max_series
+        self._sink = sink
+        # Present from the start, so that counting what does not fit always has room.
+        self._counters: dict[str, int] = {"metrics.counters_overflowed": 0}
+        self._sent: dict[str, int] = {}
+        self._sources: list[Callable[[], dict[str, int]]] = []
+        self._series: dict[SeriesKey, HdrHistogram] = {}
+        self._tenants: Container[str] | None = None
+
+    def __enter__(self) -> "Metrics":
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        self.flush()
+        if self._sink is not None:
+            self._sink.close()
+
+    def add_source(self, read: Callable[[], dict[str, int]]) -> None:
+        """Include counters that a part keeps itself; the names must be its own."""
+        self._sources.append(read)
+
+    def keep_tenants(self, tenants: Container[str]) -> None:
+        """Keep series of these tenants only; the others share one, since callers choose the names.
+
+        Without this bound a caller that sends ever new names would take the series of all others.
+        """
+        self._tenants = tenants
+
+    def count(self, name: str, amount: int = 1) -> None:
+        """Add to a counter; docs/counters.md lists the names."""
+        assert amount >= 0, (name, amount)
+        if name not in self._counters and len(self._counters) >= self._max_series:
+            self.count("metrics.counters_overflowed", amount)
+            return
+        self._counters[name] = self._counters.get(name, 0) + amount
+
+    def record_latency(self, service: str, klass: str, tenant: str, seconds: float) -> None:
+        """Record the duration of one request."""
+        if self._tenants is not None and tenant not in self._tenants and tenant != DEFAULT_TENANT:
+            tenant = OTHER_TENANT
+        key = (service, klass, tenant)
+        histogram = self._series.get(key)
+        if histogram is None:
+            histogram = self._add_series(key)
+        histogram.record_value(min(MAX_LATENCY_US, max(1, int(seconds * 1e6))))
+
+    def value(self, name: str) -> int:
+        """Count under a name since the start of the process."""
+        return self._counters.get(name, 0)
+
+    def snapshot(self) -> MetricsSnapshot:
+        """Copy of all counters and series; snapshots of several hosts can be merged."""
+        return MetricsSnapshot(self.counters(), list(self.series()))
+
+    def series(self) -> Iterator[Series]:
+        """Each latency series in turn, encoded when it is asked for."""
+        for key, histogram in list(self._series.items()):
+            yield Series(*key, histogram.encode().decode("ascii"))
+
+    def counters(self) -> dict[str, int]:
+        """Copy of all counters, with those of the sources."""
+        counters = dict(self._counters)
+        for read in self._sources:
+            counters.update(read())
+        return counters
+
+    def flush(self) -> None:
+        """Send what was counted since the last flush to statsd, if it is enabled."""
+        if self._sink is None:
+            return
+        counters = self.counters()
+        # Bytes on open links fall when a link is closed; statsd gets what was added only.
+        increments = {
+            name: amount - self._sent.get(name, 0)
+            for name, amount in counters.items()
+            if amount > self._sent.get(name, 0)
+        }
+        self._sent = counters
+        dropped = self._sink.send(increments)
+        if dropped:
+            self.count("metrics.datagrams_dropped", dropped)
+
+    def _add_series(self, key: SeriesKey) -> HdrHistogram:
+        # The overflow series is one of the `max_series`, so the bound holds with it.
+        if len(self._series) >= self._max_series - 1 and key != OVERFLOW:
+            self.count("metrics.series_overflowed")
+            key = OVERFLOW
+        if key not in self._series:
+            self._series[key] = new_histogram()
+        return self._series[key]
+
+
+def new_histogram() -> HdrHistogram:
+    """Empty latency histogram in microseconds; all of them can be merged."""
+    return HdrHistogram(1, MAX_LATENCY_US, LATENCY_DIGITS)
+
+
+def build_metrics(settings: Settings) -> Metrics:
+    """Metrics with the bounds and the statsd output of the settings."""
+    sink = None
+    if settings.flag("metrics", "enabled"):
+        sink = StatsdSink(
+            settings.text("metrics", "statsd_address"),
+            settings.integer("metrics", "statsd_port"),
+            settings.text("metrics", "prefix"),
+        )
+    return Metrics(settings.integer("metrics", "max_series"), sink)
+
+
+def merge_series(snapshots: list[list[Series]]) -> dict[SeriesKey, HdrHistogram]:
+    """Histogram of each series over several hosts.
+
+    Raises `ValueError` if a series is not an encoded histogram.
+    """
+    merged: dict[SeriesKey, HdrHistogram] = {}
+    for series in snapshots:
+        for item in series:
+            key = (item.service, item.klass, item.tenant)
+            histogram = merged.setdefault(key, new_histogram())
+            histogram.add(_decode(item.encoded))
+    return merged
+
+
+def _decode(encoded: str) -> HdrHistogram:
+    try:
+        return HdrHistogram.decode(encoded)
+    except Exception as error:  # hdrh raises its own, unrelated exception types
+        raise ValueError(f"not an encoded histogram: {error!r}") from error
--- /dev/null
+++ b/target/deps/dotterelstand/process/objectbacking.py
@@ -0,0 +1,102 @@
+"""A platform whose store holds the whole document and the targets' registrations."""
+
+import random
+from collections.abc import Callable
+
+import trio
+
+from dotterelstand.process.catalogue import Catalogue, ServiceTuning
+from dotterelstand.process.control import ControlRegistry
+from dotterelstand.process.follow import FollowTuning, PlatformFeed
+from dotterelstand.process.membership import ListedHost
+from dotterelstand.process.metrics import Metrics
+from dotterelstand.process.peers import Peers
+from dotterelstand.process.registry import Platform
+from dotterelstand.settings import Settings
+from dotterelstand.version.document import Document
+
+
+class ObjectBacking:
+    """Implements `Backing` by following a `Platform`; no route has keys, so nothing must last."""
+
+    __slots__ = ("_catalogue", "_feed")
+
+    def __init__(
+        self,
+        settings: Settings,
+        platform: Platform,
+        peers: Peers,
+        rng: random.Random,
+        apply: Callable[[Document], None],
+    ) -> None:
+        self._catalogue = Catalogue(read_regions(settings), _service_tuning(settings))
+
+        def own() -> ListedHost:
+            return ListedHost(
+                peers.host,
+                settings.text("peers", "address"),
+                peers.port,
+                False,
+                peers.region,
+                settings.text("host", "availability_zone"),
+            )
+
+        self._feed = PlatformFeed(
+            platform,
+            self._catalogue,
+            own,
+            _follow_tuning(settings),
+            rng,
+            apply,
+            peers.read_host_list,
+        )
+
+    @property
+    def number(self) -> int:
+        """Number of the configuration in force."""
+        return self._catalogue.number
+
+    @property
+    def journal(self) -> None:
+        """There is none."""
+        return None
+
+    @property
+    def hosts_known(self) -> trio.Event:
+        """Set when the entry hosts were asked for once."""
+        return self._feed.hosts_known
+
+    def register(self, registry: ControlRegistry, metrics: Metrics) -> None:
+        """There are no pages beside those of every host."""
+
+    async def run(self) -> None:
+        """Follow the platform until cancelled."""
+        await self._feed.run()
+
+    async def stop(self) -> None:
+        """Nothing is to be handed over."""
+
+
+def read_regions(settings: Settings) -> dict[str, str]:
+    """Region of each availability zone, from items "zone=region" of the settings."""
+    pairs = (item.partition("=") for item in settings.texts("host", "regions"))
+    return {zone: region for zone, _, region in pairs}
+
+
+def _service_tuning(settings: Settings) -> ServiceTuning:
+    section = "services"
+    return ServiceTuning(
+        settings.flag(section, "hedge"),
+        settings.number(section, "retry_share"),
+        settings.integer(section, "max_queue_per_slot"),
+        settings.number(section, "silence_timeout_s"),
+    )
+
+
+def _follow_tuning(settings: Settings) -> FollowTuning:
+    return FollowTuning(
+        settings.number("store", "watch_wait_s"),
+        settings.number("store", "targets_pause_s"),
+        settings.number("store", "document_pause_s"),
+        settings.number("peers", "host_list_interval_s"),
+    )
--- /dev/null
+++ b/target/deps/dotterelstand/process/outcome.py
@@ -0,0 +1,72 @@
+"""How attempts end, and the parameters of one call that asks for a slot."""
+
+from collections.abc import Callable
+from enum import IntEnum
+
+from dotterelstand.request.fields import LoadReport
+from dotterelstand.version.document import Target
+
+
+class AttemptOutcome(IntEnum):
+    """How an attempt on a target ended."""
+
+    OK = 0
+    FAILED = 1
+    CONNECT_FAILED = 2
+    REFUSED = 3
+    TIMED_OUT = 4
+    CANCELLED = 5
+
+    @property
+    def is_failure(self) -> bool:
+        """Whether the outcome lowers the trust in the target."""
+        return self not in (AttemptOutcome.OK, AttemptOutcome.CANCELLED)
+
+
+class SlotCall:
+    """A call that asks for a slot; `deadline` is in seconds of the monotonic clock.
+
+    `klass` is the index of the class in the document, 0 being served first.
+    """
+
+    __slots__ = ("deadline", "excluded", "klass", "tenant")
+
+    def __init__(
+        self, klass: int, tenant: str, deadline: float, excluded: frozenset[str] = frozenset()
+    ) -> None:
+        self.klass = klass
+        self.tenant = tenant
+        self.deadline = deadline
+        self.excluded = excluded
+
+
+class SlotOutcome:
+    """The end of a granted attempt: duration in seconds, load that the answer reported."""
+
+    __slots__ = ("duration_s", "kind", "load")
+
+    def __init__(
+        self, kind: AttemptOutcome, duration_s: float, load: LoadReport | None = None
+    ) -> None:
+        self.kind = kind
+        self.duration_s = duration_s
+        self.load = load
+
+
+class SlotGrant:
+    """Permission to send one attempt to `target`; returned with `SlotBroker.release`.
+
+    `on_slow`, if set, is called when the target turns slow while the grant is open.
+    """
+
+    __slots__ = ("dispatcher", "number", "on_slow", "service", "target", "target_index")
+
+    def __init__(
+        self, service: str, target: Target, target_index: int, dispatcher: str, number: int
+    ) -> None:
+        self.on_slow: Callable[[], object] | None = None
+        self.service = service
+        self.target = target
+        self.target_index = target_index
+        self.dispatcher = dispatcher
+        self.number = number
--- /dev/null
+++ b/target/deps/dotterelstand/process/ownbacking.py
@@ -0,0 +1,81 @@
+"""The product's own platform protocol: sections in an object store, a host list and a journal."""
+
+import random
+from collections.abc import Callable
+
+import trio
+
+from dotterelstand.connection.network import Network
+from dotterelstand.process.control import ControlRegistry
+from dotterelstand.process.hostlist import HostListReader
+from dotterelstand.process.journalservice import JournalService, build_journal
+from dotterelstand.process.metrics import Metrics
+from dotterelstand.process.partpages import register_store_parts
+from dotterelstand.process.peers import Peers
+from dotterelstand.process.spread import DocumentSpread
+from dotterelstand.process.store import StoreClient, build_store
+from dotterelstand.settings import Settings
+from dotterelstand.version.accept import Acceptor
+from dotterelstand.version.document import Document
+
+
+class OwnBacking:
+    """Implements `Backing` with the object store's protocol of docs/design.md."""
+
+    __slots__ = ("_hosts", "_journal", "_peers", "_settings", "_spread", "_store", "acceptor")
+
+    def __init__(
+        self,
+        settings: Settings,
+        network: Network,
+        peers: Peers,
+        rng: random.Random,
+        apply: Callable[[Document], None],
+        read_hosts: Callable[[object], None],
+    ) -> None:
+        self._settings = settings
+        self._peers = peers
+        self._store: StoreClient = build_store(settings, network, rng)
+        self._hosts = HostListReader(
+            self._store,
+            peers,
+            settings.number("peers", "host_list_interval_s"),
+            settings.integer("peers", "port"),
+            rng,
+            read_hosts,
+        )
+        self._journal: JournalService = build_journal(settings, self._store, peers, rng)
+        self._spread = DocumentSpread(settings, self._store, peers, rng, apply)
+        self.acceptor = Acceptor(self._store, self._spread.cache, rng, lambda: self._spread.number)
+
+    @property
+    def number(self) -> int:
+        """Number of the document in force."""
+        return self._spread.number
+
+    @property
+    def journal(self) -> JournalService:
+        """Record of keyed requests."""
+        return self._journal
+
+    @property
+    def hosts_known(self) -> trio.Event:
+        """Set when the host list was asked for once."""
+        return self._hosts.first_attempt
+
+    def register(self, registry: ControlRegistry, metrics: Metrics) -> None:
+        """Register the pages and counters of store and journal."""
+        register_store_parts(
+            registry, metrics, self._settings, self._store, self._peers, self._journal
+        )
+
+    async def run(self) -> None:
+        """Read the host list, spread the document and keep the journal until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._hosts.run)
+            nursery.start_soon(self._journal.run)
+            nursery.start_soon(self._spread.run)
+
+    async def stop(self) -> None:
+        """Hand over outcomes that are not recorded yet."""
+        await self._journal.stop()
--- /dev/null
+++ b/target/deps/dotterelstand/process/partpages.py
@@ -0,0 +1,141 @@
+"""Pages of the control port that show the parts of a daemon, and the counters of the parts."""
+
+from collections.abc import Iterable
+
+import trio
+
+from dotterelstand.process.control import ControlRegistry
+from dotterelstand.process.dispatcher import Dispatcher
+from dotterelstand.process.figures import read_figures, sum_figures
+from dotterelstand.process.health import TargetHealth
+from dotterelstand.process.journalservice import JournalService
+from dotterelstand.process.measure import MeasureBudget
+from dotterelstand.process.mesh import Member, Mesh
+from dotterelstand.process.metrics import Metrics
+from dotterelstand.process.peers import Peers
+from dotterelstand.process.slots import SlotBroker
+from dotterelstand.process.store import StoreClient
+from dotterelstand.settings import Settings
+
+
+def register_parts(
+    registry: ControlRegistry,
+    metrics: Metrics,
+    settings: Settings,
+    peers: Peers,
+    slots: SlotBroker,
+) -> None:
+    """Register the pages and counters of links and target selection."""
+    registry.provide("members", lambda: [_member(member) for member in peers.members()])
+    registry.provide("budgets.measure", lambda: _measure(slots.budget, settings, peers.members()))
+    metrics.add_source(lambda: read_figures(slots.budget.counters))
+    metrics.add_source(lambda: read_figures(slots.core.counters))
+    metrics.add_source(lambda: read_figures(slots.core.grant_server_counters))
+    metrics.add_source(lambda: _dispatchers(slots))
+
+
+def register_store_parts(
+    registry: ControlRegistry,
+    metrics: Metrics,
+    settings: Settings,
+    store: StoreClient,
+    peers: Peers,
+    journal: JournalService,
+) -> None:
+    """Register the pages and counters of the store's client and the journal."""
+    registry.provide("ownership", lambda: _ownership(journal, peers))
+    registry.provide("budgets.store", lambda: _store(store, settings))
+    metrics.add_source(lambda: read_figures(store.budget.figures))
+    metrics.add_source(lambda: read_figures(journal.figures))
+    metrics.add_source(lambda: read_figures(journal.outcome_figures))
+    metrics.add_source(lambda: sum_figures([item.figures for item in journal.partitions]))
+    metrics.add_source(lambda: sum_figures([item.record_figures for item in journal.partitions]))
+
+
+def target_states(slots: SlotBroker, service: str) -> dict[str, dict[str, object]]:
+    """What selection knows of each target of a service that was used, by name."""
+    state = slots.core.state_of(service)
+    if state is None:
+        return {}
+    # A dispatcher sees the requests of all entry hosts, the local view only its own.
+    dispatches = state.regional.counters.granted > 0
+    chosen: Dispatcher = state.regional if dispatches else state.local
+    now = trio.current_time()
+    return {health.name: _health(health, now, dispatches) for health in _tables(chosen)}
+
+
+def _tables(dispatcher: Dispatcher) -> Iterable[TargetHealth]:
+    for table in dispatcher.tables:
+        yield from table.targets
+
+
+def _health(health: TargetHealth, now: float, dispatches: bool) -> dict[str, object]:
+    state = "usable"
+    if health.leaving:
+        state = "leaving"
+    elif health.ejected_until is not None:
+        state = f"ejected for {max(0.0, health.ejected_until - now):.1f} s"
+    elif health.allowance < health.slots:
+        state = "cold"
+    return {
+        "state": state,
+        "in_flight": health.in_flight,
+        "allowance": health.allowance,
+        "failure_share": round(health.failures, 3),
+        "duration_ms": round(health.duration_s * 1000, 2),
+        "view": "dispatcher" if dispatches else "local",
+    }
+
+
+def _member(member: Member) -> dict[str, object]:
+    return {
+        "host": member.host,
+        "region": member.region,
+        "availability_zone": member.availability_zone,
+        "leaving": member.leaving,
+    }
+
+
+def _ownership(journal: JournalService, mesh: Mesh) -> list[dict[str, object]]:
+    rows: list[dict[str, object]] = []
+    for number, partition in enumerate(journal.partitions):
+        owner, epoch = journal.owner_of(number) or (None, None)
+        if partition.epoch:
+            owner, epoch = mesh.host, partition.epoch
+        records = None if partition.journal is None else partition.journal.records
+        rows.append({"partition": number, "owner": owner, "epoch": epoch, "records": records})
+    return rows
+
+
+def _store(store: StoreClient, settings: Settings) -> dict[str, object]:
+    figures = store.budget.figures
+    return {
+        "breaker": figures.breaker.value,
+        "available": store.budget.available,
+        "reads_per_s_limit": settings.number("store", "reads_per_s"),
+        "writes_per_s_limit": settings.number("store", "writes_per_s"),
+        **read_figures(figures),
+    }
+
+
+def _measure(
+    budget: MeasureBudget, settings: Settings, members: tuple[Member, ...]
+) -> dict[str, object]:
+    own = settings.text("host", "region")
+    regions = sorted({member.region for member in members} - {own})
+    host_limit = settings.integer("measure", "bytes_per_s")
+    other_limit = settings.integer("measure", "cross_region_bytes_per_s")
+    links = [_link("all", budget.peak_bytes(), host_limit)]
+    links += [_link(f"to {name}", budget.peak_bytes(name), other_limit) for name in regions]
+    return {"links": links, **read_figures(budget.counters)}
+
+
+def _link(name: str, peak_bytes: int, limit: int) -> dict[str, object]:
+    return {"link": name, "peak_bytes_per_s": peak_bytes, "budget_bytes_per_s": limit}
+
+
+def _dispatchers(slots: SlotBroker) -> dict[str, int]:
+    states = slots.core.states()
+    return sum_figures(
+        [part.counters for state in states for part in (state.local, state.regional)]
+    )
--- /dev/null
+++ b/target/deps/dotterelstand/process/peers.py
@@ -0,0 +1,370 @@
+"""The links of one entry host to the others, and the messages that pass over them."""
+
+import random
+from collections.abc import Callable
+from typing import TypeVar
+
+import trio
+
+from dotterelstand.connection.network import Listener, Network
+from dotterelstand.connection.peer import (
+    OPEN_ERRORS,
+    LinkError,
+    LinkLimits,
+    PeerLink,
+    accepting_link,
+    dialling_link,
+    is_preferred,
+)
+from dotterelstand.connection.wire import Beat, Goodbye, Hello, Message, encode_message
+from dotterelstand.events import Event, log
+from dotterelstand.process.dialling import Dialling
+from dotterelstand.process.membership import ListedHost, Membership
+from dotterelstand.process.mesh import Member
+from dotterelstand.process.metrics import Metrics
+from dotterelstand.process.overlay import FULL_MESH_HOSTS, choose_peers
+from dotterelstand.settings import Settings
+
+M = TypeVar("M", bound=Message)
+
+# Number that names one run of a daemon; two runs under one host name differ in it.
+INCARNATION_BITS = 53
+
+
+class Peers:
+    """Implements `Mesh` over websocket links."""
+
+    __slots__ = (
+        "_accepting",
+        "_changed",
+        "_dialling",
+        "_handlers",
+        "_heartbeat_s",
+        "_hello",
+        "_limits",
+        "_links",
+        "_listen_address",
+        "_listen_port",
+        "_max_links",
+        "_membership",
+        "_metrics",
+        "_network",
+        "_open_timeout_s",
+        "_overflows",
+        "_rng",
+        "_silent_after_s",
+        "version",
+    )
+
+    def __init__(
+        self,
+        settings: Settings,
+        network: Network,
+        rng: random.Random,
+        metrics: Metrics | None = None,
+    ) -> None:
+        self._network = network
+        self._rng = rng
+        self._listen_address = settings.text("peers", "address")
+        self._listen_port = settings.integer("peers", "port")
+        self._limits = LinkLimits(
+            settings.integer("peers", "max_message_bytes"),
+            settings.integer("peers", "max_queue"),
+            settings.integer("peers", "max_queue_bytes"),
+        )
+        self._max_links = settings.integer("peers", "max_links")
+        self._heartbeat_s = settings.number("peers", "heartbeat_s")
+        self._silent_after_s = settings.number("peers", "suspect_after_s")
+        self._open_timeout_s = settings.number("peers", "connect_timeout_s")
+        own = Member(
+            settings.text("host", "name"),
+            settings.text("host", "region"),
+            settings.text("host", "availability_zone"),
+            False,
+        )
+        incarnation = rng.getrandbits(INCARNATION_BITS)
+        self._membership = Membership(
+            own, incarnation, self._silent_after_s, settings.integer("peers", "max_members")
+        )
+        self._hello = Hello(
+            self._listen_address,
+            own.availability_zone,
+            own.host,
+            incarnation,
+            self._listen_port,
+            own.region,
+        )
+        self._dialling = Dialling(
+            settings.texts("peers", "seeds"),
+            settings.number("peers", "redial_min_s"),
+            settings.number("peers", "redial_max_s"),
+            rng,
+        )
+        self._links: dict[str, PeerLink] = {}
+        self._accepting = 0
+        self._handlers: dict[type[Message], list[Callable[[str, Message], None]]] = {}
+        self._metrics = metrics or Metrics(settings.integer("metrics", "max_series"))
+        self._overflows = 0
+        self._changed = trio.Event()
+        self.version = 0
+
+    @property
+    def host(self) -> str:
+        """Name of this host."""
+        return self._hello.host
+
+    @property
+    def region(self) -> str:
+        """Region of this host."""
+        return self._hello.region
+
+    @property
+    def port(self) -> int:
+        """Port of the open listener."""
+        return self._hello.port
+
+    @property
+    def membership(self) -> Membership:
+        """The record of live hosts that the links feed."""
+        return self._membership
+
+    @property
+    def is_overlay(self) -> bool:
+        """Whether some live hosts have no link, so that news must be passed on."""
+        return len(self.members()) > FULL_MESH_HOSTS
+
+    def members(self) -> tuple[Member, ...]:
+        """Live entry hosts, this one included, sorted by name."""
+        return self._membership.members(trio.current_time())
+
+    def linked(self) -> tuple[str, ...]:
+        """Names of the hosts with an open link, sorted."""
+        return tuple(sorted(self._links))
+
+    def region_of(self, host: str) -> str | None:
+        """Region of a linked host, or None without a link."""
+        link = self._links.get(host)
+        return self._region_of(link) if link is not None else None
+
+    def send(self, host: str, message: Message) -> bool:
+        """Queue a message for a host; False if there is no link or its queue is full."""
+        if host == self.host:
+            self._hand_over(host, message)
+            return True
+        return self._offer(host, message, encode_message(message))
+
+    def broadcast(self, message: Message) -> int:
+        """Queue a message for every other linked host; returns how many."""
+        data = encode_message(message)
+        return sum(self._offer(host, message, data) for host in tuple(self._links))
+
+    def subscribe(self, kind: type[M], handler: Callable[[str, M], None]) -> None:
+        """Call `handler(sender, message)` for each message of a type."""
+        self._handlers.setdefault(kind, []).append(handler)  # type: ignore[arg-type]
+
+    @property
+    def metrics(self) -> Metrics:
+        """Counters of the links, up to date as of the last heartbeat."""
+        return self._metrics
+
+    def read_host_list(self, hosts: list[ListedHost]) -> None:
+        """Take a new host list of the platform."""
+        self._membership.read_list(hosts, trio.current_time())
+        self._changed.set()
+
+    def leave(self) -> None:
+        """Announce that this host is leaving; the links stay open."""
+        self._membership.leave()
+        self.broadcast(Beat(True, self.version))
+
+    async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        """Keep the links until cancelled; raises `OSError` if the port cannot be opened."""
+        listener = await self._network.listen(self._listen_address, self._listen_port)
+        self._hello.port = listener.port
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._accept, listener, nursery)
+            nursery.start_soon(self._beat)
+            task_status.started()
+            await self._keep_links(nursery)
+
+    async def say_goodbye(self) -> None:
+        """Tell every peer that this host stops now, and allow a moment for the sending."""
+        self.broadcast(Goodbye())
+        await trio.sleep(0.05)
+
+    async def _accept(self, listener: Listener, nursery: trio.Nursery) -> None:
+        await listener.serve(self._serve_stream, nursery)
+
+    async def _serve_stream(self, stream: trio.abc.Stream) -> None:
+        with accepting_link(stream, self._limits) as link:
+            if self._accepting + len(self._links) >= self._max_links:
+                self._metrics.count("peers.links_refused")
+                return
+            self._accepting += 1
+            try:
+                opened = await self._open(link, self._accept_hello)
+            finally:
+                self._accepting -= 1
+            if opened:
+                await self._run_link(link)
+
+    async def _dial(self, address: str, port: int) -> None:
+        """One attempt to open a link, and its life."""
+        try:
+            with trio.fail_after(self._open_timeout_s):
+                stream = await self._network.connect(address, port)
+        except (OSError, trio.TooSlowError):
+            self._dialling.failed(address, port, trio.current_time())
+            self._changed.set()
+            return
+        with dialling_link(stream, address, self._limits) as link:
+            if await self._open(link, self._exchange_hello):
+                assert link.hello is not None
+                self._dialling.succeeded(address, port, link.peer)
+                await self._run_link(link)
+            else:
+                self._dialling.failed(address, port, trio.current_time())
+        self._changed.set()
+
+    async def _open(self, link: PeerLink, introduce: Callable) -> bool:  # type: ignore[type-arg]
+        try:
+            with trio.fail_after(self._open_timeout_s):
+                await link.shake_hands()
+                return await introduce(link)
+        except (*OPEN_ERRORS, trio.TooSlowError) as error:
+            self._metrics.count("peers.open_failures")
+            if isinstance(error, LinkError) and "malformed" in str(error):
+                log(Event.PEER_MALFORMED, peer="", reason=str(error))
+            return False
+
+    async def _accept_hello(self, link: PeerLink) -> bool:
+        # The accepting side answers only after it decided to keep the link, so that the dialling
+        # side never uses a link that is about to be refused.
+        await link.receive_hello()
+        if not self._adopt(link):
+            return False
+        await link.send_now(encode_message(self._hello))
+        return True
+
+    async def _exchange_hello(self, link: PeerLink) -> bool:
+        await link.send_now(encode_message(self._hello))
+        hello = await link.receive_hello()
+        if hello.host == self.host:
+            return False
+        return self._adopt(link)
+
+    def _adopt(self, link: PeerLink) -> bool:
+        """Make a link the one for its peer; False if another one is preferred."""
+        hello = link.hello
+        assert hello is not None
+        old = self._links.get(hello.host)
+        if old is None and len(self._links) >= self._max_links:
+            self._metrics.count("peers.links_refused")
+            return False
+        if not self._membership.admit(hello, trio.current_time()):
+            log(Event.PEER_REFUSED, peer=hello.host, incarnation=hello.incarnation)
+            return False
+        if old is not None and not is_preferred(link, old, self.host):
+            return False
+        self._links[hello.host] = link
+        if old is not None:
+            for data in old.take_queue():
+                link.offer(data)
+            old.retire()
+        else:
+            log(Event.PEER_LINKED, peer=hello.host, region=hello.region)
+        link.offer(encode_message(self._beat_message()))
+        return True
+
+    async def _run_link(self, link: PeerLink) -> None:
+        peer = link.peer
+        self._hand_over(peer, link.hello)  # type: ignore[arg-type]
+        try:
+            await link.run(lambda message: self._receive(link, message))
+        finally:
+            self._count_bytes(link)
+            if self._links.get(peer) is link:
+                del self._links[peer]
+                self._changed.set()
+                malformed = "malformed" in link.close_reason
+                event = Event.PEER_MALFORMED if malformed else Event.PEER_LOST
+                log(event, peer=peer, reason=link.close_reason)
+
+    def _receive(self, link: PeerLink, message: Message) -> None:
+        assert link.hello is not None
+        self._metrics.count(f"peers.received.{type(message).__name__}")
+        now = trio.current_time()
+        if isinstance(message, Beat):
+            self._membership.hear(link.peer, link.hello.incarnation, message.leaving, now)
+        elif isinstance(message, Goodbye):
+            self._membership.part(link.peer, link.hello.incarnation)
+        elif isinstance(message, Hello):
+            raise LinkError("malformed frame: second Hello on a link")
+        self._hand_over(link.peer, message)
+
+    def _hand_over(self, sender: str, message: Message) -> None:
+        for handler in self._handlers.get(type(message), ()):
+            handler(sender, message)
+
+    def _offer(self, host: str, message: Message, data: bytes) -> bool:
+        link = self._links.get(host)
+        if link is None:
+            return False
+        kind = type(message).__name__
+        if not link.offer(data):
+            if self._metrics.value("peers.dropped") == 0:
+                log(Event.PEER_QUEUE_FULL, peer=host, type=kind)
+            self._metrics.count("peers.dropped")
+            return False
+        where = "local" if self.region_of(host) == self.region else "other"
+        self._metrics.count(f"peers.message_bytes.{where}.{kind}", len(data))
+        return True
+
+    def _count_bytes(self, link: PeerLink) -> None:
+        """Move the byte counts of a link to the metrics."""
+        where = "local" if self._region_of(link) == self.region else "other"
+        self._metrics.count(f"peers.sent_bytes.{where}", link.sent_bytes)
+        self._metrics.count(f"peers.received_bytes.{where}", link.received_bytes)
+        link.sent_bytes = link.received_bytes = 0
+
+    def _region_of(self, link: PeerLink) -> str:
+        assert link.hello is not None
+        return link.hello.region
+
+    def _beat_message(self) -> Beat:
+        own = next(member for member in self.members() if member.host == self.host)
+        return Beat(own.leaving, self.version)
+
+    async def _beat(self) -> None:
+        while True:
+            self.broadcast(self._beat_message())
+            now = trio.current_time()
+            self._membership.tidy(now)
+            self._metrics.count(
+                "peers.member_overflows", self._membership.overflows - self._overflows
+            )
+            self._overflows = self._membership.overflows
+            for link in tuple(self._links.values()):
+                self._count_bytes(link)
+                if now - link.last_heard_s > self._silent_after_s:
+                    link.close("silent")
+            # The jitter keeps the heartbeats of a fleet that started together apart.
+            await trio.sleep(self._heartbeat_s * self._rng.uniform(0.9, 1.0))
+
+    async def _keep_links(self, nursery: trio.Nursery) -> None:
+        while True:
+            self._changed = trio.Event()
+            now = trio.current_time()
+            wanted = self._wanted_peers(now)
+            for address, port in self._dialling.due(wanted, frozenset(self._links), now):
+                nursery.start_soon(self._dial, address, port)
+            with trio.move_on_after(self._dialling.wait_s(now)):
+                await self._changed.wait()
+
+    def _wanted_peers(self, now: float) -> list[ListedHost]:
+        known = self._membership.reachable()
+        regions = {item.host: item.region for item in known}
+        regions[self.host] = self.region
+        chosen = choose_peers(self.host, regions)
+        self._membership.expect(chosen, now)
+        return [item for item in known if item.host in chosen]
--- /dev/null
+++ b/target/deps/dotterelstand/process/quarantine.py
@@ -0,0 +1,273 @@
+"""Keeps requests that crash targets from running again anywhere in the fleet."""
+
+import trio
+import xxhash
+from returns.result import Failure, Result, Success
+
+from dotterelstand.connection.wire import (
+    Hello,
+    LiftQuarantine,
+    Strike,
+    StrikeConfirmed,
+    SuspectBegin,
+    SuspectEnd,
+)
+from dotterelstand.events import Event, log
+from dotterelstand.process.control import Arguments, ControlRegistry
+from dotterelstand.process.mesh import Mesh
+from dotterelstand.process.strikes import (
+    KnownStrike,
+    Quarantine,
+    QuarantineLimits,
+    StrikeEffect,
+    SuspectRuns,
+)
+from dotterelstand.request.ports import Admission, Counters
+
+MAX_FINGERPRINT_BYTES = 64
+# Seconds between two requests to the arbiter of a suspect that is running elsewhere.
+RETRY_S = 0.05
+
+
+class QuarantineService:
+    """Shares strikes with the other entry hosts and lets suspects run one at a time."""
+
+    __slots__ = (
+        "_answers",
+        "_confirmations",
+        "_limits",
+        "_mesh",
+        "_metrics",
+        "_number",
+        "_runs",
+        "_table",
+    )
+
+    def __init__(self, mesh: Mesh, limits: QuarantineLimits, metrics: Counters) -> None:
+        self._mesh = mesh
+        self._limits = limits
+        self._metrics = metrics
+        self._table = Quarantine(limits)
+        self._runs = SuspectRuns(limits.run_limit_s, limits.max_entries)
+        self._number = 0
+        self._confirmations: dict[int, _Waiting] = {}
+        self._answers: dict[int, _Waiting] = {}
+        mesh.subscribe(Hello, self._on_hello)
+        mesh.subscribe(Strike, self._on_strike)
+        mesh.subscribe(StrikeConfirmed, self._on_confirmed)
+        mesh.subscribe(LiftQuarantine, self._on_lift)
+        mesh.subscribe(SuspectBegin, self._on_begin)
+        mesh.subscribe(SuspectEnd, self._on_end)
+
+    def knows(self, head: bytes) -> bool:
+        """Whether a fingerprint that begins with this digest has strikes."""
+        return self._table.knows(head, trio.current_time())
+
+    async def admit(self, fingerprint: bytes) -> Admission:
+        """Decide whether a request may run; a suspect waits until no other run of it goes on."""
+        waited_until = trio.current_time() + self._limits.admit_wait_s
+        while True:
+            now = trio.current_time()
+            if self._table.is_quarantined(fingerprint, now):
+                self._metrics.count("quarantine.refused")
+                return Admission(fingerprint, False)
+            if not self._table.is_suspect(fingerprint, now):
+                return Admission(fingerprint, True)
+            admission = await self._ask_arbiter(fingerprint)
+            # The run before this one may have been the second strike.
+            quarantined = self._table.is_quarantined(fingerprint, trio.current_time())
+            if admission.allowed and not quarantined:
+                admission.lost = self._table.lost_targets(fingerprint)
+                return admission
+            self.leave(admission)
+            if not quarantined:
+                if trio.current_time() >= waited_until:
+                    self._metrics.count("quarantine.suspect_busy")
+                    return Admission(fingerprint, False)
+                await trio.sleep(RETRY_S)
+
+    async def strike(self, fingerprint: bytes, target: str, suspect: bool) -> None:
+        """Record a lost target everywhere; returns when peers confirmed or after 100 ms.
+
+        The strike is on its way before the first wait, so a cancelled call loses nothing.
+        """
+        own = KnownStrike(fingerprint, target, suspect, trio.current_time())
+        self._record(own, self._mesh.host)
+        number = self._next_number()
+        peers = self._mesh.broadcast(Strike(0, fingerprint, number, suspect, target))
+        if peers:
+            waiting = self._confirmations[number] = _Waiting(peers)
+            try:
+                with trio.move_on_after(self._limits.confirm_timeout_s) as scope:
+                    await waiting.done.wait()
+                if scope.cancelled_caught:
+                    self._metrics.count("quarantine.strike_unconfirmed")
+            finally:
+                del self._confirmations[number]
+
+    def clear(self, fingerprint: bytes) -> None:
+        """Record a success: the strikes are forgotten everywhere."""
+        now = trio.current_time()
+        if self._table.is_quarantined(fingerprint, now):
+            # A success of a run that began before the quarantine does not end it.
+            return
+        if self._table.clear(fingerprint):
+            self._metrics.count("quarantine.cleared")
+            self._mesh.broadcast(LiftQuarantine(fingerprint))
+
+    def leave(self, admission: Admission) -> None:
+        """End an admitted run."""
+        if admission.arbiter is not None:
+            self._mesh.send(
+                admission.arbiter, SuspectEnd(False, admission.number, admission.fingerprint)
+            )
+            admission.arbiter = None
+
+    def list_quarantined(self) -> list[dict[str, object]]:
+        """Fingerprints in quarantine as hexadecimal text, with the seconds that remain."""
+        quarantined = self._table.quarantined(trio.current_time())
+        return [
+            {"fingerprint": key.hex(), "remaining_s": round(remaining_s, 1)}
+            for key, remaining_s in quarantined.items()
+        ]
+
+    def lift(self, fingerprint: str) -> bool:
+        """End a quarantine everywhere; False if the fingerprint has no strikes here."""
+        try:
+            key = bytes.fromhex(fingerprint)
+        except ValueError:
+            return False
+        self._mesh.broadcast(LiftQuarantine(key))
+        return self._lift(key)
+
+    async def _ask_arbiter(self, fingerprint: bytes) -> Admission:
+        admission = Admission(fingerprint, False, self._next_number(), self.arbiter(fingerprint))
+        waiting = self._answers[admission.number] = _Waiting(1)
+        try:
+            if self._send_begin(admission):
+                with trio.move_on_after(self._limits.confirm_timeout_s):
+                    await waiting.done.wait()
+            admission.allowed = waiting.allowed
+            return admission
+        finally:
+            del self._answers[admission.number]
+            if not admission.allowed:
+                # A permission may be on its way although nobody waits for it.
+                self.leave(admission)
+
+    def _send_begin(self, admission: Admission) -> bool:
+        """Ask the arbiter; in an overlay, the first of the ranking that has a link."""
+        ranking = self._ranking(admission.fingerprint)
+        for host in ranking if self._mesh.is_overlay else ranking[:1]:
+            admission.arbiter = self._answers[admission.number].source = host
+            if self._mesh.send(host, SuspectBegin(admission.number, admission.fingerprint)):
+                return True
+        return False
+
+    def arbiter(self, fingerprint: bytes) -> str:
+        """Member with the highest rendezvous hash for a fingerprint."""
+        return self._ranking(fingerprint)[0]
+
+    def _ranking(self, fingerprint: bytes) -> list[str]:
+        hosts = [member.host for member in self._mesh.members()] or [self._mesh.host]
+        return sorted(
+            hosts,
+            key=lambda host: xxhash.xxh3_64_intdigest(host.encode() + fingerprint),
+            reverse=True,
+        )
+
+    def _next_number(self) -> int:
+        self._number += 1
+        return self._number
+
+    def _record(self, strike: KnownStrike, source: str) -> bool:
+        """Record a strike; False if it was known."""
+        overflows = self._table.overflows
+        effect = self._table.strike(strike, trio.current_time())
+        self._metrics.count("quarantine.overflows", self._table.overflows - overflows)
+        fingerprint = strike.fingerprint.hex()
+        if effect is not StrikeEffect.KNOWN:
+            self._metrics.count("quarantine.strikes")
+            log(Event.STRIKE_RECORDED, fingerprint=fingerprint, target=strike.target, source=source)
+        if effect is StrikeEffect.QUARANTINED:
+            self._metrics.count("quarantine.began")
+            log(Event.QUARANTINE_BEGAN, fingerprint=fingerprint)
+        return effect is not StrikeEffect.KNOWN
+
+    def _lift(self, fingerprint: bytes) -> bool:
+        lifted = self._table.clear(fingerprint)
+        if lifted:
+            log(Event.QUARANTINE_LIFTED, fingerprint=fingerprint.hex())
+        return lifted
+
+    def _on_hello(self, sender: str, message: Hello) -> None:
+        """Tell a host that was replaced or parted which strikes it missed."""
+        for strike in self._table.strikes(trio.current_time()):
+            self._mesh.send(sender, self._report(strike))
+
+    def _report(self, strike: KnownStrike) -> Strike:
+        age_ms = int((trio.current_time() - strike.at) * 1000)
+        number = self._next_number()
+        return Strike(age_ms, strike.fingerprint, number, strike.suspect, strike.target)
+
+    def _on_strike(self, sender: str, message: Strike) -> None:
+        if len(message.fingerprint) <= MAX_FINGERPRINT_BYTES:
+            at = trio.current_time() - max(0, message.age_ms) / 1000
+            strike = KnownStrike(message.fingerprint, message.target, message.suspect, at)
+            if self._record(strike, sender) and self._mesh.is_overlay:
+                self._mesh.broadcast(self._report(strike))
+        self._mesh.send(sender, StrikeConfirmed(message.number))
+
+    def _on_confirmed(self, sender: str, message: StrikeConfirmed) -> None:
+        waiting = self._confirmations.get(message.number)
+        if waiting is not None:
+            waiting.arrive(True)
+
+    def _on_lift(self, sender: str, message: LiftQuarantine) -> None:
+        if self._lift(message.fingerprint) and self._mesh.is_overlay:
+            self._mesh.broadcast(message)
+
+    def _on_begin(self, sender: str, message: SuspectBegin) -> None:
+        now = trio.current_time()
+        allowed = not self._table.is_quarantined(message.fingerprint, now) and self._runs.begin(
+            message.fingerprint, sender, message.call, now
+        )
+        self._mesh.send(sender, SuspectEnd(allowed, message.call, message.fingerprint))
+
+    def _on_end(self, sender: str, message: SuspectEnd) -> None:
+        waiting = self._answers.get(message.call)
+        if waiting is not None and sender == waiting.source:
+            waiting.arrive(message.allowed)
+        else:
+            self._runs.end(message.fingerprint, sender, message.call)
+
+
+def register_quarantine(registry: ControlRegistry, service: QuarantineService) -> None:
+    """Let the command-line tool list quarantines and lift them."""
+
+    async def lift(arguments: Arguments) -> Result[object, str]:
+        fingerprint = str(arguments.get("fingerprint", ""))
+        if service.lift(fingerprint):
+            return Success({"lifted": fingerprint})
+        return Failure(f"{fingerprint}: no such fingerprint has strikes on this host")
+
+    registry.provide("quarantine", service.list_quarantined)
+    registry.act("quarantine/lift", lift)
+
+
+class _Waiting:
+    """Peers that still have to answer."""
+
+    __slots__ = ("allowed", "done", "missing", "source")
+
+    def __init__(self, missing: int) -> None:
+        self.missing = missing
+        self.source = ""
+        self.allowed = False
+        self.done = trio.Event()
+
+    def arrive(self, allowed: bool) -> None:
+        self.allowed = allowed
+        self.missing -= 1
+        if self.missing <= 0:
+            self.done.set()
--- /dev/null
+++ b/target/deps/dotterelstand/process/queue.py
@@ -0,0 +1,162 @@
+"""Bounded queue of the calls of one service that wait for a slot."""
+
+from collections import OrderedDict
+
+CallKey = tuple[str, int]
+
+
+class WaitingCall:
+    """A call that wants a slot; times in seconds.
+
+    `key` is the asking host and its call number, `zone` that host's availability zone.
+    """
+
+    __slots__ = ("arrived", "deadline", "excluded", "key", "klass", "tenant", "zone")
+
+    def __init__(
+        self,
+        key: CallKey,
+        klass: int,
+        tenant: int,
+        arrived: float,
+        deadline: float,
+        excluded: frozenset[int] = frozenset(),
+        zone: str = "",
+    ) -> None:
+        self.key = key
+        self.klass = klass
+        self.tenant = tenant
+        self.arrived = arrived
+        self.deadline = deadline
+        self.excluded = excluded
+        self.zone = zone
+
+
+class _ClassLane:
+    """Waiting calls of one class, in round robin over tenants."""
+
+    __slots__ = ("size", "tenants")
+
+    def __init__(self) -> None:
+        self.tenants: OrderedDict[int, OrderedDict[CallKey, WaitingCall]] = OrderedDict()
+        self.size = 0
+
+    def add(self, call: WaitingCall) -> None:
+        self.tenants.setdefault(call.tenant, OrderedDict())[call.key] = call
+        self.size += 1
+
+    def take(self) -> WaitingCall:
+        """Oldest call of the tenant whose turn it is."""
+        tenant, calls = next(iter(self.tenants.items()))
+        _, call = calls.popitem(last=False)
+        if calls:
+            self.tenants.move_to_end(tenant)
+        else:
+            del self.tenants[tenant]
+        self.size -= 1
+        return call
+
+    def drop(self, call: WaitingCall) -> None:
+        calls = self.tenants[call.tenant]
+        del calls[call.key]
+        if not calls:
+            del self.tenants[call.tenant]
+        self.size -= 1
+
+
+class CallQueue:
+    """Calls in class order, then round robin over tenants; every operation is O(classes)."""
+
+    __slots__ = ("_calls", "_capacity", "_lanes", "_largest", "_of_tenant", "_sizes")
+
+    def __init__(self, capacity: int, classes: int) -> None:
+        self._capacity = capacity
+        self._lanes = [_ClassLane() for _ in range(classes)]
+        self._calls: dict[CallKey, WaitingCall] = {}
+        self._of_tenant: dict[int, OrderedDict[CallKey, WaitingCall]] = {}
+        # Tenants by number of waiting calls, so that the largest is found without a scan.
+        self._sizes: dict[int, OrderedDict[int, None]] = {}
+        self._largest = 0
+
+    def __len__(self) -> int:
+        return len(self._calls)
+
+    def __contains__(self, key: CallKey) -> bool:
+        return key in self._calls
+
+    @property
+    def capacity(self) -> int:
+        """Most calls that may wait."""
+        return self._capacity
+
+    @capacity.setter
+    def capacity(self, capacity: int) -> None:
+        self._capacity = capacity
+
+    def ahead(self, klass: int) -> int:
+        """Waiting calls that are served before a new call of a class, at most."""
+        return sum(lane.size for lane in self._lanes[: klass + 1])
+
+    def push(self, call: WaitingCall) -> WaitingCall | None:
+        """Add a call; when full, returns the newest call of the largest tenant, now removed."""
+        assert call.key not in self._calls, call.key
+        self._add(call)
+        if len(self._calls) <= self._capacity:
+            return None
+        tenant = next(iter(self._sizes[self._largest]))
+        if len(self._of_tenant[call.tenant]) == self._largest:
+            tenant = call.tenant
+        newest = next(reversed(self._of_tenant[tenant].values()))
+        self._discard(newest)
+        self._lanes[newest.klass].drop(newest)
+        assert len(self._calls) <= self._capacity
+        return newest
+
+    def pop(self) -> WaitingCall | None:
+        """Remove and return the call that is served next."""
+        for lane in self._lanes:
+            if lane.size:
+                call = lane.take()
+                self._discard(call)
+                return call
+        return None
+
+    def remove(self, key: CallKey) -> WaitingCall | None:
+        """Remove a call that no longer waits; None if it does not wait here."""
+        call = self._calls.get(key)
+        if call is not None:
+            self._discard(call)
+            self._lanes[call.klass].drop(call)
+        return call
+
+    def remove_host(self, host: str) -> None:
+        """Remove every call of a host that was lost."""
+        for key in [key for key in self._calls if key[0] == host]:
+            self.remove(key)
+
+    def _add(self, call: WaitingCall) -> None:
+        self._lanes[call.klass].add(call)
+        self._calls[call.key] = call
+        calls = self._of_tenant.setdefault(call.tenant, OrderedDict())
+        self._resize(call.tenant, len(calls), len(calls) + 1)
+        calls[call.key] = call
+
+    def _discard(self, call: WaitingCall) -> None:
+        del self._calls[call.key]
+        calls = self._of_tenant[call.tenant]
+        self._resize(call.tenant, len(calls), len(calls) - 1)
+        del calls[call.key]
+        if not calls:
+            del self._of_tenant[call.tenant]
+
+    def _resize(self, tenant: int, old: int, new: int) -> None:
+        if old:
+            del self._sizes[old][tenant]
+            if not self._sizes[old]:
+                del self._sizes[old]
+        if new:
+            self._sizes.setdefault(new, OrderedDict())[tenant] = None
+        self._largest = max(self._largest, new)
+        # A size changes by one, so the largest size falls by one at most.
+        if self._largest and self._largest not in self._sizes:
+            self._largest -= 1
--- /dev/null
+++ b/target/deps/dotterelstand/process/readiness.py
@@ -0,0 +1,53 @@
+"""Answers the platform's question whether this host takes new callers."""
+
+import trio
+
+from dotterelstand.connection.control import ControlAnswer, ControlConnection, ControlRequest
+from dotterelstand.connection.network import Network
+from dotterelstand.process.control import ControlRegistry
+from dotterelstand.settings import Settings
+
+# Connections that are answered at a time; further ones are closed.
+MAX_CONNECTIONS = 16
+# A question has no body.
+MAX_BODY_BYTES = 1024
+# Seconds that a question may take to arrive.
+TIMEOUT_S = 2.0
+
+
+class ReadinessPort:
+    """A port that answers one path: 200 while every readiness check holds, else 503."""
+
+    __slots__ = ("_open", "_path", "_registry", "_settings")
+
+    def __init__(self, settings: Settings, registry: ControlRegistry) -> None:
+        self._settings = settings
+        self._registry = registry
+        self._path = settings.text("readiness", "path")
+        self._open = 0
+
+    async def run(self, network: Network) -> None:
+        """Serve until cancelled, if the settings ask for it; raises `OSError`."""
+        if not self._settings.flag("readiness", "enabled"):
+            return
+        listener = await network.listen(
+            self._settings.text("readiness", "address"), self._settings.integer("readiness", "port")
+        )
+        async with trio.open_nursery() as nursery:
+            await listener.serve(self._serve_stream, nursery)
+
+    async def _serve_stream(self, stream: trio.abc.Stream) -> None:
+        if self._open >= MAX_CONNECTIONS:
+            await trio.aclose_forcefully(stream)
+            return
+        self._open += 1
+        try:
+            await ControlConnection(stream, MAX_BODY_BYTES).serve(self._answer, TIMEOUT_S)
+        finally:
+            self._open -= 1
+
+    async def _answer(self, request: ControlRequest) -> ControlAnswer:
+        if request.path != self._path:
+            return ControlAnswer(404, {"found": request.path})
+        failing = self._registry.failing_checks()
+        return ControlAnswer(503 if failing else 200, {"ready": not failing, "missing": failing})
--- /dev/null
+++ b/target/deps/dotterelstand/process/registry.py
@@ -0,0 +1,164 @@
+"""What a platform with an object store tells an entry host, in the product's own types."""
+
+from enum import Enum
+from typing import Generic, Protocol, TypeVar
+
+from returns.result import Result
+
+from dotterelstand.errors import CodedError
+from dotterelstand.process.membership import ListedHost
+from dotterelstand.version.document import Route
+
+T = TypeVar("T")
+
+# Why a call to the platform gave no answer.
+UNANSWERED = 5101
+REFUSED = 5102
+HISTORY_LOST = 5103
+UNREADABLE = 5104
+EXISTS = 5105
+
+
+class PlatformError(CodedError):
+    """Why a call to the platform gave no value."""
+
+    __slots__ = ()
+
+
+class Kind(Enum):
+    """What is listed and watched."""
+
+    CONFIGURATION = "configuration"
+    TARGETS = "targets"
+    HOSTS = "hosts"
+
+
+class RegisteredTarget:
+    """A target as it registered itself.
+
+    `started_ms` is the Unix time of its start, which tells two runs under one name apart, and
+    `warmup_s` the time for which it stays slow after its start.
+    """
+
+    __slots__ = (
+        "address",
+        "availability_zone",
+        "draining",
+        "name",
+        "port",
+        "service",
+        "slots",
+        "started_ms",
+        "warmup_s",
+    )
+
+    def __init__(
+        self,
+        name: str,
+        service: str,
+        address: str,
+        port: int,
+        availability_zone: str,
+        slots: int,
+        draining: bool,
+        warmup_s: float,
+        started_ms: int,
+    ) -> None:
+        self.name = name
+        self.service = service
+        self.address = address
+        self.port = port
+        self.availability_zone = availability_zone
+        self.slots = slots
+        self.draining = draining
+        self.warmup_s = warmup_s
+        self.started_ms = started_ms
+
+
+class ServiceSpec:
+    """What a configuration says of a service; `connections` is the limit of each target."""
+
+    __slots__ = ("connections", "health_path", "name")
+
+    def __init__(self, name: str, health_path: str, connections: int) -> None:
+        self.name = name
+        self.health_path = health_path
+        self.connections = connections
+
+
+class CallerBounds:
+    """Limits on what a caller may send and how long it may take."""
+
+    __slots__ = ("body_bytes", "head_bytes", "head_timeout_s", "idle_timeout_s")
+
+    def __init__(
+        self, head_bytes: int, body_bytes: int, head_timeout_s: float, idle_timeout_s: float
+    ) -> None:
+        self.head_bytes = head_bytes
+        self.body_bytes = body_bytes
+        self.head_timeout_s = head_timeout_s
+        self.idle_timeout_s = idle_timeout_s
+
+
+class Configuration:
+    """One accepted configuration in full; `priorities` and `bulk` name the routes' classes."""
+
+    __slots__ = ("bounds", "bulk", "classes", "number", "routes", "services")
+
+    def __init__(
+        self,
+        number: int,
+        routes: tuple[Route, ...],
+        services: dict[str, ServiceSpec],
+        classes: tuple[str, ...],
+        bulk: frozenset[str],
+        bounds: CallerBounds | None,
+    ) -> None:
+        self.number = number
+        self.routes = routes
+        self.services = services
+        self.classes = classes
+        self.bulk = bulk
+        self.bounds = bounds
+
+
+Item = RegisteredTarget | Configuration | ListedHost
+
+
+class Entry(Generic[T]):
+    """An object by name; `item` is None if it cannot be read or does not exist any more."""
+
+    __slots__ = ("item", "name", "removed")
+
+    def __init__(self, name: str, item: T | None, removed: bool = False) -> None:
+        self.name = name
+        self.item = item
+        self.removed = removed
+
+
+class Listing(Generic[T]):
+    """Entries and the revision of the store that they reflect."""
+
+    __slots__ = ("entries", "revision")
+
+    def __init__(self, entries: list[Entry[T]], revision: int) -> None:
+        self.entries = entries
+        self.revision = revision
+
+
+class Platform(Protocol):
+    """Calls that an entry host makes."""
+
+    async def list(self, kind: Kind) -> Result[Listing[Item], PlatformError]:
+        """All objects of a kind."""
+
+    async def watch(
+        self, kind: Kind, revision: int, wait_s: float
+    ) -> Result[Listing[Item], PlatformError]:
+        """Changes after a revision, as soon as there are any or after `wait_s` seconds.
+
+        Fails with `HISTORY_LOST` if the store no longer has the changes.
+        """
+
+    async def register_host(self, host: ListedHost) -> Result[None, PlatformError]:
+        """Make this host known to the others."""
--- /dev/null
+++ b/target/deps/dotterelstand/process/rendezvous.py
@@ -0,0 +1,34 @@
+"""Chooses the dispatcher of each service by rendezvous hashing."""
+
+import xxhash
+
+from dotterelstand.process.mesh import Member
+
+
+class DispatcherMap:
+    """Dispatcher of each service in a region, computed again when the members change."""
+
+    __slots__ = ("_hosts", "_members")
+
+    def __init__(self) -> None:
+        self._members: tuple[Member, ...] = ()
+        self._hosts: dict[str, str | None] = {}
+
+    def host(self, service: str, members: tuple[Member, ...], region: str) -> str | None:
+        """Host name, or None if the region has no member that stays."""
+        if members is not self._members:
+            self._members = members
+            self._hosts.clear()
+        if service not in self._hosts:
+            self._hosts[service] = choose_dispatcher(service, members, region)
+        return self._hosts[service]
+
+
+def choose_dispatcher(service: str, members: tuple[Member, ...], region: str) -> str | None:
+    """Host with the highest hash among the live members of a region that are not leaving."""
+    hosts = [member.host for member in members if member.region == region and not member.leaving]
+
+    def weight(host: str) -> int:
+        return xxhash.xxh3_64_intdigest(f"{service}/{host}".encode())
+
+    return max(hosts, key=weight, default=None)
--- /dev/null
+++ b/target/deps/dotterelstand/process/sectionfetch.py
@@ -0,0 +1,135 @@
+"""Fetches a version from one peer: the changed manifest entries, then the missing sections."""
+
+import trio
+from returns.pipeline import is_successful
+
+from dotterelstand.connection.wire import Changes, Fetch, FetchChanges, Manifest, Section
+from dotterelstand.events import Event, log
+from dotterelstand.process.peers import Peers
+from dotterelstand.process.sectionserve import MAX_SECTIONS_PER_FETCH
+from dotterelstand.version.cache import SectionCache
+from dotterelstand.version.manifest import ManifestRecord, parse_manifest
+
+
+class PeerFetcher:
+    """Runs one fetch at a time; answers that were not asked for are ignored."""
+
+    __slots__ = (
+        "_answer",
+        "_arrived",
+        "_cache",
+        "_damaged",
+        "_peers",
+        "_source",
+        "_timeout_s",
+        "_wanted",
+    )
+
+    def __init__(self, peers: Peers, cache: SectionCache, timeout_s: float) -> None:
+        self._peers = peers
+        self._cache = cache
+        self._timeout_s = timeout_s
+        self._source = ""
+        self._wanted: set[str] = set()
+        self._answer: Manifest | Changes | None = None
+        self._arrived = trio.Event()
+        self._damaged = False
+        peers.subscribe(Manifest, self._take_answer)
+        peers.subscribe(Changes, self._take_answer)
+        peers.subscribe(Section, self._take_section)
+
+    async def fetch(self, source: str, held: ManifestRecord, wanted: int) -> ManifestRecord | None:
+        """Manifest newer than `held` with all its sections in the cache, or None if it failed.
+
+        `wanted` is the version that the source announced.
+        """
+        assert not self._source, "two fetches at once"
+        self._source = source
+        self._damaged = False
+        try:
+            record = await self._fetch_manifest(source, held, wanted)
+            if record is None or record.number <= held.number:
+                return None
+            return record if await self._fetch_sections(source, record) else None
+        finally:
+            self._source = ""
+            self._wanted.clear()
+            self._answer = None
+
+    async def _fetch_manifest(
+        self, source: str, held: ManifestRecord, wanted: int
+    ) -> ManifestRecord | None:
+        if held.number and held.number < wanted:
+            answer = await self._ask(source, FetchChanges(held.number, wanted))
+            if isinstance(answer, Changes):
+                record = self._combine(held, answer)
+                if record is not None:
+                    return record
+            elif answer is not None:
+                return self._read_manifest(answer)
+        answer = await self._ask(source, Fetch([], wanted))
+        return self._read_manifest(answer) if isinstance(answer, Manifest) else None
+
+    async def _ask(self, source: str, message: Fetch | FetchChanges) -> Manifest | Changes | None:
+        self._answer = None
+        if not self._peers.send(source, message):
+            return None
+        with trio.move_on_after(self._timeout_s):
+            while self._answer is None:
+                await self._arrived.wait()
+        return self._answer
+
+    def _combine(self, held: ManifestRecord, answer: Changes) -> ManifestRecord | None:
+        """Manifest brought up to date, or None if its digest differs, as after a removal."""
+        changes = parse_manifest(answer.body)
+        if not is_successful(changes) or answer.since != held.number:
+            return None
+        record = held.with_changes(changes.unwrap())
+        return record if record.digest == answer.digest else None
+
+    def _read_manifest(self, answer: Manifest) -> ManifestRecord | None:
+        record = parse_manifest(answer.body)
+        if not is_successful(record) or record.unwrap().number != answer.version:
+            log(Event.DOCUMENT_DAMAGED, name="manifest", source=self._source)
+            return None
+        return record.unwrap()
+
+    async def _fetch_sections(self, source: str, record: ManifestRecord) -> bool:
+        digests = list(record.digests().values())
+        while missing := self._cache.missing(digests)[:MAX_SECTIONS_PER_FETCH]:
+            self._wanted = set(missing)
+            if not self._peers.send(source, Fetch(missing, record.number)):
+                return False
+            if not await self._await_sections():
+                return False
+        return True
+
+    async def _await_sections(self) -> bool:
+        """Wait while sections keep arriving; False if none came in time or one was damaged."""
+        began = len(self._wanted)
+        while self._wanted and not self._damaged:
+            before = len(self._wanted)
+            with trio.move_on_after(self._timeout_s):
+                await self._arrived.wait()
+            if len(self._wanted) == before:
+                break
+        return not self._damaged and len(self._wanted) < began
+
+    def _take_answer(self, host: str, message: Manifest | Changes) -> None:
+        if host == self._source:
+            self._answer = message
+            self._notify()
+
+    def _take_section(self, host: str, message: Section) -> None:
+        if host != self._source or message.digest not in self._wanted:
+            return
+        if self._cache.put(message.digest, message.body):
+            self._wanted.discard(message.digest)
+        else:
+            self._damaged = True
+            log(Event.DOCUMENT_DAMAGED, name=message.digest, source=host)
+        self._notify()
+
+    def _notify(self) -> None:
+        self._arrived.set()
+        self._arrived = trio.Event()
--- /dev/null
+++ b/target/deps/dotterelstand/process/slotcounters.py
@@ -0,0 +1,37 @@
+"""Counters of slot requests and of the slots served to other hosts."""
+
+
+class SlotCounters:
+    """Slot requests of this host, as totals since the start."""
+
+    __slots__ = (
+        "ask_failed",
+        "asked",
+        "fallback_timeout",
+        "local",
+        "regional",
+        "table_full",
+        "unusable",
+    )
+
+    def __init__(self) -> None:
+        self.asked = 0
+        self.regional = 0
+        self.local = 0
+        self.fallback_timeout = 0
+        self.ask_failed = 0
+        self.unusable = 0
+        self.table_full = 0
+
+
+class GrantServerCounters:
+    """Requests of other hosts, as totals since the start."""
+
+    __slots__ = ("answers_unsent", "grants_sent", "malformed", "refusals_sent", "table_full")
+
+    def __init__(self) -> None:
+        self.grants_sent = 0
+        self.refusals_sent = 0
+        self.answers_unsent = 0
+        self.malformed = 0
+        self.table_full = 0
--- /dev/null
+++ b/target/deps/dotterelstand/process/slots.py
@@ -0,0 +1,176 @@
+"""Slots of targets for the calls of one entry host."""
+
+import math
+import random
+
+import trio
+from returns.result import Failure, Result, Success
+
+from dotterelstand.codes import Result as ResultCode
+from dotterelstand.connection.wire import Acquire, Grant, Paces, Refuse, Release, TargetLeaving
+from dotterelstand.events import Event, log
+from dotterelstand.process.health import SLOW_LIFE_S, SLOW_PACE
+from dotterelstand.process.measure import MeasureBudget, MeasureLimit
+from dotterelstand.process.measuredmesh import MeasuredMesh
+from dotterelstand.process.mesh import Mesh
+from dotterelstand.process.outcome import AttemptOutcome, SlotCall, SlotGrant, SlotOutcome
+from dotterelstand.process.slotcore import SlotCore
+from dotterelstand.process.slotnews import SlotNews
+from dotterelstand.process.ticket import Ticket
+from dotterelstand.process.tuning import SelectionTuning, read_tuning
+from dotterelstand.request.fields import LoadReport
+from dotterelstand.settings import Settings
+from dotterelstand.version.document import Document, Service, Target
+
+__all__ = ["AttemptOutcome", "SlotBroker", "SlotCall", "SlotGrant", "SlotOutcome", "make_broker"]
+
+# Period in seconds of work that no message causes: expiry, ended ejections, lost hosts.
+TICK_S = 0.02
+# Seconds after which other hosts are told again that a target is still slow; they believe it for
+# `SLOW_LIFE_S`.
+TELL_AGAIN_S = SLOW_LIFE_S / 2
+
+
+class _Waiter:
+    """Wakes the task that waits for a ticket."""
+
+    __slots__ = ("event",)
+
+    def __init__(self) -> None:
+        self.event = trio.Event()
+
+    def resolve(self, ticket: Ticket) -> None:
+        self.event.set()
+
+
+class SlotBroker:
+    """Gives each call a slot, from the service's dispatcher or by local choice."""
+
+    __slots__ = ("_budget", "_core", "_mesh", "_tickets", "_told")
+
+    def __init__(self, mesh: Mesh, budget: MeasureBudget, core: SlotCore) -> None:
+        self._mesh = mesh
+        self._budget = budget
+        self._core = core
+        self._tickets: dict[int, Ticket] = {}
+        # When the other hosts were last told that a target is slow, by its index.
+        self._told: dict[int, float] = {}
+        now = trio.current_time
+        mesh.subscribe(Acquire, lambda sender, message: core.on_acquire(sender, message, now()))
+        mesh.subscribe(Grant, lambda sender, message: core.on_grant(sender, message, now()))
+        mesh.subscribe(Refuse, lambda sender, message: core.on_refuse(sender, message, now()))
+        mesh.subscribe(Release, lambda sender, message: core.on_release(sender, message, now()))
+        mesh.subscribe(TargetLeaving, self._on_leaving)
+        mesh.subscribe(Paces, self._on_paces)
+
+    @property
+    def core(self) -> SlotCore:
+        """Decisions and counters, for status display."""
+        return self._core
+
+    @property
+    def budget(self) -> MeasureBudget:
+        """The measuring budget of this host."""
+        return self._budget
+
+    def apply(self, document: Document) -> None:
+        """Follow a new version of the document."""
+        self._core.apply(document, trio.current_time())
+
+    async def acquire(self, service: Service, call: SlotCall) -> Result[SlotGrant, ResultCode]:
+        """Slot for one attempt; fails with 2002, 2003 or 2004. Cancellation frees the slot."""
+        waiter = _Waiter()
+        ticket = self._core.open(service, call, trio.current_time(), waiter.resolve)
+        try:
+            while not ticket.decided:
+                with trio.move_on_at(ticket.due):
+                    await waiter.event.wait()
+                if not ticket.decided and trio.current_time() >= ticket.due:
+                    self._core.time_out(ticket, trio.current_time())
+            if ticket.grant is None:
+                assert ticket.refusal is not None
+                return Failure(ticket.refusal)
+        except BaseException:
+            self._core.withdraw(ticket, trio.current_time())
+            raise
+        self._tickets[ticket.number] = ticket
+        return Success(ticket.grant)
+
+    def release(self, grant: SlotGrant, outcome: SlotOutcome) -> None:
+        """Return a slot; every grant must be released exactly once."""
+        ticket = self._tickets.pop(grant.number)
+        assert ticket.grant is grant, "released a grant that is not open"
+        self._core.release(ticket, outcome, trio.current_time())
+
+    def target_leaving(self, target: str) -> None:
+        """A target is leaving, by its header or the host list; tells the other hosts."""
+        if self._core.note_leaving(target):
+            log(Event.TARGET_LEAVING, target=target)
+            self._mesh.broadcast(TargetLeaving(target))
+
+    def target_returned(self, target: str) -> None:
+        """The host list shows a target that was leaving as live."""
+        if self._core.note_returned(target):
+            log(Event.TARGET_RETURNED, target=target)
+
+    def target_load(self, service: str, target: Target, report: LoadReport) -> None:
+        """A target of the region told its load; the region's other hosts hear of slow targets."""
+        now = trio.current_time()
+        changed = self._core.note_load(service, target, report, now)
+        slow = report.pace >= SLOW_PACE
+        last = self._told.get(target.index)
+        due = slow and (last is None or now - last >= TELL_AGAIN_S)
+        if not changed and not due:
+            return
+        if slow:
+            self._told[target.index] = now
+        else:
+            self._told.pop(target.index, None)
+        number = self._core.number_of(service)
+        if number is not None:
+            message = Paces([round(report.pace * 100)], number, [target.index])
+            self._core.tell_region(message, now)
+
+    def target_unreachable(self, service: str, target: Target) -> None:
+        """A target of the region did not answer a health request."""
+        self._core.note_unreachable(service, target, trio.current_time())
+
+    async def run(self) -> None:
+        """Apply what time changes, until cancelled."""
+        news = SlotNews(self._core)
+        while True:
+            await trio.sleep(TICK_S)
+            now = trio.current_time()
+            news.report(self._core.advance(now), now)
+
+    def _on_paces(self, sender: str, message: Paces) -> None:
+        now = trio.current_time()
+        for index, percent in zip(message.targets, message.percent, strict=False):
+            self._core.note_pace(message.service, index, percent / 100, now)
+
+    def _on_leaving(self, sender: str, message: TargetLeaving) -> None:
+        if self._core.note_leaving(message.target):
+            log(Event.TARGET_LEAVING, target=message.target)
+            if self._mesh.is_overlay:
+                self._mesh.broadcast(message)
+
+
+def make_budget(settings: Settings, region: str, now: float) -> MeasureBudget:
+    """Measuring budget from the settings section `measure`."""
+    section = "measure"
+    host = MeasureLimit(
+        settings.integer(section, "bytes_per_s"), settings.integer(section, "calls_per_s")
+    )
+    other_region = MeasureLimit(
+        settings.integer(section, "cross_region_bytes_per_s"),
+        settings.integer(section, "cross_region_calls_per_s"),
+    )
+    return MeasureBudget(region, host, other_region, now)
+
+
+def make_broker(mesh: Mesh, settings: Settings, rng: random.Random) -> SlotBroker:
+    """Broker of one entry host; call within `trio.run`."""
+    tuning: SelectionTuning = read_tuning(settings)
+    budget = make_budget(settings, mesh.region, -math.inf)
+    core = SlotCore(MeasuredMesh(mesh, budget), tuning, rng)
+    return SlotBroker(mesh, budget, core)
--- /dev/null
+++ b/target/deps/dotterelstand/process/storeconnection.py
@@ -0,0 +1,118 @@
+"""Connections to the platform's object store."""
+
+import h11
+import trio
+
+from dotterelstand.connection.network import Network
+from dotterelstand.connection.target import close_now
+
+# A connection that was idle for longer may have been closed by the store.
+MAX_IDLE_S = 5.0
+READ_BYTES = 65536
+
+
+class StoreAnswer:
+    """Status, version and body of an answer; version 0 if it carries none."""
+
+    __slots__ = ("body", "status", "version")
+
+    def __init__(self, status: int, version: int, body: bytes) -> None:
+        self.status = status
+        self.version = version
+        self.body = body
+
+
+class StoreConnection:
+    """An h11 client connection that carries one call at a time."""
+
+    __slots__ = ("_h11", "_stream", "idle_since", "reused", "sent")
+
+    def __init__(self, stream: trio.abc.Stream) -> None:
+        self._stream = stream
+        self._h11 = h11.Connection(h11.CLIENT)
+        self.idle_since = 0.0
+        self.reused = False
+        self.sent = False
+
+    async def exchange(
+        self, method: str, path: str, headers: list[tuple[bytes, bytes]], body: bytes
+    ) -> StoreAnswer:
+        """Make one call; raises `trio.BrokenResourceError` or `h11.ProtocolError`."""
+        fields = [(b"host", b"store"), (b"content-length", b"%d" % len(body)), *headers]
+        data = self._h11.send(h11.Request(method=method, target=path, headers=fields)) or b""
+        data += self._h11.send(h11.Data(data=body)) or b""
+        data += self._h11.send(h11.EndOfMessage()) or b""
+        self.sent = True
+        await self._stream.send_all(data)
+        return await self._receive()
+
+    async def _receive(self) -> StoreAnswer:
+        status, version, parts = 0, 0, []
+        while True:
+            event = self._h11.next_event()
+            if event is h11.NEED_DATA:
+                self._h11.receive_data(bytes(await self._stream.receive_some(READ_BYTES)))
+            elif isinstance(event, h11.Response):
+                status = event.status_code
+                tag = dict(event.headers).get(b"etag", b"0").strip(b'"')
+                if not tag.isdigit():
+                    raise h11.RemoteProtocolError("version is not a number")
+                version = int(tag)
+            elif isinstance(event, h11.Data):
+                parts.append(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                return StoreAnswer(status, version, b"".join(parts))
+            elif not isinstance(event, h11.InformationalResponse):
+                raise h11.RemoteProtocolError("answer cut off")
+
+    def recycle(self, now: float) -> bool:
+        """Prepare for the next call; False if the connection must be closed."""
+        if self._h11.our_state is not h11.DONE or self._h11.their_state is not h11.DONE:
+            return False
+        self._h11.start_next_cycle()
+        self.idle_since = now
+        self.reused = True
+        self.sent = False
+        return True
+
+    def close(self) -> None:
+        """Close at once."""
+        close_now(self._stream)
+
+
+class StoreConnections:
+    """Idle connections, newest first."""
+
+    __slots__ = ("_address", "_idle", "_max_idle", "_network", "_port", "opened")
+
+    def __init__(self, address: str, port: int, network: Network, max_idle: int) -> None:
+        self._address = address
+        self._port = port
+        self._network = network
+        self._max_idle = max_idle
+        self._idle: list[StoreConnection] = []
+        self.opened = 0
+
+    async def acquire(self, reuse: bool) -> StoreConnection:
+        """Connection for one call; raises `OSError` if the store cannot be reached."""
+        now = trio.current_time()
+        while reuse and self._idle:
+            connection = self._idle.pop()
+            if now - connection.idle_since <= MAX_IDLE_S:
+                return connection
+            connection.close()
+        self.opened += 1
+        return StoreConnection(await self._network.connect(self._address, self._port))
+
+    def release(self, connection: StoreConnection) -> None:
+        """Take back a connection after a call; one whose answer is incomplete is closed."""
+        if len(self._idle) < self._max_idle and connection.recycle(trio.current_time()):
+            self._idle.append(connection)
+        else:
+            connection.close()
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        for connection in self._idle:
+            connection.close()
+        self._idle.clear()
--- /dev/null
+++ b/target/deps/dotterelstand/process/targetlist.py
@@ -0,0 +1,84 @@
+"""Which targets are leaving, by their answers, their health, the host list and other hosts."""
+
+from collections.abc import Callable
+from typing import Protocol
+
+from dotterelstand.connection.wire import TargetLeaving
+from dotterelstand.process.mesh import Mesh
+
+TARGET_ROLE = "target"
+LEAVING_STATE = "leaving"
+MAX_TARGETS = 3000
+
+
+class LeavingTargets(Protocol):
+    """Takes note of targets that leave or return."""
+
+    def target_leaving(self, target: str) -> None:
+        """A target takes no new work from now on; tells the other entry hosts."""
+
+    def target_returned(self, target: str) -> None:
+        """A target that was leaving is live again."""
+
+
+class TargetList:
+    """Tells target selection which targets leave, and which of them returned.
+
+    A target that another source than the host list reported is live again when the host list has
+    shown it as live for `return_after_s` seconds since, because the list lags.
+    """
+
+    __slots__ = ("_leaving", "_now", "_reported", "_return_after_s", "_selection")
+
+    def __init__(
+        self,
+        selection: LeavingTargets,
+        mesh: Mesh,
+        return_after_s: float,
+        now: Callable[[], float],
+    ) -> None:
+        self._selection = selection
+        self._return_after_s = return_after_s
+        self._now = now
+        self._leaving: frozenset[str] = frozenset()
+        self._reported: dict[str, float] = {}
+        mesh.subscribe(TargetLeaving, self._on_leaving)
+
+    def target_leaving(self, target: str) -> None:
+        """An answer or the health endpoint of a target says that it is leaving."""
+        self._note(target)
+        self._selection.target_leaving(target)
+
+    def read(self, entries: object) -> None:
+        """Take a new host list; malformed entries are left out.
+
+        A target that is in neither list is not touched, since the list lags.
+        """
+        leaving: set[str] = set()
+        live: set[str] = set()
+        for entry in entries if isinstance(entries, list) else []:
+            if not isinstance(entry, dict) or entry.get("role") != TARGET_ROLE:
+                continue
+            name = entry.get("host")
+            if isinstance(name, str) and name:
+                (leaving if entry.get("state") == LEAVING_STATE else live).add(name)
+        for name in sorted(leaving - self._leaving):
+            self._selection.target_leaving(name)
+        for name in sorted(self._leaving & live):
+            self._return(name)
+        self._leaving = frozenset((self._leaving | leaving) - live)
+        limit = self._now() - self._return_after_s
+        for name in [name for name, at in self._reported.items() if at <= limit and name in live]:
+            self._return(name)
+
+    def _on_leaving(self, sender: str, message: TargetLeaving) -> None:
+        self._note(message.target)
+
+    def _note(self, target: str) -> None:
+        while len(self._reported) >= MAX_TARGETS:
+            del self._reported[next(iter(self._reported))]
+        self._reported[target] = self._now()
+
+    def _return(self, target: str) -> None:
+        self._reported.pop(target, None)
+        self._selection.target_returned(target)
--- /dev/null
+++ b/target/deps/dotterelstand/request/attempt.py
@@ -0,0 +1,320 @@
+"""One attempt to run a request at one target, up to the head of the answer."""
+
+import math
+from collections.abc import Callable
+
+import h11
+import trio
+
+from dotterelstand.codes import Result as ResultCode
+from dotterelstand.connection.caller import BodyError
+from dotterelstand.connection.pool import ONLY_NEW_S, PROOF_LIFE_S, ConnectionLimitError, TargetPool
+from dotterelstand.connection.target import TargetConnection
+from dotterelstand.process.outcome import AttemptOutcome, SlotGrant, SlotOutcome
+from dotterelstand.request.body import RequestBody
+from dotterelstand.request.fields import HeaderFields, read_load
+from dotterelstand.request.head import Headers, RequestHead, forwarded_headers
+from dotterelstand.request.policy import FAILING_STATUSES
+from dotterelstand.request.ports import Leaving, Slots
+from dotterelstand.version.document import Service
+
+_OUTCOMES = {
+    ResultCode.CONNECT_FAILED: AttemptOutcome.CONNECT_FAILED,
+    ResultCode.OVERLOADED: AttemptOutcome.CANCELLED,
+    ResultCode.TARGET_SILENT: AttemptOutcome.TIMED_OUT,
+}
+# A body up to this length is sent before the answer is awaited. A target may answer a longer one
+# early, without reading it, and sending would then block.
+AT_ONCE_BYTES = 16384
+# Statuses that promise a caller that its request has not run.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+# Answers to other requests that are skipped on one connection before it is given up.
+MAX_STRAY_ANSWERS = 4
+_LOST = (trio.BrokenResourceError, trio.ClosedResourceError)
+
+
+class AnswerHead:
+    """Status and headers of a target's answer."""
+
+    __slots__ = ("_fields", "_values", "headers", "status")
+
+    def __init__(self, status: int, headers: Headers, fields: HeaderFields) -> None:
+        self.status = status
+        self.headers = headers
+        self._fields = fields
+        self._values = dict(headers)
+
+    def value(self, name: bytes) -> bytes | None:
+        """Value of a header, the last one if it is repeated, or None."""
+        return self._values.get(name)
+
+    def is_refusal(self) -> bool:
+        """Whether the target says in the agreed way that the request was not run."""
+        if self.status in self._fields.not_run_statuses:
+            return True
+        value = self.value(self._fields.not_run)
+        if value is None:
+            return False
+        expected = self._fields.not_run_value
+        return not expected or (self.status == 503 and value == expected)
+
+    def is_genuine(self) -> bool:
+        """Whether a success is the target's own, with its body as the target encoded it."""
+        if self.value(b"content-encoding") is not None:
+            return False
+        signature = self._fields.signature
+        return not signature or self.status >= 300 or bool(self.value(signature))
+
+    def answers(self, request_id: bytes | None) -> bool:
+        """Whether the answer belongs to a request; one without an id is taken to do so."""
+        return request_id is None or self.value(self._fields.request_id) in (None, request_id)
+
+    def claims_not_run(self) -> bool:
+        """Whether callers would read the status as not run although the target does not say so."""
+        return self.status in NOT_RUN_STATUSES and not self.is_refusal()
+
+    def delimits_itself(self, method: str) -> bool:
+        """Whether the answer states its length; else it ends with its connection."""
+        if method == "HEAD" or self.status in (204, 304):
+            return True
+        lengths = self.value(b"content-length") is not None
+        return lengths != (self.value(b"transfer-encoding") is not None)
+
+
+class AttemptSetup:
+    """What the attempts of one request have in common."""
+
+    __slots__ = ("body", "head", "idempotent", "leaving", "pool", "service", "slots")
+
+    def __init__(
+        self,
+        head: RequestHead,
+        body: RequestBody,
+        service: Service,
+        pool: TargetPool,
+        slots: Slots,
+        leaving: Leaving,
+        idempotent: bool,
+    ) -> None:
+        self.head = head
+        self.body = body
+        self.service = service
+        self.pool = pool
+        self.slots = slots
+        self.leaving = leaving
+        self.idempotent = idempotent
+
+
+class Attempt:
+    """Sends a request over one connection and owns its slot until `end`."""
+
+    __slots__ = (
+        "_began",
+        "_connection",
+        "_deadline",
+        "_ended",
+        "_grant",
+        "_head_sent",
+        "_max_age_s",
+        "_sent",
+        "_setup",
+        "_silence",
+        "answer",
+        "body_error",
+        "failure",
+        "head_after_s",
+        "on_body_error",
+        "target_slow",
+    )
+
+    def __init__(
+        self, setup: AttemptSetup, grant: SlotGrant, deadline: float, after_silence: bool
+    ) -> None:
+        self._setup = setup
+        self._max_age_s = math.inf if setup.idempotent else PROOF_LIFE_S
+        if after_silence:
+            # Connections to other targets may have gone silent for the same cause.
+            self._max_age_s = ONLY_NEW_S
+        self._grant = grant
+        self._deadline = deadline
+        self._began = trio.current_time()
+        self._connection: TargetConnection | None = None
+        self._silence = trio.CancelScope()
+        self._head_sent = trio.Event()
+        self._sent = 0
+        self._ended = False
+        self.answer: AnswerHead | None = None
+        self.body_error: ResultCode | None = None
+        self.failure: ResultCode | None = None
+        self.head_after_s = 0.0
+        self.target_slow = False
+        self.on_body_error: Callable[[], object] | None = None
+
+    @property
+    def target(self) -> str:
+        """Name of the target."""
+        return self._grant.target.name
+
+    def on_slow(self, wake: Callable[[], object]) -> None:
+        """Call `wake` and set `target_slow` when the target turns slow."""
+
+        def note() -> None:
+            self.target_slow = True
+            wake()
+
+        self._grant.on_slow = note
+
+    @property
+    def connection(self) -> TargetConnection:
+        """Connection of an attempt whose answer head has arrived."""
+        assert self._connection is not None
+        return self._connection
+
+    @property
+    def handed(self) -> bool:
+        """Whether a byte of the request was handed to the target's connection."""
+        return self._connection is not None and self._connection.handed
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether the target may have run the request."""
+        refused = self.answer is not None and self.answer.is_refusal()
+        return self.handed and not refused
+
+    async def run(self) -> None:
+        """Send the request and wait for the answer's head; sets `answer` or `failure`."""
+        if not await self._connect():
+            return
+        body = self._setup.body
+        whole = body.complete and body.held_whole and body.length <= AT_ONCE_BYTES
+        try:
+            with self._silence:
+                self._watch()
+                await self._send_first(body.held if whole else b"", whole)
+                await self._receive_head()
+            if self._silence.cancelled_caught:
+                self._silent()
+        except _LOST:
+            self.failure = ResultCode.CONNECTION_LOST
+        except h11.RemoteProtocolError:
+            lost = self.connection.lost()
+            self.failure = ResultCode.CONNECTION_LOST if lost else ResultCode.BAD_ANSWER
+
+    async def send_rest(self) -> None:
+        """Stream the rest of the body; ends without error when the target stops reading."""
+        body = self._setup.body
+        await self._head_sent.wait()
+        try:
+            while (data := await self._next_piece(body)) is not None:
+                self._watch()
+                await self.connection.send_body(data)
+                self._sent += len(data)
+            await self.connection.finish_request()
+            self._watch()
+        except BodyError as error:
+            self.body_error = error.code
+            if self.on_body_error is not None:
+                self.on_body_error()
+        except (*_LOST, h11.LocalProtocolError):
+            # The target may have answered early; its answer or the lost connection decides.
+            return
+
+    def outcome(self) -> AttemptOutcome:
+        """How the attempt went, as far as it went."""
+        if self.failure is not None:
+            return _OUTCOMES.get(self.failure, AttemptOutcome.FAILED)
+        if self.answer is None or self.body_error is not None:
+            return AttemptOutcome.CANCELLED
+        if self.answer.is_refusal():
+            return AttemptOutcome.REFUSED
+        failing = self.answer.status in FAILING_STATUSES
+        return AttemptOutcome.FAILED if failing else AttemptOutcome.OK
+
+    def end(self, kind: AttemptOutcome) -> None:
+        """Give back the slot and the connection; a connection that is not clean is closed."""
+        if self._ended:
+            return
+        self._ended = True
+        fields = self._setup.head.fields
+        load = read_load(self.answer.value(fields.load)) if self.answer is not None else None
+        duration_s = trio.current_time() - self._began
+        self._setup.slots.release(self._grant, SlotOutcome(kind, duration_s, load))
+        if self._connection is None:
+            return
+        if self.failure is None and kind is not AttemptOutcome.CANCELLED:
+            self._setup.pool.release(self._connection)
+        else:
+            self._setup.pool.discard(self._connection)
+
+    def drop_answer(self) -> None:
+        """Read the rest of an answer that is not passed on, if it is already here."""
+        try:
+            while isinstance(self.connection.poll(), h11.Data):
+                pass
+        except h11.RemoteProtocolError:
+            self.failure = ResultCode.CONNECTION_LOST
+
+    async def _connect(self) -> bool:
+        setup = self._setup
+        try:
+            self._connection = await setup.pool.acquire(
+                self._grant.target, setup.service.connections, self._max_age_s
+            )
+        except OSError:
+            self.failure = ResultCode.CONNECT_FAILED
+        except ConnectionLimitError:
+            self.failure = ResultCode.OVERLOADED
+        return self.failure is None
+
+    async def _send_first(self, data: bytes, complete: bool) -> None:
+        remaining_s = self._deadline - trio.current_time()
+        head = self._setup.head
+        headers = forwarded_headers(head, remaining_s, self.target)
+        await self.connection.send_request(head.method, head.path, headers, data, complete)
+        self._sent = len(data)
+        self._head_sent.set()
+        if not complete:
+            self._watch()
+
+    async def _receive_head(self) -> None:
+        self.answer = await self._receive_own_head()
+        self.head_after_s = trio.current_time() - self._began
+        self._silence.deadline = math.inf
+        fields = self._setup.head.fields
+        if self.answer.value(fields.draining) == b"1":
+            self._setup.leaving.target_leaving(self.target)
+        if not self.answer.is_genuine():
+            self.failure = ResultCode.BAD_ANSWER
+        elif self.answer.claims_not_run() and not self._setup.idempotent:
+            self.failure = ResultCode.BAD_ANSWER
+
+    async def _receive_own_head(self) -> AnswerHead:
+        """Head of the answer to this request; late answers to earlier requests are skipped."""
+        head = self._setup.head
+        for _ in range(MAX_STRAY_ANSWERS):
+            event = await self.connection.receive()
+            while isinstance(event, h11.InformationalResponse):
+                self._watch()
+                event = await self.connection.receive()
+            if not isinstance(event, h11.Response):
+                break
+            headers: Headers = [(bytes(name), bytes(value)) for name, value in event.headers]
+            answer = AnswerHead(event.status_code, headers, head.fields)
+            if answer.answers(head.request_id):
+                return answer
+            await self.connection.skip_answer()
+        raise h11.RemoteProtocolError("no answer to this request")
+
+    async def _next_piece(self, body: RequestBody) -> bytes | None:
+        if self._sent >= body.length and not body.complete:
+            # A slow caller is no silence of the target.
+            self._silence.deadline = math.inf
+        return await body.piece_at(self._sent)
+
+    def _watch(self) -> None:
+        if self.answer is None:
+            self._silence.deadline = trio.current_time() + self._setup.service.silence_timeout_s
+
+    def _silent(self) -> None:
+        self.failure = ResultCode.TARGET_SILENT
+        self._setup.pool.distrust(self.connection.address)
--- /dev/null
+++ b/target/deps/dotterelstand/request/body.py
@@ -0,0 +1,73 @@
+"""The body of a caller's request, read once and sent to one or more targets."""
+
+from collections.abc import Awaitable, Callable
+
+import trio
+import xxhash
+
+ReadPiece = Callable[[], Awaitable[bytes | None]]
+
+
+class RequestBody:
+    """Reads a body piece by piece and keeps its first bytes for retries.
+
+    `read` gives the next piece, or None at the end. One reader at a time passes the held part.
+    """
+
+    __slots__ = ("_held", "_limit", "_lock", "_next", "_read", "complete", "length")
+
+    def __init__(self, read: ReadPiece, has_body: bool, limit: int) -> None:
+        self._read = read
+        self._limit = limit
+        self._held = bytearray()
+        self._next = b""
+        self._lock: trio.Lock | None = trio.Lock() if has_body else None
+        self.complete = not has_body
+        self.length = 0
+
+    @property
+    def held_whole(self) -> bool:
+        """Whether every byte read so far is still held."""
+        return self.length == len(self._held)
+
+    @property
+    def held(self) -> bytes:
+        """First bytes of the body, up to the limit."""
+        return bytes(self._held)
+
+    async def piece_at(self, position: int) -> bytes | None:
+        """Piece that begins at a position, or None at the end of the body.
+
+        Raises what `read` raises. A position before the end of what was read must be held.
+        """
+        if position < self.length:
+            assert self.held_whole, "the part of the body already sent is no longer held"
+            return bytes(self._held[position:])
+        if self.complete or self._lock is None:
+            return None
+        async with self._lock:
+            if position < self.length:
+                return bytes(self._held[position:])
+            return await self._read_next()
+
+    async def fill(self) -> None:
+        """Read until the body ends or the held part is full; raises what `read` raises."""
+        while not self.complete and self.length < self._limit:
+            await self.piece_at(self.length)
+
+    def digest(self) -> bytes:
+        """Digest of the held part, 16 bytes."""
+        return xxhash.xxh3_128_digest(bytes(self._held))
+
+    async def _read_next(self) -> bytes | None:
+        data, self._next = self._next or await self._read(), b""
+        if data is None:
+            self.complete = True
+            return None
+        room = self._limit - len(self._held)
+        if room > 0:
+            # The rest is given out next, so that filling the held part loses nothing.
+            data, self._next = data[:room], data[room:]
+            self._held += data
+        self.length += len(data)
+        return data
--- /dev/null
+++ b/target/deps/dotterelstand/request/context.py
@@ -0,0 +1,90 @@
+"""What every request of one entry host shares."""
+
+import trio
+
+from dotterelstand.connection.pool import TargetPool
+from dotterelstand.request.fields import OWN_FIELDS, HeaderFields
+from dotterelstand.request.policy import ServicePolicy
+from dotterelstand.request.ports import Counters, Journal, Leaving, Slots, Suspects
+from dotterelstand.request.split import SplitCounts
+from dotterelstand.version.document import Route, Service
+
+# Services whose budgets and durations are kept; the one that was added first is dropped.
+MAX_SERVICES = 3500
+
+
+class RequestLimits:
+    """Bounds on one request."""
+
+    __slots__ = ("held_body_bytes", "max_attempts", "max_recorded_bytes", "retry_min_per_s")
+
+    def __init__(
+        self,
+        max_attempts: int,
+        retry_min_per_s: float,
+        held_body_bytes: int,
+        max_recorded_bytes: int,
+    ) -> None:
+        self.max_attempts = max_attempts
+        self.retry_min_per_s = retry_min_per_s
+        self.held_body_bytes = held_body_bytes
+        self.max_recorded_bytes = max_recorded_bytes
+
+
+class RequestContext:
+    """Parts of the process that requests use."""
+
+    __slots__ = (
+        "_policies",
+        "_splits",
+        "fields",
+        "journal",
+        "leaving",
+        "limits",
+        "metrics",
+        "pool",
+        "slots",
+        "suspects",
+    )
+
+    def __init__(
+        self,
+        limits: RequestLimits,
+        pool: TargetPool,
+        slots: Slots,
+        journal: Journal | None,
+        suspects: Suspects,
+        metrics: Counters,
+        leaving: Leaving,
+        fields: HeaderFields = OWN_FIELDS,
+    ) -> None:
+        self.fields = fields
+        self._splits = SplitCounts()
+        self.limits = limits
+        self.pool = pool
+        self.slots = slots
+        self.journal = journal
+        self.suspects = suspects
+        self.metrics = metrics
+        self.leaving = leaving
+        self._policies: dict[str, ServicePolicy] = {}
+
+    def choose_service(self, route: Route) -> str:
+        """Service for the next request of a route."""
+        return self._splits.choose(route)
+
+    def policy(self, service: Service) -> ServicePolicy:
+        """Budget and durations of a service."""
+        policy = self._policies.get(service.name)
+        if policy is None:
+            if len(self._policies) >= MAX_SERVICES:
+                del self._policies[next(iter(self._policies))]
+            policy = ServicePolicy(service.retry_share, self.limits.retry_min_per_s)
+            self._policies[service.name] = policy
+        # The share may have changed with the document.
+        policy.budget.share = service.retry_share
+        return policy
+
+    def count_request(self, service: Service) -> None:
+        """Count a request, which adds to the retry budget of its service."""
+        self.policy(service).budget.count_request(trio.current_time())
--- /dev/null
+++ b/target/deps/dotterelstand/request/fields.py
@@ -0,0 +1,98 @@
+"""Names of the header fields that callers, entry hosts and targets exchange."""
+
+RUN_HEADER = b"dotterelstand-run"
+RESULT_HEADER = b"dotterelstand-result"
+
+# Digits of a number in a load report; a longer one is no load report.
+MAX_LOAD_DIGITS = 6
+
+
+class LoadReport:
+    """What a target says of its load at one moment.
+
+    `requests` counts those that run or wait. `pace` is the time that work takes there, as a
+    multiple of the usual time.
+    """
+
+    __slots__ = ("pace", "requests")
+
+    def __init__(self, requests: int, pace: float = 1.0) -> None:
+        self.requests = requests
+        self.pace = pace
+
+
+class HeaderFields:
+    """Header names, in lower case; one that a platform lacks is empty.
+
+    `target` names the target that a request is meant for, `identity` the one that answers a health
+    request, and every success bears a `signature`.
+
+    An answer with the field `not_run`, holding `not_run_value` unless that is empty, or with one
+    of `not_run_statuses` says that the target did not run the request.
+    """
+
+    __slots__ = (
+        "deadline",
+        "draining",
+        "identity",
+        "load",
+        "not_run",
+        "not_run_statuses",
+        "not_run_value",
+        "request_id",
+        "signature",
+        "target",
+    )
+
+    def __init__(
+        self,
+        request_id: bytes,
+        deadline: bytes,
+        target: bytes,
+        load: bytes,
+        draining: bytes,
+        not_run: bytes,
+        not_run_value: bytes = b"",
+        not_run_statuses: frozenset[int] = frozenset(),
+        signature: bytes = b"",
+        identity: bytes = b"",
+    ) -> None:
+        self.identity = identity
+        self.request_id = request_id
+        self.deadline = deadline
+        self.target = target
+        self.load = load
+        self.draining = draining
+        self.not_run = not_run
+        self.not_run_value = not_run_value
+        self.not_run_statuses = not_run_statuses
+        self.signature = signature
+
+
+OWN_FIELDS = HeaderFields(
+    request_id=b"dotterelstand-request-id",
+    deadline=b"dotterelstand-deadline-ms",
+    target=b"dotterelstand-target",
+    load=b"dotterelstand-load",
+    draining=b"dotterelstand-draining",
+    not_run=RUN_HEADER,
+    not_run_value=b"not-run",
+)
+
+
+def read_load(value: bytes | None) -> LoadReport | None:
+    """Load report of a header value, or None if there is none.
+
+    The value is the number of requests, or "running,waiting,slots" with the pace in percent as an
+    optional fourth number.
+    """
+    if value is None:
+        return None
+    parts = [part.strip() for part in value.split(b",")]
+    if any(not part.isdigit() or len(part) > MAX_LOAD_DIGITS for part in parts):
+        return None
+    numbers = [int(part) for part in parts]
+    if len(numbers) < 3:
+        return LoadReport(numbers[0])
+    pace = numbers[3] / 100 if len(numbers) > 3 else 1.0
+    return LoadReport(numbers[0] + numbers[1], pace)
--- /dev/null
+++ b/target/deps/dotterelstand/request/head.py
@@ -0,0 +1,184 @@
+"""Checked head of a caller's request."""
+
+import re
+
+import h11
+import xxhash
+from returns.result import Failure, Result, Success
+
+from dotterelstand.codes import Result as ResultCode
+from dotterelstand.request.fields import OWN_FIELDS, RESULT_HEADER, RUN_HEADER, HeaderFields
+from dotterelstand.version.document import route_host
+
+TENANT_HEADER = b"dotterelstand-tenant"
+KEY_HEADER = b"idempotency-key"
+
+MAX_KEY_BYTES = 255
+MAX_TENANT_BYTES = 64
+
+Headers = list[tuple[bytes, bytes]]
+
+_ENCODED_UNRESERVED = re.compile("%([0-9A-Fa-f]{2})")
+
+# RFC 9110 section 7.6.1 and fields that only dotterelstand may set.
+_NOT_FORWARDED = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"upgrade",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"expect",
+        RESULT_HEADER,
+        RUN_HEADER,
+    }
+)
+
+_NEVER_DROPPED = frozenset({b"host", b"content-length", b"transfer-encoding"})
+
+
+class RequestHead:
+    """Fields of a request head that dotterelstand acts on; `arrived_s` is in monotonic seconds."""
+
+    __slots__ = (
+        "arrived_s",
+        "deadline_s",
+        "fields",
+        "headers",
+        "host",
+        "key",
+        "method",
+        "path",
+        "request_id",
+        "route_path",
+        "tenant",
+    )
+
+    def __init__(
+        self,
+        method: str,
+        path: str,
+        headers: Headers,
+        key: bytes | None,
+        tenant: str,
+        deadline_s: float | None,
+        fields: HeaderFields = OWN_FIELDS,
+    ) -> None:
+        self.method = method
+        self.path = path
+        self.route_path = decode_unreserved(path)
+        self.headers = headers
+        self.key = key
+        self.tenant = tenant
+        self.deadline_s = deadline_s
+        self.fields = fields
+        values = dict(headers)
+        self.host = route_host(values.get(b"host", b"").decode("latin-1"))
+        self.request_id = values.get(fields.request_id)
+        self.arrived_s: float | None = None
+
+    def declared_length(self) -> int | None:
+        """Length of the body in bytes that the head declares, or None."""
+        value = next((value for name, value in self.headers if name == b"content-length"), None)
+        return None if value is None else int(value)
+
+    def has_body(self) -> bool:
+        """Whether the head announces a body."""
+        return any(
+            name == b"transfer-encoding" or (name == b"content-length" and value.strip() != b"0")
+            for name, value in self.headers
+        )
+
+
+def decode_unreserved(path: str) -> str:
+    """Path with the characters decoded that RFC 3986 calls equivalent to their encoding.
+
+    Without this, `/%6frder` would miss the route of `/order` and the promises that it makes.
+    """
+    return _ENCODED_UNRESERVED.sub(_decode_unreserved, path) if "%" in path else path
+
+
+def _decode_unreserved(match: re.Match[str]) -> str:
+    character = chr(int(match.group(1), 16))
+    unreserved = character.isascii() and (character.isalnum() or character in "-._~")
+    return character if unreserved else match.group(0)
+
+
+def _has_one_reading(route_path: str) -> bool:
+    """Whether targets that tidy up paths reach the route that dotterelstand found."""
+    path = route_path.partition("?")[0]
+    if path.startswith("//") or "\\" in path or "#" in path:
+        return False
+    return not any(segment in (".", "..") for segment in path.split("/"))
+
+
+def head_digest(head: RequestHead) -> bytes:
+    """First 8 bytes of the fingerprint of a request: method, path and query."""
+    return xxhash.xxh3_64_digest(f"{head.method} {head.path}".encode())
+
+
+def read_head(
+    request: h11.Request, fields: HeaderFields = OWN_FIELDS
+) -> Result[RequestHead, ResultCode]:
+    """Check a parsed head; fails with the result code of the refusal."""
+    headers: Headers = [(bytes(name), bytes(value)) for name, value in request.headers]
+    names = [name for name, _ in headers]
+    if b"transfer-encoding" in names and b"content-length" in names:
+        # Both together are the classic request smuggling vector (RFC 9112 section 6.3).
+        return Failure(ResultCode.BAD_REQUEST)
+    values = dict(headers)
+    if names.count(KEY_HEADER) > 1 or len(values.get(KEY_HEADER, b"")) > MAX_KEY_BYTES:
+        return Failure(ResultCode.BAD_REQUEST)
+    tenant = values.get(TENANT_HEADER, b"")[:MAX_TENANT_BYTES].decode("latin-1") or "default"
+    deadline_s: float | None = None
+    if fields.deadline in values:
+        text = values[fields.deadline]
+        if not text.isdigit() or len(text) > 9:
+            return Failure(ResultCode.BAD_REQUEST)
+        deadline_s = int(text) / 1000
+    target = bytes(request.target)
+    if not target.startswith(b"/"):
+        return Failure(ResultCode.BAD_REQUEST)
+    head = RequestHead(
+        bytes(request.method).decode("ascii"),
+        target.decode("latin-1"),
+        headers,
+        values.get(KEY_HEADER),
+        tenant,
+        deadline_s,
+        fields,
+    )
+    if not _has_one_reading(head.route_path):
+        return Failure(ResultCode.BAD_REQUEST)
+    return Success(head)
+
+
+def forwarded_headers(head: RequestHead, remaining_s: float, target: str) -> Headers:
+    """Headers of the request to a target, with its name and the deadline counted down."""
+    fields = head.fields
+    own = {fields.deadline, fields.target, RESULT_HEADER, RUN_HEADER}
+    dropped: frozenset[bytes] | set[bytes] = _NOT_FORWARDED | own
+    has_host = False
+    for name, value in head.headers:
+        if name == b"host":
+            has_host = True
+        elif name == b"connection":
+            dropped = dropped | {token.strip().lower() for token in value.split(b",")}
+    # A caller may not have framing or the host removed, whatever its connection header names.
+    dropped = dropped - _NEVER_DROPPED - {fields.request_id}
+    headers = [field for field in head.headers if field[0] not in dropped]
+    if not has_host:
+        # HTTP/1.0 does without; RFC 9112 section 3.2 asks for an empty value then.
+        headers.insert(0, (b"host", b""))
+    headers.append((fields.deadline, b"%d" % max(1, int(remaining_s * 1000))))
+    headers.append((fields.target, target.encode("latin-1", "replace")))
+    return headers
+
+
+def returned_headers(headers: Headers, fields: HeaderFields) -> Headers:
+    """Headers of a target's answer that go on to the caller."""
+    dropped = _NOT_FORWARDED | {fields.load, fields.draining, fields.deadline}
+    return [(name, value) for name, value in headers if name not in dropped]
--- /dev/null
+++ b/target/deps/dotterelstand/request/policy.py
@@ -0,0 +1,183 @@
+"""Decisions about retries, hedged requests and deadlines; no I/O and no clock of its own."""
+
+from collections import deque
+from enum import Enum
+
+# Recent durations from which the quantiles of a service are taken.
+SAMPLES = 128
+# Quantiles are recomputed after this many new samples, since each one sorts the samples.
+REFRESH_SAMPLES = 16
+# A p95 of fewer samples than this is decided by one slow request.
+MIN_SAMPLES = 20
+BUDGET_WINDOW_S = 10
+
+# Statuses of a target that fails; answers with them are tried again if the request is idempotent.
+FAILING_STATUSES = frozenset({500, 502, 503, 504})
+
+
+class RetryBudget:
+    """Retries and hedged requests of one service as a share of its traffic.
+
+    Within any window of 10 s at most `share` times the requests, and never fewer than
+    `minimum_per_s` a second, are allowed.
+    """
+
+    __slots__ = ("_extra", "_minimum_per_s", "_requests", "_second", "share")
+
+    def __init__(self, share: float, minimum_per_s: float) -> None:
+        self.share = share
+        self._minimum_per_s = minimum_per_s
+        self._requests: deque[int] = deque([0] * BUDGET_WINDOW_S, maxlen=BUDGET_WINDOW_S)
+        self._extra: deque[int] = deque([0] * BUDGET_WINDOW_S, maxlen=BUDGET_WINDOW_S)
+        self._second = 0
+
+    def count_request(self, now: float) -> None:
+        """Count one request of a caller; `now` is in seconds."""
+        self._advance(now)
+        self._requests[-1] += 1
+
+    def try_take(self, now: float) -> bool:
+        """Take one retry or hedged request out of the budget; False if it is spent."""
+        self._advance(now)
+        taken = sum(self._extra)
+        if taken + 1 > self.allowance(now):
+            return False
+        self._extra[-1] += 1
+        return True
+
+    def allowance(self, now: float) -> float:
+        """Retries and hedged requests that the window around `now` allows."""
+        self._advance(now)
+        return max(self.share * sum(self._requests), self._minimum_per_s * BUDGET_WINDOW_S)
+
+    def _advance(self, now: float) -> None:
+        second = int(now)
+        for _ in range(min(BUDGET_WINDOW_S, max(0, second - self._second))):
+            self._requests.append(0)
+            self._extra.append(0)
+        self._second = max(self._second, second)
+
+
+class ServiceTimes:
+    """Quantiles of the recent durations of a service's answers, in seconds."""
+
+    __slots__ = ("_fresh", "_p50_s", "_p95_s", "_samples")
+
+    def __init__(self) -> None:
+        self._samples: deque[float] = deque(maxlen=SAMPLES)
+        self._fresh = 0
+        self._p50_s = 0.0
+        self._p95_s: float | None = None
+
+    def record(self, duration_s: float) -> None:
+        """Add the time from sending a request to the head of its answer."""
+        self._samples.append(duration_s)
+        self._fresh += 1
+        if self._fresh >= REFRESH_SAMPLES or len(self._samples) == MIN_SAMPLES:
+            self._refresh()
+
+    @property
+    def usual_s(self) -> float:
+        """Median duration in seconds; 0 until enough answers were seen."""
+        return self._p50_s
+
+    @property
+    def hedge_after_s(self) -> float | None:
+        """95th percentile in seconds, or None until enough answers were seen."""
+        return self._p95_s
+
+    def _refresh(self) -> None:
+        self._fresh = 0
+        if len(self._samples) < MIN_SAMPLES:
+            return
+        ordered = sorted(self._samples)
+        self._p50_s = ordered[len(ordered) // 2]
+        self._p95_s = ordered[len(ordered) * 95 // 100]
+
+
+class ServicePolicy:
+    """Budget and usual durations of one service in one entry host."""
+
+    __slots__ = ("budget", "times")
+
+    def __init__(self, share: float, minimum_per_s: float) -> None:
+        self.budget = RetryBudget(share, minimum_per_s)
+        self.times = ServiceTimes()
+
+
+class RetryDecision(Enum):
+    """Whether a failed attempt is followed by another one, and why not."""
+
+    RETRY = "retry"
+    MAY_HAVE_RUN = "may_have_run"
+    NOT_HELD = "not_held"
+    ATTEMPTS_SPENT = "attempts_spent"
+    NO_TIME = "no_time"
+    BUDGET_SPENT = "budget_spent"
+
+
+class Failed:
+    """What the retry decision needs to know about a request whose attempt failed.
+
+    `connected` is False if the target of the last attempt could not be reached.
+    """
+
+    __slots__ = (
+        "attempts",
+        "body_held",
+        "connected",
+        "idempotent",
+        "may_have_run",
+        "remaining_s",
+    )
+
+    def __init__(
+        self,
+        idempotent: bool,
+        may_have_run: bool,
+        body_held: bool,
+        attempts: int,
+        remaining_s: float,
+        connected: bool = True,
+    ) -> None:
+        self.idempotent = idempotent
+        self.may_have_run = may_have_run
+        self.body_held = body_held
+        self.attempts = attempts
+        self.remaining_s = remaining_s
+        self.connected = connected
+
+
+def decide_retry(
+    failed: Failed, service: ServicePolicy, max_attempts: int, now: float
+) -> RetryDecision:
+    """Decide whether to try again; RETRY has been charged to the budget.
+
+    An attempt that did not connect gave no target any work, so its retry adds no load and is free.
+    """
+    if failed.may_have_run and not failed.idempotent:
+        return RetryDecision.MAY_HAVE_RUN
+    if not failed.body_held:
+        return RetryDecision.NOT_HELD
+    if failed.attempts >= max_attempts:
+        return RetryDecision.ATTEMPTS_SPENT
+    if not can_finish(failed.remaining_s, service.times):
+        return RetryDecision.NO_TIME
+    if failed.connected and not service.budget.try_take(now):
+        return RetryDecision.BUDGET_SPENT
+    return RetryDecision.RETRY
+
+
+def can_finish(remaining_s: float, times: ServiceTimes) -> bool:
+    """Whether an attempt of the usual duration fits in the time that remains."""
+    return remaining_s > max(times.usual_s, 0.001)
+
+
+def hedge_delay_s(
+    idempotent: bool, enabled: bool, remaining_s: float, times: ServiceTimes
+) -> float | None:
+    """Seconds after which a second attempt starts beside the first, or None for never."""
+    delay_s = times.hedge_after_s
+    if not idempotent or not enabled or delay_s is None:
+        return None
+    return delay_s if remaining_s - delay_s > max(times.usual_s, 0.001) else None
--- /dev/null
+++ b/target/deps/dotterelstand/request/race.py
@@ -0,0 +1,73 @@
+"""Runs an attempt and, when it is slow, a hedged one beside it."""
+
+from collections.abc import Awaitable, Callable
+
+import trio
+
+from dotterelstand.process.outcome import AttemptOutcome
+from dotterelstand.request.attempt import Attempt
+from dotterelstand.request.policy import FAILING_STATUSES
+
+StartHedge = Callable[[], Awaitable[Attempt | None]]
+
+
+async def run_race(first: Attempt, delay_s: float, start_hedge: StartHedge) -> Attempt:
+    """Run `first` and, after `delay_s` seconds, what `start_hedge` gives; return the winner.
+
+    The second one starts at once when the target of the first turns slow. The loser's connection
+    is closed. Without a good answer the attempt that ended last is returned.
+    """
+    ended: list[Attempt] = []
+    attempts = [first]
+    changed = trio.lowlevel.ParkingLot()
+    hedging = True
+
+    async def run(attempt: Attempt) -> None:
+        await attempt.run()
+        ended.append(attempt)
+        changed.unpark_all()
+
+    async def hedge() -> None:
+        nonlocal hedging
+        second = await start_hedge()
+        hedging = False
+        if second is not None:
+            attempts.append(second)
+            await run(second)
+        else:
+            changed.unpark_all()
+
+    first.on_slow(changed.unpark_all)
+    try:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(run, first)
+            with trio.move_on_after(delay_s):
+                while not ended and not first.target_slow:
+                    await changed.park()
+            if not ended:
+                nursery.start_soon(hedge)
+                while not any(map(is_good, ended)) and (hedging or len(ended) < len(attempts)):
+                    if ended and hedging:
+                        break
+                    await changed.park()
+            nursery.cancel_scope.cancel()
+        winner = next(filter(is_good, ended), ended[-1])
+    except BaseException:
+        for attempt in attempts:
+            attempt.end(AttemptOutcome.CANCELLED)
+        raise
+    for attempt in attempts:
+        if attempt is not winner:
+            attempt.end(attempt.outcome())
+    return winner
+
+
+def is_good(attempt: Attempt) -> bool:
+    """Whether the head of an answer that may be passed on has arrived."""
+    answer = attempt.answer
+    return (
+        attempt.failure is None
+        and answer is not None
+        and not answer.is_refusal()
+        and answer.status not in FAILING_STATUSES
+    )
--- /dev/null
+++ b/target/deps/dotterelstand/settings_rules.py
@@ -0,0 +1,374 @@
+"""Allowed values of every settings key, and the checks between keys."""
+
+import ipaddress
+import re
+from collections.abc import Callable
+from typing import Any, Protocol
+from urllib.parse import urlsplit
+
+Values = dict[str, dict[str, Any]]
+MIN_TOKEN_CHARACTERS = 16
+
+
+class Rule(Protocol):
+    """Decides on one value; `allowed` completes the sentence "found x; ..."."""
+
+    @property
+    def allowed(self) -> str:
+        """What is allowed, for messages and the reference page."""
+
+    def accepts(self, value: Any) -> bool:
+        """Whether a value of the right type is allowed."""
+
+
+class Between:
+    """A number within two limits, both included."""
+
+    __slots__ = ("_high", "_low")
+
+    def __init__(self, low: float, high: float) -> None:
+        self._low = low
+        self._high = high
+
+    @property
+    def allowed(self) -> str:
+        """Both limits."""
+        return f"{self._low:.12g} to {self._high:.12g}"
+
+    def accepts(self, value: Any) -> bool:
+        """Whether the number is finite and within the limits."""
+        return self._low <= value <= self._high
+
+
+class Matching:
+    """A text that a test accepts."""
+
+    __slots__ = ("_allowed", "_test")
+
+    def __init__(self, allowed: str, test: Callable[[str], bool]) -> None:
+        self._allowed = allowed
+        self._test = test
+
+    @property
+    def allowed(self) -> str:
+        """Description of the texts."""
+        return self._allowed
+
+    def accepts(self, value: Any) -> bool:
+        """Whether the text passes."""
+        return self._test(value)
+
+
+class ListOf:
+    """A list in which a rule accepts every item."""
+
+    __slots__ = ("_max_items", "_rule")
+
+    def __init__(self, rule: Rule, max_items: int) -> None:
+        self._rule = rule
+        self._max_items = max_items
+
+    @property
+    def allowed(self) -> str:
+        """Rule of the items and their greatest number."""
+        return f"up to {self._max_items} items, each {self._rule.allowed}"
+
+    def accepts(self, value: Any) -> bool:
+        """Whether the list is short enough and all items pass."""
+        return len(value) <= self._max_items and all(self._rule.accepts(item) for item in value)
+
+
+class AnyFlag:
+    """true or false."""
+
+    __slots__ = ()
+
+    @property
+    def allowed(self) -> str:
+        """Both values."""
+        return "true or false"
+
+    def accepts(self, value: Any) -> bool:
+        """Every boolean is allowed."""
+        return True
+
+
+def _is_address(text: str) -> bool:
+    try:
+        ipaddress.ip_address(text)
+    except ValueError:
+        return False
+    return True
+
+
+def _is_host_port(text: str) -> bool:
+    address, _, port = text.rpartition(":")
+    return _is_address(address.strip("[]")) and port.isdigit() and 0 < int(port) < 65536
+
+
+def _is_store_url(text: str) -> bool:
+    try:
+        url = urlsplit(text)
+        port = url.port
+    except ValueError:
+        return False
+    plain = url.scheme == "http" and url.path in ("", "/") and not url.query
+    return plain and _is_address(url.hostname or "") and port is not None
+
+
+def _is_token(text: str) -> bool:
+    return MIN_TOKEN_CHARACTERS <= len(text) <= 256 and re.fullmatch(r"[!-~]+", text) is not None
+
+
+# Processes find each other by IP numbers; a name would need a lookup that blocks the loop.
+ADDRESS = Matching("an IP address", _is_address)
+HOST_PORT = Matching('"address:port" with an IP address', _is_host_port)
+OPTIONAL_HOST_PORT = Matching(
+    "empty or " + HOST_PORT.allowed, lambda text: not text or _is_host_port(text)
+)
+NAME = Matching(
+    "1 to 64 letters, digits, '.', '_' or '-'",
+    lambda text: re.fullmatch(r"[A-Za-z0-9._-]{1,64}", text) is not None,
+)
+OPTIONAL_NAME = Matching("empty or " + NAME.allowed, lambda text: not text or NAME.accepts(text))
+TEXT = Matching(
+    "up to 256 printable characters", lambda text: len(text) <= 256 and text.isprintable()
+)
+TOKEN = Matching(f"{MIN_TOKEN_CHARACTERS} to 256 ASCII characters without spaces", _is_token)
+ZONE = Matching(
+    '"zone=region"',
+    lambda text: len(parts := text.split("=")) == 2 and all(map(NAME.accepts, parts)),
+)
+PATH = Matching('a path that begins with "/"', lambda text: text.startswith("/"))
+PROTOCOL = Matching('"own" or "objects"', lambda text: text in ("own", "objects"))
+STORE_URL = Matching('"http://address:port" with an IP address', _is_store_url)
+FLAG = AnyFlag()
+PORT = Between(0, 65535)
+MIB = 1024 * 1024
+
+RULES: dict[str, dict[str, Rule]] = {
+    "host": {"name": NAME, "region": NAME, "availability_zone": NAME, "regions": ListOf(ZONE, 64)},
+    "listen": {
+        "endpoint": OPTIONAL_HOST_PORT,
+        "address": ADDRESS,
+        "port": PORT,
+        "max_connections": Between(1, 100_000),
+        "max_head_bytes": Between(1024, MIB),
+        "head_timeout_s": Between(0.1, 300),
+        "body_idle_timeout_s": Between(0.1, 3600),
+        "idle_timeout_s": Between(0.1, 3600),
+        "close_grace_s": Between(0, 60),
+        "linger_s": Between(0, 60),
+    },
+    "peers": {
+        "address": ADDRESS,
+        "port": PORT,
+        "seeds": ListOf(HOST_PORT, 64),
+        "heartbeat_s": Between(0.05, 10),
+        "suspect_after_s": Between(0.1, 60),
+        "max_message_bytes": Between(4096, 16 * MIB),
+        "max_queue": Between(16, 65536),
+        "max_queue_bytes": Between(65536, 256 * MIB),
+        "max_links": Between(1, 10_000),
+        "max_members": Between(1, 100_000),
+        "connect_timeout_s": Between(0.05, 60),
+        "redial_min_s": Between(0.01, 60),
+        "redial_max_s": Between(0.01, 600),
+        "host_list_interval_s": Between(0.5, 600),
+        "introduction_s": Between(0, 60),
+    },
+    "control": {
+        "address": ADDRESS,
+        "port": PORT,
+        "tokens": ListOf(TOKEN, 16),
+        "max_connections": Between(1, 1000),
+        "max_body_bytes": Between(256, MIB),
+        "timeout_s": Between(0.1, 60),
+    },
+    "readiness": {
+        "enabled": FLAG,
+        "endpoint": OPTIONAL_HOST_PORT,
+        "address": ADDRESS,
+        "port": PORT,
+        "path": PATH,
+    },
+    "store": {
+        "protocol": PROTOCOL,
+        "url": STORE_URL,
+        "targets_pause_s": Between(0, 60),
+        "document_pause_s": Between(0, 60),
+        "timeout_s": Between(0.05, 30),
+        "reads_per_s": Between(1, 2000),
+        "read_burst": Between(0, 1000),
+        "writes_per_s": Between(1, 500),
+        "watch_wait_s": Between(1, 300),
+        "breaker_failures": Between(1, 100),
+        "breaker_pause_s": Between(0.05, 60),
+        "max_waiting_calls": Between(1, 10_000),
+        "max_idle_connections": Between(0, 1000),
+    },
+    "document": {
+        "watchers_per_region": Between(1, 16),
+        "fetch_timeout_s": Between(0.1, 30),
+        "peer_wait_s": Between(0.1, 60),
+        "max_cached_sections": Between(16, 65536),
+        "max_cached_bytes": Between(MIB, 1024 * MIB),
+    },
+    "targets": {
+        "connect_timeout_s": Between(0.01, 30),
+        "idle_timeout_s": Between(0.1, 600),
+        "max_idle_connections": Between(0, 1000),
+        "max_answer_head_bytes": Between(1024, MIB),
+        "sharing_hosts": Between(1, 10_000),
+        "health_interval_s": Between(0, 60),
+        "health_drains": FLAG,
+        "return_after_s": Between(1, 3600),
+    },
+    "measure": {
+        "bytes_per_s": Between(0, 100 * MIB),
+        "calls_per_s": Between(0, 1_000_000),
+        "cross_region_bytes_per_s": Between(0, 100 * MIB),
+        "cross_region_calls_per_s": Between(0, 1_000_000),
+    },
+    "journal": {
+        "partitions": Between(1, 1024),
+        "lease_s": Between(0.5, 60),
+        "writes_per_s": Between(0.5, 100),
+        "retention_s": Between(10, 86400),
+        "max_answer_bytes": Between(0, 65536),
+        "region": OPTIONAL_NAME,
+        "owner_timeout_s": Between(0.01, 60),
+        "outcome_delay_s": Between(0, 10),
+        "running_limit_s": Between(1, 86400),
+        "max_records": Between(1, 10_000_000),
+        "max_kept_bytes": Between(0, 1024 * MIB),
+        "max_staged": Between(1, 100_000),
+        "max_segments": Between(1, 100_000),
+        "segment_bytes": Between(4096, 900_000),
+        "max_waiting": Between(1, 1_000_000),
+        "max_unsettled": Between(1, 1_000_000),
+    },
+    "requests": {
+        "max_attempts": Between(1, 10),
+        "retry_min_per_s": Between(0, 1000),
+        "held_body_bytes": Between(0, 16 * MIB),
+    },
+    "services": {
+        "hedge": FLAG,
+        "retry_share": Between(0, 1),
+        "max_queue_per_slot": Between(0, 1000),
+        "silence_timeout_s": Between(0.01, 3600),
+    },
+    "quarantine": {
+        "window_s": Between(1, 3600),
+        "quarantine_s": Between(1, 86400),
+        "max_entries": Between(1, 100_000),
+        "confirm_timeout_s": Between(0, 10),
+        "admit_wait_s": Between(0, 60),
+        "run_limit_s": Between(0.1, 600),
+    },
+    "selection": {
+        "answer_grace_ms": Between(0.1, 1000),
+        "grant_life_s": Between(0.1, 600),
+        "lookahead_per_slot": Between(0, 8),
+        "max_calls": Between(1, 1_000_000),
+        "crossing_round_trip_ms": Between(0, 10_000),
+        "crossing_price_ms_per_kib": Between(0, 1000),
+        "usual_call_kib": Between(0, 1_000_000),
+        "eject_share": Between(0, 0.9),
+        "eject_first_s": Between(0.01, 600),
+        "eject_longest_s": Between(0.01, 3600),
+        "failure_bound": Between(0.01, 1),
+        "slow_factor": Between(1, 1000),
+        "successes_per_slot": Between(1, 10_000),
+    },
+    "metrics": {
+        "statsd_address": ADDRESS,
+        "statsd_port": Between(1, 65535),
+        "enabled": FLAG,
+        "prefix": NAME,
+        "max_series": Between(2, 8192),
+        "flush_interval_s": Between(0.1, 60),
+    },
+    "tool": {"hosts": ListOf(HOST_PORT, 1024), "author": TEXT, "timeout_s": Between(0.1, 600)},
+    "tls": {
+        "caller_certificate": TEXT,
+        "caller_key": TEXT,
+        "peer_certificate": TEXT,
+        "peer_key": TEXT,
+        "peer_authority": TEXT,
+    },
+}
+
+
+class Conflict:
+    """Two keys whose values do not fit together."""
+
+    __slots__ = ("allowed", "key")
+
+    def __init__(self, key: str, allowed: str) -> None:
+        self.key = key
+        self.allowed = allowed
+
+
+def find_conflicts(values: Values) -> list[Conflict]:
+    """Every pair of keys that contradicts itself; all values have passed their rules."""
+    conflicts = [
+        Conflict(key, f"{words} {other}")
+        for key, words, other, holds in _COMPARISONS
+        if not holds(_get(values, key), _get(values, other))
+    ]
+    conflicts.extend(_find_shared_ports(values))
+    for group in (("caller_certificate", "caller_key"), _PEER_TLS):
+        missing = [key for key in group if not values["tls"][key]]
+        if 0 < len(missing) < len(group):
+            names = ", ".join(f"tls.{key}" for key in group)
+            conflicts.append(
+                Conflict(f"tls.{missing[0]}", f"{names} are set together or not at all")
+            )
+    return conflicts
+
+
+def _find_shared_ports(values: Values) -> list[Conflict]:
+    used: dict[tuple[str, int], str] = {}
+    conflicts = []
+    sections = ["listen", "peers", "control"]
+    if values["readiness"]["enabled"]:
+        sections.append("readiness")
+    for section in sections:
+        place = (values[section]["address"], values[section]["port"])
+        if place in used:
+            allowed = f"a port that differs from {used[place]}.port"
+            conflicts.append(Conflict(f"{section}.port", allowed))
+        elif place[1] != 0:
+            used[place] = section
+    return conflicts
+
+
+def _get(values: Values, key: str) -> Any:
+    section, _, name = key.partition(".")
+    return values[section][name]
+
+
+_PEER_TLS = ("peer_certificate", "peer_key", "peer_authority")
+
+# Key, relation in words, other key, and the test that must hold.
+_COMPARISONS: list[tuple[str, str, str, Callable[[Any, Any], bool]]] = [
+    # One lost heartbeat must not make a live host look dead.
+    ("peers.suspect_after_s", "at least twice", "peers.heartbeat_s", lambda a, b: a >= 2 * b),
+    # A slow but successful head update must not look like a lost owner.
+    ("journal.lease_s", "more than", "store.timeout_s", lambda a, b: a > b),
+    ("journal.writes_per_s", "at most", "store.writes_per_s", lambda a, b: a <= b),
+    (
+        "measure.cross_region_bytes_per_s",
+        "at most",
+        "measure.bytes_per_s",
+        lambda a, b: a <= b,
+    ),
+    (
+        "measure.cross_region_calls_per_s",
+        "at most",
+        "measure.calls_per_s",
+        lambda a, b: a <= b,
+    ),
+]
--- /dev/null
+++ b/target/deps/dotterelstand/standin/demoreport.py
@@ -0,0 +1,84 @@
+"""Prints what the demo measured and ends with exit code 12 if a promise was broken."""
+
+import json
+import sys
+from pathlib import Path
+from typing import Any
+
+import fire
+
+from dotterelstand.cli.output import Row, print_table
+from dotterelstand.exits import ExitCode
+
+# Part of the log lines of daemons that report a broken invariant, see docs/log-events.md.
+INVARIANT_LINE = "E190 "
+
+
+def load_rows(report: dict[str, Any]) -> list[Row]:
+    """One row per service and class."""
+    columns = ("service", "class", "requests", "p50_ms", "p99_ms", "p99.9_ms", "refused", "unknown")
+    return [{column: series[column] for column in columns} for series in report["series"]]
+
+
+def measure_rows(budgets: dict[str, Any]) -> list[Row]:
+    """Measuring bytes of the busiest host against its budgets: in all, and to another region."""
+    links: dict[str, list[dict[str, Any]]] = {}
+    for parts in budgets["hosts"].values():
+        for link in parts["measure"]["links"]:
+            kind = "within and between regions" if link["link"] == "all" else "to another region"
+            links.setdefault(kind, []).append(link)
+    return [
+        {
+            "measuring": kind,
+            "peak_bytes_per_s": max(link["peak_bytes_per_s"] for link in items),
+            "budget_bytes_per_s": min(link["budget_bytes_per_s"] for link in items),
+        }
+        for kind, items in links.items()
+    ]
+
+
+def count_lines(logs: list[Path], text: str) -> int:
+    """Lines of the logs that contain a text."""
+    return sum(
+        text in line for path in logs for line in path.read_text(errors="replace").splitlines()
+    )
+
+
+def find_faults(report: dict[str, Any], rows: list[Row], logs: list[Path]) -> list[str]:
+    """What must not happen in a demo."""
+    faults = [f"{name}: {count}" for name, count in report["violations"].items()]
+    broken = count_lines(logs, INVARIANT_LINE)
+    if broken:
+        faults.append(f"{broken} log lines report a broken invariant")
+    if not any(series["answered"] for series in report["series"]):
+        faults.append("no request was answered")
+    for row in rows:
+        if int(str(row["peak_bytes_per_s"])) > int(str(row["budget_bytes_per_s"])):
+            faults.append(f"measuring budget exceeded: {row}")
+    return faults
+
+
+def print_report(load: str, budgets: str, logs: str) -> None:
+    """Print the tables of one deployment.
+
+    Args:
+        load: JSON report of the load tool
+        budgets: output of `dotterelstand budgets --json`
+        logs: directory with the logs of the daemons
+    """
+    report = json.loads(Path(load).read_text(encoding="utf-8"))
+    rows = measure_rows(json.loads(Path(budgets).read_text(encoding="utf-8")))
+    print_table(load_rows(report))
+    print()
+    print_table(rows, "no measuring budget is reported")
+    if report["not_sent"]:
+        print(f"{report['not_sent']} planned requests were not sent: too many in flight")
+    faults = find_faults(report, rows, sorted(Path(logs).glob("entry-*.log")))
+    for fault in faults:
+        print(f"FAULT {fault}", file=sys.stderr)
+    if faults:
+        sys.exit(ExitCode.INVARIANT_BROKEN)
+
+
+if __name__ == "__main__":
+    fire.Fire(print_report)
--- /dev/null
+++ b/target/deps/dotterelstand/standin/faults.py
@@ -0,0 +1,85 @@
+"""Faults of a target stand-in, switched while it runs."""
+
+import math
+from typing import Any
+
+import trio
+
+
+class Faults:
+    """What a target does wrong; times in seconds, shares between 0 and 1.
+
+    The path lists hold prefixes: a request whose path begins with one has the fault.
+    """
+
+    __slots__ = (
+        "answer_bytes",
+        "crash_paths",
+        "draining",
+        "draining_changed_s",
+        "early_paths",
+        "fail_status",
+        "garbage_paths",
+        "health_lag_s",
+        "load_fixed",
+        "load_lag_s",
+        "restart_s",
+        "shed",
+        "silent_accepted",
+        "silent_paths",
+        "slow_factor",
+        "stall_body_paths",
+        "truncate_paths",
+    )
+
+    def __init__(self) -> None:
+        self.answer_bytes = 0
+        self.crash_paths: list[str] = []
+        self.draining = False
+        self.draining_changed_s = -math.inf
+        self.early_paths: list[str] = []
+        self.fail_status = 0
+        self.garbage_paths: list[str] = []
+        self.health_lag_s = 0.0
+        self.load_fixed = -1
+        self.load_lag_s = 0.0
+        self.restart_s = 0.5
+        self.shed = 0.0
+        self.silent_accepted = False
+        self.silent_paths: list[str] = []
+        self.slow_factor = 1.0
+        self.stall_body_paths: list[str] = []
+        self.truncate_paths: list[str] = []
+
+    def change(self, values: dict[str, Any]) -> str | None:
+        """Set faults by name; returns what is wrong with the values, or None."""
+        for name, value in values.items():
+            if name not in self.names():
+                return f"{name}: unknown; one of {', '.join(self.names())}"
+            current = getattr(self, name)
+            if isinstance(current, float) and type(value) is int:
+                value = float(value)
+            if type(value) is not type(current):
+                return f"{name}: found {value!r}; a value like {current!r}"
+            setattr(self, name, value)
+            if name == "draining":
+                self.draining_changed_s = trio.current_time()
+        return None
+
+    def drains_by_health(self) -> bool:
+        """Whether the health endpoint shows the target as draining, which lags."""
+        shown = trio.current_time() - self.draining_changed_s >= self.health_lag_s
+        return self.draining == shown
+
+    def names(self) -> list[str]:
+        """Names of the faults that can be switched."""
+        return [name for name in self.__slots__ if name != "draining_changed_s"]
+
+    def as_dict(self) -> dict[str, object]:
+        """All faults by name."""
+        return {name: getattr(self, name) for name in self.names()}
+
+
+def matches(path: str, prefixes: list[str]) -> bool:
+    """Whether a path begins with one of the prefixes."""
+    return any(path.startswith(prefix) for prefix in prefixes)
