--- /dev/null
+++ b/target/deps/dotterelstand/standin/network.py
@@ -0,0 +1,273 @@
+"""In-memory network with latency and faults, for runs in virtual time."""
+
+import contextvars
+from collections import Counter, deque
+from collections.abc import Callable
+
+import trio
+
+from dotterelstand.connection.network import StreamHandler
+
+# Bytes in flight after which a sender waits, as a TCP window does.
+WINDOW_BYTES = 65536
+
+
+class _Pipe:
+    """One direction of a connection."""
+
+    __slots__ = ("broken", "buffered", "chunks", "closed", "silent", "wake")
+
+    def __init__(self) -> None:
+        self.chunks: deque[tuple[float, bytes]] = deque()
+        self.buffered = 0
+        self.closed = False
+        self.broken = False
+        self.silent = False
+        self.wake = trio.Event()
+
+    def notify(self) -> None:
+        self.wake.set()
+        self.wake = trio.Event()
+
+
+class FakeStream(trio.abc.Stream):
+    """One end of a connection."""
+
+    __slots__ = (
+        "_incoming",
+        "_latency_s",
+        "_local_closed",
+        "_outgoing",
+        "own_name",
+        "peer_name",
+        "traffic",
+    )
+
+    def __init__(self, incoming: _Pipe, outgoing: _Pipe, latency_s: float, peer_name: str) -> None:
+        self._incoming = incoming
+        self._outgoing = outgoing
+        self._latency_s = latency_s
+        self._local_closed = False
+        self.peer_name = peer_name
+        self.own_name = ""
+        self.traffic: Counter[tuple[str, str]] | None = None
+
+    async def send_all(self, data: bytes | bytearray | memoryview) -> None:
+        """Send bytes; a silent connection swallows them."""
+        await trio.lowlevel.checkpoint()
+        pipe = self._outgoing
+        while pipe.buffered >= WINDOW_BYTES and not (pipe.broken or pipe.closed or pipe.silent):
+            await pipe.wake.wait()
+        if self._local_closed:
+            raise trio.ClosedResourceError
+        if pipe.broken or (pipe.closed and not pipe.silent):
+            raise trio.BrokenResourceError
+        if pipe.silent or not data:
+            return
+        pipe.chunks.append((trio.current_time() + self._latency_s, bytes(data)))
+        pipe.buffered += len(data)
+        if self.traffic is not None:
+            self.traffic[self.own_name, self.peer_name] += len(data)
+        pipe.notify()
+
+    async def wait_send_all_might_not_block(self) -> None:
+        """Wait for room in the window."""
+        while self._outgoing.buffered >= WINDOW_BYTES and not self._outgoing.broken:
+            await self._outgoing.wake.wait()
+
+    async def receive_some(self, max_bytes: int | None = None) -> bytes:
+        """Receive bytes; empty at the end of the stream."""
+        await trio.lowlevel.checkpoint()
+        pipe = self._incoming
+        while True:
+            if self._local_closed:
+                raise trio.ClosedResourceError
+            if pipe.broken:
+                raise trio.BrokenResourceError
+            if pipe.chunks and not pipe.silent:
+                if pipe.chunks[0][0] <= trio.current_time():
+                    return self._take(pipe, max_bytes)
+                await trio.sleep_until(pipe.chunks[0][0])
+            elif pipe.closed and not pipe.silent:
+                return b""
+            else:
+                await pipe.wake.wait()
+
+    def has_input(self) -> bool:
+        """Whether bytes or the end of the stream wait to be read."""
+        pipe = self._incoming
+        if pipe.broken or self._local_closed:
+            return True
+        if pipe.silent:
+            return False
+        return pipe.chunks[0][0] <= trio.current_time() if pipe.chunks else pipe.closed
+
+    async def aclose(self) -> None:
+        """Close this end."""
+        self.close()
+        await trio.lowlevel.checkpoint()
+
+    def close(self) -> None:
+        """Close this end at once; the other end reads what was sent, then the end."""
+        self._local_closed = True
+        self._outgoing.closed = True
+        self._incoming.closed = True
+        self._outgoing.notify()
+        self._incoming.notify()
+
+    def reset(self) -> None:
+        """Break the connection at both ends, as a crashed process does."""
+        for pipe in (self._incoming, self._outgoing):
+            pipe.broken = True
+            pipe.notify()
+
+    def silence(self) -> None:
+        """Deliver nothing more in either direction, without an error."""
+        for pipe in (self._incoming, self._outgoing):
+            pipe.silent = True
+            pipe.notify()
+
+    def _take(self, pipe: _Pipe, max_bytes: int | None) -> bytes:
+        due, data = pipe.chunks.popleft()
+        if max_bytes is not None and len(data) > max_bytes:
+            pipe.chunks.appendleft((due, data[max_bytes:]))
+            data = data[:max_bytes]
+        pipe.buffered -= len(data)
+        pipe.notify()
+        return data
+
+
+class FakeListener:
+    """A listener in the in-memory network."""
+
+    __slots__ = ("_address", "_network", "_port", "context", "handler", "nursery")
+
+    def __init__(self, network: "FakeNetwork", address: str, port: int) -> None:
+        self._network = network
+        self._address = address
+        self._port = port
+        self.handler: StreamHandler | None = None
+        self.nursery: trio.Nursery | None = None
+        # Tasks that serve a stream belong to the listening host, not to the one that connects.
+        self.context = contextvars.Context()
+
+    @property
+    def port(self) -> int:
+        """Port number that was bound."""
+        return self._port
+
+    async def serve(self, handler: StreamHandler, nursery: trio.Nursery) -> None:
+        """Run `handler` for each new stream until cancelled, then close the port."""
+        self.handler = handler
+        self.nursery = nursery
+        self.context = contextvars.copy_context()
+        try:
+            await trio.sleep_forever()
+        finally:
+            self._network.remove_listener(self._address, self._port)
+
+
+class FakeNetwork:
+    """Listeners and connections between hosts, with latency and faults.
+
+    `latency_s(from_address, to_address)` gives the one-way latency in seconds.
+    """
+
+    __slots__ = ("_latency_s", "_listeners", "_next_port", "_parted", "_streams", "traffic")
+
+    def __init__(self, latency_s: Callable[[str, str], float]) -> None:
+        self._latency_s = latency_s
+        self._listeners: dict[tuple[str, int], FakeListener] = {}
+        self._next_port = 20000
+        self._parted: set[frozenset[str]] = set()
+        self._streams: list[tuple[str, str, FakeStream]] = []
+        # Bytes sent from one host to another since the start.
+        self.traffic: Counter[tuple[str, str]] = Counter()
+
+    def at(self, address: str) -> "FakeHostNetwork":
+        """The network as seen from one host."""
+        return FakeHostNetwork(self, address)
+
+    def part(self, one: str, other: str) -> None:
+        """Silence every connection between two hosts and refuse new ones."""
+        self._parted.add(frozenset((one, other)))
+        for source, destination, stream in self._streams:
+            if {source, destination} == {one, other}:
+                stream.silence()
+
+    def heal(self, one: str, other: str) -> None:
+        """Allow new connections between two hosts again."""
+        self._parted.discard(frozenset((one, other)))
+
+    def streams(self, source: str, destination: str) -> list[FakeStream]:
+        """Open connections from one host to another."""
+        return [
+            stream
+            for start, end, stream in self._streams
+            if (start, end) == (source, destination) and not stream._local_closed
+        ]
+
+    def crash(self, address: str) -> None:
+        """Break every connection of a host and close its listeners."""
+        for source, destination, stream in self._streams:
+            if address in (source, destination):
+                stream.reset()
+        for key in [key for key in self._listeners if key[0] == address]:
+            del self._listeners[key]
+        self._forget_closed()
+
+    def remove_listener(self, address: str, port: int) -> None:
+        """Close a listening port."""
+        self._listeners.pop((address, port), None)
+
+    def add_listener(self, address: str, port: int) -> FakeListener:
+        """Open a listening port; raises `OSError` if it is taken."""
+        if port == 0:
+            self._next_port += 1
+            port = self._next_port
+        if (address, port) in self._listeners:
+            raise OSError(f"{address}:{port} is in use")
+        listener = FakeListener(self, address, port)
+        self._listeners[address, port] = listener
+        return listener
+
+    async def open_stream(self, source: str, address: str, port: int) -> FakeStream:
+        """Open a connection after one round trip; raises `OSError` if nothing listens."""
+        latency_s = self._latency_s(source, address)
+        await trio.sleep(2 * latency_s)
+        if frozenset((source, address)) in self._parted:
+            await trio.sleep_forever()
+        listener = self._listeners.get((address, port))
+        if listener is None or listener.handler is None or listener.nursery is None:
+            raise OSError(f"{address}:{port} refused the connection")
+        one, other = _Pipe(), _Pipe()
+        near = FakeStream(one, other, latency_s, address)
+        far = FakeStream(other, one, latency_s, source)
+        near.traffic = far.traffic = self.traffic
+        near.own_name, far.own_name = source, address
+        if len(self._streams) > 4096:
+            self._forget_closed()
+        self._streams.append((source, address, near))
+        listener.context.copy().run(listener.nursery.start_soon, listener.handler, far)
+        return near
+
+    def _forget_closed(self) -> None:
+        self._streams = [item for item in self._streams if not item[2]._local_closed]
+
+
+class FakeHostNetwork:
+    """The in-memory network as seen from one host."""
+
+    __slots__ = ("_address", "_network")
+
+    def __init__(self, network: FakeNetwork, address: str) -> None:
+        self._network = network
+        self._address = address
+
+    async def connect(self, address: str, port: int) -> trio.abc.Stream:
+        """Open a stream; raises `OSError` if the address cannot be reached."""
+        return await self._network.open_stream(self._address, address, port)
+
+    async def listen(self, address: str, port: int) -> FakeListener:
+        """Open a listener; port 0 takes a free one; raises `OSError`."""
+        return self._network.add_listener(address, port)
--- /dev/null
+++ b/target/deps/dotterelstand/standin/storefaults.py
@@ -0,0 +1,113 @@
+"""Faults of the platform stand-in, and counts of its calls."""
+
+import random
+from typing import Any
+
+from returns.result import Failure, Result, Success
+
+
+class StoreFaults:
+    """Faults in force; times in seconds, probabilities from 0 to 1, 0 or False means none.
+
+    down: connections are closed without an answer, and nothing takes effect.
+    silent: calls are never answered, and nothing takes effect.
+    slow_s, slow_spread: median and log-normal sigma of the time before each answer.
+    read_lag_s, watch_lag_s, hosts_lag_s: age of what reads, watches and the host list show.
+    lose_answer: probability that a write takes effect and its answer is lost.
+    lose_write: probability that a write is lost before it takes effect.
+    late_write, late_write_s: probability that a write takes effect only after that time, when its
+    connection is already closed.
+    calls_per_s: calls above this rate are answered with 429; 0 means no limit.
+    """
+
+    __slots__ = (
+        "calls_per_s",
+        "down",
+        "hosts_lag_s",
+        "late_write",
+        "late_write_s",
+        "lose_answer",
+        "lose_write",
+        "read_lag_s",
+        "silent",
+        "slow_s",
+        "slow_spread",
+        "watch_lag_s",
+    )
+
+    def __init__(self) -> None:
+        self.clear()
+
+    def clear(self) -> None:
+        """End every fault."""
+        self.down = False
+        self.silent = False
+        self.slow_s = self.slow_spread = 0.0
+        self.read_lag_s = self.watch_lag_s = self.hosts_lag_s = 0.0
+        self.lose_answer = self.lose_write = 0.0
+        self.late_write = self.late_write_s = 0.0
+        self.calls_per_s = 0.0
+
+    def update(self, changes: dict[str, Any]) -> Result[None, str]:
+        """Set the named faults; fails if a name or the type of a value is not allowed."""
+        for name, value in changes.items():
+            if name not in self.__slots__:
+                return Failure(f"{name}: not one of {', '.join(self.__slots__)}")
+            boolean = isinstance(getattr(self, name), bool)
+            if boolean != isinstance(value, bool) or not isinstance(value, bool | int | float):
+                return Failure(
+                    f"{name}: found {value!r}, needs a {'flag' if boolean else 'number'}"
+                )
+        for name, value in changes.items():
+            setattr(self, name, value)
+        return Success(None)
+
+    def as_dict(self) -> dict[str, Any]:
+        """Faults by name."""
+        return {name: getattr(self, name) for name in self.__slots__}
+
+    def delay_s(self, rng: random.Random) -> float:
+        """Time before an answer, drawn from the distribution in force."""
+        if self.slow_s == 0:
+            return 0.0
+        return self.slow_s * rng.lognormvariate(0.0, self.slow_spread)
+
+
+class CallCounts:
+    """Calls by kind, each watch counted once, and bytes of values in and out."""
+
+    __slots__ = ("_filled_at", "_tokens", "bytes_in", "bytes_out", "kinds", "limited")
+
+    def __init__(self) -> None:
+        self.kinds: dict[str, int] = {}
+        self.limited = 0
+        self.bytes_in = 0
+        self.bytes_out = 0
+        self._tokens = 0.0
+        self._filled_at = 0.0
+
+    def add(self, kind: str) -> None:
+        """Count a call."""
+        self.kinds[kind] = self.kinds.get(kind, 0) + 1
+
+    def admit(self, now: float, calls_per_s: float) -> bool:
+        """Whether a call fits the rate limit; a tenth of a second of calls may come at once."""
+        if calls_per_s <= 0:
+            return True
+        burst = max(1.0, calls_per_s / 10)
+        self._tokens = min(burst, self._tokens + (now - self._filled_at) * calls_per_s)
+        self._filled_at = now
+        if self._tokens < 1.0:
+            self.limited += 1
+            return False
+        self._tokens -= 1.0
+        return True
+
+    def as_dict(self) -> dict[str, Any]:
+        """Counts by kind, and the rest by name."""
+        return {
+            "calls": dict(self.kinds),
+            "limited": self.limited,
+            "bytes_in": self.bytes_in,
+            "bytes_out": self.bytes_out,
+        }
--- /dev/null
+++ b/target/deps/dotterelstand/version/__init__.py
@@ -0,0 +1,1 @@
+"""What lives as long as one version of the operators' document."""
--- /dev/null
+++ b/target/deps/dotterelstand/version/fields.py
@@ -0,0 +1,126 @@
+"""Typed fields with allowed ranges, from which tables of the document are read."""
+
+import math
+import re
+from collections.abc import Callable, Mapping
+from typing import Any
+
+from dotterelstand.version.model import DocumentError
+
+SYNTAX = 4101
+UNKNOWN_KEY = 4102
+WRONG_TYPE = 4103
+OUT_OF_RANGE = 4104
+RACE_LOST = 4105
+DUPLICATE = 4106
+NO_SUCH_NAME = 4107
+MISSING_KEY = 4108
+TOO_LARGE = 4109
+
+NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}")
+NAME_RULE = "a name of 1 to 64 letters, digits, dots, dashes or underscores"
+# Errors of one check that are reported; more would not help the operator.
+MAX_ERRORS = 100
+
+
+class Errors:
+    """Bounded list of the errors found in one section."""
+
+    __slots__ = ("found", "section")
+
+    def __init__(self, section: str) -> None:
+        self.section = section
+        self.found: list[DocumentError] = []
+
+    def add(self, code: int, key: str, found: object, allowed: str, other: str = "") -> None:
+        """Record an error, up to the bound."""
+        if len(self.found) < MAX_ERRORS:
+            self.found.append(DocumentError(code, self.section, key, found, allowed, other))
+
+
+class Field:
+    """One key of a table: its type, whether it must be given, and a check of its value.
+
+    `check` returns None or a description of what is allowed.
+    """
+
+    __slots__ = ("check", "default", "kind", "name", "required")
+
+    def __init__(
+        self,
+        name: str,
+        kind: type,
+        default: object = None,
+        required: bool = False,
+        check: Callable[[Any], str | None] = lambda value: None,
+    ) -> None:
+        self.name = name
+        self.kind = kind
+        self.default = default
+        self.required = required
+        self.check = check
+
+
+_KIND_NAMES = {int: "an integer", float: "a number", bool: "true or false", str: "a string"}
+
+
+def read_table(
+    values: object, fields: tuple[Field, ...], place: str, errors: Errors
+) -> Mapping[str, Any] | None:
+    """Checked values of a table with defaults filled in; None if any is wrong."""
+    if not isinstance(values, dict):
+        errors.add(WRONG_TYPE, place, values, "a table")
+        return None
+    before = len(errors.found)
+    names = {field.name for field in fields}
+    for key in values.keys() - names:
+        allowed = "one of the keys " + ", ".join(sorted(names))
+        errors.add(UNKNOWN_KEY, _join(place, key), values[key], allowed)
+    result = {field.name: _read_field(values, field, place, errors) for field in fields}
+    return result if len(errors.found) == before else None
+
+
+def _read_field(values: dict[str, Any], field: Field, place: str, errors: Errors) -> object:
+    key = _join(place, field.name)
+    if field.name not in values:
+        if field.required:
+            errors.add(MISSING_KEY, key, None, f"{_kind_name(field.kind)} is required")
+        return field.default
+    value = values[field.name]
+    if field.kind is float and type(value) is int:
+        value = float(value)
+    if type(value) is not field.kind:
+        errors.add(WRONG_TYPE, key, value, f"must be {_kind_name(field.kind)}")
+        return field.default
+    allowed = field.check(value)
+    if allowed is not None:
+        errors.add(OUT_OF_RANGE, key, value, f"must be {allowed}")
+    return value
+
+
+def between(low: float, high: float) -> Callable[[Any], str | None]:
+    """Check that a number lies in a closed range."""
+
+    def check(value: float) -> str | None:
+        inside = math.isfinite(value) and low <= value <= high
+        return None if inside else f"between {low:g} and {high:g}"
+
+    return check
+
+
+def one_of(*choices: str) -> Callable[[Any], str | None]:
+    """Check that a string is one of several."""
+    return lambda value: None if value in choices else "one of " + ", ".join(choices)
+
+
+def is_name(value: str) -> str | None:
+    """Check that a string is a name."""
+    return None if NAME_PATTERN.fullmatch(value) else NAME_RULE
+
+
+def _kind_name(kind: type) -> str:
+    return _KIND_NAMES.get(kind, "a list")
+
+
+def _join(place: str, key: str) -> str:
+    return f"{place}.{key}" if place else key
--- /dev/null
+++ b/target/deps/dotterelstand/version/model.py
@@ -0,0 +1,287 @@
+"""Classes of the operators' document; all of them are immutable once built."""
+
+from collections.abc import Iterable, Iterator, Mapping
+
+import xxhash
+
+# A target's index fits in this many bits, so that it takes at most five bytes in a message.
+INDEX_BITS = 32
+# Routes with more path segments than this are refused, which bounds the cost of a look-up.
+MAX_PREFIX_SEGMENTS = 16
+# Key of a route that takes every method.
+ANY_METHOD = "*"
+
+
+class DocumentError:
+    """A place in the document with a value that is not allowed.
+
+    `other` is the second section if two sections do not fit together, and otherwise empty.
+    """
+
+    __slots__ = ("allowed", "code", "found", "key", "other", "section")
+
+    def __init__(
+        self, code: int, section: str, key: str, found: object, allowed: str, other: str = ""
+    ) -> None:
+        self.code = code
+        self.section = section
+        self.key = key
+        self.found = found
+        self.allowed = allowed
+        self.other = other
+
+    def __str__(self) -> str:
+        place = f"section {self.section}"
+        if self.other:
+            place = f"sections {self.section} and {self.other}"
+        return f"{self.code}: {place}: {self.key}: found {repr(self.found)[:120]}; {self.allowed}"
+
+
+class Target:
+    """One server instance that runs requests of a service.
+
+    `index` names it within its service in messages. It depends on the target's name alone, so
+    two hosts with different versions of the document mean the same target by it. `incarnation`
+    differs between two starts under one name, 0 if that is not known.
+    """
+
+    __slots__ = (
+        "address",
+        "availability_zone",
+        "incarnation",
+        "index",
+        "name",
+        "port",
+        "region",
+        "slots",
+    )
+
+    def __init__(
+        self,
+        name: str,
+        address: str,
+        port: int,
+        region: str,
+        availability_zone: str,
+        slots: int,
+        incarnation: int = 0,
+    ) -> None:
+        self.incarnation = incarnation
+        self.name = name
+        self.address = address
+        self.port = port
+        self.region = region
+        self.availability_zone = availability_zone
+        self.slots = slots
+        self.index = xxhash.xxh32_intdigest(name.encode())
+
+
+class Service:
+    """A named group of targets with its limits; `health_path` is where targets tell their load."""
+
+    __slots__ = (
+        "_positions",
+        "connections",
+        "health_path",
+        "hedge",
+        "max_queue_per_slot",
+        "measuring_weight",
+        "name",
+        "retry_share",
+        "silence_timeout_s",
+        "targets",
+    )
+
+    def __init__(
+        self,
+        name: str,
+        targets: tuple[Target, ...],
+        connections: int,
+        hedge: bool,
+        retry_share: float,
+        max_queue_per_slot: int,
+        silence_timeout_s: float,
+        measuring_weight: float = 1.0,
+        health_path: str = "/health",
+    ) -> None:
+        self.name = name
+        self.targets = targets
+        self.connections = connections
+        self.hedge = hedge
+        self.retry_share = retry_share
+        self.max_queue_per_slot = max_queue_per_slot
+        self.silence_timeout_s = silence_timeout_s
+        self.measuring_weight = measuring_weight
+        self.health_path = health_path
+        self._positions = {target.index: place for place, target in enumerate(targets)}
+
+    def position_of(self, index: int) -> int | None:
+        """Position of the target with an index, or None if this version has no such target."""
+        return self._positions.get(index)
+
+
+class Share:
+    """A service that gets a share of a route's requests, in proportion to its weight."""
+
+    __slots__ = ("service", "weight")
+
+    def __init__(self, service: str, weight: float) -> None:
+        self.service = service
+        self.weight = weight
+
+
+class Route:
+    """Requests of one path prefix and the promises that hold for them.
+
+    `host` is empty for any host, and `methods` for any method. `deadline_s` bounds the time
+    without progress; `timeout_s`, unless None, the time to the end of the answer. `attempts` is
+    the largest number of targets for one request, None for that of the settings. `latency_s` is
+    the time within which an answer has its full worth. `split` divides the requests among
+    services in place of `service`.
+    """
+
+    __slots__ = (
+        "attempts",
+        "deadline_s",
+        "host",
+        "idempotent",
+        "key",
+        "klass",
+        "latency_s",
+        "methods",
+        "prefix",
+        "service",
+        "split",
+        "timeout_s",
+    )
+
+    def __init__(
+        self,
+        prefix: str,
+        methods: frozenset[str],
+        service: str,
+        idempotent: bool,
+        key: str,
+        klass: str,
+        deadline_s: float,
+        *,
+        host: str = "",
+        timeout_s: float | None = None,
+        attempts: int | None = None,
+        latency_s: float | None = None,
+        split: tuple[Share, ...] = (),
+    ) -> None:
+        self.host = route_host(host)
+        self.timeout_s = timeout_s
+        self.attempts = attempts
+        self.latency_s = latency_s
+        self.split = split
+        self.prefix = prefix
+        self.methods = methods
+        self.service = service
+        self.idempotent = idempotent
+        self.key = key
+        self.klass = klass
+        self.deadline_s = deadline_s
+
+
+class RouteIndex:
+    """Routes by host, prefix and method; a look-up costs one step per path segment."""
+
+    __slots__ = ("_depth", "_routes")
+
+    def __init__(self, routes: Iterable[Route] = ()) -> None:
+        self._routes: dict[tuple[str, str], dict[str, Route]] = {}
+        self._depth = 0
+        for route in routes:
+            self.add(route)
+
+    def add(self, route: Route) -> None:
+        """Add a route; only before the document that has the index is in use."""
+        prefix = route.prefix.rstrip("/")
+        methods = self._routes.setdefault((route.host, prefix), {})
+        methods.update({method: route for method in route.methods or (ANY_METHOD,)})
+        self._depth = max(self._depth, prefix.count("/") + 1)
+
+    def find(self, path: str, method: str, host: str = "") -> Route | None:
+        """Route with the longest prefix, in whole segments, that has the method.
+
+        A route of the host goes before one of any host.
+        """
+        for methods in self._matches(path, host):
+            route = methods.get(method) or methods.get(ANY_METHOD)
+            if route is not None:
+                return route
+        return None
+
+    def methods(self, path: str, host: str = "") -> frozenset[str]:
+        """Methods of every route that matches a path; empty if there is none."""
+        return frozenset(method for methods in self._matches(path, host) for method in methods)
+
+    def _matches(self, path: str, host: str) -> Iterator[dict[str, Route]]:
+        segments = path.partition("?")[0].split("/", self._depth)[: self._depth]
+        for name in (host, "") if host else ("",):
+            for length in range(len(segments), 0, -1):
+                methods = self._routes.get((name, "/".join(segments[:length])))
+                if methods is not None:
+                    yield methods
+
+
+class Document:
+    """One accepted version of all sections; immutable.
+
+    `sections` maps names to digests, `owners` sections to teams, and `classes` is in order of
+    priority, the highest first. Requests of the `bulk` classes are too large to leave the region.
+    """
+
+    __slots__ = (
+        "_index",
+        "bulk",
+        "classes",
+        "number",
+        "owners",
+        "routes",
+        "sections",
+        "services",
+        "tenants",
+    )
+
+    def __init__(
+        self,
+        number: int,
+        sections: dict[str, str],
+        services: dict[str, Service],
+        routes: tuple[Route, ...],
+        classes: tuple[str, ...],
+        tenants: Mapping[str, float],
+        owners: Mapping[str, str] | None = None,
+        index: RouteIndex | None = None,
+        bulk: frozenset[str] = frozenset(),
+    ) -> None:
+        self.bulk = bulk
+        self.number = number
+        self.sections = sections
+        self.services = services
+        self.routes = routes
+        self.classes = classes
+        self.tenants = tenants
+        self.owners = owners or {}
+        self._index = index or RouteIndex(routes)
+
+    def find_route(self, path: str, method: str, host: str = "") -> Route | None:
+        """Most specific route for a host, path and method, or None."""
+        return self._index.find(path, method, host)
+
+    def allowed_methods(self, path: str, host: str = "") -> frozenset[str]:
+        """Methods that some route allows for a path; empty if no route matches it."""
+        return self._index.methods(path, host)
+
+
+def route_host(value: str) -> str:
+    """Host of a Host header or of a route: lower case, without a port."""
+    return value.strip().lower().partition(":")[0]
+
+
+def section_digest(body: str) -> str:
+    """Content address of a section's text."""
+    return xxhash.xxh3_128_hexdigest(body.encode())
--- /dev/null
+++ b/target/deps/idna/__init__.py
@@ -0,0 +1,47 @@
+from .core import (
+    IDNABidiError,
+    IDNAError,
+    InvalidCodepoint,
+    InvalidCodepointContext,
+    alabel,
+    check_bidi,
+    check_hyphen_ok,
+    check_initial_combiner,
+    check_label,
+    check_nfc,
+    decode,
+    encode,
+    ulabel,
+    uts46_remap,
+    valid_contextj,
+    valid_contexto,
+    valid_label_length,
+    valid_string_length,
+)
+from .idnadata import __version__ as unicode_version
+from .intranges import intranges_contain
+from .package_data import __version__
+
+__all__ = [
+    "__version__",
+    "unicode_version",
+    "IDNABidiError",
+    "IDNAError",
+    "InvalidCodepoint",
+    "InvalidCodepointContext",
+    "alabel",
+    "check_bidi",
+    "check_hyphen_ok",
+    "check_initial_combiner",
+    "check_label",
+    "check_nfc",
+    "decode",
+    "encode",
+    "intranges_contain",
+    "ulabel",
+    "uts46_remap",
+    "valid_contextj",
+    "valid_contexto",
+    "valid_label_length",
+    "valid_string_length",
+]
--- /dev/null
+++ b/target/deps/idna/__main__.py
@@ -0,0 +1,6 @@
+import sys
+
+from .cli import main
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/target/deps/pbr/extra_files.py
@@ -0,0 +1,39 @@
+# Copyright (c) 2013 Hewlett-Packard Development Company, L.P.
+#
+# Licensed under the Apache License, Version 2.0 (the "License");
+# you may not use this file except in compliance with the License.
+# You may obtain a copy of the License at
+#
+#    http://www.apache.org/licenses/LICENSE-2.0
+#
+# Unless required by applicable law or agreed to in writing, software
+# distributed under the License is distributed on an "AS IS" BASIS,
+# WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or
+# implied.
+# See the License for the specific language governing permissions and
+# limitations under the License.
+
+from __future__ import absolute_import
+from __future__ import print_function
+
+from distutils import errors
+import os
+
+_extra_files = []
+
+
+def get_extra_files():
+    global _extra_files
+    return _extra_files
+
+
+def set_extra_files(extra_files):
+    # Let's do a sanity check
+    for filename in extra_files:
+        if not os.path.exists(filename):
+            raise errors.DistutilsFileError(
+                '%s from the extra_files option in setup.cfg does not '
+                'exist' % filename
+            )
+    global _extra_files
+    _extra_files[:] = extra_files[:]
--- /dev/null
+++ b/target/deps/pbr/tests/__init__.py
@@ -0,0 +1,29 @@
+# Licensed under the Apache License, Version 2.0 (the "License");
+# you may not use this file except in compliance with the License.
+# You may obtain a copy of the License at
+#
+#    http://www.apache.org/licenses/LICENSE-2.0
+#
+# Unless required by applicable law or agreed to in writing, software
+# distributed under the License is distributed on an "AS IS" BASIS,
+# WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or
+# implied.
+# See the License for the specific language governing permissions and
+# limitations under the License.
+
+from __future__ import absolute_import
+from __future__ import print_function
+
+import os
+
+import testscenarios
+
+
+def load_tests(loader, standard_tests, pattern):
+    # top level directory cached on loader instance
+    this_dir = os.path.dirname(__file__)
+    package_tests = loader.discover(start_dir=this_dir, pattern=pattern)
+    result = loader.suiteClass()
+    result.addTests(testscenarios.generate_scenarios(standard_tests))
+    result.addTests(testscenarios.generate_scenarios(package_tests))
+    return result
--- /dev/null
+++ b/target/deps/pbr/tests/functional/test_hooks.py
@@ -0,0 +1,72 @@
+# Copyright (c) 2013 Hewlett-Packard Development Company, L.P.
+#
+# Licensed under the Apache License, Version 2.0 (the "License");
+# you may not use this file except in compliance with the License.
+# You may obtain a copy of the License at
+#
+#    http://www.apache.org/licenses/LICENSE-2.0
+#
+# Unless required by applicable law or agreed to in writing, software
+# distributed under the License is distributed on an "AS IS" BASIS,
+# WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or
+# implied.
+# See the License for the specific language governing permissions and
+# limitations under the License.
+#
+# Copyright (C) 2013 Association of Universities for Research in Astronomy
+#                    (AURA)
+#
+# Redistribution and use in source and binary forms, with or without
+# modification, are permitted provided that the following conditions are met:
+#
+#     1. Redistributions of source code must retain the above copyright
+#        notice, this list of conditions and the following disclaimer.
+#
+#     2. Redistributions in binary form must reproduce the above
+#        copyright notice, this list of conditions and the following
+#        disclaimer in the documentation and/or other materials provided
+#        with the distribution.
+#
+#     3. The name of AURA and its representatives may not be used to
+#        endorse or promote products derived from this software without
+#        specific prior written permission.
+#
+# THIS SOFTWARE IS PROVIDED BY AURA ``AS IS'' AND ANY EXPRESS OR IMPLIED
+# WARRANTIES, INCLUDING, BUT NOT LIMITED TO, THE IMPLIED WARRANTIES OF
+# MERCHANTABILITY AND FITNESS FOR A PARTICULAR PURPOSE ARE
+# DISCLAIMED. IN NO EVENT SHALL AURA BE LIABLE FOR ANY DIRECT, INDIRECT,
+# INCIDENTAL, SPECIAL, EXEMPLARY, OR CONSEQUENTIAL DAMAGES (INCLUDING,
+# BUT NOT LIMITED TO, PROCUREMENT OF SUBSTITUTE GOODS OR SERVICES; LOSS
+
+from __future__ import absolute_import
+from __future__ import print_function
+
+import os
+
+from pbr.tests.functional import base
+from pbr.tests import util
+
+
+class TestHooks(base.BaseTestCase):
+    def setUp(self):
+        super(TestHooks, self).setUp()
+        with util.open_config(
+            os.path.join(self.package_dir, 'setup.cfg')
+        ) as cfg:
+            cfg.set(
+                'global',
+                'setup-hooks',
+                'pbr_testpackage._setup_hooks.test_hook_1\n'
+                'pbr_testpackage._setup_hooks.test_hook_2',
+            )
+
+    def test_global_setup_hooks(self):
+        """Test setup_hooks.
+
+        Test that setup_hooks listed in the [global] section of setup.cfg are
+        executed in order.
+        """
+
+        stdout, _, return_code = self.run_setup('egg_info')
+        assert 'test_hook_1\ntest_hook_2' in stdout
+        assert return_code == 0
--- /dev/null
+++ b/target/deps/pbr/tests/testpackage/pbr_testpackage/__init__.py
@@ -0,0 +1,3 @@
+import pbr.version
+
+__version__ = pbr.version.VersionInfo('pbr_testpackage').version_string()
--- /dev/null
+++ b/target/deps/returns/contrib/pytest/__init__.py
@@ -0,0 +1,1 @@
+from returns.contrib.pytest.plugin import ReturnsAsserts as ReturnsAsserts
--- /dev/null
+++ b/target/deps/setuptools/_distutils/_log.py
@@ -0,0 +1,3 @@
+import logging
+
+log = logging.getLogger()
--- /dev/null
+++ b/target/deps/setuptools/_distutils/compat/__init__.py
@@ -0,0 +1,1 @@
+from __future__ import annotations
--- /dev/null
+++ b/target/deps/setuptools/_distutils/zosccompiler.py
@@ -0,0 +1,3 @@
+from .compilers.C import zos
+
+zOSCCompiler = zos.Compiler
--- /dev/null
+++ b/target/deps/setuptools/_importlib.py
@@ -0,0 +1,4 @@
+from importlib import (
+    metadata,  # noqa: F401
+    resources,  # noqa: F401
+)
--- /dev/null
+++ b/target/deps/setuptools/_vendor/backports/tarfile/__main__.py
@@ -0,0 +1,5 @@
+from . import main
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/target/deps/setuptools/_vendor/more_itertools/__init__.pyi
@@ -0,0 +1,2 @@
+from .more import *
+from .recipes import *
--- /dev/null
+++ b/target/deps/statsd/client/__init__.py
@@ -0,0 +1,2 @@
+from .stream import TCPStatsClient, UnixSocketStatsClient  # noqa
+from .udp import StatsClient  # noqa
--- /dev/null
+++ b/target/deps/statsd/defaults/__init__.py
@@ -0,0 +1,5 @@
+HOST = 'localhost'
+PORT = 8125
+IPV6 = False
+PREFIX = None
+MAXUDPSIZE = 512
--- /dev/null
+++ b/target/deps/trio/__main__.py
@@ -0,0 +1,3 @@
+from trio._repl import main
+
+main(locals())
--- /dev/null
+++ b/target/deps/websockets/__main__.py
@@ -0,0 +1,5 @@
+from .cli import main
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/target/deps/websockets/extensions/__init__.py
@@ -0,0 +1,4 @@
+from .base import *
+
+
+__all__ = ["Extension", "ClientExtensionFactory", "ServerExtensionFactory"]
--- /dev/null
+++ b/target/deps/websockets/speedups.pyi
@@ -0,0 +1,3 @@
+from .typing import BytesLike
+
+def apply_mask(data: BytesLike, mask: bytes | bytearray) -> bytes: ...
--- /dev/null
+++ b/target/deps/websockets/sync/router.py
@@ -0,0 +1,214 @@
+from __future__ import annotations
+
+import http
+import ssl as ssl_module
+import urllib.parse
+from typing import Any, Callable, Literal
+
+from ..http11 import Request, Response
+from ..typing import PathLike
+from .server import Server, ServerConnection, serve
+
+
+__all__ = ["route", "unix_route", "Router"]
+
+
+try:
+    from werkzeug.exceptions import NotFound
+    from werkzeug.routing import Map, RequestRedirect
+
+except ImportError:
+
+    def route(
+        url_map: Map,
+        *args: Any,
+        server_name: str | None = None,
+        ssl: ssl_module.SSLContext | Literal[True] | None = None,
+        create_router: type[Router] | None = None,
+        **kwargs: Any,
+    ) -> Server:
+        raise ImportError("route() requires werkzeug")
+
+    def unix_route(
+        url_map: Map,
+        path: PathLike | None = None,
+        **kwargs: Any,
+    ) -> Server:
+        raise ImportError("unix_route() requires werkzeug")
+
+else:
+
+    def route(
+        url_map: Map,
+        *args: Any,
+        server_name: str | None = None,
+        ssl: ssl_module.SSLContext | Literal[True] | None = None,
+        create_router: type[Router] | None = None,
+        **kwargs: Any,
+    ) -> Server:
+        """
+        Create a WebSocket server dispatching connections to different handlers.
+
+        This feature requires the third-party library `werkzeug`_:
+
+        .. code-block:: console
+
+            $ pip install werkzeug
+
+        .. _werkzeug: https://werkzeug.palletsprojects.com/
+
+        :func:`route` accepts the same arguments as
+        :func:`~websockets.sync.server.serve`, except as described below.
+
+        The first argument is a :class:`werkzeug.routing.Map` that maps URL patterns
+        to connection handlers. In addition to the connection, handlers receive
+        parameters captured in the URL as keyword arguments.
+
+        Here's an example::
+
+
+            from websockets.sync.router import route
+            from werkzeug.routing import Map, Rule
+
+            def channel_handler(websocket, channel_id):
+                ...
+
+            url_map = Map([
+                Rule("/channel/<uuid:channel_id>", endpoint=channel_handler),
+                ...
+            ])
+
+            with route(url_map, ...) as server:
+                server.serve_forever()
+
+        Refer to the documentation of :mod:`werkzeug.routing` for details.
+
+        If you define redirects with ``Rule(..., redirect_to=...)`` in the URL map,
+        when the server runs behind a reverse proxy that modifies the ``Host``
+        header or terminates TLS, you need additional configuration:
+
+        * Set ``server_name`` to the name of the server as seen by clients. When
+          not provided, websockets uses the value of the ``Host`` header.
+
+        * Set ``ssl=True`` to generate ``wss://`` URIs without enabling TLS.
+          Under the hood, this bind the URL map with a ``url_scheme`` of
+          ``wss://`` instead of ``ws://``.
+
+        There is no need to specify ``websocket=True`` in each rule. It is added
+        automatically.
+
+        Args:
+            url_map: Mapping of URL patterns to connection handlers.
+            server_name: Name of the server as seen by clients. If :obj:`None`,
+                websockets uses the value of the ``Host`` header.
+            ssl: Configuration for enabling TLS on the connection. Set it to
+                :obj:`True` if a reverse proxy terminates TLS connections.
+            create_router: Factory for the :class:`Router` dispatching requests to
+                handlers. Set it to a wrapper or a subclass to customize routing.
+
+        """
+        url_scheme = "ws" if ssl is None else "wss"
+        if ssl is not True and ssl is not None:
+            kwargs["ssl"] = ssl
+
+        if create_router is None:
+            create_router = Router
+
+        router = create_router(url_map, server_name, url_scheme)
+
+        _process_request: (
+            Callable[
+                [ServerConnection, Request],
+                Response | None,
+            ]
+            | None
+        ) = kwargs.pop("process_request", None)
+        if _process_request is None:
+            process_request: Callable[
+                [ServerConnection, Request],
+                Response | None,
+            ] = router.route_request
+        else:
+
+            def process_request(
+                connection: ServerConnection, request: Request
+            ) -> Response | None:
+                response = _process_request(connection, request)
+                if response is not None:
+                    return response
+                return router.route_request(connection, request)
+
+        return serve(router.handler, *args, process_request=process_request, **kwargs)
+
+    def unix_route(
+        url_map: Map,
+        path: PathLike | None = None,
+        **kwargs: Any,
+    ) -> Server:
+        """
+        Create a WebSocket Unix server dispatching connections to different handlers.
+
+        :func:`unix_route` combines the behaviors of :func:`route` and
+        :func:`~websockets.sync.server.unix_serve`.
+
+        Args:
+            url_map: Mapping of URL patterns to connection handlers.
+            path: File system path to the Unix socket.
+
+        """
+        return route(url_map, unix=True, path=path, **kwargs)
+
+
+class Router:
+    """WebSocket router supporting :func:`route`."""
+
+    def __init__(
+        self,
+        url_map: Map,
+        server_name: str | None = None,
+        url_scheme: str = "ws",
+    ) -> None:
+        self.url_map = url_map
+        self.server_name = server_name
+        self.url_scheme = url_scheme
+        for rule in self.url_map.iter_rules():
+            rule.websocket = True
+
+    def get_server_name(self, connection: ServerConnection, request: Request) -> str:
+        if self.server_name is None:
+            return request.headers["Host"]
+        else:
+            return self.server_name
+
+    def redirect(self, connection: ServerConnection, url: str) -> Response:
+        response = connection.respond(http.HTTPStatus.FOUND, f"Found at {url}")
+        response.headers["Location"] = url
+        return response
+
+    def not_found(self, connection: ServerConnection) -> Response:
+        return connection.respond(http.HTTPStatus.NOT_FOUND, "Not Found")
+
+    def route_request(
+        self, connection: ServerConnection, request: Request
+    ) -> Response | None:
+        """Route incoming request."""
+        url_map_adapter = self.url_map.bind(
+            server_name=self.get_server_name(connection, request),
+            url_scheme=self.url_scheme,
+        )
+        try:
+            parsed = urllib.parse.urlparse(request.path)
+            handler, kwargs = url_map_adapter.match(
+                path_info=parsed.path,
+                query_args=parsed.query,
+            )
+        except RequestRedirect as redirect:
+            return self.redirect(connection, redirect.new_url)
+        except NotFound:
+            return self.not_found(connection)
+        connection.handler, connection.handler_kwargs = handler, kwargs
+        return None
+
+    def handler(self, connection: ServerConnection) -> None:
+        """Handle a connection."""
+        return connection.handler(connection, **connection.handler_kwargs)
--- /dev/null
+++ b/tests/platform_standin.py
@@ -0,0 +1,252 @@
+"""Stand-in for the users' platform: its metadata store, instances and configurations."""
+
+import json
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+import h11
+import trio
+
+from dotterelstand.standin.httpd import HttpAnswer, HttpRequest
+
+OBJECTS = "/dotterelstand/objects/"
+PAGE = 50
+
+
+class MetadataStore:
+    """Objects by kind and name with revisions, watches, finalizers and faults.
+
+    `status` answers every call with that status, `silent` with nothing, and `lost` makes writes
+    take effect without an answer.
+    """
+
+    def __init__(self) -> None:
+        self.revision = 100
+        self.objects: dict[tuple[str, str], dict[str, Any]] = {}
+        self.history: list[tuple[int, dict[str, Any], bool]] = []
+        self.first_kept = 100
+        self.status = 0
+        self.silent = False
+        self.lost = False
+        self.calls: list[str] = []
+        self._changed = trio.Event()
+
+    def put(self, kind: str, name: str, spec: Any) -> None:
+        """Create or replace an object as its owner would."""
+        old = self.objects.get((kind, name))
+        if old is not None and old["spec"] == spec:
+            return
+        self.revision += 1
+        metadata = {
+            "name": name,
+            "revision": self.revision,
+            "createRev": old["metadata"]["createRev"] if old else self.revision,
+            "finalizers": [],
+            "deleting": False,
+        }
+        self._store(kind, {"metadata": metadata, "spec": spec, "status": None}, False)
+
+    def remove(self, kind: str, name: str) -> None:
+        """Remove an object, or mark it until its finalizers are gone."""
+        item = self.objects[kind, name]
+        self.revision += 1
+        metadata = {**item["metadata"], "revision": self.revision}
+        if metadata["finalizers"]:
+            metadata["deleting"] = True
+            self._store(kind, {**item, "metadata": metadata}, False)
+            return
+        self._store(kind, {**item, "metadata": metadata}, True)
+
+    def forget_history(self) -> None:
+        """Drop every change so far; watches from before are told so."""
+        self.first_kept = self.revision
+        self.history.clear()
+        self._wake()
+
+    async def handle(self, request: HttpRequest) -> HttpAnswer | None:
+        """Answer one call; None closes its connection."""
+        self.calls.append(f"{request.method} {request.path}")
+        if self.silent:
+            await trio.sleep_forever()
+        if self.status:
+            return HttpAnswer(self.status)
+        url = urlsplit(request.path)
+        kind, _, name = url.path.removeprefix(OBJECTS).partition("/")
+        query = {key: values[0] for key, values in parse_qs(url.query).items()}
+        if request.method == "GET":
+            return await self._read(kind, name, query)
+        answer = self._write(request.method, kind, name, query, request.body)
+        return None if self.lost else answer
+
+    async def _read(self, kind: str, name: str, query: dict[str, str]) -> HttpAnswer:
+        if "watch" in query:
+            return await self._watch(kind, int(query["watch"]), int(query["waitMs"]) / 1000)
+        if name:
+            item = self.objects.get((kind, name))
+            return _answer(item) if item else HttpAnswer(404)
+        names = sorted(key[1] for key in self.objects if key[0] == kind)
+        names = [item for item in names if item > query.get("after", "")]
+        items = [self.objects[kind, item] for item in names[:PAGE]]
+        more = len(names) > PAGE
+        return _answer({"items": items, "hasMore": more, "currentRev": self.revision})
+
+    async def _watch(self, kind: str, revision: int, wait_s: float) -> HttpAnswer:
+        events: list[dict[str, Any]] = []
+        with trio.move_on_after(wait_s):
+            while True:
+                if revision < self.first_kept:
+                    return HttpAnswer(410)
+                events = [
+                    {"object": {key: item[key] for key in item if key != "kind"}, "removed": gone}
+                    for at, item, gone in self.history
+                    if at > revision and item["kind"] == kind
+                ]
+                if events:
+                    break
+                await self._changed.wait()
+        return _answer({"events": events, "currentRev": self.revision})
+
+    def _write(
+        self, method: str, kind: str, name: str, query: dict[str, str], body: bytes
+    ) -> HttpAnswer:
+        fields = json.loads(body or b"{}")
+        name = name.removesuffix("/status") or fields["metadata"]["name"]
+        item = self.objects.get((kind, name))
+        if method == "POST":
+            if item is not None:
+                return _answer(item, 409)
+            self.put(kind, name, fields["spec"])
+            return _answer(self.objects[kind, name], 201)
+        if item is None:
+            return HttpAnswer(404)
+        expected = query.get("revision", fields.get("metadata", {}).get("revision"))
+        if expected is not None and int(expected) != item["metadata"]["revision"]:
+            return _answer(item, 409)
+        if method == "DELETE":
+            self.remove(kind, name)
+            return HttpAnswer(200)
+        self.put(kind, name, fields["spec"])
+        return _answer(self.objects[kind, name])
+
+    def _store(self, kind: str, item: dict[str, Any], removed: bool) -> None:
+        name = item["metadata"]["name"]
+        if removed:
+            del self.objects[kind, name]
+        else:
+            self.objects[kind, name] = item
+        self.history.append((self.revision, {**item, "kind": kind}, removed))
+        self._wake()
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = trio.Event()
+
+
+def server_entry(service: str, address: str, **changes: Any) -> dict[str, Any]:
+    """Registration of an instance; `changes` go into its status."""
+    status = {"state": "ready", "sequence": 4, "warmupLeftS": 0, **changes}
+    info = {"service": service, "version": "v1", "zone": "local-1", "slots": 2}
+    return {"address": address, "info": info, "status": status, "born": 1_700_000_000_000}
+
+
+def route(service: str, prefix: str = "/a/", kind: str = "safe", **changes: Any) -> dict[str, Any]:
+    """Resource of a route."""
+    spec = {
+        "host": "x",
+        "pathPrefix": prefix,
+        "routeType": kind,
+        "timeoutS": 2,
+        "targetLatencyS": 0.3,
+        "priority": 1,
+        "service": service,
+        "attempts": 2,
+        **changes,
+    }
+    return {"resourceType": "routes", "metadata": {"name": f"r{prefix}"}, "spec": spec}
+
+
+def configuration(version: int, *resources: dict[str, Any], services: tuple[str, ...] = ("s",)):  # type: ignore[no-untyped-def]
+    """Configuration with routes and services."""
+    spec = {"healthPath": "/health", "maxConns": 240, "protocol": "h1", "tls": False}
+    described = [
+        {"resourceType": "services", "metadata": {"name": name}, "spec": spec} for name in services
+    ]
+    limits = {
+        "maxHeaderBytes": 16384,
+        "maxBodyBytes": 67108864,
+        "headerTimeoutS": 3,
+        "idleTimeoutS": 15,
+    }
+    bounds = {"resourceType": "limits", "metadata": {}, "spec": limits}
+    return {"version": f"{version:08x}", "resources": [*resources, *described, bounds]}
+
+
+class Instance:
+    """An instance of a service: answers each request as `answers` says, in order, or plainly.
+
+    An entry of `answers` gets the request's headers and gives the bytes to send; after empty bytes
+    the connection is reset. `runs` holds the ids of the requests that it worked on.
+    """
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.runs: list[str] = []
+        self.requests: list[dict[str, str]] = []
+        self.answers: list[Any] = []
+        self.work_s = 0.005
+        self.pace = 100
+
+    async def serve(self, stream: Any) -> None:
+        """Serve one connection."""
+        connection = h11.Connection(h11.SERVER)
+        try:
+            while await self._serve_next(stream, connection):
+                connection = h11.Connection(h11.SERVER)
+        except (trio.BrokenResourceError, trio.ClosedResourceError, h11.ProtocolError):
+            pass
+        finally:
+            stream.close()
+
+    async def _serve_next(self, stream: Any, connection: h11.Connection) -> bool:
+        headers: dict[str, str] = {}
+        path = ""
+        while not isinstance(event := connection.next_event(), h11.EndOfMessage):
+            if event is h11.NEED_DATA:
+                connection.receive_data(bytes(await stream.receive_some(65536)))
+            elif isinstance(event, h11.Request):
+                headers = {name.decode(): value.decode() for name, value in event.headers}
+                path = event.target.decode()
+            elif isinstance(event, h11.ConnectionClosed):
+                return False
+        if path == "/health":
+            await stream.send_all(self.answer(headers))
+            return True
+        self.requests.append(headers)
+        answer = self.answers.pop(0) if self.answers else self.answer
+        if getattr(answer, "runs", True):
+            self.runs.append(headers["x-dotterelstand-request-id"])
+        await trio.sleep(self.work_s)
+        data = answer(headers)
+        if not data:
+            stream.reset()
+            return False
+        await stream.send_all(data)
+        return True
+
+    def answer(self, headers: dict[str, str], body: bytes = b"whole body", **changes: str) -> bytes:
+        """A plain answer; `changes` replace or add headers, an empty value removes one."""
+        fields = {
+            "Content-Length": str(len(body)),
+            "X-Dotterelstand-Request-Id": headers.get("x-dotterelstand-request-id", ""),
+            "X-Dotterelstand-Server-Signature": "3e1b.07",
+            "X-Dotterelstand-Instance-Id": self.name,
+            "X-Dotterelstand-Server-Load": f"0,0,2,{self.pace}",
+        }
+        fields.update({name.replace("_", "-"): value for name, value in changes.items()})
+        status = fields.pop("status", "200 OK")
+        lines = [f"{name}: {value}" for name, value in fields.items() if value]
+        return "\r\n".join([f"HTTP/1.1 {status}", *lines, "", ""]).encode() + body
+
+
+def _answer(value: Any, status: int = 200) -> HttpAnswer:
+    return HttpAnswer(status, json.dumps(value).encode())
--- a/tests/test_document.py
+++ b/tests/test_document.py
@@ -150,7 +150,8 @@
     document = build_document(3, {"pricing": text}).unwrap()
     assert document.routes[0].klass == "low"
     target = document.services["quotes"].targets[0]
-    assert document.services["quotes"].target_at(target.index) is target
+    service = document.services["quotes"]
+    assert service.targets[service.position_of(target.index)] is target
     assert document.allowed_methods("/quotes/1") == {"GET"}
 
 
--- /dev/null
+++ b/tests/test_platform_path.py
@@ -0,0 +1,232 @@
+"""Requests on the platform's stand-in: each test guards against one way to break a promise."""
+
+import pytest
+import trio
+from platform_standin import configuration, route
+from platform_support import ObjectFleet, run_objects
+from support import read_answer
+
+
+def test_a_lookup_reaches_its_target_with_identity_and_deadline() -> None:
+    """Guards against requests without target identity, id or deadline."""
+
+    async def scenario(fleet: ObjectFleet) -> None:
+        answer = await fleet.call()
+        assert (answer.status, answer.body, answer.complete) == (200, b"whole body", True)
+        assert answer.headers["x-dotterelstand-server-signature"] == "3e1b.07"
+        instance = next(item for item in fleet.instances if item.runs)
+        (headers,) = instance.requests
+        assert headers["x-dotterelstand-request-id"] == "q1"
+        assert headers["x-dotterelstand-target-instance"] == instance.name
+        assert 900 < int(headers["x-dotterelstand-deadline-ms"]) <= 1000
+
+    run_objects(scenario)
+
+
+NOT_GENUINE = [
+    {"X_Dotterelstand_Server_Signature": ""},
+    {"Content_Encoding": "gzip"},
+    {"X_Dotterelstand_Request_Id": "another"},
+    {"Content_Length": "4000"},
+]
+
+
+@pytest.mark.parametrize("changes", NOT_GENUINE)
+def test_a_damaged_success_never_reaches_the_caller(changes: dict[str, str]) -> None:
+    """Guards against successes that are not the target's own whole answer to this request."""
+
+    async def scenario(fleet: ObjectFleet) -> None:
+        for instance in fleet.instances:
+
+            def answer(headers: dict[str, str], instance=instance) -> bytes:  # type: ignore[no-untyped-def]
+                return instance.answer(headers, **changes)
+
+            instance.answers = [answer] * 3
+        unsafe = await fleet.call("POST", "/b/1", b"order")
+        assert unsafe.status in (502, 504)
+        assert len(fleet.runs()) == 1
+
+    run_objects(scenario)
+
+
+def test_a_late_answer_to_another_request_is_skipped() -> None:
+    """Guards against taking a stray answer for the answer, and against failing for it."""
+
+    async def scenario(fleet: ObjectFleet) -> None:
+        instance = fleet.instances[0]
+        instance.answers = [
+            lambda headers: instance.answer({"x-dotterelstand-request-id": "old"}, b"stray")
+            + instance.answer(headers)
+        ]
+        answer = await fleet.call("POST", "/b/1", b"order")
+        assert (answer.status, answer.body) == (200, b"whole body")
+
+    run_objects(scenario, instances=1)
+
+
+@pytest.mark.parametrize("framed", [True, False])
+def test_an_answer_may_end_with_its_connection(framed: bool) -> None:
+    """Guards against rejecting an answer without a length, and against accepting a cut one."""
+
+    async def scenario(fleet: ObjectFleet) -> None:
+        instance = fleet.instances[0]
+        changes = {} if framed else {"Content_Length": "", "Connection": "close"}
+
+        async def serve(stream: trio.abc.Stream) -> None:
+            data = bytes(await stream.receive_some(65536)).decode()
+            lines = data.split("\r\n")
+            name = next(line for line in lines if line.lower().startswith("x-dotterelstand-req"))
+            headers = {"x-dotterelstand-request-id": name.partition(": ")[2]}
+            await stream.send_all(instance.answer(headers, **changes))
+            await stream.aclose()
+
+        fleet.network.crash("10.1.0.0")
+        listener = fleet.network.add_listener("10.1.0.0", 80)
+        fleet.nursery.start_soon(listener.serve, serve, fleet.nursery)
+        answer = await fleet.call("POST", "/b/1", b"order")
+        assert (answer.status, answer.body, answer.complete) == (200, b"whole body", True)
+
+    run_objects(scenario, instances=1)
+
+
+REFUSALS = [
+    ("503 Service Unavailable", {"X_Dotterelstand_Not_Executed": "1"}, True),
+    ("429 Too Many Requests", {"X_Dotterelstand_Not_Executed": "1"}, True),
+    ("421 Misdirected Request", {}, True),
+    ("503 Service Unavailable", {}, False),
+    ("500 Internal Server Error", {}, False),
+]
+
+
+@pytest.mark.parametrize(("status", "changes", "repeats"), REFUSALS)
+def test_an_unsafe_request_is_repeated_only_after_a_promise(
+    status: str, changes: dict[str, str], repeats: bool
+) -> None:
+    """Guards against running an unsafe request twice, and against losing one that did not run."""
+
+    async def scenario(fleet: ObjectFleet) -> None:
+        def refuse(headers: dict[str, str]) -> bytes:
+            return fleet.instances[0].answer(headers, b"", status=status, **changes)
+
+        refuse.runs = not repeats  # type: ignore[attr-defined]
+        first = refuse
+        sent = 0
+        for instance in fleet.instances:
+
+            def answer(headers: dict[str, str], instance=instance) -> bytes:  # type: ignore[no-untyped-def]
+                nonlocal sent
+                sent += 1
+                return first(headers) if sent == 1 else instance.answer(headers)
+
+            instance.answers = [answer] * 3
+        result = await fleet.call("POST", "/b/1", b"order")
+        assert sent == (2 if repeats else 1)
+        if repeats:
+            assert result.status == 200
+        else:
+            assert result.status in (500, 502), "a status that promises that nothing ran"
+
+    run_objects(scenario)
+
+
+def test_pipelined_lookups_overlap_and_keep_their_order() -> None:
+    """Guards against pipelined requests that wait for each other, and mixed-up answers."""
+
+    async def scenario(fleet: ObjectFleet) -> None:
+        for instance in fleet.instances:
+            instance.work_s = 0.2
+        stream = await fleet.stream()
+        began = trio.current_time()
+        await stream.send_all(b"".join(fleet.request(path=f"/a/{n}") for n in range(3)))
+        answers = b""
+        while answers.count(b"whole body") < 3:
+            answers += bytes(await stream.receive_some(65536))
+        assert trio.current_time() - began < 0.5
+        places = [answers.index(f"q{n}\r".encode()) for n in (1, 2, 3)]
+        assert places == sorted(places)
+
+    run_objects(scenario)
+
+
+def test_the_routes_time_limit_ends_a_request() -> None:
+    """Guards against holding a request past its route's time limit."""
+
+    async def scenario(fleet: ObjectFleet) -> None:
+        fleet.store.put("config", "main", configuration(9, route("s", timeoutS=0.4)))
+        await trio.sleep(1.0)
+        for instance in fleet.instances:
+            instance.work_s = 5.0
+        began = trio.current_time()
+        answer = await fleet.call(deadline_ms=3000)
+        assert answer.status == 504
+        assert trio.current_time() - began < 0.5
+
+    run_objects(scenario)
+
+
+def test_a_split_divides_requests_by_weight() -> None:
+    """Guards against splits that ignore their weights."""
+
+    async def scenario(fleet: ObjectFleet) -> None:
+        fleet.register(2, service="t")
+        parts = [{"service": "s", "weight": 75}, {"service": "t", "weight": 25}]
+        changed = route("s", trafficSplit=parts)
+        fleet.store.put("config", "main", configuration(9, changed, services=("s", "t")))
+        await trio.sleep(1.5)
+        for _ in range(40):
+            assert (await fleet.call()).status == 200
+        assert len(fleet.instances[2].runs) == 10
+
+    run_objects(scenario)
+
+
+def test_a_draining_target_gets_no_new_work() -> None:
+    """Guards against work for a target that said in the store that it leaves."""
+
+    async def scenario(fleet: ObjectFleet) -> None:
+        fleet.register(0, state="draining")
+        fleet.store.remove("servers", "i-1")
+        await trio.sleep(1.0)
+        for _ in range(20):
+            assert (await fleet.call()).status == 200
+        assert not fleet.instances[0].runs and not fleet.instances[1].runs
+
+    run_objects(scenario)
+
+
+@pytest.mark.parametrize("fault", ["down", "silent", "history"])
+def test_a_configuration_is_in_force_soon_after_the_store_is_back(fault: str) -> None:
+    """Guards against a host that keeps an old configuration after a disruption of the store."""
+
+    async def scenario(fleet: ObjectFleet) -> None:
+        if fault == "history":
+            fleet.store.put("config", "main", configuration(9, route("s", "/c/")))
+            fleet.store.forget_history()
+        else:
+            fleet.store.status = 503 if fault == "down" else 0
+            fleet.store.silent = fault == "silent"
+            fleet.store.forget_history()
+            await trio.sleep(8.0)
+            fleet.store.put("config", "main", configuration(9, route("s", "/c/")))
+            fleet.store.status, fleet.store.silent = 0, False
+        await trio.sleep(2.0)
+        assert (await fleet.call(path="/c/1")).status == 200
+        assert (await fleet.call(path="/a/1")).status == 404
+
+    run_objects(scenario)
+
+
+def test_a_host_without_a_configuration_refuses_and_is_not_ready() -> None:
+    """Guards against 404 answers from a host that does not know any configuration."""
+
+    async def scenario(fleet: ObjectFleet) -> None:
+        fleet.store.status = 503
+        fleet.start_daemon(1)
+        await trio.sleep(3.0)
+        answer = await fleet.call(entry=1)
+        assert (answer.status, answer.run) == (503, "not-run")
+        stream = await fleet.network.open_stream("10.0.0.1", "10.0.1.1", 8071)
+        await stream.send_all(b"GET /dotterelstand/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+        assert (await read_answer(stream)).status == 503
+
+    run_objects(scenario)
