Notice silent connections, read lists anew after a cut watch, and hedge only into spare slots

A watch that goes silent is not noticed before its 31 s are over, and one that is cut may have missed changes. Change: keep-alive probes and a limit on unacknowledged bytes on every connection, a new list after each failed watch, a short time limit for connecting to the store; hedged requests take only slots that nobody waits for, targets are not filled beyond the share where they slow down.

--- a/src/dotterelstand/connection/network.py
+++ b/src/dotterelstand/connection/network.py
@@ -1,10 +1,19 @@
 """Access to the network, so that the whole daemon also runs over an in-memory network."""
 
+import socket
 from collections.abc import Awaitable, Callable
 from typing import Protocol
 
 import trio
 
+# A silent peer is noticed after about 3 s. The platform expects a host to be in step again that
+# long after a disruption.
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 2
+# Milliseconds for which sent bytes may stay unacknowledged; two retransmissions fit.
+UNACKNOWLEDGED_MS = 3000
+
 StreamHandler = Callable[[trio.abc.Stream], Awaitable[None]]
 
 
@@ -29,6 +38,18 @@
         """Open a listener; port 0 takes a free one; raises `OSError`."""
 
 
+def watch_peer(stream: trio.SocketStream) -> None:
+    """Let the kernel break a connection whose other end is gone without a word.
+
+    Nothing else shows that a connection on which only the peer sends went silent.
+    """
+    stream.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+    stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+    stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
+
+
 class TcpListener:
     """A listener on a TCP port."""
 
@@ -54,7 +75,9 @@
 
     async def connect(self, address: str, port: int) -> trio.abc.Stream:
         """Open a TCP stream to a numeric address; raises `OSError`."""
-        return await trio.open_tcp_stream(address, port)
+        stream = await trio.open_tcp_stream(address, port)
+        watch_peer(stream)
+        return stream
 
     async def listen(self, address: str, port: int) -> TcpListener:
         """Open a TCP listener; port 0 takes a free one; raises `OSError`."""
--- a/src/dotterelstand/process/dispatcher.py
+++ b/src/dotterelstand/process/dispatcher.py
@@ -146,6 +146,8 @@
                 if not self._local.targets[position].slow:
                     return [*decisions, self._grant(call.key, self._local, position, now)]
                 slow = position
+        if call.spare:
+            return [*decisions, Refused(call.key, ResultCode.OVERLOADED)]
         wait_s = self._expected_wait_s(call.klass)
         remaining_s = call.deadline - now
         spilled = self._spill(call, wait_s, remaining_s, now)
--- a/src/dotterelstand/process/follow.py
+++ b/src/dotterelstand/process/follow.py
@@ -117,21 +117,21 @@
             await self._watch(listing.unwrap().revision)
 
     async def _watch(self, revision: int) -> None:
-        """Watch from a revision until the history is lost."""
+        """Watch from a revision until a watch fails; what it missed is then read anew."""
         while True:
             changes = await self._platform.watch(self._kind, revision, self._watch_s)
-            if is_successful(changes):
-                self._note_answer()
-                revision = changes.unwrap().revision
-                self._change(changes.unwrap().entries)
-                # Changes that come together are read together.
-                await trio.sleep(self._pause_s)
-            elif changes.failure().code == HISTORY_LOST:
-                log(Event.HISTORY_LOST, kind=self._kind.value, revision=revision)
-                return
-            else:
-                self._note_failure(changes.failure())
-                await self._backoff.sleep()
+            if not is_successful(changes):
+                break
+            self._note_answer()
+            revision = changes.unwrap().revision
+            self._change(changes.unwrap().entries)
+            # Changes that come together are read together.
+            await trio.sleep(self._pause_s)
+        if changes.failure().code == HISTORY_LOST:
+            log(Event.HISTORY_LOST, kind=self._kind.value, revision=revision)
+        else:
+            self._note_failure(changes.failure())
+            await self._backoff.sleep()
 
     def _note_answer(self) -> None:
         self._backoff.reset()
--- a/src/dotterelstand/process/grantserver.py
+++ b/src/dotterelstand/process/grantserver.py
@@ -68,7 +68,9 @@
         calls[message.call] = state
         remaining_s = need.urgent_s if need.urgent_s is not None else self._tuning.grant_life_s
         zone = self._mesh.zone(host)
-        call = WaitingCall(key, need.klass, need.tenant, now, now + remaining_s, zone=zone)
+        call = WaitingCall(
+            key, need.klass, need.tenant, now, now + remaining_s, zone=zone, spare=need.spare
+        )
         return state.regional.submit(call, now)
 
     def release(
--- a/src/dotterelstand/process/health.py
+++ b/src/dotterelstand/process/health.py
@@ -398,6 +398,7 @@
             return
         limit = target.allowance
         if target.allowance == target.slots:
+            limit = self._tuning.useful_slots(target.slots)
             limit += math.ceil(self._lookahead_per_slot * target.slots)
         handicap = target.pace - 1 if target.slow else 0.0
         self.index.place(position, target.in_flight, target.allowance, limit, handicap)
--- a/src/dotterelstand/process/outcome.py
+++ b/src/dotterelstand/process/outcome.py
@@ -26,14 +26,21 @@
 class SlotCall:
     """A call that asks for a slot; `deadline` is in seconds of the monotonic clock.
 
-    `klass` is the index of the class in the document, 0 being served first.
+    `klass` is the index of the class in the document, 0 being served first. A `spare` call takes
+    only a slot that nobody waits for, on a target that is not slow.
     """
 
-    __slots__ = ("deadline", "excluded", "klass", "tenant")
+    __slots__ = ("deadline", "excluded", "klass", "spare", "tenant")
 
     def __init__(
-        self, klass: int, tenant: str, deadline: float, excluded: frozenset[str] = frozenset()
+        self,
+        klass: int,
+        tenant: str,
+        deadline: float,
+        excluded: frozenset[str] = frozenset(),
+        spare: bool = False,
     ) -> None:
+        self.spare = spare
         self.klass = klass
         self.tenant = tenant
         self.deadline = deadline
--- a/src/dotterelstand/process/queue.py
+++ b/src/dotterelstand/process/queue.py
@@ -8,10 +8,11 @@
 class WaitingCall:
     """A call that wants a slot; times in seconds.
 
-    `key` is the asking host and its call number, `zone` that host's availability zone.
+    `key` is the asking host and its call number, `zone` that host's availability zone. A `spare`
+    call never waits.
     """
 
-    __slots__ = ("arrived", "deadline", "excluded", "key", "klass", "tenant", "zone")
+    __slots__ = ("arrived", "deadline", "excluded", "key", "klass", "spare", "tenant", "zone")
 
     def __init__(
         self,
@@ -22,7 +23,9 @@
         deadline: float,
         excluded: frozenset[int] = frozenset(),
         zone: str = "",
+        spare: bool = False,
     ) -> None:
+        self.spare = spare
         self.key = key
         self.klass = klass
         self.tenant = tenant
--- a/src/dotterelstand/process/slotcodec.py
+++ b/src/dotterelstand/process/slotcodec.py
@@ -14,8 +14,10 @@
 SHORTEST_S = 0.0005
 
 
-def pack_need(klass: int, tenant: int, urgent_s: float | None) -> int:
-    """Class, tenant number and remaining time; None for a deadline that is far away.
+def pack_need(klass: int, tenant: int, urgent_s: float | None, spare: bool = False) -> int:
+    """Class, tenant number, remaining time and whether only a spare slot will do.
+
+    The time is None for a deadline that is far away.
 
     Classes from 7 on share one number. A default call takes one byte, a tenant below 32 two.
     """
@@ -23,15 +25,17 @@
     urgent_ms = 0
     if urgent_s is not None:
         urgent_ms = min(MAX_URGENT_MS, max(1, int(urgent_s * 1000)))
-    return min(klass, CLASSES - 1) + CLASSES * (tenant + TENANTS * urgent_ms)
+    urgent = urgent_ms + (MAX_URGENT_MS + 1) * spare
+    return min(klass, CLASSES - 1) + CLASSES * (tenant + TENANTS * urgent)
 
 
 class Need:
-    """Unpacked class, tenant number and remaining seconds (None if far away)."""
+    """Unpacked class, tenant number, remaining seconds (None if far away) and `spare`."""
 
-    __slots__ = ("klass", "tenant", "urgent_s")
+    __slots__ = ("klass", "spare", "tenant", "urgent_s")
 
-    def __init__(self, klass: int, tenant: int, urgent_s: float | None) -> None:
+    def __init__(self, klass: int, tenant: int, urgent_s: float | None, spare: bool) -> None:
+        self.spare = spare
         self.klass = klass
         self.tenant = tenant
         self.urgent_s = urgent_s
@@ -39,11 +43,12 @@
 
 def unpack_need(need: int) -> Need | None:
     """Inverse of `pack_need`; None if the number is out of range."""
-    if not 0 <= need < CLASSES * TENANTS * (MAX_URGENT_MS + 1):
+    if not 0 <= need < 2 * CLASSES * TENANTS * (MAX_URGENT_MS + 1):
         return None
     rest, klass = divmod(need, CLASSES)
-    urgent_ms, tenant = divmod(rest, TENANTS)
-    return Need(klass, tenant, urgent_ms / 1000 if urgent_ms else None)
+    urgent, tenant = divmod(rest, TENANTS)
+    spare, urgent_ms = divmod(urgent, MAX_URGENT_MS + 1)
+    return Need(klass, tenant, urgent_ms / 1000 if urgent_ms else None, bool(spare))
 
 
 def pack_result(kind: AttemptOutcome, duration_s: float) -> int:
--- a/src/dotterelstand/process/slotcore.py
+++ b/src/dotterelstand/process/slotcore.py
@@ -330,7 +330,10 @@
         remaining_s = ticket.call.deadline - now
         urgent = remaining_s < URGENT_MULTIPLE * state.local.table.usual_s
         need = pack_need(
-            ticket.call.klass, self._tenant(ticket.call.tenant), remaining_s if urgent else None
+            ticket.call.klass,
+            self._tenant(ticket.call.tenant),
+            remaining_s if urgent else None,
+            ticket.call.spare,
         )
         acquire = Acquire(ticket.number, need, index)
         if not self._mesh.send(dispatcher, acquire, now, opens_call=True):
@@ -357,7 +360,7 @@
         tenant = self._tenant(call.tenant)
         klass = min(call.klass, CLASSES - 1)
         zone = self._mesh.zone(self._mesh.host)
-        return WaitingCall(key, klass, tenant, now, call.deadline, excluded, zone)
+        return WaitingCall(key, klass, tenant, now, call.deadline, excluded, zone, call.spare)
 
     def _leave_queue(self, ticket: Ticket, state: ServiceState, now: float) -> None:
         key = (self._mesh.host, ticket.number)
--- a/src/dotterelstand/process/storeconnection.py
+++ b/src/dotterelstand/process/storeconnection.py
@@ -9,6 +9,9 @@
 # A connection that was idle for longer may have been closed by the store.
 MAX_IDLE_S = 5.0
 READ_BYTES = 65536
+# Seconds in which the store accepts a connection. A lost opening packet is sent again only after
+# a second, when a new attempt is already under way.
+CONNECT_TIMEOUT_S = 0.5
 
 
 class StoreAnswer:
@@ -102,7 +105,9 @@
                 return connection
             connection.close()
         self.opened += 1
-        return StoreConnection(await self._network.connect(self._address, self._port))
+        with trio.move_on_after(CONNECT_TIMEOUT_S):
+            return StoreConnection(await self._network.connect(self._address, self._port))
+        raise OSError(f"{self._address}:{self._port} did not accept a connection in time")
 
     def release(self, connection: StoreConnection) -> None:
         """Take back a connection after a call; one whose answer is incomplete is closed."""
--- a/src/dotterelstand/process/tuning.py
+++ b/src/dotterelstand/process/tuning.py
@@ -4,7 +4,10 @@
 
 
 class SelectionTuning:
-    """Parameters of target selection; times in seconds."""
+    """Parameters of target selection; times in seconds.
+
+    Targets that are occupied above `full_share` of their slots work `full_slowdown` times slower.
+    """
 
     __slots__ = (
         "answer_grace_s",
@@ -13,6 +16,8 @@
         "eject_longest_s",
         "eject_share",
         "failure_bound",
+        "full_share",
+        "full_slowdown",
         "grant_life_s",
         "lookahead_per_slot",
         "max_calls",
@@ -32,6 +37,13 @@
         self.max_calls = 4096
         self.slow_factor = 5.0
         self.successes_per_slot = 4
+        self.full_share = 0.8
+        self.full_slowdown = 1.0
+
+    def useful_slots(self, slots: int) -> int:
+        """Number of a target's slots with which it does the most work."""
+        below = int(self.full_share * slots)
+        return below if below and below >= slots / self.full_slowdown else slots
 
 
 def read_tuning(settings: Settings) -> SelectionTuning:
@@ -53,5 +65,7 @@
     tuning.max_calls = settings.integer(section, "max_calls")
     tuning.slow_factor = settings.number(section, "slow_factor")
     tuning.successes_per_slot = settings.integer(section, "successes_per_slot")
+    tuning.full_share = settings.number(section, "full_share")
+    tuning.full_slowdown = settings.number(section, "full_slowdown")
     assert tuning.eject_share < 1, "selection.eject_share must leave targets in use"
     return tuning
--- a/src/dotterelstand/request/exchange.py
+++ b/src/dotterelstand/request/exchange.py
@@ -150,15 +150,15 @@
             last = code
             self._context.metrics.count("requests.retries")
 
-    async def _next_attempt(self) -> Attempt | ResultCode:
+    async def _next_attempt(self, spare: bool = False) -> Attempt | ResultCode:
         if not can_finish(self._remaining_s(), self._policy.times):
             return ResultCode.DEADLINE_TOO_SHORT
         excluded = frozenset(attempt.target for attempt in self._attempts)
         lost = frozenset[str]() if self._admitted is None else self._admitted.lost
-        grant = await self._acquire(excluded | lost)
+        grant = await self._acquire(excluded | lost, spare)
         if lost and not is_successful(grant) and grant.failure() is ResultCode.NO_TARGET:
             # Without another target, a suspect proves itself where it was struck before.
-            grant = await self._acquire(excluded)
+            grant = await self._acquire(excluded, spare)
         if not is_successful(grant):
             return grant.failure()
         silent = any(other.failure is ResultCode.TARGET_SILENT for other in self._attempts)
@@ -166,11 +166,13 @@
         self._attempts.append(attempt)
         return attempt
 
-    async def _acquire(self, excluded: frozenset[str]) -> Result[SlotGrant, ResultCode]:
+    async def _acquire(
+        self, excluded: frozenset[str], spare: bool
+    ) -> Result[SlotGrant, ResultCode]:
         classes = self._document.classes
         last = len(classes) - 1
         klass = classes.index(self._route.klass) if self._route.klass in classes else last
-        call = SlotCall(klass, self._head.tenant, self._scope.deadline, excluded)
+        call = SlotCall(klass, self._head.tenant, self._scope.deadline, excluded, spare)
         return await self._context.slots.acquire(self._service, call)
 
     async def _try(self, attempt: Attempt) -> tuple[ResultCode, bool]:
@@ -207,12 +209,14 @@
         return self._route.attempts or self._context.limits.max_attempts
 
     async def _start_hedge(self) -> Attempt | None:
-        if len(self._attempts) >= self._max_attempts():
+        if len(self._attempts) >= self._max_attempts() or self._admitted is not None:
             return None
-        if self._admitted is not None or not self._policy.budget.try_take(trio.current_time()):
+        budget = self._policy.budget
+        if not budget.try_take(trio.current_time()):
             return None
-        attempt = await self._next_attempt()
+        attempt = await self._next_attempt(spare=True)
         if isinstance(attempt, ResultCode):
+            budget.give_back()
             return None
         self._context.metrics.count("requests.hedges")
         return attempt
--- a/src/dotterelstand/request/policy.py
+++ b/src/dotterelstand/request/policy.py
@@ -48,6 +48,11 @@
         self._extra[-1] += 1
         return True
 
+    def give_back(self) -> None:
+        """Return what was taken for an attempt that was not made."""
+        if self._extra[-1]:
+            self._extra[-1] -= 1
+
     def allowance(self, now: float) -> float:
         """Retries and hedged requests that the window around `now` allows."""
         self._advance(now)
--- a/src/dotterelstand/settings_rules.py
+++ b/src/dotterelstand/settings_rules.py
@@ -280,6 +280,8 @@
         "eject_longest_s": Between(0.01, 3600),
         "failure_bound": Between(0.01, 1),
         "slow_factor": Between(1, 1000),
+        "full_share": Between(0, 1),
+        "full_slowdown": Between(1, 100),
         "successes_per_slot": Between(1, 10_000),
     },
     "metrics": {
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -10,6 +10,7 @@
 from dotterelstand.process.outcome import AttemptOutcome
 from dotterelstand.process.slotindex import NO_TARGETS
 from dotterelstand.process.tuning import SelectionTuning
+from dotterelstand.request.fields import LoadReport
 
 OK = AttemptOutcome.OK
 FAILED = AttemptOutcome.FAILED
@@ -127,7 +128,7 @@
     table = _table(2)
     table.start(0)
     for load, low, high in [(0, 0.5, 0.5), (1, 0.5, 0.5), (5, 2.4, 2.5)]:
-        table.report_load(0, load, 1.0)
+        table.report_load(0, LoadReport(load), 1.0)
         assert low <= table.load(0, 1.0) <= high
     assert 0.5 < table.load(0, 1.1) < 0.6, "an old report loses its weight"
 
@@ -136,10 +137,10 @@
     """Guards against a choice that avoids a target only because it answered lately."""
     table = _table(4)
     for step in range(400):
-        table.report_load(step % 3, 2, 1.0)
+        table.report_load(step % 3, LoadReport(2), 1.0)
     for position in range(3):
         assert abs(table.load(position, 1.0) - table.load(3, 1.0)) < 0.01
-    table.report_load(0, 0, 1.0)
+    table.report_load(0, LoadReport(0), 1.0)
     assert table.load(0, 1.0) == table.load(3, 1.0), "a low report raises no trust"
 
 
