Keep waiting calls with their dispatcher, prompt ones first, and pipelined answers with their callers

Change: the dispatcher says at once and again that it keeps a call; calls that can still end within the latency objective go before late ones; hopeless ones are refused while there is time; an answer that waits for its turn is kept and sent.

--- a/src/dotterelstand/connection/caller.py
+++ b/src/dotterelstand/connection/caller.py
@@ -17,6 +17,8 @@
 READ_AHEAD_BYTES = 65536
 # Bytes that a caller may still send after an answer that closes its connection.
 MAX_LINGER_BYTES = 1_048_576
+# Bytes of an answer that are kept until the answers before it were sent; more wait in the target.
+MAX_PENDING_BYTES = 131_072
 
 
 class CallerLimits:
@@ -60,6 +62,7 @@
         "_connection",
         "_h11",
         "_method",
+        "_pending",
         "_previous",
         "answer_started",
         "ended",
@@ -80,6 +83,7 @@
         self._method = method
         self._previous = previous
         self.head = head
+        self._pending = b""
         self.answer_started = False
         self.ended = trio.Event()
         self.on_departure: Callable[[], object] | None = None
@@ -145,13 +149,23 @@
         return self._h11.send(h11.EndOfMessage()) or b""
 
     async def send(self, data: bytes) -> None:
-        """Send encoded bytes after the answers before them.
+        """Send encoded bytes, or keep them while answers before this one are missing.
 
         Raises `trio.BrokenResourceError` if the caller has left.
         """
+        self._pending += data
+        if self._previous is not None and not self._previous.is_set():
+            # A deadline that passes now must not end an answer that only waits for its turn.
+            if len(self._pending) <= MAX_PENDING_BYTES:
+                return
+        await self.flush()
+
+    async def flush(self) -> None:
+        """Send what is kept once the answers before it were sent."""
         if self._previous is not None:
             await self._previous.wait()
             self._previous = None
+        data, self._pending = self._pending, b""
         await self._connection.send(data)
 
     def may_answer(self) -> bool:
--- a/src/dotterelstand/connection/wire.py
+++ b/src/dotterelstand/connection/wire.py
@@ -90,13 +90,15 @@
     """Request to the dispatcher of a service for one slot.
 
     `service` is the index in the sorted service names of the document; `need` packs class, tenant
-    and deadline (`process/slotcodec.py`).
+    and deadline (`process/slotcodec.py`). The answer has its full worth if the target begins within
+    `prompt_ms`, 0 if that does not matter.
     """
 
-    __slots__ = ("call", "need", "service")
+    __slots__ = ("call", "need", "prompt_ms", "service")
     TYPE = 7
     call: int
     need: int
+    prompt_ms: int
     service: int
 
 
@@ -127,6 +129,14 @@
     code: int
 
 
+class Queued(Message):
+    """The dispatcher keeps these calls in its queue; their answers may take long."""
+
+    __slots__ = ("calls",)
+    TYPE = 27
+    calls: list[int]
+
+
 class Paces(Message):
     """Targets of a service (by index) and how long work takes there, in percent of the usual."""
 
--- a/src/dotterelstand/process/dispatcher.py
+++ b/src/dotterelstand/process/dispatcher.py
@@ -199,11 +199,15 @@
         """Apply what time changed and serve waiting calls as far as slots allow."""
         self.advance_health(now)
         decisions: list[Decision] = []
+        for hopeless in self._queue.take_hopeless(now + self._local.usual_s):
+            # Told now, the caller has time to try again elsewhere.
+            self.counters.deadline_refused += 1
+            decisions.append(Refused(hopeless.key, ResultCode.DEADLINE_TOO_SHORT))
         passed_over: list[WaitingCall] = []
         while len(self._queue):
             if self._local.usable and self._chooser.choose(self._local, NO_TARGETS, now) is None:
                 break
-            call = self._queue.pop()
+            call = self._queue.pop(now)
             assert call is not None
             position = self._choose_for(call, self._local, now)
             if position is not None and self._local.targets[position].slow:
@@ -261,6 +265,14 @@
         """A leaving target is live again."""
         self._mark(name, HealthTable.mark_returned)
 
+    def is_waiting(self, key: CallKey) -> bool:
+        """Whether a call waits for a slot."""
+        return key in self._queue
+
+    def waiting_keys(self) -> list[CallKey]:
+        """Calls that wait for a slot."""
+        return self._queue.keys()
+
     def report_load(self, target: int, report: LoadReport, now: float) -> bool:
         """Note a load report; True if the target turned slow or usual."""
         table, position = self._place_of[target]
--- a/src/dotterelstand/process/front.py
+++ b/src/dotterelstand/process/front.py
@@ -134,6 +134,7 @@
     async def _serve_request(self, connection: CallerConnection, request: CallerRequest) -> None:
         try:
             await self._answer_request(request)
+            await request.flush()
         finally:
             connection.end(request)
 
--- a/src/dotterelstand/process/grantserver.py
+++ b/src/dotterelstand/process/grantserver.py
@@ -1,6 +1,6 @@
 """Serves slots to the calls of other entry hosts, as the dispatcher of some services."""
 
-from dotterelstand.connection.wire import Acquire, Grant, Refuse, Release
+from dotterelstand.connection.wire import Acquire, Grant, Queued, Refuse, Release
 from dotterelstand.process.dispatcher import Decision, Granted
 from dotterelstand.process.measuredmesh import MeasuredMesh
 from dotterelstand.process.outcome import AttemptOutcome
@@ -71,7 +71,22 @@
         call = WaitingCall(
             key, need.klass, need.tenant, now, now + remaining_s, zone=zone, spare=need.spare
         )
-        return state.regional.submit(call, now)
+        if message.prompt_ms:
+            call.prompt_until = now + message.prompt_ms / 1000
+        decisions = state.regional.submit(call, now)
+        if state.regional.is_waiting(key):
+            self._mesh.send(host, Queued([message.call]), now)
+        return decisions
+
+    def tell_waiting(self, states: list[ServiceState], now: float) -> None:
+        """Tell every host which of its calls still wait."""
+        waiting: dict[str, list[int]] = {}
+        for state in states:
+            for host, number in state.regional.waiting_keys():
+                if host != self._mesh.host:
+                    waiting.setdefault(host, []).append(number)
+        for host, numbers in waiting.items():
+            self._mesh.send(host, Queued(numbers), now)
 
     def release(
         self, state: ServiceState, host: str, message: Release, now: float
--- a/src/dotterelstand/process/outcome.py
+++ b/src/dotterelstand/process/outcome.py
@@ -27,10 +27,11 @@
     """A call that asks for a slot; `deadline` is in seconds of the monotonic clock.
 
     `klass` is the index of the class in the document, 0 being served first. A `spare` call takes
-    only a slot that nobody waits for, on a target that is not slow.
+    only a slot that nobody waits for, on a target that is not slow. An attempt that begins after
+    `prompt_until` is late even if it ends in time; None if that does not matter.
     """
 
-    __slots__ = ("deadline", "excluded", "klass", "spare", "tenant")
+    __slots__ = ("deadline", "excluded", "klass", "prompt_until", "spare", "tenant")
 
     def __init__(
         self,
@@ -39,8 +40,10 @@
         deadline: float,
         excluded: frozenset[str] = frozenset(),
         spare: bool = False,
+        prompt_until: float | None = None,
     ) -> None:
         self.spare = spare
+        self.prompt_until = prompt_until
         self.klass = klass
         self.tenant = tenant
         self.deadline = deadline
--- a/src/dotterelstand/process/queue.py
+++ b/src/dotterelstand/process/queue.py
@@ -9,10 +9,20 @@
     """A call that wants a slot; times in seconds.
 
     `key` is the asking host and its call number, `zone` that host's availability zone. A `spare`
-    call never waits.
+    call never waits. A call that begins after `prompt_until` is late even if it ends in time.
     """
 
-    __slots__ = ("arrived", "deadline", "excluded", "key", "klass", "spare", "tenant", "zone")
+    __slots__ = (
+        "arrived",
+        "deadline",
+        "excluded",
+        "key",
+        "klass",
+        "prompt_until",
+        "spare",
+        "tenant",
+        "zone",
+    )
 
     def __init__(
         self,
@@ -26,6 +36,7 @@
         spare: bool = False,
     ) -> None:
         self.spare = spare
+        self.prompt_until = deadline
         self.key = key
         self.klass = klass
         self.tenant = tenant
@@ -70,11 +81,21 @@
 class CallQueue:
     """Calls in class order, then round robin over tenants; every operation is O(classes)."""
 
-    __slots__ = ("_calls", "_capacity", "_lanes", "_largest", "_of_tenant", "_sizes")
+    __slots__ = (
+        "_calls",
+        "_capacity",
+        "_lane_of",
+        "_lanes",
+        "_largest",
+        "_of_tenant",
+        "_sizes",
+    )
 
     def __init__(self, capacity: int, classes: int) -> None:
         self._capacity = capacity
-        self._lanes = [_ClassLane() for _ in range(classes)]
+        # Each class has a lane for calls that may still be prompt, and one for late calls.
+        self._lanes = [_ClassLane() for _ in range(2 * classes)]
+        self._lane_of: dict[CallKey, int] = {}
         self._calls: dict[CallKey, WaitingCall] = {}
         self._of_tenant: dict[int, OrderedDict[CallKey, WaitingCall]] = {}
         # Tenants by number of waiting calls, so that the largest is found without a scan.
@@ -96,27 +117,45 @@
     def capacity(self, capacity: int) -> None:
         self._capacity = capacity
 
+    def keys(self) -> list[CallKey]:
+        """Keys of all calls."""
+        return list(self._calls)
+
     def ahead(self, klass: int) -> int:
-        """Waiting calls that are served before a new call of a class, at most."""
-        return sum(lane.size for lane in self._lanes[: klass + 1])
+        """Waiting calls that are served before a new prompt call of a class, at most."""
+        return sum(lane.size for lane in self._lanes[: 2 * klass + 1])
 
     def push(self, call: WaitingCall) -> WaitingCall | None:
-        """Add a call; when full, returns the newest call of the largest tenant, now removed."""
+        """Add a call; when full, returns a call that is now removed.
+
+        That is the late call that waited longest in the lowest class, and if none is late the
+        newest call of the largest tenant.
+        """
         assert call.key not in self._calls, call.key
         self._add(call)
         if len(self._calls) <= self._capacity:
             return None
+        for lane in reversed(self._lanes[1::2]):
+            if lane.size:
+                late = lane.take()
+                self._discard(late)
+                return late
         tenant = next(iter(self._sizes[self._largest]))
         if len(self._of_tenant[call.tenant]) == self._largest:
             tenant = call.tenant
         newest = next(reversed(self._of_tenant[tenant].values()))
+        self._lanes[self._lane_of[newest.key]].drop(newest)
         self._discard(newest)
-        self._lanes[newest.klass].drop(newest)
         assert len(self._calls) <= self._capacity
         return newest
 
-    def pop(self) -> WaitingCall | None:
-        """Remove and return the call that is served next."""
+    def pop(self, now: float) -> WaitingCall | None:
+        """Remove and return the call that is served next.
+
+        Within a class, calls whose answers may still have their full worth go before late ones.
+        """
+        for number in range(0, len(self._lanes), 2):
+            self._demote(number, now)
         for lane in self._lanes:
             if lane.size:
                 call = lane.take()
@@ -128,24 +167,42 @@
         """Remove a call that no longer waits; None if it does not wait here."""
         call = self._calls.get(key)
         if call is not None:
+            self._lanes[self._lane_of[key]].drop(call)
             self._discard(call)
-            self._lanes[call.klass].drop(call)
         return call
 
+    def take_hopeless(self, latest_end: float) -> list[WaitingCall]:
+        """Remove and return the calls whose deadline is before `latest_end`."""
+        calls = [call for call in self._calls.values() if call.deadline < latest_end]
+        for call in calls:
+            self.remove(call.key)
+        return calls
+
     def remove_host(self, host: str) -> None:
         """Remove every call of a host that was lost."""
         for key in [key for key in self._calls if key[0] == host]:
             self.remove(key)
 
+    def _demote(self, number: int, now: float) -> None:
+        """Move the calls of a lane that cannot be prompt any more to the late lane."""
+        lane = self._lanes[number]
+        late = [call for calls in lane.tenants.values() for call in calls.values()]
+        for call in late:
+            if call.prompt_until < now:
+                lane.drop(call)
+                self._lanes[number + 1].add(call)
+                self._lane_of[call.key] = number + 1
+
     def _add(self, call: WaitingCall) -> None:
-        self._lanes[call.klass].add(call)
+        self._lanes[2 * call.klass].add(call)
+        self._lane_of[call.key] = 2 * call.klass
         self._calls[call.key] = call
         calls = self._of_tenant.setdefault(call.tenant, OrderedDict())
         self._resize(call.tenant, len(calls), len(calls) + 1)
         calls[call.key] = call
 
     def _discard(self, call: WaitingCall) -> None:
-        del self._calls[call.key]
+        del self._calls[call.key], self._lane_of[call.key]
         calls = self._of_tenant[call.tenant]
         self._resize(call.tenant, len(calls), len(calls) - 1)
         del calls[call.key]
--- a/src/dotterelstand/process/slotcore.py
+++ b/src/dotterelstand/process/slotcore.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 from dotterelstand.codes import Result as ResultCode
-from dotterelstand.connection.wire import Acquire, Grant, Message, Refuse, Release
+from dotterelstand.connection.wire import Acquire, Grant, Message, Queued, Refuse, Release
 from dotterelstand.process.balancer import LeastOccupied, TwoChoices
 from dotterelstand.process.dispatcher import Decision, Dispatcher, Granted
 from dotterelstand.process.grantserver import GrantServer
@@ -29,6 +29,8 @@
 MAX_LEAVING = 8192
 # Up to this many services are watched before their first request; more would cost start time.
 EAGER_SERVICES = 64
+# Seconds for which a host believes that the dispatcher keeps its call, told three times as often.
+QUEUED_LIFE_S = 0.25
 
 
 class SlotCore:
@@ -54,6 +56,7 @@
         "_states",
         "_tenants",
         "_tickets",
+        "_told_waiting_at",
         "_tuning",
     )
 
@@ -74,6 +77,7 @@
         self._tenants: dict[str, int] = {}
         self._counters = SlotCounters()
         self._bulk: frozenset[int] = frozenset()
+        self._told_waiting_at = 0.0
 
     @property
     def counters(self) -> SlotCounters:
@@ -143,6 +147,10 @@
         if ticket.decided:
             return
         state = self._state(ticket.service)
+        if ticket.state is TicketState.ASKED and now < ticket.queued_until:
+            ticket.due = min(ticket.call.deadline, ticket.queued_until)
+            if now < ticket.call.deadline:
+                return
         if ticket.state is TicketState.ASKED:
             self._counters.fallback_timeout += 1
             state.answer_time.timed_out(now)
@@ -191,7 +199,7 @@
         if ticket is None:
             return
         state = self._state(ticket.service)
-        state.answer_time.answered(now - ticket.asked_at)
+        self._note_answer(ticket, state, now)
         target = state.service.position_of(message.target)
         if target is None or self._is_unusable(ticket, target, state):
             self._counters.unusable += 1
@@ -208,7 +216,7 @@
         if ticket is None:
             return
         state = self._state(ticket.service)
-        state.answer_time.answered(now - ticket.asked_at)
+        self._note_answer(ticket, state, now)
         code = refusal_code(message.code)
         if code is None or code is ResultCode.NO_TARGET:
             self._choose_locally(ticket, state, now)
@@ -216,6 +224,17 @@
         self._end(ticket)
         self._refuse(ticket, code)
 
+    def on_queued(self, sender: str, message: Queued, now: float) -> None:
+        """The dispatcher keeps calls in its queue; each waits on while it hears so."""
+        for number in message.calls:
+            ticket = self._asked(sender, number)
+            if ticket is None:
+                continue
+            if not ticket.queued_until:
+                self._state(ticket.service).answer_time.answered(now - ticket.asked_at)
+            ticket.queued_until = now + QUEUED_LIFE_S
+            ticket.due = min(ticket.call.deadline, ticket.queued_until)
+
     def note_load(self, service: str, target: Target, report: LoadReport, now: float) -> bool:
         """Note a load report; True if the target turned slow or usual, which is news to others."""
         state, position = self._place_of(service, target.index)
@@ -277,6 +296,9 @@
         self._check_members(now)
         active = list(self._active.values())
         self._active.clear()
+        if now - self._told_waiting_at >= QUEUED_LIFE_S / 3:
+            self._told_waiting_at = now
+            self._grant_server.tell_waiting(active, now)
         for state in active:
             for dispatcher in (state.regional, state.local):
                 if dispatcher.waiting:
@@ -335,7 +357,9 @@
             remaining_s if urgent else None,
             ticket.call.spare,
         )
-        acquire = Acquire(ticket.number, need, index)
+        prompt_until = ticket.call.prompt_until
+        prompt_ms = 0 if prompt_until is None else max(1, int((prompt_until - now) * 1000))
+        acquire = Acquire(ticket.number, need, prompt_ms, index)
         if not self._mesh.send(dispatcher, acquire, now, opens_call=True):
             self._counters.ask_failed += 1
             return False
@@ -360,7 +384,10 @@
         tenant = self._tenant(call.tenant)
         klass = min(call.klass, CLASSES - 1)
         zone = self._mesh.zone(self._mesh.host)
-        return WaitingCall(key, klass, tenant, now, call.deadline, excluded, zone, call.spare)
+        waiting = WaitingCall(key, klass, tenant, now, call.deadline, excluded, zone, call.spare)
+        if call.prompt_until is not None:
+            waiting.prompt_until = call.prompt_until
+        return waiting
 
     def _leave_queue(self, ticket: Ticket, state: ServiceState, now: float) -> None:
         key = (self._mesh.host, ticket.number)
@@ -411,6 +438,11 @@
         result = pack_result(kind, duration_s)
         self._mesh.send(ticket.dispatcher, Release(ticket.number, result), now)
 
+    def _note_answer(self, ticket: Ticket, state: ServiceState, now: float) -> None:
+        """Learn the dispatcher's answer time; the time in its queue is no part of it."""
+        if not ticket.queued_until:
+            state.answer_time.answered(now - ticket.asked_at)
+
     def _place_of(self, service: str, index: int) -> tuple[ServiceState | None, int | None]:
         state = self._states.get(service)
         return state, None if state is None else state.service.position_of(index)
--- a/src/dotterelstand/process/slots.py
+++ b/src/dotterelstand/process/slots.py
@@ -7,7 +7,15 @@
 from returns.result import Failure, Result, Success
 
 from dotterelstand.codes import Result as ResultCode
-from dotterelstand.connection.wire import Acquire, Grant, Paces, Refuse, Release, TargetLeaving
+from dotterelstand.connection.wire import (
+    Acquire,
+    Grant,
+    Paces,
+    Queued,
+    Refuse,
+    Release,
+    TargetLeaving,
+)
 from dotterelstand.events import Event, log
 from dotterelstand.process.health import SLOW_LIFE_S, SLOW_PACE
 from dotterelstand.process.measure import MeasureBudget, MeasureLimit
@@ -58,6 +66,7 @@
         now = trio.current_time
         mesh.subscribe(Acquire, lambda sender, message: core.on_acquire(sender, message, now()))
         mesh.subscribe(Grant, lambda sender, message: core.on_grant(sender, message, now()))
+        mesh.subscribe(Queued, lambda sender, message: core.on_queued(sender, message, now()))
         mesh.subscribe(Refuse, lambda sender, message: core.on_refuse(sender, message, now()))
         mesh.subscribe(Release, lambda sender, message: core.on_release(sender, message, now()))
         mesh.subscribe(TargetLeaving, self._on_leaving)
--- a/src/dotterelstand/process/ticket.py
+++ b/src/dotterelstand/process/ticket.py
@@ -30,6 +30,7 @@
         "due",
         "grant",
         "number",
+        "queued_until",
         "refusal",
         "resolve",
         "service",
@@ -50,6 +51,8 @@
         self.asked_at = now
         self.resolve = resolve
         self.due = call.deadline
+        # Until when the dispatcher is believed to keep the call queued; 0 if it never said so.
+        self.queued_until = 0.0
         self.state = TicketState.ASKED
         self.dispatcher = ""
         self.grant: SlotGrant | None = None
--- a/src/dotterelstand/request/exchange.py
+++ b/src/dotterelstand/request/exchange.py
@@ -17,6 +17,7 @@
 from dotterelstand.request.head import RequestHead, head_digest
 from dotterelstand.request.keyed import KeyedRun
 from dotterelstand.request.policy import (
+    LATE_MULTIPLE,
     Failed,
     RetryDecision,
     ServicePolicy,
@@ -172,7 +173,14 @@
         classes = self._document.classes
         last = len(classes) - 1
         klass = classes.index(self._route.klass) if self._route.klass in classes else last
-        call = SlotCall(klass, self._head.tenant, self._scope.deadline, excluded, spare)
+        prompt_until: float | None = None
+        if self._route.latency_s is not None:
+            # A late call does not become prompt again by waiting longer.
+            usual_s = self._policy.times.usual_s
+            prompt_until = self._began + self._route.latency_s - LATE_MULTIPLE * usual_s
+        call = SlotCall(
+            klass, self._head.tenant, self._scope.deadline, excluded, spare, prompt_until
+        )
         return await self._context.slots.acquire(self._service, call)
 
     async def _try(self, attempt: Attempt) -> tuple[ResultCode, bool]:
--- a/tests/test_measure.py
+++ b/tests/test_measure.py
@@ -52,7 +52,7 @@
 @pytest.mark.parametrize("mask", [False, True])
 def test_model_counts_frames_as_websockets_does(mask: bool) -> None:
     """Guards against byte figures that leave out framing."""
-    payload = encode_messages([Acquire(3, pack_need(0, 0, None), 2)])
+    payload = encode_messages([Acquire(3, pack_need(0, 0, None), 0, 2)])
     size = len(Frame(Opcode.BINARY, payload).serialize(mask=mask))
     assert size == len(payload) + HEADER_BYTES + (MASK_BYTES if mask else 0)
 
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -148,6 +148,32 @@
     run_objects(scenario)
 
 
+def test_an_answer_that_waits_for_its_turn_outlives_its_deadline() -> None:
+    """Guards against resetting a connection because a pipelined answer waited for another."""
+
+    async def scenario(fleet: ObjectFleet) -> None:
+        for instance in fleet.instances:
+            instance.work_s = 0.05
+            instance.answers = []
+        slow = fleet.request(path="/a/slow", deadline_ms=2000)
+        quick = fleet.request(path="/a/quick", deadline_ms=200)
+        stream = await fleet.stream()
+        for instance in fleet.instances:
+            instance.work_s = 0.6
+        await stream.send_all(slow)
+        await trio.sleep(0.01)
+        for instance in fleet.instances:
+            instance.work_s = 0.05
+        await stream.send_all(quick)
+        answers = b""
+        while answers.count(b"whole body") < 2:
+            data = bytes(await stream.receive_some(65536))
+            assert data, "the connection ended without both answers"
+            answers += data
+
+    run_objects(scenario)
+
+
 def test_the_routes_time_limit_ends_a_request() -> None:
     """Guards against holding a request past its route's time limit."""
 
--- a/tests/test_queue.py
+++ b/tests/test_queue.py
@@ -13,7 +13,7 @@
 
 def _popped(queue: CallQueue) -> list[int]:
     order = []
-    while (call := queue.pop()) is not None:
+    while (call := queue.pop(0.0)) is not None:
         order.append(call.key[1])
     return order
 
@@ -76,7 +76,7 @@
                 assert evicted.key[1] == max(same)
                 del waiting[evicted.key[1]]
         elif action < 0.9:
-            popped = queue.pop()
+            popped = queue.pop(0.0)
             if popped is not None:
                 assert popped.klass == min(call.klass for call in waiting.values())
                 del waiting[popped.key[1]]
