Count requests of others at a target, cross regions only for promptness, and deliver ready answers

Change: load reports count the requests of others for 0.3 s; a call crosses only if it would be late here; late calls are served newest first and given up at 1.5 usual durations; complete answers are sent whatever the deadline.

--- a/src/dotterelstand/connection/caller.py
+++ b/src/dotterelstand/connection/caller.py
@@ -243,6 +243,11 @@
         """Longest time in seconds between two pieces of a request's body."""
         return self._limits.body_idle_timeout_s
 
+    @property
+    def will_close(self) -> bool:
+        """Whether an answer told the caller that the connection ends."""
+        return self._will_close
+
     @property
     def serving(self) -> int:
         """Number of requests that have no answer yet."""
@@ -272,8 +277,11 @@
     async def next_request(self) -> CallerRequest | ResultCode | None:
         """Next request, the code of its refusal, or None if the connection ends.
 
-        The one before it must have been read to its end.
+        The one before it must have been read to its end. What follows an answer that ends the
+        connection counts as not read.
         """
+        if self._will_close and not self._serving:
+            return None
         if not self._raw and not await self._wait_idle():
             return None
         # Most heads arrive in one piece, and a cancel scope costs more than this search.
--- a/src/dotterelstand/process/dispatcher.py
+++ b/src/dotterelstand/process/dispatcher.py
@@ -14,6 +14,9 @@
 from dotterelstand.version.document import Service
 
 HOLD_WEIGHT = 0.02
+# A call is given up when less than this multiple of the usual duration is left: one that is cut
+# off at its deadline has used its slot for nothing.
+HOPELESS_MULTIPLE = 1.5
 
 
 class Granted:
@@ -199,7 +202,7 @@
         """Apply what time changed and serve waiting calls as far as slots allow."""
         self.advance_health(now)
         decisions: list[Decision] = []
-        for hopeless in self._queue.take_hopeless(now + self._local.usual_s):
+        for hopeless in self._queue.take_hopeless(now + HOPELESS_MULTIPLE * self._local.usual_s):
             # Told now, the caller has time to try again elsewhere.
             self.counters.deadline_refused += 1
             decisions.append(Refused(hopeless.key, ResultCode.DEADLINE_TOO_SHORT))
@@ -369,7 +372,11 @@
             return None
         crossing_s = self._tuning.crossing_s
         is_full = len(self._queue) >= self._queue.capacity
-        if self._fitting(call) and wait_s <= crossing_s and not is_full:
+        # A call that can wait here and still be prompt does not pay the price of crossing.
+        allowed_s = crossing_s
+        if call.prompt_until is not None:
+            allowed_s = max(crossing_s, call.prompt_until - now)
+        if self._fitting(call) and wait_s <= allowed_s and not is_full:
             return None
         if remaining_s < crossing_s + self._local.usual_s:
             return None
--- a/src/dotterelstand/process/front.py
+++ b/src/dotterelstand/process/front.py
@@ -112,6 +112,8 @@
             if isinstance(request, ResultCode):
                 await self._reject(connection, connection.refusal(), request)
                 return
+            if connection.will_close:
+                break
             connection.begin(request)
             if self._may_overlap(request) and connection.serving < MAX_OVERLAPPING:
                 nursery.start_soon(self._serve_request, connection, request)
--- a/src/dotterelstand/process/health.py
+++ b/src/dotterelstand/process/health.py
@@ -32,6 +32,8 @@
 # Seconds after which a report of a slow target is no longer believed. Neighbours on the same
 # machine come and go several times a second.
 SLOW_LIFE_S = 0.5
+# Seconds for which requests of others are believed to be at a target after it reported them.
+OTHERS_LIFE_S = 0.3
 # Time in use after which a target's ejections are forgotten, as a multiple of the last period.
 FORGIVE_MULTIPLE = 10.0
 
@@ -56,6 +58,7 @@
     EJECTION_ENDS = 1
     HOLD_ENDS = 2
     SLOWNESS_ENDS = 3
+    OTHERS_FORGOTTEN = 4
 
 
 class TargetHealth:
@@ -74,6 +77,7 @@
         "incarnation",
         "leaving",
         "name",
+        "others",
         "pace",
         "probation",
         "reported",
@@ -100,6 +104,8 @@
         self.successes = 0
         self.reported = 0.0
         self.reported_at = 0.0
+        # Requests at the target that this host did not send, as last reported.
+        self.others = 0
         self.pace = 1.0
         self.slow_until = -math.inf
 
@@ -216,6 +222,13 @@
         self._usual_foreign += FOREIGN_WEIGHT * (foreign - self._usual_foreign)
         target.reported = max(0.0, foreign - self._usual_foreign) * target.slots
         target.reported_at = now
+        others = max(0, report.requests - target.in_flight)
+        if others != target.others:
+            target.others = others
+            self._place(position)
+        if others:
+            due = now + OTHERS_LIFE_S
+            heapq.heappush(self._due, (due, position, Due.OTHERS_FORGOTTEN.value))
         self.note_pace(position, report.pace, now)
 
     def note_pace(self, position: int, pace: float, now: float) -> bool:
@@ -267,6 +280,10 @@
             if kind == Due.HOLD_ENDS.value:
                 target.in_flight -= 1
                 self._place(position)
+            elif kind == Due.OTHERS_FORGOTTEN.value:
+                if target.others and target.reported_at + OTHERS_LIFE_S <= now:
+                    target.others = 0
+                    self._place(position)
             elif kind == Due.SLOWNESS_ENDS.value:
                 if target.slow and target.slow_until <= now:
                     target.pace = 1.0
@@ -401,7 +418,8 @@
             limit = self._tuning.useful_slots(target.slots)
             limit += math.ceil(self._lookahead_per_slot * target.slots)
         handicap = target.pace - 1 if target.slow else 0.0
-        self.index.place(position, target.in_flight, target.allowance, limit, handicap)
+        occupied = target.in_flight + target.others
+        self.index.place(position, occupied, target.allowance, limit, handicap)
 
 
 def _return_cold(target: TargetHealth) -> None:
--- a/src/dotterelstand/process/queue.py
+++ b/src/dotterelstand/process/queue.py
@@ -36,7 +36,7 @@
         spare: bool = False,
     ) -> None:
         self.spare = spare
-        self.prompt_until = deadline
+        self.prompt_until: float | None = None
         self.key = key
         self.klass = klass
         self.tenant = tenant
@@ -59,10 +59,10 @@
         self.tenants.setdefault(call.tenant, OrderedDict())[call.key] = call
         self.size += 1
 
-    def take(self) -> WaitingCall:
-        """Oldest call of the tenant whose turn it is."""
+    def take(self, newest: bool = False) -> WaitingCall:
+        """Oldest or newest call of the tenant whose turn it is."""
         tenant, calls = next(iter(self.tenants.items()))
-        _, call = calls.popitem(last=False)
+        _, call = calls.popitem(last=newest)
         if calls:
             self.tenants.move_to_end(tenant)
         else:
@@ -156,9 +156,10 @@
         """
         for number in range(0, len(self._lanes), 2):
             self._demote(number, now)
-        for lane in self._lanes:
+        for number, lane in enumerate(self._lanes):
             if lane.size:
-                call = lane.take()
+                # Of late calls, the newest is the likeliest to end before its deadline.
+                call = lane.take(newest=number % 2 == 1)
                 self._discard(call)
                 return call
         return None
@@ -188,7 +189,7 @@
         lane = self._lanes[number]
         late = [call for calls in lane.tenants.values() for call in calls.values()]
         for call in late:
-            if call.prompt_until < now:
+            if call.prompt_until is not None and call.prompt_until < now:
                 lane.drop(call)
                 self._lanes[number + 1].add(call)
                 self._lane_of[call.key] = number + 1
--- a/src/dotterelstand/process/slotcore.py
+++ b/src/dotterelstand/process/slotcore.py
@@ -385,8 +385,7 @@
         klass = min(call.klass, CLASSES - 1)
         zone = self._mesh.zone(self._mesh.host)
         waiting = WaitingCall(key, klass, tenant, now, call.deadline, excluded, zone, call.spare)
-        if call.prompt_until is not None:
-            waiting.prompt_until = call.prompt_until
+        waiting.prompt_until = call.prompt_until
         return waiting
 
     def _leave_queue(self, ticket: Ticket, state: ServiceState, now: float) -> None:
--- a/src/dotterelstand/request/policy.py
+++ b/src/dotterelstand/request/policy.py
@@ -195,7 +195,7 @@
     """
     delay_s = times.hedge_after_s
     if latency_left_s is not None:
-        usual_s = times.usual_s or latency_left_s / 2
+        usual_s = times.usual_s or max(0.0, latency_left_s) / 2
         delay_s = max(LATE_MULTIPLE * usual_s, latency_left_s - LATE_MULTIPLE * usual_s)
     if not idempotent or not enabled or delay_s is None:
         return None
--- a/src/dotterelstand/request/relay.py
+++ b/src/dotterelstand/request/relay.py
@@ -19,6 +19,8 @@
 HOLD_BYTES = 65536
 # Seconds for which an answer that does not state its length is held; a longer one is a stream.
 HOLD_S = 0.25
+# Seconds in which a caller takes a complete answer, however little time its request had left.
+DELIVERY_S = 2.0
 
 
 class Relay:
@@ -66,8 +68,12 @@
                 data += self._caller.encode_body(body)
             if not self.complete:
                 return await self._pass_on(data, self._target.poll())
-            await self._send(data + self._caller.encode_end())
-            return ResultCode.ANSWERED
+            # A deadline that passes now must not break off an answer that is ready.
+            with trio.CancelScope(shield=True) as scope:
+                scope.deadline = trio.current_time() + DELIVERY_S
+                await self._send(data + self._caller.encode_end())
+                return ResultCode.ANSWERED
+            return ResultCode.CALLER_LEFT
         except h11.RemoteProtocolError:
             return self._cut_code()
         except (trio.BrokenResourceError, trio.ClosedResourceError):
