--- a/src/dotterelstand/process/health.py
+++ b/src/dotterelstand/process/health.py
@@ -303,7 +303,8 @@
         for position, target in enumerate(self.targets):
             before = known.get(target.name)
             if before is None or before.incarnation != target.incarnation:
-                self.mark_cold(position)
+                if self._tuning.new_targets_cold:
+                    self.mark_cold(position)
                 continue
             target.failures, target.duration_s = before.failures, before.duration_s
             target.ejections = before.ejections
--- a/src/dotterelstand/process/tuning.py
+++ b/src/dotterelstand/process/tuning.py
@@ -21,6 +21,7 @@
         "grant_life_s",
         "lookahead_per_slot",
         "max_calls",
+        "new_targets_cold",
         "slow_factor",
         "successes_per_slot",
     )
@@ -37,6 +38,7 @@
         self.max_calls = 4096
         self.slow_factor = 5.0
         self.successes_per_slot = 4
+        self.new_targets_cold = True
         self.full_share = 0.8
         self.full_slowdown = 1.0
 
@@ -65,6 +67,7 @@
     tuning.max_calls = settings.integer(section, "max_calls")
     tuning.slow_factor = settings.number(section, "slow_factor")
     tuning.successes_per_slot = settings.integer(section, "successes_per_slot")
+    tuning.new_targets_cold = settings.flag(section, "new_targets_cold")
     tuning.full_share = settings.number(section, "full_share")
     tuning.full_slowdown = settings.number(section, "full_slowdown")
     assert tuning.eject_share < 1, "selection.eject_share must leave targets in use"
--- a/src/dotterelstand/settings_rules.py
+++ b/src/dotterelstand/settings_rules.py
@@ -280,6 +280,7 @@
         "eject_longest_s": Between(0.01, 3600),
         "failure_bound": Between(0.01, 1),
         "slow_factor": Between(1, 1000),
+        "new_targets_cold": FLAG,
         "full_share": Between(0, 1),
         "full_slowdown": Between(1, 100),
         "successes_per_slot": Between(1, 10_000),
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -199,3 +199,40 @@
     for position in range(1, 8, 2):
         table.start(position)
     assert {choose(table, NO_TARGETS, 0.0, "z1") for _ in range(50)} == {0, 2, 4, 6}
+
+
+@pytest.mark.parametrize(("cold", "allowance"), [(True, 1), (False, 2)])
+def test_a_target_that_a_version_adds_starts_as_the_settings_say(
+    cold: bool, allowance: int
+) -> None:
+    """Guards against a host that uses a quarter of its slots because targets registered late."""
+    tuning = SelectionTuning()
+    tuning.new_targets_cold = cold
+    old = HealthTable([Target("a", "10.0.0.1", 1, "r", "z", 2)], tuning)
+    targets = [Target(name, "10.0.0.1", 1, "r", "z", 2) for name in ("a", "b")]
+    new = HealthTable(targets, tuning)
+    new.inherit(old)
+    assert [target.allowance for target in new.targets] == [2, allowance]
+
+
+def test_requests_of_others_occupy_a_target_while_they_are_reported() -> None:
+    """Guards against filling a target that hosts which cannot be heard already fill."""
+    table = HealthTable([Target("a", "10.0.0.1", 1, "r", "z", 2)], SelectionTuning())
+    table.report_load(0, LoadReport(9), 1.0)
+    assert not len(table.index.open)
+    table.advance(1.2)
+    assert not len(table.index.open)
+    table.advance(1.4)
+    assert len(table.index.open) == 1
+
+
+def test_a_slow_target_ranks_behind_full_ones_until_its_report_is_old() -> None:
+    """Guards against work for a target whose machine is busy, and against avoiding it for ever."""
+    targets = [Target(name, "10.0.0.1", 1, "r", "z", 2) for name in ("a", "b")]
+    table = HealthTable(targets, SelectionTuning())
+    table.start(1)
+    table.start(1)
+    assert table.note_pace(0, 4.0, 1.0) and table.targets[0].slow
+    assert table.index.least(random.Random(1), frozenset()) == 1
+    table.advance(2.0)
+    assert table.index.least(random.Random(1), frozenset()) == 0
