--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -11,6 +11,7 @@
 from dotterelstand.process.slotindex import NO_TARGETS
 from dotterelstand.process.tuning import SelectionTuning
 from dotterelstand.request.fields import LoadReport
+from dotterelstand.version.document import Target
 
 OK = AttemptOutcome.OK
 FAILED = AttemptOutcome.FAILED
