--- a/src/dotterelstand/process/backing.py
+++ b/src/dotterelstand/process/backing.py
@@ -7,6 +7,7 @@
 from dotterelstand.process.control import ControlRegistry
 from dotterelstand.process.metrics import Metrics
 from dotterelstand.request.ports import Journal
+from dotterelstand.settings import Settings
 
 
 class Backing(Protocol):
@@ -27,6 +28,9 @@
     def register(self, registry: ControlRegistry, metrics: Metrics) -> None:
         """Register the pages and counters."""
 
+    def reload(self, settings: Settings, changed: list[str]) -> list[str]:
+        """Take new settings; returns the changed keys that are in force now."""
+
     async def run(self) -> None:
         """Work until cancelled."""
 
--- a/src/dotterelstand/process/catalogue.py
+++ b/src/dotterelstand/process/catalogue.py
@@ -61,6 +61,11 @@
         """Configuration in force."""
         return self._configuration
 
+    def retune(self, regions: dict[str, str], tuning: ServiceTuning) -> None:
+        """Use other regions and defaults of services for the next document."""
+        self._regions = regions
+        self._tuning = tuning
+
     def platform_lost(self) -> None:
         """The list of targets cannot be read or watched."""
         self._was_away = True
--- a/src/dotterelstand/process/daemon.py
+++ b/src/dotterelstand/process/daemon.py
@@ -130,6 +130,11 @@
         """Pages and actions of the control port."""
         return self._registry
 
+    def reload(self, settings: Settings, changed: list[str]) -> list[str]:
+        """Take new settings; returns the changed keys that are in force without a new start."""
+        self._settings = settings
+        return self.backing.reload(settings, changed)
+
     def stop(self) -> None:
         """Begin a graceful stop."""
         if not self._stopping.is_set():
--- a/src/dotterelstand/process/follow.py
+++ b/src/dotterelstand/process/follow.py
@@ -233,25 +233,26 @@
         now = trio.current_time()
         self._catalogue.platform_found(now)
         self._catalogue.replace_targets(_targets(entries), now)
-        self._publish()
+        self.publish()
 
     def _change_targets(self, entries: list[Entry[Item]]) -> None:
         now = trio.current_time()
         self._catalogue.platform_found(now)
         if entries:
             self._catalogue.change_targets(_targets(entries), now)
-            self._publish()
+            self.publish()
 
     def _take_configuration(self, entries: list[Entry[Item]]) -> None:
         for entry in entries:
             if isinstance(entry.item, Configuration):
                 if self._catalogue.offer(entry.item):
                     log(Event.DOCUMENT_APPLIED, number=entry.item.number)
-                    self._publish()
+                    self.publish()
                 elif entry.item.number < self._catalogue.number:
                     log(Event.DOCUMENT_OLDER, number=entry.item.number)
 
-    def _publish(self) -> None:
+    def publish(self) -> None:
+        """Apply the document in force, after a change."""
         self._changed.set()
         document = self._catalogue.document()
         if document is not None:
@@ -264,7 +265,7 @@
             with trio.move_on_at(float("inf") if due is None else due):
                 await self._changed.wait()
             if self._catalogue.expire(trio.current_time()):
-                self._publish()
+                self.publish()
 
 
 def _targets(entries: list[Entry[Item]]) -> list[Entry[RegisteredTarget]]:
--- a/src/dotterelstand/process/main.py
+++ b/src/dotterelstand/process/main.py
@@ -17,6 +17,7 @@
 from dotterelstand.events import Event, log
 from dotterelstand.exits import ExitCode
 from dotterelstand.process.daemon import Daemon
+from dotterelstand.process.settingsfile import SettingsFile
 from dotterelstand.settings import Settings, SettingsError, load_settings
 
 # New objects after which the youngest generation is collected.
@@ -36,7 +37,7 @@
     if not is_successful(certificates):
         _end_for_settings(certificates.failure())
     try:
-        trio.run(_serve, result.unwrap(), certificates.unwrap())
+        trio.run(_serve, Path(settings), result.unwrap(), certificates.unwrap())
     except* OSError as group:
         for error in leaf_errors(group):
             print(f"dotterelstandd: {error}", file=sys.stderr)
@@ -58,11 +59,13 @@
     sys.exit(ExitCode.SETTINGS_INVALID)
 
 
-async def _serve(settings: Settings, certificates: Certificates) -> None:
+async def _serve(path: Path, settings: Settings, certificates: Certificates) -> None:
     _tune_collector()
     daemon = Daemon(settings, TcpNetwork(), random.Random(), certificates)
+    file = SettingsFile(path, settings)
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(_stop_on_signal, daemon)
+        nursery.start_soon(_handle_signals, daemon, file)
+        nursery.start_soon(file.follow, daemon.reload)
         await daemon.run()
         nursery.cancel_scope.cancel()
 
@@ -77,10 +80,13 @@
     gc.set_threshold(YOUNG_OBJECTS, 20, 50)
 
 
-async def _stop_on_signal(daemon: Daemon) -> None:
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for _ in signals:
-            daemon.stop()
+async def _handle_signals(daemon: Daemon, file: SettingsFile) -> None:
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+        async for number in signals:
+            if number == signal.SIGHUP:
+                file.read_now()
+            else:
+                daemon.stop()
 
 
 def main() -> None:
--- a/src/dotterelstand/process/objectbacking.py
+++ b/src/dotterelstand/process/objectbacking.py
@@ -69,6 +69,15 @@
     def register(self, registry: ControlRegistry, metrics: Metrics) -> None:
         """There are no pages beside those of every host."""
 
+    def reload(self, settings: Settings, changed: list[str]) -> list[str]:
+        """Take the defaults of services and the regions of the zones."""
+        applied = [key for key in changed if key.startswith("service_defaults.")]
+        applied += [key for key in changed if key == "host.regions"]
+        if applied:
+            self._catalogue.retune(read_regions(settings), _service_tuning(settings))
+            self._feed.publish()
+        return applied
+
     async def run(self) -> None:
         """Follow the platform until cancelled."""
         await self._feed.run()
@@ -84,7 +93,7 @@
 
 
 def _service_tuning(settings: Settings) -> ServiceTuning:
-    section = "services"
+    section = "service_defaults"
     return ServiceTuning(
         settings.flag(section, "hedge"),
         settings.number(section, "retry_share"),
--- a/src/dotterelstand/process/ownbacking.py
+++ b/src/dotterelstand/process/ownbacking.py
@@ -69,6 +69,10 @@
             registry, metrics, self._settings, self._store, self._peers, self._journal
         )
 
+    def reload(self, settings: Settings, changed: list[str]) -> list[str]:
+        """Every setting of this protocol takes effect at the next start."""
+        return []
+
     async def run(self) -> None:
         """Read the host list, spread the document and keep the journal until cancelled."""
         async with trio.open_nursery() as nursery:
--- a/src/dotterelstand/process/registry.py
+++ b/src/dotterelstand/process/registry.py
@@ -12,11 +12,11 @@
 T = TypeVar("T")
 
 # Why a call to the platform gave no answer.
-UNANSWERED = 5101
-REFUSED = 5102
-HISTORY_LOST = 5103
-UNREADABLE = 5104
-EXISTS = 5105
+UNANSWERED = 5201
+REFUSED = 5202
+HISTORY_LOST = 5203
+UNREADABLE = 5204
+EXISTS = 5205
 
 
 class PlatformError(CodedError):
--- /dev/null
+++ b/src/dotterelstand/process/settingsfile.py
@@ -0,0 +1,75 @@
+"""Follows changes of the settings file, with or without a signal."""
+
+from collections.abc import Callable
+from pathlib import Path
+
+import trio
+from returns.pipeline import is_successful
+
+from dotterelstand.events import Event, log
+from dotterelstand.settings import Settings, load_settings
+
+# Seconds between two looks at the file.
+LOOK_S = 1.0
+
+# Takes new settings and the keys that differ; returns the keys that are in force now.
+Apply = Callable[[Settings, list[str]], list[str]]
+
+
+class SettingsFile:
+    """The settings file of a running daemon; a file that is not valid changes nothing."""
+
+    __slots__ = ("_path", "_settings", "_stamp", "_wake")
+
+    def __init__(self, path: Path, settings: Settings) -> None:
+        self._path = path
+        self._settings = settings
+        self._stamp = self._read_stamp()
+        self._wake = trio.Event()
+
+    def read_now(self) -> None:
+        """Read the file even if it looks unchanged."""
+        self._stamp = None
+        self._wake.set()
+
+    async def follow(self, apply: Apply) -> None:
+        """Apply changes until cancelled."""
+        while True:
+            with trio.move_on_after(LOOK_S):
+                await self._wake.wait()
+            self._wake = trio.Event()
+            stamp = self._read_stamp()
+            if stamp != self._stamp:
+                self._stamp = stamp
+                self._reload(apply)
+
+    def _read_stamp(self) -> tuple[int, int] | None:
+        try:
+            status = self._path.stat()
+        except OSError as error:
+            log(Event.SETTINGS_INVALID, errors=1, reason=str(error))
+            return None
+        return status.st_mtime_ns, status.st_size
+
+    def _reload(self, apply: Apply) -> None:
+        result = load_settings(self._path)
+        if not is_successful(result):
+            errors = result.failure()
+            log(Event.SETTINGS_INVALID, errors=len(errors), reason=str(errors[0]))
+            return
+        new = result.unwrap()
+        changed = _differences(self._settings, new)
+        applied = apply(new, changed)
+        self._settings = new
+        later = [key for key in changed if key not in applied]
+        log(Event.SETTINGS_RELOADED, applied=applied, at_next_start=later)
+
+
+def _differences(old: Settings, new: Settings) -> list[str]:
+    before, after = old.as_dict(), new.as_dict()
+    return [
+        f"{section}.{key}"
+        for section, keys in after.items()
+        for key, value in keys.items()
+        if before[section][key] != value
+    ]
--- a/src/dotterelstand/settings_rules.py
+++ b/src/dotterelstand/settings_rules.py
@@ -253,7 +253,7 @@
         "retry_min_per_s": Between(0, 1000),
         "held_body_bytes": Between(0, 16 * MIB),
     },
-    "services": {
+    "service_defaults": {
         "hedge": FLAG,
         "retry_share": Between(0, 1),
         "max_queue_per_slot": Between(0, 1000),
--- /dev/null
+++ b/tests/test_catalogue.py
@@ -0,0 +1,149 @@
+"""Which targets and configurations are in force, and how the platform's objects are read."""
+
+import copy
+from typing import Any
+
+import pytest
+from platform_standin import configuration, route, server_entry
+from returns.pipeline import is_successful
+
+from dotterelstand.platform.decode import read_configuration, read_host, read_target
+from dotterelstand.process.catalogue import LAPSE_S, Catalogue, ServiceTuning
+from dotterelstand.process.registry import Entry
+from dotterelstand.request.fields import read_load
+from dotterelstand.request.split import SplitCounts
+
+TUNING = ServiceTuning(True, 0.2, 4, 10.0)
+
+
+def _entry(name: str, **changes: Any) -> Entry:  # type: ignore[type-arg]
+    return Entry(name, read_target(name, server_entry("s", "10.1.0.1:80", **changes)).unwrap())
+
+
+def _catalogue() -> Catalogue:
+    catalogue = Catalogue({"local-1": "local"}, TUNING)
+    assert catalogue.offer(read_configuration(configuration(7, route("s"))).unwrap())
+    return catalogue
+
+
+def _names(catalogue: Catalogue) -> list[str]:
+    document = catalogue.document()
+    assert document is not None
+    return [target.name for target in document.services["s"].targets]
+
+
+DAMAGED_TARGETS: list[dict[str, Any]] = [
+    {"address": "10.1.0.1"},
+    {"address": 7},
+    {"info": None},
+    {"info": {"service": "s", "zone": "local-1"}},
+    {"status": {"state": "lost", "sequence": 1, "warmupLeftS": 0}},
+    {"status": {"state": "ready", "sequence": 1, "warmupLeftS": "no"}},
+    {"status": {"state": "ready", "sequence": True, "warmupLeftS": 0}},
+    {"born": 1.5},
+]
+
+
+@pytest.mark.parametrize("damage", [*DAMAGED_TARGETS, "text", None, [1]])
+def test_a_registration_of_another_writer_names_no_target(damage: Any) -> None:
+    """Guards against using an entry with missing or wrong fields, and against failing for it."""
+    spec: Any = damage
+    if isinstance(damage, dict):
+        spec = {**server_entry("s", "10.1.0.1:80"), **damage}
+    assert not is_successful(read_target("i-0", spec))
+
+
+CONFIGURATION_DAMAGE: list[Any] = [
+    lambda body: body.pop("version"),
+    lambda body: body.update(version="7"),
+    lambda body: body.update(resources={}),
+    lambda body: body["resources"][0]["spec"].update(service="unknown"),
+    lambda body: body["resources"][0]["spec"].update(pathPrefix="/a"),
+    lambda body: body["resources"][0]["spec"].pop("timeoutS"),
+    lambda body: body["resources"][0]["spec"].update(attempts=0),
+    lambda body: body["resources"][0].update(spec=[]),
+    lambda body: body["resources"].append("text"),
+]
+
+
+@pytest.mark.parametrize("damage", range(len(CONFIGURATION_DAMAGE)))
+def test_a_damaged_configuration_is_refused_whole(damage: int) -> None:
+    """Guards against putting a part of a configuration in force."""
+    body = copy.deepcopy(configuration(9, route("s")))
+    CONFIGURATION_DAMAGE[damage](body)
+    assert not is_successful(read_configuration(body))
+
+
+def test_a_configuration_never_goes_back() -> None:
+    """Guards against an older version that a late answer brings."""
+    catalogue = _catalogue()
+    assert not catalogue.offer(read_configuration(configuration(6, route("s"))).unwrap())
+    assert not catalogue.offer(read_configuration(configuration(7, route("s"))).unwrap())
+    assert catalogue.offer(read_configuration(configuration(8, route("s"))).unwrap())
+
+
+@pytest.mark.parametrize(
+    ("kind", "idempotent", "bulk"),
+    [("safe", True, False), ("unsafe", False, False), ("upload", False, True), ("new", False, 0)],
+)
+def test_the_route_type_says_what_may_be_repeated(kind: str, idempotent: bool, bulk: bool) -> None:
+    """Guards against repeating requests of a type that is not known to be repeatable."""
+    decoded = read_configuration(configuration(7, route("s", kind=kind))).unwrap()
+    assert decoded.routes[0].idempotent is idempotent
+    assert (decoded.routes[0].klass in decoded.bulk) == bool(bulk)
+
+
+def test_targets_that_vanish_while_the_platform_is_away_may_come_back() -> None:
+    """Guards against giving up live targets whose registrations lapsed with the platform."""
+    catalogue = _catalogue()
+    catalogue.replace_targets([_entry("i-0"), _entry("i-1"), _entry("i-2", state="draining")], 0.0)
+    assert _names(catalogue) == ["i-0", "i-1"]
+    catalogue.platform_lost()
+    catalogue.platform_found(10.0)
+    catalogue.replace_targets([_entry("i-1")], 10.0)
+    assert _names(catalogue) == ["i-0", "i-1"]
+    assert catalogue.next_due() == 10.0 + LAPSE_S
+    assert catalogue.expire(10.0 + LAPSE_S)
+    assert _names(catalogue) == ["i-1"]
+
+
+def test_a_target_that_is_removed_in_calm_times_is_gone_at_once() -> None:
+    """Guards against work for a target whose registration was removed."""
+    catalogue = _catalogue()
+    catalogue.replace_targets([_entry("i-0"), _entry("i-1")], 0.0)
+    catalogue.change_targets([Entry("i-0", None, removed=True)], 1.0)
+    assert _names(catalogue) == ["i-1"]
+    catalogue.change_targets([_entry("i-0")], 2.0)
+    assert _names(catalogue) == ["i-0", "i-1"]
+
+
+def test_a_damaged_host_entry_is_ignored() -> None:
+    """Guards against links to addresses that no entry host wrote."""
+    assert not is_successful(read_host("e", {"address": "10.0.0.1", "port": "7"}))
+
+
+@pytest.mark.parametrize(
+    ("value", "requests", "pace"),
+    [(b"3", 3, 1.0), (b"3,2,8", 5, 1.0), (b"1,0,2,400", 1, 4.0)],
+)
+def test_load_reports_are_read(value: bytes, requests: int, pace: float) -> None:
+    """Guards against taking running requests for all, or a pace for a count."""
+    report = read_load(value)
+    assert report is not None and (report.requests, report.pace) == (requests, pace)
+
+
+@pytest.mark.parametrize("value", [b"", b"x", b"-1", b"1,,2", b"1,2,3,4e2", b"9999999"])
+def test_malformed_load_reports_are_ignored(value: bytes) -> None:
+    """Guards against a load report that fails a request."""
+    assert read_load(value) is None
+
+
+def test_a_split_follows_its_weights_from_the_first_requests() -> None:
+    """Guards against shares that are right only over thousands of requests."""
+    parts = [{"service": "s", "weight": 90}, {"service": "t", "weight": 10}]
+    body = configuration(7, route("s", trafficSplit=parts), services=("s", "t"))
+    decoded = read_configuration(body).unwrap()
+    counts = SplitCounts()
+    chosen = [counts.choose(decoded.routes[0]) for _ in range(40)]
+    assert chosen.count("t") == 4
+    assert [chosen[start : start + 10].count("t") for start in (0, 10, 20, 30)] == [1, 1, 1, 1]
--- /dev/null
+++ b/tests/test_platform_names.py
@@ -0,0 +1,45 @@
+"""Names of the users' platform stand only in the adapter."""
+
+import re
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).parent.parent / "src" / "dotterelstand"
+SOURCES = sorted(path for path in ROOT.rglob("*.py") if path.parent.name != "platform")
+# Names of fields, headers and kinds that no other protocol of the product uses.
+NAMES = (
+    "x-dotterelstand",
+    "pathPrefix",
+    "routeType",
+    "trafficSplit",
+    "timeoutS",
+    "targetLatencyS",
+    "resourceType",
+    "healthPath",
+    "maxConns",
+    "warmupLeftS",
+    "currentRev",
+    "waitMs",
+    "hasMore",
+    "staleOk",
+    "/dotterelstand/objects",
+)
+# The adapter reads only what is up to date.
+UNUSED = ("staleOk",)
+
+
+@pytest.mark.parametrize("name", NAMES)
+def test_no_name_of_the_platform_stands_outside_its_adapter(name: str) -> None:
+    """Guards against a second place that has to change with the platform's protocol."""
+    flags = re.IGNORECASE if name.startswith("x-") else 0
+    pattern = re.compile(rf"(?<![A-Za-z]){re.escape(name)}(?![A-Za-z])", flags)
+    found = [str(path) for path in SOURCES if pattern.search(path.read_text(encoding="utf-8"))]
+    assert not found
+
+
+@pytest.mark.parametrize("name", [name for name in NAMES if name not in UNUSED])
+def test_the_adapter_uses_each_name(name: str) -> None:
+    """Guards against a list of names that no longer says what the platform's protocol says."""
+    text = "".join(path.read_text(encoding="utf-8") for path in (ROOT / "platform").glob("*.py"))
+    assert name.lower() in text.lower()
--- /dev/null
+++ b/tests/test_settings_file.py
@@ -0,0 +1,70 @@
+"""Changes of the settings file reach a running daemon."""
+
+import os
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+import trio
+import trio.testing
+
+from dotterelstand.process.settingsfile import SettingsFile
+from dotterelstand.settings import Settings, load_settings
+
+CHANGES = [
+    ("[service_defaults]\nretry_share = 0.2\n", [["service_defaults.retry_share"]]),
+    ("[service_defaults]\nretry_share = 7\n", []),
+    ("not TOML", []),
+]
+
+
+@pytest.mark.parametrize("by_signal", [True, False])
+@pytest.mark.parametrize(("text", "expected"), CHANGES)
+def test_a_changed_file_is_applied_if_it_is_valid(
+    tmp_path: Path, text: str, expected: list[list[str]], by_signal: bool
+) -> None:
+    """Guards against ignoring a change without a signal, and against half of an invalid file."""
+    path = tmp_path / "settings.toml"
+    path.write_text("[service_defaults]\nretry_share = 0.1\n")
+    applied: list[list[str]] = []
+
+    def apply(settings: Settings, changed: list[str]) -> list[str]:
+        applied.append(changed)
+        return changed
+
+    async def main() -> None:
+        file = SettingsFile(path, load_settings(path).unwrap())
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(file.follow, apply)
+            await trio.testing.wait_all_tasks_blocked()
+            path.write_text(text)
+            os.utime(path, ns=(1, 1))
+            if by_signal:
+                file.read_now()
+            await trio.sleep(2.5)
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0.01))
+    assert applied == expected
+
+
+def test_a_hang_up_signal_does_not_end_the_daemon(tmp_path: Path) -> None:
+    """Guards against the default action of SIGHUP, which ends the process."""
+    path = tmp_path / "settings.toml"
+    sections = ("listen", "peers", "control")
+    path.write_text("".join(f"[{section}]\nport = 0\n" for section in sections))
+    command = [sys.executable, "-m", "dotterelstand.process.main", "--settings", str(path)]
+    with subprocess.Popen(command, stderr=subprocess.PIPE, text=True) as daemon:
+        assert daemon.stderr is not None
+        for line in daemon.stderr:
+            if "daemon_started" in line:
+                break
+        daemon.send_signal(signal.SIGHUP)
+        for line in daemon.stderr:
+            if "settings_reloaded" in line:
+                break
+        daemon.send_signal(signal.SIGTERM)
+        daemon.stderr.read()
+        assert daemon.wait() == 0
