Count only attempts that reached a target, and notice unreachable targets sooner

Cause: a route with two attempts refused a request when the first two targets were gone, although no target had seen it; a dark target was noticed after 1.5 s of probes. Change: attempts that did not connect count only beyond twice the number allowed; probes wait 0.25 s and connections 0.15 s.

--- a/src/dotterelstand/process/healthprobe.py
+++ b/src/dotterelstand/process/healthprobe.py
@@ -16,7 +16,8 @@
 
 # Bytes charged to the measuring budget for one probe: request, answer and their framing.
 PROBE_BYTES = 400
-PROBE_TIMEOUT_S = 0.5
+# Targets answer at once; three probes without an answer take a target out of use.
+PROBE_TIMEOUT_S = 0.25
 # Services that are looked at between two turns of other tasks; thousands would delay requests.
 SERVICES_AT_ONCE = 100
 # A health answer is a few bytes; a longer one is no health answer.
--- a/src/dotterelstand/request/exchange.py
+++ b/src/dotterelstand/request/exchange.py
@@ -216,8 +216,14 @@
     def _max_attempts(self) -> int:
         return self._route.attempts or self._context.limits.max_attempts
 
+    def _counted_attempts(self) -> int:
+        """Attempts that reached a target, and all beyond twice the number allowed."""
+        reached = sum(attempt.handed for attempt in self._attempts)
+        unreached = len(self._attempts) - reached
+        return reached + max(0, unreached - self._max_attempts())
+
     async def _start_hedge(self) -> Attempt | None:
-        if len(self._attempts) >= self._max_attempts() or self._admitted is not None:
+        if self._counted_attempts() >= self._max_attempts() or self._admitted is not None:
             return None
         budget = self._policy.budget
         if not budget.try_take(trio.current_time()):
@@ -322,7 +328,7 @@
             self._route.idempotent,
             self._may_have_run(),
             self._body.held_whole,
-            len(self._attempts),
+            self._counted_attempts(),
             self._remaining_s(),
             self._attempts[-1].failure is not ResultCode.CONNECT_FAILED,
         )
--- a/tests/platform_support.py
+++ b/tests/platform_support.py
@@ -35,7 +35,7 @@
 [targets]
 health_interval_s = {health_interval_s}
 health_drains = false
-connect_timeout_s = 0.25
+connect_timeout_s = 0.15
 [requests]
 retry_min_per_s = 5.0
 """
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -256,3 +256,46 @@
         assert (await read_answer(stream)).status == 503
 
     run_objects(scenario)
+
+
+def test_targets_that_cannot_be_reached_do_not_use_up_the_attempts() -> None:
+    """Guards against refusing an order because two targets were gone while a third was there."""
+
+    async def scenario(fleet: ObjectFleet) -> None:
+        fleet.network.crash("10.1.0.0")
+        fleet.network.crash("10.1.0.1")
+        for _ in range(6):
+            answer = await fleet.call("POST", "/b/1", b"order")
+            assert answer.status == 200
+        assert len(fleet.runs()) == 6
+
+    run_objects(scenario)
+
+
+def test_a_lookup_is_hedged_when_its_target_turns_slow() -> None:
+    """Guards against waiting for a target that says in its load report that it is slow."""
+
+    async def scenario(fleet: ObjectFleet) -> None:
+        for instance in fleet.instances:
+            instance.work_s = 0.05
+        for number in range(30):
+            await fleet.call(path=f"/a/{number}")
+        for instance in fleet.instances:
+            instance.runs.clear()
+            instance.work_s = 5.0
+        began = trio.current_time()
+
+        async def slow_down() -> None:
+            await trio.sleep(0.02)
+            for instance in fleet.instances:
+                instance.work_s = 0.05
+                if instance.runs:
+                    instance.pace = 400
+
+        fleet.nursery.start_soon(slow_down)
+        answer = await fleet.call(path="/a/hedged", deadline_ms=1000)
+        assert answer.status == 200
+        assert trio.current_time() - began < 0.25
+        assert len(fleet.runs()) == 2
+
+    run_objects(scenario, health_interval_s=0.05)
