--- a/src/dotterelstand/connection/caller.py
+++ b/src/dotterelstand/connection/caller.py
@@ -1,24 +1,22 @@
 """One HTTP/1.1 connection from a caller."""
 
 from collections import deque
-from collections.abc import Callable
 
 import h11
 import trio
 from returns.pipeline import is_successful
 
 from dotterelstand.codes import Result as ResultCode
+from dotterelstand.connection.callerrequest import CallerRequest
 from dotterelstand.connection.strict import check_raw_head, find_head_end
 from dotterelstand.connection.target import READ_BYTES, abort_now, close_now, has_input
-from dotterelstand.request.fields import OWN_FIELDS, RESULT_HEADER, RUN_HEADER, HeaderFields
-from dotterelstand.request.head import Headers, RequestHead, read_head
+from dotterelstand.request.fields import OWN_FIELDS, HeaderFields
+from dotterelstand.request.head import RequestHead, read_head
 
 # Bytes of a caller that are read ahead of their use; reading stops when they are exceeded.
 READ_AHEAD_BYTES = 65536
 # Bytes that a caller may still send after an answer that closes its connection.
 MAX_LINGER_BYTES = 1_048_576
-# Bytes of an answer that are kept until the answers before it were sent; more wait in the target.
-MAX_PENDING_BYTES = 131_072
 
 
 class CallerLimits:
@@ -41,159 +39,6 @@
         self.linger_s = linger_s
 
 
-class BodyError(Exception):
-    """A request body that ended early, stalled or was malformed; `code` if no byte was sent on."""
-
-    __slots__ = ("code",)
-
-    def __init__(self, code: ResultCode) -> None:
-        super().__init__(code.name)
-        self.code = code
-
-
-class CallerRequest:
-    """One request of a caller connection, with the h11 state of its body and its answer.
-
-    Requests of one connection may be served at the same time; `send` waits until the answers
-    before it were sent.
-    """
-
-    __slots__ = (
-        "_connection",
-        "_h11",
-        "_method",
-        "_pending",
-        "_previous",
-        "answer_started",
-        "ended",
-        "head",
-        "on_departure",
-    )
-
-    def __init__(
-        self,
-        connection: "CallerConnection",
-        state: h11.Connection,
-        method: bytes,
-        head: RequestHead | None,
-        previous: trio.Event | None,
-    ) -> None:
-        self._connection = connection
-        self._h11 = state
-        self._method = method
-        self._previous = previous
-        self.head = head
-        self._pending = b""
-        self.answer_started = False
-        self.ended = trio.Event()
-        self.on_departure: Callable[[], object] | None = None
-
-    @property
-    def departed(self) -> bool:
-        """Whether the caller has left."""
-        return self._connection.departed
-
-    @property
-    def is_read(self) -> bool:
-        """Whether the request was read to its end."""
-        return self._h11.their_state is h11.DONE
-
-    @property
-    def is_answered(self) -> bool:
-        """Whether the whole answer was encoded."""
-        return self._h11.our_state in (h11.DONE, h11.MUST_CLOSE)
-
-    async def next_body(self) -> bytes | None:
-        """Next piece of the request body, or None at its end; raises `BodyError`."""
-        while True:
-            try:
-                event = self._h11.next_event()
-            except h11.RemoteProtocolError:
-                raise BodyError(ResultCode.BAD_REQUEST) from None
-            if isinstance(event, h11.Data):
-                return bytes(event.data)
-            if isinstance(event, h11.EndOfMessage):
-                self._connection.unread(bytes(self._h11.trailing_data[0]))
-                return None
-            if event is not h11.NEED_DATA:
-                raise BodyError(ResultCode.BAD_REQUEST)
-            if self._h11.they_are_waiting_for_100_continue:
-                informational = h11.InformationalResponse(status_code=100, headers=[])
-                await self.send(self._h11.send(informational) or b"")
-            with trio.move_on_after(self._connection.body_idle_timeout_s):
-                data = await self._connection.receive()
-                if not data:
-                    raise BodyError(ResultCode.BAD_REQUEST)
-                self._h11.receive_data(data)
-                continue
-            raise BodyError(ResultCode.CALLER_TOO_SLOW)
-
-    def encode_head(self, status: int, headers: Headers, code: ResultCode) -> bytes:
-        """Bytes of an answer's head with its result code."""
-        self.answer_started = True
-        headers = [
-            *headers,
-            (RESULT_HEADER, b"%d" % code),
-            (RUN_HEADER, code.run.value.encode()),
-        ]
-        if self._connection.closes_after(self):
-            headers.append((b"connection", b"close"))
-        return self._h11.send(h11.Response(status_code=status, headers=headers)) or b""
-
-    def encode_body(self, data: bytes) -> bytes:
-        """Bytes of one piece of the answer's body."""
-        return self._h11.send(h11.Data(data=data)) or b""
-
-    def encode_end(self) -> bytes:
-        """Bytes that mark the answer as complete."""
-        return self._h11.send(h11.EndOfMessage()) or b""
-
-    async def send(self, data: bytes) -> None:
-        """Send encoded bytes, or keep them while answers before this one are missing.
-
-        Raises `trio.BrokenResourceError` if the caller has left.
-        """
-        self._pending += data
-        if self._previous is not None and not self._previous.is_set():
-            # A deadline that passes now must not end an answer that only waits for its turn.
-            if len(self._pending) <= MAX_PENDING_BYTES:
-                return
-        await self.flush()
-
-    async def flush(self) -> None:
-        """Send what is kept once the answers before it were sent."""
-        if self._previous is not None:
-            await self._previous.wait()
-            self._previous = None
-        data, self._pending = self._pending, b""
-        await self._connection.send(data)
-
-    def may_answer(self) -> bool:
-        """Whether no answer to the current request has begun."""
-        return self._h11.our_state in (h11.IDLE, h11.SEND_RESPONSE)
-
-    async def answer(self, status: int, headers: Headers, body: bytes, code: ResultCode) -> None:
-        """Send an answer that is held completely."""
-        if not self.is_read:
-            self._connection.closing = True
-        data = self.encode_head(status, [*headers, (b"content-length", b"%d" % len(body))], code)
-        if body and self._method != b"HEAD":
-            data += self.encode_body(body)
-        await self.send(data + self.encode_end())
-
-    async def refuse(self, code: ResultCode) -> None:
-        """Answer a request that dotterelstand itself ends."""
-        headers: Headers = [(b"content-type", b"text/plain")]
-        if code.retry_after_s is not None:
-            headers.append((b"retry-after", f"{code.retry_after_s:g}".encode()))
-        body = f"{code:d} {code.name.lower()}\n".encode()
-        await self.answer(code.http_status, headers, body, code)
-
-    def abort(self) -> None:
-        """Break the connection, so that an unfinished answer cannot look complete."""
-        self._connection.abort()
-
-
 class CallerConnection:
     """The requests of one caller connection in order, with a task that reads ahead."""
 
--- a/src/dotterelstand/platform/decode.py
+++ b/src/dotterelstand/platform/decode.py
@@ -6,7 +6,6 @@
 
 from dotterelstand.process.membership import ListedHost
 from dotterelstand.process.registry import (
-    CallerBounds,
     Configuration,
     RegisteredTarget,
     ServiceSpec,
@@ -93,7 +92,6 @@
             raise FormatError("resources: not a list")
         routes: list[Route] = []
         services: dict[str, ServiceSpec] = {}
-        bounds: CallerBounds | None = None
         for resource in resources:
             item = _table(resource, "resources")
             kind = _text(item, "resourceType")
@@ -103,26 +101,19 @@
                 routes.append(_read_route(fields))
             elif kind == "services":
                 services[str(name)] = _read_service(str(name), fields)
-            elif kind == "limits":
-                bounds = _read_bounds(fields)
-        return Success(_join(number, routes, services, bounds))
+        return Success(_join(number, routes, services))
     except FormatError as error:
         return Failure(str(error))
 
 
-def _join(
-    number: int,
-    routes: list[Route],
-    services: dict[str, ServiceSpec],
-    bounds: CallerBounds | None,
-) -> Configuration:
+def _join(number: int, routes: list[Route], services: dict[str, ServiceSpec]) -> Configuration:
     for route in routes:
         for service in [share.service for share in route.split] or [route.service]:
             if service not in services:
                 raise FormatError(f"{route.host}{route.prefix}: service {service!r} is missing")
     classes = tuple(sorted({route.klass for route in routes}))
     bulk = frozenset(name for name in classes if name.endswith(BULK))
-    return Configuration(number, tuple(routes), services, classes, bulk, bounds)
+    return Configuration(number, tuple(routes), services, classes, bulk)
 
 
 def _read_route(fields: dict[str, Any]) -> Route:
@@ -159,15 +150,6 @@
     return ServiceSpec(name, _text(fields, "healthPath"), _integer(fields, "maxConns", 1))
 
 
-def _read_bounds(fields: dict[str, Any]) -> CallerBounds:
-    return CallerBounds(
-        _integer(fields, "maxHeaderBytes", 1),
-        _integer(fields, "maxBodyBytes", 0),
-        _number(fields, "headerTimeoutS", 0.0),
-        _number(fields, "idleTimeoutS", 0.0),
-    )
-
-
 def _version(text: str) -> int:
     if len(text) != VERSION_DIGITS:
         raise FormatError(f"version {text!r}")
--- a/src/dotterelstand/process/front.py
+++ b/src/dotterelstand/process/front.py
@@ -4,7 +4,8 @@
 
 from dotterelstand.codes import Result as ResultCode
 from dotterelstand.codes import Run
-from dotterelstand.connection.caller import CallerConnection, CallerLimits, CallerRequest
+from dotterelstand.connection.caller import CallerConnection, CallerLimits
+from dotterelstand.connection.callerrequest import CallerRequest
 from dotterelstand.connection.network import Listener
 from dotterelstand.connection.target import close_now
 from dotterelstand.events import Event, log
--- a/src/dotterelstand/process/health.py
+++ b/src/dotterelstand/process/health.py
@@ -4,10 +4,10 @@
 import math
 from collections import deque
 from collections.abc import Set as AbstractSet
-from enum import Enum
 
 from dotterelstand.process.outcome import AttemptOutcome
 from dotterelstand.process.slotindex import NO_TARGETS, SlotIndex
+from dotterelstand.process.targethealth import Due, HealthChange, TargetHealth
 from dotterelstand.process.tuning import SelectionTuning
 from dotterelstand.request.fields import LoadReport
 from dotterelstand.version.document import Target
@@ -27,8 +27,6 @@
 # Seconds after which a reported load has lost half of its weight: about two lookups.
 REPORT_HALF_LIFE_S = 0.01
 FOREIGN_WEIGHT = 0.02
-# Pace from which a target counts as slow: work takes at least twice the usual time there.
-SLOW_PACE = 2.0
 # Seconds after which a report of a slow target is no longer believed. Neighbours on the same
 # machine come and go several times a second.
 SLOW_LIFE_S = 0.5
@@ -42,89 +40,6 @@
 MAX_CHANGES = 64
 
 
-class HealthChange:
-    """An ejection for `seconds`, or its end (None)."""
-
-    __slots__ = ("seconds", "target")
-
-    def __init__(self, target: str, seconds: float | None) -> None:
-        self.target = target
-        self.seconds = seconds
-
-
-class Due(Enum):
-    """What happens to a target at a set time."""
-
-    EJECTION_ENDS = 1
-    HOLD_ENDS = 2
-    SLOWNESS_ENDS = 3
-    OTHERS_FORGOTTEN = 4
-
-
-class TargetHealth:
-    """State of one target; `allowance` is the number of slots it may use now.
-
-    `pace` is the time that work takes as a multiple of the usual, believed until `slow_until`.
-    """
-
-    __slots__ = (
-        "allowance",
-        "duration_s",
-        "ejected_until",
-        "ejections",
-        "failures",
-        "in_flight",
-        "incarnation",
-        "leaving",
-        "name",
-        "others",
-        "pace",
-        "probation",
-        "reported",
-        "reported_at",
-        "returned_at",
-        "slots",
-        "slow_until",
-        "successes",
-    )
-
-    def __init__(self, name: str, slots: int, incarnation: int = 0) -> None:
-        self.incarnation = incarnation
-        self.name = name
-        self.slots = slots
-        self.allowance = slots
-        self.in_flight = 0
-        self.failures = 0.0
-        self.duration_s = 0.0
-        self.ejections = 0
-        self.ejected_until: float | None = None
-        self.returned_at = 0.0
-        self.probation = False
-        self.leaving = False
-        self.successes = 0
-        self.reported = 0.0
-        self.reported_at = 0.0
-        # Requests at the target that this host did not send, as last reported.
-        self.others = 0
-        self.pace = 1.0
-        self.slow_until = -math.inf
-
-    @property
-    def slow(self) -> bool:
-        """Whether work takes much longer than usual at present."""
-        return self.pace >= SLOW_PACE
-
-    @property
-    def usable(self) -> bool:
-        """Whether the target may receive new work."""
-        return not self.leaving and self.ejected_until is None
-
-    def make_cold(self) -> None:
-        """Reduce the target to one slot, which successes extend."""
-        self.allowance = 1
-        self.successes = 0
-
-
 class HealthTable:
     """Targets of one service in one region: occupancy, ejection and gentle start.
 
--- a/src/dotterelstand/process/partpages.py
+++ b/src/dotterelstand/process/partpages.py
@@ -7,7 +7,6 @@
 from dotterelstand.process.control import ControlRegistry
 from dotterelstand.process.dispatcher import Dispatcher
 from dotterelstand.process.figures import read_figures, sum_figures
-from dotterelstand.process.health import TargetHealth
 from dotterelstand.process.journalservice import JournalService
 from dotterelstand.process.measure import MeasureBudget
 from dotterelstand.process.mesh import Member, Mesh
@@ -15,6 +14,7 @@
 from dotterelstand.process.peers import Peers
 from dotterelstand.process.slots import SlotBroker
 from dotterelstand.process.store import StoreClient
+from dotterelstand.process.targethealth import TargetHealth
 from dotterelstand.settings import Settings
 
 
--- a/src/dotterelstand/process/registry.py
+++ b/src/dotterelstand/process/registry.py
@@ -86,24 +86,10 @@
         self.connections = connections
 
 
-class CallerBounds:
-    """Limits on what a caller may send and how long it may take."""
-
-    __slots__ = ("body_bytes", "head_bytes", "head_timeout_s", "idle_timeout_s")
-
-    def __init__(
-        self, head_bytes: int, body_bytes: int, head_timeout_s: float, idle_timeout_s: float
-    ) -> None:
-        self.head_bytes = head_bytes
-        self.body_bytes = body_bytes
-        self.head_timeout_s = head_timeout_s
-        self.idle_timeout_s = idle_timeout_s
-
-
 class Configuration:
-    """One accepted configuration in full; `priorities` and `bulk` name the routes' classes."""
+    """One accepted configuration in full; `bulk` names the classes of large requests."""
 
-    __slots__ = ("bounds", "bulk", "classes", "number", "routes", "services")
+    __slots__ = ("bulk", "classes", "number", "routes", "services")
 
     def __init__(
         self,
@@ -112,14 +98,12 @@
         services: dict[str, ServiceSpec],
         classes: tuple[str, ...],
         bulk: frozenset[str],
-        bounds: CallerBounds | None,
     ) -> None:
         self.number = number
         self.routes = routes
         self.services = services
         self.classes = classes
         self.bulk = bulk
-        self.bounds = bounds
 
 
 Item = RegisteredTarget | Configuration | ListedHost
--- a/src/dotterelstand/process/slotcore.py
+++ b/src/dotterelstand/process/slotcore.py
@@ -9,7 +9,6 @@
 from dotterelstand.process.balancer import LeastOccupied, TwoChoices
 from dotterelstand.process.dispatcher import Decision, Dispatcher, Granted
 from dotterelstand.process.grantserver import GrantServer
-from dotterelstand.process.health import SLOW_PACE
 from dotterelstand.process.measure import MeasureBudget
 from dotterelstand.process.measuredmesh import MeasuredMesh
 from dotterelstand.process.mesh import Member
@@ -19,6 +18,7 @@
 from dotterelstand.process.servicestate import ServiceState
 from dotterelstand.process.slotcodec import CLASSES, TENANTS, pack_need, pack_result, refusal_code
 from dotterelstand.process.slotcounters import GrantServerCounters, SlotCounters
+from dotterelstand.process.targethealth import SLOW_PACE
 from dotterelstand.process.ticket import Ticket, TicketState
 from dotterelstand.process.tuning import SelectionTuning
 from dotterelstand.request.fields import LoadReport
--- a/src/dotterelstand/request/attempt.py
+++ b/src/dotterelstand/request/attempt.py
@@ -7,7 +7,7 @@
 import trio
 
 from dotterelstand.codes import Result as ResultCode
-from dotterelstand.connection.caller import BodyError
+from dotterelstand.connection.callerrequest import BodyError
 from dotterelstand.connection.pool import ONLY_NEW_S, PROOF_LIFE_S, ConnectionLimitError, TargetPool
 from dotterelstand.connection.target import TargetConnection
 from dotterelstand.process.outcome import AttemptOutcome, SlotGrant, SlotOutcome
--- a/src/dotterelstand/request/exchange.py
+++ b/src/dotterelstand/request/exchange.py
@@ -8,7 +8,7 @@
 
 from dotterelstand.codes import Result as ResultCode
 from dotterelstand.codes import Run
-from dotterelstand.connection.caller import BodyError, CallerRequest
+from dotterelstand.connection.callerrequest import BodyError, CallerRequest
 from dotterelstand.process.outcome import AttemptOutcome, SlotCall, SlotGrant
 from dotterelstand.request.attempt import AT_ONCE_BYTES, Attempt, AttemptSetup
 from dotterelstand.request.body import RequestBody
--- a/src/dotterelstand/request/keyed.py
+++ b/src/dotterelstand/request/keyed.py
@@ -2,7 +2,7 @@
 
 from dotterelstand.codes import Result as ResultCode
 from dotterelstand.codes import Run
-from dotterelstand.connection.caller import CallerRequest
+from dotterelstand.connection.callerrequest import CallerRequest
 from dotterelstand.process.journalcall import Go, Recorded, done, not_run, unknown
 from dotterelstand.request.attempt import AnswerHead
 from dotterelstand.request.body import RequestBody
--- a/src/dotterelstand/request/relay.py
+++ b/src/dotterelstand/request/relay.py
@@ -7,7 +7,7 @@
 import trio
 
 from dotterelstand.codes import Result as ResultCode
-from dotterelstand.connection.caller import CallerRequest
+from dotterelstand.connection.callerrequest import CallerRequest
 from dotterelstand.connection.target import AnswerEvent, TargetConnection
 from dotterelstand.request.attempt import AnswerHead
 from dotterelstand.request.fields import HeaderFields
