--- a/target/deps/_distutils_hack/override.py
+++ /dev/null
@@ -1,1 +0,0 @@
-__import__('_distutils_hack').do_override()
--- a/target/deps/attr/filters.pyi
+++ /dev/null
@@ -1,6 +0,0 @@
-from typing import Any
-
-from . import Attribute, _FilterType
-
-def include(*what: type | str | Attribute[Any]) -> _FilterType[Any]: ...
-def exclude(*what: type | str | Attribute[Any]) -> _FilterType[Any]: ...
--- a/target/deps/attrs/converters.py
+++ /dev/null
@@ -1,3 +0,0 @@
-# SPDX-License-Identifier: MIT
-
-from attr.converters import *  # noqa: F403
--- a/target/deps/attrs/exceptions.py
+++ /dev/null
@@ -1,3 +0,0 @@
-# SPDX-License-Identifier: MIT
-
-from attr.exceptions import *  # noqa: F403
--- a/target/deps/attrs/filters.py
+++ /dev/null
@@ -1,3 +0,0 @@
-# SPDX-License-Identifier: MIT
-
-from attr.filters import *  # noqa: F403
--- a/target/deps/attrs/setters.py
+++ /dev/null
@@ -1,3 +0,0 @@
-# SPDX-License-Identifier: MIT
-
-from attr.setters import *  # noqa: F403
--- a/target/deps/attrs/validators.py
+++ /dev/null
@@ -1,3 +0,0 @@
-# SPDX-License-Identifier: MIT
-
-from attr.validators import *  # noqa: F403
--- a/target/deps/dotterelstand/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""A load balancer for servers whose load shifts in milliseconds."""
--- a/target/deps/dotterelstand/bench/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Measurements of the policies and randomised runs."""
--- a/target/deps/dotterelstand/cli/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""The dotterelstand command-line tool."""
--- a/target/deps/dotterelstand/process/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""What lives as long as the process."""
--- a/target/deps/dotterelstand/version/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""What lives as long as one version of the operators' document."""
--- a/target/deps/idna/__main__.py
+++ /dev/null
@@ -1,6 +0,0 @@
-import sys
-
-from .cli import main
-
-if __name__ == "__main__":
-    sys.exit(main())
--- a/target/deps/returns/contrib/pytest/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-from returns.contrib.pytest.plugin import ReturnsAsserts as ReturnsAsserts
--- a/target/deps/setuptools/_distutils/_log.py
+++ /dev/null
@@ -1,3 +0,0 @@
-import logging
-
-log = logging.getLogger()
--- a/target/deps/setuptools/_distutils/compat/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-from __future__ import annotations
--- a/target/deps/setuptools/_distutils/zosccompiler.py
+++ /dev/null
@@ -1,3 +0,0 @@
-from .compilers.C import zos
-
-zOSCCompiler = zos.Compiler
--- a/target/deps/setuptools/_importlib.py
+++ /dev/null
@@ -1,4 +0,0 @@
-from importlib import (
-    metadata,  # noqa: F401
-    resources,  # noqa: F401
-)
--- a/target/deps/setuptools/_vendor/more_itertools/__init__.pyi
+++ /dev/null
@@ -1,2 +0,0 @@
-from .more import *
-from .recipes import *
--- a/target/deps/statsd/client/__init__.py
+++ /dev/null
@@ -1,2 +0,0 @@
-from .stream import TCPStatsClient, UnixSocketStatsClient  # noqa
-from .udp import StatsClient  # noqa
--- a/target/deps/statsd/defaults/__init__.py
+++ /dev/null
@@ -1,5 +0,0 @@
-HOST = 'localhost'
-PORT = 8125
-IPV6 = False
-PREFIX = None
-MAXUDPSIZE = 512
--- a/target/deps/trio/__main__.py
+++ /dev/null
@@ -1,3 +0,0 @@
-from trio._repl import main
-
-main(locals())
--- a/target/deps/trio/_version.py
+++ /dev/null
@@ -1,3 +0,0 @@
-# This file is imported from __init__.py and parsed by setuptools
-
-__version__ = "0.35.0"
--- a/target/deps/websockets/__main__.py
+++ /dev/null
@@ -1,5 +0,0 @@
-from .cli import main
-
-
-if __name__ == "__main__":
-    main()
--- a/target/deps/websockets/extensions/__init__.py
+++ /dev/null
@@ -1,4 +0,0 @@
-from .base import *
-
-
-__all__ = ["Extension", "ClientExtensionFactory", "ServerExtensionFactory"]
--- a/target/deps/websockets/speedups.pyi
+++ /dev/null
@@ -1,3 +0,0 @@
-from .typing import BytesLike
-
-def apply_mask(data: BytesLike, mask: bytes | bytearray) -> bytes: ...
