--- a/src/dotterelstand/request/attempt.py
+++ b/src/dotterelstand/request/attempt.py
@@ -73,12 +73,10 @@
         """Whether callers would read the status as not run although the target does not say so."""
         return self.status in NOT_RUN_STATUSES and not self.is_refusal()
 
-    def delimits_itself(self, method: str) -> bool:
-        """Whether the answer states its length; else it ends with its connection."""
-        if method == "HEAD" or self.status in (204, 304):
-            return True
-        lengths = self.value(b"content-length") is not None
-        return lengths != (self.value(b"transfer-encoding") is not None)
+    def has_two_lengths(self) -> bool:
+        """Whether two parsers could disagree on where the answer ends."""
+        length = self.value(b"content-length") is not None
+        return length and self.value(b"transfer-encoding") is not None
 
 
 class AttemptSetup:
@@ -283,7 +281,7 @@
         fields = self._setup.head.fields
         if self.answer.value(fields.draining) == b"1":
             self._setup.leaving.target_leaving(self.target)
-        if not self.answer.is_genuine():
+        if not self.answer.is_genuine() or self.answer.has_two_lengths():
             self.failure = ResultCode.BAD_ANSWER
         elif self.answer.claims_not_run() and not self._setup.idempotent:
             self.failure = ResultCode.BAD_ANSWER
