--- a/src/dotterelstand/bench/slotpolicy.py
+++ b/src/dotterelstand/bench/slotpolicy.py
@@ -10,6 +10,7 @@
     Acquire,
     Grant,
     Message,
+    Queued,
     Refuse,
     Release,
     encode_messages,
@@ -102,6 +103,8 @@
             core.on_grant(host, message, now)
         elif isinstance(message, Release):
             core.on_release(host, message, now)
+        elif isinstance(message, Queued):
+            core.on_queued(host, message, now)
         else:
             assert isinstance(message, Refuse)
             core.on_refuse(host, message, now)
