Watch queued calls of the selection model until they are decided

Ruled out: the daemon; SlotBroker.acquire waits again for a due time that moved. Change: the model's timer is set again until the call is decided. Measured: the test ended in 0.7 s; before, it had not ended after 60 s.

--- a/src/dotterelstand/bench/slotpolicy.py
+++ b/src/dotterelstand/bench/slotpolicy.py
@@ -208,14 +208,18 @@
     def _watch(self, item: _Try) -> None:
         assert item.ticket is not None
         if not item.ticket.decided:
-            self.world.engine.at(item.ticket.due, self._due, item, item.ticket.due)
+            self.world.engine.at(item.ticket.due, self._due, item)
 
-    def _due(self, item: _Try, due: float) -> None:
+    def _due(self, item: _Try) -> None:
         ticket = item.ticket
         assert ticket is not None
-        if not ticket.decided and item.call.finished is None and ticket.due == due:
-            self.cores[item.call.entry].time_out(ticket, self.world.engine.now)
-            self._watch(item)
+        if ticket.decided or item.call.finished is not None:
+            return
+        now = self.world.engine.now
+        # A notice that the call is queued moves its due time.
+        if ticket.due <= now:
+            self.cores[item.call.entry].time_out(ticket, now)
+        self._watch(item)
 
     def _resolved(self, item: _Try, ticket: Ticket) -> None:
         if ticket.grant is None:
