--- a/src/dotterelstand/bench/slotpolicy.py
+++ b/src/dotterelstand/bench/slotpolicy.py
@@ -13,7 +13,7 @@
     Queued,
     Refuse,
     Release,
-    encode_messages,
+    encode_message,
 )
 from dotterelstand.process.measure import MeasureBudget, MeasureLimit
 from dotterelstand.process.measuredmesh import MeasuredMesh
@@ -88,7 +88,7 @@
         """Deliver one message after the latency; the lower host opened the link."""
         receiver = self._number_of[host]
         mask = MASK_BYTES if sender < receiver else 0
-        self.sent_bytes += len(encode_messages([message])) + HEADER_BYTES + mask
+        self.sent_bytes += len(encode_message(message)) + HEADER_BYTES + mask
         self.messages += 1
         entries = self._world.entries
         latency_s = entries[sender].latency_s(entries[receiver])
--- a/src/dotterelstand/connection/wire.py
+++ b/src/dotterelstand/connection/wire.py
@@ -7,10 +7,14 @@
 
 
 class Message:
-    """A message; on the wire a CBOR array of its type number and its fields in order."""
+    """A message; on the wire a CBOR array of its type number and its fields in order.
+
+    The last `OPTIONAL` fields are integers; trailing ones that are 0 are left out on the wire.
+    """
 
     __slots__: ClassVar[tuple[str, ...]] = ()
     TYPE: ClassVar[int] = 0
+    OPTIONAL: ClassVar[int] = 0
 
     def __init__(self, *values: object) -> None:
         assert len(values) == len(self.__slots__), (type(self).__name__, values)
@@ -27,6 +31,14 @@
         """Type number followed by the fields."""
         return [self.TYPE, *(getattr(self, name) for name in self.__slots__)]
 
+    def as_sent(self) -> list[object]:
+        """Items of the CBOR array."""
+        items = self.as_list()
+        shortest = len(items) - self.OPTIONAL
+        while len(items) > shortest and items[-1] == 0:
+            items.pop()
+        return items
+
 
 class Hello(Message):
     """First message on a link: who the sender is."""
@@ -91,15 +103,16 @@
 
     `service` is the index in the sorted service names of the document; `need` packs class, tenant
     and deadline (`process/slotcodec.py`). The answer has its full worth if the target begins within
-    `prompt_ms`, 0 if that does not matter.
+    `within_ms`, 0 if that does not matter.
     """
 
-    __slots__ = ("call", "need", "prompt_ms", "service")
+    __slots__ = ("call", "need", "service", "within_ms")
     TYPE = 7
+    OPTIONAL = 2
     call: int
     need: int
-    prompt_ms: int
     service: int
+    within_ms: int
 
 
 class Grant(Message):
@@ -306,18 +319,16 @@
 
 
 def encode_message(message: Message) -> bytes:
-    """CBOR form of one message."""
-    return cbor2.dumps(message.as_list())
+    """CBOR form of one message, which is also a frame of its own."""
+    return cbor2.dumps(message.as_sent())
 
 
 def join_messages(parts: list[bytes]) -> bytes:
-    """One frame of messages that are already encoded: a CBOR array of indefinite length."""
-    return b"\x9f" + b"".join(parts) + b"\xff"
+    """One frame of messages that are already encoded.
 
-
-def encode_messages(messages: list[Message]) -> bytes:
-    """CBOR form of the messages that share one frame."""
-    return cbor2.dumps([message.as_list() for message in messages])
+    Several messages form a CBOR array of indefinite length; a single one is sent as it is.
+    """
+    return parts[0] if len(parts) == 1 else b"\x9f" + b"".join(parts) + b"\xff"
 
 
 def decode_messages(data: bytes) -> Result[list[Message], str]:
@@ -328,6 +339,8 @@
         return Failure(f"not CBOR: {error}")
     if not isinstance(items, list):
         return Failure("not an array of messages")
+    if items and isinstance(items[0], int):
+        items = [items]
     messages: list[Message] = []
     for item in items:
         message = _decode_message(item)
@@ -341,12 +354,16 @@
     if not isinstance(item, list) or not item or not isinstance(item[0], int):
         return None
     kind = _TYPES.get(item[0])
-    if kind is None or len(item) != len(kind.__slots__) + 1:
+    if kind is None:
+        return None
+    missing = len(kind.__slots__) + 1 - len(item)
+    if not 0 <= missing <= kind.OPTIONAL:
         return None
-    for name, value in zip(kind.__slots__, item[1:], strict=True):
+    values = [*item[1:], *[0] * missing]
+    for name, value in zip(kind.__slots__, values, strict=True):
         if not _has_type(value, kind.__annotations__[name]):
             return None
-    return kind(*item[1:])
+    return kind(*values)
 
 
 def _has_type(value: object, expected: Any) -> bool:
--- a/src/dotterelstand/process/grantserver.py
+++ b/src/dotterelstand/process/grantserver.py
@@ -71,8 +71,8 @@
         call = WaitingCall(
             key, need.klass, need.tenant, now, now + remaining_s, zone=zone, spare=need.spare
         )
-        if message.prompt_ms:
-            call.prompt_until = now + message.prompt_ms / 1000
+        if message.within_ms:
+            call.prompt_until = now + message.within_ms / 1000
         decisions = state.regional.submit(call, now)
         if state.regional.is_waiting(key):
             self._mesh.send(host, Queued([message.call]), now)
--- a/src/dotterelstand/process/measuredmesh.py
+++ b/src/dotterelstand/process/measuredmesh.py
@@ -1,6 +1,6 @@
 """The mesh as target selection uses it: every message is charged to the measuring budget."""
 
-from dotterelstand.connection.wire import Message, encode_messages
+from dotterelstand.connection.wire import Message, encode_message
 from dotterelstand.process.measure import MeasureBudget
 from dotterelstand.process.mesh import Member, Mesh
 
@@ -46,7 +46,7 @@
     def send(self, host: str, message: Message, now: float, *, opens_call: bool = False) -> bool:
         """Send one message; False if the budget or the link refuses it."""
         assert host != self._mesh.host, "a message to the host itself measures nothing"
-        size = len(encode_messages([message])) + FRAME_BYTES
+        size = len(encode_message(message)) + FRAME_BYTES
         if not self._budget.spend(size, self._region(host), now, opens_call=opens_call):
             return False
         return self._mesh.send(host, message)
--- a/src/dotterelstand/process/slotcore.py
+++ b/src/dotterelstand/process/slotcore.py
@@ -359,7 +359,7 @@
         )
         prompt_until = ticket.call.prompt_until
         prompt_ms = 0 if prompt_until is None else max(1, int((prompt_until - now) * 1000))
-        acquire = Acquire(ticket.number, need, prompt_ms, index)
+        acquire = Acquire(ticket.number, need, index, prompt_ms)
         if not self._mesh.send(dispatcher, acquire, now, opens_call=True):
             self._counters.ask_failed += 1
             return False
--- a/src/dotterelstand/standin/mesh.py
+++ b/src/dotterelstand/standin/mesh.py
@@ -5,7 +5,7 @@
 
 import trio
 
-from dotterelstand.connection.wire import Message, decode_messages, encode_messages
+from dotterelstand.connection.wire import Message, decode_messages, encode_message
 from dotterelstand.process.mesh import M, Member
 
 Handler = Callable[[str, Message], None]
@@ -146,7 +146,7 @@
             self._number,
             target,
             source.host,
-            encode_messages([message]),
+            encode_message(message),
         )
         heapq.heappush(self._due, item)
         self._wake.set()
--- a/tests/test_frames.py
+++ b/tests/test_frames.py
@@ -1,6 +1,7 @@
 """Malformed frames from a peer close its link and nothing else."""
 
 import cbor2
+import pytest
 import trio
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -10,6 +11,7 @@
 
 from dotterelstand.connection.peer import LINK_PATH
 from dotterelstand.connection.wire import (
+    Acquire,
     Beat,
     Hello,
     Message,
@@ -77,3 +79,27 @@
 def test_fields_keep_their_places_on_the_wire() -> None:
     """Guards against fields that change places on the wire."""
     assert cbor2.loads(encode_message(Beat(True, 7))) == [2, True, 7]
+
+
+@pytest.mark.parametrize(
+    ("message", "wire"),
+    [
+        (Acquire(3, 1, 2, 40), [7, 3, 1, 2, 40]),
+        (Acquire(3, 1, 2, 0), [7, 3, 1, 2]),
+        (Acquire(3, 0, 0, 0), [7, 3, 0]),
+        (Acquire(0, 0, 0, 5), [7, 0, 0, 0, 5]),
+    ],
+)
+def test_only_trailing_optional_fields_are_left_out(message: Message, wire: list[int]) -> None:
+    """Guards against bytes for fields that say nothing, and against fields read as another."""
+    frame = join_messages([encode_message(message)])
+    assert cbor2.loads(frame) == wire
+    assert decode_messages(frame).unwrap() == [message]
+    several = join_messages([encode_message(message)] * 2)
+    assert decode_messages(several).unwrap() == [message, message]
+
+
+@pytest.mark.parametrize("items", [[7, 3], [7, 3, 0, 0, 0, 0], [2, True], [7]])
+def test_a_field_that_is_not_optional_must_be_sent(items: list[object]) -> None:
+    """Guards against a short message whose missing fields are read as zero."""
+    assert not is_successful(decode_messages(cbor2.dumps(items)))
--- a/tests/test_measure.py
+++ b/tests/test_measure.py
@@ -6,7 +6,7 @@
 from websockets.frames import Frame, Opcode
 
 from dotterelstand.bench.slotpolicy import HEADER_BYTES, MASK_BYTES
-from dotterelstand.connection.wire import Acquire, encode_messages
+from dotterelstand.connection.wire import Acquire, encode_message
 from dotterelstand.process.measure import MeasureBudget, MeasureLimit
 from dotterelstand.process.outcome import AttemptOutcome
 from dotterelstand.process.slotcodec import pack_need, pack_result, unpack_need, unpack_result
@@ -52,7 +52,7 @@
 @pytest.mark.parametrize("mask", [False, True])
 def test_model_counts_frames_as_websockets_does(mask: bool) -> None:
     """Guards against byte figures that leave out framing."""
-    payload = encode_messages([Acquire(3, pack_need(0, 0, None), 0, 2)])
+    payload = encode_message(Acquire(3, pack_need(0, 0, None), 2, 0))
     size = len(Frame(Opcode.BINARY, payload).serialize(mask=mask))
     assert size == len(payload) + HEADER_BYTES + (MASK_BYTES if mask else 0)
 
