Leave keyed requests that an outage of the store refused out of the soak test's share of answers

Without the store a keyed request may not run, and the refusal is true. Ruled out: target selection and retries; every lookup and upload but one was answered. Change: the share is taken of the requests other than keyed ones whose every attempt fell into a fault of the store, or the 3 s of a takeover after it, and was refused with 2007 or 2008. A refusal outside of these times still counts as a miss.

--- a/src/dotterelstand/bench/soak.py
+++ b/src/dotterelstand/bench/soak.py
@@ -11,6 +11,7 @@
 from dotterelstand.bench.soakfleet import SoakFleet
 from dotterelstand.bench.soakjudge import Violation, find_violations
 from dotterelstand.bench.soakwatch import BrokenInvariants, find_daemon_faults, watch_versions
+from dotterelstand.codes import Result
 from dotterelstand.standin.freeze import Freezer
 from dotterelstand.standin.virtual import run_virtual, seeded_random
 
@@ -22,15 +23,21 @@
 # An accepted document is in force in every region within this time.
 DOCUMENT_BOUND_S = 3.0
 CALM_S = 10.0
+# Time in which a journal partition has an owner again after the store returned.
+TAKEOVER_S = 3.0
+# Refusals of keyed requests that the journal cannot record.
+STORE_CODES = frozenset({Result.STORE_UNAVAILABLE, Result.OWNER_UNREACHABLE})
 
 
 class SoakReport:
     """Result of one run; `codes` counts attempts by result code.
 
-    `records` has what each caller was told and what each target ran, in order.
+    `records` has what each caller was told and what each target ran, in order. `refused_for_store`
+    counts keyed requests whose every attempt was refused as not run during a fault of the store,
+    without which they may not run.
     """
 
-    __slots__ = ("answered", "codes", "records", "requests", "violations")
+    __slots__ = ("answered", "codes", "records", "refused_for_store", "requests", "violations")
 
     def __init__(
         self, fleet: SoakFleet, requests: list[Request], violations: list[Violation]
@@ -38,6 +45,9 @@
         self.requests = len(requests)
         self.answered = sum(request.answered for request in requests)
         self.violations = violations
+        self.refused_for_store = sum(
+            _is_refused_for_store(request, fleet.store_outages) for request in requests
+        )
         self.codes: dict[int, int] = {}
         for request in requests:
             for told in request.told:
@@ -50,6 +60,16 @@
             self.records.extend(f"{name} {run.path} {run.state}" for run in target.runs)
 
 
+def _is_refused_for_store(request: Request, outages: list[tuple[float, float]]) -> bool:
+    codes = {told.code for told in request.told}
+    if not request.key or not codes or not codes <= STORE_CODES:
+        return False
+    return all(
+        any(start <= told.began <= end + TAKEOVER_S for start, end in outages)
+        for told in request.told
+    )
+
+
 def run_soak(seed: int, seconds: float, rate_per_s: float = RATE_PER_S) -> SoakReport:
     """Run one fleet for a time of faults, in virtual seconds; one seed gives one run."""
     return run_virtual(_run, seed, seconds, rate_per_s, seed=seed)
--- a/src/dotterelstand/bench/soakfaults.py
+++ b/src/dotterelstand/bench/soakfaults.py
@@ -34,6 +34,7 @@
 
 
 async def _store_fault(context: FaultContext, seconds: float, **values: float) -> None:
+    context.fleet.store_outages.append((trio.current_time(), trio.current_time() + seconds))
     context.fleet.store.faults.update(values)
     await trio.sleep(seconds)
     context.fleet.store.faults.clear()
--- a/src/dotterelstand/bench/soakfleet.py
+++ b/src/dotterelstand/bench/soakfleet.py
@@ -129,6 +129,7 @@
         "network",
         "number",
         "store",
+        "store_outages",
         "targets",
     )
 
@@ -140,6 +141,8 @@
         self.freezer = freezer
         self.network = FakeNetwork(latency_s)
         self.store = ObjectStore(seed)
+        # Begin and end of each fault of the store, in seconds.
+        self.store_outages: list[tuple[float, float]] = []
         self.hosts: dict[str, EntryHost] = {}
         self.targets: dict[str, TargetServer] = {}
         self.number = 0
