Apply the bounds of a configuration to callers

Cause: sizes and times that a configuration sets for callers were decoded by nobody; those of the settings held, so an accepted bound was not in force. Change: Document has caller_bounds, which all caller connections of a host follow from the moment the document is applied. A chunked body that exceeds the bound after a part was sent on ends with 400.

--- a/src/dotterelstand/connection/caller.py
+++ b/src/dotterelstand/connection/caller.py
@@ -12,6 +12,7 @@
 from dotterelstand.connection.target import READ_BYTES, abort_now, close_now, has_input
 from dotterelstand.request.fields import OWN_FIELDS, HeaderFields
 from dotterelstand.request.head import RequestHead, read_head
+from dotterelstand.version.document import CallerBounds
 
 # Bytes of a caller that are read ahead of their use; reading stops when they are exceeded.
 READ_AHEAD_BYTES = 65536
@@ -20,24 +21,23 @@
 
 
 class CallerLimits:
-    """Bounds on one caller connection; times in seconds."""
+    """Bounds on caller connections; times in seconds.
 
-    __slots__ = ("body_idle_timeout_s", "head_timeout_s", "idle_timeout_s", "linger_s", "max_head")
+    All connections of a host share one, so that the bounds of a new document hold for them all.
+    """
 
-    def __init__(
-        self,
-        max_head: int,
-        idle_timeout_s: float,
-        head_timeout_s: float,
-        body_idle_timeout_s: float,
-        linger_s: float,
-    ) -> None:
-        self.max_head = max_head
-        self.idle_timeout_s = idle_timeout_s
-        self.head_timeout_s = head_timeout_s
+    __slots__ = ("_own", "body_idle_timeout_s", "bounds", "linger_s")
+
+    def __init__(self, own: CallerBounds, body_idle_timeout_s: float, linger_s: float) -> None:
+        self._own = own
+        self.bounds = own
         self.body_idle_timeout_s = body_idle_timeout_s
         self.linger_s = linger_s
 
+    def follow(self, bounds: CallerBounds | None) -> None:
+        """Use the bounds of a document, or those of the settings if it has none."""
+        self.bounds = bounds or self._own
+
 
 class CallerConnection:
     """The requests of one caller connection in order, with a task that reads ahead."""
@@ -88,6 +88,11 @@
         """Longest time in seconds between two pieces of a request's body."""
         return self._limits.body_idle_timeout_s
 
+    @property
+    def max_body_bytes(self) -> int:
+        """Largest body of a request."""
+        return self._limits.bounds.max_body_bytes
+
     @property
     def will_close(self) -> bool:
         """Whether an answer told the caller that the connection ends."""
@@ -132,7 +137,7 @@
         # Most heads arrive in one piece, and a cancel scope costs more than this search.
         if find_head_end(self._raw, 0) >= 0:
             return await self._read_head()
-        with trio.move_on_after(self._limits.head_timeout_s):
+        with trio.move_on_after(self._limits.bounds.head_timeout_s):
             return await self._read_head()
         return ResultCode.CALLER_TOO_SLOW
 
@@ -204,7 +209,9 @@
         close_now(self._stream)
 
     def _new_h11(self) -> h11.Connection:
-        return h11.Connection(h11.SERVER, max_incomplete_event_size=self._limits.max_head)
+        return h11.Connection(
+            h11.SERVER, max_incomplete_event_size=self._limits.bounds.max_head_bytes
+        )
 
     async def _wait_idle(self) -> bool:
         if self._inbox:
@@ -212,7 +219,7 @@
             return True
         self._idle = True
         while True:
-            with trio.move_on_after(self._limits.idle_timeout_s):
+            with trio.move_on_after(self._limits.bounds.idle_timeout_s):
                 data = await self.receive()
                 self._idle = False
                 self._raw += data
@@ -224,13 +231,13 @@
         searched = 0
         while (end := find_head_end(self._raw, searched)) < 0:
             searched = len(self._raw)
-            if searched > self._limits.max_head:
+            if searched > self._limits.bounds.max_head_bytes:
                 return ResultCode.HEAD_TOO_LARGE
             data = await self.receive()
             if not data:
                 return None
             self._raw += data
-        if end > self._limits.max_head:
+        if end > self._limits.bounds.max_head_bytes:
             return ResultCode.HEAD_TOO_LARGE
         if not check_raw_head(bytes(self._raw[:end])):
             return ResultCode.BAD_REQUEST
@@ -250,6 +257,8 @@
         if not is_successful(result):
             return result.failure()
         head = result.unwrap()
+        if (head.declared_length() or 0) > self.max_body_bytes:
+            return ResultCode.BODY_TOO_LARGE
         # A pipelined head may have waited for the answers before it.
         head.arrived_s = self._received_s
         if not head.has_body() and state.their_state is h11.SEND_BODY:
--- a/src/dotterelstand/connection/callerrequest.py
+++ b/src/dotterelstand/connection/callerrequest.py
@@ -40,6 +40,7 @@
         "_method",
         "_pending",
         "_previous",
+        "_received",
         "answer_started",
         "ended",
         "head",
@@ -60,6 +61,8 @@
         self._previous = previous
         self.head = head
         self._pending = b""
+        # Bytes of the body so far.
+        self._received = 0
         self.answer_started = False
         self.ended = trio.Event()
         self.on_departure: Callable[[], object] | None = None
@@ -87,6 +90,9 @@
             except h11.RemoteProtocolError:
                 raise BodyError(ResultCode.BAD_REQUEST) from None
             if isinstance(event, h11.Data):
+                self._received += len(event.data)
+                if self._received > self._connection.max_body_bytes:
+                    raise BodyError(ResultCode.BODY_TOO_LARGE)
                 return bytes(event.data)
             if isinstance(event, h11.EndOfMessage):
                 self._connection.unread(bytes(self._h11.trailing_data[0]))
--- a/src/dotterelstand/platform/decode.py
+++ b/src/dotterelstand/platform/decode.py
@@ -10,13 +10,15 @@
     RegisteredTarget,
     ServiceSpec,
 )
-from dotterelstand.version.document import Route, Share
+from dotterelstand.version.document import CallerBounds, Route, Share
 
 # Requests of these types may run more than once; of any other type, known or not, at most once.
 REPEATABLE = "safe"
 BULK = "upload"
 STATES = ("ready", "draining")
 VERSION_DIGITS = 8
+# Seconds; a shorter time would end connections before a request can arrive.
+SHORTEST_BOUND_S = 0.001
 
 
 class FormatError(Exception):
@@ -92,6 +94,7 @@
             raise FormatError("resources: not a list")
         routes: list[Route] = []
         services: dict[str, ServiceSpec] = {}
+        bounds: CallerBounds | None = None
         for resource in resources:
             item = _table(resource, "resources")
             kind = _text(item, "resourceType")
@@ -101,19 +104,26 @@
                 routes.append(_read_route(fields))
             elif kind == "services":
                 services[str(name)] = _read_service(str(name), fields)
-        return Success(_join(number, routes, services))
+            elif kind == "limits":
+                bounds = _read_bounds(fields)
+        return Success(_join(number, routes, services, bounds))
     except FormatError as error:
         return Failure(str(error))
 
 
-def _join(number: int, routes: list[Route], services: dict[str, ServiceSpec]) -> Configuration:
+def _join(
+    number: int,
+    routes: list[Route],
+    services: dict[str, ServiceSpec],
+    bounds: CallerBounds | None,
+) -> Configuration:
     for route in routes:
         for service in [share.service for share in route.split] or [route.service]:
             if service not in services:
                 raise FormatError(f"{route.host}{route.prefix}: service {service!r} is missing")
     classes = tuple(sorted({route.klass for route in routes}))
     bulk = frozenset(name for name in classes if name.endswith(BULK))
-    return Configuration(number, tuple(routes), services, classes, bulk)
+    return Configuration(number, tuple(routes), services, classes, bulk, bounds)
 
 
 def _read_route(fields: dict[str, Any]) -> Route:
@@ -150,6 +160,15 @@
     return ServiceSpec(name, _text(fields, "healthPath"), _integer(fields, "maxConns", 1))
 
 
+def _read_bounds(fields: dict[str, Any]) -> CallerBounds:
+    return CallerBounds(
+        _integer(fields, "maxHeaderBytes", 1),
+        _integer(fields, "maxBodyBytes", 1),
+        _number(fields, "headerTimeoutS", SHORTEST_BOUND_S),
+        _number(fields, "idleTimeoutS", SHORTEST_BOUND_S),
+    )
+
+
 def _version(text: str) -> int:
     if len(text) != VERSION_DIGITS:
         raise FormatError(f"version {text!r}")
--- a/src/dotterelstand/process/catalogue.py
+++ b/src/dotterelstand/process/catalogue.py
@@ -142,6 +142,7 @@
             configuration.classes,
             {},
             bulk=configuration.bulk,
+            caller_bounds=configuration.caller_bounds,
         )
 
     def _put(self, entry: Entry[RegisteredTarget], now: float) -> None:
--- a/src/dotterelstand/process/front.py
+++ b/src/dotterelstand/process/front.py
@@ -27,11 +27,11 @@
     __slots__ = (
         "_connections",
         "_context",
+        "_document",
         "_end_log",
         "_limits",
         "_max_connections",
         "_refusing",
-        "document",
         "introduced",
         "stopping",
     )
@@ -43,11 +43,21 @@
         self._connections: set[CallerConnection] = set()
         self._refusing = 0
         self._end_log = EndLog()
-        self.document: Document | None = None
+        self._document: Document | None = None
         # Whether the neighbours had their time to tell this host about quarantines.
         self.introduced = False
         self.stopping = False
 
+    @property
+    def document(self) -> Document | None:
+        """Document in force."""
+        return self._document
+
+    @document.setter
+    def document(self, document: Document | None) -> None:
+        self._document = document
+        self._limits.follow(None if document is None else document.caller_bounds)
+
     @property
     def is_ready(self) -> bool:
         """Whether requests of callers are served."""
--- a/src/dotterelstand/process/limits.py
+++ b/src/dotterelstand/process/limits.py
@@ -5,6 +5,7 @@
 from dotterelstand.process.strikes import QuarantineLimits
 from dotterelstand.request.context import RequestLimits
 from dotterelstand.settings import Settings
+from dotterelstand.version.document import CallerBounds
 
 
 def quarantine_limits(settings: Settings) -> QuarantineLimits:
@@ -42,10 +43,14 @@
 
 def caller_limits(settings: Settings) -> CallerLimits:
     """Bounds on one caller connection."""
-    return CallerLimits(
+    own = CallerBounds(
         settings.integer("listen", "max_head_bytes"),
-        settings.number("listen", "idle_timeout_s"),
+        settings.integer("listen", "max_body_bytes"),
         settings.number("listen", "head_timeout_s"),
+        settings.number("listen", "idle_timeout_s"),
+    )
+    return CallerLimits(
+        own,
         settings.number("listen", "body_idle_timeout_s"),
         settings.number("listen", "linger_s"),
     )
--- a/src/dotterelstand/process/registry.py
+++ b/src/dotterelstand/process/registry.py
@@ -7,7 +7,7 @@
 
 from dotterelstand.errors import CodedError
 from dotterelstand.process.membership import ListedHost
-from dotterelstand.version.document import Route
+from dotterelstand.version.document import CallerBounds, Route
 
 T = TypeVar("T")
 
@@ -87,9 +87,12 @@
 
 
 class Configuration:
-    """One accepted configuration in full; `bulk` names the classes of large requests."""
+    """One accepted configuration in full; `bulk` names the classes of large requests.
 
-    __slots__ = ("bulk", "classes", "number", "routes", "services")
+    `caller_bounds` is None if the configuration leaves them to the settings.
+    """
+
+    __slots__ = ("bulk", "caller_bounds", "classes", "number", "routes", "services")
 
     def __init__(
         self,
@@ -98,7 +101,9 @@
         services: dict[str, ServiceSpec],
         classes: tuple[str, ...],
         bulk: frozenset[str],
+        caller_bounds: CallerBounds | None = None,
     ) -> None:
+        self.caller_bounds = caller_bounds
         self.number = number
         self.routes = routes
         self.services = services
--- a/src/dotterelstand/settings_rules.py
+++ b/src/dotterelstand/settings_rules.py
@@ -154,6 +154,7 @@
         "port": PORT,
         "max_connections": Between(1, 100_000),
         "max_head_bytes": Between(1024, MIB),
+        "max_body_bytes": Between(1024, 100_000_000_000),
         "head_timeout_s": Between(0.1, 300),
         "body_idle_timeout_s": Between(0.1, 3600),
         "idle_timeout_s": Between(0.1, 3600),
--- a/src/dotterelstand/version/document.py
+++ b/src/dotterelstand/version/document.py
@@ -4,6 +4,7 @@
 
 from dotterelstand.version.check import join_sections, parse_bodies
 from dotterelstand.version.model import (
+    CallerBounds,
     Document,
     DocumentError,
     Route,
@@ -15,6 +16,7 @@
 )
 
 __all__ = [
+    "CallerBounds",
     "Document",
     "DocumentError",
     "Route",
--- a/src/dotterelstand/version/model.py
+++ b/src/dotterelstand/version/model.py
@@ -185,6 +185,24 @@
         self.deadline_s = deadline_s
 
 
+class CallerBounds:
+    """What a document lets callers send: sizes in bytes, times in seconds."""
+
+    __slots__ = ("head_timeout_s", "idle_timeout_s", "max_body_bytes", "max_head_bytes")
+
+    def __init__(
+        self,
+        max_head_bytes: int,
+        max_body_bytes: int,
+        head_timeout_s: float,
+        idle_timeout_s: float,
+    ) -> None:
+        self.max_head_bytes = max_head_bytes
+        self.max_body_bytes = max_body_bytes
+        self.head_timeout_s = head_timeout_s
+        self.idle_timeout_s = idle_timeout_s
+
+
 class RouteIndex:
     """Routes by host, prefix and method; a look-up costs one step per path segment."""
 
@@ -232,11 +250,13 @@
 
     `sections` maps names to digests, `owners` sections to teams, and `classes` is in order of
     priority, the highest first. Requests of the `bulk` classes are too large to leave the region.
+    `caller_bounds` go before those of the settings, unless None.
     """
 
     __slots__ = (
         "_index",
         "bulk",
+        "caller_bounds",
         "classes",
         "number",
         "owners",
@@ -257,8 +277,10 @@
         owners: Mapping[str, str] | None = None,
         index: RouteIndex | None = None,
         bulk: frozenset[str] = frozenset(),
+        caller_bounds: CallerBounds | None = None,
     ) -> None:
         self.bulk = bulk
+        self.caller_bounds = caller_bounds
         self.number = number
         self.sections = sections
         self.services = services
--- /dev/null
+++ b/tests/test_caller_bounds.py
@@ -0,0 +1,94 @@
+"""What a configuration allows callers to send holds at once, on open connections too."""
+
+from typing import Any
+
+import pytest
+import trio
+from platform_standin import configuration, route
+from platform_support import ObjectFleet, run_objects
+from support import read_answer
+
+ROUTES = (route("s"), route("s", "/b/", "unsafe"), route("s", "/u/", "upload"))
+
+
+def _bounded(version: int, **limits: Any) -> dict[str, Any]:
+    document = configuration(version, *ROUTES)
+    document["resources"][-1]["spec"].update(limits)
+    return document
+
+
+@pytest.mark.parametrize(
+    ("limits", "path", "body", "status"),
+    [
+        ({"maxBodyBytes": 1000}, "/u/1", b"x" * 1001, 413),
+        ({"maxBodyBytes": 1000}, "/u/1", b"x" * 1000, 200),
+        ({"maxHeaderBytes": 1024}, "/u/" + "x" * 1100, b"x", 431),
+        ({"maxHeaderBytes": 4096}, "/u/" + "x" * 1100, b"x", 200),
+    ],
+)
+def test_a_configuration_bounds_heads_and_bodies(
+    limits: dict[str, int], path: str, body: bytes, status: int
+) -> None:
+    """Guards against sizes that only the settings bound, and against refusals within the bound."""
+
+    async def scenario(fleet: ObjectFleet) -> None:
+        fleet.store.put("config", "main", _bounded(9, **limits))
+        await trio.sleep(1.0)
+        answer = await fleet.call("POST", path, body)
+        assert answer.status == status
+        assert len(fleet.runs()) == (status == 200)
+
+    run_objects(scenario)
+
+
+def test_a_chunked_body_beyond_the_bound_is_refused_unrun() -> None:
+    """Guards against a body without a declared length that passes the bound."""
+
+    async def scenario(fleet: ObjectFleet) -> None:
+        fleet.store.put("config", "main", _bounded(9, maxBodyBytes=1000))
+        await trio.sleep(1.0)
+        stream = await fleet.stream()
+        head = fleet.request("POST", "/u/1").replace(b"\r\n\r\n", b"\r\nTransfer-Encoding: chunked")
+        piece = b"320\r\n" + b"x" * 800 + b"\r\n"
+        await stream.send_all(head + b"\r\n\r\n" + 2 * piece + b"0\r\n\r\n")
+        answer = await read_answer(stream, "POST")
+        # 400 once a part was sent on: the target then saw a body that breaks off.
+        assert answer.status in (400, 413)
+        assert fleet.runs() == []
+
+    run_objects(scenario)
+
+
+@pytest.mark.parametrize(
+    ("limits", "sent", "seconds"),
+    [({"headerTimeoutS": 1}, b"GET /a/1 HT", 1.0), ({"idleTimeoutS": 2}, b"", 2.0)],
+)
+def test_a_configuration_bounds_waits(
+    limits: dict[str, float], sent: bytes, seconds: float
+) -> None:
+    """Guards against slow heads and idle connections that outlast the bound in force."""
+
+    async def scenario(fleet: ObjectFleet) -> None:
+        fleet.store.put("config", "main", _bounded(9, **limits))
+        await trio.sleep(1.0)
+        stream = await fleet.stream()
+        began = trio.current_time()
+        if sent:
+            await stream.send_all(sent)
+        while await stream.receive_some(4096):
+            pass
+        assert seconds - 0.01 < trio.current_time() - began < seconds + 1.5
+
+    run_objects(scenario)
+
+
+@pytest.mark.parametrize("limits", [{"maxBodyBytes": 0}, {"idleTimeoutS": "x"}])
+def test_a_configuration_with_a_bound_that_cannot_be_read_is_not_used(limits: Any) -> None:
+    """Guards against a bound of another type that replaces the one in force."""
+
+    async def scenario(fleet: ObjectFleet) -> None:
+        fleet.store.put("config", "main", _bounded(9, **limits))
+        await trio.sleep(1.0)
+        assert fleet.daemon.document is not None and fleet.daemon.document.number == 7
+
+    run_objects(scenario)
