--- a/src/dotterelstand/bench/soakwatch.py
+++ b/src/dotterelstand/bench/soakwatch.py
@@ -22,7 +22,7 @@
 
     def emit(self, record: standard_logging.LogRecord) -> None:
         """Keep the line if it tells of a broken invariant."""
-        if isinstance(record.args, tuple) and Event.INVARIANT_BROKEN in record.args:
+        if isinstance(record.msg, dict) and record.msg.get("event") == Event.INVARIANT_BROKEN:
             self.lines.append(record.getMessage())
 
     def __enter__(self) -> "BrokenInvariants":
--- /dev/null
+++ b/src/dotterelstand/cli/explain.py
@@ -0,0 +1,193 @@
+"""The story of one request, out of the log lines of the entry hosts."""
+
+import json
+from pathlib import Path
+from typing import Any
+
+from returns.result import Failure, Result, Success
+
+from dotterelstand.cli.context import Context
+from dotterelstand.cli.output import Row, print_json, print_table
+from dotterelstand.codes import Result as ResultCode
+from dotterelstand.events import Event
+from dotterelstand.exits import ExitCode, ToolError
+
+# Seconds before the end of a request in which changes of what its host believed are shown.
+BELIEF_S = 5.0
+# Events that change what a host believes of its targets, document, dispatchers or dependencies.
+BELIEFS = frozenset(
+    {
+        Event.DAEMON_STARTED,
+        Event.DAEMON_STOPPING,
+        Event.SETTINGS_RELOADED,
+        Event.DOCUMENT_APPLIED,
+        Event.HISTORY_LOST,
+        Event.PLATFORM_UNAVAILABLE,
+        Event.PLATFORM_AVAILABLE,
+        Event.QUARANTINE_BEGAN,
+        Event.TARGET_EJECTED,
+        Event.TARGET_RESTORED,
+        Event.TARGET_LEAVING,
+        Event.TARGET_RETURNED,
+        Event.TARGET_CHANGED,
+        Event.DISPATCHER_SILENT,
+        Event.DISPATCHER_ANSWERS,
+        Event.LOG_LINES_DROPPED,
+        Event.REQUEST_LINES_SUPPRESSED,
+    }
+)
+
+Line = dict[str, Any]
+
+
+class LogLines:
+    """Log lines of several hosts; `unreadable` counts lines that are no events."""
+
+    __slots__ = ("lines", "unreadable")
+
+    def __init__(self) -> None:
+        self.lines: list[Line] = []
+        self.unreadable = 0
+
+
+class Story:
+    """Lines of one request in order, and the changes of what its hosts believed meanwhile."""
+
+    __slots__ = ("beliefs", "lines")
+
+    def __init__(self, lines: list[Line], beliefs: list[Line]) -> None:
+        self.lines = lines
+        self.beliefs = beliefs
+
+
+def read_log_lines(paths: list[Path]) -> Result[LogLines, ToolError]:
+    """Read log files; a collector may have put its own prefix before each JSON object."""
+    found = LogLines()
+    for path in paths:
+        try:
+            with path.open(encoding="utf-8", errors="replace") as file:
+                for text in file:
+                    _read_line(text, found)
+        except OSError as error:
+            return Failure(ToolError(ExitCode.FILE_UNREADABLE, f"{path}: {error.strerror}"))
+    return Success(found)
+
+
+def find_story(logs: LogLines, request_id: str) -> Story | None:
+    """Story of a request, or None if no line bears its id."""
+    lines = [line for line in logs.lines if line.get("id") == request_id]
+    if not lines:
+        return None
+    lines.sort(key=lambda line: (_host(line), line["clock_s"], line.get("after_ms", float("inf"))))
+    targets = {line["target"] for line in lines if "target" in line}
+    ends = {_host(line): line["clock_s"] for line in lines}
+    beliefs = [
+        line
+        for line in logs.lines
+        if line["event"] in BELIEFS
+        and 0 <= ends.get(_host(line), -1.0) - line["clock_s"] <= BELIEF_S
+        and line.get("target", "") in {"", *targets}
+    ]
+    beliefs.sort(key=lambda line: (_host(line), line["clock_s"]))
+    return Story(lines, beliefs)
+
+
+def describe(line: Line) -> str:
+    """One line in words."""
+    template = _TEMPLATES.get(line["event"])
+    if template is None:
+        fields = {key: value for key, value in line.items() if key not in _COMMON}
+        return f"{line['message']} {json.dumps(fields)}"
+    words = {key: "-" if value in (None, "") else value for key, value in line.items()}
+    for key in ("code", "failure"):
+        if isinstance(line.get(key), int):
+            words[key] = f"{line[key]} {_code_name(line[key])}"
+    return template.format_map(_Missing(words))
+
+
+def show_story(context: Context, story: Story) -> None:
+    """Print a story as JSON or as two tables."""
+    if context.json:
+        print_json({"request": story.lines, "beliefs": story.beliefs})
+        return
+    print_table(_rows(story.lines))
+    if story.beliefs:
+        print("\nwhat the host came to believe in the 5 s before:")
+        print_table(_rows(story.beliefs))
+
+
+def _rows(lines: list[Line]) -> list[Row]:
+    return [
+        {
+            "host": _host(line),
+            "time": str(line.get("time", "-")),
+            "after_ms": str(line.get("after_ms", line.get("duration_ms", "-"))),
+            "what": describe(line),
+        }
+        for line in lines
+    ]
+
+
+class _Missing(dict[str, Any]):
+    """Fields of a line; one that is missing is shown as a dash."""
+
+    def __missing__(self, key: str) -> str:
+        return "-"
+
+
+_COMMON = frozenset({"clock_s", "event", "host", "level", "message", "time"})
+
+_TEMPLATES = {
+    Event.SLOT_GRANTED: (
+        "attempt {attempt}: target {target} in {zone}, granted by {by}; {in_flight} requests of"
+        " this host there, pace {pace}, last load report {report_age_ms} ms old;"
+        " {remaining_ms} ms left"
+    ),
+    Event.SLOT_REFUSED: "no target: {code}; without {excluded}; {remaining_ms} ms left",
+    Event.ATTEMPT_ENDED: (
+        "attempt {attempt} at {target} ended: status {status}, failure {failure}, refused by the"
+        " target: {refused}, sent: {sent}"
+    ),
+    Event.RETRY_DECIDED: (
+        "another attempt: {decision}; {attempts} made, may have run: {may_have_run},"
+        " {remaining_ms} ms left"
+    ),
+    Event.HEDGE_DECIDED: (
+        "second attempt beside the first: {decision}; target slow: {target_slow}, usual duration"
+        " {usual_ms} ms, {remaining_ms} ms left"
+    ),
+    Event.REQUEST_ENDED: (
+        "ended with {code} after {duration_ms} ms and {attempts} attempts; {service},"
+        " {route_class}, document {document}"
+    ),
+    Event.REQUEST_ANSWERED: (
+        "answered ({code}) after {duration_ms} ms and {attempts} attempts; late: {late}; {service},"
+        " {route_class}, document {document}"
+    ),
+    Event.TARGET_CHANGED: "the platform lists target {target} of {service} as {change}",
+    Event.TARGET_EJECTED: "target {target} of {service} ejected for {seconds} s",
+    Event.PLATFORM_UNAVAILABLE: "the platform's list of {kind} cannot be read: {error}",
+}
+
+
+def _read_line(text: str, found: LogLines) -> None:
+    start = text.find("{")
+    try:
+        line = json.loads(text[start:]) if start >= 0 else None
+    except ValueError:
+        line = None
+    if isinstance(line, dict) and isinstance(line.get("event"), int) and "clock_s" in line:
+        found.lines.append(line)
+    else:
+        found.unreadable += 1
+
+
+def _host(line: Line) -> str:
+    return str(line.get("host", ""))
+
+
+def _code_name(number: int) -> str:
+    try:
+        return ResultCode(number).name.lower()
+    except ValueError:
+        return "unknown"
--- a/src/dotterelstand/cli/main.py
+++ b/src/dotterelstand/cli/main.py
@@ -15,6 +15,7 @@
 from dotterelstand.cli.client import HostAnswers, parse_hosts
 from dotterelstand.cli.context import Context, finish, read_hosts, show
 from dotterelstand.cli.drain import drain_host
+from dotterelstand.cli.explain import find_story, read_log_lines, show_story
 from dotterelstand.cli.groups import QuarantineCommands, SectionCommands, SettingsCommands
 from dotterelstand.cli.histogram import histogram_rows, merge_pages, plot_histograms
 from dotterelstand.cli.output import Row, fail, print_json, to_number
@@ -111,6 +112,25 @@
         answers.values = {"merged": rows}
         finish(self._context, answers, rows)
 
+    def explain(self, request: str, *files: str) -> None:
+        """Show the decisions on one request and what its entry hosts believed meanwhile.
+
+        Args:
+            request: id of the request
+            files: files with the log lines of the entry hosts
+        """
+        result = read_log_lines([Path(str(file)) for file in files])
+        if not is_successful(result):
+            fail([result.failure()])
+        logs = result.unwrap()
+        if logs.unreadable:
+            print(f"{logs.unreadable} lines are no log events", file=sys.stderr)
+        story = find_story(logs, str(request))
+        if story is None:
+            text = f"{request}: no line of {len(logs.lines)} bears this id"
+            fail([ToolError(ExitCode.NOT_FOUND, text)])
+        show_story(self._context, story)
+
     def drain(self, host: str, wait: float = 60.0) -> None:
         """Stop one entry host gracefully: it finishes its requests and exits.
 
--- a/src/dotterelstand/connection/control.py
+++ b/src/dotterelstand/connection/control.py
@@ -8,6 +8,8 @@
 
 from dotterelstand.connection.target import READ_BYTES, close_now
 
+JSON_TYPE = "application/json"
+
 
 class ControlRequest:
     """A request to the control port, read completely."""
@@ -22,13 +24,20 @@
 
 
 class ControlAnswer:
-    """HTTP status and the value that is sent as JSON."""
+    """HTTP status and the value that is sent: text under its own type, or else as JSON."""
 
-    __slots__ = ("status", "value")
+    __slots__ = ("content_type", "status", "value")
 
-    def __init__(self, status: int, value: object) -> None:
+    def __init__(self, status: int, value: object, content_type: str = JSON_TYPE) -> None:
         self.status = status
         self.value = value
+        self.content_type = content_type
+
+    def body(self) -> bytes:
+        """Bytes to send."""
+        if self.content_type == JSON_TYPE:
+            return json.dumps(self.value).encode() + b"\n"
+        return str(self.value).encode()
 
 
 ControlHandler = Callable[[ControlRequest], Awaitable[ControlAnswer]]
@@ -77,9 +86,9 @@
                 return None
 
     async def _send(self, answer: ControlAnswer, with_body: bool) -> None:
-        body = json.dumps(answer.value).encode() + b"\n"
+        body = answer.body()
         headers = [
-            ("content-type", "application/json"),
+            ("content-type", answer.content_type),
             ("content-length", str(len(body))),
             ("connection", "close"),
         ]
--- a/src/dotterelstand/events.py
+++ b/src/dotterelstand/events.py
@@ -1,6 +1,6 @@
 """Numbered, structured log events."""
 
-import json
+import time
 from enum import IntEnum
 
 from absl import logging
@@ -15,6 +15,7 @@
     DAEMON_STOPPED = 103
     SETTINGS_INVALID = 110
     SETTINGS_RELOADED = 111
+    LOG_LINES_DROPPED = 112
     CONTROL_ACTION = 120
     CONTROL_FAILED = 121
     INVARIANT_BROKEN = 190
@@ -22,6 +23,11 @@
     REQUEST_ENDED = 200
     REQUEST_ANSWERED = 202
     REQUEST_LINES_SUPPRESSED = 203
+    SLOT_GRANTED = 204
+    SLOT_REFUSED = 205
+    ATTEMPT_ENDED = 206
+    RETRY_DECIDED = 207
+    HEDGE_DECIDED = 208
     CONNECTION_REFUSED = 210
     CALLERS_CLOSED = 211
     STRIKE_RECORDED = 220
@@ -69,11 +75,13 @@
     DISPATCHER_SILENT = 504
     DISPATCHER_ANSWERS = 505
     MEASURE_BUDGET_SPENT = 506
+    TARGET_CHANGED = 507
 
 
 _WARNINGS = frozenset(
     {
         Event.SETTINGS_INVALID,
+        Event.LOG_LINES_DROPPED,
         Event.CONTROL_FAILED,
         Event.QUARANTINE_BEGAN,
         Event.DOCUMENT_REJECTED,
@@ -98,18 +106,23 @@
     }
 )
 
-_DEBUG = frozenset({Event.REQUEST_ANSWERED})
-
 
 def log(event: Event, **fields: object) -> None:
-    """Write one event as a line: number, name, and its fields as JSON."""
+    """Log one event: its number, name and fields, and the steady clock in seconds.
+
+    The time of day may jump; the steady clock orders the lines of one process.
+    """
     level = logging.INFO
     if event is Event.INVARIANT_BROKEN:
         level = logging.ERROR
     elif event in _WARNINGS:
         level = logging.WARNING
-    elif event in _DEBUG:
-        level = logging.DEBUG
     if logging.get_verbosity() < level:
         return
-    logging.log(level, "E%d %s %s", event, event.name.lower(), json.dumps(fields, default=str))
+    line = {
+        "event": int(event),
+        "message": event.name.lower(),
+        "clock_s": round(time.monotonic(), 4),
+        **fields,
+    }
+    logging.log(level, line)
--- a/src/dotterelstand/process/catalogue.py
+++ b/src/dotterelstand/process/catalogue.py
@@ -1,5 +1,8 @@
 """Decides which targets and which configuration are in force, from what the platform tells."""
 
+from collections import deque
+from enum import Enum
+
 from dotterelstand.process.registry import Configuration, Entry, RegisteredTarget
 from dotterelstand.version.document import Document, Service, Target
 
@@ -10,6 +13,31 @@
 RETURN_WINDOW_S = 1.0
 
 
+# Changes of targets that are kept until they are logged; those of a first list are not news.
+MAX_CHANGES = 64
+
+
+class ChangeKind(Enum):
+    """What became of a target."""
+
+    LISTED = "listed"
+    RESTARTED = "restarted"
+    DRAINING = "draining"
+    # Vanished around an outage of the platform; it stays in use while it may return.
+    LAPSED = "lapsed"
+    GONE = "gone"
+
+
+class TargetChange:
+    """A change of the targets in use."""
+
+    __slots__ = ("kind", "target")
+
+    def __init__(self, kind: ChangeKind, target: RegisteredTarget) -> None:
+        self.kind = kind
+        self.target = target
+
+
 class ServiceTuning:
     """What the document of a platform does not say about services; times in seconds."""
 
@@ -39,6 +67,7 @@
         "_targets",
         "_tuning",
         "_was_away",
+        "changes",
     )
 
     def __init__(self, regions: dict[str, str], tuning: ServiceTuning) -> None:
@@ -50,6 +79,7 @@
         self._lapsed: dict[str, float] = {}
         self._was_away = False
         self._returned_at = float("-inf")
+        self.changes: deque[TargetChange] = deque(maxlen=MAX_CHANGES)
 
     @property
     def number(self) -> int:
@@ -104,7 +134,7 @@
         gone = [name for name, until in self._lapsed.items() if until <= now]
         for name in gone:
             del self._lapsed[name]
-            self._targets.pop(name, None)
+            self._note(ChangeKind.GONE, self._targets.pop(name))
         return bool(gone)
 
     def next_due(self) -> float | None:
@@ -150,7 +180,14 @@
             self._drop(entry.name, now)
             return
         self._lapsed.pop(entry.name, None)
+        before = self._targets.get(entry.name)
         self._targets[entry.name] = entry.item
+        if before is None:
+            self._note(ChangeKind.LISTED, entry.item)
+        elif before.started_ms != entry.item.started_ms:
+            self._note(ChangeKind.RESTARTED, entry.item)
+        elif entry.item.draining and not before.draining:
+            self._note(ChangeKind.DRAINING, entry.item)
 
     def _drop(self, name: str, now: float) -> None:
         target = self._targets.get(name)
@@ -159,8 +196,13 @@
         returning = now - self._returned_at <= RETURN_WINDOW_S
         if (self._was_away or returning) and not target.draining:
             self._lapsed[name] = max(now, self._returned_at) + LAPSE_S
+            self._note(ChangeKind.LAPSED, target)
         else:
             del self._targets[name]
+            self._note(ChangeKind.GONE, target)
+
+    def _note(self, kind: ChangeKind, target: RegisteredTarget) -> None:
+        self.changes.append(TargetChange(kind, target))
 
 
 def _make_target(target: RegisteredTarget, region: str) -> Target:
--- a/src/dotterelstand/process/daemon.py
+++ b/src/dotterelstand/process/daemon.py
@@ -11,6 +11,7 @@
 from dotterelstand.platform.build import build_platform, platform_fields
 from dotterelstand.process.backing import Backing
 from dotterelstand.process.control import ControlPort, ControlRegistry
+from dotterelstand.process.exposition import MetricsPort
 from dotterelstand.process.front import CallerFront
 from dotterelstand.process.healthprobe import HealthProbes, ProbeTuning
 from dotterelstand.process.introduction import await_introduction
@@ -45,6 +46,7 @@
     __slots__ = (
         "_certificates",
         "_control",
+        "_metrics_port",
         "_network",
         "_probes",
         "_readiness",
@@ -117,6 +119,7 @@
         self.backing.register(self._registry, self.metrics)
         self._control = ControlPort(settings, self._registry, self.metrics)
         self._readiness = ReadinessPort(settings, self._registry)
+        self._metrics_port = MetricsPort(settings, self.metrics)
         self.port = 0
         self.control_port = 0
 
@@ -159,6 +162,7 @@
                 await background.start(self.peers.run)
                 background.start_soon(self._control.serve, control)
                 background.start_soon(self._readiness.run, self._network)
+                background.start_soon(self._metrics_port.run, self._network)
                 background.start_soon(self.backing.run)
                 background.start_soon(self._open_front)
                 background.start_soon(self.broker.run)
@@ -198,7 +202,10 @@
             fields,
         )
         return CallerFront(
-            context, caller_limits(settings), settings.integer("listen", "max_connections")
+            context,
+            caller_limits(settings),
+            settings.integer("listen", "max_connections"),
+            settings.integer("logs", "answered_sample"),
         )
 
     async def _flush_metrics(self) -> None:
--- a/src/dotterelstand/process/dispatcher.py
+++ b/src/dotterelstand/process/dispatcher.py
@@ -5,7 +5,7 @@
 from dotterelstand.codes import Result as ResultCode
 from dotterelstand.process.balancer import Chooser
 from dotterelstand.process.health import HealthTable
-from dotterelstand.process.outcome import AttemptOutcome
+from dotterelstand.process.outcome import AttemptOutcome, GrantInputs
 from dotterelstand.process.queue import CallKey, CallQueue, WaitingCall
 from dotterelstand.process.slotcodec import CLASSES
 from dotterelstand.process.slotindex import NO_TARGETS
@@ -293,6 +293,13 @@
         table, position = self._place_of[target]
         table.note_unreachable(position, now)
 
+    def inputs(self, target: int, now: float) -> GrantInputs:
+        """What is known of a target, to explain its choice."""
+        table, position = self._place_of[target]
+        known = table.targets[position]
+        age_s = now - known.reported_at if known.reported_at else None
+        return GrantInputs(known.in_flight, known.pace, age_s)
+
     def is_usable(self, target: int) -> bool:
         """Whether a target may receive new work."""
         table, position = self._place_of[target]
--- /dev/null
+++ b/src/dotterelstand/process/exposition.py
@@ -0,0 +1,139 @@
+"""Serves counters and histograms as text on the metrics address."""
+
+import re
+from collections.abc import Iterator
+
+import trio
+from hdrh.histogram import HdrHistogram
+
+from dotterelstand.connection.control import ControlAnswer, ControlConnection, ControlRequest
+from dotterelstand.connection.network import Network
+from dotterelstand.process.metrics import Metrics
+from dotterelstand.settings import Settings
+
+METRICS_PATH = "/metrics"
+# Connections that are answered at a time; further ones are closed.
+MAX_CONNECTIONS = 4
+MAX_BODY_BYTES = 1024
+# Seconds that a scrape may take.
+TIMEOUT_S = 5.0
+TEXT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+# Upper bounds of the histograms' buckets in seconds, around the latencies of the deployments.
+BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 0.8, 1.0, 1.5, 2.5, 5.0, 10.0)
+# Counters whose names end with a value, and the label that holds it.
+LABELS = {"requests.result": "code", "requests.no_retry": "reason"}
+_NOT_IN_NAMES = re.compile("[^a-z0-9_]")
+
+
+class MetricsPort:
+    """A port that answers `GET /metrics` in the text format that scrapers read."""
+
+    __slots__ = ("_metrics", "_open", "_settings", "port")
+
+    def __init__(self, settings: Settings, metrics: Metrics) -> None:
+        self._settings = settings
+        self._metrics = metrics
+        self._open = 0
+        self.port = 0
+
+    async def run(self, network: Network) -> None:
+        """Serve until cancelled, if the settings ask for it; raises `OSError`."""
+        if not self._settings.flag("metrics", "served"):
+            return
+        listener = await network.listen(
+            self._settings.text("metrics", "address"), self._settings.integer("metrics", "port")
+        )
+        self.port = listener.port
+        async with trio.open_nursery() as nursery:
+            await listener.serve(self._serve_stream, nursery)
+
+    async def _serve_stream(self, stream: trio.abc.Stream) -> None:
+        if self._open >= MAX_CONNECTIONS:
+            await trio.aclose_forcefully(stream)
+            return
+        self._open += 1
+        try:
+            await ControlConnection(stream, MAX_BODY_BYTES).serve(self._answer, TIMEOUT_S)
+        finally:
+            self._open -= 1
+
+    async def _answer(self, request: ControlRequest) -> ControlAnswer:
+        if request.path != METRICS_PATH or request.method not in ("GET", "HEAD"):
+            return ControlAnswer(404, {"found": request.path})
+        return ControlAnswer(200, render_metrics(self._metrics), TEXT_TYPE)
+
+
+def render_metrics(metrics: Metrics) -> str:
+    """All counters and histograms in the text format."""
+    # Imported when first asked for: the library takes 2.5 MB, which hosts without scrapers save.
+    from prometheus_client import CollectorRegistry, generate_latest
+
+    registry = CollectorRegistry(auto_describe=False)
+    registry.register(_Collector(metrics))  # type: ignore[arg-type]
+    return generate_latest(registry).decode()
+
+
+class _Collector:
+    """Reads the one registry of the process, in which each metric is defined where it moves."""
+
+    __slots__ = ("_metrics",)
+
+    def __init__(self, metrics: Metrics) -> None:
+        self._metrics = metrics
+
+    def collect(self) -> Iterator[object]:
+        """Families of the counters and of the latencies."""
+        from prometheus_client.core import (
+            CounterMetricFamily,
+            GaugeMetricFamily,
+            HistogramMetricFamily,
+        )
+
+        counted = self._metrics.counted()
+        families: dict[str, CounterMetricFamily | GaugeMetricFamily] = {}
+        for name, amount in sorted(self._metrics.counters().items()):
+            base, label, value = _split(name)
+            family = families.get(base)
+            if family is None:
+                kind = CounterMetricFamily if name in counted else GaugeMetricFamily
+                labels = [label] if label else []
+                family = kind(_metric(base), f"{base}, see docs/counters.md", labels=labels)
+                families[base] = family
+            family.add_metric([value] if label else [], amount)
+        yield from families.values()
+        latencies = HistogramMetricFamily(
+            "dotterelstand_request_duration_seconds",
+            "Time from a request's head to the end of its answer.",
+            labels=["service", "route_class", "tenant"],
+        )
+        for key, histogram in self._metrics.histograms():
+            buckets, total = _buckets(histogram)
+            latencies.add_metric(list(key), buckets, sum_value=total)
+        yield latencies
+
+
+def _split(name: str) -> tuple[str, str, str]:
+    base, _, value = name.rpartition(".")
+    return (base, LABELS[base], value) if base in LABELS else (name, "", "")
+
+
+def _metric(name: str) -> str:
+    return "dotterelstand_" + _NOT_IN_NAMES.sub("_", name.lower())
+
+
+def _buckets(histogram: HdrHistogram) -> tuple[list[tuple[str, float]], float]:
+    """Cumulative counts up to each bound, and the sum of the durations in seconds."""
+    counts = [0] * (len(BUCKETS_S) + 1)
+    total = 0.0
+    for item in histogram.get_recorded_iterator():
+        seconds = item.value_iterated_to / 1e6
+        amount = item.count_added_in_this_iter_step
+        total += seconds * amount
+        place = next((i for i, bound in enumerate(BUCKETS_S) if seconds <= bound), len(BUCKETS_S))
+        counts[place] += amount
+    cumulative = 0
+    buckets: list[tuple[str, float]] = []
+    for bound, count in zip([*map(str, BUCKETS_S), "+Inf"], counts, strict=True):
+        cumulative += count
+        buckets.append((bound, cumulative))
+    return buckets, total
--- a/src/dotterelstand/process/follow.py
+++ b/src/dotterelstand/process/follow.py
@@ -254,10 +254,24 @@
     def publish(self) -> None:
         """Apply the document in force, after a change."""
         self._changed.set()
+        self._log_changes()
         document = self._catalogue.document()
         if document is not None:
             self._apply(document)
 
+    def _log_changes(self) -> None:
+        while self._catalogue.changes:
+            change = self._catalogue.changes.popleft()
+            log(
+                Event.TARGET_CHANGED,
+                target=change.target.name,
+                service=change.target.service,
+                address=f"{change.target.address}:{change.target.port}",
+                zone=change.target.availability_zone,
+                started_ms=change.target.started_ms,
+                change=change.kind.value,
+            )
+
     async def _expire(self) -> None:
         while True:
             self._changed = trio.Event()
--- a/src/dotterelstand/process/front.py
+++ b/src/dotterelstand/process/front.py
@@ -36,13 +36,19 @@
         "stopping",
     )
 
-    def __init__(self, context: RequestContext, limits: CallerLimits, max_connections: int) -> None:
+    def __init__(
+        self,
+        context: RequestContext,
+        limits: CallerLimits,
+        max_connections: int,
+        answered_sample: int,
+    ) -> None:
         self._context = context
         self._limits = limits
         self._max_connections = max_connections
         self._connections: set[CallerConnection] = set()
         self._refusing = 0
-        self._end_log = EndLog()
+        self._end_log = EndLog(answered_sample)
         self._document: Document | None = None
         # Whether the neighbours had their time to tell this host about quarantines.
         self.introduced = False
@@ -158,14 +164,15 @@
         route = None if document is None else _find_route(document, head)
         if document is None or route is None:
             code = _routing_failure(document, head)
-            ending = Ending(None, head.tenant)
+            number = 0 if document is None else document.number
+            ending = Ending(None, head.tenant, head.request_id, number)
         else:
             exchange = Exchange(request, head, document, route, self._context)
             ending = exchange.ending
             code = await exchange.run()
         await self._conclude(request, code)
         ending.count(self._context.metrics, code)
-        self._end_log.write(code, head.path)
+        self._end_log.write(code, head.path, ending)
 
     async def _conclude(self, request: CallerRequest, code: ResultCode) -> None:
         """Send a refusal, or break off an answer that did not become complete."""
@@ -179,7 +186,7 @@
         self, connection: CallerConnection, request: CallerRequest, code: ResultCode
     ) -> None:
         self._context.metrics.count(f"requests.result.{code:d}")
-        self._end_log.write(code, "")
+        self._end_log.write(code, "", Ending(None, "", None, 0))
         await self._send_refusal(request, code)
         await connection.linger()
 
--- a/src/dotterelstand/process/main.py
+++ b/src/dotterelstand/process/main.py
@@ -9,13 +9,12 @@
 
 import fire
 import trio
-from absl import flags, logging
 from returns.pipeline import is_successful
 
 from dotterelstand.connection.network import TcpNetwork
 from dotterelstand.connection.tls import Certificates, load_certificates
-from dotterelstand.events import Event, log
 from dotterelstand.exits import ExitCode
+from dotterelstand.logoutput import LogOutput, use_json_lines
 from dotterelstand.process.daemon import Daemon
 from dotterelstand.process.settingsfile import SettingsFile
 from dotterelstand.settings import Settings, SettingsError, load_settings
@@ -24,24 +23,33 @@
 YOUNG_OBJECTS = 10_000
 
 
+# Log lines go to standard output.
+STDOUT_FD = 1
+
+
 def run_daemon(settings: str) -> None:
     """Run one entry daemon with a TOML settings file."""
-    # absl warns about each line that is logged before its own flags are parsed.
-    flags.FLAGS(sys.argv[:1])
-    logging.set_verbosity(logging.INFO)
-    logging.use_absl_handler()
     result = load_settings(Path(settings))
     if not is_successful(result):
         _end_for_settings(result.failure())
-    certificates = load_certificates(result.unwrap())
+    loaded = result.unwrap()
+    certificates = load_certificates(loaded)
     if not is_successful(certificates):
         _end_for_settings(certificates.failure())
+    output = LogOutput(
+        STDOUT_FD,
+        loaded.integer("logs", "max_buffered_bytes"),
+        loaded.integer("logs", "max_lines_per_s"),
+    )
+    use_json_lines(output, loaded.text("host", "name"))
     try:
-        trio.run(_serve, Path(settings), result.unwrap(), certificates.unwrap())
+        trio.run(_serve, Path(settings), loaded, certificates.unwrap(), output)
     except* OSError as group:
         for error in leaf_errors(group):
             print(f"dotterelstandd: {error}", file=sys.stderr)
         sys.exit(ExitCode.PORT_UNAVAILABLE)
+    finally:
+        output.drain()
 
 
 def leaf_errors(group: BaseExceptionGroup) -> list[BaseException]:
@@ -55,15 +63,17 @@
 def _end_for_settings(errors: list[SettingsError]) -> NoReturn:
     for error in errors:
         print(error, file=sys.stderr)
-    log(Event.SETTINGS_INVALID, errors=len(errors))
     sys.exit(ExitCode.SETTINGS_INVALID)
 
 
-async def _serve(path: Path, settings: Settings, certificates: Certificates) -> None:
+async def _serve(
+    path: Path, settings: Settings, certificates: Certificates, output: LogOutput
+) -> None:
     _tune_collector()
     daemon = Daemon(settings, TcpNetwork(), random.Random(), certificates)
     file = SettingsFile(path, settings)
     async with trio.open_nursery() as nursery:
+        nursery.start_soon(output.run)
         nursery.start_soon(_handle_signals, daemon, file)
         nursery.start_soon(file.follow, daemon.reload)
         await daemon.run()
--- a/src/dotterelstand/process/metrics.py
+++ b/src/dotterelstand/process/metrics.py
@@ -147,6 +147,14 @@
         for key, histogram in list(self._series.items()):
             yield Series(*key, histogram.encode().decode("ascii"))
 
+    def histograms(self) -> list[tuple[SeriesKey, HdrHistogram]]:
+        """Latencies in microseconds by service, class and tenant."""
+        return list(self._series.items())
+
+    def counted(self) -> dict[str, int]:
+        """Counters of `count`, which never fall; those of sources may."""
+        return dict(self._counters)
+
     def counters(self) -> dict[str, int]:
         """Copy of all counters, with those of the sources."""
         counters = dict(self._counters)
--- a/src/dotterelstand/process/outcome.py
+++ b/src/dotterelstand/process/outcome.py
@@ -63,17 +63,47 @@
         self.load = load
 
 
+class GrantInputs:
+    """What this host knew of a granted target; `report_age_s` is None without a load report."""
+
+    __slots__ = ("in_flight", "pace", "report_age_s")
+
+    def __init__(self, in_flight: int, pace: float, report_age_s: float | None) -> None:
+        self.in_flight = in_flight
+        self.pace = pace
+        self.report_age_s = report_age_s
+
+
 class SlotGrant:
     """Permission to send one attempt to `target`; returned with `SlotBroker.release`.
 
-    `on_slow`, if set, is called when the target turns slow while the grant is open.
+    `granted_by` names the dispatcher's host, or is empty if this host chose by itself. `on_slow`,
+    if set, is called when the target turns slow while the grant is open.
     """
 
-    __slots__ = ("dispatcher", "number", "on_slow", "service", "target", "target_index")
+    __slots__ = (
+        "dispatcher",
+        "granted_by",
+        "inputs",
+        "number",
+        "on_slow",
+        "service",
+        "target",
+        "target_index",
+    )
 
     def __init__(
-        self, service: str, target: Target, target_index: int, dispatcher: str, number: int
+        self,
+        service: str,
+        target: Target,
+        target_index: int,
+        dispatcher: str,
+        number: int,
+        granted_by: str,
+        inputs: GrantInputs,
     ) -> None:
+        self.granted_by = granted_by
+        self.inputs = inputs
         self.on_slow: Callable[[], object] | None = None
         self.service = service
         self.target = target
--- a/src/dotterelstand/process/slotcore.py
+++ b/src/dotterelstand/process/slotcore.py
@@ -208,7 +208,7 @@
             return
         key = (self._mesh.host, ticket.number)
         state.local.adopt(key, target, now)
-        self._give(ticket, state, target, TicketState.GRANTED_REMOTE)
+        self._give(ticket, state, target, TicketState.GRANTED_REMOTE, now)
 
     def on_refuse(self, sender: str, message: Refuse, now: float) -> None:
         """The dispatcher refused a call."""
@@ -340,9 +340,9 @@
             self._refuse(ticket, decision.code)
         elif ticket.state is TicketState.QUEUED_REGIONAL:
             state.local.adopt(decision.key, decision.target, now)
-            self._give(ticket, state, decision.target, TicketState.GRANTED_REGIONAL)
+            self._give(ticket, state, decision.target, TicketState.GRANTED_REGIONAL, now)
         else:
-            self._give(ticket, state, decision.target, TicketState.GRANTED_LOCAL)
+            self._give(ticket, state, decision.target, TicketState.GRANTED_LOCAL, now)
 
     def _ask(self, ticket: Ticket, dispatcher: str, state: ServiceState, now: float) -> bool:
         """Send an acquire; False if the budget, the link or the document forbids it."""
@@ -394,12 +394,21 @@
             decisions = dispatcher.finish(key, AttemptOutcome.CANCELLED, 0.0, None, now)
             assert not decisions, "a waiting call held a slot"
 
-    def _give(self, ticket: Ticket, state: ServiceState, target: int, granted: TicketState) -> None:
+    def _give(
+        self, ticket: Ticket, state: ServiceState, target: int, granted: TicketState, now: float
+    ) -> None:
         # The index belongs to the version in force, which may be newer than the call's.
         service = state.service
         ticket.state = granted
+        by = {TicketState.GRANTED_REMOTE: ticket.dispatcher, TicketState.GRANTED_LOCAL: ""}
         ticket.grant = SlotGrant(
-            service.name, service.targets[target], target, ticket.dispatcher, ticket.number
+            service.name,
+            service.targets[target],
+            target,
+            ticket.dispatcher,
+            ticket.number,
+            by.get(granted, self._mesh.host),
+            state.local.inputs(target, now),
         )
         ticket.resolve(ticket)
 
--- a/src/dotterelstand/settings_rules.py
+++ b/src/dotterelstand/settings_rules.py
@@ -286,7 +286,16 @@
         "full_slowdown": Between(1, 100),
         "successes_per_slot": Between(1, 10_000),
     },
+    "logs": {
+        "max_lines_per_s": Between(10, 100_000),
+        "max_buffered_bytes": Between(4096, 64 * MIB),
+        "answered_sample": Between(1, 1_000_000),
+    },
     "metrics": {
+        "served": FLAG,
+        "endpoint": OPTIONAL_HOST_PORT,
+        "address": ADDRESS,
+        "port": PORT,
         "statsd_address": ADDRESS,
         "statsd_port": Between(1, 65535),
         "enabled": FLAG,
@@ -339,6 +348,8 @@
     sections = ["listen", "peers", "control"]
     if values["readiness"]["enabled"]:
         sections.append("readiness")
+    if values["metrics"]["served"]:
+        sections.append("metrics")
     for section in sections:
         place = (values[section]["address"], values[section]["port"])
         if place in used:
--- a/src/dotterelstand/standin/demoreport.py
+++ b/src/dotterelstand/standin/demoreport.py
@@ -11,7 +11,7 @@
 from dotterelstand.exits import ExitCode
 
 # Part of the log lines of daemons that report a broken invariant, see docs/log-events.md.
-INVARIANT_LINE = "E190 "
+INVARIANT_LINE = '"event": 190,'
 
 
 def load_rows(report: dict[str, Any]) -> list[Row]:
--- a/tests/platform_support.py
+++ b/tests/platform_support.py
@@ -38,6 +38,9 @@
 connect_timeout_s = 0.15
 [requests]
 retry_min_per_s = 5.0
+[metrics]
+served = true
+address = "{address}"
 """
 
 
--- a/tests/test_demo.py
+++ b/tests/test_demo.py
@@ -26,11 +26,11 @@
 @pytest.mark.parametrize(
     ("report", "peak", "line", "fault"),
     [
-        (GOOD, 10, "E200 request_ended", None),
+        (GOOD, 10, '{"event": 200, "message": "request_ended"}', None),
         ({**GOOD, "violations": {"double_run": 1}}, 10, "", "double_run: 1"),
         ({**GOOD, "series": [{"answered": 0}]}, 10, "", "no request was answered"),
         (GOOD, 101, "", "measuring budget exceeded"),
-        (GOOD, 10, "x] E190 invariant_broken {}", "broken invariant"),
+        (GOOD, 10, '{"event": 190, "message": "invariant_broken"}', "broken invariant"),
     ],
 )
 def test_faults_are_found(
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -111,15 +111,18 @@
     assert set(rows) == {str(int(event)) for event in Event}
     assert {row[1] for row in rows.values()} == {event.name.lower() for event in Event}
     for path, call in _calls():
-        if not isinstance(call.func, ast.Name) or call.func.id != "log" or not call.args:
+        function = ast.unparse(call.func)
+        if not call.args or not (function == "log" or function.endswith("trail.note")):
             continue
-        name = ast.unparse(call.args[0])
-        if not name.startswith("Event."):
-            continue
-        row = rows[str(int(Event[name.removeprefix("Event.")]))]
-        described = {field.strip() for field in row[3].split(",")} if len(row) > 3 else set()
-        used = {keyword.arg for keyword in call.keywords if keyword.arg}
-        assert used <= described, f"{path.name}:{call.lineno}: {name}: {used - described}"
+        event = call.args[0]
+        choices = [event.body, event.orelse] if isinstance(event, ast.IfExp) else [event]
+        for name in map(ast.unparse, choices):
+            if not name.startswith("Event."):
+                continue
+            row = rows[str(int(Event[name.removeprefix("Event.")]))]
+            described = {field.strip() for field in row[3].split(",")} if len(row) > 3 else set()
+            used = {keyword.arg for keyword in call.keywords if keyword.arg}
+            assert used <= described, f"{path.name}:{call.lineno}: {name}: {used - described}"
 
 
 def test_every_log_event_is_used() -> None:
--- /dev/null
+++ b/tests/test_explain.py
@@ -0,0 +1,70 @@
+"""A request's story out of log files."""
+
+import json
+from pathlib import Path
+from typing import Any
+
+import pytest
+from support_operation import run_command
+
+from dotterelstand.exits import ExitCode
+
+
+def _line(event: int, clock_s: float, host: str = "entry-1", **fields: Any) -> str:
+    return json.dumps(
+        {"event": event, "message": f"event_{event}", "clock_s": clock_s, "host": host, **fields}
+    )
+
+
+LINES = [
+    _line(507, 1.0, target="i-1", service="s", change="draining"),
+    _line(507, 8.0, target="i-1", service="s", change="gone"),
+    _line(507, 8.0, target="i-9", service="s", change="gone"),
+    _line(325, 9.0, kind="targets", error="UNANSWERED"),
+    _line(204, 10.0, id="q1", after_ms=1.0, attempt=1, target="i-1", zone="z", by="entry-2"),
+    _line(206, 10.0, id="q1", after_ms=20.0, attempt=1, target="i-1", failure=3001),
+    _line(207, 10.0, id="q1", after_ms=20.0, decision="may_have_run"),
+    _line(200, 10.0, id="q1", code=3001, duration_ms=20.5, attempts=1),
+    _line(200, 10.0, id="q2", code=2004, duration_ms=1.0, attempts=0),
+]
+
+
+@pytest.mark.parametrize("prefix", ["", "12.3 entry-1| "])
+def test_the_story_has_codes_in_words_and_what_the_host_believed(
+    prefix: str, tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """Guards against a story without its cause, with lines of others, or out of order."""
+    path = tmp_path / "entry-1.log"
+    path.write_text("".join(f"{prefix}{line}\n" for line in LINES))
+    code, out, _ = run_command(capsys, "explain", "q1", str(path))
+    assert code == ExitCode.OK
+    story, _, beliefs = out.partition("what the host came to believe")
+    steps = ["target i-1 in z, granted by entry-2", "connection_lost", "may_have_run", "after 20.5"]
+    places = [story.index(step) for step in steps]
+    assert places == sorted(places)
+    assert "no_target" not in story
+    assert "i-1 of s as gone" in beliefs and "targets cannot be read" in beliefs
+    assert "draining" not in beliefs and "i-9" not in beliefs
+
+
+@pytest.mark.parametrize(
+    ("request_id", "name", "code", "words"),
+    [
+        ("q9", "entry-1.log", ExitCode.NOT_FOUND, "no line of 1 bears this id"),
+        ("q1", "other.log", ExitCode.FILE_UNREADABLE, "No such file"),
+        ("q2", "entry-1.log", ExitCode.OK, "1 lines are no log events"),
+    ],
+)
+def test_what_cannot_be_explained_is_said(
+    request_id: str,
+    name: str,
+    code: ExitCode,
+    words: str,
+    tmp_path: Path,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    """Guards against an empty story that looks like an answer, and damaged lines left unsaid."""
+    (tmp_path / "entry-1.log").write_text(f"{LINES[-1]}\n{{damaged\n")
+    found, out, err = run_command(capsys, "explain", request_id, str(tmp_path / name))
+    assert found == code
+    assert words in out + err
--- /dev/null
+++ b/tests/test_logs.py
@@ -0,0 +1,187 @@
+"""Log lines: one JSON object each, bounded, and never waited for."""
+
+import json
+import logging as standard_logging
+import os
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import pytest
+import trio
+from absl import logging
+from platform_support import ObjectFleet, run_objects
+
+from dotterelstand.events import Event
+from dotterelstand.logoutput import LogOutput
+
+LINE = "x" * 99 + "\n"
+
+
+class _Lines(standard_logging.Handler):
+    """Collects events; a context manager."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.events: list[dict[str, Any]] = []
+
+    def emit(self, record: standard_logging.LogRecord) -> None:
+        if isinstance(record.msg, dict):
+            self.events.append(record.msg)
+
+    def __enter__(self) -> "_Lines":
+        self._verbosity = logging.get_verbosity()
+        logging.set_verbosity(logging.INFO)
+        logging.get_absl_logger().addHandler(self)
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        logging.get_absl_logger().removeHandler(self)
+        logging.set_verbosity(self._verbosity)
+
+    def of(self, request_id: str) -> list[int]:
+        return [line["event"] for line in self.events if line.get("id") == request_id]
+
+
+@pytest.mark.parametrize("lines", [1, 40, 1000])
+def test_a_reader_that_stands_still_blocks_nothing(lines: int) -> None:
+    """Guards against a daemon that hangs in a write, and against lines that vanish unsaid."""
+    reader, writer = os.pipe()
+    output = LogOutput(writer, 20_000, 100_000)
+    for _ in range(3):
+        for _ in range(lines):
+            output.write(LINE)
+        output.drain()
+    taken = b""
+    while True:
+        output.drain()
+        os.set_blocking(reader, False)
+        try:
+            taken += os.read(reader, 1 << 20)
+        except BlockingIOError:
+            break
+    assert len(taken) % len(LINE) == 0
+    assert len(taken) // len(LINE) + output.dropped == 3 * lines
+    assert output.take_dropped() == 0 or lines == 1000
+    os.close(reader)
+    os.close(writer)
+
+
+@pytest.mark.parametrize(
+    ("max_bytes", "max_lines", "kept"), [(1000, 1000, 10), (100_000, 7, 7), (100_000, 1000, 20)]
+)
+def test_lines_beyond_a_bound_are_dropped_and_counted(
+    max_bytes: int, max_lines: int, kept: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against log lines without a bound."""
+    monkeypatch.setattr("dotterelstand.logoutput.time.monotonic", lambda: 5.0)
+    reader, writer = os.pipe()
+    output = LogOutput(writer, max_bytes, max_lines)
+    for _ in range(20):
+        output.write(LINE)
+    assert output.dropped == 20 - kept
+    output.drain()
+    assert os.read(reader, 1 << 20) == LINE.encode() * kept
+    os.close(reader)
+    os.close(writer)
+
+
+def test_a_reader_that_is_gone_ends_nothing() -> None:
+    """Guards against a daemon that ends with its log reader."""
+    reader, writer = os.pipe()
+    output = LogOutput(writer, 1000, 1000)
+    os.close(reader)
+    output.write(LINE)
+    output.drain()
+    assert output.dropped >= 1
+    os.close(writer)
+
+
+_START = """
+[listen]
+port = 0
+[peers]
+port = 0
+[control]
+port = 0
+[host]
+name = "entry-7"
+"""
+
+
+def test_a_daemon_writes_json_lines_on_standard_output(tmp_path: Path) -> None:
+    """Guards against lines that a log collector cannot parse or assign to a host."""
+    path = tmp_path / "entry.toml"
+    path.write_text(_START)
+    daemon = subprocess.Popen(
+        [sys.executable, "-m", "dotterelstand.process.main", "--settings", str(path)],
+        stdout=subprocess.PIPE,
+        text=True,
+    )
+    assert daemon.stdout is not None
+    first = json.loads(daemon.stdout.readline())
+    daemon.terminate()
+    lines = [first, *map(json.loads, daemon.stdout)]
+    assert daemon.wait(30) == 0
+    assert {line["host"] for line in lines} == {"entry-7"}
+    assert all({"time", "level", "clock_s", "message"} <= set(line) for line in lines)
+    events = [line["event"] for line in lines]
+    assert events[0] == Event.DAEMON_STARTED and events[-1] == Event.DAEMON_STOPPED
+
+
+async def _reset_once(fleet: ObjectFleet) -> str:
+    for instance in fleet.instances:
+        instance.answers = [lambda headers: b""]
+    assert (await fleet.call()).status == 502
+    return "q1"
+
+
+async def _refused_then_answered(fleet: ObjectFleet) -> str:
+    first = fleet.instances[0]
+    first.answers = [
+        lambda headers: first.answer(
+            headers, status="503 Service Unavailable", X_Dotterelstand_Not_Executed="1"
+        )
+    ]
+    assert (await fleet.call()).status == 503
+    return "q1"
+
+
+async def _answered(fleet: ObjectFleet) -> str:
+    assert (await fleet.call()).status == 200
+    return "q1"
+
+
+@pytest.mark.parametrize(
+    ("scenario", "events"),
+    [
+        (_reset_once, [204, 206, 207, 205, 200]),
+        (_refused_then_answered, [204, 206, 207, 205, 200]),
+        (_answered, []),
+    ],
+)
+def test_a_failed_request_leaves_its_decisions_in_the_log(scenario: Any, events: list[int]) -> None:
+    """Guards against failures that nobody can explain, and against lines for what went well."""
+    with _Lines() as lines:
+        request_id = run_objects(scenario, instances=1)
+    assert lines.of(request_id) == events
+
+
+def test_changes_of_targets_are_logged_with_their_inputs() -> None:
+    """Guards against a target that comes or goes without a line that says so."""
+
+    async def scenario(fleet: ObjectFleet) -> None:
+        fleet.register(0, state="draining")
+        fleet.store.remove("servers", "i-1")
+        await trio.sleep(2.0)
+
+    with _Lines() as lines:
+        run_objects(scenario)
+    changes = [
+        (line["target"], line["change"])
+        for line in lines.events
+        if line["event"] == Event.TARGET_CHANGED
+    ]
+    assert ("i-0", "draining") in changes and ("i-1", "gone") in changes
+    assert changes.count(("i-2", "listed")) == 1
