--- a/src/dotterelstand/bench/at_most_once.py
+++ b/src/dotterelstand/bench/at_most_once.py
@@ -16,7 +16,7 @@
 from dotterelstand.bench.report import Figure, Section
 from dotterelstand.codes import Result as ResultCode
 from dotterelstand.codes import Run
-from dotterelstand.process.invariant import InvariantError
+from dotterelstand.process.telemetry.invariant import InvariantError
 from dotterelstand.standin.freeze import Freezer
 from dotterelstand.standin.virtual import run_virtual, seeded_random
 
--- a/src/dotterelstand/bench/confirmations.py
+++ b/src/dotterelstand/bench/confirmations.py
@@ -16,11 +16,11 @@
 from dotterelstand.bench.plots import plot_lines
 from dotterelstand.bench.report import Figure, Section
 from dotterelstand.codes import Result as ResultCode
-from dotterelstand.process.entry import Answer, Claim
-from dotterelstand.process.journal import Journal
-from dotterelstand.process.journalcall import Go, done
-from dotterelstand.process.journaltypes import JournalLimits
-from dotterelstand.process.lease import LeaseRecord
+from dotterelstand.process.idempotency.entry import Answer, Claim
+from dotterelstand.process.idempotency.journal import Journal
+from dotterelstand.process.idempotency.journalcall import Go, done
+from dotterelstand.process.idempotency.journaltypes import JournalLimits
+from dotterelstand.process.idempotency.lease import LeaseRecord
 from dotterelstand.standin.freeze import Freezer
 from dotterelstand.standin.virtual import run_virtual, seeded_random
 
--- a/src/dotterelstand/bench/fleet.py
+++ b/src/dotterelstand/bench/fleet.py
@@ -7,14 +7,14 @@
 
 from dotterelstand.codes import Result as ResultCode
 from dotterelstand.codes import Run
-from dotterelstand.process.callbudget import CallLimits
-from dotterelstand.process.journalcall import Go, Recorded, done, not_run, unknown
-from dotterelstand.process.journalowner import OwnerSettings
-from dotterelstand.process.journalservice import JournalService
-from dotterelstand.process.journaltypes import JournalLimits
-from dotterelstand.process.lease import decode_lease
-from dotterelstand.process.mesh import Member
-from dotterelstand.process.store import StoreClient
+from dotterelstand.process.idempotency.journalcall import Go, Recorded, done, not_run, unknown
+from dotterelstand.process.idempotency.journalowner import OwnerSettings
+from dotterelstand.process.idempotency.journalservice import JournalService
+from dotterelstand.process.idempotency.journaltypes import JournalLimits
+from dotterelstand.process.idempotency.lease import decode_lease
+from dotterelstand.process.peering.mesh import Member
+from dotterelstand.process.storage.callbudget import CallLimits
+from dotterelstand.process.storage.store import StoreClient
 from dotterelstand.standin.freeze import Freezer, enter_host
 from dotterelstand.standin.httpd import HttpAnswer, serve_http
 from dotterelstand.standin.mesh import FakeMesh, MeshHub
--- a/src/dotterelstand/bench/mutations.py
+++ b/src/dotterelstand/bench/mutations.py
@@ -11,12 +11,18 @@
 
 from dotterelstand.codes import Result as ResultCode
 from dotterelstand.codes import Run
-from dotterelstand.process.entry import Answer, Claim, Entry, State
-from dotterelstand.process.journal import Journal
-from dotterelstand.process.journalowner import PartitionOwner
-from dotterelstand.process.journaltypes import Batch, Reply
-from dotterelstand.process.lease import LOST, NOT_WRITTEN, Lease, LeaseError, LeaseRecord
-from dotterelstand.process.store import CONFLICT, UNCERTAIN
+from dotterelstand.process.idempotency.entry import Answer, Claim, Entry, State
+from dotterelstand.process.idempotency.journal import Journal
+from dotterelstand.process.idempotency.journalowner import PartitionOwner
+from dotterelstand.process.idempotency.journaltypes import Batch, Reply
+from dotterelstand.process.idempotency.lease import (
+    LOST,
+    NOT_WRITTEN,
+    Lease,
+    LeaseError,
+    LeaseRecord,
+)
+from dotterelstand.process.storage.store import CONFLICT, UNCERTAIN
 from dotterelstand.standin.platform import ObjectStore
 
 Mutation = AbstractContextManager[Any]
--- a/src/dotterelstand/bench/policies.py
+++ b/src/dotterelstand/bench/policies.py
@@ -5,17 +5,17 @@
 from collections.abc import Callable
 
 from dotterelstand.bench.world import Attempt, Call, Scenario, World
-from dotterelstand.process.balancer import (
+from dotterelstand.process.selection.balancer import (
     Chooser,
     LeastOccupied,
     RandomChoice,
     RoundRobin,
     TwoChoices,
 )
-from dotterelstand.process.health import HealthTable
-from dotterelstand.process.outcome import AttemptOutcome
-from dotterelstand.process.slotindex import NO_TARGETS
-from dotterelstand.process.tuning import SelectionTuning
+from dotterelstand.process.selection.health import HealthTable
+from dotterelstand.process.selection.outcome import AttemptOutcome
+from dotterelstand.process.selection.slotindex import NO_TARGETS
+from dotterelstand.process.selection.tuning import SelectionTuning
 from dotterelstand.request.fields import LoadReport
 
 MakeChooser = Callable[[random.Random], Chooser]
--- a/src/dotterelstand/bench/policy.py
+++ b/src/dotterelstand/bench/policy.py
@@ -12,8 +12,8 @@
 from dotterelstand.bench.runs import RunResult, run_scenario
 from dotterelstand.bench.slotpolicy import SlotPolicy
 from dotterelstand.bench.world import Scenario, World
-from dotterelstand.process.measure import MeasureLimit
-from dotterelstand.process.tuning import SelectionTuning
+from dotterelstand.process.selection.measure import MeasureLimit
+from dotterelstand.process.selection.tuning import SelectionTuning
 
 SLOTS = "slot dispatcher"
 HEDGED = "slot dispatcher, hedged"
--- a/src/dotterelstand/bench/slopes.py
+++ b/src/dotterelstand/bench/slopes.py
@@ -9,12 +9,12 @@
 from dotterelstand.bench.runs import run_scenario
 from dotterelstand.bench.slotpolicy import SlotPolicy
 from dotterelstand.bench.world import Place, Scenario, make_service
-from dotterelstand.process.balancer import Chooser, LeastOccupied, TwoChoices
-from dotterelstand.process.dispatcher import Dispatcher
-from dotterelstand.process.measure import MeasureLimit
-from dotterelstand.process.outcome import AttemptOutcome
-from dotterelstand.process.queue import WaitingCall
-from dotterelstand.process.tuning import SelectionTuning
+from dotterelstand.process.selection.balancer import Chooser, LeastOccupied, TwoChoices
+from dotterelstand.process.selection.dispatcher import Dispatcher
+from dotterelstand.process.selection.measure import MeasureLimit
+from dotterelstand.process.selection.outcome import AttemptOutcome
+from dotterelstand.process.selection.queue import WaitingCall
+from dotterelstand.process.selection.tuning import SelectionTuning
 
 SIZES = (12, 48, 200, 800, 3000)
 SUBSETS = (1, 2, 4, 8, 16)
--- a/src/dotterelstand/bench/slotpolicy.py
+++ b/src/dotterelstand/bench/slotpolicy.py
@@ -15,13 +15,13 @@
     Release,
     encode_message,
 )
-from dotterelstand.process.measure import MeasureBudget, MeasureLimit
-from dotterelstand.process.measuredmesh import MeasuredMesh
-from dotterelstand.process.mesh import M, Member
-from dotterelstand.process.outcome import AttemptOutcome, SlotCall, SlotOutcome
-from dotterelstand.process.slotcore import SlotCore
-from dotterelstand.process.ticket import Ticket
-from dotterelstand.process.tuning import SelectionTuning
+from dotterelstand.process.peering.mesh import M, Member
+from dotterelstand.process.selection.measure import MeasureBudget, MeasureLimit
+from dotterelstand.process.selection.measuredmesh import MeasuredMesh
+from dotterelstand.process.selection.outcome import AttemptOutcome, SlotCall, SlotOutcome
+from dotterelstand.process.selection.slotcore import SlotCore
+from dotterelstand.process.selection.ticket import Ticket
+from dotterelstand.process.selection.tuning import SelectionTuning
 from dotterelstand.request.fields import LoadReport
 from dotterelstand.version.document import Document
 
--- a/src/dotterelstand/bench/world.py
+++ b/src/dotterelstand/bench/world.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 from dotterelstand.bench.engine import Engine
-from dotterelstand.process.outcome import AttemptOutcome
+from dotterelstand.process.selection.outcome import AttemptOutcome
 from dotterelstand.version.document import Service, Target
 
 MEAN_SERVICE_S = 0.005
--- a/src/dotterelstand/cli/context.py
+++ b/src/dotterelstand/cli/context.py
@@ -13,7 +13,7 @@
 from dotterelstand.cli.output import Row, fail, print_json, print_table
 from dotterelstand.connection.network import TcpNetwork
 from dotterelstand.exits import ExitCode, ToolError
-from dotterelstand.process.store import StoreClient
+from dotterelstand.process.storage.store import StoreClient
 from dotterelstand.settings import Settings, default_settings, load_settings
 
 SETTINGS_VARIABLE = "DOTTERELSTAND_SETTINGS"
--- a/src/dotterelstand/cli/histogram.py
+++ b/src/dotterelstand/cli/histogram.py
@@ -7,7 +7,7 @@
 
 from dotterelstand.cli.output import Row
 from dotterelstand.exits import ExitCode, ToolError
-from dotterelstand.process.metrics import Series, SeriesKey, merge_series, new_histogram
+from dotterelstand.process.telemetry.metrics import Series, SeriesKey, merge_series, new_histogram
 
 QUANTILES = (50.0, 90.0, 99.0, 99.9)
 
--- a/src/dotterelstand/cli/sections.py
+++ b/src/dotterelstand/cli/sections.py
@@ -10,7 +10,7 @@
 
 from dotterelstand.cli.output import Row
 from dotterelstand.exits import ExitCode, ToolError
-from dotterelstand.process.store import MISSING, StoreClient
+from dotterelstand.process.storage.store import MISSING, StoreClient
 from dotterelstand.version.accept import (
     DAMAGED,
     HEAD,
--- a/src/dotterelstand/connection/wire.py
+++ b/src/dotterelstand/connection/wire.py
@@ -102,8 +102,8 @@
     """Request to the dispatcher of a service for one slot.
 
     `service` is the index in the sorted service names of the document; `need` packs class, tenant
-    and deadline (`process/slotcodec.py`). The answer has its full worth if the target begins within
-    `within_ms`, 0 if that does not matter.
+    and deadline (`process/selection/slotcodec.py`). The answer has its full worth if the target
+    begins within `within_ms`, 0 if that does not matter.
     """
 
     __slots__ = ("call", "need", "service", "within_ms")
--- a/src/dotterelstand/platform/client.py
+++ b/src/dotterelstand/platform/client.py
@@ -12,8 +12,7 @@
 from dotterelstand.connection.network import Network
 from dotterelstand.events import Event, log
 from dotterelstand.platform.decode import read_configuration, read_host, read_target, write_host
-from dotterelstand.process.membership import ListedHost
-from dotterelstand.process.registry import (
+from dotterelstand.process.discovery.registry import (
     EXISTS,
     HISTORY_LOST,
     REFUSED,
@@ -25,7 +24,12 @@
     Listing,
     PlatformError,
 )
-from dotterelstand.process.storeconnection import StoreAnswer, StoreConnection, StoreConnections
+from dotterelstand.process.peering.membership import ListedHost
+from dotterelstand.process.storage.storeconnection import (
+    StoreAnswer,
+    StoreConnection,
+    StoreConnections,
+)
 
 OBJECTS = "/dotterelstand/objects"
 CONFIGURATION_NAME = "main"
--- a/src/dotterelstand/platform/decode.py
+++ b/src/dotterelstand/platform/decode.py
@@ -4,12 +4,12 @@
 
 from returns.result import Failure, Result, Success
 
-from dotterelstand.process.membership import ListedHost
-from dotterelstand.process.registry import (
+from dotterelstand.process.discovery.registry import (
     Configuration,
     RegisteredTarget,
     ServiceSpec,
 )
+from dotterelstand.process.peering.membership import ListedHost
 from dotterelstand.version.document import CallerBounds, Route, Share
 
 # Requests of these types may run more than once; of any other type, known or not, at most once.
--- a/src/dotterelstand/process/daemon.py
+++ b/src/dotterelstand/process/daemon.py
@@ -9,28 +9,28 @@
 from dotterelstand.connection.tls import Certificates
 from dotterelstand.events import Event, log
 from dotterelstand.platform.build import build_platform, platform_fields
-from dotterelstand.process.backing import Backing
-from dotterelstand.process.control import ControlPort, ControlRegistry
-from dotterelstand.process.exposition import MetricsPort
+from dotterelstand.process.discovery.backing import Backing
+from dotterelstand.process.discovery.objectbacking import ObjectBacking
+from dotterelstand.process.discovery.ownbacking import OwnBacking
 from dotterelstand.process.front import CallerFront
-from dotterelstand.process.healthprobe import HealthProbes, ProbeTuning
-from dotterelstand.process.introduction import await_introduction
 from dotterelstand.process.limits import (
     caller_limits,
     pool_limits,
     quarantine_limits,
     request_limits,
 )
-from dotterelstand.process.metrics import Metrics, build_metrics
-from dotterelstand.process.objectbacking import ObjectBacking
-from dotterelstand.process.ownbacking import OwnBacking
-from dotterelstand.process.pages import DaemonState, register_pages
-from dotterelstand.process.partpages import register_parts, target_states
-from dotterelstand.process.peers import Peers
-from dotterelstand.process.quarantine import QuarantineService, register_quarantine
-from dotterelstand.process.readiness import ReadinessPort
-from dotterelstand.process.slots import SlotBroker, make_broker
-from dotterelstand.process.targetlist import TargetList
+from dotterelstand.process.operation.control import ControlPort, ControlRegistry
+from dotterelstand.process.operation.pages import DaemonState, register_pages
+from dotterelstand.process.operation.partpages import register_parts, target_states
+from dotterelstand.process.operation.readiness import ReadinessPort
+from dotterelstand.process.peering.introduction import await_introduction
+from dotterelstand.process.peering.peers import Peers
+from dotterelstand.process.selection.healthprobe import HealthProbes, ProbeTuning
+from dotterelstand.process.selection.slots import SlotBroker, make_broker
+from dotterelstand.process.selection.targetlist import TargetList
+from dotterelstand.process.suspects.quarantine import QuarantineService, register_quarantine
+from dotterelstand.process.telemetry.exposition import MetricsPort
+from dotterelstand.process.telemetry.metrics import Metrics, build_metrics
 from dotterelstand.request.context import RequestContext
 from dotterelstand.request.fields import OWN_FIELDS, HeaderFields
 from dotterelstand.settings import Settings
--- /dev/null
+++ b/src/dotterelstand/process/discovery/__init__.py
@@ -0,0 +1,1 @@
+"""What the platform tells: document, targets and entry hosts."""
--- a/src/dotterelstand/process/backing.py
+++ b/src/dotterelstand/process/discovery/backing.py
@@ -4,8 +4,8 @@
 
 import trio
 
-from dotterelstand.process.control import ControlRegistry
-from dotterelstand.process.metrics import Metrics
+from dotterelstand.process.operation.control import ControlRegistry
+from dotterelstand.process.telemetry.metrics import Metrics
 from dotterelstand.request.ports import Journal
 from dotterelstand.settings import Settings
 
--- a/src/dotterelstand/process/catalogue.py
+++ b/src/dotterelstand/process/discovery/catalogue.py
@@ -3,7 +3,7 @@
 from collections import deque
 from enum import Enum
 
-from dotterelstand.process.registry import Configuration, Entry, RegisteredTarget
+from dotterelstand.process.discovery.registry import Configuration, Entry, RegisteredTarget
 from dotterelstand.version.document import Document, Service, Target
 
 # Seconds for which a target that vanished while the platform was away stays in use after its
--- a/src/dotterelstand/process/follow.py
+++ b/src/dotterelstand/process/discovery/follow.py
@@ -7,9 +7,8 @@
 from returns.pipeline import is_successful
 
 from dotterelstand.events import Event, log
-from dotterelstand.process.catalogue import Catalogue
-from dotterelstand.process.membership import ListedHost
-from dotterelstand.process.registry import (
+from dotterelstand.process.discovery.catalogue import Catalogue
+from dotterelstand.process.discovery.registry import (
     HISTORY_LOST,
     Configuration,
     Entry,
@@ -19,6 +18,7 @@
     PlatformError,
     RegisteredTarget,
 )
+from dotterelstand.process.peering.membership import ListedHost
 from dotterelstand.version.document import Document
 
 # Pause before the next call to a platform that does not answer; it doubles up to the longest, which
--- a/src/dotterelstand/process/hostlist.py
+++ b/src/dotterelstand/process/discovery/hostlist.py
@@ -7,11 +7,11 @@
 from returns.pipeline import is_successful
 
 from dotterelstand.events import Event, log
-from dotterelstand.process.dialling import split_address
-from dotterelstand.process.membership import ListedHost
-from dotterelstand.process.overlay import FULL_MESH_HOSTS
-from dotterelstand.process.peers import Peers
-from dotterelstand.process.store import StoreClient
+from dotterelstand.process.peering.dialling import split_address
+from dotterelstand.process.peering.membership import ListedHost
+from dotterelstand.process.peering.overlay import FULL_MESH_HOSTS
+from dotterelstand.process.peering.peers import Peers
+from dotterelstand.process.storage.store import StoreClient
 
 ENTRY_ROLE = "entry"
 LEAVING_STATE = "leaving"
--- a/src/dotterelstand/process/objectbacking.py
+++ b/src/dotterelstand/process/discovery/objectbacking.py
@@ -5,13 +5,13 @@
 
 import trio
 
-from dotterelstand.process.catalogue import Catalogue, ServiceTuning
-from dotterelstand.process.control import ControlRegistry
-from dotterelstand.process.follow import FollowTuning, PlatformFeed
-from dotterelstand.process.membership import ListedHost
-from dotterelstand.process.metrics import Metrics
-from dotterelstand.process.peers import Peers
-from dotterelstand.process.registry import Platform
+from dotterelstand.process.discovery.catalogue import Catalogue, ServiceTuning
+from dotterelstand.process.discovery.follow import FollowTuning, PlatformFeed
+from dotterelstand.process.discovery.registry import Platform
+from dotterelstand.process.operation.control import ControlRegistry
+from dotterelstand.process.peering.membership import ListedHost
+from dotterelstand.process.peering.peers import Peers
+from dotterelstand.process.telemetry.metrics import Metrics
 from dotterelstand.settings import Settings
 from dotterelstand.version.document import Document
 
--- a/src/dotterelstand/process/ownbacking.py
+++ b/src/dotterelstand/process/discovery/ownbacking.py
@@ -6,14 +6,14 @@
 import trio
 
 from dotterelstand.connection.network import Network
-from dotterelstand.process.control import ControlRegistry
-from dotterelstand.process.hostlist import HostListReader
-from dotterelstand.process.journalservice import JournalService, build_journal
-from dotterelstand.process.metrics import Metrics
-from dotterelstand.process.partpages import register_store_parts
-from dotterelstand.process.peers import Peers
-from dotterelstand.process.spread import DocumentSpread
-from dotterelstand.process.store import StoreClient, build_store
+from dotterelstand.process.discovery.hostlist import HostListReader
+from dotterelstand.process.distribution.spread import DocumentSpread
+from dotterelstand.process.idempotency.journalservice import JournalService, build_journal
+from dotterelstand.process.operation.control import ControlRegistry
+from dotterelstand.process.operation.partpages import register_store_parts
+from dotterelstand.process.peering.peers import Peers
+from dotterelstand.process.storage.store import StoreClient, build_store
+from dotterelstand.process.telemetry.metrics import Metrics
 from dotterelstand.settings import Settings
 from dotterelstand.version.accept import Acceptor
 from dotterelstand.version.document import Document
--- a/src/dotterelstand/process/registry.py
+++ b/src/dotterelstand/process/discovery/registry.py
@@ -6,7 +6,7 @@
 from returns.result import Result
 
 from dotterelstand.errors import CodedError
-from dotterelstand.process.membership import ListedHost
+from dotterelstand.process.peering.membership import ListedHost
 from dotterelstand.version.document import CallerBounds, Route
 
 T = TypeVar("T")
--- a/src/dotterelstand/process/sectionfetch.py
+++ b/src/dotterelstand/process/distribution/sectionfetch.py
@@ -5,8 +5,8 @@
 
 from dotterelstand.connection.wire import Changes, Fetch, FetchChanges, Manifest, Section
 from dotterelstand.events import Event, log
-from dotterelstand.process.peers import Peers
-from dotterelstand.process.sectionserve import MAX_SECTIONS_PER_FETCH
+from dotterelstand.process.distribution.sectionserve import MAX_SECTIONS_PER_FETCH
+from dotterelstand.process.peering.peers import Peers
 from dotterelstand.version.cache import SectionCache
 from dotterelstand.version.manifest import ManifestRecord, parse_manifest
 
--- a/src/dotterelstand/process/sectionserve.py
+++ b/src/dotterelstand/process/distribution/sectionserve.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 from dotterelstand.connection.wire import Changes, Fetch, FetchChanges, Manifest, Section
-from dotterelstand.process.peers import Peers
+from dotterelstand.process.peering.peers import Peers
 from dotterelstand.version.cache import SectionCache
 from dotterelstand.version.manifest import ManifestRecord
 
--- a/src/dotterelstand/process/spread.py
+++ b/src/dotterelstand/process/distribution/spread.py
@@ -10,11 +10,11 @@
 
 from dotterelstand.connection.wire import Announce, Beat
 from dotterelstand.events import Event, log
-from dotterelstand.process.mesh import Member
-from dotterelstand.process.peers import Peers
-from dotterelstand.process.sectionfetch import PeerFetcher
-from dotterelstand.process.sectionserve import SectionServer
-from dotterelstand.process.store import MISSING, UNCHANGED, StoreClient, StoreValue
+from dotterelstand.process.distribution.sectionfetch import PeerFetcher
+from dotterelstand.process.distribution.sectionserve import SectionServer
+from dotterelstand.process.peering.mesh import Member
+from dotterelstand.process.peering.peers import Peers
+from dotterelstand.process.storage.store import MISSING, UNCHANGED, StoreClient, StoreValue
 from dotterelstand.settings import Settings
 from dotterelstand.version.accept import HEAD, section_object
 from dotterelstand.version.cache import SectionCache
--- a/src/dotterelstand/process/journal.py
+++ b/src/dotterelstand/process/idempotency/journal.py
@@ -10,9 +10,15 @@
 
 from dotterelstand.codes import Result as ResultCode
 from dotterelstand.codes import Run
-from dotterelstand.process.entry import Answer, Claim, Entry, State, encode_entries, read_entries
-from dotterelstand.process.invariant import require
-from dotterelstand.process.journaltypes import (
+from dotterelstand.process.idempotency.entry import (
+    Answer,
+    Claim,
+    Entry,
+    State,
+    encode_entries,
+    read_entries,
+)
+from dotterelstand.process.idempotency.journaltypes import (
     Batch,
     Committed,
     JournalLimits,
@@ -20,6 +26,7 @@
     Reply,
     Segment,
 )
+from dotterelstand.process.telemetry.invariant import require
 
 # Size of entries after which a batch takes no more, which keeps the head below the value limit.
 BATCH_BYTES = 262_144
--- a/src/dotterelstand/process/journalcall.py
+++ b/src/dotterelstand/process/idempotency/journalcall.py
@@ -2,9 +2,9 @@
 
 from dotterelstand.codes import Result as ResultCode
 from dotterelstand.codes import Run
-from dotterelstand.process.entry import Answer
-from dotterelstand.process.invariant import require
-from dotterelstand.process.journaltypes import Reply
+from dotterelstand.process.idempotency.entry import Answer
+from dotterelstand.process.idempotency.journaltypes import Reply
+from dotterelstand.process.telemetry.invariant import require
 
 
 class Go:
--- a/src/dotterelstand/process/journalowner.py
+++ b/src/dotterelstand/process/idempotency/journalowner.py
@@ -9,11 +9,15 @@
 
 from dotterelstand.codes import Result as ResultCode
 from dotterelstand.events import Event, log
-from dotterelstand.process.callbudget import Priority
-from dotterelstand.process.entry import Answer, Claim, Entry
-from dotterelstand.process.journal import Journal, empty_head
-from dotterelstand.process.journaltypes import Batch, JournalLimits, RecordFigures, Reply
-from dotterelstand.process.lease import (
+from dotterelstand.process.idempotency.entry import Answer, Claim, Entry
+from dotterelstand.process.idempotency.journal import Journal, empty_head
+from dotterelstand.process.idempotency.journaltypes import (
+    Batch,
+    JournalLimits,
+    RecordFigures,
+    Reply,
+)
+from dotterelstand.process.idempotency.lease import (
     LOST,
     Lease,
     LeaseRecord,
@@ -21,10 +25,16 @@
     choose_candidates,
     decode_lease,
 )
-from dotterelstand.process.mesh import Mesh
-from dotterelstand.process.ownertypes import OwnerEvents, OwnerSettings, PartitionFigures, Prepared
-from dotterelstand.process.segments import load_journal, segment_name
-from dotterelstand.process.store import CONFLICT, MISSING, StoreClient, StoreValue
+from dotterelstand.process.idempotency.ownertypes import (
+    OwnerEvents,
+    OwnerSettings,
+    PartitionFigures,
+    Prepared,
+)
+from dotterelstand.process.idempotency.segments import load_journal, segment_name
+from dotterelstand.process.peering.mesh import Mesh
+from dotterelstand.process.storage.callbudget import Priority
+from dotterelstand.process.storage.store import CONFLICT, MISSING, StoreClient, StoreValue
 
 # Updates that may follow each other without a pause before the rate applies.
 UPDATE_BURST = 4.0
--- a/src/dotterelstand/process/journalservice.py
+++ b/src/dotterelstand/process/idempotency/journalservice.py
@@ -9,14 +9,24 @@
 from dotterelstand.codes import Result as ResultCode
 from dotterelstand.codes import Run
 from dotterelstand.connection import wire
-from dotterelstand.process.entry import Answer, Claim
-from dotterelstand.process.invariant import require
-from dotterelstand.process.journalcall import CallOutcome, Go, Recorded, Refused, read_reply
-from dotterelstand.process.journalowner import OwnerEvents, OwnerSettings, PartitionOwner
-from dotterelstand.process.journaltypes import JournalLimits, Reply
-from dotterelstand.process.mesh import Mesh
-from dotterelstand.process.outcomes import OutcomeFigures, UnsettledOutcomes
-from dotterelstand.process.store import StoreClient
+from dotterelstand.process.idempotency.entry import Answer, Claim
+from dotterelstand.process.idempotency.journalcall import (
+    CallOutcome,
+    Go,
+    Recorded,
+    Refused,
+    read_reply,
+)
+from dotterelstand.process.idempotency.journalowner import (
+    OwnerEvents,
+    OwnerSettings,
+    PartitionOwner,
+)
+from dotterelstand.process.idempotency.journaltypes import JournalLimits, Reply
+from dotterelstand.process.idempotency.outcomes import OutcomeFigures, UnsettledOutcomes
+from dotterelstand.process.peering.mesh import Mesh
+from dotterelstand.process.storage.store import StoreClient
+from dotterelstand.process.telemetry.invariant import require
 from dotterelstand.settings import Settings
 
 KEY_BYTES = 16
--- a/src/dotterelstand/process/journaltypes.py
+++ b/src/dotterelstand/process/idempotency/journaltypes.py
@@ -1,7 +1,7 @@
 """Bounds, batches and figures of a journal partition."""
 
 from dotterelstand.codes import Result as ResultCode
-from dotterelstand.process.entry import Answer, Claim, Entry
+from dotterelstand.process.idempotency.entry import Answer, Claim, Entry
 
 
 class JournalLimits:
--- a/src/dotterelstand/process/lease.py
+++ b/src/dotterelstand/process/idempotency/lease.py
@@ -11,15 +11,15 @@
 
 from dotterelstand.errors import CodedError
 from dotterelstand.events import Event, log
-from dotterelstand.process.invariant import require
-from dotterelstand.process.mesh import Member
-from dotterelstand.process.store import (
+from dotterelstand.process.peering.mesh import Member
+from dotterelstand.process.storage.store import (
     CONFLICT,
     TOO_LARGE,
     UNCERTAIN,
     StoreClient,
     StoreValue,
 )
+from dotterelstand.process.telemetry.invariant import require
 
 CANDIDATES = 2
 WRITE_ID_BYTES = 12
--- a/src/dotterelstand/process/outcomes.py
+++ b/src/dotterelstand/process/idempotency/outcomes.py
@@ -8,7 +8,7 @@
 from dotterelstand.codes import Result as ResultCode
 from dotterelstand.connection import wire
 from dotterelstand.events import Event, log
-from dotterelstand.process.entry import Answer
+from dotterelstand.process.idempotency.entry import Answer
 
 # Time between two attempts to hand over an outcome, in seconds.
 RESEND_S = 0.5
--- a/src/dotterelstand/process/ownertypes.py
+++ b/src/dotterelstand/process/idempotency/ownertypes.py
@@ -4,9 +4,9 @@
 
 import trio
 
-from dotterelstand.process.entry import Claim
-from dotterelstand.process.journal import Journal
-from dotterelstand.process.journaltypes import Reply
+from dotterelstand.process.idempotency.entry import Claim
+from dotterelstand.process.idempotency.journal import Journal
+from dotterelstand.process.idempotency.journaltypes import Reply
 
 
 class OwnerSettings:
--- a/src/dotterelstand/process/segments.py
+++ b/src/dotterelstand/process/idempotency/segments.py
@@ -4,11 +4,11 @@
 from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
-from dotterelstand.process.entry import decode_entries
-from dotterelstand.process.journal import Journal
-from dotterelstand.process.journaltypes import JournalLimits, Segment
-from dotterelstand.process.lease import LeaseRecord
-from dotterelstand.process.store import StoreClient
+from dotterelstand.process.idempotency.entry import decode_entries
+from dotterelstand.process.idempotency.journal import Journal
+from dotterelstand.process.idempotency.journaltypes import JournalLimits, Segment
+from dotterelstand.process.idempotency.lease import LeaseRecord
+from dotterelstand.process.storage.store import StoreClient
 
 # Segments that are read at the same time.
 PARALLEL_READS = 16
--- a/src/dotterelstand/process/limits.py
+++ b/src/dotterelstand/process/limits.py
@@ -2,7 +2,7 @@
 
 from dotterelstand.connection.caller import CallerLimits
 from dotterelstand.connection.pool import PoolLimits
-from dotterelstand.process.strikes import QuarantineLimits
+from dotterelstand.process.suspects.strikes import QuarantineLimits
 from dotterelstand.request.context import RequestLimits
 from dotterelstand.settings import Settings
 from dotterelstand.version.document import CallerBounds
--- /dev/null
+++ b/src/dotterelstand/process/operation/__init__.py
@@ -0,0 +1,1 @@
+"""The control port and its pages."""
--- a/src/dotterelstand/process/control.py
+++ b/src/dotterelstand/process/operation/control.py
@@ -27,7 +27,7 @@
 from dotterelstand.connection.control import ControlAnswer, ControlConnection, ControlRequest
 from dotterelstand.connection.network import Listener, Network
 from dotterelstand.events import Event, log
-from dotterelstand.process.metrics import Metrics
+from dotterelstand.process.telemetry.metrics import Metrics
 from dotterelstand.settings import Settings
 
 NOT_AUTHORIZED = 4201
--- a/src/dotterelstand/process/pages.py
+++ b/src/dotterelstand/process/operation/pages.py
@@ -5,8 +5,8 @@
 import trio
 from returns.result import Result, Success
 
-from dotterelstand.process.control import Arguments, ControlRegistry
-from dotterelstand.process.metrics import Metrics
+from dotterelstand.process.operation.control import Arguments, ControlRegistry
+from dotterelstand.process.telemetry.metrics import Metrics
 from dotterelstand.settings import Settings
 from dotterelstand.version.document import Document
 
--- a/src/dotterelstand/process/partpages.py
+++ b/src/dotterelstand/process/operation/partpages.py
@@ -4,17 +4,17 @@
 
 import trio
 
-from dotterelstand.process.control import ControlRegistry
-from dotterelstand.process.dispatcher import Dispatcher
-from dotterelstand.process.figures import read_figures, sum_figures
-from dotterelstand.process.journalservice import JournalService
-from dotterelstand.process.measure import MeasureBudget
-from dotterelstand.process.mesh import Member, Mesh
-from dotterelstand.process.metrics import Metrics
-from dotterelstand.process.peers import Peers
-from dotterelstand.process.slots import SlotBroker
-from dotterelstand.process.store import StoreClient
-from dotterelstand.process.targethealth import TargetHealth
+from dotterelstand.process.idempotency.journalservice import JournalService
+from dotterelstand.process.operation.control import ControlRegistry
+from dotterelstand.process.peering.mesh import Member, Mesh
+from dotterelstand.process.peering.peers import Peers
+from dotterelstand.process.selection.dispatcher import Dispatcher
+from dotterelstand.process.selection.measure import MeasureBudget
+from dotterelstand.process.selection.slots import SlotBroker
+from dotterelstand.process.selection.targethealth import TargetHealth
+from dotterelstand.process.storage.store import StoreClient
+from dotterelstand.process.telemetry.figures import read_figures, sum_figures
+from dotterelstand.process.telemetry.metrics import Metrics
 from dotterelstand.settings import Settings
 
 
--- a/src/dotterelstand/process/readiness.py
+++ b/src/dotterelstand/process/operation/readiness.py
@@ -4,7 +4,7 @@
 
 from dotterelstand.connection.control import ControlAnswer, ControlConnection, ControlRequest
 from dotterelstand.connection.network import Network
-from dotterelstand.process.control import ControlRegistry
+from dotterelstand.process.operation.control import ControlRegistry
 from dotterelstand.settings import Settings
 
 # Connections that are answered at a time; further ones are closed.
--- /dev/null
+++ b/src/dotterelstand/process/peering/__init__.py
@@ -0,0 +1,1 @@
+"""Links between entry hosts and who of them lives."""
--- a/src/dotterelstand/process/dialling.py
+++ b/src/dotterelstand/process/peering/dialling.py
@@ -2,7 +2,7 @@
 
 import random
 
-from dotterelstand.process.membership import ListedHost
+from dotterelstand.process.peering.membership import ListedHost
 
 # Addresses whose back-off is remembered; the oldest is forgotten first.
 MAX_ADDRESSES = 4_000
--- a/src/dotterelstand/process/introduction.py
+++ b/src/dotterelstand/process/peering/introduction.py
@@ -2,7 +2,7 @@
 
 import trio
 
-from dotterelstand.process.peers import Peers
+from dotterelstand.process.peering.peers import Peers
 
 CHECK_INTERVAL_S = 0.02
 
--- a/src/dotterelstand/process/membership.py
+++ b/src/dotterelstand/process/peering/membership.py
@@ -3,7 +3,7 @@
 from collections import OrderedDict
 
 from dotterelstand.connection.wire import Hello
-from dotterelstand.process.mesh import Member
+from dotterelstand.process.peering.mesh import Member
 
 
 class ListedHost:
--- a/src/dotterelstand/process/peers.py
+++ b/src/dotterelstand/process/peering/peers.py
@@ -18,11 +18,11 @@
 )
 from dotterelstand.connection.wire import Beat, Goodbye, Hello, Message, encode_message
 from dotterelstand.events import Event, log
-from dotterelstand.process.dialling import Dialling
-from dotterelstand.process.membership import ListedHost, Membership
-from dotterelstand.process.mesh import Member
-from dotterelstand.process.metrics import Metrics
-from dotterelstand.process.overlay import FULL_MESH_HOSTS, choose_peers
+from dotterelstand.process.peering.dialling import Dialling
+from dotterelstand.process.peering.membership import ListedHost, Membership
+from dotterelstand.process.peering.mesh import Member
+from dotterelstand.process.peering.overlay import FULL_MESH_HOSTS, choose_peers
+from dotterelstand.process.telemetry.metrics import Metrics
 from dotterelstand.settings import Settings
 
 M = TypeVar("M", bound=Message)
--- a/src/dotterelstand/process/balancer.py
+++ b/src/dotterelstand/process/selection/balancer.py
@@ -3,7 +3,7 @@
 import random
 from typing import Protocol
 
-from dotterelstand.process.health import HealthTable
+from dotterelstand.process.selection.health import HealthTable
 
 
 class Chooser(Protocol):
--- a/src/dotterelstand/process/dispatcher.py
+++ b/src/dotterelstand/process/selection/dispatcher.py
@@ -3,13 +3,13 @@
 from collections import deque
 
 from dotterelstand.codes import Result as ResultCode
-from dotterelstand.process.balancer import Chooser
-from dotterelstand.process.health import HealthTable
-from dotterelstand.process.outcome import AttemptOutcome, GrantInputs
-from dotterelstand.process.queue import CallKey, CallQueue, WaitingCall
-from dotterelstand.process.slotcodec import CLASSES
-from dotterelstand.process.slotindex import NO_TARGETS
-from dotterelstand.process.tuning import SelectionTuning
+from dotterelstand.process.selection.balancer import Chooser
+from dotterelstand.process.selection.health import HealthTable
+from dotterelstand.process.selection.outcome import AttemptOutcome, GrantInputs
+from dotterelstand.process.selection.queue import CallKey, CallQueue, WaitingCall
+from dotterelstand.process.selection.slotcodec import CLASSES
+from dotterelstand.process.selection.slotindex import NO_TARGETS
+from dotterelstand.process.selection.tuning import SelectionTuning
 from dotterelstand.request.fields import LoadReport
 from dotterelstand.version.document import Service
 
--- a/src/dotterelstand/process/grantserver.py
+++ b/src/dotterelstand/process/selection/grantserver.py
@@ -1,14 +1,14 @@
 """Serves slots to the calls of other entry hosts, as the dispatcher of some services."""
 
 from dotterelstand.connection.wire import Acquire, Grant, Queued, Refuse, Release
-from dotterelstand.process.dispatcher import Decision, Granted
-from dotterelstand.process.measuredmesh import MeasuredMesh
-from dotterelstand.process.outcome import AttemptOutcome
-from dotterelstand.process.queue import WaitingCall
-from dotterelstand.process.servicestate import ServiceState
-from dotterelstand.process.slotcodec import unpack_need, unpack_result
-from dotterelstand.process.slotcounters import GrantServerCounters
-from dotterelstand.process.tuning import SelectionTuning
+from dotterelstand.process.selection.dispatcher import Decision, Granted
+from dotterelstand.process.selection.measuredmesh import MeasuredMesh
+from dotterelstand.process.selection.outcome import AttemptOutcome
+from dotterelstand.process.selection.queue import WaitingCall
+from dotterelstand.process.selection.servicestate import ServiceState
+from dotterelstand.process.selection.slotcodec import unpack_need, unpack_result
+from dotterelstand.process.selection.slotcounters import GrantServerCounters
+from dotterelstand.process.selection.tuning import SelectionTuning
 from dotterelstand.version.document import Service
 
 
--- a/src/dotterelstand/process/health.py
+++ b/src/dotterelstand/process/selection/health.py
@@ -5,10 +5,10 @@
 from collections import deque
 from collections.abc import Set as AbstractSet
 
-from dotterelstand.process.outcome import AttemptOutcome
-from dotterelstand.process.slotindex import NO_TARGETS, SlotIndex
-from dotterelstand.process.targethealth import Due, HealthChange, TargetHealth
-from dotterelstand.process.tuning import SelectionTuning
+from dotterelstand.process.selection.outcome import AttemptOutcome
+from dotterelstand.process.selection.slotindex import NO_TARGETS, SlotIndex
+from dotterelstand.process.selection.targethealth import Due, HealthChange, TargetHealth
+from dotterelstand.process.selection.tuning import SelectionTuning
 from dotterelstand.request.fields import LoadReport
 from dotterelstand.version.document import Target
 
--- a/src/dotterelstand/process/healthprobe.py
+++ b/src/dotterelstand/process/selection/healthprobe.py
@@ -7,9 +7,9 @@
 import trio
 
 from dotterelstand.connection.pool import ConnectionLimitError, TargetPool
-from dotterelstand.process.measure import MeasureBudget
-from dotterelstand.process.mesh import Mesh
-from dotterelstand.process.rendezvous import DispatcherMap
+from dotterelstand.process.peering.mesh import Mesh
+from dotterelstand.process.selection.measure import MeasureBudget
+from dotterelstand.process.selection.rendezvous import DispatcherMap
 from dotterelstand.request.fields import HeaderFields, LoadReport, read_load
 from dotterelstand.request.ports import Counters, Leaving
 from dotterelstand.version.document import Document, Service, Target
--- a/src/dotterelstand/process/measuredmesh.py
+++ b/src/dotterelstand/process/selection/measuredmesh.py
@@ -1,8 +1,8 @@
 """The mesh as target selection uses it: every message is charged to the measuring budget."""
 
 from dotterelstand.connection.wire import Message, encode_message
-from dotterelstand.process.measure import MeasureBudget
-from dotterelstand.process.mesh import Member, Mesh
+from dotterelstand.process.peering.mesh import Member, Mesh
+from dotterelstand.process.selection.measure import MeasureBudget
 
 # Websocket framing of a message below 126 bytes with a mask, the larger of both directions.
 FRAME_BYTES = 6
--- a/src/dotterelstand/process/rendezvous.py
+++ b/src/dotterelstand/process/selection/rendezvous.py
@@ -2,7 +2,7 @@
 
 import xxhash
 
-from dotterelstand.process.mesh import Member
+from dotterelstand.process.peering.mesh import Member
 
 
 class DispatcherMap:
--- a/src/dotterelstand/process/servicestate.py
+++ b/src/dotterelstand/process/selection/servicestate.py
@@ -1,6 +1,6 @@
 """What one entry host knows of one service's selection."""
 
-from dotterelstand.process.dispatcher import Dispatcher
+from dotterelstand.process.selection.dispatcher import Dispatcher
 from dotterelstand.version.document import Service
 
 # Smoothing of the dispatcher's answer time, as in RFC 6298.
--- a/src/dotterelstand/process/slotcodec.py
+++ b/src/dotterelstand/process/selection/slotcodec.py
@@ -4,7 +4,7 @@
 
 from dotterelstand.codes import Result as ResultCode
 from dotterelstand.codes import Run
-from dotterelstand.process.outcome import AttemptOutcome
+from dotterelstand.process.selection.outcome import AttemptOutcome
 
 CLASSES = 8
 TENANTS = 1024
--- a/src/dotterelstand/process/slotcore.py
+++ b/src/dotterelstand/process/selection/slotcore.py
@@ -6,21 +6,27 @@
 
 from dotterelstand.codes import Result as ResultCode
 from dotterelstand.connection.wire import Acquire, Grant, Message, Queued, Refuse, Release
-from dotterelstand.process.balancer import LeastOccupied, TwoChoices
-from dotterelstand.process.dispatcher import Decision, Dispatcher, Granted
-from dotterelstand.process.grantserver import GrantServer
-from dotterelstand.process.measure import MeasureBudget
-from dotterelstand.process.measuredmesh import MeasuredMesh
-from dotterelstand.process.mesh import Member
-from dotterelstand.process.outcome import AttemptOutcome, SlotCall, SlotGrant, SlotOutcome
-from dotterelstand.process.queue import WaitingCall
-from dotterelstand.process.rendezvous import DispatcherMap
-from dotterelstand.process.servicestate import ServiceState
-from dotterelstand.process.slotcodec import CLASSES, TENANTS, pack_need, pack_result, refusal_code
-from dotterelstand.process.slotcounters import GrantServerCounters, SlotCounters
-from dotterelstand.process.targethealth import SLOW_PACE
-from dotterelstand.process.ticket import Ticket, TicketState
-from dotterelstand.process.tuning import SelectionTuning
+from dotterelstand.process.peering.mesh import Member
+from dotterelstand.process.selection.balancer import LeastOccupied, TwoChoices
+from dotterelstand.process.selection.dispatcher import Decision, Dispatcher, Granted
+from dotterelstand.process.selection.grantserver import GrantServer
+from dotterelstand.process.selection.measure import MeasureBudget
+from dotterelstand.process.selection.measuredmesh import MeasuredMesh
+from dotterelstand.process.selection.outcome import AttemptOutcome, SlotCall, SlotGrant, SlotOutcome
+from dotterelstand.process.selection.queue import WaitingCall
+from dotterelstand.process.selection.rendezvous import DispatcherMap
+from dotterelstand.process.selection.servicestate import ServiceState
+from dotterelstand.process.selection.slotcodec import (
+    CLASSES,
+    TENANTS,
+    pack_need,
+    pack_result,
+    refusal_code,
+)
+from dotterelstand.process.selection.slotcounters import GrantServerCounters, SlotCounters
+from dotterelstand.process.selection.targethealth import SLOW_PACE
+from dotterelstand.process.selection.ticket import Ticket, TicketState
+from dotterelstand.process.selection.tuning import SelectionTuning
 from dotterelstand.request.fields import LoadReport
 from dotterelstand.version.document import Document, Service, Target
 
--- a/src/dotterelstand/process/slotnews.py
+++ b/src/dotterelstand/process/selection/slotnews.py
@@ -1,8 +1,8 @@
 """Log events of target selection."""
 
 from dotterelstand.events import Event, log
-from dotterelstand.process.servicestate import ServiceState
-from dotterelstand.process.slotcore import SlotCore
+from dotterelstand.process.selection.servicestate import ServiceState
+from dotterelstand.process.selection.slotcore import SlotCore
 
 REPORT_PERIOD_S = 1.0
 
--- a/src/dotterelstand/process/slots.py
+++ b/src/dotterelstand/process/selection/slots.py
@@ -17,16 +17,16 @@
     TargetLeaving,
 )
 from dotterelstand.events import Event, log
-from dotterelstand.process.health import SLOW_LIFE_S
-from dotterelstand.process.measure import MeasureBudget, MeasureLimit
-from dotterelstand.process.measuredmesh import MeasuredMesh
-from dotterelstand.process.mesh import Mesh
-from dotterelstand.process.outcome import AttemptOutcome, SlotCall, SlotGrant, SlotOutcome
-from dotterelstand.process.slotcore import SlotCore
-from dotterelstand.process.slotnews import SlotNews
-from dotterelstand.process.targethealth import SLOW_PACE
-from dotterelstand.process.ticket import Ticket
-from dotterelstand.process.tuning import SelectionTuning, read_tuning
+from dotterelstand.process.peering.mesh import Mesh
+from dotterelstand.process.selection.health import SLOW_LIFE_S
+from dotterelstand.process.selection.measure import MeasureBudget, MeasureLimit
+from dotterelstand.process.selection.measuredmesh import MeasuredMesh
+from dotterelstand.process.selection.outcome import AttemptOutcome, SlotCall, SlotGrant, SlotOutcome
+from dotterelstand.process.selection.slotcore import SlotCore
+from dotterelstand.process.selection.slotnews import SlotNews
+from dotterelstand.process.selection.targethealth import SLOW_PACE
+from dotterelstand.process.selection.ticket import Ticket
+from dotterelstand.process.selection.tuning import SelectionTuning, read_tuning
 from dotterelstand.request.fields import LoadReport
 from dotterelstand.settings import Settings
 from dotterelstand.version.document import Document, Service, Target
--- a/src/dotterelstand/process/targetlist.py
+++ b/src/dotterelstand/process/selection/targetlist.py
@@ -4,7 +4,7 @@
 from typing import Protocol
 
 from dotterelstand.connection.wire import TargetLeaving
-from dotterelstand.process.mesh import Mesh
+from dotterelstand.process.peering.mesh import Mesh
 
 TARGET_ROLE = "target"
 LEAVING_STATE = "leaving"
--- a/src/dotterelstand/process/ticket.py
+++ b/src/dotterelstand/process/selection/ticket.py
@@ -4,7 +4,7 @@
 from enum import Enum
 
 from dotterelstand.codes import Result as ResultCode
-from dotterelstand.process.outcome import SlotCall, SlotGrant
+from dotterelstand.process.selection.outcome import SlotCall, SlotGrant
 from dotterelstand.version.document import Service
 
 
--- /dev/null
+++ b/src/dotterelstand/process/storage/__init__.py
@@ -0,0 +1,1 @@
+"""Client of the platform's object store."""
--- a/src/dotterelstand/process/store.py
+++ b/src/dotterelstand/process/storage/store.py
@@ -13,8 +13,16 @@
 from dotterelstand.connection.network import Network
 from dotterelstand.errors import CodedError
 from dotterelstand.events import Event, log
-from dotterelstand.process.callbudget import CallBudget, CallLimits, Deny, Kind, Priority, Run, Wait
-from dotterelstand.process.storeconnection import StoreConnection, StoreConnections
+from dotterelstand.process.storage.callbudget import (
+    CallBudget,
+    CallLimits,
+    Deny,
+    Kind,
+    Priority,
+    Run,
+    Wait,
+)
+from dotterelstand.process.storage.storeconnection import StoreConnection, StoreConnections
 from dotterelstand.settings import Settings
 
 MAX_VALUE_BYTES = 1_000_000
--- /dev/null
+++ b/src/dotterelstand/process/suspects/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that crash targets."""
--- a/src/dotterelstand/process/quarantine.py
+++ b/src/dotterelstand/process/suspects/quarantine.py
@@ -13,9 +13,9 @@
     SuspectEnd,
 )
 from dotterelstand.events import Event, log
-from dotterelstand.process.control import Arguments, ControlRegistry
-from dotterelstand.process.mesh import Mesh
-from dotterelstand.process.strikes import (
+from dotterelstand.process.operation.control import Arguments, ControlRegistry
+from dotterelstand.process.peering.mesh import Mesh
+from dotterelstand.process.suspects.strikes import (
     KnownStrike,
     Quarantine,
     QuarantineLimits,
--- /dev/null
+++ b/src/dotterelstand/process/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Counters, histograms and broken invariants."""
--- a/src/dotterelstand/process/exposition.py
+++ b/src/dotterelstand/process/telemetry/exposition.py
@@ -8,7 +8,7 @@
 
 from dotterelstand.connection.control import ControlAnswer, ControlConnection, ControlRequest
 from dotterelstand.connection.network import Network
-from dotterelstand.process.metrics import Metrics
+from dotterelstand.process.telemetry.metrics import Metrics
 from dotterelstand.settings import Settings
 
 METRICS_PATH = "/metrics"
--- a/src/dotterelstand/request/attempt.py
+++ b/src/dotterelstand/request/attempt.py
@@ -10,7 +10,7 @@
 from dotterelstand.connection.callerrequest import BodyError
 from dotterelstand.connection.pool import ONLY_NEW_S, PROOF_LIFE_S, ConnectionLimitError, TargetPool
 from dotterelstand.connection.target import TargetConnection
-from dotterelstand.process.outcome import AttemptOutcome, SlotGrant, SlotOutcome
+from dotterelstand.process.selection.outcome import AttemptOutcome, SlotGrant, SlotOutcome
 from dotterelstand.request.body import RequestBody
 from dotterelstand.request.fields import HeaderFields, read_load
 from dotterelstand.request.head import Headers, RequestHead, forwarded_headers
--- a/src/dotterelstand/request/exchange.py
+++ b/src/dotterelstand/request/exchange.py
@@ -10,7 +10,7 @@
 from dotterelstand.codes import Run
 from dotterelstand.connection.callerrequest import BodyError, CallerRequest
 from dotterelstand.events import Event
-from dotterelstand.process.outcome import AttemptOutcome, SlotCall, SlotGrant
+from dotterelstand.process.selection.outcome import AttemptOutcome, SlotCall, SlotGrant
 from dotterelstand.request.attempt import AT_ONCE_BYTES, Attempt, AttemptSetup
 from dotterelstand.request.body import RequestBody
 from dotterelstand.request.context import RequestContext
--- a/src/dotterelstand/request/keyed.py
+++ b/src/dotterelstand/request/keyed.py
@@ -3,7 +3,7 @@
 from dotterelstand.codes import Result as ResultCode
 from dotterelstand.codes import Run
 from dotterelstand.connection.callerrequest import CallerRequest
-from dotterelstand.process.journalcall import Go, Recorded, done, not_run, unknown
+from dotterelstand.process.idempotency.journalcall import Go, Recorded, done, not_run, unknown
 from dotterelstand.request.attempt import AnswerHead
 from dotterelstand.request.body import RequestBody
 from dotterelstand.request.head import RequestHead, head_digest, returned_headers
--- a/src/dotterelstand/request/ports.py
+++ b/src/dotterelstand/request/ports.py
@@ -5,8 +5,8 @@
 from returns.result import Result
 
 from dotterelstand.codes import Result as ResultCode
-from dotterelstand.process.journalcall import CallOutcome, Go, Recorded, Refused
-from dotterelstand.process.outcome import SlotCall, SlotGrant, SlotOutcome
+from dotterelstand.process.idempotency.journalcall import CallOutcome, Go, Recorded, Refused
+from dotterelstand.process.selection.outcome import SlotCall, SlotGrant, SlotOutcome
 from dotterelstand.version.document import Service
 
 
--- a/src/dotterelstand/request/race.py
+++ b/src/dotterelstand/request/race.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from dotterelstand.process.outcome import AttemptOutcome
+from dotterelstand.process.selection.outcome import AttemptOutcome
 from dotterelstand.request.attempt import Attempt
 from dotterelstand.request.policy import FAILING_STATUSES
 
--- a/src/dotterelstand/standin/entryfleet.py
+++ b/src/dotterelstand/standin/entryfleet.py
@@ -7,12 +7,12 @@
 
 from dotterelstand.connection.network import Network
 from dotterelstand.connection.tls import Certificates
-from dotterelstand.process.hostlist import HostListReader, parse_host_list
-from dotterelstand.process.membership import ListedHost
-from dotterelstand.process.metrics import Metrics
-from dotterelstand.process.peers import Peers
-from dotterelstand.process.spread import DocumentSpread
-from dotterelstand.process.store import StoreClient
+from dotterelstand.process.discovery.hostlist import HostListReader, parse_host_list
+from dotterelstand.process.distribution.spread import DocumentSpread
+from dotterelstand.process.peering.membership import ListedHost
+from dotterelstand.process.peering.peers import Peers
+from dotterelstand.process.storage.store import StoreClient
+from dotterelstand.process.telemetry.metrics import Metrics
 from dotterelstand.settings import Settings, default_settings
 from dotterelstand.standin.httpd import serve_http
 from dotterelstand.standin.network import FakeNetwork
--- a/src/dotterelstand/standin/loadclient.py
+++ b/src/dotterelstand/standin/loadclient.py
@@ -7,7 +7,7 @@
 
 from dotterelstand.connection.network import Network
 from dotterelstand.connection.target import close_now
-from dotterelstand.process.entry import BODY_HEADER, BODY_NOT_KEPT
+from dotterelstand.process.idempotency.entry import BODY_HEADER, BODY_NOT_KEPT
 
 CHUNK = b"\x5a" * 65536
 MAX_ANSWER_BYTES = 1_048_576
--- a/src/dotterelstand/standin/mesh.py
+++ b/src/dotterelstand/standin/mesh.py
@@ -6,7 +6,7 @@
 import trio
 
 from dotterelstand.connection.wire import Message, decode_messages, encode_message
-from dotterelstand.process.mesh import M, Member
+from dotterelstand.process.peering.mesh import M, Member
 
 Handler = Callable[[str, Message], None]
 
--- a/src/dotterelstand/version/accept.py
+++ b/src/dotterelstand/version/accept.py
@@ -9,7 +9,7 @@
 from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
-from dotterelstand.process.store import CONFLICT, MISSING, UNCERTAIN, StoreError, StoreValue
+from dotterelstand.process.storage.store import CONFLICT, MISSING, UNCERTAIN, StoreError, StoreValue
 from dotterelstand.version.cache import SectionCache
 from dotterelstand.version.check import join_sections
 from dotterelstand.version.diff import diff_bodies
--- a/tests/selection_helpers.py
+++ b/tests/selection_helpers.py
@@ -5,7 +5,7 @@
 import trio
 
 from dotterelstand.connection.wire import Message
-from dotterelstand.process.mesh import M, Member
+from dotterelstand.process.peering.mesh import M, Member
 from dotterelstand.version.document import Document, Service, Target
 
 
@@ -52,7 +52,7 @@
 
 
 class FakeMesh:
-    """See `dotterelstand.process.mesh.Mesh`."""
+    """See `dotterelstand.process.peering.mesh.Mesh`."""
 
     region = "r1"
     is_overlay = False
--- a/tests/support_operation.py
+++ b/tests/support_operation.py
@@ -12,8 +12,8 @@
 
 from dotterelstand.cli.main import run_tool
 from dotterelstand.connection.network import TcpNetwork
-from dotterelstand.process.control import ControlPort, ControlRegistry
-from dotterelstand.process.metrics import Metrics
+from dotterelstand.process.operation.control import ControlPort, ControlRegistry
+from dotterelstand.process.telemetry.metrics import Metrics
 from dotterelstand.settings import parse_settings
 
 TOKEN = "operator-token-1"
--- a/tests/test_catalogue.py
+++ b/tests/test_catalogue.py
@@ -8,8 +8,8 @@
 from returns.pipeline import is_successful
 
 from dotterelstand.platform.decode import read_configuration, read_host, read_target
-from dotterelstand.process.catalogue import LAPSE_S, Catalogue, ServiceTuning
-from dotterelstand.process.registry import Entry
+from dotterelstand.process.discovery.catalogue import LAPSE_S, Catalogue, ServiceTuning
+from dotterelstand.process.discovery.registry import Entry
 from dotterelstand.request.fields import read_load
 from dotterelstand.request.split import SplitCounts
 
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -5,8 +5,8 @@
 from returns.result import Failure, Result, Success
 from support_operation import TOKEN, TOKEN_SETTINGS, call_control
 
-from dotterelstand.process.control import ControlPort, ControlRegistry
-from dotterelstand.process.metrics import Metrics
+from dotterelstand.process.operation.control import ControlPort, ControlRegistry
+from dotterelstand.process.telemetry.metrics import Metrics
 from dotterelstand.settings import parse_settings
 from dotterelstand.standin.network import FakeNetwork
 from dotterelstand.standin.virtual import run_virtual
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -8,11 +8,11 @@
 from selection_helpers import make_service
 
 from dotterelstand.codes import Result as ResultCode
-from dotterelstand.process.balancer import LeastOccupied, TwoChoices
-from dotterelstand.process.dispatcher import Decision, Dispatcher, Granted, Refused
-from dotterelstand.process.outcome import AttemptOutcome
-from dotterelstand.process.queue import WaitingCall
-from dotterelstand.process.tuning import SelectionTuning
+from dotterelstand.process.selection.balancer import LeastOccupied, TwoChoices
+from dotterelstand.process.selection.dispatcher import Decision, Dispatcher, Granted, Refused
+from dotterelstand.process.selection.outcome import AttemptOutcome
+from dotterelstand.process.selection.queue import WaitingCall
+from dotterelstand.process.selection.tuning import SelectionTuning
 
 OK = AttemptOutcome.OK
 
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -13,16 +13,16 @@
 from dotterelstand.codes import Result
 from dotterelstand.events import Event
 from dotterelstand.exits import ExitCode
-from dotterelstand.process.callbudget import CallFigures
-from dotterelstand.process.dispatcher import DispatcherCounters
-from dotterelstand.process.figures import PREFIXES
-from dotterelstand.process.grantserver import GrantServerCounters
-from dotterelstand.process.journalowner import PartitionFigures
-from dotterelstand.process.journalservice import JournalFigures
-from dotterelstand.process.journaltypes import RecordFigures
-from dotterelstand.process.measure import MeasureCounters
-from dotterelstand.process.outcomes import OutcomeFigures
-from dotterelstand.process.slotcore import SlotCounters
+from dotterelstand.process.idempotency.journalowner import PartitionFigures
+from dotterelstand.process.idempotency.journalservice import JournalFigures
+from dotterelstand.process.idempotency.journaltypes import RecordFigures
+from dotterelstand.process.idempotency.outcomes import OutcomeFigures
+from dotterelstand.process.selection.dispatcher import DispatcherCounters
+from dotterelstand.process.selection.grantserver import GrantServerCounters
+from dotterelstand.process.selection.measure import MeasureCounters
+from dotterelstand.process.selection.slotcore import SlotCounters
+from dotterelstand.process.storage.callbudget import CallFigures
+from dotterelstand.process.telemetry.figures import PREFIXES
 from dotterelstand.settings import default_settings
 from dotterelstand.settings_rules import RULES
 
--- a/tests/test_document_faults.py
+++ b/tests/test_document_faults.py
@@ -8,7 +8,7 @@
 from returns.pipeline import is_successful
 
 from dotterelstand.bench.documentfaults import run_seed
-from dotterelstand.process.callbudget import CallBudget, CallLimits, Kind, Priority, Wait
+from dotterelstand.process.storage.callbudget import CallBudget, CallLimits, Kind, Priority, Wait
 from dotterelstand.standin.entryfleet import Fleet, change
 from dotterelstand.standin.virtual import run_virtual
 from dotterelstand.version.accept import Change
--- a/tests/test_exposition.py
+++ b/tests/test_exposition.py
@@ -4,8 +4,8 @@
 from platform_support import ObjectFleet, run_objects
 from prometheus_client.parser import text_string_to_metric_families
 
-from dotterelstand.process.exposition import BUCKETS_S, render_metrics
-from dotterelstand.process.metrics import Metrics
+from dotterelstand.process.telemetry.exposition import BUCKETS_S, render_metrics
+from dotterelstand.process.telemetry.metrics import Metrics
 
 
 def _samples(text: str) -> dict[tuple[str, frozenset[tuple[str, str]]], float]:
--- a/tests/test_figures.py
+++ b/tests/test_figures.py
@@ -5,11 +5,11 @@
 import trio
 
 from dotterelstand.codes import Result
-from dotterelstand.process.callbudget import CallFigures, Kind, Priority
 from dotterelstand.process.daemon import Daemon
-from dotterelstand.process.figures import read_figures, sum_figures
-from dotterelstand.process.journalservice import JournalFigures
-from dotterelstand.process.metrics import Metrics
+from dotterelstand.process.idempotency.journalservice import JournalFigures
+from dotterelstand.process.storage.callbudget import CallFigures, Kind, Priority
+from dotterelstand.process.telemetry.figures import read_figures, sum_figures
+from dotterelstand.process.telemetry.metrics import Metrics
 from dotterelstand.settings import parse_settings
 from dotterelstand.standin.network import FakeNetwork
 from dotterelstand.standin.virtual import run_virtual
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -5,11 +5,11 @@
 import pytest
 from selection_helpers import make_service
 
-from dotterelstand.process.balancer import LeastOccupied, TwoChoices
-from dotterelstand.process.health import HealthTable
-from dotterelstand.process.outcome import AttemptOutcome
-from dotterelstand.process.slotindex import NO_TARGETS
-from dotterelstand.process.tuning import SelectionTuning
+from dotterelstand.process.selection.balancer import LeastOccupied, TwoChoices
+from dotterelstand.process.selection.health import HealthTable
+from dotterelstand.process.selection.outcome import AttemptOutcome
+from dotterelstand.process.selection.slotindex import NO_TARGETS
+from dotterelstand.process.selection.tuning import SelectionTuning
 from dotterelstand.request.fields import LoadReport
 from dotterelstand.version.document import Target
 
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -6,7 +6,12 @@
 from returns.pipeline import is_successful
 
 from dotterelstand.codes import Result as ResultCode
-from dotterelstand.process.callbudget import (
+from dotterelstand.process.idempotency.entry import Answer, Claim, decode_entries
+from dotterelstand.process.idempotency.journal import Journal, empty_head
+from dotterelstand.process.idempotency.journaltypes import JournalLimits
+from dotterelstand.process.idempotency.lease import LeaseWatch, choose_candidates
+from dotterelstand.process.peering.mesh import Member
+from dotterelstand.process.storage.callbudget import (
     Breaker,
     CallBudget,
     CallLimits,
@@ -16,12 +21,7 @@
     Run,
     Wait,
 )
-from dotterelstand.process.entry import Answer, Claim, decode_entries
-from dotterelstand.process.invariant import InvariantError
-from dotterelstand.process.journal import Journal, empty_head
-from dotterelstand.process.journaltypes import JournalLimits
-from dotterelstand.process.lease import LeaseWatch, choose_candidates
-from dotterelstand.process.mesh import Member
+from dotterelstand.process.telemetry.invariant import InvariantError
 
 KEY, BODY = b"k" * 16, b"b" * 16
 LIVE = ("e1", "e2")
--- a/tests/test_journal_service.py
+++ b/tests/test_journal_service.py
@@ -8,12 +8,12 @@
 
 from dotterelstand.codes import Result as ResultCode
 from dotterelstand.connection.network import Network
-from dotterelstand.process.journalcall import Go, Recorded, Refused, done, not_run
-from dotterelstand.process.journalowner import OwnerSettings
-from dotterelstand.process.journalservice import JournalService
-from dotterelstand.process.journaltypes import JournalLimits
-from dotterelstand.process.mesh import Member
-from dotterelstand.process.store import StoreClient
+from dotterelstand.process.idempotency.journalcall import Go, Recorded, Refused, done, not_run
+from dotterelstand.process.idempotency.journalowner import OwnerSettings
+from dotterelstand.process.idempotency.journalservice import JournalService
+from dotterelstand.process.idempotency.journaltypes import JournalLimits
+from dotterelstand.process.peering.mesh import Member
+from dotterelstand.process.storage.store import StoreClient
 from dotterelstand.standin.httpd import serve_http
 from dotterelstand.standin.mesh import MeshHub
 from dotterelstand.standin.network import FakeNetwork
--- a/tests/test_measure.py
+++ b/tests/test_measure.py
@@ -7,9 +7,14 @@
 
 from dotterelstand.bench.slotpolicy import HEADER_BYTES, MASK_BYTES
 from dotterelstand.connection.wire import Acquire, encode_message
-from dotterelstand.process.measure import MeasureBudget, MeasureLimit
-from dotterelstand.process.outcome import AttemptOutcome
-from dotterelstand.process.slotcodec import pack_need, pack_result, unpack_need, unpack_result
+from dotterelstand.process.selection.measure import MeasureBudget, MeasureLimit
+from dotterelstand.process.selection.outcome import AttemptOutcome
+from dotterelstand.process.selection.slotcodec import (
+    pack_need,
+    pack_result,
+    unpack_need,
+    unpack_result,
+)
 
 
 @pytest.mark.parametrize(
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -4,9 +4,9 @@
 import trio
 
 from dotterelstand.connection.wire import Hello
-from dotterelstand.process.hostlist import parse_host_list
-from dotterelstand.process.membership import ListedHost, Membership
-from dotterelstand.process.mesh import Member
+from dotterelstand.process.discovery.hostlist import parse_host_list
+from dotterelstand.process.peering.membership import ListedHost, Membership
+from dotterelstand.process.peering.mesh import Member
 from dotterelstand.standin.entryfleet import Fleet, host_list
 from dotterelstand.standin.virtual import run_virtual
 
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -5,9 +5,15 @@
 import pytest
 import trio
 
-from dotterelstand.process.control import ControlRegistry
-from dotterelstand.process.metrics import OVERFLOW, Metrics, Series, StatsdSink, merge_series
-from dotterelstand.process.pages import DaemonState, register_pages
+from dotterelstand.process.operation.control import ControlRegistry
+from dotterelstand.process.operation.pages import DaemonState, register_pages
+from dotterelstand.process.telemetry.metrics import (
+    OVERFLOW,
+    Metrics,
+    Series,
+    StatsdSink,
+    merge_series,
+)
 from dotterelstand.settings import default_settings
 from dotterelstand.standin.virtual import run_virtual
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -4,7 +4,7 @@
 import trio
 
 from dotterelstand.connection.wire import Announce, StrikeConfirmed, TargetLeaving
-from dotterelstand.process.overlay import choose_peers
+from dotterelstand.process.peering.overlay import choose_peers
 from dotterelstand.standin.entryfleet import Fleet
 from dotterelstand.standin.virtual import run_virtual
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -7,7 +7,7 @@
 from returns.pipeline import is_successful
 
 from dotterelstand.connection.network import TcpNetwork
-from dotterelstand.process.store import (
+from dotterelstand.process.storage.store import (
     CONFLICT,
     MAX_VALUE_BYTES,
     MISSING,
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -6,10 +6,10 @@
 import trio
 
 from dotterelstand.connection.wire import Hello
-from dotterelstand.process.mesh import Member
-from dotterelstand.process.metrics import Metrics
-from dotterelstand.process.quarantine import QuarantineService
-from dotterelstand.process.strikes import KnownStrike, Quarantine, QuarantineLimits
+from dotterelstand.process.peering.mesh import Member
+from dotterelstand.process.suspects.quarantine import QuarantineService
+from dotterelstand.process.suspects.strikes import KnownStrike, Quarantine, QuarantineLimits
+from dotterelstand.process.telemetry.metrics import Metrics
 from dotterelstand.standin.entryfleet import Fleet
 from dotterelstand.standin.mesh import MeshHub
 from dotterelstand.standin.virtual import run_virtual
--- a/tests/test_queue.py
+++ b/tests/test_queue.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from dotterelstand.process.queue import CallQueue, WaitingCall
+from dotterelstand.process.selection.queue import CallQueue, WaitingCall
 
 
 def _call(number: int, klass: int = 0, tenant: int = 0) -> WaitingCall:
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -10,8 +10,8 @@
 
 from dotterelstand.codes import Result as ResultCode
 from dotterelstand.connection.wire import Acquire, Grant, Message, Release
-from dotterelstand.process.rendezvous import choose_dispatcher
-from dotterelstand.process.slots import (
+from dotterelstand.process.selection.rendezvous import choose_dispatcher
+from dotterelstand.process.selection.slots import (
     AttemptOutcome,
     SlotBroker,
     SlotCall,
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -14,15 +14,15 @@
 from dotterelstand.codes import Result as ResultCode
 from dotterelstand.connection.pool import TargetPool
 from dotterelstand.connection.target import TargetConnection
-from dotterelstand.process import strikes
 from dotterelstand.process.daemon import Daemon
+from dotterelstand.process.distribution.spread import DocumentSpread
 from dotterelstand.process.front import CallerFront
-from dotterelstand.process.journalcall import Go, Recorded, Refused
-from dotterelstand.process.journalservice import JournalService
-from dotterelstand.process.outcome import AttemptOutcome
-from dotterelstand.process.quarantine import QuarantineService
-from dotterelstand.process.spread import DocumentSpread
-from dotterelstand.process.strikes import KnownStrike
+from dotterelstand.process.idempotency.journalcall import Go, Recorded, Refused
+from dotterelstand.process.idempotency.journalservice import JournalService
+from dotterelstand.process.selection.outcome import AttemptOutcome
+from dotterelstand.process.suspects import strikes
+from dotterelstand.process.suspects.quarantine import QuarantineService
+from dotterelstand.process.suspects.strikes import KnownStrike
 from dotterelstand.request import exchange
 from dotterelstand.request.attempt import Attempt
 from dotterelstand.request.exchange import Exchange
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -10,7 +10,7 @@
 
 from dotterelstand.connection.target import close_now
 from dotterelstand.connection.tls import RELOAD_INTERVAL_S, Certificates, load_certificates
-from dotterelstand.process.metrics import Metrics
+from dotterelstand.process.telemetry.metrics import Metrics
 from dotterelstand.standin.entryfleet import Fleet, host_settings
 from dotterelstand.standin.network import FakeNetwork
 from dotterelstand.standin.virtual import run_virtual
--- a/tests/test_tool.py
+++ b/tests/test_tool.py
@@ -8,9 +8,9 @@
 from support_operation import TOKEN, control_port_thread, run_command
 
 from dotterelstand.exits import ExitCode
-from dotterelstand.process.control import ControlRegistry
-from dotterelstand.process.metrics import Metrics
-from dotterelstand.process.pages import _histograms
+from dotterelstand.process.operation.control import ControlRegistry
+from dotterelstand.process.operation.pages import _histograms
+from dotterelstand.process.telemetry.metrics import Metrics
 
 
 def _registry() -> ControlRegistry:
