Keep the retry budget within its share in every window of ten seconds

Cause: the budget counted whole seconds, so what was spent at the end of one second was forgotten 9.01 s later, and a span of 10 s could hold twice the share. Change: what was spent is kept for one second more than the window.

--- a/src/dotterelstand/request/policy.py
+++ b/src/dotterelstand/request/policy.py
@@ -31,7 +31,8 @@
         self.share = share
         self._minimum_per_s = minimum_per_s
         self._requests: deque[int] = deque([0] * BUDGET_WINDOW_S, maxlen=BUDGET_WINDOW_S)
-        self._extra: deque[int] = deque([0] * BUDGET_WINDOW_S, maxlen=BUDGET_WINDOW_S)
+        # One second more than the window, since the first second may have been spent at its end.
+        self._extra: deque[int] = deque([0] * (BUDGET_WINDOW_S + 1), maxlen=BUDGET_WINDOW_S + 1)
         self._second = 0
 
     def count_request(self, now: float) -> None:
@@ -60,7 +61,7 @@
 
     def _advance(self, now: float) -> None:
         second = int(now)
-        for _ in range(min(BUDGET_WINDOW_S, max(0, second - self._second))):
+        for _ in range(min(BUDGET_WINDOW_S + 1, max(0, second - self._second))):
             self._requests.append(0)
             self._extra.append(0)
         self._second = max(self._second, second)
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -84,3 +84,19 @@
 def test_no_hedge_before_the_usual_duration_is_known() -> None:
     """Guards against a hedge delay taken from a few samples."""
     assert hedge_delay_s(True, True, 1.0, ServicePolicy(0.1, 1.0).times) is None
+
+
+@pytest.mark.parametrize("first", [0.0, 0.5, 0.99])
+@pytest.mark.parametrize("apart", [9.02, 9.5, 9.99])
+def test_no_window_of_ten_seconds_has_more_than_the_share(first: float, apart: float) -> None:
+    """Guards against an allowance that is spent twice around the boundary of two seconds."""
+    policy = ServicePolicy(0.1, 1.0)
+    taken = []
+    counted = 0
+    for moment in (20 + first, 20 + first + apart):
+        for second in range(counted, int(moment) + 1):
+            for _ in range(100):
+                policy.budget.count_request(float(second))
+        counted = int(moment) + 1
+        taken.append(sum(policy.budget.try_take(moment) for _ in range(500)))
+    assert sum(taken) <= 101, taken
