--- a/src/dotterelstand/request/exchange.py
+++ b/src/dotterelstand/request/exchange.py
@@ -117,6 +117,7 @@
         finally:
             self._caller.on_departure = None
             for attempt in self._attempts:
+                self._note_attempt(attempt)
                 attempt.end(AttemptOutcome.CANCELLED)
             if self._admitted is not None:
                 self._context.suspects.leave(self._admitted)
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -148,6 +148,12 @@
     return "q1"
 
 
+async def _never_answered(fleet: ObjectFleet) -> str:
+    fleet.instances[0].work_s = 30.0
+    assert (await fleet.call("POST", "/b/1", b"order")).status == 504
+    return "q1"
+
+
 async def _answered(fleet: ObjectFleet) -> str:
     assert (await fleet.call()).status == 200
     return "q1"
@@ -158,6 +164,7 @@
     [
         (_reset_once, [204, 206, 207, 205, 200]),
         (_refused_then_answered, [204, 206, 207, 205, 200]),
+        (_never_answered, [204, 206, 200]),
         (_answered, []),
     ],
 )
