Log an answered attempt as sent

Change: an attempt with an answer was sent. Measured: test_an_answered_attempt_is_logged_as_sent fails before and passes after.

--- a/src/dotterelstand/request/exchange.py
+++ b/src/dotterelstand/request/exchange.py
@@ -207,7 +207,8 @@
             failure=None if attempt.failure is None else int(attempt.failure),
             status=None if answer is None else answer.status,
             refused=answer is not None and answer.is_refusal(),
-            sent=attempt.handed,
+            # A connection that was given back no longer tells what it carried.
+            sent=answer is not None or attempt.handed,
         )
 
     async def _acquire(
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -175,6 +175,20 @@
     assert lines.of(request_id) == events
 
 
+def test_an_answered_attempt_is_logged_as_sent() -> None:
+    """Guards against lines that deny what the target received, after its connection was reused."""
+
+    async def scenario(fleet: ObjectFleet) -> None:
+        for instance in fleet.instances:
+            instance.work_s = 0.5
+        assert (await fleet.call("POST", "/b/1", b"order")).status == 200
+
+    with _Lines() as lines:
+        run_objects(scenario)
+    (ended,) = [line for line in lines.events if line["event"] == Event.ATTEMPT_ENDED]
+    assert ended["sent"] and ended["status"] == 200
+
+
 def test_changes_of_targets_are_logged_with_their_inputs() -> None:
     """Guards against a target that comes or goes without a line that says so."""
 
