Split the files that grew beyond 400 lines, and serve the small ports by one class

Change: ServiceStates and TicketTable hold what SlotCore kept in eight attributes, Trail words a request's decisions, ControlServer bounds the connections of all three ports; counters of dispatchers stand with the others. No behaviour changes but field spare of event 204, which is gone.

--- a/src/dotterelstand/connection/control.py
+++ b/src/dotterelstand/connection/control.py
@@ -6,6 +6,7 @@
 import h11
 import trio
 
+from dotterelstand.connection.network import Listener
 from dotterelstand.connection.target import READ_BYTES, close_now
 
 JSON_TYPE = "application/json"
@@ -98,6 +99,54 @@
         await self._stream.send_all(data + (self._h11.send(h11.EndOfMessage()) or b""))
 
 
+class ControlServer:
+    """Answers the connections of a port, a bounded number at a time; times in seconds.
+
+    `refused` is called for each connection that is closed because of the bound.
+    """
+
+    __slots__ = (
+        "_handler",
+        "_max_body_bytes",
+        "_max_connections",
+        "_open",
+        "_refused",
+        "_timeout_s",
+    )
+
+    def __init__(
+        self,
+        handler: ControlHandler,
+        max_connections: int,
+        max_body_bytes: int,
+        timeout_s: float,
+        refused: Callable[[], None] = lambda: None,
+    ) -> None:
+        self._handler = handler
+        self._max_connections = max_connections
+        self._max_body_bytes = max_body_bytes
+        self._timeout_s = timeout_s
+        self._refused = refused
+        self._open = 0
+
+    async def serve(self, listener: Listener) -> None:
+        """Serve until cancelled."""
+        async with trio.open_nursery() as nursery:
+            await listener.serve(self._serve_stream, nursery)
+
+    async def _serve_stream(self, stream: trio.abc.Stream) -> None:
+        if self._open >= self._max_connections:
+            self._refused()
+            await trio.aclose_forcefully(stream)
+            return
+        self._open += 1
+        try:
+            connection = ControlConnection(stream, self._max_body_bytes)
+            await connection.serve(self._handler, self._timeout_s)
+        finally:
+            self._open -= 1
+
+
 def _make_request(head: h11.Request, body: bytes) -> ControlRequest:
     fields = {bytes(name): bytes(value) for name, value in head.headers}
     scheme, _, token = fields.get(b"authorization", b"").decode("latin-1").partition(" ")
--- a/src/dotterelstand/process/daemon.py
+++ b/src/dotterelstand/process/daemon.py
@@ -96,7 +96,7 @@
             self.targets,
             self.broker,
             lambda: self.front.document,
-            lambda service: self.broker.core.state_of(service) is not None,
+            lambda service: self.broker.core.services.find(service) is not None,
             self.metrics,
             ProbeTuning(
                 settings.number("targets", "health_interval_s"),
--- a/src/dotterelstand/process/idempotency/journalcall.py
+++ b/src/dotterelstand/process/idempotency/journalcall.py
@@ -1,5 +1,7 @@
 """Answers of the journal to an entry host, and the outcomes that it reports."""
 
+import trio
+
 from dotterelstand.codes import Result as ResultCode
 from dotterelstand.codes import Run
 from dotterelstand.process.idempotency.entry import Answer
@@ -84,3 +86,16 @@
     headers = [(bytes(name), bytes(value)) for name, value in answer.headers]
     headers.append((b"content-length", b"%d" % len(answer.body)))
     return Recorded(answer.status, headers, answer.body)
+
+
+class CallWaiter:
+    """A request that waits for the owner's answer."""
+
+    __slots__ = ("answered", "key", "owner", "partition", "result")
+
+    def __init__(self, key: bytes, partition: int, owner: str) -> None:
+        self.key = key
+        self.partition = partition
+        self.owner = owner
+        self.answered = trio.Event()
+        self.result: Go | Recorded | Refused | None = None
--- a/src/dotterelstand/process/idempotency/journalservice.py
+++ b/src/dotterelstand/process/idempotency/journalservice.py
@@ -12,6 +12,7 @@
 from dotterelstand.process.idempotency.entry import Answer, Claim
 from dotterelstand.process.idempotency.journalcall import (
     CallOutcome,
+    CallWaiter,
     Go,
     Recorded,
     Refused,
@@ -36,19 +37,6 @@
 STOP_LIMIT_S = 4.0
 
 
-class _Waiter:
-    """A request that waits for the owner's answer."""
-
-    __slots__ = ("answered", "key", "owner", "partition", "result")
-
-    def __init__(self, key: bytes, partition: int, owner: str) -> None:
-        self.key = key
-        self.partition = partition
-        self.owner = owner
-        self.answered = trio.Event()
-        self.result: Go | Recorded | Refused | None = None
-
-
 class JournalFigures:
     """Counts of this host's requests by the way in which `begin` ended."""
 
@@ -102,7 +90,7 @@
         ]
         # A restarted host of the same name must not reuse the call numbers of its predecessor.
         self._next_call = rng.getrandbits(60)
-        self._waiting: dict[int, _Waiter] = {}
+        self._waiting: dict[int, CallWaiter] = {}
         self._outcomes = UnsettledOutcomes(self._hand_over, max_unsettled)
         self._owners: dict[int, tuple[str, int]] = {}
         self._announced: dict[int, tuple[int, float]] = {}
@@ -196,7 +184,7 @@
                 return Refused(ResultCode.OWNER_UNREACHABLE)
             self._next_call += 1
             call = self._next_call
-            waiter = self._waiting[call] = _Waiter(key, partition, owner)
+            waiter = self._waiting[call] = CallWaiter(key, partition, owner)
             result = await self._ask_owner(call, waiter, body_digest, service, deadline)
             refused = isinstance(result, Refused) and result.code is ResultCode.OWNER_UNREACHABLE
             if not refused:
@@ -209,7 +197,7 @@
                 return result
 
     async def _ask_owner(
-        self, call: int, waiter: _Waiter, body_digest: bytes, service: str, deadline: float
+        self, call: int, waiter: CallWaiter, body_digest: bytes, service: str, deadline: float
     ) -> Go | Recorded | Refused:
         settled = False
         try:
@@ -239,7 +227,7 @@
         while partition not in self._owners or self._owners[partition][0] == owner:
             await self._owner_changed.wait()
 
-    def _send_intent(self, call: int, waiter: _Waiter, body_digest: bytes, service: str) -> bool:
+    def _send_intent(self, call: int, waiter: CallWaiter, body_digest: bytes, service: str) -> bool:
         if waiter.owner != self._mesh.host:
             intent = wire.Intent(body_digest, call, waiter.key, service)
             return self._mesh.send(waiter.owner, intent)
--- a/src/dotterelstand/process/operation/control.py
+++ b/src/dotterelstand/process/operation/control.py
@@ -20,11 +20,10 @@
 import json
 from collections.abc import Awaitable, Callable
 
-import trio
 from returns.pipeline import is_successful
 from returns.result import Result
 
-from dotterelstand.connection.control import ControlAnswer, ControlConnection, ControlRequest
+from dotterelstand.connection.control import ControlAnswer, ControlRequest, ControlServer
 from dotterelstand.connection.network import Listener, Network
 from dotterelstand.events import Event, log
 from dotterelstand.process.telemetry.metrics import Metrics
@@ -105,14 +104,13 @@
 class ControlPort:
     """Serves the control port; everything but health and readiness needs a token."""
 
-    __slots__ = ("_metrics", "_open", "_registry", "_settings", "_tokens", "port")
+    __slots__ = ("_metrics", "_registry", "_settings", "_tokens", "port")
 
     def __init__(self, settings: Settings, registry: ControlRegistry, metrics: Metrics) -> None:
         self._settings = settings
         self._registry = registry
         self._metrics = metrics
         self._tokens = [token.encode() for token in settings.texts("control", "tokens")]
-        self._open = 0
         self.port = 0
 
     async def listen(self, network: Network) -> Listener:
@@ -125,8 +123,15 @@
 
     async def serve(self, listener: Listener) -> None:
         """Serve until cancelled."""
-        async with trio.open_nursery() as nursery:
-            await listener.serve(self._serve_stream, nursery)
+        settings = self._settings
+        server = ControlServer(
+            self.handle,
+            settings.integer("control", "max_connections"),
+            settings.integer("control", "max_body_bytes"),
+            settings.number("control", "timeout_s"),
+            lambda: self._metrics.count("control.connections_refused"),
+        )
+        await server.serve(listener)
 
     async def handle(self, request: ControlRequest) -> ControlAnswer:
         """Answer one request."""
@@ -151,19 +156,6 @@
             log(Event.CONTROL_FAILED, name=name, error=repr(error))
             return _error(500, PROVIDER_FAILED, f"{name}: {error!r}")
 
-    async def _serve_stream(self, stream: trio.abc.Stream) -> None:
-        if self._open >= self._settings.integer("control", "max_connections"):
-            self._metrics.count("control.connections_refused")
-            await trio.aclose_forcefully(stream)
-            return
-        self._open += 1
-        try:
-            limit = self._settings.integer("control", "max_body_bytes")
-            connection = ControlConnection(stream, limit)
-            await connection.serve(self.handle, self._settings.number("control", "timeout_s"))
-        finally:
-            self._open -= 1
-
     def _authorized(self, token: str) -> bool:
         # Every token is compared, so that the time does not tell which one matched.
         given = token.encode("latin-1", "replace")
--- a/src/dotterelstand/process/operation/partpages.py
+++ b/src/dotterelstand/process/operation/partpages.py
@@ -54,7 +54,7 @@
 
 def target_states(slots: SlotBroker, service: str) -> dict[str, dict[str, object]]:
     """What selection knows of each target of a service that was used, by name."""
-    state = slots.core.state_of(service)
+    state = slots.core.services.find(service)
     if state is None:
         return {}
     # A dispatcher sees the requests of all entry hosts, the local view only its own.
@@ -135,7 +135,7 @@
 
 
 def _dispatchers(slots: SlotBroker) -> dict[str, int]:
-    states = slots.core.states()
+    states = slots.core.services.all()
     return sum_figures(
         [part.counters for state in states for part in (state.local, state.regional)]
     )
--- a/src/dotterelstand/process/operation/readiness.py
+++ b/src/dotterelstand/process/operation/readiness.py
@@ -1,8 +1,6 @@
 """Answers the platform's question whether this host takes new callers."""
 
-import trio
-
-from dotterelstand.connection.control import ControlAnswer, ControlConnection, ControlRequest
+from dotterelstand.connection.control import ControlAnswer, ControlRequest, ControlServer
 from dotterelstand.connection.network import Network
 from dotterelstand.process.operation.control import ControlRegistry
 from dotterelstand.settings import Settings
@@ -18,13 +16,12 @@
 class ReadinessPort:
     """A port that answers one path: 200 while every readiness check holds, else 503."""
 
-    __slots__ = ("_open", "_path", "_registry", "_settings")
+    __slots__ = ("_path", "_registry", "_settings")
 
     def __init__(self, settings: Settings, registry: ControlRegistry) -> None:
         self._settings = settings
         self._registry = registry
         self._path = settings.text("readiness", "path")
-        self._open = 0
 
     async def run(self, network: Network) -> None:
         """Serve until cancelled, if the settings ask for it; raises `OSError`."""
@@ -33,18 +30,8 @@
         listener = await network.listen(
             self._settings.text("readiness", "address"), self._settings.integer("readiness", "port")
         )
-        async with trio.open_nursery() as nursery:
-            await listener.serve(self._serve_stream, nursery)
-
-    async def _serve_stream(self, stream: trio.abc.Stream) -> None:
-        if self._open >= MAX_CONNECTIONS:
-            await trio.aclose_forcefully(stream)
-            return
-        self._open += 1
-        try:
-            await ControlConnection(stream, MAX_BODY_BYTES).serve(self._answer, TIMEOUT_S)
-        finally:
-            self._open -= 1
+        server = ControlServer(self._answer, MAX_CONNECTIONS, MAX_BODY_BYTES, TIMEOUT_S)
+        await server.serve(listener)
 
     async def _answer(self, request: ControlRequest) -> ControlAnswer:
         if request.path != self._path:
--- a/src/dotterelstand/process/selection/dispatcher.py
+++ b/src/dotterelstand/process/selection/dispatcher.py
@@ -8,6 +8,7 @@
 from dotterelstand.process.selection.outcome import AttemptOutcome, GrantInputs
 from dotterelstand.process.selection.queue import CallKey, CallQueue, WaitingCall
 from dotterelstand.process.selection.slotcodec import CLASSES
+from dotterelstand.process.selection.slotcounters import DispatcherCounters
 from dotterelstand.process.selection.slotindex import NO_TARGETS
 from dotterelstand.process.selection.tuning import SelectionTuning
 from dotterelstand.request.fields import LoadReport
@@ -54,20 +55,6 @@
         self.granted_at = granted_at
 
 
-class DispatcherCounters:
-    """Totals since the start."""
-
-    __slots__ = ("deadline_refused", "expired", "granted", "queue_refused", "spilled", "waited")
-
-    def __init__(self) -> None:
-        self.granted = 0
-        self.waited = 0
-        self.queue_refused = 0
-        self.deadline_refused = 0
-        self.expired = 0
-        self.spilled = 0
-
-
 class Dispatcher:
     """Slots, queue and grants of one service; soft state that may be lost at any time."""
 
--- a/src/dotterelstand/process/selection/servicestate.py
+++ b/src/dotterelstand/process/selection/servicestate.py
@@ -1,6 +1,8 @@
 """What one entry host knows of one service's selection."""
 
 from dotterelstand.process.selection.dispatcher import Dispatcher
+from dotterelstand.process.selection.outcome import AttemptOutcome
+from dotterelstand.process.selection.queue import CallKey
 from dotterelstand.version.document import Service
 
 # Smoothing of the dispatcher's answer time, as in RFC 6298.
@@ -91,6 +93,12 @@
             self.local.replace_service(service, now)
             self.regional.replace_service(service, now)
 
+    def leave_queue(self, key: CallKey, now: float) -> None:
+        """A call that waits gives up."""
+        for dispatcher in (self.regional, self.local):
+            decisions = dispatcher.finish(key, AttemptOutcome.CANCELLED, 0.0, None, now)
+            assert not decisions, "a waiting call held a slot"
+
     def keep_in_region(self, classes: frozenset[int]) -> None:
         """Calls of these classes are not sent to other regions."""
         self.local.bulk = self.regional.bulk = classes
--- /dev/null
+++ b/src/dotterelstand/process/selection/servicestates.py
@@ -0,0 +1,117 @@
+"""The services in use on one entry host, and the targets that take no new work."""
+
+import random
+
+from dotterelstand.process.selection.balancer import LeastOccupied, TwoChoices
+from dotterelstand.process.selection.dispatcher import Dispatcher
+from dotterelstand.process.selection.servicestate import ServiceState
+from dotterelstand.process.selection.slotcodec import CLASSES
+from dotterelstand.process.selection.tuning import SelectionTuning
+from dotterelstand.version.document import Document, Service, Target
+
+MAX_LEAVING = 8192
+# Up to this many services are watched before their first request; more would cost start time.
+EAGER_SERVICES = 64
+
+
+class ServiceStates:
+    """State of each service that was used; times are in seconds."""
+
+    __slots__ = ("_active", "_bulk", "_leaving", "_random", "_region", "_states", "_tuning")
+
+    def __init__(self, region: str, tuning: SelectionTuning, rng: random.Random) -> None:
+        self._region = region
+        self._tuning = tuning
+        self._random = rng
+        self._states: dict[str, ServiceState] = {}
+        self._active: dict[str, ServiceState] = {}
+        self._leaving: dict[str, None] = {}
+        self._bulk: frozenset[int] = frozenset()
+
+    def all(self) -> list[ServiceState]:
+        """States of all services in use."""
+        return list(self._states.values())
+
+    def find(self, service: str) -> ServiceState | None:
+        """State of a service that was used, or None."""
+        return self._states.get(service)
+
+    def use(self, service: Service) -> ServiceState:
+        """State of a service, which is active until the next `take_active`."""
+        state = self._states.get(service.name)
+        if state is None:
+            state = self._states[service.name] = self._make(service)
+        self._active[service.name] = state
+        return state
+
+    def take_active(self) -> list[ServiceState]:
+        """States that were used since the last call."""
+        active = list(self._active.values())
+        self._active.clear()
+        return active
+
+    def keep_active(self, state: ServiceState) -> None:
+        """Let the next `take_active` return a state although nothing uses it."""
+        self._active[state.service.name] = state
+
+    def apply(self, document: Document, services: list[Service], now: float) -> None:
+        """Follow a new version of the document, whose services are given in order."""
+        for name in [name for name in self._states if name not in document.services]:
+            del self._states[name]
+            self._active.pop(name, None)
+        for name, state in self._states.items():
+            state.use(document.services[name], now)
+        if len(services) <= EAGER_SERVICES:
+            for service in services:
+                self.use(service)
+        bulk = (document.classes.index(klass) for klass in document.bulk)
+        self._bulk = frozenset(min(number, CLASSES - 1) for number in bulk)
+        for state in self._states.values():
+            state.keep_in_region(self._bulk)
+
+    def place_of(self, service: str, index: int) -> tuple[ServiceState | None, int | None]:
+        """State of a service and position of one of its targets; None for what is unknown."""
+        state = self._states.get(service)
+        return state, None if state is None else state.service.position_of(index)
+
+    def note_unreachable(self, service: str, target: Target, now: float) -> None:
+        """A health request to a target was not answered."""
+        state, position = self.place_of(service, target.index)
+        if state is not None and position is not None:
+            state.regional.note_unreachable(position, now)
+
+    def is_leaving(self, target: str) -> bool:
+        """Whether a target takes no new work."""
+        return target in self._leaving
+
+    def note_leaving(self, target: str) -> bool:
+        """Give a target no new work; True if that is news."""
+        if target in self._leaving:
+            return False
+        while len(self._leaving) >= MAX_LEAVING:
+            del self._leaving[next(iter(self._leaving))]
+        self._leaving[target] = None
+        for state in self._states.values():
+            state.mark_leaving(target)
+        return True
+
+    def note_returned(self, target: str) -> bool:
+        """The host list shows a target as live; True if it was leaving."""
+        if target not in self._leaving:
+            return False
+        del self._leaving[target]
+        for state in self._states.values():
+            state.mark_returned(target)
+        return True
+
+    def _make(self, service: Service) -> ServiceState:
+        state = ServiceState(
+            service,
+            Dispatcher(service, self._region, self._tuning, TwoChoices(self._random)),
+            Dispatcher(service, self._region, self._tuning, LeastOccupied(self._random)),
+            self._tuning.answer_grace_s,
+        )
+        for name in self._leaving:
+            state.mark_leaving(name)
+        state.keep_in_region(self._bulk)
+        return state
--- a/src/dotterelstand/process/selection/slotcore.py
+++ b/src/dotterelstand/process/selection/slotcore.py
@@ -1,14 +1,12 @@
 """Slot requests of one entry host, and its work as dispatcher, without I/O or clock."""
 
-import heapq
 import random
 from collections.abc import Callable
 
 from dotterelstand.codes import Result as ResultCode
 from dotterelstand.connection.wire import Acquire, Grant, Message, Queued, Refuse, Release
 from dotterelstand.process.peering.mesh import Member
-from dotterelstand.process.selection.balancer import LeastOccupied, TwoChoices
-from dotterelstand.process.selection.dispatcher import Decision, Dispatcher, Granted
+from dotterelstand.process.selection.dispatcher import Decision, Granted
 from dotterelstand.process.selection.grantserver import GrantServer
 from dotterelstand.process.selection.measure import MeasureBudget
 from dotterelstand.process.selection.measuredmesh import MeasuredMesh
@@ -16,6 +14,7 @@
 from dotterelstand.process.selection.queue import WaitingCall
 from dotterelstand.process.selection.rendezvous import DispatcherMap
 from dotterelstand.process.selection.servicestate import ServiceState
+from dotterelstand.process.selection.servicestates import ServiceStates
 from dotterelstand.process.selection.slotcodec import (
     CLASSES,
     TENANTS,
@@ -25,16 +24,13 @@
 )
 from dotterelstand.process.selection.slotcounters import GrantServerCounters, SlotCounters
 from dotterelstand.process.selection.targethealth import SLOW_PACE
-from dotterelstand.process.selection.ticket import Ticket, TicketState
+from dotterelstand.process.selection.ticket import Ticket, TicketState, TicketTable
 from dotterelstand.process.selection.tuning import SelectionTuning
 from dotterelstand.request.fields import LoadReport
 from dotterelstand.version.document import Document, Service, Target
 
 # A deadline closer than this many usual durations is sent along, else it cannot matter.
 URGENT_MULTIPLE = 20.0
-MAX_LEAVING = 8192
-# Up to this many services are watched before their first request; more would cost start time.
-EAGER_SERVICES = 64
 # Seconds for which a host believes that the dispatcher keeps its call, told three times as often.
 QUEUED_LIFE_S = 0.25
 
@@ -47,18 +43,12 @@
     """
 
     __slots__ = (
-        "_active",
-        "_bulk",
         "_checked_members",
         "_counters",
         "_dispatchers",
-        "_free",
         "_grant_server",
         "_index_of",
-        "_leaving",
         "_mesh",
-        "_next_number",
-        "_random",
         "_states",
         "_tenants",
         "_tickets",
@@ -69,20 +59,14 @@
     def __init__(self, mesh: MeasuredMesh, tuning: SelectionTuning, rng: random.Random) -> None:
         self._mesh = mesh
         self._tuning = tuning
-        self._random = rng
-        self._states: dict[str, ServiceState] = {}
-        self._active: dict[str, ServiceState] = {}
+        self._states = ServiceStates(mesh.region, tuning, rng)
         self._grant_server = GrantServer(mesh, tuning)
         self._checked_members: tuple[Member, ...] = ()
-        self._tickets: dict[int, Ticket] = {}
-        self._free: list[int] = []
-        self._next_number = 0
+        self._tickets = TicketTable()
         self._dispatchers = DispatcherMap()
-        self._leaving: dict[str, None] = {}
         self._index_of: dict[str, int] = {}
         self._tenants: dict[str, int] = {}
         self._counters = SlotCounters()
-        self._bulk: frozenset[int] = frozenset()
         self._told_waiting_at = 0.0
 
     @property
@@ -95,38 +79,24 @@
         """Totals of the slots served to other hosts."""
         return self._grant_server.counters
 
-    def states(self) -> list[ServiceState]:
-        """States of all services in use."""
-        return list(self._states.values())
+    @property
+    def services(self) -> ServiceStates:
+        """Services in use, and the targets that are leaving."""
+        return self._states
 
     @property
     def budget(self) -> MeasureBudget:
         """The measuring budget that is charged."""
         return self._mesh.budget
 
-    def state_of(self, service: str) -> ServiceState | None:
-        """State of a service that was used, for status display."""
-        return self._states.get(service)
-
     def apply(self, document: Document, now: float) -> None:
         """Follow a new version of the document."""
         names = sorted(document.services)
         self._index_of = {name: index for index, name in enumerate(names)}
         self._tenants = {name: number + 1 for number, name in enumerate(sorted(document.tenants))}
         services = [document.services[name] for name in names]
-        for name in [name for name in self._states if name not in document.services]:
-            del self._states[name]
-            self._active.pop(name, None)
-        for name, state in self._states.items():
-            state.use(document.services[name], now)
+        self._states.apply(document, services, now)
         self._grant_server.apply(services)
-        if len(services) <= EAGER_SERVICES:
-            for service in services:
-                self._state(service)
-        bulk = (document.classes.index(klass) for klass in document.bulk)
-        self._bulk = frozenset(min(number, CLASSES - 1) for number in bulk)
-        for state in self._states.values():
-            state.keep_in_region(self._bulk)
 
     def open(
         self, service: Service, call: SlotCall, now: float, resolve: Callable[[Ticket], None]
@@ -136,9 +106,8 @@
         if len(self._tickets) >= self._tuning.max_calls:
             self._counters.table_full += 1
             return self._refuse(ticket, ResultCode.OVERLOADED)
-        ticket.number = self._take_number()
-        self._tickets[ticket.number] = ticket
-        state = self._state(service)
+        self._tickets.add(ticket)
+        state = self._states.use(service)
         dispatcher = self._dispatchers.host(service.name, self._mesh.members(), self._mesh.region)
         if dispatcher is None or dispatcher == self._mesh.host:
             self._counters.regional += 1
@@ -152,7 +121,7 @@
         """The ticket's `due` passed: choose locally, or refuse if its deadline passed."""
         if ticket.decided:
             return
-        state = self._state(ticket.service)
+        state = self._states.use(ticket.service)
         if ticket.state is TicketState.ASKED and now < ticket.queued_until:
             ticket.due = min(ticket.call.deadline, ticket.queued_until)
             if now < ticket.call.deadline:
@@ -164,8 +133,8 @@
             if now < ticket.call.deadline:
                 self._choose_locally(ticket, state, now)
                 return
-        self._leave_queue(ticket, state, now)
-        self._end(ticket)
+        state.leave_queue((self._mesh.host, ticket.number), now)
+        self._tickets.end(ticket)
         self._refuse(ticket, ResultCode.DEADLINE_TOO_SHORT)
 
     def withdraw(self, ticket: Ticket, now: float) -> None:
@@ -175,18 +144,18 @@
         if ticket.grant is not None:
             self.release(ticket, SlotOutcome(AttemptOutcome.CANCELLED, 0.0), now)
             return
-        state = self._state(ticket.service)
+        state = self._states.use(ticket.service)
         if ticket.state is TicketState.ASKED:
             self._send_release(ticket, AttemptOutcome.CANCELLED, 0.0, now)
-        self._leave_queue(ticket, state, now)
-        self._end(ticket)
+        state.leave_queue((self._mesh.host, ticket.number), now)
+        self._tickets.end(ticket)
 
     def release(self, ticket: Ticket, outcome: SlotOutcome, now: float) -> None:
         """Return a granted slot with the outcome of the attempt."""
         assert ticket.grant is not None and ticket.state is not TicketState.ENDED, ticket.number
-        state = self._state(ticket.service)
+        state = self._states.use(ticket.service)
         granted = ticket.state
-        self._end(ticket)
+        self._tickets.end(ticket)
         if granted is TicketState.GRANTED_REMOTE:
             self._send_release(ticket, outcome.kind, outcome.duration_s, now)
         key = (self._mesh.host, ticket.number)
@@ -201,10 +170,10 @@
 
     def on_grant(self, sender: str, message: Grant, now: float) -> None:
         """The dispatcher granted a slot; a late grant was already given back."""
-        ticket = self._asked(sender, message.call)
+        ticket = self._tickets.asked(sender, message.call)
         if ticket is None:
             return
-        state = self._state(ticket.service)
+        state = self._states.use(ticket.service)
         self._note_answer(ticket, state, now)
         target = state.service.position_of(message.target)
         if target is None or self._is_unusable(ticket, target, state):
@@ -218,32 +187,32 @@
 
     def on_refuse(self, sender: str, message: Refuse, now: float) -> None:
         """The dispatcher refused a call."""
-        ticket = self._asked(sender, message.call)
+        ticket = self._tickets.asked(sender, message.call)
         if ticket is None:
             return
-        state = self._state(ticket.service)
+        state = self._states.use(ticket.service)
         self._note_answer(ticket, state, now)
         code = refusal_code(message.code)
         if code is None or code is ResultCode.NO_TARGET:
             self._choose_locally(ticket, state, now)
             return
-        self._end(ticket)
+        self._tickets.end(ticket)
         self._refuse(ticket, code)
 
     def on_queued(self, sender: str, message: Queued, now: float) -> None:
         """The dispatcher keeps calls in its queue; each waits on while it hears so."""
         for number in message.calls:
-            ticket = self._asked(sender, number)
+            ticket = self._tickets.asked(sender, number)
             if ticket is None:
                 continue
             if not ticket.queued_until:
-                self._state(ticket.service).answer_time.answered(now - ticket.asked_at)
+                self._states.use(ticket.service).answer_time.answered(now - ticket.asked_at)
             ticket.queued_until = now + QUEUED_LIFE_S
             ticket.due = min(ticket.call.deadline, ticket.queued_until)
 
     def note_load(self, service: str, target: Target, report: LoadReport, now: float) -> bool:
         """Note a load report; True if the target turned slow or usual, which is news to others."""
-        state, position = self._place_of(service, target.index)
+        state, position = self._states.place_of(service, target.index)
         if state is None or position is None:
             return False
         changed = state.regional.report_load(position, report, now)
@@ -254,19 +223,13 @@
     def note_pace(self, service: int, index: int, pace: float, now: float) -> None:
         """Another host says how long work takes at a target."""
         known = self._grant_server.service(service)
-        state, position = self._place_of(known.name if known else "", index)
+        state, position = self._states.place_of(known.name if known else "", index)
         if state is None or position is None:
             return
         state.regional.note_pace(position, pace, now)
         state.local.note_pace(position, pace, now)
         self._after_pace(state, position, pace)
 
-    def note_unreachable(self, service: str, target: Target, now: float) -> None:
-        """A health request to a target was not answered."""
-        state, position = self._place_of(service, target.index)
-        if state is not None and position is not None:
-            state.regional.note_unreachable(position, now)
-
     def tell_region(self, message: Message, now: float) -> None:
         """Send a message to the other live hosts of the region, as far as the budget allows."""
         for member in self._mesh.members():
@@ -277,31 +240,10 @@
         """Number of a service in messages, or None if the document lacks it."""
         return self._index_of.get(service)
 
-    def note_leaving(self, target: str) -> bool:
-        """Give a target no new work; True if that is news."""
-        if target in self._leaving:
-            return False
-        while len(self._leaving) >= MAX_LEAVING:
-            del self._leaving[next(iter(self._leaving))]
-        self._leaving[target] = None
-        for state in self._states.values():
-            state.mark_leaving(target)
-        return True
-
-    def note_returned(self, target: str) -> bool:
-        """The host list shows a target as live; True if it was leaving."""
-        if target not in self._leaving:
-            return False
-        del self._leaving[target]
-        for state in self._states.values():
-            state.mark_returned(target)
-        return True
-
     def advance(self, now: float) -> list[ServiceState]:
         """Apply what time changed; returns the services that were used since the last call."""
         self._check_members(now)
-        active = list(self._active.values())
-        self._active.clear()
+        active = self._states.take_active()
         if now - self._told_waiting_at >= QUEUED_LIFE_S / 3:
             self._told_waiting_at = now
             self._grant_server.tell_waiting(active, now)
@@ -309,7 +251,7 @@
             for dispatcher in (state.regional, state.local):
                 if dispatcher.waiting:
                     # Waiting calls need further steps of time even if no message arrives.
-                    self._active[state.service.name] = state
+                    self._states.keep_active(state)
                     self._settle(state, dispatcher.advance(now), now)
         return active
 
@@ -318,7 +260,7 @@
         service = self._grant_server.service(message.service)
         if service is None:
             return
-        state = self._state(service)
+        state = self._states.use(service)
         self._settle(state, self._grant_server.acquire(state, sender, message, now), now)
 
     def on_release(self, sender: str, message: Release, now: float) -> None:
@@ -342,7 +284,7 @@
 
     def _decide(self, ticket: Ticket, state: ServiceState, decision: Decision, now: float) -> None:
         if not isinstance(decision, Granted):
-            self._end(ticket)
+            self._tickets.end(ticket)
             self._refuse(ticket, decision.code)
         elif ticket.state is TicketState.QUEUED_REGIONAL:
             state.local.adopt(decision.key, decision.target, now)
@@ -394,12 +336,6 @@
         waiting.prompt_until = call.prompt_until
         return waiting
 
-    def _leave_queue(self, ticket: Ticket, state: ServiceState, now: float) -> None:
-        key = (self._mesh.host, ticket.number)
-        for dispatcher in (state.regional, state.local):
-            decisions = dispatcher.finish(key, AttemptOutcome.CANCELLED, 0.0, None, now)
-            assert not decisions, "a waiting call held a slot"
-
     def _give(
         self, ticket: Ticket, state: ServiceState, target: int, granted: TicketState, now: float
     ) -> None:
@@ -424,27 +360,9 @@
         ticket.resolve(ticket)
         return ticket
 
-    def _end(self, ticket: Ticket) -> None:
-        del self._tickets[ticket.number]
-        heapq.heappush(self._free, ticket.number)
-        ticket.state = TicketState.ENDED
-
-    def _take_number(self) -> int:
-        """Lowest free number, since small numbers take one byte."""
-        if self._free:
-            return heapq.heappop(self._free)
-        self._next_number += 1
-        return self._next_number - 1
-
-    def _asked(self, sender: str, number: int) -> Ticket | None:
-        ticket = self._tickets.get(number)
-        if ticket is None or ticket.state is not TicketState.ASKED or ticket.dispatcher != sender:
-            return None
-        return ticket
-
     def _is_unusable(self, ticket: Ticket, target: int, state: ServiceState) -> bool:
         name = state.service.targets[target].name
-        return name in ticket.call.excluded or name in self._leaving
+        return name in ticket.call.excluded or self._states.is_leaving(name)
 
     def _send_release(
         self, ticket: Ticket, kind: AttemptOutcome, duration_s: float, now: float
@@ -457,44 +375,16 @@
         if not ticket.queued_until:
             state.answer_time.answered(now - ticket.asked_at)
 
-    def _place_of(self, service: str, index: int) -> tuple[ServiceState | None, int | None]:
-        state = self._states.get(service)
-        return state, None if state is None else state.service.position_of(index)
-
     def _after_pace(self, state: ServiceState, position: int, pace: float) -> bool:
         """Tell open grants that their target is slow; True if there were any."""
         if pace < SLOW_PACE:
             return False
-        target = state.service.targets[position]
-        told = False
-        for ticket in self._tickets.values():
-            grant = ticket.grant
-            if grant is not None and grant.target.index == target.index and grant.on_slow:
-                grant.on_slow()
-                told = True
-        return told
+        return self._tickets.tell_slow(state.service.targets[position].index)
 
     def _tenant(self, name: str) -> int:
         """Number of a tenant; names that the document lacks share number 0."""
         return self._tenants.get(name, 0) % TENANTS
 
-    def _state(self, service: Service) -> ServiceState:
-        state = self._states.get(service.name)
-        if state is None:
-            region = self._mesh.region
-            state = ServiceState(
-                service,
-                Dispatcher(service, region, self._tuning, TwoChoices(self._random)),
-                Dispatcher(service, region, self._tuning, LeastOccupied(self._random)),
-                self._tuning.answer_grace_s,
-            )
-            for name in self._leaving:
-                state.mark_leaving(name)
-            state.keep_in_region(self._bulk)
-            self._states[service.name] = state
-        self._active[service.name] = state
-        return state
-
     def _check_members(self, now: float) -> None:
         members = self._mesh.members()
         if members is self._checked_members:
@@ -502,6 +392,6 @@
         self._checked_members = members
         live = {member.host for member in members}
         for host in self._grant_server.hosts() - live:
-            for state in self._states.values():
+            for state in self._states.all():
                 self._settle(state, state.regional.drop_host(host, now), now)
             self._grant_server.forget(host)
--- a/src/dotterelstand/process/selection/slotcounters.py
+++ b/src/dotterelstand/process/selection/slotcounters.py
@@ -1,4 +1,4 @@
-"""Counters of slot requests and of the slots served to other hosts."""
+"""Counters of slot requests, of the slots served to other hosts, and of dispatchers."""
 
 
 class SlotCounters:
@@ -35,3 +35,17 @@
         self.answers_unsent = 0
         self.malformed = 0
         self.table_full = 0
+
+
+class DispatcherCounters:
+    """Grants and refusals of one dispatcher, as totals since the start."""
+
+    __slots__ = ("deadline_refused", "expired", "granted", "queue_refused", "spilled", "waited")
+
+    def __init__(self) -> None:
+        self.granted = 0
+        self.waited = 0
+        self.queue_refused = 0
+        self.deadline_refused = 0
+        self.expired = 0
+        self.spilled = 0
--- a/src/dotterelstand/process/selection/slots.py
+++ b/src/dotterelstand/process/selection/slots.py
@@ -114,13 +114,13 @@
 
     def target_leaving(self, target: str) -> None:
         """A target is leaving, by its header or the host list; tells the other hosts."""
-        if self._core.note_leaving(target):
+        if self._core.services.note_leaving(target):
             log(Event.TARGET_LEAVING, target=target)
             self._mesh.broadcast(TargetLeaving(target))
 
     def target_returned(self, target: str) -> None:
         """The host list shows a target that was leaving as live."""
-        if self._core.note_returned(target):
+        if self._core.services.note_returned(target):
             log(Event.TARGET_RETURNED, target=target)
 
     def target_load(self, service: str, target: Target, report: LoadReport) -> None:
@@ -143,7 +143,7 @@
 
     def target_unreachable(self, service: str, target: Target) -> None:
         """A target of the region did not answer a health request."""
-        self._core.note_unreachable(service, target, trio.current_time())
+        self._core.services.note_unreachable(service, target, trio.current_time())
 
     async def run(self) -> None:
         """Apply what time changes, until cancelled."""
@@ -159,7 +159,7 @@
             self._core.note_pace(message.service, index, percent / 100, now)
 
     def _on_leaving(self, sender: str, message: TargetLeaving) -> None:
-        if self._core.note_leaving(message.target):
+        if self._core.services.note_leaving(message.target):
             log(Event.TARGET_LEAVING, target=message.target)
             if self._mesh.is_overlay:
                 self._mesh.broadcast(message)
--- a/src/dotterelstand/process/selection/ticket.py
+++ b/src/dotterelstand/process/selection/ticket.py
@@ -1,5 +1,6 @@
 """One call's way from its request for a slot to the slot's release."""
 
+import heapq
 from collections.abc import Callable
 from enum import Enum
 
@@ -62,3 +63,53 @@
     def decided(self) -> bool:
         """Whether there is a grant or a refusal."""
         return self.grant is not None or self.refusal is not None
+
+
+class TicketTable:
+    """Open tickets by number; the lowest free number is used, since small ones take one byte."""
+
+    __slots__ = ("_free", "_next_number", "_tickets")
+
+    def __init__(self) -> None:
+        self._tickets: dict[int, Ticket] = {}
+        self._free: list[int] = []
+        self._next_number = 0
+
+    def __len__(self) -> int:
+        return len(self._tickets)
+
+    def add(self, ticket: Ticket) -> None:
+        """Give a ticket its number."""
+        if self._free:
+            ticket.number = heapq.heappop(self._free)
+        else:
+            ticket.number = self._next_number
+            self._next_number += 1
+        self._tickets[ticket.number] = ticket
+
+    def get(self, number: int) -> Ticket | None:
+        """Open ticket with this number, or None."""
+        return self._tickets.get(number)
+
+    def asked(self, sender: str, number: int) -> Ticket | None:
+        """Ticket that waits for this dispatcher's answer, or None."""
+        ticket = self._tickets.get(number)
+        if ticket is None or ticket.state is not TicketState.ASKED or ticket.dispatcher != sender:
+            return None
+        return ticket
+
+    def end(self, ticket: Ticket) -> None:
+        """Remove a ticket; its number is free again."""
+        del self._tickets[ticket.number]
+        heapq.heappush(self._free, ticket.number)
+        ticket.state = TicketState.ENDED
+
+    def tell_slow(self, target_index: int) -> bool:
+        """Tell open grants that their target is slow; True if there were any."""
+        told = False
+        for ticket in self._tickets.values():
+            grant = ticket.grant
+            if grant is not None and grant.target.index == target_index and grant.on_slow:
+                grant.on_slow()
+                told = True
+        return told
--- a/src/dotterelstand/process/telemetry/exposition.py
+++ b/src/dotterelstand/process/telemetry/exposition.py
@@ -3,10 +3,9 @@
 import re
 from collections.abc import Iterator
 
-import trio
 from hdrh.histogram import HdrHistogram
 
-from dotterelstand.connection.control import ControlAnswer, ControlConnection, ControlRequest
+from dotterelstand.connection.control import ControlAnswer, ControlRequest, ControlServer
 from dotterelstand.connection.network import Network
 from dotterelstand.process.telemetry.metrics import Metrics
 from dotterelstand.settings import Settings
@@ -28,12 +27,11 @@
 class MetricsPort:
     """A port that answers `GET /metrics` in the text format that scrapers read."""
 
-    __slots__ = ("_metrics", "_open", "_settings", "port")
+    __slots__ = ("_metrics", "_settings", "port")
 
     def __init__(self, settings: Settings, metrics: Metrics) -> None:
         self._settings = settings
         self._metrics = metrics
-        self._open = 0
         self.port = 0
 
     async def run(self, network: Network) -> None:
@@ -44,18 +42,8 @@
             self._settings.text("metrics", "address"), self._settings.integer("metrics", "port")
         )
         self.port = listener.port
-        async with trio.open_nursery() as nursery:
-            await listener.serve(self._serve_stream, nursery)
-
-    async def _serve_stream(self, stream: trio.abc.Stream) -> None:
-        if self._open >= MAX_CONNECTIONS:
-            await trio.aclose_forcefully(stream)
-            return
-        self._open += 1
-        try:
-            await ControlConnection(stream, MAX_BODY_BYTES).serve(self._answer, TIMEOUT_S)
-        finally:
-            self._open -= 1
+        server = ControlServer(self._answer, MAX_CONNECTIONS, MAX_BODY_BYTES, TIMEOUT_S)
+        await server.serve(listener)
 
     async def _answer(self, request: ControlRequest) -> ControlAnswer:
         if request.path != METRICS_PATH or request.method not in ("GET", "HEAD"):
--- a/src/dotterelstand/request/ending.py
+++ b/src/dotterelstand/request/ending.py
@@ -20,11 +20,10 @@
 class Ending:
     """What the end of one request is counted and logged under.
 
-    `document` is the number of the document that routed it, and `attempts` how many targets it was
-    meant for.
+    `document` is the number of the document that routed it.
     """
 
-    __slots__ = ("_began", "_tenant", "attempts", "document", "route", "trail")
+    __slots__ = ("_began", "_tenant", "document", "route", "trail")
 
     def __init__(
         self, route: Route | None, tenant: str, request_id: bytes | None, document: int
@@ -33,7 +32,6 @@
         self._tenant = tenant
         self._began = trio.current_time()
         self.document = document
-        self.attempts = 0
         self.trail = Trail(request_id)
 
     @property
@@ -87,7 +85,7 @@
             service="" if route is None else route.service,
             route_class="" if route is None else route.klass,
             document=ending.document,
-            attempts=ending.attempts,
+            attempts=ending.trail.attempts,
             duration_ms=round(ending.duration_s * 1000, 1),
             late=ending.is_late,
         )
@@ -96,7 +94,7 @@
         if code.run is not Run.RAN:
             self._failed += 1
             taken = self._failed <= MAX_FAILED_PER_S
-        elif ending.is_late or ending.attempts > 1:
+        elif ending.is_late or ending.trail.attempts > 1:
             self._late += 1
             taken = self._late <= MAX_LATE_PER_S
         else:
--- a/src/dotterelstand/request/exchange.py
+++ b/src/dotterelstand/request/exchange.py
@@ -9,7 +9,6 @@
 from dotterelstand.codes import Result as ResultCode
 from dotterelstand.codes import Run
 from dotterelstand.connection.callerrequest import BodyError, CallerRequest
-from dotterelstand.events import Event
 from dotterelstand.process.selection.outcome import AttemptOutcome, SlotCall, SlotGrant
 from dotterelstand.request.attempt import AT_ONCE_BYTES, Attempt, AttemptSetup
 from dotterelstand.request.body import RequestBody
@@ -51,13 +50,13 @@
         "_head",
         "_keyed",
         "_latest_end",
-        "_noted",
         "_policy",
         "_route",
         "_scope",
         "_service",
         "_setup",
         "_struck",
+        "_trail",
         "ending",
     )
 
@@ -80,8 +79,6 @@
         self._attempts: list[Attempt] = []
         self._admitted: Admission | None = None
         self._struck: set[str] = set()
-        # Attempts whose end is part of the log lines already.
-        self._noted: set[Attempt] = set()
         self._keyed: KeyedRun | None = None
         self._scope = trio.CancelScope()
         self._began = trio.current_time() if head.arrived_s is None else head.arrived_s
@@ -99,6 +96,7 @@
             route.idempotent,
         )
         self.ending = Ending(route, head.tenant, head.request_id, document.number)
+        self._trail = self.ending.trail
 
     async def run(self) -> ResultCode:
         """Serve the request and return the code with which it ended."""
@@ -117,7 +115,7 @@
         finally:
             self._caller.on_departure = None
             for attempt in self._attempts:
-                self._note_attempt(attempt)
+                self._trail.note_end(attempt)
                 attempt.end(AttemptOutcome.CANCELLED)
             if self._admitted is not None:
                 self._context.suspects.leave(self._admitted)
@@ -166,51 +164,14 @@
             # Without another target, a suspect proves itself where it was struck before.
             grant = await self._acquire(excluded, spare)
         if not is_successful(grant):
-            self.ending.trail.note(
-                Event.SLOT_REFUSED,
-                code=int(grant.failure()),
-                remaining_ms=_ms(self._remaining_s()),
-                excluded=sorted(excluded | lost),
-            )
+            self._trail.note_no_slot(grant.failure(), excluded | lost, self._remaining_s())
             return grant.failure()
         silent = any(other.failure is ResultCode.TARGET_SILENT for other in self._attempts)
         attempt = Attempt(self._setup, grant.unwrap(), self._scope.deadline, silent)
         self._attempts.append(attempt)
-        self.ending.attempts = len(self._attempts)
-        self._note_grant(grant.unwrap(), spare)
+        self._trail.note_grant(attempt, grant.unwrap(), self._remaining_s())
         return attempt
 
-    def _note_grant(self, grant: SlotGrant, spare: bool) -> None:
-        inputs = grant.inputs
-        self.ending.trail.note(
-            Event.SLOT_GRANTED,
-            attempt=len(self._attempts),
-            target=grant.target.name,
-            zone=grant.target.availability_zone,
-            by=grant.granted_by,
-            in_flight=inputs.in_flight,
-            pace=inputs.pace,
-            report_age_ms=None if inputs.report_age_s is None else _ms(inputs.report_age_s),
-            remaining_ms=_ms(self._remaining_s()),
-            spare=spare,
-        )
-
-    def _note_attempt(self, attempt: Attempt) -> None:
-        if attempt in self._noted:
-            return
-        self._noted.add(attempt)
-        answer = attempt.answer
-        self.ending.trail.note(
-            Event.ATTEMPT_ENDED,
-            attempt=self._attempts.index(attempt) + 1,
-            target=attempt.target,
-            failure=None if attempt.failure is None else int(attempt.failure),
-            status=None if answer is None else answer.status,
-            refused=answer is not None and answer.is_refusal(),
-            # A connection that was given back no longer tells what it carried.
-            sent=answer is not None or attempt.handed,
-        )
-
     async def _acquire(
         self, excluded: frozenset[str], spare: bool
     ) -> Result[SlotGrant, ResultCode]:
@@ -271,26 +232,16 @@
             return None
         budget = self._policy.budget
         if not budget.try_take(trio.current_time()):
-            self._note_hedge("budget_spent")
+            self._trail.note_hedge("budget_spent", self._policy.times.usual_s, self._remaining_s())
             return None
         attempt = await self._next_attempt(spare=True)
         if isinstance(attempt, ResultCode):
             budget.give_back()
             return None
         self._context.metrics.count("requests.hedges")
-        self._note_hedge("started")
+        self._trail.note_hedge("started", self._policy.times.usual_s, self._remaining_s())
         return attempt
 
-    def _note_hedge(self, decision: str) -> None:
-        first = self._attempts[0]
-        self.ending.trail.note(
-            Event.HEDGE_DECIDED,
-            decision=decision,
-            target_slow=first.target_slow,
-            usual_ms=_ms(self._policy.times.usual_s),
-            remaining_ms=_ms(self._remaining_s()),
-        )
-
     async def _settle(self, attempt: Attempt) -> tuple[ResultCode, bool]:
         if is_good(attempt):
             code = await self._relay(attempt)
@@ -298,7 +249,7 @@
             code = await self._failure_code(attempt)
         for other in self._attempts:
             if other is attempt or other.failure is not None:
-                self._note_attempt(other)
+                self._trail.note_end(other)
         if self._caller.answer_started or code.run is Run.RAN or code is ResultCode.CALLER_LEFT:
             return code, False
         if self._decide_retry() is RetryDecision.RETRY:
@@ -392,13 +343,7 @@
             self._attempts[-1].failure is not ResultCode.CONNECT_FAILED,
         )
         decision = decide_retry(failed, self._policy, self._max_attempts(), trio.current_time())
-        self.ending.trail.note(
-            Event.RETRY_DECIDED,
-            decision=decision.value,
-            attempts=failed.attempts,
-            may_have_run=failed.may_have_run,
-            remaining_ms=_ms(failed.remaining_s),
-        )
+        self._trail.note_retry(decision, failed)
         if decision is not RetryDecision.RETRY:
             self._context.metrics.count(f"requests.no_retry.{decision.value}")
         return decision
@@ -444,8 +389,3 @@
         if self._caller.departed:
             return ResultCode.CALLER_LEFT if ran else ResultCode.CALLER_GONE
         return ResultCode.DEADLINE_PASSED if ran else ResultCode.DEADLINE_TOO_SHORT
-
-
-def _ms(seconds: float) -> float | None:
-    """Milliseconds for a log line; None for no limit."""
-    return None if math.isinf(seconds) else round(seconds * 1000, 1)
--- a/src/dotterelstand/request/trail.py
+++ b/src/dotterelstand/request/trail.py
@@ -1,8 +1,14 @@
 """The decisions on one request, kept until its end tells whether they are written."""
 
+import math
+
 import trio
 
+from dotterelstand.codes import Result as ResultCode
 from dotterelstand.events import Event, log
+from dotterelstand.process.selection.outcome import SlotGrant
+from dotterelstand.request.attempt import Attempt
+from dotterelstand.request.policy import Failed, RetryDecision
 
 # Decisions that are kept of one request; its attempts are bounded, so it has fewer.
 MAX_DECISIONS = 24
@@ -22,12 +28,20 @@
 class Trail:
     """Log lines of one request."""
 
-    __slots__ = ("_began", "_decisions", "request_id")
+    __slots__ = ("_attempts", "_began", "_decisions", "_ended", "request_id")
 
     def __init__(self, request_id: bytes | None) -> None:
         self.request_id = "" if request_id is None else request_id.decode("latin-1")
         self._began = trio.current_time()
         self._decisions: list[_Decision] = []
+        self._attempts: list[Attempt] = []
+        # Attempts whose end is noted.
+        self._ended: set[Attempt] = set()
+
+    @property
+    def attempts(self) -> int:
+        """Number of targets for which a slot was granted."""
+        return len(self._attempts)
 
     def note(self, event: Event, **fields: object) -> None:
         """Keep one decision."""
@@ -35,9 +49,76 @@
             after_s = trio.current_time() - self._began
             self._decisions.append(_Decision(event, after_s, fields))
 
+    def note_grant(self, attempt: Attempt, grant: SlotGrant, remaining_s: float) -> None:
+        """Keep the choice of a target with what this host knew of it."""
+        self._attempts.append(attempt)
+        inputs = grant.inputs
+        self.note(
+            Event.SLOT_GRANTED,
+            attempt=self.attempts,
+            target=grant.target.name,
+            zone=grant.target.availability_zone,
+            by=grant.granted_by,
+            in_flight=inputs.in_flight,
+            pace=inputs.pace,
+            report_age_ms=None if inputs.report_age_s is None else _ms(inputs.report_age_s),
+            remaining_ms=_ms(remaining_s),
+        )
+
+    def note_no_slot(self, code: ResultCode, excluded: frozenset[str], remaining_s: float) -> None:
+        """Keep why no target was chosen."""
+        self.note(
+            Event.SLOT_REFUSED,
+            code=int(code),
+            excluded=sorted(excluded),
+            remaining_ms=_ms(remaining_s),
+        )
+
+    def note_end(self, attempt: Attempt) -> None:
+        """Keep how an attempt ended, once."""
+        if attempt in self._ended:
+            return
+        self._ended.add(attempt)
+        answer = attempt.answer
+        self.note(
+            Event.ATTEMPT_ENDED,
+            attempt=self._attempts.index(attempt) + 1,
+            target=attempt.target,
+            failure=None if attempt.failure is None else int(attempt.failure),
+            status=None if answer is None else answer.status,
+            refused=answer is not None and answer.is_refusal(),
+            # A connection that was given back no longer tells what it carried.
+            sent=answer is not None or attempt.handed,
+        )
+
+    def note_retry(self, decision: RetryDecision, failed: Failed) -> None:
+        """Keep whether another attempt follows a failed one."""
+        self.note(
+            Event.RETRY_DECIDED,
+            decision=decision.value,
+            attempts=failed.attempts,
+            may_have_run=failed.may_have_run,
+            remaining_ms=_ms(failed.remaining_s),
+        )
+
+    def note_hedge(self, decision: str, usual_s: float, remaining_s: float) -> None:
+        """Keep whether a second attempt was started beside the first."""
+        self.note(
+            Event.HEDGE_DECIDED,
+            decision=decision,
+            target_slow=self._attempts[0].target_slow,
+            usual_ms=_ms(usual_s),
+            remaining_ms=_ms(remaining_s),
+        )
+
     def write(self) -> None:
         """Write the decisions as log lines with the request's id."""
         for decision in self._decisions:
             after_ms = round(decision.after_s * 1000, 1)
             log(decision.event, id=self.request_id, after_ms=after_ms, **decision.fields)
         self._decisions.clear()
+
+
+def _ms(seconds: float) -> float | None:
+    """Milliseconds for a log line; None for no limit."""
+    return None if math.isinf(seconds) else round(seconds * 1000, 1)
--- a/tests/support.py
+++ b/tests/support.py
@@ -146,7 +146,7 @@
                 await trio.sleep(0.01 if daemon.pool.in_use() else 0.0)
             assert daemon.front.open_connections == 0, "a caller connection is stuck"
             assert daemon.pool.in_use() == 0, "a target connection is stuck"
-            state = daemon.broker.core.state_of("main")
+            state = daemon.broker.core.services.find("main")
             if state is not None and state.regional is not None:
                 # Grants of a lost entry host expire when the next call asks for a slot.
                 state.regional.advance_health(trio.current_time())
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -112,7 +112,7 @@
     assert {row[1] for row in rows.values()} == {event.name.lower() for event in Event}
     for path, call in _calls():
         function = ast.unparse(call.func)
-        if not call.args or not (function == "log" or function.endswith("trail.note")):
+        if not call.args or not (function == "log" or function in ("self.note", "trail.note")):
             continue
         event = call.args[0]
         choices = [event.body, event.orelse] if isinstance(event, ast.IfExp) else [event]
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -6,6 +6,9 @@
 import pytest
 
 PROCESS = Path(__file__).parent.parent / "src" / "dotterelstand" / "process"
+SOURCES = sorted(PROCESS.parent.rglob("*.py"))
+# Lines of a file, by the house style.
+MAX_LINES = 400
 IMPORT = re.compile(r"^from dotterelstand\.process\.(\w+)", re.M)
 # Each part may import those before it.
 ORDER = (
@@ -34,3 +37,9 @@
     """Guards against a part that the order leaves out."""
     parts = {path.parent.name for path in PROCESS.glob("*/__init__.py")}
     assert parts == set(ORDER)
+
+
+@pytest.mark.parametrize("path", SOURCES, ids=lambda path: str(path.relative_to(PROCESS.parent)))
+def test_no_file_outgrows_the_limit(path: Path) -> None:
+    """Guards against files that do several jobs."""
+    assert len(path.read_text(encoding="utf-8").splitlines()) <= MAX_LINES
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -93,7 +93,7 @@
         await trio.sleep(default_settings().number("selection", "grant_life_s") + 0.1)
         for _ in range(2):
             (await brokers[names[0]].acquire(SERVICE, _call())).unwrap()
-        state = brokers[names[0]].core.state_of(SERVICE.name)
+        state = brokers[names[0]].core.services.find(SERVICE.name)
         assert state.regional.open_grants == 2
 
     _run(scenario)
@@ -131,10 +131,10 @@
         held = [(await broker.acquire(SERVICE, _call())).unwrap() for _ in range(12)]
         with trio.move_on_after(0.1):
             await broker.acquire(SERVICE, _call())
-        assert broker.core.state_of(SERVICE.name).regional.waiting == 0
+        assert broker.core.services.find(SERVICE.name).regional.waiting == 0
         for grant in held:
             broker.release(grant, _outcome())
-        assert broker.core.state_of(SERVICE.name).regional.open_grants == 0
+        assert broker.core.services.find(SERVICE.name).regional.open_grants == 0
 
     _run(scenario)
 
@@ -175,7 +175,7 @@
             brokers[name].release(grant, _outcome())
         await trio.sleep(0.01)
         for name in names:
-            assert brokers[name].core.state_of(SERVICE.name).regional.open_grants == 0
+            assert brokers[name].core.services.find(SERVICE.name).regional.open_grants == 0
         assert (await brokers[names[2]].acquire(SERVICE, _call())).unwrap().dispatcher == names[0]
 
     _run(scenario)
