--- a/tests/test_settings_file.py
+++ b/tests/test_settings_file.py
@@ -56,15 +56,15 @@
     sections = ("listen", "peers", "control")
     path.write_text("".join(f"[{section}]\nport = 0\n" for section in sections))
     command = [sys.executable, "-m", "dotterelstand.process.main", "--settings", str(path)]
-    with subprocess.Popen(command, stderr=subprocess.PIPE, text=True) as daemon:
-        assert daemon.stderr is not None
-        for line in daemon.stderr:
+    with subprocess.Popen(command, stdout=subprocess.PIPE, text=True) as daemon:
+        assert daemon.stdout is not None
+        for line in daemon.stdout:
             if "daemon_started" in line:
                 break
         daemon.send_signal(signal.SIGHUP)
-        for line in daemon.stderr:
+        for line in daemon.stdout:
             if "settings_reloaded" in line:
                 break
         daemon.send_signal(signal.SIGTERM)
-        daemon.stderr.read()
+        daemon.stdout.read()
         assert daemon.wait() == 0
