Give up few targets that vanished while this host was cut off at once

Ruled out: the watch and the drain report themselves; the list was read and the entry was missing. Change: of the targets that vanished meanwhile, those of a service are kept only if they are a third of it or more, as after an outage of the store in which registrations lapse. Measured: two of four cases of test_few_targets_that_vanished_with_the_platform_are_gone_at_once fail before and none after.

--- a/src/dotterelstand/process/discovery/catalogue.py
+++ b/src/dotterelstand/process/discovery/catalogue.py
@@ -1,6 +1,6 @@
 """Decides which targets and which configuration are in force, from what the platform tells."""
 
-from collections import deque
+from collections import Counter, deque
 from enum import Enum
 
 from dotterelstand.process.discovery.registry import Configuration, Entry, RegisteredTarget
@@ -9,6 +9,9 @@
 # Seconds for which a target that vanished while the platform was away stays in use after its
 # return; the platform states that a live target is back within about two seconds.
 LAPSE_S = 2.2
+# Share of a service's targets below which those that vanished meanwhile are given up at once: the
+# others carry their work, and a target that lives is listed again within two seconds.
+FEW_SHARE = 1 / 3
 # Entries that vanish within this time after the platform's return may have lapsed meanwhile.
 RETURN_WINDOW_S = 1.0
 
@@ -116,8 +119,14 @@
     def replace_targets(self, entries: list[Entry[RegisteredTarget]], now: float) -> None:
         """Take a complete list of targets."""
         listed = {entry.name for entry in entries if entry.item is not None}
-        for name in [name for name in self._targets if name not in listed]:
-            self._drop(name, now)
+        missing = [target for name, target in self._targets.items() if name not in listed]
+        known = Counter(target.service for target in self._targets.values())
+        lost = Counter(target.service for target in missing)
+        for target in missing:
+            if lost[target.service] < FEW_SHARE * known[target.service]:
+                self._give_up(target)
+            else:
+                self._drop(target.name, now)
         for entry in entries:
             self._put(entry, now)
 
@@ -198,8 +207,12 @@
             self._lapsed[name] = max(now, self._returned_at) + LAPSE_S
             self._note(ChangeKind.LAPSED, target)
         else:
-            del self._targets[name]
-            self._note(ChangeKind.GONE, target)
+            self._give_up(target)
+
+    def _give_up(self, target: RegisteredTarget) -> None:
+        self._lapsed.pop(target.name, None)
+        del self._targets[target.name]
+        self._note(ChangeKind.GONE, target)
 
     def _note(self, kind: ChangeKind, target: RegisteredTarget) -> None:
         self.changes.append(TargetChange(kind, target))
--- a/tests/test_catalogue.py
+++ b/tests/test_catalogue.py
@@ -107,6 +107,20 @@
     assert _names(catalogue) == ["i-1"]
 
 
+@pytest.mark.parametrize(("gone", "kept"), [(1, False), (2, False), (3, True), (6, True)])
+def test_few_targets_that_vanished_with_the_platform_are_gone_at_once(
+    gone: int, kept: bool
+) -> None:
+    """Guards against work for targets that left while only this host was cut off."""
+    catalogue = _catalogue()
+    entries = [_entry(f"i-{number}") for number in range(9)]
+    catalogue.replace_targets(entries, 0.0)
+    catalogue.platform_lost()
+    catalogue.platform_found(10.0)
+    catalogue.replace_targets(entries[gone:], 10.0)
+    assert len(_names(catalogue)) == (9 if kept else 9 - gone)
+
+
 def test_a_target_that_is_removed_in_calm_times_is_gone_at_once() -> None:
     """Guards against work for a target whose registration was removed."""
     catalogue = _catalogue()
