--- a/src/dotterelstand/process/discovery/follow.py
+++ b/src/dotterelstand/process/discovery/follow.py
@@ -21,8 +21,8 @@
 from dotterelstand.process.peering.membership import ListedHost
 from dotterelstand.version.document import Document
 
-# Pause before the next call to a platform that does not answer; it doubles up to the longest. A host
-# must be in step 3 s after the platform's return, of which targets that may return take 2.2 s.
+# Pause before the next call to a platform that does not answer; it doubles up to the longest. A
+# host must be in step 3 s after the platform's return, of which lapsed targets take 2.2 s.
 RETRY_FIRST_S = 0.1
 RETRY_LONGEST_S = 0.4
 
