Let one host of a region watch the platform's store, and link large regions through hubs

Ruled out: asking the store less often (the pause of 0.8 s is part of the 2 s in which a leaving target must be known). Change: the first hub of a region watches the store and tells the others of changes, with the state of the store every 0.5 s; a host that hears nothing for 1.2 s, or that the relay lost the store, reads the store itself. Large fleets have four hubs a region, the hosts with the most capacity, to which every host there is linked, and dispatchers and relays are hubs.

--- a/src/dotterelstand/connection/peer.py
+++ b/src/dotterelstand/connection/peer.py
@@ -16,8 +16,9 @@
 from websockets.server import ServerProtocol
 from websockets.uri import WebSocketURI
 
+from dotterelstand.connection.codec import decode_messages, join_messages
 from dotterelstand.connection.target import READ_BYTES, close_now
-from dotterelstand.connection.wire import Hello, Message, decode_messages, join_messages
+from dotterelstand.connection.wire import Hello, Message
 
 LINK_PATH = "/peer"
 
--- a/src/dotterelstand/connection/wire.py
+++ b/src/dotterelstand/connection/wire.py
@@ -1,9 +1,6 @@
-"""Messages between entry hosts and their CBOR form."""
+"""Messages between entry hosts."""
 
-from typing import Any, ClassVar, get_args, get_origin
-
-import cbor2
-from returns.result import Failure, Result, Success
+from typing import ClassVar
 
 
 class Message:
@@ -41,9 +38,17 @@
 
 
 class Hello(Message):
-    """First message on a link: who the sender is."""
-
-    __slots__ = ("address", "availability_zone", "host", "incarnation", "port", "region")
+    """First message on a link: who the sender is; `capacity` is in hundredths of a processor."""
+
+    __slots__ = (
+        "address",
+        "availability_zone",
+        "capacity",
+        "host",
+        "incarnation",
+        "port",
+        "region",
+    )
     TYPE = 1
     host: str
     region: str
@@ -51,6 +56,7 @@
     address: str
     port: int
     incarnation: int
+    capacity: int
 
 
 class Beat(Message):
@@ -160,6 +166,29 @@
     targets: list[int]
 
 
+class StoreChanges(Message):
+    """Changes of one kind of the platform's objects after `since`, as the store sent them.
+
+    `kind` is a place in `SHARED_KINDS` of `process/discovery/registry.py`, `encoded` is compressed.
+    """
+
+    __slots__ = ("encoded", "kind", "since", "until")
+    TYPE = 28
+    kind: int
+    since: int
+    until: int
+    encoded: bytes
+
+
+class StoreState(Message):
+    """Whether the platform's store answers the sender, and its last change of each shared kind."""
+
+    __slots__ = ("answers", "revisions")
+    TYPE = 29
+    answers: bool
+    revisions: list[int]
+
+
 class Intent(Message):
     """A non-idempotent request with a key that asks to run."""
 
@@ -306,70 +335,3 @@
     __slots__ = ("call",)
     TYPE = 23
     call: int
-
-
-def _message_types() -> dict[int, type[Message]]:
-    return {kind.TYPE: kind for kind in Message.__subclasses__()}
-
-
-_TYPES = _message_types()
-
-# Integers outside this range are refused, since CBOR allows numbers of any length.
-_INTEGER_LIMIT = 2**63
-
-
-def encode_message(message: Message) -> bytes:
-    """CBOR form of one message, which is also a frame of its own."""
-    return cbor2.dumps(message.as_sent())
-
-
-def join_messages(parts: list[bytes]) -> bytes:
-    """One frame of messages that are already encoded.
-
-    Several messages form a CBOR array of indefinite length; a single one is sent as it is.
-    """
-    return parts[0] if len(parts) == 1 else b"\x9f" + b"".join(parts) + b"\xff"
-
-
-def decode_messages(data: bytes) -> Result[list[Message], str]:
-    """Messages of one frame; fails with a description of what is malformed."""
-    try:
-        items = cbor2.loads(data)
-    except (cbor2.CBORError, ValueError, TypeError, RecursionError, OverflowError) as error:
-        return Failure(f"not CBOR: {error}")
-    if not isinstance(items, list):
-        return Failure("not an array of messages")
-    if items and isinstance(items[0], int):
-        items = [items]
-    messages: list[Message] = []
-    for item in items:
-        message = _decode_message(item)
-        if message is None:
-            return Failure(f"malformed message {str(item)[:80]}")
-        messages.append(message)
-    return Success(messages)
-
-
-def _decode_message(item: object) -> Message | None:
-    if not isinstance(item, list) or not item or not isinstance(item[0], int):
-        return None
-    kind = _TYPES.get(item[0])
-    if kind is None:
-        return None
-    missing = len(kind.__slots__) + 1 - len(item)
-    if not 0 <= missing <= kind.OPTIONAL:
-        return None
-    values = [*item[1:], *[0] * missing]
-    for name, value in zip(kind.__slots__, values, strict=True):
-        if not _has_type(value, kind.__annotations__[name]):
-            return None
-    return kind(*values)
-
-
-def _has_type(value: object, expected: Any) -> bool:
-    if get_origin(expected) is list:
-        (element,) = get_args(expected)
-        return isinstance(value, list) and all(_has_type(item, element) for item in value)
-    if expected is int:
-        return type(value) is int and abs(value) < _INTEGER_LIMIT
-    return isinstance(value, expected)
--- a/src/dotterelstand/platform/client.py
+++ b/src/dotterelstand/platform/client.py
@@ -15,6 +15,7 @@
 from dotterelstand.process.discovery.registry import (
     EXISTS,
     HISTORY_LOST,
+    MISSING,
     REFUSED,
     UNANSWERED,
     UNREADABLE,
@@ -33,6 +34,8 @@
 
 OBJECTS = "/dotterelstand/objects"
 CONFIGURATION_NAME = "main"
+# Name without an object; the answer to a check is as small as can be.
+CHECKED_NAME = "check"
 # Names of the store's kinds; the kind of the entry hosts is the product's own.
 KIND_NAMES = {
     Kind.CONFIGURATION: "config",
@@ -84,19 +87,32 @@
         """Changes after a revision; fails with `HISTORY_LOST` if they are gone."""
         wait_ms = min(MAX_WAIT_MS, int(wait_s * 1000))
         path = f"{OBJECTS}/{KIND_NAMES[kind]}?watch={revision}&waitMs={wait_ms}"
-        answer = await self._read(path, wait_ms / 1000 + self._timeout_s)
-        if not is_successful(answer):
-            return Failure(answer.failure())
+        answer = await self._call("GET", path, None, wait_ms / 1000 + self._timeout_s)
+        return answer.bind(lambda known: self.read_changes(kind, known.body))
+
+    def read_changes(self, kind: Kind, encoded: bytes) -> Result[Listing[Item], PlatformError]:
+        """Changes from the body of a watch's answer."""
+        read = _read_body(encoded)
+        if not is_successful(read):
+            return Failure(read.failure())
         try:
-            body = answer.unwrap()
+            body = read.unwrap()
             events = [
                 _read_entry(kind, event["object"], bool(event["removed"]))
                 for event in body["events"]
             ]
-            return Success(Listing(events, int(body["currentRev"])))
+            return Success(Listing(events, int(body["currentRev"]), encoded))
         except (KeyError, TypeError, ValueError) as error:
             return Failure(PlatformError(UNREADABLE, repr(error)))
 
+    async def check(self) -> Result[None, PlatformError]:
+        """Whether the store answers; an object that may be old costs a tenth of another call."""
+        path = f"{OBJECTS}/{KIND_NAMES[Kind.CONFIGURATION]}/{CHECKED_NAME}?staleOk=1"
+        answer = await self._call("GET", path, None, self._timeout_s)
+        if not is_successful(answer) and answer.failure().code == MISSING:
+            return Success(None)
+        return answer.map(lambda _: None)
+
     async def register_host(self, host: ListedHost) -> Result[None, PlatformError]:
         """Create or replace this host's object."""
         kind = f"{OBJECTS}/{KIND_NAMES[Kind.HOSTS]}"
@@ -109,7 +125,8 @@
         return replaced.map(lambda _: None)
 
     async def _read(self, path: str, timeout_s: float) -> Result[dict[str, Any], PlatformError]:
-        return (await self._call("GET", path, None, timeout_s)).bind(_read_body)
+        answer = await self._call("GET", path, None, timeout_s)
+        return answer.bind(lambda known: _read_body(known.body))
 
     async def _call(
         self, method: str, path: str, body: object, timeout_s: float
@@ -133,13 +150,13 @@
 def _read_status(answer: StoreAnswer) -> Result[StoreAnswer, PlatformError]:
     if 200 <= answer.status < 300:
         return Success(answer)
-    codes = {410: HISTORY_LOST, 409: EXISTS}
+    codes = {404: MISSING, 409: EXISTS, 410: HISTORY_LOST}
     return Failure(PlatformError(codes.get(answer.status, REFUSED), f"status {answer.status}"))
 
 
-def _read_body(answer: StoreAnswer) -> Result[dict[str, Any], PlatformError]:
+def _read_body(encoded: bytes) -> Result[dict[str, Any], PlatformError]:
     try:
-        body = json.loads(answer.body)
+        body = json.loads(encoded)
     except ValueError as error:
         return Failure(PlatformError(UNREADABLE, str(error)))
     if not isinstance(body, dict):
--- a/src/dotterelstand/platform/decode.py
+++ b/src/dotterelstand/platform/decode.py
@@ -68,6 +68,7 @@
                 False,
                 _text(entry, "region"),
                 _text(entry, "availability_zone"),
+                _number(entry, "capacity", 0.0),
             )
         )
     except FormatError as error:
@@ -81,6 +82,7 @@
         "port": host.port,
         "region": host.region,
         "availability_zone": host.availability_zone,
+        "capacity": host.capacity,
     }
 
 
--- a/src/dotterelstand/process/discovery/follow.py
+++ b/src/dotterelstand/process/discovery/follow.py
@@ -28,20 +28,12 @@
 
 
 class FollowTuning:
-    """Times in seconds: longest wait of a watch, pauses between two watches, host list interval."""
+    """Times in seconds: longest wait of a watch, and the interval of the host list."""
 
-    __slots__ = ("configuration_pause_s", "hosts_interval_s", "targets_pause_s", "watch_s")
+    __slots__ = ("hosts_interval_s", "watch_s")
 
-    def __init__(
-        self,
-        watch_s: float,
-        targets_pause_s: float,
-        configuration_pause_s: float,
-        hosts_interval_s: float,
-    ) -> None:
+    def __init__(self, watch_s: float, hosts_interval_s: float) -> None:
         self.watch_s = watch_s
-        self.targets_pause_s = targets_pause_s
-        self.configuration_pause_s = configuration_pause_s
         self.hosts_interval_s = hosts_interval_s
 
 
@@ -77,7 +69,6 @@
         "_change",
         "_kind",
         "_lost",
-        "_pause_s",
         "_platform",
         "_replace",
         "_watch_s",
@@ -88,7 +79,6 @@
         platform: Platform,
         kind: Kind,
         watch_s: float,
-        pause_s: float,
         rng: random.Random,
         replace: Callable[[list[Entry[Item]]], None],
         change: Callable[[list[Entry[Item]]], None],
@@ -97,7 +87,6 @@
         self._platform = platform
         self._kind = kind
         self._watch_s = watch_s
-        self._pause_s = pause_s
         self._backoff = _Backoff(rng)
         self._replace = replace
         self._change = change
@@ -125,8 +114,6 @@
             self._note_answer()
             revision = changes.unwrap().revision
             self._change(changes.unwrap().entries)
-            # Changes that come together are read together.
-            await trio.sleep(self._pause_s)
         if changes.failure().code == HISTORY_LOST:
             log(Event.HISTORY_LOST, kind=self._kind.value, revision=revision)
         else:
@@ -190,7 +177,6 @@
             self._platform,
             Kind.TARGETS,
             tuning.watch_s,
-            tuning.targets_pause_s,
             self._rng,
             self._replace_targets,
             self._change_targets,
@@ -200,7 +186,6 @@
             self._platform,
             Kind.CONFIGURATION,
             tuning.watch_s,
-            tuning.configuration_pause_s,
             self._rng,
             self._take_configuration,
             self._take_configuration,
--- a/src/dotterelstand/process/discovery/objectbacking.py
+++ b/src/dotterelstand/process/discovery/objectbacking.py
@@ -7,7 +7,8 @@
 
 from dotterelstand.process.discovery.catalogue import Catalogue, ServiceTuning
 from dotterelstand.process.discovery.follow import FollowTuning, PlatformFeed
-from dotterelstand.process.discovery.registry import Platform
+from dotterelstand.process.discovery.registry import Kind, Platform
+from dotterelstand.process.discovery.sharing import SharedPlatform
 from dotterelstand.process.operation.control import ControlRegistry
 from dotterelstand.process.peering.membership import ListedHost
 from dotterelstand.process.peering.peers import Peers
@@ -19,7 +20,7 @@
 class ObjectBacking:
     """Implements `Backing` by following a `Platform`; no route has keys, so nothing must last."""
 
-    __slots__ = ("_catalogue", "_feed")
+    __slots__ = ("_catalogue", "_feed", "_shared")
 
     def __init__(
         self,
@@ -39,10 +40,12 @@
                 False,
                 peers.region,
                 settings.text("host", "availability_zone"),
+                peers.capacity,
             )
 
+        self._shared = SharedPlatform(platform, peers, peers.metrics, _watch_pauses(settings), rng)
         self._feed = PlatformFeed(
-            platform,
+            self._shared,
             self._catalogue,
             own,
             _follow_tuning(settings),
@@ -66,6 +69,11 @@
         """Set when the entry hosts were asked for once."""
         return self._feed.hosts_known
 
+    @property
+    def is_relay(self) -> bool:
+        """Whether this host watches the store for its region."""
+        return self._shared.is_relay
+
     def register(self, registry: ControlRegistry, metrics: Metrics) -> None:
         """There are no pages beside those of every host."""
 
@@ -80,7 +88,9 @@
 
     async def run(self) -> None:
         """Follow the platform until cancelled."""
-        await self._feed.run()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._shared.run)
+            nursery.start_soon(self._feed.run)
 
     async def stop(self) -> None:
         """Nothing is to be handed over."""
@@ -105,7 +115,12 @@
 def _follow_tuning(settings: Settings) -> FollowTuning:
     return FollowTuning(
         settings.number("store", "watch_wait_s"),
-        settings.number("store", "targets_pause_s"),
-        settings.number("store", "document_pause_s"),
         settings.number("peers", "host_list_interval_s"),
     )
+
+
+def _watch_pauses(settings: Settings) -> dict[Kind, float]:
+    return {
+        Kind.TARGETS: settings.number("store", "targets_pause_s"),
+        Kind.CONFIGURATION: settings.number("store", "document_pause_s"),
+    }
--- a/src/dotterelstand/process/discovery/registry.py
+++ b/src/dotterelstand/process/discovery/registry.py
@@ -17,6 +17,7 @@
 HISTORY_LOST = 5203
 UNREADABLE = 5204
 EXISTS = 5205
+MISSING = 5206
 
 
 class PlatformError(CodedError):
@@ -33,6 +34,10 @@
     HOSTS = "hosts"
 
 
+# Kinds whose changes one entry host tells to others.
+SHARED_KINDS = (Kind.CONFIGURATION, Kind.TARGETS)
+
+
 class RegisteredTarget:
     """A target as it registered itself.
 
@@ -126,13 +131,17 @@
 
 
 class Listing(Generic[T]):
-    """Entries and the revision of the store that they reflect."""
+    """Entries and the revision of the store that they reflect.
+
+    `encoded` is what `Platform.read_changes` reads, empty for a listing that is not a watch's.
+    """
 
-    __slots__ = ("entries", "revision")
+    __slots__ = ("encoded", "entries", "revision")
 
-    def __init__(self, entries: list[Entry[T]], revision: int) -> None:
+    def __init__(self, entries: list[Entry[T]], revision: int, encoded: bytes = b"") -> None:
         self.entries = entries
         self.revision = revision
+        self.encoded = encoded
 
 
 class Platform(Protocol):
@@ -149,5 +158,11 @@
         Fails with `HISTORY_LOST` if the store no longer has the changes.
         """
 
+    def read_changes(self, kind: Kind, encoded: bytes) -> Result[Listing[Item], PlatformError]:
+        """Changes that another entry host got from `watch`."""
+
+    async def check(self) -> Result[None, PlatformError]:
+        """Whether the store answers this host; cheaper than any other call."""
+
     async def register_host(self, host: ListedHost) -> Result[None, PlatformError]:
         """Make this host known to the others."""
--- /dev/null
+++ b/src/dotterelstand/process/discovery/sharing.py
@@ -0,0 +1,315 @@
+"""Shares the platform's changes within a region, so that few entry hosts watch the store."""
+
+import random
+import zlib
+from collections.abc import Sequence
+
+import trio
+from returns.pipeline import is_successful
+from returns.result import Failure, Result, Success
+
+from dotterelstand.connection.wire import Message, StoreChanges, StoreState
+from dotterelstand.events import Event, log
+from dotterelstand.process.discovery.registry import (
+    SHARED_KINDS,
+    UNANSWERED,
+    Entry,
+    Item,
+    Kind,
+    Listing,
+    Platform,
+    PlatformError,
+)
+from dotterelstand.process.discovery.relayview import RelayView, SharedChanges, Standing
+from dotterelstand.process.peering.membership import ListedHost
+from dotterelstand.process.peering.mesh import Mesh
+from dotterelstand.process.peering.ranking import rank_hosts
+from dotterelstand.process.telemetry.metrics import Metrics
+
+# What hosts are ranked for, to choose the relays of a region.
+RELAY_KEY = "platform"
+# Relays of a region in a full mesh, and in a larger fleet, where the loss of the only one would
+# let dozens of hosts turn to the store.
+RELAYS_IN_MESH = 1
+RELAYS_IN_OVERLAY = 2
+# Seconds between two checks of a relay that the store answers, and the longest wait for an answer.
+# Together they stay below the time for which other hosts trust it.
+CHECK_INTERVAL_S = 0.5
+CHECK_TIMEOUT_S = 0.6
+# Longest pause between two calls of a host that does not watch to a store that answers neither it
+# nor the relays, in seconds; a relay that reaches the store again ends the pause.
+ALL_LOST_RETRY_S = 2.0
+# Seconds in which a starting host opens links before it decides whether it is a relay.
+FIRST_LOOK_S = 0.4
+# Bound on the changes of one message after decompression.
+MAX_CHANGES_BYTES = 16 * 1024 * 1024
+
+
+class SharedPlatform:
+    """Implements `Platform` over another one, which only the relays of a region watch.
+
+    The other hosts get the changes from the relays. They call the platform themselves for what
+    they missed, and as long as no relay says that it reaches the store.
+    """
+
+    __slots__ = (
+        "_failed",
+        "_first_watch_at",
+        "_known",
+        "_mesh",
+        "_metrics",
+        "_news",
+        "_next_watch_at",
+        "_pauses_s",
+        "_platform",
+        "_relied",
+        "_rng",
+        "_told_lost",
+        "_view",
+        "_was_relay",
+        "_watches",
+    )
+
+    def __init__(
+        self,
+        platform: Platform,
+        mesh: Mesh,
+        metrics: Metrics,
+        pauses_s: dict[Kind, float],
+        rng: random.Random,
+    ) -> None:
+        self._platform = platform
+        self._mesh = mesh
+        self._metrics = metrics
+        # Pauses in seconds before the next watch, so that changes which come together are read
+        # together.
+        self._pauses_s = pauses_s
+        self._rng = rng
+        self._view = RelayView(trio.current_time())
+        self._news = trio.Event()
+        # Revision of the last change that this host knows.
+        self._known = dict.fromkeys(SHARED_KINDS, 0)
+        self._first_watch_at = trio.current_time() + FIRST_LOOK_S
+        self._next_watch_at = dict.fromkeys(SHARED_KINDS, 0.0)
+        self._watches: dict[Kind, trio.CancelScope] = {}
+        # Kinds whose last call was not answered.
+        self._failed: set[Kind] = set()
+        # Kinds whose reader was told that the relays lost the store.
+        self._told_lost: set[Kind] = set()
+        self._was_relay = False
+        self._relied = True
+        mesh.subscribe(StoreChanges, self._on_changes)
+        mesh.subscribe(StoreState, self._on_state)
+
+    @property
+    def is_relay(self) -> bool:
+        """Whether this host watches the store for its region."""
+        count = RELAYS_IN_OVERLAY if self._mesh.is_overlay else RELAYS_IN_MESH
+        ranked = rank_hosts(RELAY_KEY, self._mesh.members(), self._mesh.region)
+        return self._mesh.host in ranked[:count]
+
+    async def list(self, kind: Kind) -> Result[Listing[Item], PlatformError]:
+        """All objects of a kind, from the store."""
+        if kind in self._failed and not self.is_relay:
+            await self._await_retry()
+        listing = await self._platform.list(kind)
+        if not is_successful(listing):
+            self._failed.add(kind)
+            return listing
+        self._failed.discard(kind)
+        if kind in self._known:
+            self._known[kind] = listing.unwrap().revision
+            self._tell_state(True)
+        return listing
+
+    async def watch(
+        self, kind: Kind, revision: int, wait_s: float
+    ) -> Result[Listing[Item], PlatformError]:
+        """Changes after a revision, from a relay or from the store."""
+        await trio.sleep_until(self._first_watch_at)
+        while True:
+            chain = self._view.changes_after(kind, revision)
+            standing = self._view.standing(kind, revision, trio.current_time())
+            if not self.is_relay:
+                self._note_standing(kind, standing)
+                if chain:
+                    return self._read_chain(kind, chain)
+                if standing is Standing.CURRENT:
+                    await self._wait_for_news()
+                    continue
+                if standing is Standing.LOST and kind not in self._told_lost:
+                    self._told_lost.add(kind)
+                    return Failure(PlatformError(UNANSWERED, "no answer to the region's relays"))
+            result = await self._watch_while_needed(kind, revision, wait_s)
+            if result is not None:
+                return result
+
+    def read_changes(self, kind: Kind, encoded: bytes) -> Result[Listing[Item], PlatformError]:
+        """Changes that another entry host got from `watch`."""
+        return self._platform.read_changes(kind, encoded)
+
+    async def check(self) -> Result[None, PlatformError]:
+        """Whether the store answers this host."""
+        return await self._platform.check()
+
+    async def register_host(self, host: ListedHost) -> Result[None, PlatformError]:
+        """Make this host known to the others."""
+        return await self._platform.register_host(host)
+
+    async def run(self) -> None:
+        """Check the store for the region while this host is a relay, until cancelled."""
+        while True:
+            await trio.sleep(CHECK_INTERVAL_S * self._rng.uniform(0.9, 1.0))
+            if self.is_relay != self._was_relay:
+                self._was_relay = self.is_relay
+                self._wake()
+            if self._was_relay:
+                await self._check_store()
+
+    async def _check_store(self) -> None:
+        answers = False
+        with trio.move_on_after(CHECK_TIMEOUT_S):
+            answers = is_successful(await self._platform.check())
+        self._metrics.count("platform.checks")
+        if not answers:
+            self._metrics.count("platform.checks_failed")
+            # A watch over a connection that went silent would wait until the kernel notices.
+            for scope in self._watches.values():
+                scope.cancel()
+        self._tell_state(answers)
+
+    async def _watch_store(
+        self, kind: Kind, revision: int, wait_s: float
+    ) -> Result[Listing[Item], PlatformError]:
+        await trio.sleep_until(self._next_watch_at[kind])
+        self._metrics.count("platform.watches")
+        with trio.CancelScope() as scope:
+            self._watches[kind] = scope
+            try:
+                result = await self._platform.watch(kind, revision, wait_s)
+            finally:
+                del self._watches[kind]
+        if scope.cancelled_caught:
+            error = PlatformError(UNANSWERED, "gave up a watch after an unanswered check")
+            result = Failure(error)
+        if not is_successful(result):
+            self._failed.add(kind)
+        elif result.unwrap().entries:
+            self._next_watch_at[kind] = trio.current_time() + self._pauses_s[kind]
+            self._share(kind, result.unwrap())
+        return result
+
+    async def _watch_while_needed(
+        self, kind: Kind, revision: int, wait_s: float
+    ) -> Result[Listing[Item], PlatformError] | None:
+        """Watch the store until this host can rely on relays, which gives None."""
+        results: list[Result[Listing[Item], PlatformError]] = []
+
+        async def watch(scope: trio.CancelScope) -> None:
+            results.append(await self._watch_store(kind, revision, wait_s))
+            scope.cancel()
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(watch, nursery.cancel_scope)
+            while not self._is_served(kind, revision):
+                await self._wait_for_news()
+            nursery.cancel_scope.cancel()
+        return results[0] if results else None
+
+    def _is_served(self, kind: Kind, revision: int) -> bool:
+        if self.is_relay:
+            return False
+        standing = self._view.standing(kind, revision, trio.current_time())
+        return standing is Standing.CURRENT or bool(self._view.changes_after(kind, revision))
+
+    async def _wait_for_news(self) -> None:
+        """Wait for a message of a relay, for another role, or for the end of the trust."""
+        now = trio.current_time()
+        until = self._view.believed_until(now)
+        with trio.move_on_at(until if until > now else now + CHECK_INTERVAL_S):
+            await self._news.wait()
+
+    async def _await_retry(self) -> None:
+        """Let the relays find out first that the store answers again."""
+        pause_s = ALL_LOST_RETRY_S * self._rng.uniform(0.5, 1.0)
+        with trio.move_on_after(pause_s):
+            while self._view.is_lost(trio.current_time()):
+                await self._wait_for_news()
+
+    def _read_chain(
+        self, kind: Kind, chain: Sequence[SharedChanges]
+    ) -> Result[Listing[Item], PlatformError]:
+        """Last state of each object in the changes.
+
+        The first of them may begin before what this host knows, so that only the last state of an
+        object is sure to be news.
+        """
+        entries: dict[str, Entry[Item]] = {}
+        for changes in chain:
+            listing = _decompress(changes.encoded).bind(
+                lambda encoded: self._platform.read_changes(kind, encoded)
+            )
+            if not is_successful(listing):
+                return listing
+            entries.update({entry.name: entry for entry in listing.unwrap().entries})
+        self._metrics.count("platform.shared_changes_used", len(chain))
+        self._known[kind] = chain[-1].until
+        return Success(Listing(list(entries.values()), chain[-1].until))
+
+    def _share(self, kind: Kind, listing: Listing[Item]) -> None:
+        """Tell the region about changes that the store sent."""
+        since, self._known[kind] = self._known[kind], listing.revision
+        if self.is_relay:
+            encoded = zlib.compress(listing.encoded)
+            number = SHARED_KINDS.index(kind)
+            self._tell_region(StoreChanges(encoded, number, since, listing.revision))
+            self._metrics.count("platform.shared_changes_sent")
+            self._tell_state(True)
+
+    def _tell_state(self, answers: bool) -> None:
+        """Tell the region, as its relay, whether the store answers and what is known."""
+        if self.is_relay and all(self._known.values()):
+            revisions = [self._known[kind] for kind in SHARED_KINDS]
+            watched = self._failed.isdisjoint(SHARED_KINDS)
+            self._tell_region(StoreState(answers and watched, revisions))
+
+    def _tell_region(self, message: Message) -> None:
+        for member in self._mesh.members():
+            if member.region == self._mesh.region and member.host != self._mesh.host:
+                self._mesh.send(member.host, message)
+
+    def _on_changes(self, sender: str, message: StoreChanges) -> None:
+        if 0 <= message.kind < len(SHARED_KINDS) and message.since < message.until:
+            changes = SharedChanges(message.since, message.until, message.encoded)
+            self._view.note_changes(SHARED_KINDS[message.kind], changes)
+            self._wake()
+
+    def _on_state(self, sender: str, message: StoreState) -> None:
+        if len(message.revisions) != len(SHARED_KINDS):
+            return
+        revisions = dict(zip(SHARED_KINDS, message.revisions, strict=True))
+        self._view.note_state(sender, message.answers, revisions, trio.current_time())
+        self._wake()
+
+    def _note_standing(self, kind: Kind, standing: Standing) -> None:
+        if standing in (Standing.CURRENT, Standing.BEHIND):
+            self._told_lost.discard(kind)
+        relied = standing not in (Standing.LOST, Standing.SILENT)
+        if relied != self._relied:
+            self._relied = relied
+            log(
+                Event.RELAYS_RELIED_ON if relied else Event.RELAYS_NOT_RELIED_ON,
+                kind=kind.value,
+                standing=standing.value,
+            )
+
+    def _wake(self) -> None:
+        self._news.set()
+        self._news = trio.Event()
+
+
+def _decompress(data: bytes) -> Result[bytes, PlatformError]:
+    try:
+        return Success(zlib.decompressobj().decompress(data, MAX_CHANGES_BYTES))
+    except zlib.error as error:
+        return Failure(PlatformError(UNANSWERED, f"changes of a relay cannot be read: {error}"))
--- a/src/dotterelstand/process/distribution/spread.py
+++ b/src/dotterelstand/process/distribution/spread.py
@@ -5,15 +5,14 @@
 from typing import TypeVar
 
 import trio
-import xxhash
 from returns.pipeline import is_successful
 
 from dotterelstand.connection.wire import Announce, Beat
 from dotterelstand.events import Event, log
 from dotterelstand.process.distribution.sectionfetch import PeerFetcher
 from dotterelstand.process.distribution.sectionserve import SectionServer
-from dotterelstand.process.peering.mesh import Member
 from dotterelstand.process.peering.peers import Peers
+from dotterelstand.process.peering.ranking import rank_hosts
 from dotterelstand.process.storage.store import MISSING, UNCHANGED, StoreClient, StoreValue
 from dotterelstand.settings import Settings
 from dotterelstand.version.accept import HEAD, section_object
@@ -126,9 +125,8 @@
 
     def is_watcher(self) -> bool:
         """Whether this host is one of those that watch the manifest for its region."""
-        return self._peers.host in choose_watchers(
-            self._peers.members(), self._peers.region, self._watchers
-        )
+        ranked = rank_hosts(HEAD, self._peers.members(), self._peers.region)
+        return self._peers.host in ranked[: self._watchers]
 
     async def run(self) -> None:
         """Follow the document until cancelled."""
@@ -339,13 +337,6 @@
     return min(MAX_WATCH_PAUSE_S, manifest_bytes / WATCH_BYTES_PER_S)
 
 
-def choose_watchers(members: tuple[Member, ...], region: str, count: int) -> frozenset[str]:
-    """Hosts of a region that watch the manifest, by rendezvous hashing; leaving hosts never do."""
-    names = [item.host for item in members if item.region == region and not item.leaving]
-    names.sort(key=lambda host: xxhash.xxh3_64_intdigest(f"{HEAD}/{host}".encode()), reverse=True)
-    return frozenset(names[:count])
-
-
 async def _run_slowly(steps: Generator[None, None, T]) -> T:
     """Run a computation with a pause after each step."""
     while True:
--- a/src/dotterelstand/process/peering/membership.py
+++ b/src/dotterelstand/process/peering/membership.py
@@ -7,9 +7,12 @@
 
 
 class ListedHost:
-    """An entry of the host list; region and zone are empty when the list lacks them."""
+    """An entry of the host list; region and zone are empty when the list lacks them.
 
-    __slots__ = ("address", "availability_zone", "host", "leaving", "port", "region")
+    `capacity` is the processing capacity of the host in processors.
+    """
+
+    __slots__ = ("address", "availability_zone", "capacity", "host", "leaving", "port", "region")
 
     def __init__(
         self,
@@ -19,8 +22,10 @@
         leaving: bool,
         region: str = "",
         availability_zone: str = "",
+        capacity: float = 1.0,
     ) -> None:
         self.host = host
+        self.capacity = capacity
         self.address = address
         self.port = port
         self.leaving = leaving
@@ -34,6 +39,7 @@
     __slots__ = (
         "address",
         "availability_zone",
+        "capacity",
         "expected_since_s",
         "gone",
         "heard_s",
@@ -52,6 +58,7 @@
         self.port = 0
         self.region = ""
         self.availability_zone = ""
+        self.capacity = 1.0
         self.incarnation = 0
         self.heard_s: float | None = None
         self.expected_since_s: float | None = None
@@ -67,6 +74,7 @@
     __slots__ = (
         "_cached",
         "_cached_until_s",
+        "_hubs",
         "_incarnation",
         "_known",
         "_leaving",
@@ -89,6 +97,8 @@
         self._cached: tuple[Member, ...] = ()
         self._cached_until_s = -1.0
         self._leaving = False
+        # Hubs among the known hosts, this one included; all hosts are hubs until they are named.
+        self._hubs: frozenset[str] | None = None
         self.overflows = 0
 
     def leave(self) -> None:
@@ -111,6 +121,7 @@
         known.heard_s = now
         known.address, known.port = hello.address, hello.port
         known.region, known.availability_zone = hello.region, hello.availability_zone
+        known.capacity = hello.capacity / 100
         self._changed()
         return True
 
@@ -159,18 +170,26 @@
                 known.expected_since_s = now
         self._changed()
 
+    def appoint(self, hubs: frozenset[str]) -> None:
+        """Name the hosts that have a link to every host of their region."""
+        if hubs != self._hubs:
+            self._hubs = hubs
+            self._changed()
+
     def members(self, now: float) -> tuple[Member, ...]:
         """Live hosts, this one included, sorted by name."""
         if now < self._cached_until_s:
             return self._cached
         own = self._self
-        live = [Member(own.host, own.region, own.availability_zone, self._leaving)]
+        is_hub = self._is_hub(own.host)
+        live = [Member(own.host, own.region, own.availability_zone, self._leaving, is_hub)]
         self._cached_until_s = now + self._suspect_after_s
         for known in self._known.values():
             if not self._is_live(known, now):
                 continue
             leaving = known.leaving or (known.listed and known.listed_leaving)
-            live.append(Member(known.host, known.region, known.availability_zone, leaving))
+            is_hub = self._is_hub(known.host)
+            live.append(Member(known.host, known.region, known.availability_zone, leaving, is_hub))
             expiry = self._expiry_s(known)
             if expiry > now:
                 self._cached_until_s = min(self._cached_until_s, expiry)
@@ -181,11 +200,22 @@
     def reachable(self) -> list[ListedHost]:
         """Hosts with a known address, for the choice of links; sorted by name."""
         return [
-            ListedHost(known.host, known.address, known.port, known.leaving, known.region, "")
+            ListedHost(
+                known.host,
+                known.address,
+                known.port,
+                known.leaving,
+                known.region,
+                known.availability_zone,
+                known.capacity,
+            )
             for _, known in sorted(self._known.items())
             if known.port and (known.listed or not known.gone)
         ]
 
+    def _is_hub(self, host: str) -> bool:
+        return self._hubs is None or host in self._hubs
+
     def _is_live(self, known: _Known, now: float) -> bool:
         if known.gone or not known.region:
             return False
@@ -203,6 +233,7 @@
         known.listed_leaving = item.leaving
         known.address, known.port = item.address, item.port
         known.region = known.region or item.region
+        known.capacity = item.capacity
         known.availability_zone = known.availability_zone or item.availability_zone
 
     def _entry(self, host: str) -> _Known | None:
--- a/src/dotterelstand/process/peering/mesh.py
+++ b/src/dotterelstand/process/peering/mesh.py
@@ -9,15 +9,21 @@
 
 
 class Member:
-    """A live entry host."""
+    """A live entry host.
 
-    __slots__ = ("availability_zone", "host", "leaving", "region")
+    A `hub` has a link to every host of its region and may do work for them, such as granting slots.
+    """
 
-    def __init__(self, host: str, region: str, availability_zone: str, leaving: bool) -> None:
+    __slots__ = ("availability_zone", "host", "hub", "leaving", "region")
+
+    def __init__(
+        self, host: str, region: str, availability_zone: str, leaving: bool, hub: bool = True
+    ) -> None:
         self.host = host
         self.region = region
         self.availability_zone = availability_zone
         self.leaving = leaving
+        self.hub = hub
 
 
 class Mesh(Protocol):
--- a/src/dotterelstand/process/peering/overlay.py
+++ b/src/dotterelstand/process/peering/overlay.py
@@ -2,33 +2,59 @@
 
 import xxhash
 
+from dotterelstand.process.peering.membership import ListedHost
+
 # Up to this many hosts every pair is linked; 24 hosts send 23 heartbeats a second each.
 FULL_MESH_HOSTS = 24
 # Steps around the ring of a region, as powers of its size; each step gives two neighbours.
 _STEPS_PER_REGION = 4
 LINKS_PER_OTHER_REGION = 2
+# Hosts of a region to which every other one of it has a link. A region that lost all of them
+# chooses targets host by host, and each host reads the platform's store.
+HUBS_PER_REGION = 4
+
+
+def choose_hubs(hosts: list[ListedHost]) -> frozenset[str]:
+    """Hubs of each region: the hosts with the most processing capacity, or all in a full mesh."""
+    if len(hosts) <= FULL_MESH_HOSTS:
+        return frozenset(item.host for item in hosts)
+    ranked = sorted(hosts, key=lambda item: (-item.capacity, *_place(item.host)))
+    counts: dict[str, int] = {}
+    hubs: set[str] = set()
+    for item in ranked:
+        counts[item.region] = counts.get(item.region, 0) + 1
+        if counts[item.region] <= HUBS_PER_REGION:
+            hubs.add(item.host)
+    return frozenset(hubs)
 
 
-def choose_peers(host: str, regions: dict[str, str]) -> frozenset[str]:
+def choose_peers(host: str, regions: dict[str, str], hubs: frozenset[str]) -> frozenset[str]:
     """Peers of `host`, given the region of every host including itself.
 
     The relation is symmetric: if one host chooses another, the other chooses it too, provided
-    both know the same hosts. Larger fleets have 8 links in the region and 2 to each other region.
+    both know the same hosts. Hosts of larger fleets have 8 links in the region, 2 to each other
+    region, and links to the hubs of the region; a hub is linked with its whole region.
     """
     others = frozenset(regions) - {host}
     if len(regions) <= FULL_MESH_HOSTS:
         return others
     rings: dict[str, list[str]] = {}
-    for name in sorted(regions, key=lambda item: (xxhash.xxh3_64_intdigest(item.encode()), item)):
+    for name in sorted(regions, key=_place):
         rings.setdefault(regions[name], []).append(name)
     own = regions[host]
     chosen = _neighbours(rings[own], rings[own].index(host))
+    chosen |= {name for name in rings[own] if name in hubs or host in hubs}
     for region, ring in rings.items():
         if region != own:
             chosen |= _across(rings[own], own, ring, region, host)
     return frozenset(chosen - {host})
 
 
+def _place(host: str) -> tuple[int, str]:
+    """Sort key that spreads hosts evenly, whatever their names."""
+    return xxhash.xxh3_64_intdigest(host.encode()), host
+
+
 def _neighbours(ring: list[str], position: int) -> set[str]:
     """Hosts at steps of geometric size, so that the distance between any two stays short."""
     size = len(ring)
--- a/src/dotterelstand/process/peering/peers.py
+++ b/src/dotterelstand/process/peering/peers.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from dotterelstand.connection.codec import encode_message
 from dotterelstand.connection.network import Listener, Network
 from dotterelstand.connection.peer import (
     OPEN_ERRORS,
@@ -16,12 +17,12 @@
     dialling_link,
     is_preferred,
 )
-from dotterelstand.connection.wire import Beat, Goodbye, Hello, Message, encode_message
+from dotterelstand.connection.wire import Beat, Goodbye, Hello, Message
 from dotterelstand.events import Event, log
 from dotterelstand.process.peering.dialling import Dialling
 from dotterelstand.process.peering.membership import ListedHost, Membership
 from dotterelstand.process.peering.mesh import Member
-from dotterelstand.process.peering.overlay import FULL_MESH_HOSTS, choose_peers
+from dotterelstand.process.peering.overlay import FULL_MESH_HOSTS, choose_hubs, choose_peers
 from dotterelstand.process.telemetry.metrics import Metrics
 from dotterelstand.settings import Settings
 
@@ -53,6 +54,7 @@
         "_overflows",
         "_rng",
         "_silent_after_s",
+        "capacity",
         "version",
     )
 
@@ -73,6 +75,9 @@
             settings.integer("peers", "max_queue_bytes"),
         )
         self._max_links = settings.integer("peers", "max_links")
+        self.capacity = settings.number("host", "processors") * settings.number(
+            "host", "processor_share"
+        )
         self._heartbeat_s = settings.number("peers", "heartbeat_s")
         self._silent_after_s = settings.number("peers", "suspect_after_s")
         self._open_timeout_s = settings.number("peers", "connect_timeout_s")
@@ -89,6 +94,7 @@
         self._hello = Hello(
             self._listen_address,
             own.availability_zone,
+            round(100 * self.capacity),
             own.host,
             incarnation,
             self._listen_port,
@@ -363,8 +369,10 @@
 
     def _wanted_peers(self, now: float) -> list[ListedHost]:
         known = self._membership.reachable()
-        regions = {item.host: item.region for item in known}
-        regions[self.host] = self.region
-        chosen = choose_peers(self.host, regions)
+        own = ListedHost(self.host, "", 0, False, self.region, capacity=self.capacity)
+        hubs = choose_hubs([own, *known])
+        regions = {item.host: item.region for item in (own, *known)}
+        chosen = choose_peers(self.host, regions, hubs)
+        self._membership.appoint(hubs)
         self._membership.expect(chosen, now)
         return [item for item in known if item.host in chosen]
--- a/src/dotterelstand/process/selection/measuredmesh.py
+++ b/src/dotterelstand/process/selection/measuredmesh.py
@@ -1,6 +1,7 @@
 """The mesh as target selection uses it: every message is charged to the measuring budget."""
 
-from dotterelstand.connection.wire import Message, encode_message
+from dotterelstand.connection.codec import encode_message
+from dotterelstand.connection.wire import Message
 from dotterelstand.process.peering.mesh import Member, Mesh
 from dotterelstand.process.selection.measure import MeasureBudget
 
--- a/src/dotterelstand/process/selection/rendezvous.py
+++ b/src/dotterelstand/process/selection/rendezvous.py
@@ -1,8 +1,7 @@
 """Chooses the dispatcher of each service by rendezvous hashing."""
 
-import xxhash
-
 from dotterelstand.process.peering.mesh import Member
+from dotterelstand.process.peering.ranking import rank_hosts
 
 
 class DispatcherMap:
@@ -25,10 +24,6 @@
 
 
 def choose_dispatcher(service: str, members: tuple[Member, ...], region: str) -> str | None:
-    """Host with the highest hash among the live members of a region that are not leaving."""
-    hosts = [member.host for member in members if member.region == region and not member.leaving]
-
-    def weight(host: str) -> int:
-        return xxhash.xxh3_64_intdigest(f"{service}/{host}".encode())
-
-    return max(hosts, key=weight, default=None)
+    """First of the region's hubs for a service, or None if it has none."""
+    ranked = rank_hosts(service, members, region)
+    return ranked[0] if ranked else None
--- a/src/dotterelstand/settings_rules.py
+++ b/src/dotterelstand/settings_rules.py
@@ -147,7 +147,14 @@
 MIB = 1024 * 1024
 
 RULES: dict[str, dict[str, Rule]] = {
-    "host": {"name": NAME, "region": NAME, "availability_zone": NAME, "regions": ListOf(ZONE, 64)},
+    "host": {
+        "name": NAME,
+        "region": NAME,
+        "availability_zone": NAME,
+        "regions": ListOf(ZONE, 64),
+        "processors": Between(0.01, 1024),
+        "processor_share": Between(0.01, 1),
+    },
     "listen": {
         "endpoint": OPTIONAL_HOST_PORT,
         "address": ADDRESS,
--- a/src/dotterelstand/standin/entryfleet.py
+++ b/src/dotterelstand/standin/entryfleet.py
@@ -35,7 +35,7 @@
     """Settings of one host of the fleet."""
     values = default_settings().as_dict()
     region = address.split("/")[0]
-    values["host"] = {"name": name, "region": region, "availability_zone": f"{region}-1"}
+    values["host"] |= {"name": name, "region": region, "availability_zone": f"{region}-1"}
     values["peers"] |= {"address": address, "port": PEER_PORT}
     for section, keys in overrides.items():
         values[section] |= keys
--- a/src/dotterelstand/standin/mesh.py
+++ b/src/dotterelstand/standin/mesh.py
@@ -5,7 +5,8 @@
 
 import trio
 
-from dotterelstand.connection.wire import Message, decode_messages, encode_message
+from dotterelstand.connection.codec import decode_messages, encode_message
+from dotterelstand.connection.wire import Message
 from dotterelstand.process.peering.mesh import M, Member
 
 Handler = Callable[[str, Message], None]
--- a/tests/test_measure.py
+++ b/tests/test_measure.py
@@ -6,7 +6,8 @@
 from websockets.frames import Frame, Opcode
 
 from dotterelstand.bench.slotpolicy import HEADER_BYTES, MASK_BYTES
-from dotterelstand.connection.wire import Acquire, encode_message
+from dotterelstand.connection.codec import encode_message
+from dotterelstand.connection.wire import Acquire
 from dotterelstand.process.selection.measure import MeasureBudget, MeasureLimit
 from dotterelstand.process.selection.outcome import AttemptOutcome
 from dotterelstand.process.selection.slotcodec import (
