Survive a hang-up signal during the start, and soak real daemon processes under faults from outside

Ruled out: the handler itself; later signals are taken. Change: the entry point ignores the signal before it loads anything else. The soak runs the real daemons as processes on loopback with the platform's settings template; proxies delay, reset, silence and cut connections, signals stop, pause, kill and reload, and callers and judge are those of the soak in virtual time.

--- a/src/dotterelstand/bench/soakcallers.py
+++ b/src/dotterelstand/bench/soakcallers.py
@@ -14,6 +14,8 @@
 MAX_REPEATS = 6
 UPLOAD_BYTES = 120_000
 UPLOAD_PIECE_BYTES = 20_000
+# Body bytes of a request by its kind.
+SIZES = {"prices": 0, "orders": 64, "artwork": UPLOAD_BYTES}
 
 
 class Told:
@@ -92,8 +94,18 @@
             request.told.append(told)
             if told.run == Run.RAN.value or told.code in (2001, 2006, 2010, 2012):
                 return
+            if not self.may_repeat(request, told):
+                return
             await trio.sleep(self._random.uniform(0.2, 0.6) * (attempt + 1))
 
+    def may_repeat(self, request: Request, told: Told) -> bool:
+        """Whether a request may be sent again; its key keeps an order from running twice."""
+        return True
+
+    def fields(self, request: Request) -> list[tuple[str, str]]:
+        """Header fields of one attempt."""
+        return [("idempotency-key", request.key)] if request.key else []
+
     def _choose_host(self, region: int) -> EntryHost | None:
         # The platform's balancer notices a lost host after about a second.
         hosts = [host for host in self._fleet.live_hosts() if host.region == region]
@@ -107,19 +119,20 @@
             try:
                 stream = await network.connect(host.address, CALLER_PORT)
                 async with stream:
-                    told = await _exchange(stream, host.name, request)
+                    told = await exchange(stream, host.name, request, self.fields(request))
             except (OSError, trio.BrokenResourceError, h11.ProtocolError):
                 pass
         told.began, told.incarnation = began, host.context
         return told
 
 
-async def _exchange(stream: trio.abc.Stream, host: str, request: Request) -> Told:
+async def exchange(
+    stream: trio.abc.Stream, host: str, request: Request, fields: list[tuple[str, str]]
+) -> Told:
+    """Send one attempt and read its answer; raises what the stream raises."""
     connection = h11.Connection(h11.CLIENT)
-    size = {"prices": 0, "orders": 64, "artwork": UPLOAD_BYTES}[request.kind]
-    headers = [("host", "entry"), ("content-length", str(size))]
-    if request.key:
-        headers.append(("idempotency-key", request.key))
+    size = SIZES[request.kind]
+    headers = [("host", "entry"), ("content-length", str(size)), *fields]
     method = "GET" if request.kind == "prices" else "POST"
     head = h11.Request(method=method, target=request.path, headers=headers)
     await stream.send_all(connection.send(head) or b"")
@@ -127,20 +140,20 @@
         piece = h11.Data(data=b"x" * min(UPLOAD_PIECE_BYTES, size - sent))
         await stream.send_all(connection.send(piece) or b"")
     await stream.send_all(connection.send(h11.EndOfMessage()) or b"")
-    fields: dict[bytes, bytes] = {}
+    received: dict[bytes, bytes] = {}
     body, status = b"", 0
     while True:
         event = connection.next_event()
         if event is h11.NEED_DATA:
             connection.receive_data(bytes(await stream.receive_some(65536)))
         elif isinstance(event, h11.Response):
-            fields = dict(event.headers)
+            received = dict(event.headers)
             status = event.status_code
         elif isinstance(event, h11.Data):
             body += bytes(event.data)
         elif isinstance(event, h11.EndOfMessage):
-            code = int(fields.get(b"dotterelstand-result", b"0"))
-            run = fields.get(b"dotterelstand-run", b"").decode()
+            code = int(received.get(b"dotterelstand-result", b"0"))
+            run = received.get(b"dotterelstand-run", b"").decode()
             return Told(host, code, run, status, body)
         elif isinstance(event, h11.ConnectionClosed):
             return Told(host)
--- a/src/dotterelstand/bench/soakjudge.py
+++ b/src/dotterelstand/bench/soakjudge.py
@@ -1,12 +1,14 @@
 """Compares what callers were told with what the targets recorded."""
 
-from dotterelstand.bench.soakcallers import UPLOAD_BYTES, Request, answered_path
-from dotterelstand.bench.soakfleet import CRASH_PATH, SoakFleet
+from collections.abc import Iterable, Mapping
+from typing import Protocol
+
+from dotterelstand.bench.soakcallers import SIZES, UPLOAD_BYTES, Request, answered_path
+from dotterelstand.bench.soakfleet import CRASH_PATH
 from dotterelstand.codes import Run
 
 # Targets that one crashing request may take down in the whole fleet.
 MAX_CRASHES = 2
-SIZES = {"prices": 0, "orders": 64, "artwork": UPLOAD_BYTES}
 
 
 class Violation:
@@ -22,7 +24,43 @@
         return f"{self.promise}: {self.detail}"
 
 
-def find_violations(fleet: SoakFleet, requests: list[Request]) -> list[Violation]:
+class JudgedRun(Protocol):
+    """What a target records of one execution."""
+
+    path: str
+    state: str
+    body_bytes: int
+
+
+class JudgedTarget(Protocol):
+    """A target with its executions."""
+
+    @property
+    def runs(self) -> Iterable[JudgedRun]:
+        """Executions in order."""
+
+
+class JudgedHost(Protocol):
+    """One incarnation of an entry host; `stopped` is the time of its graceful stop."""
+
+    context: str
+    disturbed: bool
+    stopped: float | None
+
+
+class JudgedFleet(Protocol):
+    """What is compared with what callers were told."""
+
+    @property
+    def targets(self) -> Mapping[str, JudgedTarget]:
+        """Targets by name."""
+
+    @property
+    def incarnations(self) -> Mapping[str, JudgedHost]:
+        """Every entry host that ever ran, by its context."""
+
+
+def find_violations(fleet: JudgedFleet, requests: list[Request]) -> list[Violation]:
     """Every broken promise among finished requests."""
     runs: dict[str, list[str]] = {}
     complete: dict[str, int] = {}
@@ -38,7 +76,7 @@
     return violations
 
 
-def _find_cuts(fleet: SoakFleet, request: Request) -> list[Violation]:
+def _find_cuts(fleet: JudgedFleet, request: Request) -> list[Violation]:
     """Attempts without an answer that began before a graceful stop of an undisturbed host."""
     found = []
     for told in request.told:
--- /dev/null
+++ b/src/dotterelstand/process/run.py
@@ -0,0 +1,98 @@
+"""Runs one entry daemon from its settings file until it is stopped."""
+
+import gc
+import random
+import signal
+import sys
+from pathlib import Path
+from typing import NoReturn
+
+import trio
+from returns.pipeline import is_successful
+
+from dotterelstand.connection.network import TcpNetwork
+from dotterelstand.connection.tls import Certificates, load_certificates
+from dotterelstand.exits import ExitCode
+from dotterelstand.logoutput import LogOutput, use_json_lines
+from dotterelstand.process.daemon import Daemon
+from dotterelstand.process.settingsfile import SettingsFile
+from dotterelstand.settings import Settings, SettingsError, load_settings
+
+# New objects after which the youngest generation is collected.
+YOUNG_OBJECTS = 10_000
+
+
+# Log lines go to standard output.
+STDOUT_FD = 1
+
+
+def run_daemon(settings: str) -> None:
+    """Run one entry daemon with a TOML settings file."""
+    result = load_settings(Path(settings))
+    if not is_successful(result):
+        _end_for_settings(result.failure())
+    loaded = result.unwrap()
+    certificates = load_certificates(loaded)
+    if not is_successful(certificates):
+        _end_for_settings(certificates.failure())
+    output = LogOutput(
+        STDOUT_FD,
+        loaded.integer("logs", "max_buffered_bytes"),
+        loaded.integer("logs", "max_lines_per_s"),
+    )
+    use_json_lines(output, loaded.text("host", "name"))
+    try:
+        trio.run(_serve, Path(settings), loaded, certificates.unwrap(), output)
+    except* OSError as group:
+        for error in leaf_errors(group):
+            print(f"dotterelstandd: {error}", file=sys.stderr)
+        sys.exit(ExitCode.PORT_UNAVAILABLE)
+    finally:
+        output.drain()
+
+
+def leaf_errors(group: BaseExceptionGroup) -> list[BaseException]:
+    """Errors within nested groups, in order."""
+    errors: list[BaseException] = []
+    for error in group.exceptions:
+        errors.extend(leaf_errors(error) if isinstance(error, BaseExceptionGroup) else [error])
+    return errors
+
+
+def _end_for_settings(errors: list[SettingsError]) -> NoReturn:
+    for error in errors:
+        print(error, file=sys.stderr)
+    sys.exit(ExitCode.SETTINGS_INVALID)
+
+
+async def _serve(
+    path: Path, settings: Settings, certificates: Certificates, output: LogOutput
+) -> None:
+    _tune_collector()
+    daemon = Daemon(settings, TcpNetwork(), random.Random(), certificates)
+    file = SettingsFile(path, settings)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(output.run)
+        nursery.start_soon(_handle_signals, daemon, file)
+        nursery.start_soon(file.follow, daemon.reload)
+        await daemon.run()
+        nursery.cancel_scope.cancel()
+
+
+def _tune_collector() -> None:
+    """Keep the garbage collector's full passes out of the latency of requests.
+
+    Objects of a request are freed by reference counts; only a few are in cycles.
+    """
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(YOUNG_OBJECTS, 20, 50)
+
+
+async def _handle_signals(daemon: Daemon, file: SettingsFile) -> None:
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+        async for number in signals:
+            if number == signal.SIGHUP:
+                file.read_now()
+            else:
+                daemon.stop()
--- /dev/null
+++ b/tests/soak/proxy.py
@@ -0,0 +1,104 @@
+"""A loopback proxy that delays, resets, silences or cuts the connections through it."""
+
+import struct
+
+import trio
+
+SO_LINGER_ZERO = struct.pack("ii", 1, 0)
+CHUNK_BYTES = 65536
+
+
+class _Relay:
+    """One connection through the proxy."""
+
+    __slots__ = ("client", "scope", "server", "silent")
+
+    def __init__(self, client: trio.SocketStream, server: trio.SocketStream) -> None:
+        self.client = client
+        self.server = server
+        self.scope = trio.CancelScope()
+        self.silent = False
+
+
+class LoopbackProxy:
+    """Forwards TCP connections between two loopback addresses, with faults.
+
+    `delay_s` delays each piece of data. `refuses` resets new connections. `cut` drops all data
+    in both directions, `cut_answers` only that towards the client.
+    """
+
+    def __init__(self, address: str, port: int, to_address: str, to_port: int) -> None:
+        self.address = address
+        self.port = port
+        self._to = (to_address, to_port)
+        self._relays: set[_Relay] = set()
+        self.delay_s = 0.0
+        self.refuses = False
+        self.cut = False
+        self.cut_answers = False
+
+    def reset(self) -> None:
+        """Reset every open connection."""
+        for relay in tuple(self._relays):
+            relay.scope.cancel()
+
+    def silence(self) -> None:
+        """Let the open connections carry nothing for good; new ones work."""
+        for relay in self._relays:
+            relay.silent = True
+
+    async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        """Serve until cancelled."""
+        await trio.serve_tcp(self._serve, self.port, host=self.address, task_status=task_status)
+
+    async def _serve(self, client: trio.SocketStream) -> None:
+        if self.refuses:
+            _abort(client)
+            return
+        try:
+            server = await trio.open_tcp_stream(*self._to)
+        except OSError:
+            _abort(client)
+            return
+        relay = _Relay(client, server)
+        self._relays.add(relay)
+        clean = False
+        try:
+            with relay.scope:
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(self._pump, relay, client, server, False)
+                    nursery.start_soon(self._pump, relay, server, client, True)
+                clean = True
+        except* (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
+            pass
+        finally:
+            self._relays.discard(relay)
+            for stream in (client, server):
+                if clean:
+                    stream.socket.close()
+                else:
+                    _abort(stream)
+
+    async def _pump(
+        self, relay: _Relay, source: trio.SocketStream, sink: trio.SocketStream, answers: bool
+    ) -> None:
+        while True:
+            data = await source.receive_some(CHUNK_BYTES)
+            if self.delay_s:
+                await trio.sleep(self.delay_s)
+            if relay.silent or self.cut or (answers and self.cut_answers):
+                # Nothing of a connection that lost data may arrive later.
+                relay.silent = True
+                await trio.sleep_forever()
+            if not data:
+                await sink.send_eof()
+                return
+            await sink.send_all(data)
+
+
+def _abort(stream: trio.SocketStream) -> None:
+    try:
+        stream.socket.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_LINGER, SO_LINGER_ZERO)
+    except OSError:
+        pass
+    stream.socket.close()
--- a/tests/test_demo.py
+++ b/tests/test_demo.py
@@ -12,7 +12,7 @@
 from dotterelstand.connection.network import TcpNetwork
 from dotterelstand.exits import ExitCode
 from dotterelstand.process.daemon import Daemon
-from dotterelstand.process.main import run_daemon
+from dotterelstand.process.run import run_daemon
 from dotterelstand.settings import load_settings
 from dotterelstand.standin.demoreport import find_faults, measure_rows
 
--- a/tests/test_settings_file.py
+++ b/tests/test_settings_file.py
@@ -4,6 +4,7 @@
 import signal
 import subprocess
 import sys
+import threading
 from pathlib import Path
 
 import pytest
@@ -68,3 +69,29 @@
         daemon.send_signal(signal.SIGTERM)
         daemon.stdout.read()
         assert daemon.wait() == 0
+
+
+def test_a_hang_up_signal_during_the_start_does_not_end_the_daemon(tmp_path: Path) -> None:
+    """Guards against a change of settings that kills a daemon which is still loading its modules.
+
+    Seen in the soak of processes with seed 3.
+    """
+    path = tmp_path / "settings.toml"
+    sections = ("listen", "peers", "control")
+    path.write_text("".join(f"[{section}]\nport = 0\n" for section in sections))
+    module = ["-m", "dotterelstand.process.main", "--settings", str(path)]
+    # The interpreter names each module that it has loaded on standard error.
+    command = [sys.executable, "-X", "importtime", *module]
+    with subprocess.Popen(
+        command, stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True
+    ) as daemon:
+        assert daemon.stdout is not None and daemon.stderr is not None
+        for line in daemon.stderr:
+            if line.rstrip().endswith(" trio"):
+                break
+        daemon.send_signal(signal.SIGHUP)
+        threading.Thread(target=daemon.stderr.read, daemon=True).start()
+        started = any("daemon_started" in line for line in daemon.stdout)
+        daemon.send_signal(signal.SIGTERM)
+        assert daemon.wait() == 0
+        assert started
