--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -132,15 +132,12 @@
         proxy.delay_s = 0.0
 
 
-async def store_path_broken(context: FaultContext) -> None:
-    """One host loses its path to the store: refused, cut, cut one way or silenced."""
-    host = context.host()
-    if host is None:
-        return
+async def break_store_path(
+    context: FaultContext, host: ProcessHost, way: str, seconds: float
+) -> None:
+    """Break the path of one host to the store for a time."""
     proxy = context.fleet.store_proxies[host.name]
-    seconds = context.rng.uniform(0.5, 6)
     context.fleet.disturb(host.name, seconds)
-    way = context.rng.choice(["refuses", "cut", "cut_answers", "silence"])
     if way == "silence":
         proxy.silence()
         return
@@ -153,6 +150,14 @@
     proxy.reset()
 
 
+async def store_path_broken(context: FaultContext) -> None:
+    """One host loses its path to the store: refused, cut, cut one way or silenced."""
+    host = context.host()
+    if host is not None:
+        way = context.rng.choice(["refuses", "cut", "cut_answers", "silence"])
+        await break_store_path(context, host, way, context.rng.uniform(0.5, 6))
+
+
 async def instance_path_broken(context: FaultContext) -> None:
     """The path to an instance breaks: reset, delayed, silenced or cut one way."""
     instance = context.instance()
@@ -198,9 +203,16 @@
     """An instance crashes and comes back; its registration stays."""
     instance = context.instance()
     if instance is not None:
-        instance.crash()
-        await trio.sleep(context.rng.uniform(0.3, 3))
-        await context.fleet.restart_instance(instance)
+        await crash(context, instance)
+
+
+async def crash(context: FaultContext, instance: SoakInstance) -> None:
+    """Break off everything at an instance and start it again later."""
+    instance.ending = True
+    instance.crash()
+    await trio.sleep(context.rng.uniform(0.3, 3))
+    await context.fleet.restart_instance(instance)
+    instance.ending = False
 
 
 async def instance_leaves(context: FaultContext) -> None:
@@ -208,6 +220,7 @@
     instance = context.instance()
     if instance is None:
         return
+    instance.ending = True
     await context.fleet.add_instance(instance.service)
     context.fleet.register(instance, state="draining")
     instance.draining_since = trio.current_time()
--- a/tests/soak/hosts.py
+++ b/tests/soak/hosts.py
@@ -81,6 +81,8 @@
         self.instances: dict[str, SoakInstance] = {}
         self.store_proxies: dict[str, LoopbackProxy] = {}
         self.instance_proxies: dict[str, LoopbackProxy] = {}
+        # Arguments of the interpreter; the path of the settings file follows.
+        self.program = ["-m", "dotterelstand.process.main"]
         self.faults: list[str] = []
         # Name of a host or "" for the store, with the begin and end of each fault.
         self.disturbances: list[tuple[str, float, float]] = []
@@ -180,7 +182,7 @@
         return [
             instance
             for name, instance in self.instances.items()
-            if name in names and instance.draining_since is None
+            if name in names and not instance.ending
         ]
 
     async def start_host(self, name: str, region: int) -> ProcessHost:
@@ -198,7 +200,7 @@
         settings = self.folder / f"{name}.toml"
         settings.write_text(self.settings(host))
         host.process = await trio.lowlevel.open_process(
-            [sys.executable, "-m", "dotterelstand.process.main", "--settings", str(settings)],
+            [sys.executable, *self.program, str(settings)],
             stdout=(self.folder / f"{host.context.replace('/', '.')}.log").open("w"),
             stderr=subprocess.STDOUT,
         )
--- a/tests/soak/instances.py
+++ b/tests/soak/instances.py
@@ -32,6 +32,8 @@
         self.port = port
         self.runs: list[InstanceRun] = []
         self.draining_since: float | None = None
+        # Whether a fault is ending it, so that no other one does.
+        self.ending = False
         self.work_s = 0.02
         self.pace = 100
         self.refuses = False
--- /dev/null
+++ b/tests/soak/mutated.py
@@ -0,0 +1,99 @@
+"""Runs a daemon that breaks one promise on purpose, to show that the judge sees it."""
+
+import sys
+from collections.abc import Callable
+
+from dotterelstand.codes import Result as ResultCode
+from dotterelstand.process.discovery.catalogue import Catalogue
+from dotterelstand.process.discovery.registry import Configuration, Entry, Kind, RegisteredTarget
+from dotterelstand.process.discovery.relayview import RelayView, Standing
+from dotterelstand.process.front import CallerFront
+from dotterelstand.process.run import run_daemon
+from dotterelstand.request import exchange
+from dotterelstand.request.exchange import Exchange
+from dotterelstand.request.policy import Failed, RetryDecision, ServicePolicy, decide_retry
+
+
+def retry_what_may_have_run() -> None:
+    """Repeat orders like lookups."""
+
+    def decide(
+        failed: Failed, service: ServicePolicy, max_attempts: int, now: float
+    ) -> RetryDecision:
+        failed.idempotent = True
+        return decide_retry(failed, service, max_attempts, now)
+
+    exchange.decide_retry = decide  # type: ignore[attr-defined]
+
+
+def call_lost_not_run() -> None:
+    """Promise that a request did not run whose connection was lost."""
+    run = Exchange.run
+
+    async def run_and_deny(self: Exchange) -> ResultCode:
+        code = await run(self)
+        return ResultCode.CONNECT_FAILED if code is ResultCode.CONNECTION_LOST else code
+
+    Exchange.run = run_and_deny  # type: ignore[method-assign]
+
+
+def cut_at_stop() -> None:
+    """Cut the requests in flight when a graceful stop begins."""
+    begin_stop = CallerFront.begin_stop
+
+    def cut(self: CallerFront) -> None:
+        begin_stop(self)
+        for connection in self._connections:
+            connection.abort()
+
+    CallerFront.begin_stop = cut  # type: ignore[method-assign]
+
+
+def ignore_newer_versions() -> None:
+    """Keep the first configuration."""
+    offer = Catalogue.offer
+
+    def keep(self: Catalogue, configuration: Configuration) -> bool:
+        return self.number == 0 and offer(self, configuration)
+
+    Catalogue.offer = keep  # type: ignore[method-assign]
+
+
+def ignore_leaving_targets() -> None:
+    """Take a target that drains for one that does not, and keep those that vanish."""
+    put = Catalogue._put
+
+    def keep(self: Catalogue, entry: Entry[RegisteredTarget], now: float) -> None:
+        if entry.item is not None:
+            entry.item.draining = False
+            put(self, entry, now)
+
+    Catalogue._put = keep  # type: ignore[method-assign]
+
+
+def rely_on_lost_relays() -> None:
+    """Wait for relays that lost the store or have fallen silent."""
+    standing = RelayView.standing
+
+    def rely(self: RelayView, kind: Kind, revision: int, now: float) -> Standing:
+        found = standing(self, kind, revision, now)
+        return Standing.BEHIND if found is Standing.BEHIND else Standing.CURRENT
+
+    RelayView.standing = rely  # type: ignore[method-assign]
+
+
+MUTATIONS: dict[str, Callable[[], None]] = {
+    mutation.__name__: mutation
+    for mutation in (
+        retry_what_may_have_run,
+        call_lost_not_run,
+        cut_at_stop,
+        ignore_newer_versions,
+        ignore_leaving_targets,
+        rely_on_lost_relays,
+    )
+}
+
+if __name__ == "__main__":
+    MUTATIONS[sys.argv[1]]()
+    run_daemon(sys.argv[2])
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -36,11 +36,14 @@
         self.violations: list[Violation] = []
 
 
-async def run_soak(seed: int, seconds: float, folder: Path, base: int = 10) -> ProcessReport:
+async def run_soak(
+    seed: int, seconds: float, folder: Path, base: int = 10, program: list[str] | None = None
+) -> ProcessReport:
     """Run one fleet of processes; the seed gives the faults and requests, not their timing."""
     report = ProcessReport()
     async with trio.open_nursery() as nursery:
         with ProcessFleet(seed, nursery, folder, base) as fleet:
+            fleet.program = program or fleet.program
             await fleet.start(HOSTS_PER_REGION)
             async with trio.open_nursery() as calling:
                 callers = PlatformCallers(fleet, calling, seeded_random(seed, "callers"))
