Give up a watch that brings no changes which a relay knows of

Ruled out: the proxy of the soak; the connection carried later calls. A silent connection is noticed by keep-alive, a swallowed call is not. Measured: test_a_host_that_is_behind_does_not_wait_for_a_watch_that_was_lost fails before and passes after.

--- a/src/dotterelstand/process/discovery/sharing.py
+++ b/src/dotterelstand/process/discovery/sharing.py
@@ -1,5 +1,6 @@
 """Shares the platform's changes within a region, so that few entry hosts watch the store."""
 
+import math
 import random
 import zlib
 from collections.abc import Sequence
@@ -39,6 +40,9 @@
 # Longest pause between two calls of a host that does not watch to a store that answers neither it
 # nor the relays, in seconds; a relay that reaches the store again ends the pause.
 ALL_LOST_RETRY_S = 2.0
+# Seconds after which a watch is given up that does not bring changes which a relay knows of; the
+# store would have sent them at once.
+BEHIND_PATIENCE_S = 1.0
 # Seconds in which a starting host opens links before it decides whether it is a relay.
 FIRST_LOOK_S = 0.4
 # Bound on the changes of one message after decompression.
@@ -202,7 +206,10 @@
     async def _watch_while_needed(
         self, kind: Kind, revision: int, wait_s: float
     ) -> Result[Listing[Item], PlatformError] | None:
-        """Watch the store until this host can rely on relays, which gives None."""
+        """Watch the store until this host can rely on relays, which gives None.
+
+        Fails if the watch does not bring changes that a relay knows of.
+        """
         results: list[Result[Listing[Item], PlatformError]] = []
 
         async def watch(scope: trio.CancelScope) -> None:
@@ -211,8 +218,20 @@
 
         async with trio.open_nursery() as nursery:
             nursery.start_soon(watch, nursery.cancel_scope)
+            give_up_at = math.inf
             while not self._is_served(kind, revision):
-                await self._wait_for_news()
+                now = trio.current_time()
+                if self._view.standing(kind, revision, now) is not Standing.BEHIND:
+                    give_up_at = math.inf
+                elif give_up_at == math.inf:
+                    give_up_at = max(now, self._next_watch_at[kind]) + BEHIND_PATIENCE_S
+                elif now >= give_up_at:
+                    self._failed.add(kind)
+                    error = PlatformError(UNANSWERED, "a watch brought no changes that a relay has")
+                    results.append(Failure(error))
+                    break
+                with trio.move_on_at(give_up_at):
+                    await self._wait_for_news()
             nursery.cancel_scope.cancel()
         return results[0] if results else None
 
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -4,15 +4,32 @@
 import trio
 from platform_standin import configuration, route
 from platform_support import ObjectFleet, run_objects
+from returns.pipeline import is_successful
+from returns.result import Failure, Result, Success
 from support import PLATFORM, entry_address
 
-from dotterelstand.process.discovery.registry import SHARED_KINDS, Kind
+from dotterelstand.connection.wire import StoreState
+from dotterelstand.process.discovery.registry import (
+    SHARED_KINDS,
+    UNANSWERED,
+    Item,
+    Kind,
+    Listing,
+    PlatformError,
+)
 from dotterelstand.process.discovery.relayview import (
     TRUST_S,
     RelayView,
     SharedChanges,
     Standing,
 )
+from dotterelstand.process.discovery.sharing import RELAY_KEY, SharedPlatform
+from dotterelstand.process.peering.membership import ListedHost
+from dotterelstand.process.peering.mesh import Member
+from dotterelstand.process.peering.ranking import rank_hosts
+from dotterelstand.process.telemetry.metrics import Metrics
+from dotterelstand.standin.mesh import MeshHub
+from dotterelstand.standin.virtual import run_virtual, seeded_random
 
 # Time in which an accepted configuration must be in force.
 IN_FORCE_S = 2.0
@@ -152,3 +169,61 @@
         assert not fleet.instances[0].runs
 
     run_objects(scenario, entries=6)
+
+
+class _SwallowingPlatform:
+    """A platform that answers everything but watches, as one that lost the call."""
+
+    async def list(self, kind: Kind) -> Result[Listing[Item], PlatformError]:
+        return Success(Listing([], 5))
+
+    async def watch(
+        self, kind: Kind, revision: int, wait_s: float
+    ) -> Result[Listing[Item], PlatformError]:
+        await trio.sleep(wait_s)
+        return Failure(PlatformError(UNANSWERED, "no answer"))
+
+    def read_changes(self, kind: Kind, encoded: bytes) -> Result[Listing[Item], PlatformError]:
+        return Success(Listing([], 5))
+
+    async def check(self) -> Result[None, PlatformError]:
+        return Success(None)
+
+    async def register_host(self, host: ListedHost) -> Result[None, PlatformError]:
+        return Success(None)
+
+
+async def _swallowed_watch(seed: int) -> None:
+    async with trio.open_nursery() as nursery:
+        hub = MeshHub(lambda one, other: 0.0005)
+        nursery.start_soon(hub.run)
+        members = [Member(name, "r0", "r0-1", False) for name in ("a", "b")]
+        meshes = {member.host: hub.join(member) for member in members}
+        relay, host = rank_hosts(RELAY_KEY, tuple(members), "r0")
+        shared = SharedPlatform(
+            _SwallowingPlatform(),
+            meshes[host],
+            Metrics(64),
+            dict.fromkeys(SHARED_KINDS, 0.0),
+            seeded_random(seed, "shared"),
+        )
+
+        async def tell_state() -> None:
+            while True:
+                meshes[relay].send(host, StoreState(True, [9, 9]))
+                await trio.sleep(0.5)
+
+        nursery.start_soon(tell_state)
+        began = trio.current_time()
+        result = await shared.watch(Kind.CONFIGURATION, 5, 30.0)
+        assert not is_successful(result)
+        assert trio.current_time() - began < IN_FORCE_S
+        nursery.cancel_scope.cancel()
+
+
+def test_a_host_that_is_behind_does_not_wait_for_a_watch_that_was_lost() -> None:
+    """Guards against a host that is behind its relay until a swallowed watch times out.
+
+    Seen in the soak of processes with seed 50: the store swallowed a watch while it was silent.
+    """
+    run_virtual(_swallowed_watch, 1, seed=1)
