--- a/Makefile
+++ b/Makefile
@@ -4,8 +4,10 @@
 STAMP := $(VENV)/.installed
 SEED ?= 1
 HOURS ?= 0.1
+SEEDS ?= 1
+AT_ONCE ?= 1
 
-.PHONY: help install demo faults test format lint bench soak
+.PHONY: help install demo faults test format lint bench soak soak-processes
 
 help:  ## List the commands.
 	@grep -E '^[a-z]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*##/\t/'
@@ -37,5 +39,8 @@
 bench: $(STAMP)  ## Write the report with tables and plots to out/bench.
 	$(BIN)/python -m dotterelstand.bench --seed $(SEED) --out out/bench
 
+soak-processes: $(STAMP)  ## Run real daemon processes under faults: SEED, SEEDS, AT_ONCE.
+	cd tests && ../$(BIN)/python -m soak.run --seed $(SEED) --seeds $(SEEDS) --at-once $(AT_ONCE)
+
 soak: $(STAMP)  ## Run the randomised invariants for HOURS of virtual time.
 	$(BIN)/python -m dotterelstand.bench.soak --seed $(SEED) --hours $(HOURS)
