--- a/tests/soak/mutated.py
+++ b/tests/soak/mutated.py
@@ -2,6 +2,7 @@
 
 import sys
 from collections.abc import Callable
+from typing import Any
 
 from dotterelstand.codes import Result as ResultCode
 from dotterelstand.process.discovery.catalogue import Catalogue
@@ -13,8 +14,11 @@
 from dotterelstand.request.exchange import Exchange
 from dotterelstand.request.policy import Failed, RetryDecision, ServicePolicy, decide_retry
 
+# Sets an attribute of a class or module, as `setattr` or a fixture of pytest does.
+Change = Callable[[Any, str, object], None]
 
-def retry_what_may_have_run() -> None:
+
+def retry_what_may_have_run(change: Change) -> None:
     """Repeat orders like lookups."""
 
     def decide(
@@ -23,10 +27,10 @@
         failed.idempotent = True
         return decide_retry(failed, service, max_attempts, now)
 
-    exchange.decide_retry = decide  # type: ignore[attr-defined]
+    change(exchange, "decide_retry", decide)
 
 
-def call_lost_not_run() -> None:
+def call_lost_not_run(change: Change) -> None:
     """Promise that a request did not run whose connection was lost."""
     run = Exchange.run
 
@@ -34,10 +38,10 @@
         code = await run(self)
         return ResultCode.CONNECT_FAILED if code is ResultCode.CONNECTION_LOST else code
 
-    Exchange.run = run_and_deny  # type: ignore[method-assign]
+    change(Exchange, "run", run_and_deny)
 
 
-def cut_at_stop() -> None:
+def cut_at_stop(change: Change) -> None:
     """Cut the requests in flight when a graceful stop begins."""
     begin_stop = CallerFront.begin_stop
 
@@ -46,20 +50,20 @@
         for connection in self._connections:
             connection.abort()
 
-    CallerFront.begin_stop = cut  # type: ignore[method-assign]
+    change(CallerFront, "begin_stop", cut)
 
 
-def ignore_newer_versions() -> None:
+def ignore_newer_versions(change: Change) -> None:
     """Keep the first configuration."""
     offer = Catalogue.offer
 
     def keep(self: Catalogue, configuration: Configuration) -> bool:
         return self.number == 0 and offer(self, configuration)
 
-    Catalogue.offer = keep  # type: ignore[method-assign]
+    change(Catalogue, "offer", keep)
 
 
-def ignore_leaving_targets() -> None:
+def ignore_leaving_targets(change: Change) -> None:
     """Take a target that drains for one that does not, and keep those that vanish."""
     put = Catalogue._put
 
@@ -68,10 +72,10 @@
             entry.item.draining = False
             put(self, entry, now)
 
-    Catalogue._put = keep  # type: ignore[method-assign]
+    change(Catalogue, "_put", keep)
 
 
-def rely_on_lost_relays() -> None:
+def rely_on_lost_relays(change: Change) -> None:
     """Wait for relays that lost the store or have fallen silent."""
     standing = RelayView.standing
 
@@ -79,10 +83,10 @@
         found = standing(self, kind, revision, now)
         return Standing.BEHIND if found is Standing.BEHIND else Standing.CURRENT
 
-    RelayView.standing = rely  # type: ignore[method-assign]
+    change(RelayView, "standing", rely)
 
 
-MUTATIONS: dict[str, Callable[[], None]] = {
+MUTATIONS: dict[str, Callable[[Change], None]] = {
     mutation.__name__: mutation
     for mutation in (
         retry_what_may_have_run,
@@ -95,5 +99,5 @@
 }
 
 if __name__ == "__main__":
-    MUTATIONS[sys.argv[1]]()
+    MUTATIONS[sys.argv[1]](setattr)
     run_daemon(sys.argv[2])
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -8,6 +8,7 @@
 import h11
 import pytest
 import trio
+from soak.mutated import Change, call_lost_not_run, cut_at_stop, retry_what_may_have_run
 
 from dotterelstand.bench import soak, soakfaults
 from dotterelstand.bench.soakfaults import Fault, FaultContext
@@ -16,17 +17,13 @@
 from dotterelstand.connection.target import TargetConnection
 from dotterelstand.process.daemon import Daemon
 from dotterelstand.process.distribution.spread import DocumentSpread
-from dotterelstand.process.front import CallerFront
 from dotterelstand.process.idempotency.journalcall import Go, Recorded, Refused
 from dotterelstand.process.idempotency.journalservice import JournalService
 from dotterelstand.process.selection.outcome import AttemptOutcome
 from dotterelstand.process.suspects import strikes
 from dotterelstand.process.suspects.quarantine import QuarantineService
 from dotterelstand.process.suspects.strikes import KnownStrike
-from dotterelstand.request import exchange
 from dotterelstand.request.attempt import Attempt
-from dotterelstand.request.exchange import Exchange
-from dotterelstand.request.policy import Failed, RetryDecision, ServicePolicy, decide_retry
 from dotterelstand.version.document import Document
 
 SECONDS = 25.0
@@ -70,24 +67,9 @@
     assert other.stdout.splitlines() == first
 
 
-def _retry_what_may_have_run(patch: pytest.MonkeyPatch) -> None:
-    def decide(
-        failed: Failed, service: ServicePolicy, max_attempts: int, now: float
-    ) -> RetryDecision:
-        failed.idempotent = True
-        return decide_retry(failed, service, max_attempts, now)
-
-    patch.setattr(exchange, "decide_retry", decide)
-
-
-def _call_lost_not_run(patch: pytest.MonkeyPatch) -> None:
-    run = Exchange.run
-
-    async def run_and_deny(self: Exchange) -> ResultCode:
-        code = await run(self)
-        return ResultCode.CONNECT_FAILED if code is ResultCode.CONNECTION_LOST else code
-
-    patch.setattr(Exchange, "run", run_and_deny)
+def _with(mutation: Callable[[Change], None]) -> Mutation:
+    """A mutation that also runs in a daemon's process, undone after the test."""
+    return lambda patch: mutation(patch.setattr)
 
 
 def _go_twice(patch: pytest.MonkeyPatch) -> None:
@@ -115,17 +97,6 @@
     patch.setattr(TargetPool, "discard", discard)
 
 
-def _cut_at_stop(patch: pytest.MonkeyPatch) -> None:
-    begin_stop = CallerFront.begin_stop
-
-    def cut(self: CallerFront) -> None:
-        begin_stop(self)
-        for connection in self._connections:
-            connection.abort()
-
-    patch.setattr(CallerFront, "begin_stop", cut)
-
-
 def _never_quarantine(patch: pytest.MonkeyPatch) -> None:
     patch.setattr(strikes._Entry, "is_enough", lambda self: False)
 
@@ -218,11 +189,11 @@
 @pytest.mark.parametrize(
     ("mutation", "faults", "promise", "seed"),
     [
-        (_retry_what_may_have_run, CRASHES, "at most once", 1),
-        (_call_lost_not_run, CRASHES, "not run", 1),
+        (_with(retry_what_may_have_run), CRASHES, "at most once", 1),
+        (_with(call_lost_not_run), CRASHES, "not run", 1),
         (_go_twice, CRASHES, "at most once", 1),
         (_keep_connection_with_answer_outstanding, SLOW, "own answer", 1),
-        (_cut_at_stop, STOPS, "planned stop", 1),
+        (_with(cut_at_stop), STOPS, "planned stop", 1),
         (_never_quarantine, CRASHING, "targets lost to one request", 1),
         (_keep_strikes, CRASHING, "targets lost to one request", 1),
         (_ignore_newer_versions, VERSIONS, "in force everywhere", 1),
