--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -1,6 +1,7 @@
 """Runs daemons under faults and judges them from what callers and instances saw."""
 
 import shutil
+import signal
 import sys
 import tempfile
 from pathlib import Path
@@ -167,10 +168,20 @@
             shutil.rmtree(folder)
 
     async with trio.open_nursery() as nursery:
-        for number in range(seed, seed + seeds):
-            nursery.start_soon(run_one, number)
+        nursery.start_soon(_cancel_on_sigterm, nursery.cancel_scope)
+        async with trio.open_nursery() as running:
+            for number in range(seed, seed + seeds):
+                running.start_soon(run_one, number)
+        nursery.cancel_scope.cancel()
     return failed
 
 
+async def _cancel_on_sigterm(scope: trio.CancelScope) -> None:
+    """Leave the runs in order, so that no daemon outlives a soak that is ended."""
+    with trio.open_signal_receiver(signal.SIGTERM) as signals:
+        async for _ in signals:
+            scope.cancel()
+
+
 if __name__ == "__main__":
     fire.Fire(run_many)
