Step timers of target selection and log output only when there is work

Change: the broker steps every 20 ms only while calls are queued, and once a second otherwise; the log writer sleeps until a line is logged. Tests: test_idle_host.py counts task steps and fails on the old code; a call that is queued after an idle spell is still refused in time.

--- a/src/dotterelstand/logoutput.py
+++ b/src/dotterelstand/logoutput.py
@@ -33,6 +33,7 @@
         "_pending_bytes",
         "_poll",
         "_second",
+        "_written",
     )
 
     def __init__(self, fd: int, max_bytes: int, max_lines_per_s: int) -> None:
@@ -46,6 +47,8 @@
         self._dropped = 0
         self._poll = select.poll()
         self._poll.register(fd, select.POLLOUT)
+        # Set while lines are buffered or dropped lines are not yet reported.
+        self._written = trio.Event()
 
     @property
     def dropped(self) -> int:
@@ -64,6 +67,7 @@
         if second != self._second:
             self._second, self._lines_this_second = second, 0
         self._lines_this_second += 1
+        self._written.set()
         too_many = self._lines_this_second > self._max_lines_per_s
         if too_many or self._pending_bytes + len(data) > self._max_bytes:
             self._dropped += 1
@@ -95,11 +99,16 @@
                 self._lines.appendleft(chunk[written:])
 
     async def run(self) -> None:
-        """Write buffered lines periodically and log the number of dropped ones, until cancelled."""
+        """Write lines soon after they were logged and log dropped ones, until cancelled."""
         while True:
+            await self._written.wait()
             await trio.sleep(WRITE_INTERVAL_S)
+            self._written = trio.Event()
             self.write_pending()
-            if self._dropped and not self._lines:
+            if self._lines:
+                # The reader is slow, so the rest is tried again after another interval.
+                self._written.set()
+            elif self._dropped:
                 log(Event.LOG_LINES_DROPPED, lines=self.take_dropped())
 
     def _next_chunk(self) -> bytes:
--- a/src/dotterelstand/process/selection/servicestate.py
+++ b/src/dotterelstand/process/selection/servicestate.py
@@ -96,6 +96,11 @@
         self.answer_time = AnswerTimeEstimator(grace_s)
         self.logged_silent = False
 
+    @property
+    def queued_calls(self) -> int:
+        """Number of calls in the queues of both dispatchers."""
+        return self.regional.queued_calls + self.local.queued_calls
+
     def update_service(self, service: Service, now: float) -> None:
         """Apply a new version of the service."""
         if service is not self.service:
--- a/src/dotterelstand/process/selection/servicestates.py
+++ b/src/dotterelstand/process/selection/servicestates.py
@@ -59,10 +59,6 @@
         self._active.clear()
         return active
 
-    def mark_active(self, state: ServiceState) -> None:
-        """Include a state in the next `pop_active`."""
-        self._active[state.service.name] = state
-
     def apply(self, document: Document, services: list[Service], now: float) -> None:
         """Apply a new version of the document; `services` are sorted by name."""
         for name in [name for name in self._states if name not in document.services]:
--- a/src/dotterelstand/process/selection/slotcore.py
+++ b/src/dotterelstand/process/selection/slotcore.py
@@ -1,5 +1,6 @@
 """Slot requests of one entry host and its role as dispatcher; does no I/O and reads no clock."""
 
+import math
 import random
 from collections.abc import Callable
 
@@ -34,6 +35,9 @@
 URGENT_MULTIPLE = 20.0
 # Seconds for which a `Queued` notice is valid; the dispatcher sends three of them in that time.
 QUEUED_NOTICE_TTL_S = 0.25
+# Seconds between two timer steps while calls are queued. A step refuses calls close to their
+# deadline and grants slots that became free without a release.
+QUEUE_TICK_S = 0.02
 
 
 class SlotCore:
@@ -55,6 +59,7 @@
         "_tenants",
         "_tickets",
         "_tuning",
+        "_waiting_states",
     )
 
     def __init__(self, mesh: BudgetedMesh, tuning: SelectionTuning, rng: random.Random) -> None:
@@ -69,6 +74,8 @@
         self._tenants: dict[str, int] = {}
         self._counters = SlotCounters()
         self._queued_notices_sent_at = 0.0
+        # States of the services with queued calls, by name.
+        self._waiting_states: dict[str, ServiceState] = {}
 
     @property
     def counters(self) -> SlotCounters:
@@ -98,6 +105,11 @@
         services = [document.services[name] for name in names]
         self._states.apply(document, services, now)
         self._grant_server.apply(services)
+        self._waiting_states = {
+            name: state
+            for name, state in self._waiting_states.items()
+            if self._states.find(name) is state
+        }
 
     def open_ticket(
         self, service: Service, call: SlotCall, now: float, resolve: Callable[[Ticket], None]
@@ -244,17 +256,19 @@
     def advance(self, now: float) -> list[ServiceState]:
         """Process timers and lost hosts; returns the services used since the last call."""
         self._check_members(now)
-        active = self._states.pop_active()
-        if now - self._queued_notices_sent_at >= QUEUED_NOTICE_TTL_S / 3:
+        waiting = list(self._waiting_states.values())
+        if waiting and now - self._queued_notices_sent_at >= QUEUED_NOTICE_TTL_S / 3:
             self._queued_notices_sent_at = now
-            self._grant_server.send_queued_notices(active, now)
-        for state in active:
+            self._grant_server.send_queued_notices(waiting, now)
+        for state in waiting:
             for dispatcher in (state.regional, state.local):
                 if dispatcher.queued_calls:
-                    # Queued calls need further timer steps even if no message arrives.
-                    self._states.mark_active(state)
                     self._deliver(state, dispatcher.advance(now), now)
-        return active
+        return self._states.pop_active()
+
+    def next_step_at(self, now: float) -> float:
+        """Time in seconds at which `advance` must run next; infinite if no call is queued."""
+        return now + QUEUE_TICK_S if self._waiting_states else math.inf
 
     def on_acquire(self, sender: str, message: Acquire, now: float) -> None:
         """Handle another host's request for a slot."""
@@ -282,6 +296,10 @@
             ticket = self._tickets.get(number)
             assert ticket is not None and not ticket.decided, "decision for a call that has ended"
             self._decide(ticket, state, decision, now)
+        if state.queued_calls:
+            self._waiting_states[state.service.name] = state
+        else:
+            self._waiting_states.pop(state.service.name, None)
 
     def _decide(self, ticket: Ticket, state: ServiceState, decision: Decision, now: float) -> None:
         if not isinstance(decision, Granted):
--- a/src/dotterelstand/process/selection/slots.py
+++ b/src/dotterelstand/process/selection/slots.py
@@ -2,6 +2,7 @@
 
 import math
 import random
+from collections.abc import Callable
 
 import trio
 from returns.result import Failure, Result, Success
@@ -17,7 +18,7 @@
     TargetLeaving,
 )
 from dotterelstand.events import Event, log
-from dotterelstand.process.peering.mesh import Mesh
+from dotterelstand.process.peering.mesh import M, Mesh
 from dotterelstand.process.selection.budgetedmesh import BudgetedMesh
 from dotterelstand.process.selection.health import SLOW_REPORT_TTL_S
 from dotterelstand.process.selection.measure import MeasureBudget, MeasureLimit
@@ -33,8 +34,8 @@
 
 __all__ = ["AttemptOutcome", "SlotBroker", "SlotCall", "SlotGrant", "SlotOutcome", "make_broker"]
 
-# Seconds between timer steps, which handle grant expiry, the end of ejections and lost hosts.
-TICK_S = 0.02
+# Seconds between timer steps while no call is queued, which detect lost hosts and log changes.
+IDLE_STEP_S = 1.0
 # Seconds between notices to other hosts that a target is still slow; a notice is valid for
 # `SLOW_REPORT_TTL_S`.
 SLOW_NOTICE_PERIOD_S = SLOW_REPORT_TTL_S / 2
@@ -55,7 +56,15 @@
 class SlotBroker:
     """Gets a slot for each call, from the service's dispatcher or by a local choice."""
 
-    __slots__ = ("_budget", "_core", "_mesh", "_slow_notified_at", "_tickets")
+    __slots__ = (
+        "_budget",
+        "_core",
+        "_mesh",
+        "_next_step_at",
+        "_slow_notified_at",
+        "_step_due",
+        "_tickets",
+    )
 
     def __init__(self, mesh: Mesh, budget: MeasureBudget, core: SlotCore) -> None:
         self._mesh = mesh
@@ -64,12 +73,14 @@
         self._tickets: dict[int, Ticket] = {}
         # Time of the last notice that a target is slow, by target index.
         self._slow_notified_at: dict[int, float] = {}
-        now = trio.current_time
-        mesh.subscribe(Acquire, lambda sender, message: core.on_acquire(sender, message, now()))
-        mesh.subscribe(Grant, lambda sender, message: core.on_grant(sender, message, now()))
-        mesh.subscribe(Queued, lambda sender, message: core.on_queued(sender, message, now()))
-        mesh.subscribe(Refuse, lambda sender, message: core.on_refuse(sender, message, now()))
-        mesh.subscribe(Release, lambda sender, message: core.on_release(sender, message, now()))
+        # Time of the next timer step, and the event that makes `run` look at it again.
+        self._next_step_at = -math.inf
+        self._step_due = trio.Event()
+        self._subscribe(Acquire, core.on_acquire)
+        self._subscribe(Grant, core.on_grant)
+        self._subscribe(Queued, core.on_queued)
+        self._subscribe(Refuse, core.on_refuse)
+        self._subscribe(Release, core.on_release)
         mesh.subscribe(TargetLeaving, self._on_leaving)
         mesh.subscribe(Paces, self._on_paces)
 
@@ -94,12 +105,14 @@
         """
         waiter = _Waiter()
         ticket = self._core.open_ticket(service, call, trio.current_time(), waiter.resolve)
+        self._schedule_step()
         try:
             while not ticket.decided:
                 with trio.move_on_at(ticket.timeout_at):
                     await waiter.event.wait()
                 if not ticket.decided and trio.current_time() >= ticket.timeout_at:
                     self._core.on_timeout(ticket, trio.current_time())
+                    self._schedule_step()
             if ticket.grant is None:
                 assert ticket.refusal is not None
                 return Failure(ticket.refusal)
@@ -152,9 +165,28 @@
         """Process timers and log changes, until cancelled."""
         selection_log = SelectionLog(self._core)
         while True:
-            await trio.sleep(TICK_S)
             now = trio.current_time()
             selection_log.report(self._core.advance(now), now)
+            self._step_due = trio.Event()
+            self._next_step_at = min(self._core.next_step_at(now), now + IDLE_STEP_S)
+            while trio.current_time() < self._next_step_at:
+                with trio.move_on_at(self._next_step_at):
+                    await self._step_due.wait()
+                    self._step_due = trio.Event()
+
+    def _subscribe(self, kind: type[M], handler: Callable[[str, M, float], None]) -> None:
+        def handle(sender: str, message: M) -> None:
+            handler(sender, message, trio.current_time())
+            self._schedule_step()
+
+        self._mesh.subscribe(kind, handle)
+
+    def _schedule_step(self) -> None:
+        """Bring the next timer step forward if a call has been queued."""
+        at = self._core.next_step_at(trio.current_time())
+        if at < self._next_step_at:
+            self._next_step_at = at
+            self._step_due.set()
 
     def _on_paces(self, sender: str, message: Paces) -> None:
         now = trio.current_time()
