Link hosts of large fleets to hubs only, and replace lost hubs

Hubs were chosen from the host list alone, so a hub that is gone for good stayed one. Change: above 24 hosts a host is linked to the four hubs of its region, a hub to its region and the other hubs. Hosts whose heartbeats are overdue, or that leave, are no hubs. Links that are no longer chosen are closed. Strikes and lifts go to the hubs of the region, one of which passes them on, as in the other regions. Ruled out: fewer ring neighbours (announcements still cross each link).

--- a/src/dotterelstand/process/peering/dialling.py
+++ b/src/dotterelstand/process/peering/dialling.py
@@ -66,6 +66,13 @@
         dial_state.retry_at = 0.0
         dial_state.host = host
 
+    def is_seed(self, host: str) -> bool:
+        """Whether a host was reached at the address of a seed."""
+        return any(
+            seed in self._dial_states and self._dial_states[seed].host == host
+            for seed in self._seeds
+        )
+
     def next_dial_delay_s(self, now: float) -> float:
         """Seconds until the next address may be dialled."""
         waits = [
--- a/src/dotterelstand/process/peering/introduction.py
+++ b/src/dotterelstand/process/peering/introduction.py
@@ -33,4 +33,6 @@
         for member in peers.members()
         if member.region in (peers.region, "") and not member.leaving
         if member.host != peers.host and member.host not in linked
+        # Hosts that are not hubs have no link to each other.
+        if member.hub or peers.is_hub
     ]
--- a/src/dotterelstand/process/peering/membership.py
+++ b/src/dotterelstand/process/peering/membership.py
@@ -9,10 +9,20 @@
 class ListedHost:
     """An entry of the host list; region and availability zone are empty if the list lacks them.
 
-    `capacity` is the processing capacity of the host in processors.
+    `capacity` is the processing capacity of the host in processors. `unreachable` is set if this
+    host expected heartbeats and got none for too long.
     """
 
-    __slots__ = ("address", "availability_zone", "capacity", "host", "leaving", "port", "region")
+    __slots__ = (
+        "address",
+        "availability_zone",
+        "capacity",
+        "host",
+        "leaving",
+        "port",
+        "region",
+        "unreachable",
+    )
 
     def __init__(
         self,
@@ -23,7 +33,9 @@
         region: str = "",
         availability_zone: str = "",
         capacity: float = 1.0,
+        unreachable: bool = False,
     ) -> None:
+        self.unreachable = unreachable
         self.host = host
         self.capacity = capacity
         self.address = address
@@ -50,6 +62,7 @@
         "monitored_since_s",
         "port",
         "region",
+        "unreachable",
     )
 
     def __init__(self, host: str) -> None:
@@ -66,6 +79,8 @@
         self.listed = False
         self.listed_leaving = False
         self.departed = False
+        # Set when a monitored host sends no heartbeat in time; cleared by its next hello.
+        self.unreachable = False
 
 
 class Membership:
@@ -101,6 +116,23 @@
         self._hubs: frozenset[str] | None = None
         self.overflows = 0
 
+    @property
+    def own(self) -> Member:
+        """This host."""
+        return self._own
+
+    @property
+    def leaving(self) -> bool:
+        """Whether this host is leaving."""
+        return self._leaving
+
+    def make_hello(self, address: str, port: int, capacity: float) -> Hello:
+        """Build this host's first message on a link; `capacity` is in processors."""
+        own, percent = self._own, round(100 * capacity)
+        return Hello(
+            address, own.availability_zone, percent, own.host, self._incarnation, port, own.region
+        )
+
     def leave(self) -> None:
         """Mark this host as leaving."""
         self._leaving = True
@@ -118,6 +150,7 @@
             record.incarnation = hello.incarnation
             record.leaving = False
         record.departed = False
+        record.unreachable = False
         record.last_heartbeat_s = now
         record.address, record.port = hello.address, hello.port
         record.region, record.availability_zone = hello.region, hello.availability_zone
@@ -125,15 +158,21 @@
         self._invalidate_cache()
         return True
 
-    def record_heartbeat(self, host: str, incarnation: int, leaving: bool, now: float) -> None:
-        """Record a heartbeat; heartbeats of replaced incarnations are ignored."""
+    def record_heartbeat(self, host: str, incarnation: int, leaving: bool, now: float) -> bool:
+        """Record a heartbeat; True if it changes which hosts may be hubs.
+
+        Heartbeats of replaced incarnations are ignored.
+        """
         record = self._records.get(host)
         if record is None or record.incarnation != incarnation or record.departed:
-            return
-        if record.leaving != leaving or not self._is_live(record, now):
+            return False
+        changed = record.leaving != leaving or record.unreachable
+        if changed or not self._is_live(record, now):
             self._invalidate_cache()
         record.last_heartbeat_s = now
         record.leaving = leaving
+        record.unreachable = False
+        return changed
 
     def record_goodbye(self, host: str, incarnation: int) -> None:
         """Record a host's goodbye; the name becomes live again only with a new incarnation."""
@@ -170,12 +209,28 @@
                 record.monitored_since_s = now
         self._invalidate_cache()
 
+    @property
+    def is_hub(self) -> bool:
+        """Whether this host has a link to every host of its region."""
+        return self._is_hub(self._own.host)
+
     def set_hubs(self, hubs: frozenset[str]) -> None:
         """Set the hosts that have a link to every host of their region."""
         if hubs != self._hubs:
             self._hubs = hubs
             self._invalidate_cache()
 
+    def is_unreachable(self, host: str) -> bool:
+        """Whether a host was marked by `mark_unreachable`."""
+        record = self._records.get(host)
+        return record is not None and record.unreachable
+
+    def mark_unreachable(self, now: float) -> None:
+        """Mark the monitored hosts whose heartbeats are overdue, until their next hello."""
+        for record in self._records.values():
+            if record.monitored_since_s is not None and now >= self._expiry_s(record):
+                record.unreachable = True
+
     def members(self, now: float) -> tuple[Member, ...]:
         """Live hosts, this one included, sorted by name."""
         if now < self._members_cache_expiry_s:
@@ -206,10 +261,11 @@
                 record.host,
                 record.address,
                 record.port,
-                record.leaving,
+                record.leaving or (record.listed and record.listed_leaving),
                 record.region,
                 record.availability_zone,
                 record.capacity,
+                record.unreachable,
             )
             for _, record in sorted(self._records.items())
             if record.port and (record.listed or not record.departed)
@@ -221,7 +277,9 @@
     def _is_live(self, record: _PeerRecord, now: float) -> bool:
         if record.departed or not record.region:
             return False
-        return now < self._expiry_s(record) or (record.listed and record.monitored_since_s is None)
+        if now < self._expiry_s(record):
+            return True
+        return record.listed and record.monitored_since_s is None and not record.unreachable
 
     def _expiry_s(self, record: _PeerRecord) -> float:
         """Time at which a host is no longer live unless it sends a heartbeat."""
--- a/src/dotterelstand/process/peering/peers.py
+++ b/src/dotterelstand/process/peering/peers.py
@@ -22,7 +22,7 @@
 from dotterelstand.process.peering.dialling import DialScheduler
 from dotterelstand.process.peering.membership import ListedHost, Membership
 from dotterelstand.process.peering.mesh import Member
-from dotterelstand.process.peering.overlay import FULL_MESH_HOSTS, choose_hubs, choose_peers
+from dotterelstand.process.peering.overlay import FULL_MESH_HOSTS, update_roles
 from dotterelstand.process.telemetry.metrics import Metrics
 from dotterelstand.settings import Settings
 
@@ -37,6 +37,7 @@
 
     __slots__ = (
         "_accepting",
+        "_became_hub",
         "_changed",
         "_dial_scheduler",
         "_handlers",
@@ -91,14 +92,8 @@
         self._membership = Membership(
             own, incarnation, self._silence_timeout_s, settings.integer("peers", "max_members")
         )
-        self._hello = Hello(
-            self._listen_address,
-            own.availability_zone,
-            round(100 * self.capacity),
-            own.host,
-            incarnation,
-            self._listen_port,
-            own.region,
+        self._hello = self._membership.make_hello(
+            self._listen_address, self._listen_port, self.capacity
         )
         self._dial_scheduler = DialScheduler(
             settings.texts("peers", "seeds"),
@@ -112,6 +107,7 @@
         self._metrics = metrics or Metrics(settings.integer("metrics", "max_series"))
         self._overflows = 0
         self._changed = trio.Event()
+        self._became_hub = trio.Event()
         self.document_version = 0
 
     @property
@@ -139,6 +135,15 @@
         """Whether some live hosts have no direct link, so that announcements need forwarding."""
         return len(self.members()) > FULL_MESH_HOSTS
 
+    @property
+    def is_hub(self) -> bool:
+        """Whether this host has a link to every host of its region."""
+        return self._membership.is_hub
+
+    async def wait_became_hub(self) -> None:
+        """Wait until this host, which is not a hub, becomes one."""
+        await self._became_hub.wait()
+
     def members(self) -> tuple[Member, ...]:
         """Live entry hosts, this one included, sorted by name."""
         return self._membership.members(trio.current_time())
@@ -267,11 +272,14 @@
         if old is None and len(self._links) >= self._max_links:
             self._metrics.count("peers.links_refused")
             return False
+        was_unreachable = self._membership.is_unreachable(hello.host)
         if not self._membership.admit(hello, trio.current_time()):
             log(Event.PEER_REFUSED, peer=hello.host, incarnation=hello.incarnation)
             return False
         if old is not None and not is_preferred(link, old, self.host):
             return False
+        if was_unreachable:
+            self._changed.set()
         self._links[hello.host] = link
         if old is not None:
             for data in old.take_queue():
@@ -301,9 +309,10 @@
         self._metrics.count(f"peers.received.{type(message).__name__}")
         now = trio.current_time()
         if isinstance(message, Beat):
-            self._membership.record_heartbeat(
+            if self._membership.record_heartbeat(
                 link.peer, link.hello.incarnation, message.leaving, now
-            )
+            ):
+                self._changed.set()
         elif isinstance(message, Goodbye):
             self._membership.record_goodbye(link.peer, link.hello.incarnation)
         elif isinstance(message, Hello):
@@ -364,6 +373,7 @@
             self._changed = trio.Event()
             now = trio.current_time()
             wanted = self._choose_peers(now)
+            self._close_unwanted_links({item.host for item in wanted})
             for address, port in self._dial_scheduler.select_addresses(
                 wanted, frozenset(self._links), now
             ):
@@ -371,12 +381,19 @@
             with trio.move_on_after(self._dial_scheduler.next_dial_delay_s(now)):
                 await self._changed.wait()
 
+    def _close_unwanted_links(self, wanted: set[str]) -> None:
+        """Close the links that this host opened to hosts that it does not choose any more.
+
+        A peer that still wants such a link opens it again from its side.
+        """
+        for host, link in tuple(self._links.items()):
+            if link.dialled and host not in wanted and not self._dial_scheduler.is_seed(host):
+                link.close("no longer needed")
+
     def _choose_peers(self, now: float) -> list[ListedHost]:
-        known = self._membership.dial_candidates()
-        own = ListedHost(self.host, "", 0, False, self.region, capacity=self.capacity)
-        hubs = choose_hubs([own, *known])
-        regions = {item.host: item.region for item in (own, *known)}
-        chosen = choose_peers(self.host, regions, hubs)
-        self._membership.set_hubs(hubs)
-        self._membership.set_monitored_hosts(chosen, now)
-        return [item for item in known if item.host in chosen]
+        was_hub = self._membership.is_hub
+        chosen = update_roles(self._membership, self.capacity, now)
+        if self._membership.is_hub and not was_hub:
+            self._became_hub.set()
+            self._became_hub = trio.Event()
+        return chosen
--- a/src/dotterelstand/process/suspects/quarantine.py
+++ b/src/dotterelstand/process/suspects/quarantine.py
@@ -7,6 +7,7 @@
 from dotterelstand.connection.wire import (
     Hello,
     LiftQuarantine,
+    Message,
     Strike,
     StrikeConfirmed,
     SuspectBegin,
@@ -14,6 +15,7 @@
 )
 from dotterelstand.events import Event, log
 from dotterelstand.process.operation.control import Arguments, ControlRegistry
+from dotterelstand.process.peering.announcing import first_receivers, next_receivers
 from dotterelstand.process.peering.mesh import Mesh
 from dotterelstand.process.suspects.strikes import (
     QuarantineLimits,
@@ -93,13 +95,15 @@
     async def record_strike(self, fingerprint: bytes, target: str, suspect: bool) -> None:
         """Record the loss of a target on all entry hosts.
 
-        Returns when all linked peers have confirmed, or after `confirm_timeout_s` (default 100 ms).
+        Returns when all told peers have confirmed, or after `confirm_timeout_s` (default 100 ms).
         The messages are queued before the first wait, so a cancellation does not stop them.
         """
         record = StrikeRecord(fingerprint, target, suspect, trio.current_time())
         self._record(record, self._mesh.host)
         number = self._next_number()
-        peers = self._mesh.broadcast(Strike(0, fingerprint, number, suspect, target))
+        peers = self._announce(Strike(0, fingerprint, number, suspect, target))
+        if self._mesh.is_overlay:
+            self._forward(Strike(0, fingerprint, 0, suspect, target), fingerprint, self._mesh.host)
         if peers:
             pending = self._pending_confirmations[number] = _PendingReplies(peers)
             try:
@@ -118,7 +122,7 @@
             return
         if self._table.clear(fingerprint):
             self._metrics.count("quarantine.cleared")
-            self._mesh.broadcast(LiftQuarantine(fingerprint))
+            self._announce_lift(fingerprint)
 
     def end_run(self, admission: Admission) -> None:
         """Report the end of an admitted run to the arbiter, if one was asked."""
@@ -142,7 +146,7 @@
             key = bytes.fromhex(fingerprint)
         except ValueError:
             return False
-        self._mesh.broadcast(LiftQuarantine(key))
+        self._announce_lift(key)
         return self._lift(key)
 
     async def _ask_arbiter(self, fingerprint: bytes) -> Admission:
@@ -170,11 +174,13 @@
         return False
 
     def arbiter(self, fingerprint: bytes) -> str:
-        """Arbiter of a fingerprint: the member with the highest rendezvous hash."""
+        """Arbiter of a fingerprint: the hub with the highest rendezvous hash."""
         return self._ranking(fingerprint)[0]
 
     def _ranking(self, fingerprint: bytes) -> list[str]:
-        hosts = [member.host for member in self._mesh.members()] or [self._mesh.host]
+        # All hosts of a region are linked to its hubs, so they agree on the first that they reach.
+        hosts = [member.host for member in self._mesh.members() if member.hub]
+        hosts = hosts or [self._mesh.host]
         return sorted(
             hosts,
             key=lambda host: xxhash.xxh3_64_intdigest(host.encode() + fingerprint),
@@ -211,17 +217,38 @@
             self._mesh.send(sender, self._strike_message(strike))
 
     def _strike_message(self, strike: StrikeRecord) -> Strike:
+        """Message that needs no confirmation."""
         age_ms = int((trio.current_time() - strike.lost_at) * 1000)
-        number = self._next_number()
-        return Strike(age_ms, strike.fingerprint, number, strike.suspect, strike.target)
+        return Strike(age_ms, strike.fingerprint, 0, strike.suspect, strike.target)
+
+    def _announce(self, message: Message) -> int:
+        """Send a message to all hosts, or to those that pass it on; returns their number."""
+        if not self._mesh.is_overlay:
+            return self._mesh.broadcast(message)
+        hubs = first_receivers(self._mesh.members(), self._mesh.host, self._mesh.region)
+        return sum(self._mesh.send(host, message) for host in hubs)
+
+    def _announce_lift(self, fingerprint: bytes) -> None:
+        message = LiftQuarantine(fingerprint)
+        self._announce(message)
+        if self._mesh.is_overlay:
+            self._forward(message, fingerprint, self._mesh.host)
+
+    def _forward(self, message: Message, fingerprint: bytes, sender: str) -> None:
+        """Pass a message on to the next hosts of a large fleet."""
+        for host in next_receivers(
+            self._mesh.members(), self._mesh.host, self._mesh.region, fingerprint.hex(), sender
+        ):
+            self._mesh.send(host, message)
 
     def _on_strike(self, sender: str, message: Strike) -> None:
         if len(message.fingerprint) <= MAX_FINGERPRINT_BYTES:
             at = trio.current_time() - max(0, message.age_ms) / 1000
             strike = StrikeRecord(message.fingerprint, message.target, message.suspect, at)
             if self._record(strike, sender) and self._mesh.is_overlay:
-                self._mesh.broadcast(self._strike_message(strike))
-        self._mesh.send(sender, StrikeConfirmed(message.number))
+                self._forward(self._strike_message(strike), strike.fingerprint, sender)
+        if message.number:
+            self._mesh.send(sender, StrikeConfirmed(message.number))
 
     def _on_confirmed(self, sender: str, message: StrikeConfirmed) -> None:
         pending = self._pending_confirmations.get(message.number)
@@ -230,7 +257,7 @@
 
     def _on_lift(self, sender: str, message: LiftQuarantine) -> None:
         if self._lift(message.fingerprint) and self._mesh.is_overlay:
-            self._mesh.broadcast(message)
+            self._forward(message, message.fingerprint, sender)
 
     def _on_begin(self, sender: str, message: SuspectBegin) -> None:
         now = trio.current_time()
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -88,10 +88,10 @@
         next_reached = reached | {peer for host in reached for peer in links[host]}
         assert next_reached > reached
         reached, hops = next_reached, hops + 1
-    assert hops <= (1 if count <= 24 else 5)
+    assert hops <= (1 if count <= 24 else 3)
     if count > 24:
         sparse = [len(links[host]) for host in regions if host not in hubs]
-        assert max(sparse) <= 8 + 3 * 4 + HUBS_PER_REGION
+        assert max(sparse, default=0) <= HUBS_PER_REGION
         for hub in hubs:
             region = {host for host in regions if regions[host] == regions[hub]}
             assert region - {hub} <= links[hub]
@@ -129,3 +129,44 @@
 def test_every_host_of_a_large_fleet_is_linked_with_the_hubs_of_its_region() -> None:
     """Guards against hosts that cannot request slots because no dispatcher is linked to them."""
     run_virtual(_large_region, 1, seed=1)
+
+
+async def _lose_hubs(seed: int, lost: int, return_after_s: float | None) -> None:
+    async with trio.open_nursery() as nursery:
+        fleet = Fleet(nursery, 30, seed)
+        await fleet.start_all()
+        await trio.sleep(8)
+        survivor = next(name for name, peers in fleet.peers.items() if not peers.is_hub)
+        region = fleet.peers[survivor].region
+        hubs = [
+            item.host
+            for item in fleet.peers[survivor].members()
+            if item.hub and item.region == region
+        ]
+        for name in hubs[:lost]:
+            fleet.crash(name)
+        if return_after_s is not None:
+            await trio.sleep(return_after_s)
+            for name in hubs[:lost]:
+                await fleet.start(name)
+        await trio.sleep(12)
+        for name, peers in fleet.peers.items():
+            if peers.region != region:
+                continue
+            live = {item.host for item in peers.members() if item.hub and item.region == region}
+            assert len(live) == HUBS_PER_REGION
+            assert live <= set(fleet.peers)
+            assert live - {name} <= set(peers.linked())
+            if return_after_s is not None:
+                assert live == set(hubs)
+        links = [len(peers.linked()) for peers in fleet.peers.values() if not peers.is_hub]
+        assert max(links) <= HUBS_PER_REGION
+        nursery.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize(
+    ("lost", "return_after_s"), [(1, None), (HUBS_PER_REGION, None), (2, 0.5), (2, 6.0)]
+)
+def test_lost_hubs_are_replaced(lost: int, return_after_s: float | None) -> None:
+    """Guards against a region without dispatchers and relays because listed hosts are gone."""
+    run_virtual(_lose_hubs, 1, lost, return_after_s, seed=1)
