Read lists of targets and configuration from hubs instead of the store

Cause: each starting host read the whole host list, all targets and the configuration from the store: 41 MB for 312 hosts with 330 targets, and again whenever its relay read a list anew, since revisions of two reads cannot be compared. Change: entry hosts register by region, and only hubs read other regions. A host asks a hub for a list and gets it compressed; a hub that is still reading answers afterwards. A relay that reads a list anew sends its region the difference to the former one. Other hubs take the place of relays that the store does not answer. With a new fleet a host waits peers.bootstrap_wait_s between registration and the first list, so that all agree on the hubs. Ruled out: comparing a relay's revision with the last change (removals leave no trace in a list).

--- a/src/dotterelstand/bench/relays.py
+++ b/src/dotterelstand/bench/relays.py
@@ -1,6 +1,7 @@
 """Measures how calls to the platform's store and bytes between hosts grow with the fleet."""
 
 import random
+from collections.abc import Sequence
 
 import fire
 import trio
@@ -61,6 +62,24 @@
         self._store.calls["list"] += 1
         return Success(Listing([], self._store.revision))
 
+    def merge_changes(
+        self, encoded_list: bytes, changes: Sequence[bytes], revision: int
+    ) -> Result[bytes, PlatformError]:
+        """Return the list unchanged."""
+        return Success(encoded_list)
+
+    def diff_lists(self, old: bytes, new: bytes) -> Result[bytes, PlatformError]:
+        """Return a body that stands for one change."""
+        return Success(new)
+
+    async def list_hosts(self, region: str) -> Result[Listing[Item], PlatformError]:
+        """Return an empty list; the fleet maintains the host list."""
+        return Success(Listing([], self._store.revision))
+
+    def parse_list(self, kind: Kind, encoded: bytes) -> Result[Listing[Item], PlatformError]:
+        """Return an empty list with the current revision."""
+        return Success(Listing([], self._store.revision))
+
     async def watch(
         self, kind: Kind, revision: int, wait_s: float
     ) -> Result[Listing[Item], PlatformError]:
@@ -122,6 +141,7 @@
                 CountedPlatform(store), peers, peers.metrics, WATCH_PAUSES_S, rng
             )
             nursery.start_soon(relayed.run)
+            await relayed.list_hosts(peers.region)
             for kind in RELAYED_KINDS:
                 nursery.start_soon(_watch_changes, relayed, kind)
         await trio.sleep(SETTLE_S)
--- a/src/dotterelstand/platform/client.py
+++ b/src/dotterelstand/platform/client.py
@@ -1,6 +1,7 @@
 """Client of the platform's metadata store."""
 
 import json
+from collections.abc import Sequence
 from typing import Any
 from urllib.parse import quote
 
@@ -12,6 +13,7 @@
 from dotterelstand.connection.network import Network
 from dotterelstand.events import Event, log
 from dotterelstand.platform.decode import encode_host, parse_configuration, parse_host, parse_target
+from dotterelstand.platform.lists import diff_lists, merge_changes
 from dotterelstand.process.discovery.registry import (
     EXISTS,
     HISTORY_LOST,
@@ -36,13 +38,11 @@
 CONFIGURATION_NAME = "main"
 # Name of an object that never exists. Reading it returns the smallest possible response.
 ABSENT_NAME = "check"
-# Names of the object kinds in the store. The platform defines the first two; dotterelstand defines
-# the kind of the entry hosts.
-KIND_NAMES = {
-    Kind.CONFIGURATION: "config",
-    Kind.TARGETS: "servers",
-    Kind.HOSTS: "dotterelstand-hosts",
-}
+# Names of the object kinds in the store that the platform defines.
+KIND_NAMES = {Kind.CONFIGURATION: "config", Kind.TARGETS: "servers"}
+# Beginning of the names of dotterelstand's own kinds: one for the entry hosts of each region, since
+# most hosts need only those of their region.
+HOSTS_KIND_PREFIX = "dotterelstand-hosts-"
 # The store ends a watch without changes after at most this time.
 MAX_WATCH_MS = 30_000
 # Maximum number of pages of a listing; the store returns about 500 objects per page.
@@ -61,27 +61,65 @@
 
     async def list(self, kind: Kind) -> Result[Listing[Item], PlatformError]:
         """List all objects of a kind, with the revision of the first page."""
-        entries: list[Entry[Item]] = []
+        return await self._list(kind, KIND_NAMES[kind])
+
+    async def list_hosts(self, region: str) -> Result[Listing[Item], PlatformError]:
+        """List the entry hosts of a region."""
+        return await self._list(Kind.HOSTS, _hosts_kind(region))
+
+    async def _list(self, kind: Kind, collection: str) -> Result[Listing[Item], PlatformError]:
+        items: list[Any] = []
         last_name, revision = "", 0
         for _ in range(MAX_PAGES):
             query = f"?after={quote(last_name, safe='')}" if last_name else ""
-            page = await self._read(f"{OBJECTS_PATH}/{KIND_NAMES[kind]}{query}", self._timeout_s)
+            path = f"{OBJECTS_PATH}/{collection}{query}"
+            answer = await self._call("GET", path, None, self._timeout_s)
+            page = answer.bind(lambda response: _parse_body(response.body))
             if not is_successful(page):
                 return Failure(page.failure())
             try:
                 body = page.unwrap()
-                items = list(body["items"])
-                entries += [_parse_entry(kind, item, False) for item in items]
+                items += list(body["items"])
                 # The listing may miss changes that are made while its pages are read. A watch
                 # from the revision of the first page reports them.
                 revision = revision or int(body["currentRev"])
                 if not body["hasMore"]:
-                    return Success(Listing(entries, revision))
+                    if len(items) == len(body["items"]):
+                        return _build_listing(kind, items, revision, answer.unwrap().body)
+                    whole = json.dumps({"items": items, "currentRev": revision})
+                    return _build_listing(kind, items, revision, whole.encode())
                 last_name = str(items[-1]["metadata"]["name"])
             except (KeyError, TypeError, ValueError, IndexError) as error:
                 return Failure(PlatformError(UNREADABLE, repr(error)))
         return Failure(PlatformError(UNREADABLE, f"more than {MAX_PAGES} pages"))
 
+    def parse_list(self, kind: Kind, encoded: bytes) -> Result[Listing[Item], PlatformError]:
+        """Parse a complete list that another entry host received from `list`."""
+        read = _parse_body(encoded)
+        if not is_successful(read):
+            return Failure(read.failure())
+        try:
+            body = read.unwrap()
+            return _build_listing(kind, list(body["items"]), int(body["currentRev"]), encoded)
+        except (KeyError, TypeError, ValueError) as error:
+            return Failure(PlatformError(UNREADABLE, repr(error)))
+
+    def merge_changes(
+        self, encoded_list: bytes, changes: Sequence[bytes], revision: int
+    ) -> Result[bytes, PlatformError]:
+        """Apply the responses of watches to the response of a list call."""
+        try:
+            return Success(merge_changes(encoded_list, changes, revision))
+        except (KeyError, TypeError, ValueError) as error:
+            return Failure(PlatformError(UNREADABLE, repr(error)))
+
+    def diff_lists(self, old: bytes, new: bytes) -> Result[bytes, PlatformError]:
+        """Build the response of a watch that leads from one list to a later one."""
+        try:
+            return Success(diff_lists(old, new))
+        except (KeyError, TypeError, ValueError) as error:
+            return Failure(PlatformError(UNREADABLE, repr(error)))
+
     async def watch(
         self, kind: Kind, revision: int, wait_s: float
     ) -> Result[Listing[Item], PlatformError]:
@@ -119,7 +157,7 @@
 
     async def register_host(self, host: ListedHost) -> Result[None, PlatformError]:
         """Create or replace this host's object."""
-        collection = f"{OBJECTS_PATH}/{KIND_NAMES[Kind.HOSTS]}"
+        collection = f"{OBJECTS_PATH}/{_hosts_kind(host.region)}"
         body = {"metadata": {"name": host.host}, "spec": encode_host(host)}
         created = await self._call("POST", collection, body, self._timeout_s)
         if is_successful(created) or created.failure().code != EXISTS:
@@ -128,10 +166,6 @@
         replaced = await self._call("PUT", path, body, self._timeout_s)
         return replaced.map(lambda _: None)
 
-    async def _read(self, path: str, timeout_s: float) -> Result[dict[str, Any], PlatformError]:
-        answer = await self._call("GET", path, None, timeout_s)
-        return answer.bind(lambda response: _parse_body(response.body))
-
     async def _call(
         self, method: str, path: str, body: object, timeout_s: float
     ) -> Result[StoreAnswer, PlatformError]:
@@ -151,6 +185,19 @@
         return _parse_status(answer)
 
 
+def _hosts_kind(region: str) -> str:
+    """Name of the object kind of a region's entry hosts."""
+    return quote(f"{HOSTS_KIND_PREFIX}{region}", safe="")
+
+
+def _build_listing(
+    kind: Kind, items: list[Any], revision: int, encoded: bytes
+) -> Result[Listing[Item], PlatformError]:
+    """Parse the objects of a list; raises `TypeError` or `KeyError` if one has no name."""
+    entries = [_parse_entry(kind, item, False) for item in items]
+    return Success(Listing(entries, revision, encoded))
+
+
 def _parse_status(answer: StoreAnswer) -> Result[StoreAnswer, PlatformError]:
     if 200 <= answer.status < 300:
         return Success(answer)
--- a/src/dotterelstand/process/discovery/objectadapter.py
+++ b/src/dotterelstand/process/discovery/objectadapter.py
@@ -54,6 +54,7 @@
             rng,
             apply,
             peers.update_host_list,
+            peers.wait_became_hub,
         )
 
     @property
@@ -118,6 +119,8 @@
     return WatchSettings(
         settings.number("store", "watch_wait_s"),
         settings.number("peers", "host_list_interval_s"),
+        settings.number("peers", "bootstrap_wait_s"),
+        sorted(set(parse_regions(settings).values())),
     )
 
 
--- a/src/dotterelstand/process/discovery/platformfeed.py
+++ b/src/dotterelstand/process/discovery/platformfeed.py
@@ -1,7 +1,7 @@
 """Follows the platform's lists of targets, configurations and entry hosts."""
 
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import trio
 from returns.pipeline import is_successful
@@ -14,11 +14,12 @@
     Entry,
     Item,
     Kind,
-    Platform,
+    ObjectLists,
     PlatformError,
     RegisteredTarget,
 )
 from dotterelstand.process.peering.membership import ListedHost
+from dotterelstand.process.peering.overlay import FULL_MESH_HOSTS, choose_hubs
 from dotterelstand.version.model import Document
 
 # Delay in seconds before the next call to a platform that doesn't answer; it doubles up to the
@@ -29,13 +30,21 @@
 
 
 class WatchSettings:
-    """Durations in seconds: the maximum wait of a watch, and the interval of host list reads."""
+    """The maximum wait of a watch, and the interval of reads of the host lists of `regions`.
 
-    __slots__ = ("hosts_interval_s", "watch_s")
+    The first read of the host lists comes `bootstrap_wait_s` after the registration. Durations are
+    in seconds.
+    """
+
+    __slots__ = ("bootstrap_wait_s", "hosts_interval_s", "regions", "watch_s")
 
-    def __init__(self, watch_s: float, hosts_interval_s: float) -> None:
+    def __init__(
+        self, watch_s: float, hosts_interval_s: float, bootstrap_wait_s: float, regions: list[str]
+    ) -> None:
+        self.bootstrap_wait_s = bootstrap_wait_s
         self.watch_s = watch_s
         self.hosts_interval_s = hosts_interval_s
+        self.regions = regions
 
 
 class _Backoff:
@@ -77,7 +86,7 @@
 
     def __init__(
         self,
-        platform: Platform,
+        platform: ObjectLists,
         kind: Kind,
         watch_s: float,
         rng: random.Random,
@@ -146,19 +155,21 @@
         "_platform",
         "_rng",
         "_update_hosts",
+        "_wait_became_hub",
         "_watch_settings",
         "host_list_attempted",
     )
 
     def __init__(
         self,
-        platform: Platform,
+        platform: ObjectLists,
         catalogue: Catalogue,
         own_host: Callable[[], ListedHost],
         watch_settings: WatchSettings,
         rng: random.Random,
         apply: Callable[[Document], None],
         update_hosts: Callable[[list[ListedHost]], None],
+        wait_became_hub: Callable[[], Awaitable[None]],
     ) -> None:
         self._platform = platform
         self._catalogue = catalogue
@@ -167,6 +178,8 @@
         self._rng = rng
         self._apply = apply
         self._update_hosts = update_hosts
+        # Waits until this host becomes a hub.
+        self._wait_became_hub = wait_became_hub
         self._backoff = _Backoff(rng)
         self._changed = trio.Event()
         self.host_list_attempted = trio.Event()
@@ -202,22 +215,53 @@
         """Register this host, then read the host list periodically.
 
         Of two hosts that start together, at least one finds the other in its first list, since
-        each registers before it reads.
+        each registers before it reads. Hosts that start later open links by themselves, so a large
+        fleet reads its list rarely.
         """
         registered = False
         while True:
             if not registered:
                 registered = is_successful(await self._platform.register_host(self._own_host()))
-            listing = await self._platform.list(Kind.HOSTS) if registered else None
-            if listing is None or not is_successful(listing):
+                if registered:
+                    await trio.sleep(self._watch_settings.bootstrap_wait_s)
+            hosts = await self._read_hosts() if registered else None
+            if hosts is None:
                 self.host_list_attempted.set()
                 await self._backoff.sleep()
                 continue
             self._backoff.reset()
-            entries = listing.unwrap().entries
-            self._update_hosts([item.item for item in entries if isinstance(item.item, ListedHost)])
+            self._update_hosts(hosts)
             self.host_list_attempted.set()
-            await trio.sleep(self._watch_settings.hosts_interval_s * self._rng.uniform(0.8, 1.2))
+            interval_s = self._watch_settings.hosts_interval_s * self._rng.uniform(0.8, 1.2)
+            # A host that becomes a hub needs the hosts of all regions.
+            with trio.move_on_after(interval_s * max(1.0, len(hosts) / FULL_MESH_HOSTS)):
+                await self._wait_became_hub()
+
+    async def _read_hosts(self) -> list[ListedHost] | None:
+        """Entry hosts that this host may need a link to; None if the store did not answer.
+
+        Of a fleet with hubs, only the hubs need the hosts of other regions.
+        """
+        own = self._own_host()
+        hosts = await self._list_region(own.region)
+        if hosts is None:
+            return None
+        hubs = choose_hubs([own, *(host for host in hosts if host.host != own.host)])
+        if len(hosts) > FULL_MESH_HOSTS and own.host not in hubs:
+            return hosts
+        for region in self._watch_settings.regions:
+            others = await self._list_region(region) if region != own.region else []
+            if others is None:
+                return None
+            hosts += others
+        return hosts
+
+    async def _list_region(self, region: str) -> list[ListedHost] | None:
+        listing = await self._platform.list_hosts(region)
+        if not is_successful(listing):
+            return None
+        entries = listing.unwrap().entries
+        return [entry.item for entry in entries if isinstance(entry.item, ListedHost)]
 
     def _replace_targets(self, entries: list[Entry[Item]]) -> None:
         now = trio.current_time()
--- a/src/dotterelstand/process/discovery/registry.py
+++ b/src/dotterelstand/process/discovery/registry.py
@@ -1,5 +1,6 @@
 """Platform-independent types for the objects in a platform's store, and interface to the store."""
 
+from collections.abc import Sequence
 from enum import Enum
 from typing import Generic, Protocol, TypeVar
 
@@ -38,6 +39,11 @@
 RELAYED_KINDS = (Kind.CONFIGURATION, Kind.TARGETS)
 
 
+def relayed_kind(number: int) -> Kind | None:
+    """Kind with this number in messages, or None if there is none."""
+    return RELAYED_KINDS[number] if 0 <= number < len(RELAYED_KINDS) else None
+
+
 class RegisteredTarget:
     """Registration of a target.
 
@@ -133,8 +139,8 @@
 class Listing(Generic[T]):
     """Entries and the revision of the store that they reflect.
 
-    `encoded` is the store's response to a watch, which other hosts pass to
-    `Platform.parse_changes`; it is empty for the result of a list call.
+    `encoded` is the store's response, which other hosts pass to `Platform.parse_changes` after a
+    watch and to `Platform.parse_list` after a list call.
     """
 
     __slots__ = ("encoded", "entries", "revision")
@@ -145,12 +151,27 @@
         self.encoded = encoded
 
 
-class Platform(Protocol):
-    """Calls from an entry host to the platform's store."""
+class ListCodec(Protocol):
+    """Combines lists and changes in the form in which the store sends them."""
+
+    def merge_changes(
+        self, encoded_list: bytes, changes: Sequence[bytes], revision: int
+    ) -> Result[bytes, PlatformError]:
+        """Apply the responses of watches to the response of a list call."""
+
+    def diff_lists(self, old: bytes, new: bytes) -> Result[bytes, PlatformError]:
+        """Build the response of a watch that leads from one list to a later one."""
+
+
+class ObjectLists(Protocol):
+    """Lists of platform objects and changes to them, wherever they come from."""
 
     async def list(self, kind: Kind) -> Result[Listing[Item], PlatformError]:
         """List all objects of a kind."""
 
+    async def list_hosts(self, region: str) -> Result[Listing[Item], PlatformError]:
+        """List the entry hosts of a region."""
+
     async def watch(
         self, kind: Kind, revision: int, wait_s: float
     ) -> Result[Listing[Item], PlatformError]:
@@ -159,11 +180,18 @@
         Fails with `HISTORY_LOST` if the store no longer has the changes.
         """
 
+    async def register_host(self, host: ListedHost) -> Result[None, PlatformError]:
+        """Register this host in the platform's list of entry hosts."""
+
+
+class Platform(ObjectLists, ListCodec, Protocol):
+    """Calls from an entry host to the platform's store."""
+
     def parse_changes(self, kind: Kind, encoded: bytes) -> Result[Listing[Item], PlatformError]:
         """Parse changes that another entry host received from `watch`."""
 
+    def parse_list(self, kind: Kind, encoded: bytes) -> Result[Listing[Item], PlatformError]:
+        """Parse a complete list that another entry host received from `list`."""
+
     async def check(self) -> Result[None, PlatformError]:
         """Check whether the store answers this host, with the cheapest call of its protocol."""
-
-    async def register_host(self, host: ListedHost) -> Result[None, PlatformError]:
-        """Register this host in the platform's list of entry hosts."""
--- a/src/dotterelstand/process/discovery/relayedplatform.py
+++ b/src/dotterelstand/process/discovery/relayedplatform.py
@@ -1,6 +1,5 @@
 """Forwards the platform's changes within a region, so that few entry hosts watch the store."""
 
-import math
 import random
 import zlib
 from collections.abc import Sequence
@@ -9,9 +8,16 @@
 from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
-from dotterelstand.connection.wire import Message, StoreChanges, StoreState
+from dotterelstand.connection.wire import (
+    Hello,
+    Message,
+    SnapshotRequest,
+    StoreChanges,
+    StoreState,
+)
 from dotterelstand.events import Event, log
 from dotterelstand.process.discovery.registry import (
+    HISTORY_LOST,
     RELAYED_KINDS,
     UNANSWERED,
     Entry,
@@ -20,15 +26,21 @@
     Listing,
     Platform,
     PlatformError,
+    relayed_kind,
+)
+from dotterelstand.process.discovery.relayview import (
+    RELAY_STATE_TTL_S,
+    RelayedChanges,
+    RelayStatus,
+    RelayView,
 )
-from dotterelstand.process.discovery.relayview import RelayedChanges, RelayStatus, RelayView
+from dotterelstand.process.discovery.snapshotrequests import SnapshotRequests, is_hub
+from dotterelstand.process.discovery.snapshots import SnapshotServer, decompress, relayed_changes
 from dotterelstand.process.peering.membership import ListedHost
 from dotterelstand.process.peering.mesh import Mesh
-from dotterelstand.process.peering.ranking import rank_hosts
+from dotterelstand.process.peering.ranking import RELAY_KEY, choose_relays, rank_hosts
 from dotterelstand.process.telemetry.metrics import Metrics
 
-# Rendezvous hashing key for the choice of a region's relays.
-RELAY_KEY = "platform"
 # Number of relays of a region, in a full mesh and in a larger fleet. A larger fleet has two, since
 # the loss of a single relay would make dozens of hosts call the store.
 RELAYS_IN_MESH = 1
@@ -41,17 +53,13 @@
 # while neither it nor the relays reach the store. The wait ends early when a relay reaches the
 # store, or when no relay's report is valid any more.
 STORE_RETRY_S = 2.0
-# Seconds after which a watch is abandoned if it did not return changes that a relay already has.
-# Over a working connection the store would have sent them at once.
-BEHIND_TIMEOUT_S = 1.0
-# Seconds that a starting host has to open links before it decides whether it is a relay.
+# Seconds that a starting host has to open a link to a hub after it read the host list, before it
+# decides whether it is a relay.
 INITIAL_ROLE_DELAY_S = 0.4
-# Limit on the decompressed size of the changes in one message.
-MAX_CHANGES_BYTES = 16 * 1024 * 1024
 
 
 class RelayedPlatform:
-    """Wraps a `Platform` so that only the relays of a region watch the store.
+    """Implements `ObjectLists` so that only the relays of a region watch the store.
 
     The other hosts get the changes from the relays. They call the store themselves for changes
     that they missed, and while no relay reports that it reaches the store.
@@ -59,7 +67,8 @@
 
     __slots__ = (
         "_failed_kinds",
-        "_first_watch_at",
+        "_hosts_read",
+        "_hub_linked",
         "_known_revisions",
         "_mesh",
         "_metrics",
@@ -70,6 +79,10 @@
         "_relay_view",
         "_relying_on_relays",
         "_rng",
+        "_role_known",
+        "_snapshot_requests",
+        "_snapshots",
+        "_store_failed_until",
         "_was_relay",
         "_watch_pauses_s",
         "_watches",
@@ -94,7 +107,9 @@
         self._relay_update = trio.Event()
         # Revision of the last change that this host has received.
         self._known_revisions = dict.fromkeys(RELAYED_KINDS, 0)
-        self._first_watch_at = trio.current_time() + INITIAL_ROLE_DELAY_S
+        self._hosts_read = trio.Event()
+        self._hub_linked = False
+        self._role_known = trio.Event()
         self._next_watch_at = dict.fromkeys(RELAYED_KINDS, 0.0)
         self._watches: dict[Kind, trio.CancelScope] = {}
         # Kinds whose last call to the store failed.
@@ -102,37 +117,85 @@
         # Kinds for which `watch` has already failed in this outage of the store. It fails once for
         # each outage, and after that watches the store itself.
         self._outage_reported: set[Kind] = set()
+        # Until this time in seconds, this host does not take the place of other relays.
+        self._store_failed_until = 0.0
         self._was_relay = False
         self._relying_on_relays = True
+        self._snapshots = SnapshotServer(platform, self._relay_view, mesh.send)
+        self._snapshot_requests = SnapshotRequests(mesh, metrics)
+        mesh.subscribe(Hello, self._on_hello)
+        mesh.subscribe(SnapshotRequest, self._on_snapshot_request)
         mesh.subscribe(StoreChanges, self._on_changes)
         mesh.subscribe(StoreState, self._on_state)
 
     @property
     def is_relay(self) -> bool:
-        """Whether this host is a relay, that is, watches the store for its region."""
+        """Whether this host watches the store for its region."""
         count = RELAYS_IN_OVERLAY if self._mesh.is_overlay else RELAYS_IN_MESH
         ranked = rank_hosts(RELAY_KEY, self._mesh.members(), self._mesh.region)
-        return self._mesh.host in ranked[:count]
+        now = trio.current_time()
+        failing = {host for host in ranked if self._relay_view.reports_failure(host, now)}
+        if now < self._store_failed_until:
+            failing.add(self._mesh.host)
+        return self._mesh.host in choose_relays(ranked, count, failing)
 
     async def list(self, kind: Kind) -> Result[Listing[Item], PlatformError]:
-        """List all objects of a kind, from the store."""
-        if kind in self._failed_kinds and not self.is_relay:
-            await self._await_retry()
-        listing = await self._platform.list(kind)
+        """List all objects of a relayed kind, from a hub or from the store."""
+        self._snapshots.begin_read(kind)
+        listing = await self._list(kind)
         if not is_successful(listing):
+            self._snapshots.drop(kind)
             self._failed_kinds.add(kind)
             return listing
         self._failed_kinds.discard(kind)
-        if kind in self._known_revisions:
-            self._known_revisions[kind] = listing.unwrap().revision
-            self._send_state(True)
+        self._known_revisions[kind] = listing.unwrap().revision
+        if is_hub(self._mesh):
+            changes = self._snapshots.store(
+                kind, listing.unwrap().revision, listing.unwrap().encoded
+            )
+            if changes is not None:
+                self._share_changes(kind, changes)
+        else:
+            self._snapshots.forget(kind)
+        self._send_state(True)
         return listing
 
+    async def list_hosts(self, region: str) -> Result[Listing[Item], PlatformError]:
+        """List the entry hosts of a region, from the store."""
+        if Kind.HOSTS in self._failed_kinds and not self.is_relay:
+            await self._await_retry()
+        self._failed_kinds.discard(Kind.HOSTS)
+        listing = await self._platform.list_hosts(region)
+        if not is_successful(listing):
+            self._failed_kinds.add(Kind.HOSTS)
+        self._hosts_read.set()
+        return listing
+
+    async def _list(self, kind: Kind) -> Result[Listing[Item], PlatformError]:
+        await self._role_known.wait()
+        if kind in self._failed_kinds and not self.is_relay:
+            await self._await_retry()
+        encoded = await self._snapshot_requests.request(kind)
+        if encoded is not None:
+            listing = self._platform.parse_list(kind, encoded)
+            if is_successful(listing):
+                return listing
+        return await self._platform.list(kind)
+
+    async def _find_role(self) -> None:
+        """At the start, wait for the host list and then, briefly, for a link to a hub."""
+        await self._hosts_read.wait()
+        with trio.move_on_after(INITIAL_ROLE_DELAY_S):
+            while not self._hub_linked:
+                await self._relay_update.wait()
+        self._relay_view.await_reports(trio.current_time())
+        self._role_known.set()
+
     async def watch(
         self, kind: Kind, revision: int, wait_s: float
     ) -> Result[Listing[Item], PlatformError]:
         """Wait for changes after a revision, from a relay or from the store."""
-        await trio.sleep_until(self._first_watch_at)
+        await self._role_known.wait()
         while True:
             consecutive = self._relay_view.changes_after(kind, revision)
             status = self._relay_view.status(kind, revision, trio.current_time())
@@ -143,8 +206,12 @@
                 if status is RelayStatus.CURRENT:
                     await self._wait_for_relay_update()
                     continue
+                if status is RelayStatus.BEHIND:
+                    reason = "a relay has changes that this host did not get"
+                    return Failure(PlatformError(HISTORY_LOST, reason))
                 if status is RelayStatus.LOST and kind not in self._outage_reported:
                     self._outage_reported.add(kind)
+                    self._snapshots.drop(kind)
                     return Failure(
                         PlatformError(UNANSWERED, "the store does not answer the region's relays")
                     )
@@ -152,20 +219,16 @@
             if result is not None:
                 return result
 
-    def parse_changes(self, kind: Kind, encoded: bytes) -> Result[Listing[Item], PlatformError]:
-        """Parse changes that another entry host received from `watch`."""
-        return self._platform.parse_changes(kind, encoded)
-
-    async def check(self) -> Result[None, PlatformError]:
-        """Check whether the store answers this host."""
-        return await self._platform.check()
-
     async def register_host(self, host: ListedHost) -> Result[None, PlatformError]:
         """Register this host in the platform's list of entry hosts."""
-        return await self._platform.register_host(host)
+        registered = await self._platform.register_host(host)
+        if not is_successful(registered):
+            self._hosts_read.set()
+        return registered
 
     async def run(self) -> None:
         """Check the store for the region while this host is a relay, until cancelled."""
+        await self._find_role()
         while True:
             await trio.sleep(CHECK_INTERVAL_S * self._rng.uniform(0.9, 1.0))
             if self.is_relay != self._was_relay:
@@ -181,8 +244,8 @@
         self._metrics.count("platform.checks")
         if not answers:
             self._metrics.count("platform.checks_failed")
-            # Without cancellation, a watch over a lost connection would wait until the kernel
-            # detects the loss.
+            self._store_failed_until = trio.current_time() + RELAY_STATE_TTL_S
+            # A watch over a lost connection would wait until the kernel detects the loss.
             for scope in self._watches.values():
                 scope.cancel()
         self._send_state(answers)
@@ -205,6 +268,7 @@
             result = Failure(error)
         if not is_successful(result):
             self._failed_kinds.add(kind)
+            self._snapshots.drop(kind)
         elif result.unwrap().entries:
             self._next_watch_at[kind] = trio.current_time() + self._watch_pauses_s[kind]
             self._forward_changes(kind, result.unwrap())
@@ -213,10 +277,7 @@
     async def _watch_store_until_relayed(
         self, kind: Kind, revision: int, wait_s: float
     ) -> Result[Listing[Item], PlatformError] | None:
-        """Watch the store; returns None as soon as this host can rely on the relays.
-
-        Fails if the watch does not return changes that a relay already has.
-        """
+        """Watch the store; returns None as soon as the relays report again."""
         results: list[Result[Listing[Item], PlatformError]] = []
 
         async def watch(scope: trio.CancelScope) -> None:
@@ -225,30 +286,14 @@
 
         async with trio.open_nursery() as nursery:
             nursery.start_soon(watch, nursery.cancel_scope)
-            give_up_at = math.inf
             while not self._is_relayed(kind, revision):
-                now = trio.current_time()
-                if self._relay_view.status(kind, revision, now) is not RelayStatus.BEHIND:
-                    give_up_at = math.inf
-                elif give_up_at == math.inf:
-                    give_up_at = max(now, self._next_watch_at[kind]) + BEHIND_TIMEOUT_S
-                elif now >= give_up_at:
-                    self._failed_kinds.add(kind)
-                    error = PlatformError(
-                        UNANSWERED, "the watch did not return changes that a relay has"
-                    )
-                    results.append(Failure(error))
-                    break
-                with trio.move_on_at(give_up_at):
-                    await self._wait_for_relay_update()
+                await self._wait_for_relay_update()
             nursery.cancel_scope.cancel()
         return results[0] if results else None
 
     def _is_relayed(self, kind: Kind, revision: int) -> bool:
-        if self.is_relay:
-            return False
         status = self._relay_view.status(kind, revision, trio.current_time())
-        return status is RelayStatus.CURRENT or bool(self._relay_view.changes_after(kind, revision))
+        return status in (RelayStatus.CURRENT, RelayStatus.BEHIND) and not self.is_relay
 
     async def _wait_for_relay_update(self) -> None:
         """Wait for a relay's message, a change of this host's role, or expiry of all reports."""
@@ -274,7 +319,7 @@
         """
         entries: dict[str, Entry[Item]] = {}
         for changes in consecutive:
-            listing = _decompress(changes.encoded).bind(
+            listing = decompress(changes.encoded).bind(
                 lambda encoded: self._platform.parse_changes(kind, encoded)
             )
             if not is_successful(listing):
@@ -287,12 +332,20 @@
     def _forward_changes(self, kind: Kind, listing: Listing[Item]) -> None:
         """Send changes from the store to the hosts of the region, if this host is a relay."""
         since, self._known_revisions[kind] = self._known_revisions[kind], listing.revision
+        if is_hub(self._mesh):
+            changes = StoreChanges(
+                zlib.compress(listing.encoded), RELAYED_KINDS.index(kind), since, listing.revision
+            )
+            self._share_changes(kind, changes)
+            self._send_state(True)
+
+    def _share_changes(self, kind: Kind, changes: StoreChanges) -> None:
+        """Keep changes for the lists of this hub, and forward them if it is a relay."""
+        self._relay_view.add_changes(kind, relayed_changes(changes))
+        self._snapshots.merge_if_due(kind)
         if self.is_relay:
-            encoded = zlib.compress(listing.encoded)
-            kind_index = RELAYED_KINDS.index(kind)
-            self._send_to_region(StoreChanges(encoded, kind_index, since, listing.revision))
+            self._send_to_region(changes)
             self._metrics.count("platform.shared_changes_sent")
-            self._send_state(True)
 
     def _send_state(self, answers: bool) -> None:
         """If this host is a relay, tell its region whether the store answers, and the revisions."""
@@ -306,10 +359,20 @@
             if member.region == self._mesh.region and member.host != self._mesh.host:
                 self._mesh.send(member.host, message)
 
+    def _on_hello(self, sender: str, message: Hello) -> None:
+        if sender in rank_hosts(RELAY_KEY, self._mesh.members(), self._mesh.region):
+            self._hub_linked = True
+        self._notify()
+
+    def _on_snapshot_request(self, sender: str, message: SnapshotRequest) -> None:
+        if (kind := relayed_kind(message.kind)) is not None:
+            self._snapshots.request(sender, kind, self._known_revisions[kind])
+
     def _on_changes(self, sender: str, message: StoreChanges) -> None:
-        if 0 <= message.kind < len(RELAYED_KINDS) and message.since < message.until:
-            changes = RelayedChanges(message.since, message.until, message.encoded)
-            self._relay_view.add_changes(RELAYED_KINDS[message.kind], changes)
+        kind = relayed_kind(message.kind)
+        if kind is not None and message.since < message.until:
+            self._relay_view.add_changes(kind, relayed_changes(message))
+            self._snapshots.merge_if_due(kind)
             self._notify()
 
     def _on_state(self, sender: str, message: StoreState) -> None:
@@ -334,12 +397,3 @@
     def _notify(self) -> None:
         self._relay_update.set()
         self._relay_update = trio.Event()
-
-
-def _decompress(data: bytes) -> Result[bytes, PlatformError]:
-    try:
-        return Success(zlib.decompressobj().decompress(data, MAX_CHANGES_BYTES))
-    except zlib.error as error:
-        return Failure(
-            PlatformError(UNANSWERED, f"cannot decompress changes from a relay: {error}")
-        )
--- a/src/dotterelstand/process/discovery/relayview.py
+++ b/src/dotterelstand/process/discovery/relayview.py
@@ -10,7 +10,7 @@
 RELAY_STATE_TTL_S = 1.2
 # Maximum number of messages with changes that are kept for each kind of object; the oldest are
 # dropped. A host that misses changes for this reason watches the store itself.
-MAX_CHANGES = 64
+MAX_CHANGES = 16
 
 
 class RelayStatus(Enum):
@@ -54,13 +54,16 @@
     __slots__ = ("_changes", "_states")
 
     def __init__(self, now: float) -> None:
-        # A dummy report makes a starting host wait for the relays before it watches the store.
-        start = _RelayState(True, dict.fromkeys(RELAYED_KINDS, 0), now + RELAY_STATE_TTL_S)
-        self._states: dict[str, _RelayState] = {"": start}
+        self._states: dict[str, _RelayState] = {}
+        self.await_reports(now)
         self._changes: dict[Kind, deque[RelayedChanges]] = {
             kind: deque(maxlen=MAX_CHANGES) for kind in RELAYED_KINDS
         }
 
+    def await_reports(self, now: float) -> None:
+        """Let a starting host wait for the relays before it watches the store."""
+        self.update_state("", True, dict.fromkeys(RELAYED_KINDS, 0), now)
+
     def add_changes(self, kind: Kind, changes: RelayedChanges) -> None:
         """Store changes received from a relay."""
         self._changes[kind].append(changes)
@@ -88,6 +91,11 @@
             consecutive.append(max(candidates, key=lambda item: item.to_revision))
             revision = consecutive[-1].to_revision
 
+    def reports_failure(self, relay: str, now: float) -> bool:
+        """Whether a relay has a valid report that the store doesn't answer it."""
+        state = self._states.get(relay)
+        return state is not None and state.expires_at > now and not state.store_answers
+
     def is_store_unreachable(self, now: float) -> bool:
         """Whether there are valid reports and all of them say that the store doesn't answer."""
         states = [state for state in self._states.values() if state.expires_at > now]
--- a/src/dotterelstand/settings_rules.py
+++ b/src/dotterelstand/settings_rules.py
@@ -184,6 +184,7 @@
         "redial_max_s": Range(0.01, 600),
         "host_list_interval_s": Range(0.5, 600),
         "introduction_s": Range(0, 60),
+        "bootstrap_wait_s": Range(0, 60),
     },
     "control": {
         "address": ADDRESS,
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -1,5 +1,7 @@
 """Only relays watch the platform's store; the other hosts of a region stay up to date too."""
 
+from collections.abc import Sequence
+
 import pytest
 import trio
 from platform_standin import configuration, route
@@ -17,7 +19,10 @@
     Listing,
     PlatformError,
 )
-from dotterelstand.process.discovery.relayedplatform import RELAY_KEY, RelayedPlatform
+from dotterelstand.process.discovery.relayedplatform import (
+    INITIAL_ROLE_DELAY_S,
+    RelayedPlatform,
+)
 from dotterelstand.process.discovery.relayview import (
     RELAY_STATE_TTL_S,
     RelayedChanges,
@@ -26,7 +31,7 @@
 )
 from dotterelstand.process.peering.membership import ListedHost
 from dotterelstand.process.peering.mesh import Member
-from dotterelstand.process.peering.ranking import rank_hosts
+from dotterelstand.process.peering.ranking import RELAY_KEY, choose_relays, rank_hosts
 from dotterelstand.process.telemetry.metrics import Metrics
 from dotterelstand.standin.mesh import FakeMeshNetwork
 from dotterelstand.standin.virtual import run_virtual, seeded_random
@@ -178,6 +183,20 @@
     async def list(self, kind: Kind) -> Result[Listing[Item], PlatformError]:
         return Success(Listing([], 5))
 
+    def merge_changes(
+        self, encoded_list: bytes, changes: Sequence[bytes], revision: int
+    ) -> Result[bytes, PlatformError]:
+        return Success(encoded_list)
+
+    def diff_lists(self, old: bytes, new: bytes) -> Result[bytes, PlatformError]:
+        return Success(new)
+
+    async def list_hosts(self, region: str) -> Result[Listing[Item], PlatformError]:
+        return Success(Listing([], 5))
+
+    def parse_list(self, kind: Kind, encoded: bytes) -> Result[Listing[Item], PlatformError]:
+        return Success(Listing([], 5))
+
     async def watch(
         self, kind: Kind, revision: int, wait_s: float
     ) -> Result[Listing[Item], PlatformError]:
@@ -215,6 +234,9 @@
                 await trio.sleep(0.5)
 
         nursery.start_soon(tell_state)
+        nursery.start_soon(relayed.run)
+        await relayed.list_hosts("r0")
+        await trio.sleep(INITIAL_ROLE_DELAY_S)
         began = trio.current_time()
         result = await relayed.watch(Kind.CONFIGURATION, 5, 30.0)
         assert not is_successful(result)
@@ -229,3 +251,20 @@
     while it was silent.
     """
     run_virtual(_unanswered_watch, 1, seed=1)
+
+
+@pytest.mark.parametrize(
+    ("failing", "expected"),
+    [
+        (set(), {"a", "b"}),
+        ({"a"}, {"a", "b", "c"}),
+        ({"a", "b"}, {"a", "b", "c", "d"}),
+        ({"a", "b", "c"}, {"a", "b", "d"}),
+        ({"a", "b", "c", "d"}, {"a", "b"}),
+    ],
+)
+def test_other_hubs_take_the_place_of_relays_that_fail(
+    failing: set[str], expected: set[str]
+) -> None:
+    """Guards against a region that reads the store host by host since it refuses its relays."""
+    assert choose_relays(list("abcdef"), 2, failing) == expected
