Bound interim answers and give other tasks a turn between short chunks

Cause: a target in trouble may send bytes that are no answer without end. Interim (1xx) answers restarted the silence timer, so a target that sent nothing else held a request until its deadline and was not judged; thousands of one-byte chunks of one read were handled in one turn of the event loop. Ruled out: endless status lines, headers, chunk extensions and trailers (h11 refuses them above max_answer_head_bytes); bodies without end (the deadline cuts them, and a caller that does not read stops the target); the callers' side (limits of heads, read-ahead and unsent answers). Change: at most 16 interim answers; a checkpoint after 64 events.

--- a/src/dotterelstand/connection/target.py
+++ b/src/dotterelstand/connection/target.py
@@ -12,6 +12,8 @@
 from dotterelstand.request.head import Headers
 
 READ_BYTES = 65536
+# Number of events of an answer after which other tasks get a turn.
+MAX_EVENTS_WITHOUT_WAIT = 64
 
 _FRAMING = frozenset({b"content-length", b"transfer-encoding"})
 _KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout\s*=\s*(\d{1,6})")
@@ -23,6 +25,7 @@
     """An h11 client connection that carries one request at a time."""
 
     __slots__ = (
+        "_events_without_wait",
         "_h11",
         "_max_head_bytes",
         "_request",
@@ -39,6 +42,7 @@
     ) -> None:
         self._stream = stream
         self._max_head_bytes = max_head_bytes
+        self._events_without_wait = 0
         self._h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=max_head_bytes)
         # Current request without its framing headers, for `skip_answer`.
         self._request: h11.Request | None = None
@@ -98,7 +102,13 @@
     async def receive(self) -> AnswerEvent:
         """Wait for the next event; raises like `poll`, or `trio.BrokenResourceError`."""
         while (event := self._h11.next_event()) is h11.NEED_DATA:
+            self._events_without_wait = 0
             self._h11.receive_data(bytes(await self._stream.receive_some(READ_BYTES)))
+        self._events_without_wait += 1
+        if self._events_without_wait >= MAX_EVENTS_WITHOUT_WAIT:
+            # One read may hold thousands of short chunks.
+            self._events_without_wait = 0
+            await trio.lowlevel.checkpoint()
         if isinstance(event, h11.Response):
             self._note_keep_alive_timeout(event)
         return event
--- a/src/dotterelstand/request/answerforwarder.py
+++ b/src/dotterelstand/request/answerforwarder.py
@@ -8,7 +8,7 @@
 
 from dotterelstand.codes import Result as ResultCode
 from dotterelstand.connection.callerrequest import CallerRequest
-from dotterelstand.connection.target import AnswerEvent, TargetConnection
+from dotterelstand.connection.target import MAX_EVENTS_WITHOUT_WAIT, AnswerEvent, TargetConnection
 from dotterelstand.request.attempt import AnswerHead
 from dotterelstand.request.fields import HeaderFields
 from dotterelstand.request.head import returned_headers
@@ -115,6 +115,7 @@
         return bytes(body)
 
     async def _stream_answer(self, data: bytes, event: AnswerEvent) -> ResultCode:
+        polled = 0
         while True:
             if isinstance(event, h11.Data):
                 self._record(event.data)
@@ -137,6 +138,9 @@
             else:
                 return ResultCode.ANSWER_TRUNCATED
             event = self._target.poll()
+            polled += 1
+            if polled % MAX_EVENTS_WITHOUT_WAIT == 0:
+                await trio.lowlevel.checkpoint()
 
     async def _send(self, data: bytes) -> None:
         await self._caller.send(data)
--- a/src/dotterelstand/request/attempt.py
+++ b/src/dotterelstand/request/attempt.py
@@ -14,7 +14,7 @@
     ConnectionLimitError,
     TargetPool,
 )
-from dotterelstand.connection.target import TargetConnection
+from dotterelstand.connection.target import AnswerEvent, TargetConnection
 from dotterelstand.process.selection.outcome import AttemptOutcome, SlotGrant, SlotOutcome
 from dotterelstand.request.body import RequestBody
 from dotterelstand.request.fields import HeaderFields, parse_load_report
@@ -35,6 +35,8 @@
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 # An attempt fails after it has skipped this many late answers to earlier requests.
 MAX_SKIPPED_ANSWERS = 4
+# Maximum number of interim (1xx) answers before the final one.
+MAX_INTERIM_ANSWERS = 16
 _CONNECTION_ERRORS = (trio.BrokenResourceError, trio.ClosedResourceError)
 
 
@@ -300,10 +302,7 @@
         """Receive the answer head of this request, skipping late answers to earlier ones."""
         head = self._setup.head
         for _ in range(MAX_SKIPPED_ANSWERS):
-            event = await self.connection.receive()
-            while isinstance(event, h11.InformationalResponse):
-                self._restart_silence_timer()
-                event = await self.connection.receive()
+            event = await self._receive_final_head()
             if not isinstance(event, h11.Response):
                 break
             headers: Headers = [(bytes(name), bytes(value)) for name, value in event.headers]
@@ -313,6 +312,16 @@
             await self.connection.skip_answer()
         raise h11.RemoteProtocolError("no answer to this request")
 
+    async def _receive_final_head(self) -> AnswerEvent:
+        """Receive the next answer head, skipping a bounded number of interim answers."""
+        event = await self.connection.receive()
+        for _ in range(MAX_INTERIM_ANSWERS):
+            if not isinstance(event, h11.InformationalResponse):
+                return event
+            self._restart_silence_timer()
+            event = await self.connection.receive()
+        raise h11.RemoteProtocolError("too many interim answers")
+
     async def _next_piece(self, body: RequestBody) -> bytes | None:
         if self._sent_bytes >= body.length and not body.complete:
             # Waiting for a slow caller does not count as silence of the target.
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -181,6 +181,32 @@
     return {"version": f"{version:08x}", "resources": [*resources, *described, bounds]}
 
 
+class EndlessAnswer:
+    """Bytes that are sent without end: first `beginning`, then `piece` every `pause_s` seconds.
+
+    `sent_bytes` counts the bytes that the connection took, and `closed_at` is the time at which the
+    peer closed it.
+    """
+
+    def __init__(self, beginning: bytes, piece: bytes, pause_s: float) -> None:
+        self.beginning = beginning
+        self.piece = piece
+        self.pause_s = pause_s
+        self.sent_bytes = 0
+        self.closed_at: float | None = None
+
+    async def send(self, stream: Any) -> None:
+        """Send until the peer closes the connection, which raises an error of the stream."""
+        try:
+            await stream.send_all(self.beginning)
+            while True:
+                await stream.send_all(self.piece)
+                self.sent_bytes += len(self.piece)
+                await trio.sleep(self.pause_s)
+        finally:
+            self.closed_at = trio.current_time()
+
+
 class Instance:
     """Instance of a service with scripted answers.
 
@@ -229,6 +255,8 @@
             self.runs.append(headers["x-dotterelstand-request-id"])
         await trio.sleep(self.service_time_s)
         data = answer(headers)
+        if isinstance(data, EndlessAnswer):
+            await data.send(stream)
         if not data:
             stream.reset()
             return False
