Divide the fleet's slack of retries by the number of entry hosts

Cause: each host could always send 2.5 retries of a service in 10 s, whatever its traffic: 40 on 16 hosts, of 60 allowed, but 290 on 116 and 780 on 312, of 186 and 430. A dividend per host rounds to nothing. Change: a module without I/O adds this host's part of half of the slack and a random fraction for each window of 10 s, so that shares below one retry count on average. The number of hosts comes from the host list; a host that knows only its region multiplies. Ruled out: counting live members (a host that is cut off would take all of the slack).

--- a/src/dotterelstand/process/daemon.py
+++ b/src/dotterelstand/process/daemon.py
@@ -17,6 +17,7 @@
     pool_limits,
     quarantine_limits,
     request_limits,
+    retry_reserve,
 )
 from dotterelstand.process.operation.componentpages import register_component_pages, target_states
 from dotterelstand.process.operation.control import ControlPort, ControlRegistry
@@ -88,7 +89,7 @@
         self.quarantine = QuarantineService(self.peers, quarantine_limits(settings), self.metrics)
         self.pool = TargetPool(network, pool_limits(settings))
         fields = platform_fields() if self._uses_object_protocol else DEFAULT_FIELDS
-        self.frontend = self._make_frontend(fields)
+        self.frontend = self._make_frontend(fields, rng)
         self._probes = HealthProber(
             self.peers,
             self.pool,
@@ -194,7 +195,7 @@
             settings, network, self.peers, rng, self._apply, self.leaving_targets.apply_host_list
         )
 
-    def _make_frontend(self, fields: HeaderFields) -> CallerFrontend:
+    def _make_frontend(self, fields: HeaderFields, rng: random.Random) -> CallerFrontend:
         settings = self._settings
         context = RequestContext(
             request_limits(settings),
@@ -205,6 +206,7 @@
             self.metrics,
             self.leaving_targets,
             fields,
+            retry_reserve(settings, self.peers, rng),
         )
         return CallerFrontend(
             context,
--- a/src/dotterelstand/process/limits.py
+++ b/src/dotterelstand/process/limits.py
@@ -1,9 +1,14 @@
 """Limits of connections, requests and quarantines, read from the settings."""
 
+import random
+
 from dotterelstand.connection.caller import CallerLimits
 from dotterelstand.connection.pool import PoolLimits
+from dotterelstand.process.peering.peers import Peers
 from dotterelstand.process.suspects.strikes import QuarantineLimits
 from dotterelstand.request.context import RequestLimits
+from dotterelstand.request.policy import BUDGET_WINDOW_S
+from dotterelstand.request.retryreserve import RetryReserve
 from dotterelstand.settings import Settings
 from dotterelstand.version.model import CallerBounds
 
@@ -41,6 +46,18 @@
     )
 
 
+def retry_reserve(settings: Settings, peers: Peers, rng: random.Random) -> RetryReserve:
+    """This host's part of the retries that the whole fleet may make beyond a share of requests."""
+    pairs = settings.texts("host", "regions")
+    regions = {item.partition("=")[2] for item in pairs}
+    return RetryReserve(
+        settings.number("requests", "retry_slack"),
+        BUDGET_WINDOW_S,
+        lambda: peers.membership.estimate_fleet_size(regions),
+        rng,
+    )
+
+
 def caller_limits(settings: Settings) -> CallerLimits:
     """Limits on one caller connection."""
     own = CallerBounds(
--- a/src/dotterelstand/process/peering/membership.py
+++ b/src/dotterelstand/process/peering/membership.py
@@ -254,6 +254,18 @@
         assert len(self._members_cache) <= self._max_members + 1, "membership exceeds its bound"
         return self._members_cache
 
+    def estimate_fleet_size(self, regions: set[str]) -> int:
+        """Number of entry hosts that are not known to have left, this one included.
+
+        A host of a large fleet knows only its own region; other regions count like that one.
+        """
+        counts = {self._own.region: 1}
+        for record in self._records.values():
+            if not record.departed:
+                counts[record.region] = counts.get(record.region, 0) + 1
+        own = counts[self._own.region]
+        return sum(counts.values()) + own * len(regions - set(counts))
+
     def dial_candidates(self) -> list[ListedHost]:
         """Hosts with a known address, sorted by name; the peers to dial are chosen from these."""
         return [
--- a/src/dotterelstand/request/context.py
+++ b/src/dotterelstand/request/context.py
@@ -6,6 +6,7 @@
 from dotterelstand.request.fields import DEFAULT_FIELDS, HeaderFields
 from dotterelstand.request.interfaces import Counters, Journal, LeavingTargets, Slots, Suspects
 from dotterelstand.request.policy import ServicePolicy
+from dotterelstand.request.retryreserve import RetryReserve
 from dotterelstand.request.split import TrafficSplits
 from dotterelstand.version.model import Route, Service
 
@@ -36,6 +37,7 @@
 
     __slots__ = (
         "_policies",
+        "_retry_reserve",
         "_traffic_splits",
         "fields",
         "journal",
@@ -57,7 +59,9 @@
         metrics: Counters,
         leaving_targets: LeavingTargets,
         fields: HeaderFields = DEFAULT_FIELDS,
+        retry_reserve: RetryReserve | None = None,
     ) -> None:
+        self._retry_reserve = retry_reserve
         self.fields = fields
         self._traffic_splits = TrafficSplits()
         self.limits = limits
@@ -79,7 +83,9 @@
         if policy is None:
             if len(self._policies) >= MAX_SERVICES:
                 del self._policies[next(iter(self._policies))]
-            policy = ServicePolicy(service.retry_share, self.limits.retry_min_per_s)
+            policy = ServicePolicy(
+                service.retry_share, self.limits.retry_min_per_s, self._retry_reserve
+            )
             self._policies[service.name] = policy
         # A new document may have changed the retry share.
         policy.budget.share = service.retry_share
--- a/src/dotterelstand/request/policy.py
+++ b/src/dotterelstand/request/policy.py
@@ -3,6 +3,8 @@
 from collections import deque
 from enum import Enum
 
+from dotterelstand.request.retryreserve import RetryReserve
+
 # Number of recent durations of a service from which its quantiles are computed.
 MAX_SAMPLES = 128
 # Number of new samples after which the quantiles are recomputed, which sorts all samples.
@@ -22,13 +24,16 @@
     """Budget for retries and hedged requests of one service, as a share of its traffic.
 
     Within any window of 10 s it allows `share` times the number of requests, but at least
-    `minimum_per_s` a second.
+    `minimum_per_s` a second, and besides this host's part of the fleet's reserve.
     """
 
-    __slots__ = ("_charged", "_minimum_per_s", "_requests", "_second", "share")
+    __slots__ = ("_charged", "_minimum_per_s", "_requests", "_reserve", "_second", "share")
 
-    def __init__(self, share: float, minimum_per_s: float) -> None:
+    def __init__(
+        self, share: float, minimum_per_s: float, reserve: RetryReserve | None = None
+    ) -> None:
         self.share = share
+        self._reserve = reserve
         self._minimum_per_s = minimum_per_s
         self._requests: deque[int] = deque([0] * BUDGET_WINDOW_S, maxlen=BUDGET_WINDOW_S)
         # One counter per clock second; a window of `BUDGET_WINDOW_S` can overlap one more clock
@@ -58,7 +63,9 @@
     def allowance(self, now: float) -> float:
         """Number of retries and hedged requests allowed in the window that ends at `now`."""
         self._advance(now)
-        return max(self.share * sum(self._requests), self._minimum_per_s * BUDGET_WINDOW_S)
+        spare = self._reserve.spare(now) if self._reserve is not None else 0.0
+        own = max(self.share * sum(self._requests), self._minimum_per_s * BUDGET_WINDOW_S)
+        return own + spare
 
     def _advance(self, now: float) -> None:
         second = int(now)
@@ -110,8 +117,10 @@
 
     __slots__ = ("budget", "latency")
 
-    def __init__(self, share: float, minimum_per_s: float) -> None:
-        self.budget = RetryBudget(share, minimum_per_s)
+    def __init__(
+        self, share: float, minimum_per_s: float, reserve: RetryReserve | None = None
+    ) -> None:
+        self.budget = RetryBudget(share, minimum_per_s, reserve)
         self.latency = LatencyQuantiles()
 
 
--- a/src/dotterelstand/settings_rules.py
+++ b/src/dotterelstand/settings_rules.py
@@ -260,6 +260,7 @@
     "requests": {
         "max_attempts": Range(1, 10),
         "retry_min_per_s": Range(0, 1000),
+        "retry_slack": Range(0, 100000),
         "held_body_bytes": Range(0, 16 * MIB),
     },
     "service_defaults": {
