End the processes of a soak with the run that started them

Change: a sitecustomize module in the environment of these processes ends them once their parent is gone; the number of the parent is passed, since it may be gone before the module is imported. Ruled out: a parent death signal, which follows the worker thread that started the process. The soak renders the new placeholders of the settings template. The mutation that relies on lost relays now has no reserve relays either: with them, a region with one host that reaches the store is up to date.

--- a/tests/soak/hosts.py
+++ b/tests/soak/hosts.py
@@ -2,6 +2,7 @@
 
 import errno
 import json
+import os
 import re
 import signal
 import subprocess
@@ -18,6 +19,8 @@
 from soak.instances import SoakInstance
 from soak.proxy import LoopbackProxy
 
+# Folder of a module that ends a process with its parent.
+GUARD_FOLDER = Path(__file__).parent / "guard"
 TEMPLATE = Path(__file__).parents[2] / "deploy" / "settings.toml"
 REGIONS = ("r0", "r1", "r2")
 INSTANCES_PER_SERVICE = {"lookup": 4, "orders": 3, "artwork": 3}
@@ -68,6 +71,15 @@
             self.signal(signal.SIGTERM)
 
 
+def guarded_environment() -> dict[str, str]:
+    """Environment of a Python process that ends with the process that starts it."""
+    folders = [str(GUARD_FOLDER), os.environ.get("PYTHONPATH", "")]
+    return os.environ | {
+        "PYTHONPATH": os.pathsep.join(filter(None, folders)),
+        "GUARD_PARENT": str(os.getpid()),
+    }
+
+
 class ProcessFleet:
     """Daemons, proxies, instances and store of one run; as a context manager, ends the daemons."""
 
@@ -216,6 +228,7 @@
             [sys.executable, *self.program, str(settings)],
             stdout=(self.folder / f"{host.incarnation_id.replace('/', '.')}.log").open("w"),
             stderr=subprocess.STDOUT,
+            env=guarded_environment(),
         )
         self.hosts[name] = host
         self.incarnations[host.incarnation_id] = host
@@ -258,7 +271,8 @@
             },
             "internalPorts": PEER_PORTS,
             "provider": {"address": f"{proxy.address}:{proxy.port}"},
-            "bounds": {"retryBudgetRatio": 0.2},
+            "bounds": {"retryBudgetRatio": 0.2, "retrySlack": 60},
+            "bootstrap": self._start_count <= len(self.hosts) + 1,
         }
         return render(TEMPLATE.read_text(encoding="utf-8"), fields)
 
@@ -324,6 +338,8 @@
     """Replace the placeholders of a template; supports only what the project's template uses."""
 
     def section(match: re.Match[str]) -> str:
+        if isinstance(fields[match[1]], bool):
+            return match[2] if fields[match[1]] else ""
         items = list(fields[match[1]].items())
         parts = [
             match[2]
@@ -340,5 +356,9 @@
             result = result[int(name)] if isinstance(result, list) else result[name]
         return result if isinstance(result, str) else json.dumps(result)
 
+    def inverted_section(match: re.Match[str]) -> str:
+        return "" if fields[match[1]] else match[2]
+
     text = re.sub(r"\{\{#(\w+)\}\}(.*?)\{\{/\1\}\}", section, template, flags=re.S)
+    text = re.sub(r"\{\{\^(\w+)\}\}(.*?)\{\{/\1\}\}", inverted_section, text, flags=re.S)
     return re.sub(r"\{\{([\w.]+)\}\}", value, text)
--- a/tests/soak/mutated.py
+++ b/tests/soak/mutated.py
@@ -9,6 +9,7 @@
 from dotterelstand.process.discovery.registry import Configuration, Entry, Kind, RegisteredTarget
 from dotterelstand.process.discovery.relayview import RelayStatus, RelayView
 from dotterelstand.process.frontend import CallerFrontend
+from dotterelstand.process.peering import ranking
 from dotterelstand.process.run import run_daemon
 from dotterelstand.request import exchange
 from dotterelstand.request.exchange import Exchange
@@ -76,7 +77,8 @@
 
 
 def rely_on_lost_relays(set_attribute: SetAttribute) -> None:
-    """Treat relays that lost the store or stopped answering as current."""
+    """Treat relays that lost the store or stopped answering as current, without a reserve."""
+    set_attribute(ranking, "RESERVE_RELAYS", 0)
     status = RelayView.status
 
     def rely(self: RelayView, kind: Kind, revision: int, now: float) -> RelayStatus:
--- a/tests/test_process_soak.py
+++ b/tests/test_process_soak.py
@@ -1,16 +1,19 @@
 """Daemon processes keep their guarantees under faults, and the soak's checks detect violations."""
 
+import signal
+import subprocess
+import sys
+import time
 from pathlib import Path
 
 import pytest
 import trio
 from soak import faults, run
 from soak.faults import FaultContext, FaultFunction
-from soak.hosts import FAULT_GRACE_S
+from soak.hosts import FAULT_GRACE_S, guarded_environment
 
-from dotterelstand.process.discovery.relayedplatform import RELAY_KEY
 from dotterelstand.process.peering.mesh import Member
-from dotterelstand.process.peering.ranking import rank_hosts
+from dotterelstand.process.peering.ranking import RELAY_KEY, rank_hosts
 
 MUTATED = str(Path(__file__).parent / "soak" / "mutated.py")
 SECONDS = 12.0
@@ -20,6 +23,17 @@
 # early, so a short recovery is enough.
 MUTATION_RECOVERY_S = 3.0
 
+# Longest time in seconds after which a process that lost its parent has ended.
+GUARD_TIMEOUT_S = 5.0
+# Starts a process that sleeps, prints its number and sleeps itself.
+STARTER = """
+import os, subprocess, sys, time
+os.environ["GUARD_PARENT"] = str(os.getpid())
+child = subprocess.Popen([sys.executable, "-c", "import time; time.sleep(60)"])
+print(child.pid, flush=True)
+time.sleep(60)
+"""
+
 # Seeds that once found a violation, with the cause.
 FAILED_SEEDS = [
     3,  # a SIGHUP for changed settings ended a daemon that was starting
@@ -112,3 +126,32 @@
         if guarantee in found:
             return
     assert guarantee in found
+
+
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGKILL])
+def test_what_a_run_starts_ends_with_it(number: signal.Signals) -> None:
+    """Guards against daemons of a killed run that hold their addresses and make later runs fail.
+
+    Found by two runs of the tests that were ended by SIGTERM.
+    """
+    command = [sys.executable, "-c", STARTER]
+    with subprocess.Popen(
+        command, stdout=subprocess.PIPE, text=True, env=guarded_environment()
+    ) as starter:
+        assert starter.stdout is not None
+        child = int(starter.stdout.readline())
+        assert _runs(child)
+        starter.send_signal(number)
+    give_up_at = time.monotonic() + GUARD_TIMEOUT_S
+    while _runs(child) and time.monotonic() < give_up_at:
+        time.sleep(0.05)
+    assert not _runs(child)
+
+
+def _runs(process: int) -> bool:
+    """Whether a process exists and is not one that has ended and awaits its removal."""
+    try:
+        status = Path(f"/proc/{process}/stat").read_text()
+    except OSError:
+        return False
+    return status.rpartition(")")[2].split()[0] != "Z"
