--- a/src/dotterelstand/process/operation/componentpages.py
+++ b/src/dotterelstand/process/operation/componentpages.py
@@ -78,6 +78,7 @@
         "region": member.region,
         "availability_zone": member.availability_zone,
         "leaving": member.leaving,
+        "hub": member.hub,
     }
 
 
--- a/tests/test_figures.py
+++ b/tests/test_figures.py
@@ -70,7 +70,13 @@
     expected = ["budgets", "counters", "document", "histograms", "members", "ownership"]
     assert sorted(pages) == [*expected, "quarantine", "settings", "status", "targets"]
     assert pages["members"] == [
-        {"host": "entry-1", "region": "local", "availability_zone": "local-1", "leaving": False}
+        {
+            "host": "entry-1",
+            "region": "local",
+            "availability_zone": "local-1",
+            "leaving": False,
+            "hub": True,
+        }
     ]
     budgets = pages["budgets"]
     assert isinstance(budgets, dict)
