Log lists and changes of other hosts that cannot be read

Cause: a hub that could not merge or compare lists kept the old one and logged nothing. The host falls back to the store as before. Tests: test_damaged_data_of_another_host_is_logged.

--- a/src/dotterelstand/process/discovery/relayedplatform.py
+++ b/src/dotterelstand/process/discovery/relayedplatform.py
@@ -180,10 +180,11 @@
             listing = self._platform.parse_list(kind, encoded)
             if is_successful(listing):
                 return listing
+            log(Event.OBJECT_UNREADABLE, kind=kind.value, name="", reason=str(listing.failure()))
         return await self._platform.list(kind)
 
     async def _find_role(self) -> None:
-        """At the start, wait for the host list and then, briefly, for a link to a hub."""
+        """At the start, wait for the host list and, briefly, for a link to a hub."""
         await self._hosts_read.wait()
         with trio.move_on_after(INITIAL_ROLE_DELAY_S):
             while not self._hub_linked:
--- a/src/dotterelstand/process/discovery/snapshotrequests.py
+++ b/src/dotterelstand/process/discovery/snapshotrequests.py
@@ -7,6 +7,7 @@
 from returns.pipeline import is_successful
 
 from dotterelstand.connection.wire import Snapshot, SnapshotRequest
+from dotterelstand.events import Event, log
 from dotterelstand.process.discovery.registry import RELAYED_KINDS, Kind, relayed_kind
 from dotterelstand.process.discovery.snapshots import decompress
 from dotterelstand.process.peering.mesh import Mesh
@@ -55,6 +56,7 @@
             if is_successful(encoded):
                 return encoded.unwrap()
             self._metrics.count("platform.snapshots_unreadable")
+            log(Event.OBJECT_UNREADABLE, kind=kind.value, name="", reason=str(encoded.failure()))
         return None
 
     def _hubs_to_ask(self) -> Sequence[str]:
--- a/src/dotterelstand/process/discovery/snapshots.py
+++ b/src/dotterelstand/process/discovery/snapshots.py
@@ -10,6 +10,7 @@
 from returns.result import Failure, Result, Success
 
 from dotterelstand.connection.wire import Message, Snapshot, StoreChanges
+from dotterelstand.events import Event, log
 from dotterelstand.process.discovery.registry import (
     RELAYED_KINDS,
     UNANSWERED,
@@ -77,6 +78,8 @@
             if is_successful(events):
                 number, compressed = RELAYED_KINDS.index(kind), zlib.compress(events.unwrap())
                 changes = StoreChanges(compressed, number, old.revision, revision)
+            else:
+                _log_unreadable(kind, events.failure())
         self._answer_waiting(kind)
         return changes
 
@@ -125,6 +128,7 @@
         for item in changes:
             body = decompress(item.encoded)
             if not is_successful(body):
+                _log_unreadable(kind, body.failure())
                 return
             bodies.append(body.unwrap())
         merged = decompress(stored.encoded).bind(
@@ -132,6 +136,8 @@
         )
         if is_successful(merged):
             self._lists[kind] = _StoredList(revision, zlib.compress(merged.unwrap()))
+        else:
+            _log_unreadable(kind, merged.failure())
 
     def _answer_waiting(self, kind: Kind) -> None:
         waiting, self._waiting[kind] = self._waiting[kind], set()
@@ -139,6 +145,10 @@
             self.request(host, kind, 0)
 
 
+def _log_unreadable(kind: Kind, error: PlatformError) -> None:
+    log(Event.OBJECT_UNREADABLE, kind=kind.value, name="", reason=str(error))
+
+
 def relayed_changes(message: StoreChanges) -> RelayedChanges:
     """Changes in a message of a relay."""
     return RelayedChanges(message.since, message.until, message.encoded)
--- a/tests/test_snapshots.py
+++ b/tests/test_snapshots.py
@@ -193,3 +193,19 @@
         assert _lists(fleet) == calls + 2
 
     run_on_platform(scenario, entries=6)
+
+
+@pytest.mark.parametrize("damaged", ["list", "changes"])
+def test_damaged_data_of_another_host_is_logged(
+    damaged: str, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Guards against a hub that hands out an outdated list and says nowhere why."""
+    hub = _Server()
+    hub.server.store(Kind.TARGETS, 5, b"[" if damaged == "list" else _list(5, *_items("a")))
+    changes = zlib.compress(_changes(7, _items("b"), []))
+    if damaged == "changes":
+        changes = b"not compressed"
+    hub.view.add_changes(Kind.TARGETS, RelayedChanges(5, 7, changes))
+    hub.server.request("h", Kind.TARGETS, 7)
+    assert hub.sent_lists() == [("h", 0, None)]
+    assert "object_unreadable" in caplog.text
