Pass announcements on in a large fleet that lost many hosts

Cause: whether announcements need forwarding followed the number of live hosts, while links follow the known ones. A fleet of 40 with 20 live hosts has links to hubs only, but strikes were not passed on beyond them. Change: both follow the known hosts. Ruled out: links by live hosts (they would be opened and closed anew with each loss). Tests: test_a_large_fleet_passes_announcements_on_after_it_lost_half_of_its_hosts, which fails without the change. Found by reading.

--- a/src/dotterelstand/process/peering/membership.py
+++ b/src/dotterelstand/process/peering/membership.py
@@ -97,6 +97,7 @@
         "_records",
         "_retired",
         "_suspect_after_s",
+        "is_overlay",
         "overflows",
     )
 
@@ -115,6 +116,7 @@
         # Hubs among the known hosts, this one included; None means that all hosts are hubs.
         self._hubs: frozenset[str] | None = None
         self.overflows = 0
+        self.is_overlay = False
 
     @property
     def own(self) -> Member:
@@ -214,8 +216,12 @@
         """Whether this host has a link to every host of its region."""
         return self._is_hub(self._own.host)
 
-    def set_hubs(self, hubs: frozenset[str]) -> None:
-        """Set the hosts that have a link to every host of their region."""
+    def set_hubs(self, hubs: frozenset[str], is_overlay: bool) -> None:
+        """Set the hosts that have a link to every host of their region, and whether others exist.
+
+        `is_overlay` follows the known hosts, as the links do, also while many of them are lost.
+        """
+        self.is_overlay = is_overlay
         if hubs != self._hubs:
             self._hubs = hubs
             self._invalidate_cache()
--- a/src/dotterelstand/process/peering/overlay.py
+++ b/src/dotterelstand/process/peering/overlay.py
@@ -57,7 +57,7 @@
     hubs = choose_hubs([listed, *known])
     regions = {item.host: item.region for item in (listed, *known)}
     chosen = choose_peers(own.host, regions, hubs)
-    membership.set_hubs(hubs)
+    membership.set_hubs(hubs, len(regions) > FULL_MESH_HOSTS)
     membership.set_monitored_hosts(chosen, now)
     return [item for item in known if item.host in chosen]
 
--- a/src/dotterelstand/process/peering/peers.py
+++ b/src/dotterelstand/process/peering/peers.py
@@ -22,7 +22,7 @@
 from dotterelstand.process.peering.dialling import DialScheduler
 from dotterelstand.process.peering.membership import ListedHost, Membership
 from dotterelstand.process.peering.mesh import Member
-from dotterelstand.process.peering.overlay import FULL_MESH_HOSTS, update_roles
+from dotterelstand.process.peering.overlay import update_roles
 from dotterelstand.process.telemetry.metrics import Metrics
 from dotterelstand.settings import Settings
 
@@ -132,8 +132,8 @@
 
     @property
     def is_overlay(self) -> bool:
-        """Whether some live hosts have no direct link, so that announcements need forwarding."""
-        return len(self.members()) > FULL_MESH_HOSTS
+        """Whether some hosts have no direct link, so that announcements need forwarding."""
+        return self._membership.is_overlay
 
     @property
     def is_hub(self) -> bool:
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -170,3 +170,22 @@
 def test_lost_hubs_are_replaced(lost: int, return_after_s: float | None) -> None:
     """Guards against a region without dispatchers and relays because listed hosts are gone."""
     run_virtual(_lose_hubs, 1, lost, return_after_s, seed=1)
+
+
+async def _lose_most_hosts(seed: int) -> None:
+    async with trio.open_nursery() as nursery:
+        fleet = Fleet(nursery, 40, seed)
+        await fleet.start_all()
+        await trio.sleep(8)
+        for name in sorted(fleet.hosts)[::2]:
+            fleet.crash(name)
+        await trio.sleep(12)
+        assert len(fleet.peers) == 20
+        assert any(not peers.is_hub for peers in fleet.peers.values())
+        assert all(peers.is_overlay for peers in fleet.peers.values())
+        nursery.cancel_scope.cancel()
+
+
+def test_a_large_fleet_passes_announcements_on_after_it_lost_half_of_its_hosts() -> None:
+    """Guards against strikes that reach the hubs only, since few hosts are live."""
+    run_virtual(_lose_most_hosts, 1, seed=1)
