--- a/tests/test_queue.py
+++ b/tests/test_queue.py
@@ -86,3 +86,20 @@
         assert len(queue) == len(waiting)
         klass = rng.randrange(3)
         assert queue.count_ahead(klass) == sum(c.klass <= klass for c in waiting.values())
+
+
+@pytest.mark.parametrize("capacity", [0, 2, 4])
+def test_a_queue_above_a_reduced_capacity_does_not_grow(capacity: int) -> None:
+    """Guards against a daemon that ends when targets leave while many calls wait.
+
+    Found by a score of inkwell-gate: a new document reduced the slots of a service below the
+    number of its waiting calls.
+    """
+    queue = CallQueue(6, 1)
+    for number in range(6):
+        assert queue.push(_call(number)) is None
+    queue.capacity = capacity
+    for number in range(6, 12):
+        assert queue.push(_call(number)) is not None
+        assert len(queue) == 6
+    assert len(_pop_all(queue)) == 6
