--- a/src/dotterelstand/process/limits.py
+++ b/src/dotterelstand/process/limits.py
@@ -4,6 +4,7 @@
 
 from dotterelstand.connection.caller import CallerLimits
 from dotterelstand.connection.pool import PoolLimits
+from dotterelstand.process.discovery.objectadapter import parse_regions
 from dotterelstand.process.peering.peers import Peers
 from dotterelstand.process.suspects.strikes import QuarantineLimits
 from dotterelstand.request.context import RequestLimits
@@ -48,8 +49,7 @@
 
 def retry_reserve(settings: Settings, peers: Peers, rng: random.Random) -> RetryReserve:
     """This host's part of the retries that the whole fleet may make beyond a share of requests."""
-    pairs = settings.texts("host", "regions")
-    regions = {item.partition("=")[2] for item in pairs}
+    regions = set(parse_regions(settings).values())
     return RetryReserve(
         settings.number("requests", "retry_slack"),
         BUDGET_WINDOW_S,
