--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -6,7 +6,6 @@
 import random
 import shutil
 import signal
-import sys
 import tempfile
 import time
 from pathlib import Path
@@ -158,8 +157,9 @@
                 return await play(record, say, Path(temporary))
 
         say(f"TROUBLE={int(TROUBLE)}")
+        loop = asyncio.new_event_loop()
         try:
-            status = asyncio.run(limited())
+            status = loop.run_until_complete(limited())
         except (Exception, asyncio.CancelledError) as error:
             say(f"the case could not run: {error!r}")
             status = NOT_RUN
@@ -170,4 +170,5 @@
             for line in lines[-MAX_TRACEBACK_LINES:]:
                 output.write(f"{log.stem}: {line}\n")
         say(f"exit status {status}")
-    sys.exit(status)
+    # The daemons have ended; tasks of stand-ins may still wait.
+    os._exit(status)
--- a/review/common/instance.py
+++ b/review/common/instance.py
@@ -36,6 +36,7 @@
         self.arrivals = []
         self.address = None
         self.alive = False
+        self.leaving = False
         self._record = record
         self._born = int(time.time() * 1000)
         self._running = 0
@@ -64,6 +65,11 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
+    def leave(self):
+        """Exit after draining: the port closes, and connections close after their answer."""
+        self._server.close()
+        self.leaving = True
+
     async def _serve(self, reader, writer):
         self._writers.add(writer)
         extra = b""
@@ -80,6 +86,8 @@
                     break
                 writer.write(answer)
                 await writer.drain()
+                if self.leaving:
+                    break
                 extra = answer if self._random.random() < self.extra_share else b""
         except (ConnectionError, asyncio.IncompleteReadError):
             pass
