--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -13,6 +13,7 @@
 from client import Broken, Connection
 from daemons import Daemon, free_prefix
 from instance import Instance
+from proxy import Proxy
 from store import Store, configuration
 
 HELD, BROKEN, NOT_RUN = 0, 1, 2
@@ -31,28 +32,37 @@
         self.store = Store()
         self.instances = []
         self.daemons = []
+        # Proxies between the daemons and the store, in the order of the daemons.
+        self.proxies = []
         # Names and exit statuses of daemons that ended by themselves.
         self.exits = []
         self._folder = folder
         self._prefix = free_prefix()
-        self._store_address = ""
         self._watchers = []
 
-    async def start(self, routes, services, daemons_per_zone=1):
-        """Start the store and the daemons, with configuration 7."""
+    async def start(self, routes, services, daemons_per_zone=1, proxied=False):
+        """Start the store and the daemons, with configuration 7.
+
+        With `proxied`, each daemon reaches the store through a proxy of its own.
+        """
         address = f"{self._prefix}.250"
-        self._store_address = f"{address}:{await self.store.start(address)}"
+        store_port = await self.store.start(address)
+        store_address = f"{address}:{store_port}"
         self.store.put("config", "main", configuration(7, routes, services))
         for zone in self.zones:
             for number in range(daemons_per_zone):
                 ip = f"{self._prefix}.{len(self.daemons) + 1}"
+                if proxied:
+                    proxy = Proxy(address, store_port)
+                    store_address = f"{address}:{await proxy.start(address)}"
+                    self.proxies.append(proxy)
                 self.daemons.append(
                     Daemon(
                         f"front-{zone}-{number + 1}",
                         zone,
                         ip,
                         self.zones,
-                        self._store_address,
+                        store_address,
                         self._folder,
                         self.record,
                     )
