--- a/src/dotterelstand/codes.py
+++ b/src/dotterelstand/codes.py
@@ -36,6 +36,7 @@
     TOO_MANY_CONNECTIONS = 2018
     CALLER_GONE = 2019
     BODY_TOO_LARGE = 2020
+    HOST_STOPPING = 2021
 
     CONNECTION_LOST = 3001
     ANSWER_TRUNCATED = 3002
@@ -60,6 +61,9 @@
     @property
     def retry_after_s(self) -> int | None:
         """Seconds after which a caller may retry, or None if a retry would not help."""
+        if self is Result.HOST_STOPPING:
+            # Another host can serve the request now.
+            return 0
         return 1 if self in _TEMPORARY else None
 
 
--- a/src/dotterelstand/connection/caller.py
+++ b/src/dotterelstand/connection/caller.py
@@ -211,6 +211,13 @@
         if data:
             await self._stream.send_all(data)
 
+    def begin_stop(self) -> None:
+        """Announce the close with the next answer, and limit the time of requests in flight."""
+        self.closing = True
+        for request in self._serving:
+            if request.on_stop is not None:
+                request.on_stop()
+
     def is_idle(self) -> bool:
         """Whether no request is being served and none has begun to arrive."""
         quiet = self._awaits_request and not self._serving and not self._inbox
--- a/src/dotterelstand/connection/callerrequest.py
+++ b/src/dotterelstand/connection/callerrequest.py
@@ -52,6 +52,7 @@
         "ended",
         "head",
         "on_disconnect",
+        "on_stop",
     )
 
     def __init__(
@@ -73,6 +74,7 @@
         self.answer_started = False
         self.ended = trio.Event()
         self.on_disconnect: Callable[[], object] | None = None
+        self.on_stop: Callable[[], object] | None = None
 
     @property
     def disconnected(self) -> bool:
--- a/src/dotterelstand/process/daemon.py
+++ b/src/dotterelstand/process/daemon.py
@@ -33,6 +33,7 @@
 from dotterelstand.process.telemetry.metrics import Metrics, build_metrics
 from dotterelstand.request.context import RequestContext
 from dotterelstand.request.fields import DEFAULT_FIELDS, HeaderFields
+from dotterelstand.request.stopplan import StopPlan
 from dotterelstand.settings import Settings
 from dotterelstand.version.model import Document
 
@@ -207,6 +208,7 @@
             self.leaving_targets,
             fields,
             retry_reserve(settings, self.peers, rng),
+            StopPlan(settings.number("listen", "stop_limit_s")),
         )
         return CallerFrontend(
             context,
--- a/src/dotterelstand/process/frontend.py
+++ b/src/dotterelstand/process/frontend.py
@@ -81,22 +81,27 @@
         """Serve callers until `stop` is set, then shut down gracefully.
 
         The listener and idle connections are closed `grace_s` seconds after `stop` is set, the
-        others after their requests. Returns when the last request in flight has ended.
+        others after their requests, or when the stop plan ends. Returns when the last request in
+        flight has ended.
         """
-        async with trio.open_nursery() as callers:
-            accepting = trio.CancelScope()
-            callers.start_soon(self._accept, listener, callers, accepting)
-            await stop.wait()
-            self.begin_stop()
-            await trio.sleep(grace_s)
-            accepting.cancel()
-            self._close_idle()
+        async with trio.open_nursery() as timers:
+            async with trio.open_nursery() as callers:
+                accepting = trio.CancelScope()
+                callers.start_soon(self._accept, listener, callers, accepting)
+                await stop.wait()
+                self.begin_stop()
+                timers.start_soon(self._cut_at_limit, callers.cancel_scope)
+                await trio.sleep(grace_s)
+                accepting.cancel()
+                self._close_idle()
+            timers.cancel_scope.cancel()
 
     def begin_stop(self) -> None:
         """Ask every caller to use another connection for its next request."""
         self.stopping = True
+        self._context.stop_plan.begin(trio.current_time())
         for connection in self._connections:
-            connection.closing = True
+            connection.begin_stop()
 
     async def serve_caller(self, stream: trio.abc.Stream) -> None:
         """Serve the requests of one caller connection."""
@@ -236,6 +241,13 @@
             closed += connection.close_when_idle()
         log(Event.CALLERS_CLOSED, idle=closed, in_flight=len(self._connections) - closed)
 
+    async def _cut_at_limit(self, callers: trio.CancelScope) -> None:
+        """Close the connections that are left when the platform is about to end the process."""
+        await trio.sleep_until(self._context.stop_plan.last_connection_s)
+        requests = sum(connection.serving for connection in self._connections)
+        log(Event.CALLERS_CUT, connections=len(self._connections), requests=requests)
+        callers.cancel()
+
     def _log_fault(self, group: BaseExceptionGroup) -> None:
         self._context.metrics.count("requests.faults")
         errors = [repr(error) for error in group.exceptions]
--- a/src/dotterelstand/request/context.py
+++ b/src/dotterelstand/request/context.py
@@ -8,6 +8,7 @@
 from dotterelstand.request.policy import ServicePolicy
 from dotterelstand.request.retryreserve import RetryReserve
 from dotterelstand.request.split import TrafficSplits
+from dotterelstand.request.stopplan import StopPlan
 from dotterelstand.version.model import Route, Service
 
 # Maximum number of services with a retry budget and latency samples; the oldest is evicted.
@@ -46,6 +47,7 @@
         "metrics",
         "pool",
         "slots",
+        "stop_plan",
         "suspects",
     )
 
@@ -60,8 +62,10 @@
         leaving_targets: LeavingTargets,
         fields: HeaderFields = DEFAULT_FIELDS,
         retry_reserve: RetryReserve | None = None,
+        stop_plan: StopPlan | None = None,
     ) -> None:
         self._retry_reserve = retry_reserve
+        self.stop_plan = stop_plan or StopPlan()
         self.fields = fields
         self._traffic_splits = TrafficSplits()
         self.limits = limits
--- a/src/dotterelstand/request/exchange.py
+++ b/src/dotterelstand/request/exchange.py
@@ -101,6 +101,7 @@
         self._context.count_request(self._service)
         self._extend_deadline()
         self._caller.on_disconnect = self._scope.cancel
+        self._caller.on_stop = self._apply_stop
         code = None
         try:
             with self._scope:
@@ -112,6 +113,7 @@
             code = self._body_error_code(error.code)
         finally:
             self._caller.on_disconnect = None
+            self._caller.on_stop = None
             for attempt in self._attempts:
                 self._trail.note_end(attempt)
                 attempt.end(AttemptOutcome.CANCELLED)
@@ -125,6 +127,8 @@
         return final
 
     async def _serve(self) -> ResultCode:
+        if not self._context.stop_plan.accepts(trio.current_time(), self._latest_deadline):
+            return ResultCode.HOST_STOPPING
         length = self._head.declared_length()
         if length is not None and length <= self._context.limits.held_body_bytes:
             # Read a short body first, so that a slow caller does not occupy a slot.
@@ -347,11 +351,16 @@
     def _extend_deadline(self) -> None:
         """Extend the deadline on progress; `deadline_s` limits the time without progress."""
         limit_s = self._route.deadline_s
-        deadline = min(self._latest_deadline, trio.current_time() + limit_s)
+        latest = min(self._latest_deadline, self._context.stop_plan.last_answer_s)
+        deadline = min(latest, trio.current_time() + limit_s)
         # Setting a deadline costs more than forwarding a piece of a body, so skip small changes.
         if abs(deadline - self._scope.deadline) > limit_s * MIN_DEADLINE_STEP:
             self._scope.deadline = deadline
 
+    def _apply_stop(self) -> None:
+        """End the request before the process does, so that its caller gets an answer."""
+        self._scope.deadline = min(self._scope.deadline, self._context.stop_plan.last_answer_s)
+
     def _remaining_s(self) -> float:
         return self._scope.deadline - trio.current_time()
 
--- a/src/dotterelstand/settings_rules.py
+++ b/src/dotterelstand/settings_rules.py
@@ -1,6 +1,7 @@
 """Rules for the value of every settings key, and checks of keys against each other."""
 
 import ipaddress
+import operator
 import re
 from collections.abc import Callable
 from typing import Any, Protocol
@@ -166,6 +167,7 @@
         "body_idle_timeout_s": Range(0.1, 3600),
         "idle_timeout_s": Range(0.1, 3600),
         "close_grace_s": Range(0, 60),
+        "stop_limit_s": Range(0, 3600),
         "linger_s": Range(0, 60),
     },
     "peers": {
@@ -383,17 +385,8 @@
     # The lease must outlast a slow but successful update of the journal head; otherwise the owner
     # of the partition would seem to be lost.
     ("journal.lease_s", "more than", "store.timeout_s", lambda a, b: a > b),
-    ("journal.writes_per_s", "at most", "store.writes_per_s", lambda a, b: a <= b),
-    (
-        "measure.cross_region_bytes_per_s",
-        "at most",
-        "measure.bytes_per_s",
-        lambda a, b: a <= b,
-    ),
-    (
-        "measure.cross_region_calls_per_s",
-        "at most",
-        "measure.calls_per_s",
-        lambda a, b: a <= b,
-    ),
+    ("journal.writes_per_s", "at most", "store.writes_per_s", operator.le),
+    ("measure.cross_region_bytes_per_s", "at most", "measure.bytes_per_s", operator.le),
+    ("measure.cross_region_calls_per_s", "at most", "measure.calls_per_s", operator.le),
+    ("listen.stop_limit_s", "0 or more than", "listen.close_grace_s", lambda a, b: not a or a > b),
 ]
--- a/tests/soak/mutated.py
+++ b/tests/soak/mutated.py
@@ -1,5 +1,6 @@
 """Runs a daemon that breaks one guarantee, to test that the soak detects the violation."""
 
+import math
 import sys
 from collections.abc import Callable
 from typing import Any
@@ -18,6 +19,7 @@
 from dotterelstand.request.exchange import Exchange
 from dotterelstand.request.head import Headers
 from dotterelstand.request.policy import RetryDecision, RetryInputs, ServicePolicy, decide_retry
+from dotterelstand.request.stopplan import StopPlan
 
 # Sets an attribute of a class or module, like `setattr` or pytest's `monkeypatch.setattr`.
 SetAttribute = Callable[[Any, str, object], None]
@@ -68,6 +70,12 @@
     set_attribute(CallerConnection, "closes_after", closes)
 
 
+def outlast_the_stop(set_attribute: SetAttribute) -> None:
+    """Let requests take their whole time limit although the platform ends the process before."""
+    set_attribute(StopPlan, "accepts", lambda self, now, deadline: True)
+    set_attribute(StopPlan, "_time_at", lambda self, share: math.inf)
+
+
 def change_paths(set_attribute: SetAttribute) -> None:
     """Send some requests on with a path that the caller did not send."""
     send = TargetConnection.send_request
@@ -127,6 +135,7 @@
         call_lost_not_run,
         cut_at_stop,
         announce_close_out_of_order,
+        outlast_the_stop,
         change_paths,
         ignore_newer_versions,
         ignore_leaving_targets,
