Give no more work to a target that announces its leaving in an answer

Change: the adapter names the field, in both spellings until the pages show one; every answer's head counts, also refusals, failures, answers that break off behind it and health checks, and a late answer if it names the target. The mark belongs to one incarnation of the target, travels with it to the other hosts, stays when an entry lapses and returns, and ends with a new start under the same name. Ruled out: a mark by name alone, which would have kept a restarted target out of use and could be set again by late news.

--- a/src/dotterelstand/platform/headers.py
+++ b/src/dotterelstand/platform/headers.py
@@ -7,8 +7,8 @@
     deadline=b"x-dotterelstand-deadline-ms",
     target=b"x-dotterelstand-target-instance",
     load=b"x-dotterelstand-server-load",
-    # No header field: instances announce draining only in the store.
-    draining=b"",
+    # The platform's pages write the first name; its other fields begin like the second.
+    draining=(b"server-leaving", b"x-dotterelstand-server-leaving"),
     not_run=b"x-dotterelstand-not-executed",
     # 421 Misdirected Request: the address now belongs to another instance; nothing was run.
     not_run_statuses=frozenset({421}),
--- a/src/dotterelstand/process/selection/dispatcher.py
+++ b/src/dotterelstand/process/selection/dispatcher.py
@@ -236,9 +236,11 @@
         self._queue.remove_host(host)
         return self.advance(now)
 
-    def mark_leaving(self, name: str) -> None:
-        """Give a target no new work until `mark_returned`."""
-        self._apply_to_target(name, HealthTable.mark_leaving)
+    def mark_leaving(self, name: str, incarnation: int = 0) -> None:
+        """Give a target no new work until `mark_returned`; 0 stands for each incarnation."""
+        self._apply_to_target(
+            name, lambda table, position: table.mark_leaving(position, incarnation)
+        )
 
     def mark_returned(self, name: str) -> None:
         """Let a leaving target take new work again."""
--- a/src/dotterelstand/process/selection/health.py
+++ b/src/dotterelstand/process/selection/health.py
@@ -188,9 +188,10 @@
         penalty = target.slowdown - 1 if target.slow else 0.0
         return (target.in_flight + excess) / target.allowance + penalty
 
-    def mark_leaving(self, position: int) -> None:
-        """Give the target no new work until `mark_returned`."""
-        if not self.targets[position].leaving:
+    def mark_leaving(self, position: int, incarnation: int = 0) -> None:
+        """Give the target no new work until `mark_returned`; 0 stands for each incarnation."""
+        target = self.targets[position]
+        if not target.leaving and incarnation in (0, target.incarnation):
             self._update_target(position, lambda target: setattr(target, "leaving", True))
 
     def mark_returned(self, position: int) -> None:
--- a/src/dotterelstand/process/selection/healthprobe.py
+++ b/src/dotterelstand/process/selection/healthprobe.py
@@ -12,7 +12,12 @@
 from dotterelstand.process.selection.measure import MeasureBudget
 from dotterelstand.process.selection.probeschedule import ProbeSchedule
 from dotterelstand.process.selection.rendezvous import DispatcherMap
-from dotterelstand.request.fields import HeaderFields, LoadReport, parse_load_report
+from dotterelstand.request.fields import (
+    HeaderFields,
+    LoadReport,
+    announces_draining,
+    parse_load_report,
+)
 from dotterelstand.request.interfaces import Counters, LeavingTargets
 from dotterelstand.version.model import Document, Service, Target
 
@@ -198,11 +203,10 @@
             self._metrics.count("health.probes_failed")
             self._result_receiver.target_unreachable(service.name, target)
             return
-        if (self._tuning.drains_on_503 and head.status_code == 503) or values.get(
-            fields.draining
-        ) == b"1":
+        announced = announces_draining(values, fields)
+        if announced or (self._tuning.drains_on_503 and head.status_code == 503):
             self._metrics.count("health.draining_seen")
-            self._leaving.target_leaving(target.name)
+            self._leaving.target_leaving(target.name, target.incarnation)
         report = parse_load_report(values.get(fields.load))
         if report is not None:
             self._result_receiver.target_load(service.name, target, report)
--- a/src/dotterelstand/process/selection/leavingtargets.py
+++ b/src/dotterelstand/process/selection/leavingtargets.py
@@ -14,8 +14,8 @@
 class LeavingTargetListener(Protocol):
     """Listener for targets that leave or return."""
 
-    def target_leaving(self, target: str) -> None:
-        """Give a target no new work and tell the other entry hosts."""
+    def target_leaving(self, target: str, incarnation: int = 0) -> None:
+        """Give a target no new work and tell the other entry hosts; 0 is any incarnation."""
 
     def target_returned(self, target: str) -> None:
         """Let a leaving target take new work again."""
@@ -44,10 +44,10 @@
         self._reported: dict[str, float] = {}
         mesh.subscribe(TargetLeaving, self._on_leaving)
 
-    def target_leaving(self, target: str) -> None:
+    def target_leaving(self, target: str, incarnation: int = 0) -> None:
         """Record that a target reported itself as leaving in an answer or a health probe."""
         self._record_report(target)
-        self._selection.target_leaving(target)
+        self._selection.target_leaving(target, incarnation)
 
     def apply_host_list(self, entries: object) -> None:
         """Apply a new host list; skips malformed entries.
--- a/src/dotterelstand/process/selection/servicestate.py
+++ b/src/dotterelstand/process/selection/servicestate.py
@@ -118,10 +118,10 @@
         """Never send calls of these classes to other regions."""
         self.local.region_only_classes = self.regional.region_only_classes = classes
 
-    def mark_leaving(self, target: str) -> None:
+    def mark_leaving(self, target: str, incarnation: int) -> None:
         """Give a target no new work."""
-        self.local.mark_leaving(target)
-        self.regional.mark_leaving(target)
+        self.local.mark_leaving(target, incarnation)
+        self.regional.mark_leaving(target, incarnation)
 
     def mark_returned(self, target: str) -> None:
         """Let a leaving target take new work again."""
--- a/src/dotterelstand/process/selection/servicestates.py
+++ b/src/dotterelstand/process/selection/servicestates.py
@@ -34,7 +34,8 @@
         self._random = rng
         self._states: dict[str, ServiceState] = {}
         self._active: dict[str, ServiceState] = {}
-        self._leaving: dict[str, None] = {}
+        # Incarnation of each leaving target, 0 for any.
+        self._leaving: dict[str, int] = {}
         self._region_only_classes: frozenset[int] = frozenset()
 
     def all(self) -> list[ServiceState]:
@@ -75,6 +76,8 @@
             self._active.pop(state.service.name, None)
         for name, state in self._states.items():
             state.update_service(document.services[name], now)
+            # A target that comes back under its former incarnation is still leaving.
+            self._mark_leaving_targets(state)
         if len(services) <= MAX_EAGER_SERVICES:
             for service in services:
                 self.activate(service)
@@ -97,19 +100,24 @@
         if state is not None and position is not None:
             state.regional.record_unreachable(position, now)
 
-    def is_leaving(self, target: str) -> bool:
+    def is_leaving(self, target: Target) -> bool:
         """Whether a target takes no new work."""
-        return target in self._leaving
+        return self._leaving.get(target.name) in (0, target.incarnation)
 
-    def mark_leaving(self, target: str) -> bool:
-        """Give a target no new work; True if it was not leaving before."""
-        if target in self._leaving:
+    def mark_leaving(self, target: str, incarnation: int = 0) -> bool:
+        """Give a target no new work; True if it was not leaving before.
+
+        An incarnation of 0 stands for any; otherwise it is the time of the target's start, and the
+        latest counts.
+        """
+        known = self._leaving.get(target)
+        if known is not None and (known == 0 or 0 < incarnation <= known):
             return False
         while len(self._leaving) >= MAX_LEAVING_TARGETS:
             del self._leaving[next(iter(self._leaving))]
-        self._leaving[target] = None
+        self._leaving[target] = incarnation
         for state in self._states.values():
-            state.mark_leaving(target)
+            state.mark_leaving(target, incarnation)
         return True
 
     def mark_returned(self, target: str) -> bool:
@@ -128,7 +136,11 @@
             Dispatcher(service, self._region, self._tuning, LeastOccupied(self._random)),
             self._tuning.answer_grace_s,
         )
-        for name in self._leaving:
-            state.mark_leaving(name)
+        self._mark_leaving_targets(state)
         state.restrict_to_region(self._region_only_classes)
         return state
+
+    def _mark_leaving_targets(self, state: ServiceState) -> None:
+        for target in state.service.targets if self._leaving else ():
+            if self.is_leaving(target):
+                state.mark_leaving(target.name, target.incarnation)
--- a/src/dotterelstand/process/selection/slotcore.py
+++ b/src/dotterelstand/process/selection/slotcore.py
@@ -367,8 +367,8 @@
         return ticket
 
     def _is_unusable(self, ticket: Ticket, target: int, state: ServiceState) -> bool:
-        name = state.service.targets[target].name
-        return name in ticket.call.excluded or self._states.is_leaving(name)
+        item = state.service.targets[target]
+        return item.name in ticket.call.excluded or self._states.is_leaving(item)
 
     def _send_release(
         self, ticket: Ticket, outcome: AttemptOutcome, duration_s: float, now: float
--- a/src/dotterelstand/request/attempt.py
+++ b/src/dotterelstand/request/attempt.py
@@ -17,7 +17,7 @@
 from dotterelstand.connection.target import AnswerEvent, TargetConnection
 from dotterelstand.process.selection.outcome import AttemptOutcome, SlotGrant, SlotOutcome
 from dotterelstand.request.body import RequestBody
-from dotterelstand.request.fields import HeaderFields, parse_load_report
+from dotterelstand.request.fields import HeaderFields, announces_draining, parse_load_report
 from dotterelstand.request.head import Headers, RequestHead, forwarded_headers
 from dotterelstand.request.interfaces import LeavingTargets, Slots
 from dotterelstand.request.policy import FAILING_STATUSES
@@ -85,6 +85,10 @@
             return True
         return request_id in (None, answered_id)
 
+    def announces_draining(self) -> bool:
+        """Whether the target says that it is draining."""
+        return announces_draining(self._values, self._fields)
+
     def claims_not_run(self) -> bool:
         """Whether the status suggests that the request was not run, without being a refusal."""
         return self.status in NOT_RUN_STATUSES and not self.is_refusal()
@@ -296,9 +300,8 @@
         self.answer = await self._receive_matching_head()
         self.time_to_head_s = trio.current_time() - self._began_s
         self._silence_scope.deadline = math.inf
-        fields = self._setup.head.fields
-        if self.answer.value(fields.draining) == b"1":
-            self._setup.leaving_targets.target_leaving(self.target)
+        if self.answer.announces_draining():
+            self._report_leaving()
         if not self.answer.is_unaltered() or self.answer.has_two_lengths():
             self.failure = ResultCode.BAD_ANSWER
         elif self.answer.claims_not_run() and not self._setup.idempotent:
@@ -315,9 +318,17 @@
             answer = AnswerHead(event.status_code, headers, head.fields)
             if answer.matches_request(head.request_id):
                 return answer
+            # The address may have belonged to another target when the answer's request was sent.
+            identity = answer.value(head.fields.identity)
+            if answer.announces_draining() and identity == self.target.encode("latin-1", "replace"):
+                self._report_leaving()
             await self.connection.skip_answer()
         raise h11.RemoteProtocolError("no answer to this request")
 
+    def _report_leaving(self) -> None:
+        target = self._grant.target
+        self._setup.leaving_targets.target_leaving(target.name, target.incarnation)
+
     async def _receive_final_head(self) -> AnswerEvent:
         """Receive the next answer head, skipping a bounded number of interim answers."""
         event = await self.connection.receive()
--- a/src/dotterelstand/request/fields.py
+++ b/src/dotterelstand/request/fields.py
@@ -25,7 +25,8 @@
     """Header names in lower case; empty for a header that the platform does not use.
 
     `target` carries the name of the intended target, `identity` the name of the target that
-    answers a health check, and `signature` is present on every successful answer.
+    answers a health check, and `signature` is present on every successful answer. Each name in
+    `draining` has the value 1 in the answers of a target that is draining.
 
     A target reports that it did not run a request by one of `not_run_statuses`, or by the header
     `not_run` with the value `not_run_value` (any value if that is empty). With `echoes_request_id`,
@@ -52,7 +53,7 @@
         deadline: bytes,
         target: bytes,
         load: bytes,
-        draining: bytes,
+        draining: tuple[bytes, ...],
         not_run: bytes,
         not_run_value: bytes = b"",
         not_run_statuses: frozenset[int] = frozenset(),
@@ -78,12 +79,17 @@
     deadline=b"dotterelstand-deadline-ms",
     target=b"dotterelstand-target",
     load=b"dotterelstand-load",
-    draining=b"dotterelstand-draining",
+    draining=(b"dotterelstand-draining",),
     not_run=RUN_HEADER,
     not_run_value=b"not-run",
 )
 
 
+def announces_draining(headers: dict[bytes, bytes], fields: HeaderFields) -> bool:
+    """Whether the headers of a target's answer say that it is draining."""
+    return any(headers.get(name) == b"1" for name in fields.draining)
+
+
 def parse_load_report(value: bytes | None) -> LoadReport | None:
     """Parse a load report header; None if it is absent or malformed.
 
--- a/src/dotterelstand/request/head.py
+++ b/src/dotterelstand/request/head.py
@@ -181,5 +181,5 @@
 
 def returned_headers(headers: Headers, fields: HeaderFields) -> Headers:
     """Headers of a target's answer that are forwarded to the caller."""
-    dropped = _NOT_FORWARDED | {fields.load, fields.draining, fields.deadline}
+    dropped = _NOT_FORWARDED | {fields.load, *fields.draining, fields.deadline}
     return [(name, value) for name, value in headers if name not in dropped]
--- a/src/dotterelstand/request/interfaces.py
+++ b/src/dotterelstand/request/interfaces.py
@@ -23,7 +23,7 @@
 class LeavingTargets(Protocol):
     """Receiver of reports that a target is draining."""
 
-    def target_leaving(self, target: str) -> None:
+    def target_leaving(self, target: str, incarnation: int = 0) -> None:
         """Record that a target announced in an answer that it is draining."""
 
 
