Open a new connection for a second attempt at the same address

Cause: an address is listed under two names while the entry of a target that started again has not expired. An order for the former name is rejected (421) and its connection goes back to the pool; the second attempt, for the new name, takes it. If the target repeats the rejection late, it has the request id of both attempts and was taken for the answer to the second one. Ruled out: one target chosen twice for a request (excluded by name), late answers with another id or none (skipped). Change: AttemptSetup keeps the addresses that were used; an attempt at one of them uses only a new connection, on which no answer can be late.

--- a/src/dotterelstand/request/attempt.py
+++ b/src/dotterelstand/request/attempt.py
@@ -96,9 +96,21 @@
 
 
 class AttemptSetup:
-    """Request data and dependencies that all attempts of one request share."""
+    """Request data and dependencies that all attempts of one request share.
 
-    __slots__ = ("body", "head", "idempotent", "leaving_targets", "pool", "service", "slots")
+    `used_addresses` holds host and port of the targets of its attempts so far.
+    """
+
+    __slots__ = (
+        "body",
+        "head",
+        "idempotent",
+        "leaving_targets",
+        "pool",
+        "service",
+        "slots",
+        "used_addresses",
+    )
 
     def __init__(
         self,
@@ -117,6 +129,7 @@
         self.slots = slots
         self.leaving_targets = leaving_targets
         self.idempotent = idempotent
+        self.used_addresses: set[tuple[str, int]] = set()
 
 
 class Attempt:
@@ -146,9 +159,13 @@
     ) -> None:
         self._setup = setup
         self._max_idle_s = math.inf if setup.idempotent else MAX_NON_IDEMPOTENT_IDLE_S
-        if after_silence:
-            # An earlier attempt got no answer; the cause may affect all pooled connections.
+        address = (grant.target.address, grant.target.port)
+        if after_silence or address in setup.used_addresses:
+            # An earlier attempt got no answer; the cause may affect all pooled connections. Or it
+            # used this address under the name of another target, and its answer, which has the
+            # same request id, may come again on the connection that it used.
             self._max_idle_s = NEW_CONNECTION_ONLY_S
+        setup.used_addresses.add(address)
         self._grant = grant
         self._deadline = deadline
         self._began_s = trio.current_time()
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -213,7 +213,8 @@
     Each request takes the next function in `answers`, or `answer` if none is left. A function maps
     the request's headers to the bytes to send; if they are empty, the connection is reset. `runs`
     holds the ids of the requests that the instance ran. `service_time_percent` changes only the
-    reported load.
+    reported load. With `repeats_answers`, each answer to a request comes again ahead of the next
+    one on its connection.
     """
 
     def __init__(self, name: str) -> None:
@@ -221,6 +222,9 @@
         self.runs: list[str] = []
         self.requests: list[dict[str, str]] = []
         self.answers: list[Any] = []
+        self.repeats_answers = False
+        # Answers that come again, by connection.
+        self._late: dict[Any, bytes] = {}
         self.service_time_s = 0.005
         self.service_time_percent = 100
 
@@ -260,7 +264,9 @@
         if not data:
             stream.reset()
             return False
-        await stream.send_all(data)
+        await stream.send_all(self._late.pop(stream, b"") + data)
+        if self.repeats_answers:
+            self._late[stream] = data
         return True
 
     def answer(self, headers: dict[str, str], body: bytes = b"whole body", **changes: str) -> bytes:
