--- a/src/dotterelstand/bench/soakcallers.py
+++ b/src/dotterelstand/bench/soakcallers.py
@@ -166,6 +166,12 @@
 
 
 def parse_received(result: AttemptResult) -> tuple[str, int]:
-    """Path and number of body bytes that the target received, according to its answer."""
-    values = json.loads(result.body)
-    return str(values["path"]), int(values["bytes"])
+    """Path and number of body bytes that the target received, according to its answer.
+
+    The path is empty if the answer is not that of a target that ran a request.
+    """
+    try:
+        values = json.loads(result.body)
+        return str(values["path"]), int(values["bytes"])
+    except (ValueError, KeyError, TypeError):
+        return "", 0
