Log why an answer was not delivered

Logs could not tell the hypotheses apart: an answer that breaks off resets its connection, and the other requests there are logged as left by their caller; a request behind a closing answer, one whose answer waits for an earlier one, and one that the stop limit ends leave no line, or one that says "answered". Change: event 209, one line for each request without a whole answer with id, cause, state of the answer, bytes sent and time since the stop began, at most 20 a second; counters requests.undelivered.<cause>; explain shows them, and events 190, 211 and 212. Nothing is done for a delivered answer but to test that it is. Tests: tests/test_undelivered_answers.py (ways in which connections end, in virtual time), tests/test_explain.py. The collector of log events moves from tests/test_logs.py to tests/support_logs.py.

--- a/src/dotterelstand/cli/explain.py
+++ b/src/dotterelstand/cli/explain.py
@@ -20,6 +20,9 @@
     {
         Event.DAEMON_STARTED,
         Event.DAEMON_STOPPING,
+        Event.CALLERS_CLOSED,
+        Event.CALLERS_CUT,
+        Event.INVARIANT_BROKEN,
         Event.SETTINGS_RELOADED,
         Event.DOCUMENT_APPLIED,
         Event.HISTORY_LOST,
@@ -166,6 +169,12 @@
         "answered ({code}) after {duration_ms} ms and {attempts} attempts; late: {late}; {service},"
         " {route_class}, document {document}"
     ),
+    Event.ANSWER_UNDELIVERED: (
+        "no whole answer, {cause}: {state} after {sent_bytes} bytes, one of {of_connection} of its"
+        " connection, {stop_ms} ms after the stop began"
+    ),
+    Event.CALLERS_CLOSED: "idle caller connections closed: {idle}; in use: {in_flight}",
+    Event.CALLERS_CUT: "caller connections closed at the stop limit: {connections}",
     Event.TARGET_CHANGED: "the platform lists target {target} of {service} as {change}",
     Event.TARGET_EJECTED: "target {target} of {service} ejected for {seconds} s",
     Event.PLATFORM_UNAVAILABLE: "the platform's list of {kind} cannot be read: {error}",
--- a/src/dotterelstand/connection/caller.py
+++ b/src/dotterelstand/connection/caller.py
@@ -20,6 +20,8 @@
 HANG_UP_CHECK_S = 0.1
 # Maximum number of bytes that are read and dropped before the connection is closed.
 MAX_LINGER_BYTES = 1_048_576
+# Number of dropped bytes from which the ids of requests that were not served are read.
+MAX_LEFT_OVER_BYTES = 4096
 
 
 class CallerLimits:
@@ -57,14 +59,18 @@
         "_last_answered",
         "_last_received_s",
         "_latest_request",
+        "_left_over",
         "_limits",
         "_output_ended",
         "_serving",
         "_stream",
         "_unparsed",
         "aborted",
+        "caller_left",
         "closing",
         "disconnected",
+        "undelivered",
+        "unserved",
     )
 
     def __init__(
@@ -87,9 +93,16 @@
         self._inbox_readers = trio.lowlevel.ParkingLot()
         self._inbox_space = trio.lowlevel.ParkingLot()
         self.aborted = False
+        # Whether the caller had left before the connection was reset, or while bytes were sent.
+        self.caller_left = False
         self.closing = False
         self.disconnected = False
         self._awaits_request = False
+        self._left_over = b""
+        # Requests that ended before their answer was delivered.
+        self.undelivered: list[CallerRequest] = []
+        # Request that was read behind an answer that closes the connection.
+        self.unserved: CallerRequest | None = None
 
     @property
     def body_idle_timeout_s(self) -> float:
@@ -111,6 +124,14 @@
         """Whether the connection ends as soon as no request is being served."""
         return self._closes_when_idle or self.will_close
 
+    @property
+    def left_over(self) -> bytes:
+        """Input at the end of the connection that belongs to requests that were not read."""
+        if self._last_answered is not None and self._last_answered.ends_in_input:
+            return b""
+        received = [bytes(self._unparsed), self._left_over, *(data for _, data in self._inbox)]
+        return b"".join(received)[:MAX_LEFT_OVER_BYTES]
+
     @property
     def serving(self) -> int:
         """Number of requests that are being served."""
@@ -171,6 +192,8 @@
     def end(self, request: CallerRequest) -> None:
         """Stop serving a request, whether it was answered or not."""
         self._serving.discard(request)
+        if not request.is_delivered:
+            self.undelivered.append(request)
         request.ended.set()
         self._inbox_readers.unpark_all()
 
@@ -209,7 +232,11 @@
         if self._output_ended:
             raise trio.BrokenResourceError
         if data:
-            await self._stream.send_all(data)
+            try:
+                await self._stream.send_all(data)
+            except trio.BrokenResourceError:
+                self.caller_left = self.caller_left or not self.aborted
+                raise
 
     def begin_stop(self) -> None:
         """Announce the close with the next answer, and limit the time of requests in flight."""
@@ -261,10 +288,14 @@
                     if self.disconnected:
                         return
                     await self._inbox_readers.park()
-                dropped += len(self._take_input())
+                data = self._take_input()
+                dropped += len(data)
+                if len(self._left_over) < MAX_LEFT_OVER_BYTES:
+                    self._left_over += data
 
     def abort(self) -> None:
         """Reset the connection, so that a truncated answer cannot look complete."""
+        self.caller_left = self.caller_left or self.disconnected
         self.aborted = True
         self.closing = True
         abort_now(self._stream)
--- a/src/dotterelstand/connection/callerrequest.py
+++ b/src/dotterelstand/connection/callerrequest.py
@@ -47,12 +47,14 @@
         "_method",
         "_previous_ended",
         "_received_bytes",
+        "_sending",
         "_unsent",
         "answer_started",
         "ended",
         "head",
         "on_disconnect",
         "on_stop",
+        "sent_bytes",
     )
 
     def __init__(
@@ -71,6 +73,9 @@
         self._unsent = b""
         # Bytes of the body received so far.
         self._received_bytes = 0
+        # Whether a call that sends bytes has not ended, or failed.
+        self._sending = False
+        self.sent_bytes = 0
         self.answer_started = False
         self.ended = trio.Event()
         self.on_disconnect: Callable[[], object] | None = None
@@ -86,11 +91,35 @@
         """Whether the request was read completely."""
         return self._h11.their_state is h11.DONE
 
+    @property
+    def ends_in_input(self) -> bool:
+        """Whether the rest of this request, and not the next one, is what the caller sends."""
+        return self.head is None or self._h11.their_state in (h11.SEND_BODY, h11.ERROR)
+
     @property
     def is_fully_answered(self) -> bool:
         """Whether the answer was encoded completely."""
         return self._h11.our_state in (h11.DONE, h11.MUST_CLOSE)
 
+    @property
+    def is_delivered(self) -> bool:
+        """Whether the whole answer was handed to the operating system."""
+        return self.is_fully_answered and not self._unsent and not self._sending
+
+    @property
+    def answer_state(self) -> str:
+        """How far the answer got: `none`, `incomplete`, `waiting`, `sending` or `delivered`.
+
+        A complete answer waits until those to earlier requests have been sent.
+        """
+        if not self.answer_started:
+            return "none"
+        if not self.is_fully_answered:
+            return "incomplete"
+        if self._sending:
+            return "sending"
+        return "waiting" if self._unsent else "delivered"
+
     async def next_body(self) -> bytes | None:
         """Next piece of the request body, or None at its end; raises `BodyError`."""
         while True:
@@ -163,7 +192,10 @@
             await self._previous_ended.wait()
             self._previous_ended = None
         data, self._unsent = self._unsent, b""
+        self._sending = True
         await self._connection.send(data)
+        self._sending = False
+        self.sent_bytes += len(data)
 
     def may_answer(self) -> bool:
         """Whether no answer to this request has been started."""
--- a/src/dotterelstand/process/frontend.py
+++ b/src/dotterelstand/process/frontend.py
@@ -13,6 +13,7 @@
 from dotterelstand.request.context import RequestContext
 from dotterelstand.request.exchange import Exchange
 from dotterelstand.request.head import RequestHead
+from dotterelstand.request.undelivered import find_undelivered
 from dotterelstand.version.model import Document, Route
 
 # Maximum number of refused connections that are sent an error answer at the same time; further ones
@@ -111,6 +112,7 @@
         connection = CallerConnection(stream, self._limits, self._context.fields)
         connection.closing = self.stopping
         self._connections.add(connection)
+        failed = False
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(connection.read_ahead)
@@ -120,9 +122,11 @@
             # The caller closed the connection while an answer was being sent.
             pass
         except* Exception as group:
+            failed = True
             self._log_fault(group)
         finally:
             self._connections.discard(connection)
+            self._note_undelivered(connection, failed)
             if not connection.aborted:
                 connection.close()
 
@@ -131,6 +135,7 @@
         while True:
             request = await connection.next_request()
             if request is None or connection.will_close:
+                connection.unserved = request if isinstance(request, CallerRequest) else None
                 break
             if isinstance(request, ResultCode):
                 await self._refuse_invalid(connection, connection.make_unread_request(), request)
@@ -248,6 +253,14 @@
         log(Event.CALLERS_CUT, connections=len(self._connections), requests=requests)
         callers.cancel()
 
+    def _note_undelivered(self, connection: CallerConnection, failed: bool) -> None:
+        context = self._context
+        fields = context.fields
+        answers = find_undelivered(connection, failed, context.stop_plan, fields.request_id)
+        for answer in answers:
+            context.metrics.count(f"requests.undelivered.{answer.cause}")
+        self._access_log.write_undelivered(answers, context.stop_plan.began_s)
+
     def _log_fault(self, group: BaseExceptionGroup) -> None:
         self._context.metrics.count("requests.faults")
         errors = [repr(error) for error in group.exceptions]
--- a/src/dotterelstand/request/accesslog.py
+++ b/src/dotterelstand/request/accesslog.py
@@ -7,6 +7,7 @@
 from dotterelstand.events import Event, log
 from dotterelstand.request.interfaces import Counters
 from dotterelstand.request.trail import DecisionTrail
+from dotterelstand.request.undelivered import UndeliveredAnswer
 from dotterelstand.version.model import Route
 
 # Maximum number of requests per second whose decisions are logged, since writing a line takes about
@@ -15,6 +16,8 @@
 MAX_FAILED_LINES_PER_S = 40
 MAX_LATE_LINES_PER_S = 10
 MAX_SAMPLED_LINES_PER_S = 5
+# Maximum number of answers per second that are logged as not delivered.
+MAX_UNDELIVERED_LINES_PER_S = 20
 MAX_PATH_CHARACTERS = 200
 
 
@@ -62,13 +65,22 @@
     requests in the current second that were not logged because of the rates.
     """
 
-    __slots__ = ("_answered", "_failed", "_late", "_sample", "_sampled", "_second", "suppressed")
+    __slots__ = (
+        "_answered",
+        "_failed",
+        "_late",
+        "_sample",
+        "_sampled",
+        "_second",
+        "_undelivered",
+        "suppressed",
+    )
 
     def __init__(self, sample: int) -> None:
         self._sample = sample
         self._answered = 0
         self._second = 0
-        self._failed = self._late = self._sampled = 0
+        self._failed = self._late = self._sampled = self._undelivered = 0
         self.suppressed = 0
 
     def write(self, code: ResultCode, path: str, summary: RequestSummary) -> None:
@@ -92,6 +104,29 @@
             late=summary.is_late,
         )
 
+    def write_undelivered(
+        self, answers: list[UndeliveredAnswer], stop_began_s: float | None
+    ) -> None:
+        """Log the answers that one connection did not deliver, as far as the rate allows it."""
+        self._reset_each_second()
+        stop_ms = None
+        if stop_began_s is not None:
+            stop_ms = round((trio.current_time() - stop_began_s) * 1000, 1)
+        for answer in answers:
+            self._undelivered += 1
+            if self._undelivered > MAX_UNDELIVERED_LINES_PER_S:
+                self.suppressed += 1
+                continue
+            log(
+                Event.ANSWER_UNDELIVERED,
+                id=answer.request_id,
+                cause=answer.cause,
+                state=answer.state,
+                sent_bytes=answer.sent_bytes,
+                of_connection=len(answers),
+                stop_ms=stop_ms,
+            )
+
     def _should_write(self, code: ResultCode, summary: RequestSummary) -> bool:
         if code.run is not Execution.RAN:
             self._failed += 1
@@ -115,4 +150,4 @@
         if self.suppressed:
             log(Event.REQUEST_LINES_SUPPRESSED, requests=self.suppressed)
         self._second, self.suppressed = second, 0
-        self._failed = self._late = self._sampled = 0
+        self._failed = self._late = self._sampled = self._undelivered = 0
--- a/src/dotterelstand/request/stopplan.py
+++ b/src/dotterelstand/request/stopplan.py
@@ -24,6 +24,11 @@
         self._limit_s = limit_s
         self._began_s: float | None = None
 
+    @property
+    def began_s(self) -> float | None:
+        """Time at which the stop began, or None."""
+        return self._began_s
+
     @property
     def last_answer_s(self) -> float:
         """Time at which every request must have been answered; infinite without a limited stop."""
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -68,3 +68,38 @@
     found, out, err = run_command(capsys, "explain", request_id, str(tmp_path / name))
     assert found == code
     assert words in out + err
+
+
+@pytest.mark.parametrize(
+    ("fields", "words"),
+    [
+        (
+            {"cause": "reset", "state": "incomplete", "sent_bytes": 9, "stop_ms": 1380.0},
+            "no whole answer, reset: incomplete after 9 bytes, one of 2 of its connection,"
+            " 1380.0 ms after the stop began",
+        ),
+        (
+            {"cause": "caller_left", "state": "none", "sent_bytes": 0, "stop_ms": None},
+            "no whole answer, caller_left: none after 0 bytes, one of 2 of its connection, - ms",
+        ),
+    ],
+)
+def test_trace_tells_why_an_answer_was_not_delivered(
+    fields: dict[str, Any], words: str, tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """Guards against a closed connection that a trace shows as an answered request."""
+    lines = [
+        _line(102, 10.0),
+        _line(211, 11.0, idle=3, in_flight=1),
+        _line(202, 11.2, id="q1", code=1000, duration_ms=20.5, attempts=1),
+        _line(209, 11.4, id="q1", of_connection=2, **fields),
+        _line(209, 11.4, id="q2", of_connection=2, cause="closing_answer"),
+    ]
+    path = tmp_path / "entry-1.log"
+    path.write_text("".join(f"{line}\n" for line in lines))
+    code, out, _ = run_command(capsys, "explain", "q1", str(path))
+    assert code == ExitCode.OK
+    trace, _, state_changes = out.partition("state changes of the hosts")
+    assert trace.index("answered (1000") < trace.index(words)
+    assert "closing_answer" not in out
+    assert "caller connections closed: 3; in use: 1" in state_changes
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -1,7 +1,6 @@
 """Log output: one JSON object per line, with limits, and without blocking."""
 
 import json
-import logging as standard_logging
 import os
 import subprocess
 import sys
@@ -10,8 +9,8 @@
 
 import pytest
 import trio
-from absl import logging
 from platform_support import PlatformFleet, run_on_platform
+from support_logs import EventCollector
 
 from dotterelstand.events import Event
 from dotterelstand.logoutput import LogOutput
@@ -19,31 +18,6 @@
 LINE = "x" * 99 + "\n"
 
 
-class _EventCollector(standard_logging.Handler):
-    """Context manager that collects log events."""
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.events: list[dict[str, Any]] = []
-
-    def emit(self, record: standard_logging.LogRecord) -> None:
-        if isinstance(record.msg, dict):
-            self.events.append(record.msg)
-
-    def __enter__(self) -> "_EventCollector":
-        self._verbosity = logging.get_verbosity()
-        logging.set_verbosity(logging.INFO)
-        logging.get_absl_logger().addHandler(self)
-        return self
-
-    def __exit__(self, *_: object) -> None:
-        logging.get_absl_logger().removeHandler(self)
-        logging.set_verbosity(self._verbosity)
-
-    def events_of(self, request_id: str) -> list[int]:
-        return [line["event"] for line in self.events if line.get("id") == request_id]
-
-
 @pytest.mark.parametrize("lines", [1, 40, 1000])
 def test_a_stalled_reader_does_not_block(lines: int) -> None:
     """Guards against a daemon that blocks on a log write, and against dropped lines not counted."""
@@ -170,7 +144,7 @@
 )
 def test_a_failed_request_leaves_its_decisions_in_the_log(scenario: Any, events: list[int]) -> None:
     """Guards against failures without logged decisions, and against lines for successes."""
-    with _EventCollector() as lines:
+    with EventCollector() as lines:
         request_id = run_on_platform(scenario, instances=1)
     assert lines.events_of(request_id) == events
 
@@ -183,7 +157,7 @@
             instance.service_time_s = 0.5
         assert (await fleet.call("POST", "/b/1", b"order")).status == 200
 
-    with _EventCollector() as lines:
+    with EventCollector() as lines:
         run_on_platform(scenario)
     (ended,) = [line for line in lines.events if line["event"] == Event.ATTEMPT_ENDED]
     assert ended["sent"] and ended["status"] == 200
@@ -197,7 +171,7 @@
         fleet.store.remove("servers", "i-1")
         await trio.sleep(2.0)
 
-    with _EventCollector() as lines:
+    with EventCollector() as lines:
         run_on_platform(scenario)
     changes = [
         (line["target"], line["change"])
--- /dev/null
+++ b/tests/test_undelivered_answers.py
@@ -0,0 +1,234 @@
+"""Log lines and counters of requests whose connection ended before their whole answer was sent."""
+
+from collections.abc import Awaitable, Callable
+
+import h11
+import pytest
+import trio
+from platform_support import PlatformFleet, run_on_platform
+from support import read_answer
+from support_logs import EventCollector
+from trio.testing import memory_stream_pair
+
+from dotterelstand.connection.caller import CallerConnection, CallerLimits
+from dotterelstand.connection.callerrequest import CallerRequest
+from dotterelstand.events import Event
+from dotterelstand.request.accesslog import MAX_UNDELIVERED_LINES_PER_S, AccessLog
+from dotterelstand.request.stopplan import StopPlan
+from dotterelstand.request.undelivered import UndeliveredAnswer, find_undelivered
+from dotterelstand.standin.virtual import run_virtual
+from dotterelstand.version.model import CallerBounds
+
+STOP_LIMIT_S = 1.5
+# Longer than what is buffered before the head is sent, and than what a stream holds unread.
+LONG_BODY = b"x" * 1_000_000
+BROKEN_CHUNKS = 6 * (b"4000\r\n" + b"x" * 0x4000 + b"\r\n") + b"damaged\r\n"
+
+
+def _answer_all(fleet: PlatformFleet, body: bytes, **changes: str) -> None:
+    for instance in fleet.instances:
+        instance.answers = [lambda headers, item=instance: item.answer(headers, body, **changes)]
+
+
+def _set_service_time(fleet: PlatformFleet, seconds: float) -> None:
+    for instance in fleet.instances:
+        instance.service_time_s = seconds
+
+
+async def _caller_leaves(fleet: PlatformFleet) -> None:
+    _set_service_time(fleet, 0.5)
+    stream = await fleet.stream()
+    await stream.send_all(fleet.request())
+    await trio.sleep(0.1)
+    stream.close()
+    await trio.sleep(0.5)
+
+
+async def _caller_leaves_within_the_answer(fleet: PlatformFleet) -> None:
+    _answer_all(fleet, LONG_BODY)
+    stream = await fleet.stream()
+    await stream.send_all(fleet.request())
+    await trio.sleep(0.3)
+    stream.close()
+    await trio.sleep(0.5)
+
+
+async def _answer_breaks_off(fleet: PlatformFleet) -> None:
+    _answer_all(fleet, BROKEN_CHUNKS, Transfer_Encoding="chunked", Content_Length="")
+    stream = await fleet.stream()
+    await stream.send_all(fleet.request())
+    _set_service_time(fleet, 0.1)
+    await trio.sleep(0.02)
+    _set_service_time(fleet, 1.0)
+    await stream.send_all(fleet.request())
+    await trio.sleep(1.0)
+
+
+async def _behind_a_closing_answer(fleet: PlatformFleet) -> None:
+    stream = await fleet.stream()
+    fleet.daemon.stop()
+    await stream.send_all(fleet.request())
+    await read_answer(stream)
+    await stream.send_all(fleet.request())
+    await trio.sleep(0.1)
+    stream.close()
+    await trio.sleep(0.1)
+
+
+async def _behind_a_closing_answer_that_is_sent(fleet: PlatformFleet) -> None:
+    _answer_all(fleet, LONG_BODY)
+    stream = await fleet.stream()
+    fleet.daemon.stop()
+    await stream.send_all(fleet.request())
+    await trio.sleep(0.2)
+    await stream.send_all(fleet.request())
+    await trio.sleep(0.1)
+    await read_answer(stream)
+    stream.close()
+    await trio.sleep(0.1)
+
+
+async def _incomplete_when_the_grace_period_ends(fleet: PlatformFleet) -> None:
+    _answer_all(fleet, LONG_BODY)
+    stream = await fleet.stream()
+    await stream.send_all(fleet.request(deadline_ms=30_000))
+    await trio.sleep(0.2)
+    fleet.daemon.stop()
+    await stream.send_all(fleet.request()[:-2])
+    await trio.sleep(1.1)
+    await read_answer(stream)
+    stream.close()
+    await trio.sleep(0.1)
+
+
+async def _waits_until_the_stop_limit(fleet: PlatformFleet) -> None:
+    _answer_all(fleet, b"x" * 65_000)
+    stream = await fleet.stream()
+    for _ in range(4):
+        await stream.send_all(fleet.request())
+        _answer_all(fleet, b"x" * 65_000)
+    await trio.sleep(0.5)
+    fleet.daemon.stop()
+    await trio.sleep(STOP_LIMIT_S)
+
+
+async def _streams_until_the_last_answer(fleet: PlatformFleet) -> None:
+    _answer_all(fleet, LONG_BODY)
+    stream = await fleet.stream()
+    await stream.send_all(fleet.request(deadline_ms=30_000))
+    await trio.sleep(0.2)
+    fleet.daemon.stop()
+    await trio.sleep(STOP_LIMIT_S)
+
+
+async def _upload_answered_early(fleet: PlatformFleet) -> None:
+    stream = await fleet.stream()
+    whole = fleet.request("POST", "/u/1", fleet.request(), deadline_ms=100)
+    await stream.send_all(whole[:-50])
+    await read_answer(stream, "POST")
+    await stream.send_all(whole[-50:])
+    stream.close()
+    await trio.sleep(0.1)
+
+
+async def _all_delivered(fleet: PlatformFleet) -> None:
+    stream = await fleet.stream()
+    await stream.send_all(fleet.request() + fleet.request() + fleet.request("POST", "/b/1", b"x"))
+    for _ in range(2):
+        await read_answer(stream)
+    await read_answer(stream, "POST")
+    await stream.send_all(fleet.request("POST", "/b/1", b"x"))
+    fleet.daemon.stop()
+    await read_answer(stream, "POST")
+    stream.close()
+    await trio.sleep(1.0)
+
+
+Scenario = Callable[[PlatformFleet], Awaitable[None]]
+
+
+@pytest.mark.parametrize(
+    ("scenario", "expected"),
+    [
+        (_caller_leaves, [("q1", "caller_left", "none")]),
+        (_caller_leaves_within_the_answer, [("q1", "caller_left", "incomplete")]),
+        (_answer_breaks_off, [("q1", "reset", "incomplete"), ("q2", "reset", "none")]),
+        (_behind_a_closing_answer, [("q2", "closing_answer", "not_read")]),
+        (_behind_a_closing_answer_that_is_sent, [("q2", "closing_answer", "not_served")]),
+        (_incomplete_when_the_grace_period_ends, [("q2", "grace_period", "not_read")]),
+        (
+            _waits_until_the_stop_limit,
+            [("q3", "stop_limit", "sending"), ("q4", "stop_limit", "waiting")],
+        ),
+        (_streams_until_the_last_answer, [("q1", "reset", "incomplete")]),
+        (_upload_answered_early, []),
+        (_all_delivered, []),
+    ],
+)
+def test_request_without_a_whole_answer_is_logged_with_its_cause(
+    scenario: Scenario, expected: list[tuple[str, str, str]]
+) -> None:
+    """Guards against a closed connection whose cause no log line and no counter tells.
+
+    Requests of a reported case were run, and their connection was closed around a stop; no line
+    told whether the caller, a broken answer, a closing answer or the stop itself had ended it.
+    """
+
+    async def run(fleet: PlatformFleet) -> dict[str, int]:
+        await scenario(fleet)
+        counters: dict[str, int] = fleet.daemon.metrics.snapshot().counters
+        return counters
+
+    with EventCollector() as lines:
+        counters = run_on_platform(run, stop_limit_s=STOP_LIMIT_S)
+    found = lines.lines_of(Event.ANSWER_UNDELIVERED)
+    assert sorted((line["id"], line["cause"], line["state"]) for line in found) == expected
+    assert all(line["of_connection"] == len(expected) for line in found)
+    prefix = "requests.undelivered."
+    counted = {name: value for name, value in counters.items() if name.startswith(prefix) and value}
+    causes = [cause for _, cause, _ in expected]
+    assert counted == {prefix + cause: causes.count(cause) for cause in causes}
+
+
+@pytest.mark.parametrize(
+    ("failed", "stop_s", "cause"),
+    [(True, None, "fault"), (False, 5.9, "stop_limit"), (False, 2.0, "cancelled")],
+)
+def test_a_daemon_that_ends_is_told_from_a_stop(
+    failed: bool, stop_s: float | None, cause: str
+) -> None:
+    """Guards against requests that an error of the daemon ended, logged as ended by a stop."""
+
+    async def main() -> list[UndeliveredAnswer]:
+        plan = StopPlan(6.0)
+        if stop_s is not None:
+            plan.begin(trio.current_time() - stop_s)
+        limits = CallerLimits(CallerBounds(1000, 1000, 1.0, 1.0), 1.0, 1.0)
+        stream, _ = memory_stream_pair()
+        connection = CallerConnection(stream, limits)
+        request = CallerRequest(connection, h11.Connection(h11.SERVER), b"GET", None, None)
+        connection.begin(request)
+        connection.end(request)
+        return find_undelivered(connection, failed, plan, b"x-id")
+
+    (found,) = run_virtual(main, seed=1)
+    assert (found.cause, found.state, found.sent_bytes) == (cause, "none", 0)
+
+
+def test_lines_of_undelivered_answers_are_limited() -> None:
+    """Guards against a stop that fills the log with lines of thousands of connections."""
+
+    async def main() -> None:
+        access_log = AccessLog(1)
+        for second in range(2):
+            await trio.sleep(second)
+            answers = [UndeliveredAnswer("reset", "q1", "none", 0)] * 16
+            for _ in range(4):
+                access_log.write_undelivered(answers, None)
+            assert access_log.suppressed == 64 - MAX_UNDELIVERED_LINES_PER_S
+
+    with EventCollector() as lines:
+        run_virtual(main, seed=1)
+    assert len(lines.lines_of(Event.ANSWER_UNDELIVERED)) == 2 * MAX_UNDELIVERED_LINES_PER_S
+    (line,) = lines.lines_of(Event.REQUEST_LINES_SUPPRESSED)
+    assert line["requests"] == 64 - MAX_UNDELIVERED_LINES_PER_S
