--- a/src/dotterelstand/cli/explain.py
+++ b/src/dotterelstand/cli/explain.py
@@ -169,6 +169,9 @@
         "answered ({code}) after {duration_ms} ms and {attempts} attempts; late: {late}; {service},"
         " {route_class}, document {document}"
     ),
+    Event.ANSWER_SKIPPED: (
+        "attempt {attempt}: {target} sent an answer to request {answered_id}, which was skipped"
+    ),
     Event.ANSWER_UNDELIVERED: (
         "no whole answer, {cause}: {state} after {sent_bytes} bytes, one of {of_connection} of its"
         " connection, {stop_ms} ms after the stop began"
--- a/src/dotterelstand/connection/target.py
+++ b/src/dotterelstand/connection/target.py
@@ -134,6 +134,12 @@
         if rest:
             self._h11.receive_data(bytes(rest))
 
+    @property
+    def is_request_sent(self) -> bool:
+        """Whether the end of the current request was sent."""
+        states = (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
+        return self._h11.our_state in states and not self._sending
+
     def closed_by_target(self) -> bool:
         """Whether the target closed the connection."""
         return self._h11.trailing_data[1] or self._h11.their_state is h11.CLOSED
--- a/src/dotterelstand/request/accesslog.py
+++ b/src/dotterelstand/request/accesslog.py
@@ -12,7 +12,7 @@
 
 # Maximum number of requests per second whose decisions are logged, since writing a line takes about
 # 60 us. The limits are, in this order, for requests without an answer, for late or retried
-# requests, and for a sample of the others.
+# requests or those with skipped answers, and for a sample of the others.
 MAX_FAILED_LINES_PER_S = 40
 MAX_LATE_LINES_PER_S = 10
 MAX_SAMPLED_LINES_PER_S = 5
@@ -52,6 +52,8 @@
     def count(self, metrics: Counters, code: ResultCode) -> None:
         """Count the result and, if the request was answered, record its duration."""
         metrics.count(f"requests.result.{code:d}")
+        if self.trail.skipped_answers:
+            metrics.count("requests.skipped_answers", self.trail.skipped_answers)
         if self.route is not None and code.run is Execution.RAN:
             route = self.route
             metrics.record_latency(route.service, route.klass, self._tenant, self.duration_s)
@@ -131,7 +133,7 @@
         if code.run is not Execution.RAN:
             self._failed += 1
             written = self._failed <= MAX_FAILED_LINES_PER_S
-        elif summary.is_late or summary.trail.attempts > 1:
+        elif summary.is_late or summary.trail.attempts > 1 or summary.trail.skipped_answers:
             self._late += 1
             written = self._late <= MAX_LATE_LINES_PER_S
         else:
--- a/src/dotterelstand/request/attempt.py
+++ b/src/dotterelstand/request/attempt.py
@@ -35,6 +35,8 @@
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 # An attempt fails after it has skipped this many late answers to earlier requests.
 MAX_SKIPPED_ANSWERS = 4
+# Maximum number of characters that are kept of the request id of another answer.
+MAX_ID_CHARACTERS = 64
 # Maximum number of interim (1xx) answers before the final one.
 MAX_INTERIM_ANSWERS = 16
 _CONNECTION_ERRORS = (trio.BrokenResourceError, trio.ClosedResourceError)
@@ -133,10 +135,12 @@
         "_sent_bytes",
         "_setup",
         "_silence_scope",
+        "_whole_sent",
         "answer",
         "body_error",
         "failure",
         "on_body_error",
+        "skipped",
         "target_slow",
         "time_to_head_s",
     )
@@ -158,6 +162,9 @@
         self._sent_bytes = 0
         self._ended = False
         self.answer: AnswerHead | None = None
+        self._whole_sent = False
+        # Request ids of the answers that were not those to this request.
+        self.skipped: list[str] = []
         self.body_error: ResultCode | None = None
         self.failure: ResultCode | None = None
         self.time_to_head_s = 0.0
@@ -189,6 +196,25 @@
         """Whether any byte of the request may have been sent to the target."""
         return self._connection is not None and self._connection.send_started
 
+    @property
+    def whole_sent(self) -> bool:
+        """Whether the end of the request was sent to the target."""
+        if self._ended or self._connection is None:
+            return self._whole_sent
+        return self._connection.is_request_sent
+
+    @property
+    def answered_early(self) -> bool:
+        """Whether the target answered before the end of the request was sent."""
+        return self.answer is not None and not self.whole_sent
+
+    @property
+    def answer_names_request(self) -> bool:
+        """Whether the answer bears the id of the request."""
+        head = self._setup.head
+        answered = self.answer
+        return answered is not None and answered.value(head.fields.request_id) == head.request_id
+
     @property
     def may_have_run(self) -> bool:
         """Whether the target may have run the request: it was sent and not refused."""
@@ -257,6 +283,8 @@
         self._setup.slots.release(self._grant, SlotOutcome(kind, duration_s, load))
         if self._connection is None:
             return
+        # A connection that is reused no longer knows it.
+        self._whole_sent = self._connection.is_request_sent
         if self.failure is None and kind is not AttemptOutcome.CANCELLED:
             self._setup.pool.release(self._connection)
         else:
@@ -315,6 +343,8 @@
             answer = AnswerHead(event.status_code, headers, head.fields)
             if answer.matches_request(head.request_id):
                 return answer
+            answered_id = answer.value(head.fields.request_id) or b""
+            self.skipped.append(answered_id.decode("latin-1")[:MAX_ID_CHARACTERS])
             await self.connection.skip_answer()
         raise h11.RemoteProtocolError("no answer to this request")
 
--- a/src/dotterelstand/request/exchange.py
+++ b/src/dotterelstand/request/exchange.py
@@ -117,6 +117,8 @@
             for attempt in self._attempts:
                 self._trail.note_end(attempt)
                 attempt.end(AttemptOutcome.CANCELLED)
+                if attempt.answered_early:
+                    self._context.metrics.count("requests.early_answers")
             self._suspicion.end_run()
             final = code if code is not None else self._interrupted_code()
             if self._keyed is not None:
--- a/src/dotterelstand/request/trail.py
+++ b/src/dotterelstand/request/trail.py
@@ -28,7 +28,7 @@
 class DecisionTrail:
     """Buffered log lines about the decisions on one request."""
 
-    __slots__ = ("_attempts", "_began_s", "_decisions", "_ended", "request_id")
+    __slots__ = ("_attempts", "_began_s", "_decisions", "_ended", "request_id", "skipped_answers")
 
     def __init__(self, request_id: bytes | None) -> None:
         self.request_id = "" if request_id is None else request_id.decode("latin-1")
@@ -37,6 +37,8 @@
         self._attempts: list[Attempt] = []
         # Attempts whose end was recorded.
         self._ended: set[Attempt] = set()
+        # Number of answers to other requests that were read instead of answers to this one.
+        self.skipped_answers = 0
 
     @property
     def attempts(self) -> int:
@@ -81,6 +83,14 @@
         if attempt in self._ended:
             return
         self._ended.add(attempt)
+        for answered_id in attempt.skipped:
+            self.skipped_answers += 1
+            self.note(
+                Event.ANSWER_SKIPPED,
+                attempt=self._attempts.index(attempt) + 1,
+                target=attempt.target,
+                answered_id=answered_id,
+            )
         answer = attempt.answer
         self.note(
             Event.ATTEMPT_ENDED,
@@ -91,6 +101,8 @@
             refused=answer is not None and answer.is_refusal(),
             # A connection that was returned to the pool has already reset `send_started`.
             sent=answer is not None or attempt.send_started,
+            whole=attempt.whole_sent,
+            named=attempt.answer_names_request,
         )
 
     def note_retry(self, decision: RetryDecision, inputs: RetryInputs) -> None:
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -7,9 +7,11 @@
 from pathlib import Path
 from typing import Any
 
+import h11
 import pytest
 import trio
 from platform_support import PlatformFleet, run_on_platform
+from support import read_answer
 from support_logs import EventCollector
 
 from dotterelstand.events import Event
@@ -180,3 +182,60 @@
     ]
     assert ("i-0", "draining") in changes and ("i-1", "gone") in changes
     assert changes.count(("i-2", "listed")) == 1
+
+
+@pytest.mark.parametrize(
+    ("answered_id", "count"), [("health-1", 1), ("", 1), ("health-1", 3), ("y" * 1000, 1)]
+)
+def test_answer_to_another_request_is_logged(answered_id: str, count: int) -> None:
+    """Guards against an answer taken for that to an order, without a line that both ids are in.
+
+    An order that was answered as not run, and ran, left no sign of a late answer to a health check.
+    """
+
+    async def scenario(fleet: PlatformFleet) -> int:
+        instance = fleet.instances[0]
+        other = instance.answer({}, X_Dotterelstand_Request_Id=answered_id)
+        instance.answers = [lambda headers: other * count + instance.answer(headers)]
+        assert (await fleet.call("POST", "/b/1", b"order")).status == 200
+        return fleet.daemon.metrics.value("requests.skipped_answers")
+
+    with EventCollector() as lines:
+        assert run_on_platform(scenario, instances=1) == count
+    skipped = lines.lines_of(Event.ANSWER_SKIPPED)
+    assert [(line["id"], line["answered_id"], line["target"]) for line in skipped] == [
+        ("q1", answered_id[:64], "i-0")
+    ] * count
+    (ended,) = lines.lines_of(Event.ATTEMPT_ENDED)
+    assert ended["named"] and ended["whole"] and not ended["refused"]
+
+
+@pytest.mark.parametrize("early", [True, False])
+def test_answer_before_the_end_of_an_upload_is_counted(early: bool) -> None:
+    """Guards against a target that reads on behind an early answer, without a sign of the answer.
+
+    What follows on such a connection would be taken for the rest of the upload.
+    """
+
+    async def scenario(fleet: PlatformFleet) -> int:
+        instance = fleet.instances[0]
+
+        async def answer_early(stream: Any, connection: Any) -> bool:
+            while not isinstance(event := connection.next_event(), h11.Request):
+                connection.receive_data(bytes(await stream.receive_some(65536)))
+            headers = {name.decode(): value.decode() for name, value in event.headers}
+            await stream.send_all(instance.answer(headers))
+            await trio.sleep_forever()
+            return False
+
+        if early:
+            instance._serve_next = answer_early  # type: ignore[method-assign]
+        stream = await fleet.stream()
+        whole = fleet.request("POST", "/u/1", b"x" * 600_000)
+        await stream.send_all(whole[:-50_000] if early else whole)
+        assert (await read_answer(stream, "POST")).status == 200
+        stream.close()
+        await trio.sleep(0.5)
+        return fleet.daemon.metrics.value("requests.early_answers")
+
+    assert run_on_platform(scenario, instances=1) == early
