Log the decisions on requests whose answer was not delivered

Event 209 now follows the lines 204 to 208 of its request, and has its path. Test: tests/test_undelivered_answers.py checks that each request that was served has lines 204 and 206.

--- a/src/dotterelstand/connection/callerrequest.py
+++ b/src/dotterelstand/connection/callerrequest.py
@@ -55,6 +55,7 @@
         "on_disconnect",
         "on_stop",
         "sent_bytes",
+        "write_decisions",
     )
 
     def __init__(
@@ -80,6 +81,8 @@
         self.ended = trio.Event()
         self.on_disconnect: Callable[[], object] | None = None
         self.on_stop: Callable[[], object] | None = None
+        # Logs the decisions on the request, which is done if its answer is not delivered.
+        self.write_decisions: Callable[[], object] | None = None
 
     @property
     def disconnected(self) -> bool:
--- a/src/dotterelstand/process/frontend.py
+++ b/src/dotterelstand/process/frontend.py
@@ -180,6 +180,7 @@
         else:
             exchange = Exchange(request, head, document, route, self._context)
             summary = exchange.summary
+            request.write_decisions = summary.trail.write
             code = await exchange.run()
         await self._finish_answer(request, code)
         summary.count(self._context.metrics, code)
--- a/src/dotterelstand/request/accesslog.py
+++ b/src/dotterelstand/request/accesslog.py
@@ -109,7 +109,7 @@
     def write_undelivered(
         self, answers: list[UndeliveredAnswer], stop_began_s: float | None
     ) -> None:
-        """Log the answers that one connection did not deliver, as far as the rate allows it."""
+        """Log the answers that one connection did not deliver if the rate allows it."""
         self._reset_each_second()
         stop_ms = None
         if stop_began_s is not None:
@@ -119,9 +119,12 @@
             if self._undelivered > MAX_UNDELIVERED_LINES_PER_S:
                 self.suppressed += 1
                 continue
+            if answer.write_decisions is not None:
+                answer.write_decisions()
             log(
                 Event.ANSWER_UNDELIVERED,
                 id=answer.request_id,
+                path=answer.path[:MAX_PATH_CHARACTERS],
                 cause=answer.cause,
                 state=answer.state,
                 sent_bytes=answer.sent_bytes,
--- a/src/dotterelstand/request/undelivered.py
+++ b/src/dotterelstand/request/undelivered.py
@@ -1,6 +1,7 @@
 """Requests of a caller connection that ended without their whole answer, and why."""
 
 import re
+from collections.abc import Callable
 
 import trio
 
@@ -19,13 +20,15 @@
     behind a closing answer, or `not_read` for input behind one.
     """
 
-    __slots__ = ("cause", "request_id", "sent_bytes", "state")
+    __slots__ = ("cause", "path", "request_id", "sent_bytes", "state", "write_decisions")
 
-    def __init__(self, cause: str, request_id: str, state: str, sent_bytes: int) -> None:
+    def __init__(self, cause: str, request_id: str, state: str, sent_bytes: int = 0) -> None:
         self.cause = cause
         self.request_id = request_id
         self.state = state
         self.sent_bytes = sent_bytes
+        self.path = ""
+        self.write_decisions: Callable[[], object] | None = None
 
 
 def find_undelivered(
@@ -37,19 +40,16 @@
     as far as their ids can be read.
     """
     cause = _cause(connection, failed, plan)
-    found = [
-        UndeliveredAnswer(cause, _id_of(item), item.answer_state, item.sent_bytes)
-        for item in connection.undelivered
-    ]
+    found = [_describe(item, cause, item.answer_state) for item in connection.undelivered]
     behind = "reset" if connection.aborted else "closing_answer"
     if not connection.will_close:
         behind = "grace_period"
     if connection.unserved is not None:
-        found.append(UndeliveredAnswer(behind, _id_of(connection.unserved), "not_served", 0))
+        found.append(_describe(connection.unserved, behind, "not_served"))
     if connection.ends_when_idle and (data := connection.left_over):
         # Input without a readable id counts as one request.
         for request_id in _read_ids(data, id_field) or [""]:
-            found.append(UndeliveredAnswer(behind, request_id, "not_read", 0))
+            found.append(UndeliveredAnswer(behind, request_id, "not_read"))
     return found[:MAX_UNDELIVERED]
 
 
@@ -63,9 +63,13 @@
     return "stop_limit" if trio.current_time() >= plan.last_connection_s else "cancelled"
 
 
-def _id_of(request: CallerRequest) -> str:
-    request_id = None if request.head is None else request.head.request_id
-    return "" if request_id is None else request_id.decode("latin-1")
+def _describe(request: CallerRequest, cause: str, state: str) -> UndeliveredAnswer:
+    head = request.head
+    request_id = b"" if head is None or head.request_id is None else head.request_id
+    answer = UndeliveredAnswer(cause, request_id.decode("latin-1"), state, request.sent_bytes)
+    answer.path = "" if head is None else head.path
+    answer.write_decisions = request.write_decisions
+    return answer
 
 
 def _read_ids(data: bytes, id_field: bytes) -> list[str]:
--- a/tests/test_undelivered_answers.py
+++ b/tests/test_undelivered_answers.py
@@ -184,6 +184,9 @@
     found = lines.lines_of(Event.ANSWER_UNDELIVERED)
     assert sorted((line["id"], line["cause"], line["state"]) for line in found) == expected
     assert all(line["of_connection"] == len(expected) for line in found)
+    for request_id, _, state in expected:
+        decisions = {Event.SLOT_GRANTED, Event.ATTEMPT_ENDED} & set(lines.events_of(request_id))
+        assert len(decisions) == (0 if state.startswith("not_") else 2)
     prefix = "requests.undelivered."
     counted = {name: value for name, value in counters.items() if name.startswith(prefix) and value}
     causes = [cause for _, cause, _ in expected]
