--- a/src/dotterelstand/request/accesslog.py
+++ b/src/dotterelstand/request/accesslog.py
@@ -7,14 +7,17 @@
 from dotterelstand.events import Event, log
 from dotterelstand.request.interfaces import Counters
 from dotterelstand.request.trail import DecisionTrail
+from dotterelstand.request.undelivered import UndeliveredAnswer
 from dotterelstand.version.model import Route
 
 # Maximum number of requests per second whose decisions are logged, since writing a line takes about
 # 60 us. The limits are, in this order, for requests without an answer, for late or retried
-# requests, and for a sample of the others.
+# requests or those with skipped answers, and for a sample of the others.
 MAX_FAILED_LINES_PER_S = 40
 MAX_LATE_LINES_PER_S = 10
 MAX_SAMPLED_LINES_PER_S = 5
+# Maximum number of answers per second that are logged as not delivered.
+MAX_UNDELIVERED_LINES_PER_S = 20
 MAX_PATH_CHARACTERS = 200
 
 
@@ -49,6 +52,8 @@
     def count(self, metrics: Counters, code: ResultCode) -> None:
         """Count the result and, if the request was answered, record its duration."""
         metrics.count(f"requests.result.{code:d}")
+        if self.trail.skipped_answers:
+            metrics.count("requests.skipped_answers", self.trail.skipped_answers)
         if self.route is not None and code.run is Execution.RAN:
             route = self.route
             metrics.record_latency(route.service, route.klass, self._tenant, self.duration_s)
@@ -62,13 +67,22 @@
     requests in the current second that were not logged because of the rates.
     """
 
-    __slots__ = ("_answered", "_failed", "_late", "_sample", "_sampled", "_second", "suppressed")
+    __slots__ = (
+        "_answered",
+        "_failed",
+        "_late",
+        "_sample",
+        "_sampled",
+        "_second",
+        "_undelivered",
+        "suppressed",
+    )
 
     def __init__(self, sample: int) -> None:
         self._sample = sample
         self._answered = 0
         self._second = 0
-        self._failed = self._late = self._sampled = 0
+        self._failed = self._late = self._sampled = self._undelivered = 0
         self.suppressed = 0
 
     def write(self, code: ResultCode, path: str, summary: RequestSummary) -> None:
@@ -92,11 +106,37 @@
             late=summary.is_late,
         )
 
+    def write_undelivered(
+        self, answers: list[UndeliveredAnswer], stop_began_s: float | None
+    ) -> None:
+        """Log the answers that one connection did not deliver if the rate allows it."""
+        self._reset_each_second()
+        stop_ms = None
+        if stop_began_s is not None:
+            stop_ms = round((trio.current_time() - stop_began_s) * 1000, 1)
+        for answer in answers:
+            self._undelivered += 1
+            if self._undelivered > MAX_UNDELIVERED_LINES_PER_S:
+                self.suppressed += 1
+                continue
+            if answer.write_decisions is not None:
+                answer.write_decisions()
+            log(
+                Event.ANSWER_UNDELIVERED,
+                id=answer.request_id,
+                path=answer.path[:MAX_PATH_CHARACTERS],
+                cause=answer.cause,
+                state=answer.state,
+                sent_bytes=answer.sent_bytes,
+                of_connection=len(answers),
+                stop_ms=stop_ms,
+            )
+
     def _should_write(self, code: ResultCode, summary: RequestSummary) -> bool:
         if code.run is not Execution.RAN:
             self._failed += 1
             written = self._failed <= MAX_FAILED_LINES_PER_S
-        elif summary.is_late or summary.trail.attempts > 1:
+        elif summary.is_late or summary.trail.attempts > 1 or summary.trail.skipped_answers:
             self._late += 1
             written = self._late <= MAX_LATE_LINES_PER_S
         else:
@@ -115,4 +155,4 @@
         if self.suppressed:
             log(Event.REQUEST_LINES_SUPPRESSED, requests=self.suppressed)
         self._second, self.suppressed = second, 0
-        self._failed = self._late = self._sampled = 0
+        self._failed = self._late = self._sampled = self._undelivered = 0
--- a/src/dotterelstand/request/answerforwarder.py
+++ b/src/dotterelstand/request/answerforwarder.py
@@ -9,7 +9,7 @@
 from dotterelstand.codes import Result as ResultCode
 from dotterelstand.connection.callerrequest import CallerRequest
 from dotterelstand.connection.target import MAX_EVENTS_WITHOUT_WAIT, AnswerEvent, TargetConnection
-from dotterelstand.request.attempt import AnswerHead
+from dotterelstand.request.answerhead import AnswerHead
 from dotterelstand.request.fields import HeaderFields
 from dotterelstand.request.head import returned_headers
 
--- /dev/null
+++ b/src/dotterelstand/request/answerhead.py
@@ -0,0 +1,66 @@
+"""Head of a target's answer, and what it tells of the request."""
+
+from dotterelstand.request.fields import HeaderFields, announces_draining
+from dotterelstand.request.head import Headers
+
+# Statuses from which a caller may conclude that its request was not run.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+
+
+class AnswerHead:
+    """Status and headers of a target's answer."""
+
+    __slots__ = ("_fields", "_values", "headers", "status")
+
+    def __init__(self, status: int, headers: Headers, fields: HeaderFields) -> None:
+        self.status = status
+        self.headers = headers
+        self._fields = fields
+        self._values = dict(headers)
+
+    def value(self, name: bytes) -> bytes | None:
+        """Last value of a header, or None if it is absent."""
+        return self._values.get(name)
+
+    def is_refusal(self) -> bool:
+        """Whether the target reports that it did not run the request (see `HeaderFields`)."""
+        if self.status in self._fields.not_run_statuses:
+            return True
+        value = self.value(self._fields.not_run)
+        if value is None:
+            return False
+        expected = self._fields.not_run_value
+        return not expected or (self.status == 503 and value == expected)
+
+    def is_unaltered(self) -> bool:
+        """Whether the answer shows no sign of a change in transit.
+
+        A Content-Encoding is such a sign, and so is a success without the signature header.
+        """
+        if self.value(b"content-encoding") is not None:
+            return False
+        signature = self._fields.signature
+        return not signature or self.status >= 300 or bool(self.value(signature))
+
+    def matches_request(self, request_id: bytes | None) -> bool:
+        """Whether the answer belongs to a request.
+
+        A missing id is a match only if targets need not send it (see `HeaderFields`).
+        """
+        answered_id = self.value(self._fields.request_id)
+        if answered_id is None and not self._fields.echoes_request_id:
+            return True
+        return request_id in (None, answered_id)
+
+    def announces_draining(self) -> bool:
+        """Whether the target says that it is draining."""
+        return announces_draining(self._values, self._fields)
+
+    def claims_not_run(self) -> bool:
+        """Whether the status suggests that the request was not run, without being a refusal."""
+        return self.status in NOT_RUN_STATUSES and not self.is_refusal()
+
+    def has_two_lengths(self) -> bool:
+        """Whether the answer has both Content-Length and Transfer-Encoding."""
+        length = self.value(b"content-length") is not None
+        return length and self.value(b"transfer-encoding") is not None
--- a/src/dotterelstand/request/attempt.py
+++ b/src/dotterelstand/request/attempt.py
@@ -16,8 +16,9 @@
 )
 from dotterelstand.connection.target import AnswerEvent, TargetConnection
 from dotterelstand.process.selection.outcome import AttemptOutcome, SlotGrant, SlotOutcome
+from dotterelstand.request.answerhead import AnswerHead
 from dotterelstand.request.body import RequestBody
-from dotterelstand.request.fields import HeaderFields, announces_draining, parse_load_report
+from dotterelstand.request.fields import parse_load_report
 from dotterelstand.request.head import Headers, RequestHead, forwarded_headers
 from dotterelstand.request.interfaces import LeavingTargets, Slots
 from dotterelstand.request.policy import FAILING_STATUSES
@@ -31,74 +32,15 @@
 # A body up to this length is sent in one call before the answer is read. A longer body is sent
 # while the answer is awaited, since a target that answers early may stop reading the body.
 MAX_SINGLE_SEND_BYTES = 16384
-# Statuses from which a caller may conclude that its request was not run.
-NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 # An attempt fails after it has skipped this many late answers to earlier requests.
 MAX_SKIPPED_ANSWERS = 4
+# Maximum number of characters that are kept of the request id of another answer.
+MAX_ID_CHARACTERS = 64
 # Maximum number of interim (1xx) answers before the final one.
 MAX_INTERIM_ANSWERS = 16
 _CONNECTION_ERRORS = (trio.BrokenResourceError, trio.ClosedResourceError)
 
 
-class AnswerHead:
-    """Status and headers of a target's answer."""
-
-    __slots__ = ("_fields", "_values", "headers", "status")
-
-    def __init__(self, status: int, headers: Headers, fields: HeaderFields) -> None:
-        self.status = status
-        self.headers = headers
-        self._fields = fields
-        self._values = dict(headers)
-
-    def value(self, name: bytes) -> bytes | None:
-        """Last value of a header, or None if it is absent."""
-        return self._values.get(name)
-
-    def is_refusal(self) -> bool:
-        """Whether the target reports that it did not run the request (see `HeaderFields`)."""
-        if self.status in self._fields.not_run_statuses:
-            return True
-        value = self.value(self._fields.not_run)
-        if value is None:
-            return False
-        expected = self._fields.not_run_value
-        return not expected or (self.status == 503 and value == expected)
-
-    def is_unaltered(self) -> bool:
-        """Whether the answer shows no sign of a change in transit.
-
-        A Content-Encoding is such a sign, and so is a success without the signature header.
-        """
-        if self.value(b"content-encoding") is not None:
-            return False
-        signature = self._fields.signature
-        return not signature or self.status >= 300 or bool(self.value(signature))
-
-    def matches_request(self, request_id: bytes | None) -> bool:
-        """Whether the answer belongs to a request.
-
-        A missing id is a match only if targets need not send it (see `HeaderFields`).
-        """
-        answered_id = self.value(self._fields.request_id)
-        if answered_id is None and not self._fields.echoes_request_id:
-            return True
-        return request_id in (None, answered_id)
-
-    def announces_draining(self) -> bool:
-        """Whether the target says that it is draining."""
-        return announces_draining(self._values, self._fields)
-
-    def claims_not_run(self) -> bool:
-        """Whether the status suggests that the request was not run, without being a refusal."""
-        return self.status in NOT_RUN_STATUSES and not self.is_refusal()
-
-    def has_two_lengths(self) -> bool:
-        """Whether the answer has both Content-Length and Transfer-Encoding."""
-        length = self.value(b"content-length") is not None
-        return length and self.value(b"transfer-encoding") is not None
-
-
 class AttemptSetup:
     """Request data and dependencies that all attempts of one request share.
 
@@ -150,10 +92,12 @@
         "_sent_bytes",
         "_setup",
         "_silence_scope",
+        "_whole_sent",
         "answer",
         "body_error",
         "failure",
         "on_body_error",
+        "skipped",
         "target_slow",
         "time_to_head_s",
     )
@@ -179,6 +123,9 @@
         self._sent_bytes = 0
         self._ended = False
         self.answer: AnswerHead | None = None
+        self._whole_sent = False
+        # Request ids of the answers that were not those to this request.
+        self.skipped: list[str] = []
         self.body_error: ResultCode | None = None
         self.failure: ResultCode | None = None
         self.time_to_head_s = 0.0
@@ -210,6 +157,25 @@
         """Whether any byte of the request may have been sent to the target."""
         return self._connection is not None and self._connection.send_started
 
+    @property
+    def whole_sent(self) -> bool:
+        """Whether the end of the request was sent to the target."""
+        if self._ended or self._connection is None:
+            return self._whole_sent
+        return self._connection.is_request_sent
+
+    @property
+    def answered_early(self) -> bool:
+        """Whether the target answered before the end of the request was sent."""
+        return self.answer is not None and not self.whole_sent
+
+    @property
+    def answer_names_request(self) -> bool:
+        """Whether the answer bears the id of the request."""
+        head = self._setup.head
+        answered = self.answer
+        return answered is not None and answered.value(head.fields.request_id) == head.request_id
+
     @property
     def may_have_run(self) -> bool:
         """Whether the target may have run the request: it was sent and not refused."""
@@ -278,6 +244,8 @@
         self._setup.slots.release(self._grant, SlotOutcome(kind, duration_s, load))
         if self._connection is None:
             return
+        # A connection that is reused no longer knows it.
+        self._whole_sent = self._connection.is_request_sent
         if self.failure is None and kind is not AttemptOutcome.CANCELLED:
             self._setup.pool.release(self._connection)
         else:
@@ -339,6 +307,8 @@
             identity = answer.value(head.fields.identity)
             if answer.announces_draining() and identity == self.target.encode("latin-1", "replace"):
                 self._report_leaving()
+            answered_id = answer.value(head.fields.request_id) or b""
+            self.skipped.append(answered_id.decode("latin-1")[:MAX_ID_CHARACTERS])
             await self.connection.skip_answer()
         raise h11.RemoteProtocolError("no answer to this request")
 
--- a/src/dotterelstand/request/keyed.py
+++ b/src/dotterelstand/request/keyed.py
@@ -10,7 +10,7 @@
     not_run_outcome,
     unknown_outcome,
 )
-from dotterelstand.request.attempt import AnswerHead
+from dotterelstand.request.answerhead import AnswerHead
 from dotterelstand.request.body import RequestBody
 from dotterelstand.request.head import RequestHead, head_digest, returned_headers
 from dotterelstand.request.interfaces import Journal
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -1,17 +1,18 @@
 """Log output: one JSON object per line, with limits, and without blocking."""
 
 import json
-import logging as standard_logging
 import os
 import subprocess
 import sys
 from pathlib import Path
 from typing import Any
 
+import h11
 import pytest
 import trio
-from absl import logging
 from platform_support import PlatformFleet, run_on_platform
+from support import read_answer
+from support_logs import EventCollector
 
 from dotterelstand.events import Event
 from dotterelstand.logoutput import LogOutput
@@ -19,31 +20,6 @@
 LINE = "x" * 99 + "\n"
 
 
-class _EventCollector(standard_logging.Handler):
-    """Context manager that collects log events."""
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.events: list[dict[str, Any]] = []
-
-    def emit(self, record: standard_logging.LogRecord) -> None:
-        if isinstance(record.msg, dict):
-            self.events.append(record.msg)
-
-    def __enter__(self) -> "_EventCollector":
-        self._verbosity = logging.get_verbosity()
-        logging.set_verbosity(logging.INFO)
-        logging.get_absl_logger().addHandler(self)
-        return self
-
-    def __exit__(self, *_: object) -> None:
-        logging.get_absl_logger().removeHandler(self)
-        logging.set_verbosity(self._verbosity)
-
-    def events_of(self, request_id: str) -> list[int]:
-        return [line["event"] for line in self.events if line.get("id") == request_id]
-
-
 @pytest.mark.parametrize("lines", [1, 40, 1000])
 def test_a_stalled_reader_does_not_block(lines: int) -> None:
     """Guards against a daemon that blocks on a log write, and against dropped lines not counted."""
@@ -170,7 +146,7 @@
 )
 def test_a_failed_request_leaves_its_decisions_in_the_log(scenario: Any, events: list[int]) -> None:
     """Guards against failures without logged decisions, and against lines for successes."""
-    with _EventCollector() as lines:
+    with EventCollector() as lines:
         request_id = run_on_platform(scenario, instances=1)
     assert lines.events_of(request_id) == events
 
@@ -183,7 +159,7 @@
             instance.service_time_s = 0.5
         assert (await fleet.call("POST", "/b/1", b"order")).status == 200
 
-    with _EventCollector() as lines:
+    with EventCollector() as lines:
         run_on_platform(scenario)
     (ended,) = [line for line in lines.events if line["event"] == Event.ATTEMPT_ENDED]
     assert ended["sent"] and ended["status"] == 200
@@ -197,7 +173,7 @@
         fleet.store.remove("servers", "i-1")
         await trio.sleep(2.0)
 
-    with _EventCollector() as lines:
+    with EventCollector() as lines:
         run_on_platform(scenario)
     changes = [
         (line["target"], line["change"])
@@ -206,3 +182,60 @@
     ]
     assert ("i-0", "draining") in changes and ("i-1", "gone") in changes
     assert changes.count(("i-2", "listed")) == 1
+
+
+@pytest.mark.parametrize(
+    ("answered_id", "count"), [("health-1", 1), ("", 1), ("health-1", 3), ("y" * 1000, 1)]
+)
+def test_answer_to_another_request_is_logged(answered_id: str, count: int) -> None:
+    """Guards against an answer taken for that to an order, without a line that both ids are in.
+
+    An order that was answered as not run, and ran, left no sign of a late answer to a health check.
+    """
+
+    async def scenario(fleet: PlatformFleet) -> int:
+        instance = fleet.instances[0]
+        other = instance.answer({}, X_Dotterelstand_Request_Id=answered_id)
+        instance.answers = [lambda headers: other * count + instance.answer(headers)]
+        assert (await fleet.call("POST", "/b/1", b"order")).status == 200
+        return fleet.daemon.metrics.value("requests.skipped_answers")
+
+    with EventCollector() as lines:
+        assert run_on_platform(scenario, instances=1) == count
+    skipped = lines.lines_of(Event.ANSWER_SKIPPED)
+    assert [(line["id"], line["answered_id"], line["target"]) for line in skipped] == [
+        ("q1", answered_id[:64], "i-0")
+    ] * count
+    (ended,) = lines.lines_of(Event.ATTEMPT_ENDED)
+    assert ended["named"] and ended["whole"] and not ended["refused"]
+
+
+@pytest.mark.parametrize("early", [True, False])
+def test_answer_before_the_end_of_an_upload_is_counted(early: bool) -> None:
+    """Guards against a target that reads on behind an early answer, without a sign of the answer.
+
+    What follows on such a connection would be taken for the rest of the upload.
+    """
+
+    async def scenario(fleet: PlatformFleet) -> int:
+        instance = fleet.instances[0]
+
+        async def answer_early(stream: Any, connection: Any) -> bool:
+            while not isinstance(event := connection.next_event(), h11.Request):
+                connection.receive_data(bytes(await stream.receive_some(65536)))
+            headers = {name.decode(): value.decode() for name, value in event.headers}
+            await stream.send_all(instance.answer(headers))
+            await trio.sleep_forever()
+            return False
+
+        if early:
+            instance._serve_next = answer_early  # type: ignore[method-assign]
+        stream = await fleet.stream()
+        whole = fleet.request("POST", "/u/1", b"x" * 600_000)
+        await stream.send_all(whole[:-50_000] if early else whole)
+        assert (await read_answer(stream, "POST")).status == 200
+        stream.close()
+        await trio.sleep(0.5)
+        return fleet.daemon.metrics.value("requests.early_answers")
+
+    assert run_on_platform(scenario, instances=1) == early
