Keep in the attempt whether its request was sent

Targets got refused requests more often than the route's attempts allow.

Cause: Attempt.send_started asked the connection, which resets the state in recycle (after a refusal read to its end) and sets it again when another request uses it. _counted_attempts asks after end(), so a refused attempt on a kept connection counted only beyond the maximum. Ruled out: a wrong "not run". A recycled connection means a refusal, or an answer that reached the caller; both are decided before end(). Change: the attempt holds the fact, set before the first byte is passed to the stream; the connection no longer does. A mutation of test_soak.py set the connection's attribute, which is gone; it still breaks "own answer".

--- a/src/dotterelstand/connection/target.py
+++ b/src/dotterelstand/connection/target.py
@@ -36,7 +36,6 @@
         "idle_since_s",
         "keep_alive_timeout_s",
         "reused",
-        "send_started",
     )
 
     def __init__(
@@ -54,7 +53,6 @@
         # Timeout from the target's Keep-Alive header, in seconds.
         self.keep_alive_timeout_s = math.inf
         self.idle_since_s = now
-        self.send_started = False
         self.reused = False
 
     def __enter__(self) -> "TargetConnection":
@@ -82,8 +80,6 @@
             data += self._h11.send(h11.Data(data=body)) or b""
         if complete:
             data += self._h11.send(h11.EndOfMessage()) or b""
-        # Set before the call, since a failed call may have sent some of the bytes.
-        self.send_started = True
         await self._send(data)
 
     async def send_body(self, data: bytes) -> None:
@@ -149,7 +145,6 @@
             return False
         self._h11.start_next_cycle()
         self.idle_since_s = now
-        self.send_started = False
         self.reused = True
         return True
 
--- a/src/dotterelstand/request/attempt.py
+++ b/src/dotterelstand/request/attempt.py
@@ -150,6 +150,7 @@
         "body_error",
         "failure",
         "on_body_error",
+        "send_started",
         "target_slow",
         "time_to_head_s",
     )
@@ -174,6 +175,8 @@
         self._head_sent = trio.Event()
         self._sent_bytes = 0
         self._ended = False
+        # Whether any byte of the request may have been sent to the target.
+        self.send_started = False
         self.answer: AnswerHead | None = None
         self.body_error: ResultCode | None = None
         self.failure: ResultCode | None = None
@@ -201,11 +204,6 @@
         assert self._connection is not None
         return self._connection
 
-    @property
-    def send_started(self) -> bool:
-        """Whether any byte of the request may have been sent to the target."""
-        return self._connection is not None and self._connection.send_started
-
     @property
     def may_have_run(self) -> bool:
         """Whether the target may have run the request: it was sent and not refused."""
@@ -303,6 +301,8 @@
         remaining_s = self._deadline - trio.current_time()
         head = self._setup.head
         headers = forwarded_headers(head, remaining_s, self.target)
+        # Set before the call, since a failed call may have sent some of the bytes.
+        self.send_started = True
         await self.connection.send_request(head.method, head.path, headers, data, complete)
         self._sent_bytes = len(data)
         self._head_sent.set()
--- a/src/dotterelstand/request/trail.py
+++ b/src/dotterelstand/request/trail.py
@@ -89,8 +89,7 @@
             failure=None if attempt.failure is None else int(attempt.failure),
             status=None if answer is None else answer.status,
             refused=answer is not None and answer.is_refusal(),
-            # A connection that was returned to the pool has already reset `send_started`.
-            sent=answer is not None or attempt.send_started,
+            sent=attempt.send_started,
         )
 
     def note_retry(self, decision: RetryDecision, inputs: RetryInputs) -> None:
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -42,3 +42,30 @@
         assert len(fleet.runs()) == 1
 
     run_on_platform(scenario, instances=1, seed=seed)
+
+
+@pytest.mark.parametrize("connection", ["", "close"])
+@pytest.mark.parametrize("method", ["GET", "POST"])
+def test_refused_attempts_count_whatever_becomes_of_their_connections(
+    method: str, connection: str
+) -> None:
+    """Guards against a request that is sent to more targets than its route's attempts allow.
+
+    Whether an attempt was sent was asked of its connection, which forgets it once it is in the pool
+    again, and says so again once another request uses it.
+    """
+
+    async def scenario(fleet: PlatformFleet) -> None:
+        for instance in fleet.instances:
+
+            def refuse(headers: dict[str, str], instance=instance) -> bytes:  # type: ignore[no-untyped-def]
+                changes = {"X_Dotterelstand_Not_Executed": "1", "Connection": connection}
+                return instance.answer(headers, b"", status="503 Full", **changes)
+
+            refuse.runs = False  # type: ignore[attr-defined]
+            instance.answers = [refuse] * 3
+        result = await fleet.call(method, "/a/1" if method == "GET" else "/b/1")
+        assert (result.status, fleet.runs()) == (503, [])
+        assert sum(len(instance.requests) for instance in fleet.instances) == 2
+
+    run_on_platform(scenario, instances=7)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -93,7 +93,6 @@
 def _keep_connection_with_answer_outstanding(patch: pytest.MonkeyPatch) -> None:
     def discard(self: TargetPool, connection: TargetConnection) -> None:
         connection._h11 = h11.Connection(h11.CLIENT)
-        connection.send_started = False
         connection.idle_since_s = trio.current_time()
         self._idle.setdefault(connection.address, []).append(connection)
 
