Test that a begun upload is never refused as not run

The table plays nine interruptions (a caller that stalls or sends no chunk, a new bound, route, service or targets removed, targets that drain or crash, a stop with its limit), each with none, one or all of three targets refusing, and both framings.

--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -1,9 +1,21 @@
 """Orders and uploads that are refused as not run must not have run, nor run later."""
 
+from collections.abc import Callable
+
+import h11
 import pytest
 import trio
-from platform_standin import server_entry
+from platform_standin import Instance, configuration, route, server_entry
 from platform_support import PlatformFleet, run_on_platform
+from support import read_answer
+
+from dotterelstand.standin.network import FakeStream
+
+# Statuses that promise that a request has not run and never will.
+PROMISES = (408, 421, 429, 503)
+STOP_LIMIT_S = 1.5
+# More than a daemon holds of a body whose length is declared.
+UPLOAD_BYTES, FIRST_PART_BYTES = 600_000, 200_000
 
 
 @pytest.mark.parametrize("seed", [1, 2])
@@ -69,3 +81,124 @@
         assert sum(len(instance.requests) for instance in fleet.instances) == 2
 
     run_on_platform(scenario, instances=7)
+
+
+class InterruptedUpload:
+    """Upload of which only the first part was sent when something happens to it."""
+
+    def __init__(self, fleet: PlatformFleet, stream: FakeStream) -> None:
+        self.fleet = fleet
+        self.stream = stream
+
+    async def stall(self) -> None:
+        """Send nothing more."""
+
+    async def send_no_chunk(self) -> None:
+        """Send bytes that are no chunk; to a body with a declared length they belong."""
+        await self.stream.send_all(b"no chunk\r\n")
+
+    async def send_whole_and_bound(self) -> None:
+        """Exceed the body length that a new configuration allows."""
+        routes = (route("s"), route("s", "/u/", "upload"))
+        document = configuration(9, *routes)
+        document["resources"][-1]["spec"]["maxBodyBytes"] = FIRST_PART_BYTES + 1000
+        self.fleet.store.put("config", "main", document)
+        await trio.sleep(0.5)
+        await self.stream.send_all(b"2000\r\n" + b"x" * 0x2000 + b"\r\n")
+
+    async def remove_route(self) -> None:
+        """Remove the route."""
+        self.fleet.store.put("config", "main", configuration(9, route("s")))
+
+    async def remove_service(self) -> None:
+        """Move all routes to another service."""
+        document = configuration(9, route("t"), services=("t",))
+        self.fleet.store.put("config", "main", document)
+
+    async def remove_targets(self) -> None:
+        """Remove all targets from the store."""
+        for instance in self.fleet.instances:
+            self.fleet.store.remove("servers", instance.name)
+
+    async def drain_targets(self) -> None:
+        """Let all targets drain."""
+        for index in range(len(self.fleet.instances)):
+            self.fleet.register(index, state="draining")
+
+    async def crash_targets(self) -> None:
+        """Crash all targets, and start them again at their addresses."""
+        for index, instance in enumerate(self.fleet.instances):
+            address = f"10.1.0.{index}"
+            self.fleet.network.crash(address)
+            listener = self.fleet.network.add_listener(address, 80)
+            self.fleet.nursery.start_soon(listener.serve, instance.serve, self.fleet.nursery)
+
+    async def stop_host(self) -> None:
+        """Stop the daemon, whose process is ended soon after."""
+        self.fleet.daemon.stop()
+
+
+def _count_from_the_head(instance: Instance, begun: list[str], refuses: bool) -> None:
+    """Let a target begin to run or refuse uploads before it has read their bodies."""
+
+    async def serve(stream: FakeStream, connection: h11.Connection) -> bool:
+        while not isinstance(event := connection.next_event(), h11.Request):
+            if isinstance(event, h11.ConnectionClosed):
+                return False
+            connection.receive_data(bytes(await stream.receive_some(65536)))
+        headers = {name.decode(): value.decode() for name, value in event.headers}
+        if event.target != b"/health" and not refuses:
+            begun.append(headers["x-dotterelstand-request-id"])
+        elif event.target != b"/health":
+            changes = {"X_Dotterelstand_Not_Executed": "1"}
+            await stream.send_all(instance.answer(headers, b"", status="503 Full", **changes))
+        while not isinstance(event := connection.next_event(), h11.EndOfMessage):
+            connection.receive_data(bytes(await stream.receive_some(65536)))
+        if not refuses:
+            await stream.send_all(instance.answer(headers))
+        return True
+
+    instance._serve_next = serve  # type: ignore[method-assign,assignment]
+
+
+INTERRUPTIONS = [
+    InterruptedUpload.stall,
+    InterruptedUpload.send_no_chunk,
+    InterruptedUpload.send_whole_and_bound,
+    InterruptedUpload.remove_route,
+    InterruptedUpload.remove_service,
+    InterruptedUpload.remove_targets,
+    InterruptedUpload.drain_targets,
+    InterruptedUpload.crash_targets,
+    InterruptedUpload.stop_host,
+]
+
+
+@pytest.mark.parametrize("chunked", [True, False], ids=["chunked", "length"])
+@pytest.mark.parametrize("refusing", [0, 1, 3], ids=["none-refuses", "one-refuses", "all-refuse"])
+@pytest.mark.parametrize("interrupt", INTERRUPTIONS, ids=lambda item: str(item.__name__))
+def test_upload_of_which_a_target_has_a_part_is_not_refused_as_not_run(
+    interrupt: Callable[[InterruptedUpload], object], refusing: int, chunked: bool
+) -> None:
+    """Guards against an upload that is answered as not run after a target began to run it."""
+
+    async def scenario(fleet: PlatformFleet) -> None:
+        begun: list[str] = []
+        for index, instance in enumerate(fleet.instances):
+            _count_from_the_head(instance, begun, refuses=index < refusing)
+        stream = await fleet.stream()
+        framing = "Transfer-Encoding: chunked" if chunked else f"Content-Length: {UPLOAD_BYTES}"
+        head = fleet.request("POST", "/u/1", deadline_ms=10_000).removesuffix(b"\r\n")
+        part = b"x" * FIRST_PART_BYTES
+        if chunked:
+            part = b"%x\r\n" % len(part) + part + b"\r\n"
+        await stream.send_all(head + framing.encode() + b"\r\n\r\n" + part)
+        await trio.sleep(0.1)
+        await interrupt(InterruptedUpload(fleet, stream))  # type: ignore[misc]
+        answer = await read_answer(stream, "POST")
+        assert answer.status, "the upload was not answered"
+        assert len(begun) <= 1
+        assert bool(begun) == (refusing < 3)
+        assert not (begun and answer.status in PROMISES), answer.body
+
+    run_on_platform(scenario, stop_limit_s=STOP_LIMIT_S)
