--- a/src/dotterelstand/request/attempt.py
+++ b/src/dotterelstand/request/attempt.py
@@ -97,6 +97,7 @@
         "body_error",
         "failure",
         "on_body_error",
+        "send_started",
         "skipped",
         "target_slow",
         "time_to_head_s",
@@ -122,6 +123,8 @@
         self._head_sent = trio.Event()
         self._sent_bytes = 0
         self._ended = False
+        # Whether any byte of the request may have been sent to the target.
+        self.send_started = False
         self.answer: AnswerHead | None = None
         self._whole_sent = False
         # Request ids of the answers that were not those to this request.
@@ -152,11 +155,6 @@
         assert self._connection is not None
         return self._connection
 
-    @property
-    def send_started(self) -> bool:
-        """Whether any byte of the request may have been sent to the target."""
-        return self._connection is not None and self._connection.send_started
-
     @property
     def whole_sent(self) -> bool:
         """Whether the end of the request was sent to the target."""
@@ -275,6 +273,8 @@
         remaining_s = self._deadline - trio.current_time()
         head = self._setup.head
         headers = forwarded_headers(head, remaining_s, self.target)
+        # Set before the call, since a failed call may have sent some of the bytes.
+        self.send_started = True
         await self.connection.send_request(head.method, head.path, headers, data, complete)
         self._sent_bytes = len(data)
         self._head_sent.set()
--- a/src/dotterelstand/request/trail.py
+++ b/src/dotterelstand/request/trail.py
@@ -99,8 +99,7 @@
             failure=None if attempt.failure is None else int(attempt.failure),
             status=None if answer is None else answer.status,
             refused=answer is not None and answer.is_refusal(),
-            # A connection that was returned to the pool has already reset `send_started`.
-            sent=answer is not None or attempt.send_started,
+            sent=attempt.send_started,
             whole=attempt.whole_sent,
             named=attempt.answer_names_request,
         )
