End with status 0 when a stop comes during the imports

Users saw processes that did not start or ended by themselves. A SIGTERM 0.28 s after the start of a daemon ended it with -15 and an empty log. Cause: the handlers belonged to the event loop, which starts after the imports (about 0.3 s); until then SIGTERM and SIGINT had their default action, and the components could run before the receiver was open. Ruled out: a crash (no traceback, status -15). The test of a stop during the start accepted 0 or -15 and now asks for 0 and the log line; it keeps the parent that ignores SIGTERM. The soak passed over every exit of a host that had not been ready; now only over -15 where /proc shows, right before SIGTERM is sent, that the process has no handler of it.

--- a/src/dotterelstand/process/run.py
+++ b/src/dotterelstand/process/run.py
@@ -12,6 +12,7 @@
 
 from dotterelstand.connection.network import TcpNetwork
 from dotterelstand.connection.tls import Certificates, load_certificates
+from dotterelstand.events import Event, log
 from dotterelstand.exits import ExitCode
 from dotterelstand.logoutput import LogOutput, use_json_lines
 from dotterelstand.process.daemon import Daemon
@@ -78,7 +79,8 @@
     file = SettingsFile(path, settings)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(output.run)
-        nursery.start_soon(_handle_signals, daemon, file)
+        # Nothing is opened before signals are received; until then a stop ends the process at once.
+        await nursery.start(_handle_signals, daemon, file)
         nursery.start_soon(file.follow, daemon.reload)
         await daemon.run()
         nursery.cancel_scope.cancel()
@@ -95,7 +97,11 @@
     gc.set_threshold(GEN0_THRESHOLD, 20, 50)
 
 
-async def _handle_signals(daemon: Daemon, file: SettingsFile) -> None:
+async def _handle_signals(
+    daemon: Daemon,
+    file: SettingsFile,
+    task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+) -> None:
     """Stop or reload the daemon on signals, until cancelled.
 
     Later ones, while the process ends, have no effect: their default action would end it before
@@ -107,7 +113,9 @@
         signal.signal(number, lambda number, frame: early.append(number))
     with trio.open_signal_receiver(*STOP_SIGNALS, signal.SIGHUP) as signals:
         if early:
+            log(Event.DAEMON_STOPPED_EARLY, signal=early[0])
             daemon.stop()
+        task_status.started()
         async for received in signals:
             if received == signal.SIGHUP:
                 file.request_reload()
--- a/tests/soak/hosts.py
+++ b/tests/soak/hosts.py
@@ -54,6 +54,8 @@
         self.paused = False
         self.replaced = False
         self.stop_began_at: float | None = None
+        # Whether SIGTERM was sent before the interpreter had reached the daemon's first lines.
+        self.stopped_before_first_line = False
         self.stopping = trio.Event()
         self.ready = trio.Event()
         self.ended = trio.Event()
@@ -73,8 +75,18 @@
         if self.stop_began_at is None:
             self.stop_began_at = trio.current_time()
             self.stopping.set()
+            self.stopped_before_first_line = not self._catches_sigterm()
             self.signal(signal.SIGTERM)
 
+    def _catches_sigterm(self) -> bool:
+        assert self.process is not None
+        try:
+            status = Path(f"/proc/{self.process.pid}/status").read_text(encoding="ascii")
+        except FileNotFoundError:
+            return True
+        caught = re.search(r"^SigCgt:\s*(\w+)", status, re.M)
+        return caught is not None and bool(int(caught[1], 16) >> (signal.SIGTERM - 1) & 1)
+
 
 def guarded_environment() -> dict[str, str]:
     """Environment of a Python process that ends with the process that starts it."""
@@ -335,11 +347,11 @@
     async def _await_end(self, host: ProcessHost) -> None:
         assert host.process is not None
         code = await host.process.wait()
-        # A process that is still starting may be ended by SIGTERM before it handles the signal.
-        starting = host.stop_began_at is not None and not host.ready.is_set()
+        # No program of ours can handle a SIGTERM that comes before its first line.
+        too_early = code == -signal.SIGTERM and host.stopped_before_first_line
         if (
             not host.was_paused_or_lost
-            and not starting
+            and not too_early
             and (host.stop_began_at is None or code != 0)
         ):
             self.unexpected_exits.append(f"{host.incarnation_id}: ended with code {code}")
--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -1,6 +1,8 @@
 """Signals to a daemon process, also while it ends."""
 
+import contextlib
 import json
+import os
 import signal
 import subprocess
 import sys
@@ -76,38 +78,108 @@
     assert (result.returncode, result.stdout.strip()) == (0, calls), result.stderr
 
 
-# Ignores SIGTERM, as some supervisors do, and then becomes a daemon.
-IGNORING_PARENT = """
+# Sets an action of SIGTERM, as some supervisors do, and becomes a daemon that reports its imports.
+PARENT = """
 import os, signal, sys
-signal.signal(signal.SIGTERM, signal.SIG_IGN)
+signal.signal(signal.SIGTERM, getattr(signal, sys.argv.pop(1)))
 os.execv(sys.executable, [sys.executable, "-X", "importtime", *sys.argv[1:]])
 """
 
 
-def test_stop_during_the_start_is_not_lost_when_the_parent_ignores_it(tmp_path: Path) -> None:
-    """Guards against a daemon that starts fully after SIGTERM and then runs for ever.
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGINT])
+@pytest.mark.parametrize("action", ["SIG_DFL", "SIG_IGN"])
+@pytest.mark.parametrize("module", ["random", "trio", "dotterelstand.process.run"])
+def test_stop_during_the_start_ends_the_daemon_with_a_line(
+    number: signal.Signals, action: str, module: str, tmp_path: Path
+) -> None:
+    """Guards against a stop during the imports that is lost, or kills without a log line.
 
-    Found by the soak of processes, seed 3, whose parent ignored SIGTERM after another test.
+    Found by a user's runs and by the soak of processes: status -15 and an empty log, and with a
+    parent that ignored SIGTERM (seed 3) a daemon that ran for ever.
     """
     settings = tmp_path / "settings.toml"
     settings.write_text(SETTINGS)
     arguments = ["-m", "dotterelstand.process.main", str(settings)]
-    command = [sys.executable, "-c", IGNORING_PARENT, *arguments]
     with subprocess.Popen(
-        command, stdout=subprocess.DEVNULL, stderr=subprocess.PIPE, text=True
+        [sys.executable, "-c", PARENT, action, *arguments],
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+        text=True,
     ) as process:
         try:
-            assert process.stderr is not None
+            assert process.stdout is not None and process.stderr is not None
             for line in process.stderr:
-                # The daemon imports its modules and does not handle signals yet.
-                if line.rpartition("|")[2].strip() == "trio":
+                if line.rpartition("|")[2].strip() == module:
                     break
-            process.send_signal(signal.SIGTERM)
+            process.send_signal(number)
             # Reads until the end, so that the daemon is not blocked by a full pipe.
             threading.Thread(target=process.stderr.read, daemon=True).start()
-            assert process.wait(STOP_LIMIT_S) in (0, -signal.SIGTERM)
+            assert process.wait(STOP_LIMIT_S) == 0
+            events = [json.loads(line) for line in process.stdout.read().splitlines()]
         finally:
             process.kill()
+    assert [line["event"] for line in events] == [Event.DAEMON_STOPPED_EARLY]
+    assert events[0]["message"] == Event.DAEMON_STOPPED_EARLY.name.lower()
+    assert events[0]["signal"] == number
+    assert events[0].keys() == {"level", "host", "event", "message", "clock_s", "signal", "time"}
+
+
+# Stops itself right before the receiver of signals opens, or right before the event loop starts.
+STOPPED_BEFORE_RECEIVER = """
+import os, signal, sys
+import trio
+from dotterelstand.process import main
+
+owner, name = (trio, sys.argv.pop(1))
+original = getattr(owner, name)
+
+def stop_and_call(*arguments):
+    os.kill(os.getpid(), signal.SIGTERM)
+    return original(*arguments)
+
+setattr(owner, name, stop_and_call)
+main.main()
+"""
+
+
+@pytest.mark.parametrize(
+    ("name", "last"),
+    [("run", Event.DAEMON_STOPPED_EARLY), ("open_signal_receiver", Event.DAEMON_STOPPED)],
+)
+def test_stop_before_signals_are_received_ends_the_daemon(
+    name: str, last: Event, tmp_path: Path
+) -> None:
+    """Guards against a stop that is lost between the start's handler and that of the event loop."""
+    settings = tmp_path / "settings.toml"
+    settings.write_text(SETTINGS)
+    command = [sys.executable, "-c", STOPPED_BEFORE_RECEIVER, name, str(settings)]
+    result = subprocess.run(
+        command, capture_output=True, text=True, timeout=STOP_LIMIT_S, check=False
+    )
+    assert result.returncode == 0, result.stderr
+    events = [json.loads(line)["event"] for line in result.stdout.splitlines()]
+    assert (events[0], events[-1]) == (Event.DAEMON_STOPPED_EARLY, last)
+
+
+@pytest.mark.parametrize("reader", ["gone", "standing still"])
+def test_stop_during_the_start_does_not_wait_for_the_reader(reader: str, tmp_path: Path) -> None:
+    """Guards against a starting daemon that its log's reader keeps from ending with status 0."""
+    settings = tmp_path / "settings.toml"
+    settings.write_text(SETTINGS)
+    read_end, write_end = os.pipe()
+    if reader == "gone":
+        os.close(read_end)
+    else:
+        os.set_blocking(write_end, False)
+        with contextlib.suppress(BlockingIOError):
+            while True:
+                os.write(write_end, b" " * 4096)
+        os.set_blocking(write_end, True)
+    command = [sys.executable, "-c", STOPPED_BEFORE_RECEIVER, "run", str(settings)]
+    process = subprocess.run(
+        command, stdout=write_end, stderr=subprocess.PIPE, timeout=STOP_LIMIT_S, check=False
+    )
+    assert process.returncode == 0, process.stderr
 
 
 def test_stopped_process_ends_by_itself_under_further_signals(tmp_path: Path) -> None:
