Read a settings file again while it is being written at a start

A daemon that started while its file was missing, partial or invalid for a moment ended with status 3; with an empty file it ran with the defaults as host entry-1. Found by a writer that truncates and writes in two steps; not shown to be what users saw. Cause: the file was read once. A running daemon applied an empty file as the defaults, and missed a change between the first reading and the first check of the file's time. Change: a missing, invalid, empty or just changed file (0.1 s) is read again for at most 1 s, with a line on standard error and event 113; then errors end the start with status 3. A reload compares with the file's state before the first reading. Now host "whole" in all five cases. Tests: tests/test_settings_file.py.

--- a/src/dotterelstand/process/run.py
+++ b/src/dotterelstand/process/run.py
@@ -9,6 +9,7 @@
 
 import trio
 from returns.pipeline import is_successful
+from returns.result import Result
 
 from dotterelstand.connection.network import TcpNetwork
 from dotterelstand.connection.tls import Certificates, load_certificates
@@ -16,7 +17,7 @@
 from dotterelstand.exits import ExitCode
 from dotterelstand.logoutput import LogOutput, use_json_lines
 from dotterelstand.process.daemon import Daemon
-from dotterelstand.process.settingsfile import SettingsFile
+from dotterelstand.process.settingsfile import SettingsFile, read_at_start
 from dotterelstand.settings import Settings, SettingsError, load_settings
 
 # Number of new objects after which the garbage collector collects the youngest generation.
@@ -31,21 +32,21 @@
 
 def run_daemon(settings: str) -> None:
     """Run one entry daemon with a TOML settings file."""
-    result = load_settings(Path(settings))
-    if not is_successful(result):
-        _exit_invalid_settings(result.failure())
-    loaded = result.unwrap()
-    certificates = load_certificates(loaded)
-    if not is_successful(certificates):
-        _exit_invalid_settings(certificates.failure())
+    path = Path(settings)
+    start = read_at_start(path, _load)
+    if not is_successful(start.result):
+        _exit_invalid_settings(start.result.failure())
+    loaded, certificates = start.result.unwrap()
     output = LogOutput(
         STDOUT_FD,
         loaded.integer("logs", "max_buffered_bytes"),
         loaded.integer("logs", "max_lines_per_s"),
     )
     use_json_lines(output, loaded.text("host", "name"))
+    if start.refusal:
+        log(Event.SETTINGS_READ_AGAIN, reason=start.refusal)
     try:
-        trio.run(_serve, Path(settings), loaded, certificates.unwrap(), output)
+        trio.run(_serve, SettingsFile(path, loaded, start.state), loaded, certificates, output)
     except* OSError as group:
         for error in leaf_errors(group):
             print(f"dotterelstandd: {error}", file=sys.stderr)
@@ -65,6 +66,13 @@
     return errors
 
 
+def _load(path: Path) -> Result[tuple[Settings, Certificates], list[SettingsError]]:
+    settings = load_settings(path)
+    return settings.bind(
+        lambda loaded: load_certificates(loaded).map(lambda certificates: (loaded, certificates))
+    )
+
+
 def _exit_invalid_settings(errors: list[SettingsError]) -> NoReturn:
     for error in errors:
         print(error, file=sys.stderr)
@@ -72,11 +80,10 @@
 
 
 async def _serve(
-    path: Path, settings: Settings, certificates: Certificates, output: LogOutput
+    file: SettingsFile, settings: Settings, certificates: Certificates, output: LogOutput
 ) -> None:
     _tune_garbage_collector()
     daemon = Daemon(settings, TcpNetwork(), random.Random(), certificates)
-    file = SettingsFile(path, settings)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(output.run)
         # Nothing is opened before signals are received; until then a stop ends the process at once.
