End the requests of a stopping daemon earlier before the kill

Callers saw connections closed without an answer, and daemons killed, at the end of a stop on a busy machine.

Cause: the last answers were due 0.48 s and the last connections 0.18 s before the platform's kill; processes ran up to 0.5 s late beside a load of 25 on 8 cores, and the end of a daemon took 0.2 s. Ruled out: a late SIGTERM; logs and soak agree on the begin of each stop. Change: the last answer at 85% (5.1 s of 6), the last connection at 91% (5.46 s). A platform excuses a request that is broken off at its target from 5 s on, so it cannot be earlier. Measured: test_last_answers_leave_time_on_a_machine_that_runs_the_process_late failed before (5.52 is not within 5.0 to 5.2). A process that is held up for longer is still cut off.

--- a/src/dotterelstand/request/stopplan.py
+++ b/src/dotterelstand/request/stopplan.py
@@ -3,10 +3,10 @@
 import math
 
 # Share of the time limit of a stop after which the last answers are sent, so that callers can read
-# them before the process ends.
-LAST_ANSWER_SHARE = 0.92
+# them before the process ends, also on a machine that runs this process late.
+LAST_ANSWER_SHARE = 0.85
 # Share after which the remaining connections are closed, so that the daemon ends by itself.
-LAST_CONNECTION_SHARE = 0.97
+LAST_CONNECTION_SHARE = 0.91
 # Share of the time limit during which new requests are served whatever their own time limit is,
 # since the balancer may not have noticed the stop.
 OPEN_SHARE = 0.5
--- a/tests/test_stop_limit.py
+++ b/tests/test_stop_limit.py
@@ -37,6 +37,19 @@
     assert plan.accepts(now, deadline) is accepted
 
 
+def test_last_answers_leave_time_on_a_machine_that_runs_the_process_late() -> None:
+    """Guards against the platform's kill before the last answers of a process that is held up.
+
+    Process soak, seed 903 of `hosts_stopped_while_targets_are_slow` beside a load of 25 on 8 cores:
+    processes ran up to 0.5 s late, and two requests were cut off.
+    """
+    plan = StopPlan(6.0)
+    plan.begin(0.0)
+    # Before 5 s the platform does not excuse a request that is broken off at its target.
+    assert 5.0 <= plan.last_answer_s <= 5.2
+    assert plan.last_answer_s < plan.last_connection_s <= 5.5
+
+
 @pytest.mark.parametrize(
     ("method", "path", "sent_after_s", "code", "runs"),
     [
