Don't close a connection as idle while its request is being read

Cause: trio's receive takes bytes that are there at once from the socket and returns them one turn of the scheduler later. In that turn the socket is empty and the inbox, too, so the end of the grace period (event 211) closed the connection as idle; the request was then read and served. The idle time limit and the end of the last request behind the grace period did the same. Change: the serving task ends the connection once the read was cancelled, which holds no bytes; a read that has some hands them over. A head that has begun to arrive is awaited within its time limit. CallerLimits moves to a module of its own unchanged.

--- a/src/dotterelstand/connection/caller.py
+++ b/src/dotterelstand/connection/caller.py
@@ -7,12 +7,12 @@
 from returns.pipeline import is_successful
 
 from dotterelstand.codes import Result as ResultCode
+from dotterelstand.connection.callerlimits import CallerLimits
 from dotterelstand.connection.callerrequest import CallerRequest
 from dotterelstand.connection.headcheck import check_raw_head, find_head_end
 from dotterelstand.connection.target import READ_BYTES, abort_now, close_now, has_hung_up, has_input
 from dotterelstand.request.fields import DEFAULT_FIELDS, HeaderFields
 from dotterelstand.request.head import RequestHead, read_head
-from dotterelstand.version.model import CallerBounds
 
 # Maximum number of received bytes that are not yet consumed; beyond it, reading pauses.
 READ_AHEAD_BYTES = 65536
@@ -24,27 +24,6 @@
 MAX_LEFT_OVER_BYTES = 4096
 
 
-class CallerLimits:
-    """Bounds on caller connections; times in seconds.
-
-    All connections of a host share one instance, so that a new document applies to open ones, too.
-    """
-
-    __slots__ = ("_default_bounds", "body_idle_timeout_s", "bounds", "linger_s")
-
-    def __init__(
-        self, default_bounds: CallerBounds, body_idle_timeout_s: float, linger_s: float
-    ) -> None:
-        self._default_bounds = default_bounds
-        self.bounds = default_bounds
-        self.body_idle_timeout_s = body_idle_timeout_s
-        self.linger_s = linger_s
-
-    def apply_bounds(self, bounds: CallerBounds | None) -> None:
-        """Apply the bounds of a document, or those of the settings if it has none."""
-        self.bounds = bounds or self._default_bounds
-
-
 class CallerConnection:
     """One caller connection: its requests in order, and a task that reads ahead."""
 
@@ -58,10 +37,13 @@
         "_inbox_space",
         "_last_answered",
         "_last_received_s",
+        "_last_sent_s",
         "_latest_request",
         "_left_over",
         "_limits",
         "_output_ended",
+        "_quiet",
+        "_reading",
         "_serving",
         "_stream",
         "_unparsed",
@@ -81,7 +63,7 @@
         self._fields = fields
         # Received pieces with their time of arrival.
         self._inbox: deque[tuple[float, bytes]] = deque()
-        self._last_received_s = trio.current_time()
+        self._last_received_s = self._last_sent_s = trio.current_time()
         self._buffered_bytes = 0
         self._latest_request: CallerRequest | None = None
         self._serving: set[CallerRequest] = set()
@@ -89,6 +71,9 @@
         self._last_answered: CallerRequest | None = None
         self._output_ended = False
         self._closes_when_idle = False
+        # Whether no input was left when the connection was to end, and the scope of the reads.
+        self._quiet = False
+        self._reading = trio.CancelScope()
         self._unparsed = bytearray()
         self._inbox_readers = trio.lowlevel.ParkingLot()
         self._inbox_space = trio.lowlevel.ParkingLot()
@@ -140,16 +125,12 @@
     async def read_ahead(self) -> None:
         """Read until the caller disconnects; pauses at `READ_AHEAD_BYTES` of unconsumed input."""
         while True:
-            if not await self._wait_for_inbox_space():
+            with self._reading:
+                await self._read_until_disconnect()
                 break
-            try:
-                data = bytes(await self._stream.receive_some(READ_BYTES))
-            except (trio.BrokenResourceError, trio.ClosedResourceError):
-                data = b""
-            if not data:
-                break
-            self._inbox.append((trio.current_time(), data))
-            self._buffered_bytes += len(data)
+            # A read that was cancelled holds no input, unlike one that is about to return.
+            self._reading = trio.CancelScope()
+            self._quiet = not self._inbox and not has_input(self._stream)
             self._inbox_readers.unpark_all()
         # A half-closed connection counts as closed, since HTTP has no other sign of a disconnect.
         self.disconnected = True
@@ -158,6 +139,18 @@
             if request.on_disconnect is not None:
                 request.on_disconnect()
 
+    async def _read_until_disconnect(self) -> None:
+        while await self._wait_for_inbox_space():
+            try:
+                data = bytes(await self._stream.receive_some(READ_BYTES))
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                return
+            if not data:
+                return
+            self._inbox.append((trio.current_time(), data))
+            self._buffered_bytes += len(data)
+            self._inbox_readers.unpark_all()
+
     async def _wait_for_inbox_space(self) -> bool:
         """Wait until more input may be read; False if the caller has disconnected meanwhile."""
         while self._buffered_bytes >= READ_AHEAD_BYTES:
@@ -237,6 +230,7 @@
             except trio.BrokenResourceError:
                 self.caller_left = self.caller_left or not self.aborted
                 raise
+            self._last_sent_s = trio.current_time()
 
     def begin_stop(self) -> None:
         """Announce the close with the next answer, and limit the time of requests in flight."""
@@ -251,12 +245,14 @@
         return quiet and not has_input(self._stream)
 
     def close_when_idle(self) -> bool:
-        """Close the connection if it is idle, otherwise after its requests; True if it was idle."""
+        """End the connection, after the requests that have arrived; returns whether it is idle.
+
+        A request may still be on its way from the socket to the inbox, so the task that waits for
+        requests ends the connection when it has asked the one that reads.
+        """
         self._closes_when_idle = True
-        idle = self.is_idle()
-        if idle:
-            self.close()
-        return idle
+        self._inbox_readers.unpark_all()
+        return self.is_idle()
 
     async def end_output(self, request: CallerRequest) -> None:
         """Give the caller time to receive what was sent, without an answer to `request` or later.
@@ -282,7 +278,7 @@
                 # The caller has reset the connection and reads nothing more.
                 return
         dropped = 0
-        with trio.move_on_after(self._limits.linger_s):
+        with trio.CancelScope(deadline=self._last_sent_s + self._limits.linger_s):
             while dropped < MAX_LINGER_BYTES:
                 while not self._inbox:
                     if self.disconnected:
@@ -321,7 +317,7 @@
                 self._unparsed += data
                 return bool(data)
             if not self._serving:
-                return False
+                self.closing = self._closes_when_idle = True
 
     async def _read_head(self) -> CallerRequest | ResultCode | None:
         searched = 0
@@ -372,8 +368,12 @@
     async def receive(self) -> bytes:
         """Next received bytes; empty after a disconnect or if no further request is served."""
         while not self._inbox:
-            if self.disconnected or (self.ends_when_idle and not self._serving):
+            if self.disconnected or (self.will_close and not self._serving):
                 return b""
+            if self._closes_when_idle and self._awaits_request and not self._serving:
+                if self._quiet:
+                    return b""
+                self._reading.cancel()
             await self._inbox_readers.park()
         return self._take_input()
 
--- /dev/null
+++ b/src/dotterelstand/connection/callerlimits.py
@@ -0,0 +1,24 @@
+"""Bounds on the connections of callers."""
+
+from dotterelstand.version.model import CallerBounds
+
+
+class CallerLimits:
+    """Bounds on caller connections; times in seconds.
+
+    All connections of a host share one instance, so that a new document applies to open ones, too.
+    """
+
+    __slots__ = ("_default_bounds", "body_idle_timeout_s", "bounds", "linger_s")
+
+    def __init__(
+        self, default_bounds: CallerBounds, body_idle_timeout_s: float, linger_s: float
+    ) -> None:
+        self._default_bounds = default_bounds
+        self.bounds = default_bounds
+        self.body_idle_timeout_s = body_idle_timeout_s
+        self.linger_s = linger_s
+
+    def apply_bounds(self, bounds: CallerBounds | None) -> None:
+        """Apply the bounds of a document, or those of the settings if it has none."""
+        self.bounds = bounds or self._default_bounds
--- a/src/dotterelstand/process/frontend.py
+++ b/src/dotterelstand/process/frontend.py
@@ -4,7 +4,8 @@
 
 from dotterelstand.codes import Execution
 from dotterelstand.codes import Result as ResultCode
-from dotterelstand.connection.caller import CallerConnection, CallerLimits
+from dotterelstand.connection.caller import CallerConnection
+from dotterelstand.connection.callerlimits import CallerLimits
 from dotterelstand.connection.callerrequest import CallerRequest
 from dotterelstand.connection.network import Listener
 from dotterelstand.connection.target import close_now
--- a/src/dotterelstand/process/limits.py
+++ b/src/dotterelstand/process/limits.py
@@ -2,7 +2,7 @@
 
 import random
 
-from dotterelstand.connection.caller import CallerLimits
+from dotterelstand.connection.callerlimits import CallerLimits
 from dotterelstand.connection.pool import PoolLimits
 from dotterelstand.process.discovery.objectadapter import parse_regions
 from dotterelstand.process.peering.peers import Peers
--- a/tests/test_undelivered_answers.py
+++ b/tests/test_undelivered_answers.py
@@ -10,7 +10,8 @@
 from support_logs import EventCollector
 from trio.testing import memory_stream_pair
 
-from dotterelstand.connection.caller import CallerConnection, CallerLimits
+from dotterelstand.connection.caller import CallerConnection
+from dotterelstand.connection.callerlimits import CallerLimits
 from dotterelstand.connection.callerrequest import CallerRequest
 from dotterelstand.events import Event
 from dotterelstand.request.accesslog import MAX_UNDELIVERED_LINES_PER_S, AccessLog
@@ -88,15 +89,34 @@
     await trio.sleep(0.1)
 
 
-async def _incomplete_when_the_grace_period_ends(fleet: PlatformFleet) -> None:
+async def _behind_the_end_of_the_grace_period(fleet: PlatformFleet) -> None:
     _answer_all(fleet, LONG_BODY)
     stream = await fleet.stream()
     await stream.send_all(fleet.request(deadline_ms=30_000))
     await trio.sleep(0.2)
     fleet.daemon.stop()
-    await stream.send_all(fleet.request()[:-2])
     await trio.sleep(1.1)
     await read_answer(stream)
+    await trio.sleep(0.01)
+    await stream.send_all(fleet.request())
+    await trio.sleep(0.01)
+    stream.close()
+    await trio.sleep(0.1)
+
+
+async def _begun_in_the_grace_period(fleet: PlatformFleet) -> None:
+    _answer_all(fleet, LONG_BODY)
+    stream = await fleet.stream()
+    await stream.send_all(fleet.request(deadline_ms=30_000))
+    await trio.sleep(0.2)
+    fleet.daemon.stop()
+    request = fleet.request(deadline_ms=50)
+    await stream.send_all(request[:-2])
+    await trio.sleep(1.1)
+    await read_answer(stream)
+    await trio.sleep(0.1)
+    await stream.send_all(request[-2:])
+    assert (await read_answer(stream)).headers["connection"] == "close"
     stream.close()
     await trio.sleep(0.1)
 
@@ -155,7 +175,8 @@
         (_answer_breaks_off, [("q1", "reset", "incomplete"), ("q2", "reset", "none")]),
         (_behind_a_closing_answer, [("q2", "closing_answer", "not_read")]),
         (_behind_a_closing_answer_that_is_sent, [("q2", "closing_answer", "not_served")]),
-        (_incomplete_when_the_grace_period_ends, [("q2", "grace_period", "not_read")]),
+        (_behind_the_end_of_the_grace_period, [("q2", "grace_period", "not_read")]),
+        (_begun_in_the_grace_period, []),
         (
             _waits_until_the_stop_limit,
             [("q3", "stop_limit", "sending"), ("q4", "stop_limit", "waiting")],
