Serve the connections that are new when a stopping daemon closes its port

Callers saw connections reset or closed without an answer 3.5 s after a SIGTERM. No target had got these requests, but the caller of an order cannot know that.

Cause: closing the port resets connections that the system has completed and the daemon has not taken yet; connections that were just taken were closed as idle, also with a request in their socket. The idle limit had the same fault for a process that is held up. Ruled out: kept connections, which end with their first answer in the stop. A request on a connection that was idle until the close can still cross it; it is not passed on.

--- a/src/dotterelstand/connection/caller.py
+++ b/src/dotterelstand/connection/caller.py
@@ -111,6 +111,11 @@
         """Whether the connection ends as soon as no request is being served."""
         return self._closes_when_idle or self.will_close
 
+    @property
+    def is_new(self) -> bool:
+        """Whether no request has been read yet."""
+        return self._latest_request is None
+
     @property
     def serving(self) -> int:
         """Number of requests that are being served."""
@@ -289,7 +294,8 @@
                 self._awaits_request = False
                 self._unparsed += data
                 return bool(data)
-            if not self._serving:
+            # A process that is held up may find the time limit and a request at the same moment.
+            if not self._serving and not has_input(self._stream):
                 return False
 
     async def _read_head(self) -> CallerRequest | ResultCode | None:
@@ -341,8 +347,12 @@
     async def receive(self) -> bytes:
         """Next received bytes; empty after a disconnect or if no further request is served."""
         while not self._inbox:
-            if self.disconnected or (self.ends_when_idle and not self._serving):
+            if self.disconnected:
                 return b""
+            if self.ends_when_idle and not self._serving:
+                # A request may have arrived that `read_ahead` has not read yet.
+                if self.will_close or not has_input(self._stream):
+                    return b""
             await self._inbox_readers.park()
         return self._take_input()
 
--- a/src/dotterelstand/connection/network.py
+++ b/src/dotterelstand/connection/network.py
@@ -1,11 +1,14 @@
 """Interface to the network, which simulations replace, and its TCP implementation."""
 
+import os
 import socket
 from collections.abc import Awaitable, Callable
 from typing import Protocol
 
 import trio
 
+from dotterelstand.events import Event, log
+
 # A silent peer is detected after about 3 s, the time within which the platform expects a host to
 # recover from a disruption.
 KEEPALIVE_IDLE_S = 1
@@ -64,8 +67,50 @@
         return self._listeners[0].socket.getsockname()[1]
 
     async def serve(self, handler: StreamHandler, nursery: trio.Nursery) -> None:
-        """Run `handler` in `nursery` for each new stream until cancelled, then close the port."""
-        await trio.serve_listeners(handler, self._listeners, handler_nursery=nursery)
+        """Run `handler` in `nursery` for each new stream until cancelled, then close the port.
+
+        Connections that the system has accepted by then are served as well: closing the port would
+        reset them, although their first request may have been sent.
+        """
+        waiting = [_duplicate(listener) for listener in self._listeners]
+        try:
+            await trio.serve_listeners(handler, self._listeners, handler_nursery=nursery)
+        finally:
+            for duplicate in waiting:
+                for stream in _accept_waiting(duplicate):
+                    nursery.start_soon(_serve, handler, stream)
+                duplicate.close()
+
+
+def _duplicate(listener: trio.SocketListener) -> socket.socket:
+    """Second descriptor of a listening socket, which keeps it open."""
+    duplicate = socket.socket(fileno=os.dup(listener.socket.fileno()))
+    duplicate.setblocking(False)
+    return duplicate
+
+
+def _accept_waiting(listening: socket.socket) -> list[trio.SocketStream]:
+    """Accept the connections that wait at a listening socket."""
+    accepted: list[trio.SocketStream] = []
+    while True:
+        try:
+            connection, _ = listening.accept()
+        except ConnectionAbortedError:
+            continue
+        except BlockingIOError:
+            return accepted
+        except OSError as error:
+            # The system may have no file descriptor left.
+            log(Event.ACCEPT_FAILED, reason=str(error))
+            return accepted
+        accepted.append(trio.SocketStream(trio.socket.from_stdlib_socket(connection)))
+
+
+async def _serve(handler: StreamHandler, stream: trio.SocketStream) -> None:
+    try:
+        await handler(stream)
+    finally:
+        await trio.aclose_forcefully(stream)
 
 
 class TcpNetwork:
--- a/src/dotterelstand/process/frontend.py
+++ b/src/dotterelstand/process/frontend.py
@@ -20,6 +20,9 @@
 MAX_CONCURRENT_REFUSALS = 64
 # Maximum number of requests of one connection that are served at the same time.
 MAX_CONCURRENT_REQUESTS = 8
+# Seconds for which a stopping daemon that has closed its port awaits the first requests of new
+# connections: a round trip to callers in other regions, and delays of the process.
+FIRST_REQUEST_S = 0.5
 
 
 class CallerFrontend:
@@ -80,9 +83,9 @@
     ) -> None:
         """Serve callers until `stop` is set, then shut down gracefully.
 
-        The listener and idle connections are closed `grace_s` seconds after `stop` is set, the
-        others after their requests, or when the stop plan ends. Returns when the last request in
-        flight has ended.
+        The listener and idle connections are closed `grace_s` seconds after `stop` is set, new ones
+        `FIRST_REQUEST_S` later, the others after their requests, or when the stop plan ends.
+        Returns when the last request in flight has ended.
         """
         async with trio.open_nursery() as timers:
             async with trio.open_nursery() as callers:
@@ -94,6 +97,7 @@
                 await trio.sleep(grace_s)
                 accepting.cancel()
                 self._close_idle()
+                timers.start_soon(self._close_new)
             timers.cancel_scope.cancel()
 
     def begin_stop(self) -> None:
@@ -109,7 +113,8 @@
             await self._refuse_connection(stream)
             return
         connection = CallerConnection(stream, self._limits, self._context.fields)
-        connection.closing = self.stopping
+        if self.stopping:
+            connection.begin_stop()
         self._connections.add(connection)
         try:
             async with trio.open_nursery() as nursery:
@@ -238,9 +243,16 @@
     def _close_idle(self) -> None:
         closed = 0
         for connection in list(self._connections):
-            closed += connection.close_when_idle()
+            if not connection.is_new:
+                closed += connection.close_when_idle()
         log(Event.CALLERS_CLOSED, idle=closed, in_flight=len(self._connections) - closed)
 
+    async def _close_new(self) -> None:
+        """Close the connections on which no request has arrived since the port was closed."""
+        await trio.sleep(FIRST_REQUEST_S)
+        for connection in list(self._connections):
+            connection.close_when_idle()
+
     async def _cut_at_limit(self, callers: trio.CancelScope) -> None:
         """Close the connections that are left when the platform is about to end the process."""
         await trio.sleep_until(self._context.stop_plan.last_connection_s)
