--- a/src/dotterelstand/connection/caller.py
+++ b/src/dotterelstand/connection/caller.py
@@ -117,6 +117,11 @@
         received = [bytes(self._unparsed), self._left_over, *(data for _, data in self._inbox)]
         return b"".join(received)[:MAX_LEFT_OVER_BYTES]
 
+    @property
+    def is_new(self) -> bool:
+        """Whether no request has been read yet."""
+        return self._latest_request is None
+
     @property
     def serving(self) -> int:
         """Number of requests that are being served."""
--- a/src/dotterelstand/process/frontend.py
+++ b/src/dotterelstand/process/frontend.py
@@ -22,6 +22,11 @@
 MAX_CONCURRENT_REFUSALS = 64
 # Maximum number of requests of one connection that are served at the same time.
 MAX_CONCURRENT_REQUESTS = 8
+# Seconds for which a stopping daemon that has closed its port awaits the first requests of new
+# connections: a round trip to callers in other regions, and delays of the process.
+FIRST_REQUEST_S = 0.5
+# Least time in seconds for sending the last answers of a planned stop.
+LAST_ANSWER_SEND_S = 0.1
 
 
 class CallerFrontend:
@@ -82,9 +87,9 @@
     ) -> None:
         """Serve callers until `stop` is set, then shut down gracefully.
 
-        The listener and idle connections are closed `grace_s` seconds after `stop` is set, the
-        others after their requests, or when the stop plan ends. Returns when the last request in
-        flight has ended.
+        The listener and idle connections are closed `grace_s` seconds after `stop` is set, new ones
+        `FIRST_REQUEST_S` later, the others after their requests, or when the stop plan ends.
+        Returns when the last request in flight has ended.
         """
         async with trio.open_nursery() as timers:
             async with trio.open_nursery() as callers:
@@ -96,6 +101,7 @@
                 await trio.sleep(grace_s)
                 accepting.cancel()
                 self._close_idle()
+                timers.start_soon(self._close_new)
             timers.cancel_scope.cancel()
 
     def begin_stop(self) -> None:
@@ -111,7 +117,8 @@
             await self._refuse_connection(stream)
             return
         connection = CallerConnection(stream, self._limits, self._context.fields)
-        connection.closing = self.stopping
+        if self.stopping:
+            connection.begin_stop()
         self._connections.add(connection)
         failed = False
         try:
@@ -245,12 +252,22 @@
     def _close_idle(self) -> None:
         closed = 0
         for connection in list(self._connections):
-            closed += connection.close_when_idle()
+            if not connection.is_new:
+                closed += connection.close_when_idle()
         log(Event.CALLERS_CLOSED, idle=closed, in_flight=len(self._connections) - closed)
 
+    async def _close_new(self) -> None:
+        """Close the connections on which no request has arrived since the port was closed."""
+        await trio.sleep(FIRST_REQUEST_S)
+        for connection in list(self._connections):
+            connection.close_when_idle()
+
     async def _cut_at_limit(self, callers: trio.CancelScope) -> None:
         """Close the connections that are left when the platform is about to end the process."""
-        await trio.sleep_until(self._context.stop_plan.last_connection_s)
+        plan = self._context.stop_plan
+        await trio.sleep_until(plan.last_answer_s)
+        # A process that is held up may find both times passed, and its answers not yet sent.
+        await trio.sleep(max(plan.last_connection_s - trio.current_time(), LAST_ANSWER_SEND_S))
         requests = sum(connection.serving for connection in self._connections)
         log(Event.CALLERS_CUT, connections=len(self._connections), requests=requests)
         callers.cancel()
