--- a/tests/soak/hosts.py
+++ b/tests/soak/hosts.py
@@ -196,11 +196,15 @@
 
     def register(self, instance: SoakInstance, **status: Any) -> None:
         """Write the registration of an instance to the store."""
+        self.store.put("servers", instance.name, self.entry(instance, **status))
+
+    def entry(self, instance: SoakInstance, **status: Any) -> dict[str, Any]:
+        """Return the entry of an instance for the store."""
         proxy = self.instance_proxies[instance.name]
         entry = server_entry(instance.service, f"{proxy.address}:{proxy.port}", **status)
         number = int(instance.name.removeprefix("i-"))
         entry["info"]["zone"] = f"z{number % len(REGIONS)}"
-        self.store.put("servers", instance.name, entry)
+        return entry
 
     async def restart_instance(self, instance: SoakInstance) -> None:
         """Start a crashed instance again."""
--- a/tests/soak/instances.py
+++ b/tests/soak/instances.py
@@ -2,16 +2,22 @@
 
 import hashlib
 import json
+import math
 import random
 import uuid
 
 import h11
 import trio
 
+from dotterelstand.connection.target import abort_now
+
 CRASH_PATH = "/prices/crash-"
 # Begin of the query of requests from kept connections.
 KEPT_QUERY = "?kept="
 REPEATED_SHARE = 0.1
+BROKEN_OFF_SHARE = 0.3
+# Points of a request at which an instance breaks its connection off.
+BREAK_POINTS = ("head", "interim", "body", "work")
 
 
 class InstanceRun:
@@ -42,7 +48,9 @@
     `service_time_percent` scales the service time, `refuses` answers 503, `fails` answers 500, and
     `health_fails` makes the health check answer 503. With `repeats_answers`, some answers come
     again where the next one on their connection is expected, and with `answers_early` uploads are
-    answered before their body is read. `malformed` describes bytes that were no request.
+    answered before their body is read. With `rejects_checks` health checks are rejected like
+    requests. With `breaks_off` some requests end with a closed or reset connection, and idle
+    connections are closed after `idle_timeout_s`. `malformed` describes bytes that were no request.
     """
 
     def __init__(self, name: str, service: str, address: str, port: int, seed: int) -> None:
@@ -60,7 +68,10 @@
         self.fails = False
         self.health_fails = False
         self.repeats_answers = False
+        self.rejects_checks = False
         self.answers_early = False
+        self.breaks_off = False
+        self.idle_timeout_s = math.inf
         self.malformed: list[str] = []
         self._random = random.Random(f"{seed}/{name}")
         self._slots = trio.CapacityLimiter(2)
@@ -97,10 +108,18 @@
         while not isinstance(head := connection.next_event(), h11.Request):
             if isinstance(head, h11.ConnectionClosed):
                 return None
-            connection.receive_data(bytes(await stream.receive_some(65536)))
+            with trio.move_on_after(self.idle_timeout_s) as waiting:
+                connection.receive_data(bytes(await stream.receive_some(65536)))
+            if waiting.cancelled_caught:
+                return None
         headers = {name.decode(): value.decode() for name, value in head.headers}
         path = head.target.decode()
         run: InstanceRun | None = None
+        if self.breaks_off and path != "/health" and self._random.random() < BROKEN_OFF_SHARE:
+            if headers.get("x-dotterelstand-target-instance", self.name) == self.name:
+                self._begin(path, headers)
+                await self._break_off(stream)
+                return None
         early = self.answers_early and path.startswith("/artwork") and KEPT_QUERY in path
         if early and headers.get("x-dotterelstand-target-instance", self.name) == self.name:
             run = self._begin(path, headers)
@@ -120,15 +139,28 @@
             run.digest = hashlib.sha256(body).hexdigest()
         return answer
 
+    async def _break_off(self, stream: trio.SocketStream) -> None:
+        """Close or reset the connection of a request without a final answer."""
+        point = self._random.choice(BREAK_POINTS)
+        if point == "interim":
+            await stream.send_all(b"HTTP/1.1 103 Early Hints\r\n\r\n")
+        elif point == "body":
+            with trio.move_on_after(self.mean_service_s):
+                await stream.receive_some(65536)
+        elif point == "work":
+            await trio.sleep(self._random.expovariate(1 / self.mean_service_s))
+        if self._random.random() < 0.5:
+            abort_now(stream)
+
     async def _decide(self, path: str, headers: dict[str, str], body: bytes) -> bytes:
         """Run a request or refuse it; returns the answer."""
         full = self._slots.statistics().tasks_waiting >= 4
-        if path == "/health" and not full:
+        if path == "/health" and not full and not self.rejects_checks:
             is_unhealthy = self.draining_since is not None or self.health_fails
             return self._answer(503 if is_unhealthy else 200, headers, b"")
         if headers.get("x-dotterelstand-target-instance", self.name) != self.name:
             return self._answer(421, headers, b"")
-        if self.refuses or full:
+        if self.refuses or full or path == "/health":
             return self._answer(503, headers, b"", not_run=True)
         async with self._slots:
             return await self._execute(path, headers, body)
