Answer a scrape that fails instead of ending the daemon

A daemon whose connections had taken the last file descriptor ended with status 14 when its metrics were scraped: the library that renders them is loaded at the first scrape, which failed with EMFILE, and the metrics and readiness ports let errors of their page end the process. Change: the server of the control, readiness and metrics ports answers 500 and logs event 121 if a page fails or cannot be encoded. Status 14 is given for ports that cannot be opened alone (PortError); any other error that leaves the event loop is logged (190) and ends the process with status 1 and a traceback.

--- a/src/dotterelstand/connection/control.py
+++ b/src/dotterelstand/connection/control.py
@@ -8,6 +8,7 @@
 
 from dotterelstand.connection.network import Listener
 from dotterelstand.connection.target import READ_BYTES, close_now
+from dotterelstand.events import Event, log
 
 JSON_TYPE = "application/json"
 
@@ -41,6 +42,17 @@
         return str(self.value).encode()
 
 
+class _EncodedAnswer:
+    """Answer whose body is known, so that nothing but the connection can fail any more."""
+
+    __slots__ = ("body", "content_type", "status")
+
+    def __init__(self, answer: ControlAnswer) -> None:
+        self.status = answer.status
+        self.content_type = answer.content_type
+        self.body = answer.body()
+
+
 ControlHandler = Callable[[ControlRequest], Awaitable[ControlAnswer]]
 
 
@@ -60,7 +72,8 @@
             with trio.move_on_after(timeout_s):
                 request = await self._read()
                 if request is not None:
-                    await self._send(await handler(request), request.method != "HEAD")
+                    answer = await _answer(handler, request)
+                    await self._send(answer, request.method != "HEAD")
         except (trio.BrokenResourceError, trio.ClosedResourceError, h11.ProtocolError):
             pass
         finally:
@@ -86,8 +99,8 @@
             else:
                 return None
 
-    async def _send(self, answer: ControlAnswer, with_body: bool) -> None:
-        body = answer.body()
+    async def _send(self, answer: "_EncodedAnswer", with_body: bool) -> None:
+        body = answer.body
         headers = [
             ("content-type", answer.content_type),
             ("content-length", str(len(body))),
@@ -147,6 +160,16 @@
             self._open -= 1
 
 
+async def _answer(handler: ControlHandler, request: ControlRequest) -> _EncodedAnswer:
+    """Call the handler; an error in it, as when no descriptor is left, is answered with 500."""
+    try:
+        return _EncodedAnswer(await handler(request))
+    except Exception as error:
+        # An error in one page must not end the daemon.
+        log(Event.CONTROL_FAILED, name=request.path, error=repr(error))
+        return _EncodedAnswer(ControlAnswer(500, {"error": repr(error)}))
+
+
 def _make_request(head: h11.Request, body: bytes) -> ControlRequest:
     fields = {bytes(name): bytes(value) for name, value in head.headers}
     scheme, _, token = fields.get(b"authorization", b"").decode("latin-1").partition(" ")
--- a/src/dotterelstand/connection/network.py
+++ b/src/dotterelstand/connection/network.py
@@ -17,6 +17,10 @@
 StreamHandler = Callable[[trio.abc.Stream], Awaitable[None]]
 
 
+class PortError(OSError):
+    """A port that cannot be opened; other errors of the operating system have other causes."""
+
+
 class Listener(Protocol):
     """An open listening port."""
 
@@ -80,9 +84,9 @@
         return stream
 
     async def listen(self, address: str, port: int) -> TcpListener:
-        """Open a TCP listener; port 0 selects a free port; raises `OSError`."""
+        """Open a TCP listener; port 0 selects a free port; raises `PortError`."""
         try:
             return TcpListener(await trio.open_tcp_listeners(port, host=address))
         except OSError as error:
             # The operating system's message does not name the port.
-            raise OSError(error.errno, f"{address}:{port}: {error.strerror}") from error
+            raise PortError(error.errno, f"{address}:{port}: {error.strerror}") from error
--- a/src/dotterelstand/process/run.py
+++ b/src/dotterelstand/process/run.py
@@ -11,7 +11,7 @@
 from returns.pipeline import is_successful
 from returns.result import Result
 
-from dotterelstand.connection.network import TcpNetwork
+from dotterelstand.connection.network import PortError, TcpNetwork
 from dotterelstand.connection.tls import Certificates, load_certificates
 from dotterelstand.events import Event, log
 from dotterelstand.exits import ExitCode
@@ -47,10 +47,13 @@
         log(Event.SETTINGS_READ_AGAIN, reason=start.refusal)
     try:
         trio.run(_serve, SettingsFile(path, loaded, start.state), loaded, certificates, output)
-    except* OSError as group:
+    except* PortError as group:
         for error in leaf_errors(group):
             print(f"dotterelstandd: {error}", file=sys.stderr)
         sys.exit(ExitCode.PORT_UNAVAILABLE)
+    except* Exception as group:
+        log(Event.INVARIANT_BROKEN, name="daemon", detail=list(map(repr, leaf_errors(group))))
+        raise
     finally:
         for number in STOP_SIGNALS:
             # The interpreter would restore the default action, which kills, before it exits.
