Let the soak of processes break off uploads and block their ends

Users saw a target that got work nobody had sent. Instances of uploads and their proxies now have a receive buffer of 4 KiB and segments of 1,400 bytes, so that about 20 KB are held, and an instance that answers an upload early waits up to 0.3 s before it reads on.

Callers of a third kind send uploads in chunks or with a length and break some off (close, half-close, reset). The judge compares what instances received with what was sent, also of uploads that were not read to their end; an upload that was broken off must never get an end.

An instance dropped the bytes behind a request that it read, so a request sent after an early answer would have been reported as malformed. It keeps them now: the soak's own fault, seen in trials with the wait.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -237,6 +237,16 @@
     setattr(instance, name, normal)
 
 
+async def uploads_answered_early(context: FaultContext) -> None:
+    """Let all instances answer uploads before they read them."""
+    instances = context.fleet.registered()
+    for instance in instances:
+        instance.answers_early = True
+    await trio.sleep(context.rng.uniform(1.0, 5.0))
+    for instance in instances:
+        instance.answers_early = False
+
+
 async def instance_crashes(context: FaultContext) -> None:
     """Crash an instance and start it again; its registration stays."""
     instance = context.choose_instance()
@@ -288,10 +298,11 @@
 )
 
 # Faults of runs by hand only: a SIGHUP in the first milliseconds of a process is a known failure,
-# and targets that are all slow hide other faults.
+# and targets that are all slow or all answer early hide other faults.
 FAULTS_BY_HAND: tuple[FaultFunction, ...] = (
     signals_in_series,
     hosts_stopped_while_targets_are_slow,
+    uploads_answered_early,
 )
 
 
--- a/tests/soak/hosts.py
+++ b/tests/soak/hosts.py
@@ -29,6 +29,9 @@
     "orders": ("orders", "unsafe"),
     "artwork": ("artwork", "upload"),
 }
+# Receive buffer in bytes of instances that get uploads, and of their proxies, so that uploads which
+# are answered before they are read wait at the daemon.
+UPLOAD_BUFFER_BYTES = 4096
 CALLER_PORT, READY_PORT, STORE_PORT, INSTANCE_PORT = 8080, 8542, 8541, 8000
 PEER_PORTS = [7540, 7555]
 # Time after a fault during which late updates of the affected host are not violations.
@@ -187,6 +190,8 @@
         proxy = LoopbackProxy(
             self._address(4, number), INSTANCE_PORT, instance.address, INSTANCE_PORT
         )
+        if REQUEST_KINDS["artwork"][0] == service:
+            instance.receive_buffer_bytes = proxy.receive_buffer_bytes = UPLOAD_BUFFER_BYTES
         self.instances[instance.name] = instance
         self.instance_proxies[instance.name] = proxy
         await self._nursery.start(instance.run)
--- a/tests/soak/instances.py
+++ b/tests/soak/instances.py
@@ -8,19 +8,26 @@
 import h11
 import trio
 
+from soak.proxy import open_listeners
+
 CRASH_PATH = "/prices/crash-"
 # Begin of the query of requests from kept connections.
 KEPT_QUERY = "?kept="
+# Begin of the query of uploads that may be broken off (see `soak.uploads`).
+UPLOAD_QUERY = "?upload="
 REPEATED_SHARE = 0.1
+# Longest wait of an instance that has answered an upload early, before it reads on.
+MAX_EARLY_WAIT_S = 0.3
 
 
 class InstanceRun:
     """Record of one execution; `state` is "began", "done" or "crashed".
 
-    `digest` is that of the body, or empty if it has not been read completely.
+    `digest` is that of the body, or empty if it has not been read completely; `body_bytes` and
+    `received` describe what has been read so far.
     """
 
-    __slots__ = ("began", "body_bytes", "digest", "id", "path", "state")
+    __slots__ = ("began", "body_bytes", "digest", "id", "path", "received", "state")
 
     def __init__(self, path: str, request_id: str, began: float) -> None:
         self.path = path
@@ -28,6 +35,7 @@
         self.digest = ""
         self.began = began
         self.body_bytes = 0
+        self.received = hashlib.sha256()
         self.state = "began"
 
     @property
@@ -35,6 +43,11 @@
         """Whether the request came from a kept connection (see `soak.keptcallers`)."""
         return KEPT_QUERY in self.path
 
+    def receive(self, data: bytes) -> None:
+        """Note a piece of the body."""
+        self.body_bytes += len(data)
+        self.received.update(data)
+
 
 class SoakInstance:
     """One instance on a loopback address with 2 slots and a queue of 4 requests.
@@ -42,7 +55,8 @@
     `service_time_percent` scales the service time, `refuses` answers 503, `fails` answers 500, and
     `health_fails` makes the health check answer 503. With `repeats_answers`, some answers come
     again where the next one on their connection is expected, and with `answers_early` uploads are
-    answered before their body is read. `malformed` describes bytes that were no request.
+    answered before their body is read, which begins a while later. `malformed` describes bytes
+    that were no request. A `receive_buffer_bytes` of 0 leaves the size to the system.
     """
 
     def __init__(self, name: str, service: str, address: str, port: int, seed: int) -> None:
@@ -61,6 +75,7 @@
         self.health_fails = False
         self.repeats_answers = False
         self.answers_early = False
+        self.receive_buffer_bytes = 0
         self.malformed: list[str] = []
         self._random = random.Random(f"{seed}/{name}")
         self._slots = trio.CapacityLimiter(2)
@@ -70,7 +85,8 @@
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """Serve until a crash or until cancelled."""
         with trio.CancelScope() as self._serving:
-            await trio.serve_tcp(self._serve, self.port, host=self.address, task_status=task_status)
+            listeners = await open_listeners(self.address, self.port, self.receive_buffer_bytes)
+            await trio.serve_listeners(self._serve, listeners, task_status=task_status)
 
     def crash(self) -> None:
         """Cancel every connection and stop listening."""
@@ -78,10 +94,11 @@
             self._serving.cancel()
 
     async def _serve(self, stream: trio.SocketStream) -> None:
-        repeated = b""
+        repeated = rest = b""
         try:
             async with stream:
-                while (answer := await self._serve_one(stream, repeated)) is not None:
+                while (served := await self._serve_one(stream, repeated, rest)) is not None:
+                    answer, rest = served
                     repeats = self.repeats_answers and self._random.random() < REPEATED_SHARE
                     repeated = answer if repeats else b""
         except h11.RemoteProtocolError as error:
@@ -91,9 +108,16 @@
         except (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
             pass
 
-    async def _serve_one(self, stream: trio.SocketStream, repeated: bytes) -> bytes | None:
-        """Answer one request, after a repeated answer; returns the answer, or None at the end."""
+    async def _serve_one(
+        self, stream: trio.SocketStream, repeated: bytes, received: bytes
+    ) -> tuple[bytes, bytes] | None:
+        """Answer one request, of which some bytes may have been received, after a repeated answer.
+
+        Returns the answer and the bytes behind the request, or None at the end.
+        """
         connection = h11.Connection(h11.SERVER)
+        if received:
+            connection.receive_data(received)
         while not isinstance(head := connection.next_event(), h11.Request):
             if isinstance(head, h11.ConnectionClosed):
                 return None
@@ -101,24 +125,28 @@
         headers = {name.decode(): value.decode() for name, value in head.headers}
         path = head.target.decode()
         run: InstanceRun | None = None
-        early = self.answers_early and path.startswith("/artwork") and KEPT_QUERY in path
+        marked = KEPT_QUERY in path or UPLOAD_QUERY in path
+        early = self.answers_early and path.startswith("/artwork") and marked
         if early and headers.get("x-dotterelstand-target-instance", self.name) == self.name:
             run = self._begin(path, headers)
             run.state = "done"
             answer = self._answer(200, headers, b"{}")
             await stream.send_all(repeated + answer)
+            await trio.sleep(self._random.uniform(0.0, MAX_EARLY_WAIT_S))
         body = b""
         while not isinstance(event := connection.next_event(), h11.EndOfMessage):
             if isinstance(event, h11.Data):
                 body += event.data
+                if run is not None:
+                    run.receive(event.data)
             else:
                 connection.receive_data(bytes(await stream.receive_some(65536)))
         if run is None:
             answer = await self._decide(path, headers, body)
             await stream.send_all(repeated + answer)
         else:
-            run.digest = hashlib.sha256(body).hexdigest()
-        return answer
+            run.digest = run.received.hexdigest()
+        return answer, bytes(connection.trailing_data[0])
 
     async def _decide(self, path: str, headers: dict[str, str], body: bytes) -> bytes:
         """Run a request or refuse it; returns the answer."""
@@ -140,7 +168,8 @@
 
     async def _execute(self, path: str, headers: dict[str, str], body: bytes) -> bytes:
         run = self._begin(path, headers)
-        run.body_bytes, run.digest = len(body), hashlib.sha256(body).hexdigest()
+        run.receive(body)
+        run.digest = run.received.hexdigest()
         if path.startswith(CRASH_PATH):
             run.state = "crashed"
             self.crash()
--- a/tests/soak/mutated.py
+++ b/tests/soak/mutated.py
@@ -5,9 +5,11 @@
 from collections.abc import Callable
 from typing import Any
 
+import h11
+
 from dotterelstand.codes import Result as ResultCode
 from dotterelstand.connection.caller import CallerConnection
-from dotterelstand.connection.callerrequest import CallerRequest
+from dotterelstand.connection.callerrequest import BodyError, CallerRequest
 from dotterelstand.connection.target import TargetConnection
 from dotterelstand.process.discovery.catalogue import Catalogue
 from dotterelstand.process.discovery.registry import Configuration, Entry, Kind, RegisteredTarget
@@ -76,6 +78,35 @@
     set_attribute(StopPlan, "_time_at", lambda self, share: math.inf)
 
 
+def reuse_before_the_end_is_sent(set_attribute: SetAttribute) -> None:
+    """Use a connection again although its target has not been sent the end of an upload."""
+    recycle = TargetConnection.recycle
+
+    def recycle_early(self: TargetConnection, now: float) -> bool:
+        if self._h11.their_state is h11.DONE and self._h11.our_state is h11.SEND_BODY:
+            self._h11 = h11.Connection(h11.CLIENT)
+            return True
+        return recycle(self, now)
+
+    set_attribute(TargetConnection, "recycle", recycle_early)
+
+
+def complete_broken_uploads(set_attribute: SetAttribute) -> None:
+    """Send a valid end of an upload whose caller broke it off."""
+    next_body = CallerRequest.next_body
+
+    async def end_at_error(self: CallerRequest) -> bytes | None:
+        try:
+            return await next_body(self)
+        except BodyError:
+            return None
+
+    set_attribute(CallerRequest, "next_body", end_at_error)
+    # The request would be cancelled when its caller leaves.
+    ignored = property(lambda self: None, lambda self, value: None)
+    set_attribute(CallerRequest, "on_disconnect", ignored)
+
+
 def change_paths(set_attribute: SetAttribute) -> None:
     """Send some requests on with a path that the caller did not send."""
     send = TargetConnection.send_request
@@ -136,6 +167,8 @@
         cut_at_stop,
         announce_close_out_of_order,
         outlast_the_stop,
+        reuse_before_the_end_is_sent,
+        complete_broken_uploads,
         change_paths,
         ignore_newer_versions,
         ignore_leaving_targets,
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -6,6 +6,24 @@
 
 SO_LINGER_ZERO = struct.pack("ii", 1, 0)
 CHUNK_BYTES = 65536
+# Segment size of connections with a bounded receive buffer.
+MAX_SEGMENT_BYTES = 1400
+
+
+async def open_listeners(
+    address: str, port: int, receive_buffer_bytes: int
+) -> list[trio.SocketListener]:
+    """Listen on an address; connections get the receive buffer, or the system's usual if 0."""
+    listeners = await trio.open_tcp_listeners(port, host=address)
+    for listener in listeners if receive_buffer_bytes else ():
+        # Without a segment size as on a network, a sender's buffer holds megabytes on loopback.
+        listener.socket.setsockopt(
+            trio.socket.IPPROTO_TCP, trio.socket.TCP_MAXSEG, MAX_SEGMENT_BYTES
+        )
+        listener.socket.setsockopt(
+            trio.socket.SOL_SOCKET, trio.socket.SO_RCVBUF, receive_buffer_bytes
+        )
+    return listeners
 
 
 class _ProxiedConnection:
@@ -24,7 +42,8 @@
     """Forwards TCP connections between two loopback addresses, with fault injection.
 
     `delay_s` delays each piece of data. `refuses` resets new connections. `cut` drops all data
-    in both directions, `cut_answers` only data towards the client.
+    in both directions, `cut_answers` only data towards the client. A `receive_buffer_bytes` of 0
+    leaves the size of the buffers to the system.
     """
 
     def __init__(self, address: str, port: int, to_address: str, to_port: int) -> None:
@@ -36,6 +55,7 @@
         self.refuses = False
         self.cut = False
         self.cut_answers = False
+        self.receive_buffer_bytes = 0
 
     def reset(self) -> None:
         """Reset every open connection."""
@@ -49,7 +69,8 @@
 
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """Serve until cancelled."""
-        await trio.serve_tcp(self._serve, self.port, host=self.address, task_status=task_status)
+        listeners = await open_listeners(self.address, self.port, self.receive_buffer_bytes)
+        await trio.serve_listeners(self._serve, listeners, task_status=task_status)
 
     async def _serve(self, client: trio.SocketStream) -> None:
         if self.refuses:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -16,10 +16,12 @@
 from soak.faults import FaultContext, run_faults
 from soak.hosts import ProcessFleet, ProcessHost
 from soak.keptcallers import KeptCallers, find_rule_violations
+from soak.uploads import UploadCallers, find_changed_uploads
 
 HOSTS_PER_REGION = 2
 RATE_PER_S = 25.0
 KEPT_CALLERS = 12
+UPLOAD_CALLERS = 6
 # Time within which a stored configuration must be in force on every host, and time after the
 # start of a drain from which the instance must get no more requests.
 MAX_APPLY_S = 2.0
@@ -36,6 +38,7 @@
     def __init__(self) -> None:
         self.requests = 0
         self.kept_requests = 0
+        self.uploads = 0
         self.answered = 0
         self.injected_faults: list[str] = []
         self.violations: list[Violation] = []
@@ -60,6 +63,8 @@
                 calling.start_soon(callers.run, RATE_PER_S, seconds)
                 kept_callers = KeptCallers(fleet, seeded_random(seed, "kept callers"))
                 calling.start_soon(kept_callers.run, KEPT_CALLERS, seconds)
+                uploads = UploadCallers(fleet, seeded_random(seed, "uploads"))
+                calling.start_soon(uploads.run, UPLOAD_CALLERS, seconds)
                 context = FaultContext(fleet, seeded_random(seed, "faults"))
                 report.injected_faults = await run_faults(context, seconds)
                 report.violations += [
@@ -70,11 +75,13 @@
                 report.violations += await _check_recovery(fleet, callers)
             report.violations += find_violations(fleet, callers.requests)
             report.violations += find_rule_violations(fleet, kept_callers.requests)
+            report.violations += find_changed_uploads(fleet, uploads.uploads)
             report.violations += _find_late_requests(fleet, callers)
             report.violations += [
                 Violation("daemon ended", text) for text in fleet.unexpected_exits
             ]
             report.kept_requests = len(kept_callers.requests)
+            report.uploads = len(uploads.uploads)
             report.requests = len(callers.requests)
             report.answered = sum(request.answered for request in callers.requests)
         nursery.cancel_scope.cancel()
@@ -191,7 +198,7 @@
             folder = Path(tempfile.mkdtemp(prefix=f"soak-{number}-"))
             report = await run_soak(number, seconds, folder, hosts_per_region=hosts)
         print(f"seed {number}: {report.requests} requests, {report.answered} answered,", end=" ")
-        print(f"{report.kept_requests} on kept connections,", end=" ")
+        print(f"{report.kept_requests} on kept connections, {report.uploads} uploads,", end=" ")
         print(
             f"{len(report.injected_faults)} faults, {len(report.violations)} violations", flush=True
         )
--- a/tests/test_process_soak.py
+++ b/tests/test_process_soak.py
@@ -100,6 +100,8 @@
         ("announce_close_out_of_order", (faults.signals_in_series,), "no answer"),
         ("outlast_the_stop", (faults.hosts_stopped_while_targets_are_slow,), "no answer"),
         ("change_paths", (faults.configurations,), "unasked"),
+        ("reuse_before_the_end_is_sent", (faults.uploads_answered_early,), "unasked"),
+        ("complete_broken_uploads", (faults.configurations,), "unasked"),
         ("call_lost_not_run", CRASHES, "not run"),
         ("ignore_newer_versions", (faults.configurations,), "in force everywhere"),
         ("ignore_leaving_targets", (faults.instance_leaves,), "no work for leaving targets"),
