Refuse a chunked body whose end has a bare line feed

Users saw a target that got work nobody had sent. Whether this is their case is open: nothing of its bytes is recorded.

Cause: h11 takes bare line feeds behind the last chunk for line ends, so "0 CR LF LF" ends a message, as trailer fields followed by LF LF do. The check of bare line feeds covers heads only. Bytes behind such an end, which a strict sender or proxy counts to the same message, were served as a request of their own: a target ran a request whose id nobody had sent.

The end of a chunked body must be CR LF CR LF. h11 does not show what it has read of the end, so the request keeps the latest piece and the last bytes before it, and looks at the four bytes before the unread rest. With another end the body is malformed: the target gets no end, the caller gets 2010 or 3009 and nothing behind is read.

The fuzz test gets two such ends and, since its draws did not combine them with a chunked head, an example, which failed before, too.

--- a/src/dotterelstand/connection/caller.py
+++ b/src/dotterelstand/connection/caller.py
@@ -181,7 +181,7 @@
 
     def make_unread_request(self) -> CallerRequest:
         """Make a placeholder for a request that could not be read, to send its refusal."""
-        return self._make_request(self._new_h11(), b"", None)
+        return self._make_request(self._new_h11(), b"", None, b"")
 
     def closes_after(self, request: CallerRequest) -> bool:
         """Whether the answer to a request must announce that the connection closes.
@@ -310,7 +310,8 @@
 
     def _parse_head(self) -> CallerRequest | ResultCode:
         state = self._new_h11()
-        state.receive_data(bytes(self._unparsed))
+        received = bytes(self._unparsed)
+        state.receive_data(received)
         self._unparsed.clear()
         try:
             event = state.next_event()
@@ -329,13 +330,13 @@
         if not head.has_body() and state.their_state is h11.SEND_BODY:
             state.next_event()
             self.push_back(bytes(state.trailing_data[0]))
-        return self._make_request(state, event.method, head)
+        return self._make_request(state, event.method, head, received)
 
     def _make_request(
-        self, state: h11.Connection, method: bytes, head: RequestHead | None
+        self, state: h11.Connection, method: bytes, head: RequestHead | None, received: bytes
     ) -> CallerRequest:
         previous_ended = self._latest_request.ended if self._latest_request is not None else None
-        self._latest_request = CallerRequest(self, state, method, head, previous_ended)
+        self._latest_request = CallerRequest(self, state, method, head, previous_ended, received)
         return self._latest_request
 
     async def receive(self) -> bytes:
--- a/src/dotterelstand/connection/callerrequest.py
+++ b/src/dotterelstand/connection/callerrequest.py
@@ -20,6 +20,10 @@
 # Maximum time in seconds for sending an interim answer.
 INTERIM_SEND_TIMEOUT_S = 1.0
 
+# End of a chunked body. h11 also takes bare line feeds for it, as few other parsers do, so that
+# they would disagree on whether the bytes behind are another request.
+_CHUNKED_END = b"\r\n\r\n"
+
 
 class BodyError(Exception):
     """Truncated, stalled, malformed or too long request body.
@@ -42,9 +46,12 @@
     """
 
     __slots__ = (
+        "_ambiguous_end",
+        "_before_piece",
         "_connection",
         "_h11",
         "_method",
+        "_piece",
         "_previous_ended",
         "_received_bytes",
         "_unsent",
@@ -62,8 +69,13 @@
         method: bytes,
         head: RequestHead | None,
         previous_ended: trio.Event | None,
+        received: bytes,
     ) -> None:
         self._connection = connection
+        # Latest piece given to h11, which begins with the head, and the last bytes before it.
+        self._piece = received
+        self._before_piece = b""
+        self._ambiguous_end = False
         self._h11 = state
         self._method = method
         self._previous_ended = previous_ended
@@ -84,7 +96,7 @@
     @property
     def is_fully_read(self) -> bool:
         """Whether the request was read completely."""
-        return self._h11.their_state is h11.DONE
+        return self._h11.their_state is h11.DONE and not self._ambiguous_end
 
     @property
     def is_fully_answered(self) -> bool:
@@ -93,6 +105,8 @@
 
     async def next_body(self) -> bytes | None:
         """Next piece of the request body, or None at its end; raises `BodyError`."""
+        if self._ambiguous_end:
+            raise BodyError(ResultCode.BAD_REQUEST)
         while True:
             try:
                 event = self._h11.next_event()
@@ -104,7 +118,9 @@
                     raise BodyError(ResultCode.BODY_TOO_LARGE)
                 return bytes(event.data)
             if isinstance(event, h11.EndOfMessage):
-                self._connection.push_back(bytes(self._h11.trailing_data[0]))
+                rest = bytes(self._h11.trailing_data[0])
+                self._check_end(len(rest))
+                self._connection.push_back(rest)
                 return None
             if event is not h11.NEED_DATA:
                 raise BodyError(ResultCode.BAD_REQUEST)
@@ -118,10 +134,23 @@
                 data = await self._connection.receive()
                 if not data:
                     raise BodyError(ResultCode.BAD_REQUEST)
+                self._before_piece = (self._before_piece + self._piece[-4:])[-4:]
+                self._piece = data
                 self._h11.receive_data(data)
                 continue
             raise BodyError(ResultCode.CALLER_TOO_SLOW)
 
+    def _check_end(self, unread: int) -> None:
+        """Raise `BodyError` if parsers may disagree on where the chunked body ended."""
+        if self.head is None or self.head.declared_length() is not None:
+            return
+        end = len(self._piece) - unread
+        last = (self._before_piece + self._piece[max(0, end - 4) : end])[-4:]
+        self._piece = b""
+        if last != _CHUNKED_END:
+            self._ambiguous_end = True
+            raise BodyError(ResultCode.BAD_REQUEST)
+
     def encode_head(self, status: int, headers: Headers, code: ResultCode) -> bytes:
         """Encode the head of an answer, adding the result code."""
         self.answer_started = True
--- a/tests/soak/uploads.py
+++ b/tests/soak/uploads.py
@@ -21,8 +21,14 @@
 PIECE_BYTES = (1_000, 16_000, 64_000)
 # Longest time in seconds over which the sending of an upload is spread.
 MAX_SEND_S = 0.5
-# How a caller ends its connection in the middle of an upload; "" if it does not.
-BREAKS = ("", "", "close", "half-close", "reset")
+# How a caller ends its connection in the middle of an upload; "" if it does not. An ambiguous end
+# is one that not all parsers take for the end, with another request behind it.
+AMBIGUOUS = "ambiguous end"
+BREAKS = ("", "", "", "close", "half-close", "reset", AMBIGUOUS)
+HIDDEN = (
+    b"0\r\n\nGET /prices/hidden%b HTTP/1.1\r\nhost: entry\r\n"
+    b"x-dotterelstand-request-id: %b\r\n\r\n"
+)
 LINGER_ZERO = struct.pack("ii", 1, 0)
 
 
@@ -47,7 +53,7 @@
         self.id = uuid.uuid4().hex
         self.path = f"/artwork/{self.id[:6]}{UPLOAD_QUERY}{self.id[6:9]}"
         self.body = body
-        self.chunked = chunked
+        self.chunked = chunked or broken_off == AMBIGUOUS
         self.broken_off = broken_off
         self.incarnation = host.incarnation_id
         self.status = 0
@@ -71,8 +77,10 @@
         for begin in range(0, len(self.body), piece_bytes):
             data = h11.Data(data=self.body[begin : begin + piece_bytes])
             pieces.append(state.send(data) or b"")
-        pieces.append(state.send(h11.EndOfMessage()) or b"")
-        return pieces
+        end = state.send(h11.EndOfMessage()) or b""
+        if self.broken_off == AMBIGUOUS:
+            end = HIDDEN % (UPLOAD_QUERY.encode(), uuid.uuid4().hex.encode())
+        return [*pieces, end]
 
 
 class UploadCallers:
@@ -112,7 +120,10 @@
         self.uploads.append(upload)
         state = h11.Connection(h11.CLIENT)
         pieces = upload.encode(state, self._random.choice(PIECE_BYTES))
-        left = self._random.randrange(sum(map(len, pieces))) if upload.broken_off else None
+        left = None
+        if upload.broken_off:
+            total = sum(map(len, pieces))
+            left = total if upload.broken_off == AMBIGUOUS else self._random.randrange(total)
         pause_s = self._random.choice([0.0, 0.0, MAX_SEND_S]) / len(pieces)
         for piece in pieces:
             await stream.send_all(piece[:left])
@@ -129,8 +140,10 @@
         if how == "reset":
             # Sent bytes that have not arrived are lost, too.
             stream.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_LINGER, LINGER_ZERO)
-        elif how == "half-close":
+            return
+        if how == "half-close":
             await stream.send_eof()
+        if how != "close":
             with trio.move_on_after(1.0):
                 while await stream.receive_some(65536):
                     pass
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -69,6 +69,8 @@
     b"abcde" + SMUGGLED,
     SMUGGLED + b"\n",
     b"5\r\nabcdeXX0\r\n\r\n",
+    b"5\r\nabcde\r\n0\r\n\n" + SMUGGLED,
+    b"0\r\nx: y\n\n" + SMUGGLED,
 ]
 
 
@@ -94,8 +96,15 @@
 )
 
 
+AMBIGUOUS_END = (
+    b"POST /lookup/2 HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n"
+    b"5\r\nabcde\r\n0\r\n\n"
+)
+
+
 @FUZZ
 @example(([NAMED_FRAMING], False))
+@example(([AMBIGUOUS_END + SMUGGLED], False))
 @example(([b"POST /order/5 HTTP/1.0\r\n\r\n"], False))
 @example(([b"HEAD /lookup/4 HTTP/1.1\r\nhost: x\r\n\r\nabcde"], False))
 @given(caller_bytes())
