Release the last request of an idle connection

Memory over the limit ends a daemon. Change: they are dropped with the delivery. An error while these lines are written is logged and the connection is closed all the same. Measured: test_idle_connections_do_not_keep_the_bodies_of_answered_uploads failed before.

--- a/src/dotterelstand/connection/caller.py
+++ b/src/dotterelstand/connection/caller.py
@@ -190,7 +190,10 @@
     def end(self, request: CallerRequest) -> None:
         """Stop serving a request, whether it was answered or not."""
         self._serving.discard(request)
-        if not request.is_delivered:
+        if request.is_delivered:
+            # An idle connection must not keep the body and the attempts of its last request.
+            request.write_decisions = None
+        else:
             self.undelivered.append(request)
         request.ended.set()
         self._inbox_readers.unpark_all()
--- a/src/dotterelstand/process/frontend.py
+++ b/src/dotterelstand/process/frontend.py
@@ -134,7 +134,10 @@
             self._log_fault(group)
         finally:
             self._connections.discard(connection)
-            self._note_undelivered(connection, failed)
+            try:
+                self._note_undelivered(connection, failed)
+            except Exception as error:
+                self._log_fault(ExceptionGroup("undelivered answers", [error]))
             if not connection.aborted:
                 connection.close()
 
--- a/tests/test_undelivered_answers.py
+++ b/tests/test_undelivered_answers.py
@@ -1,5 +1,6 @@
 """Log lines and counters of requests whose connection ended before their whole answer was sent."""
 
+import gc
 from collections.abc import Awaitable, Callable
 
 import h11
@@ -15,6 +16,7 @@
 from dotterelstand.connection.callerrequest import CallerRequest
 from dotterelstand.events import Event
 from dotterelstand.request.accesslog import MAX_UNDELIVERED_LINES_PER_S, AccessLog
+from dotterelstand.request.body import RequestBody
 from dotterelstand.request.stopplan import StopPlan
 from dotterelstand.request.undelivered import UndeliveredAnswer, find_undelivered
 from dotterelstand.standin.virtual import run_virtual
@@ -230,7 +232,7 @@
         limits = CallerLimits(CallerBounds(1000, 1000, 1.0, 1.0), 1.0, 1.0)
         stream, _ = memory_stream_pair()
         connection = CallerConnection(stream, limits)
-        request = CallerRequest(connection, h11.Connection(h11.SERVER), b"GET", None, None)
+        request = CallerRequest(connection, h11.Connection(h11.SERVER), b"GET", None, None, b"")
         connection.begin(request)
         connection.end(request)
         return find_undelivered(connection, failed, plan, b"x-id")
@@ -256,3 +258,19 @@
     assert len(lines.lines_of(Event.ANSWER_UNDELIVERED)) == 2 * MAX_UNDELIVERED_LINES_PER_S
     (line,) = lines.lines_of(Event.REQUEST_LINES_SUPPRESSED)
     assert line["requests"] == 64 - MAX_UNDELIVERED_LINES_PER_S
+
+
+def test_idle_connections_do_not_keep_the_bodies_of_answered_uploads() -> None:
+    """Guards against memory that grows by the last upload of each idle connection."""
+
+    async def scenario(fleet: PlatformFleet) -> None:
+        for _ in range(10):
+            stream = await fleet.stream()
+            await stream.send_all(fleet.request("POST", "/u/1", bytes(100_000)))
+            assert (await read_answer(stream, "POST")).status == 200
+        await trio.sleep(0.5)
+        gc.collect()
+        bodies = [item for item in gc.get_objects() if isinstance(item, RequestBody)]
+        assert sum(len(body.held) for body in bodies) == 0
+
+    run_on_platform(scenario)
