Deliver ready answers at the end of a stop, and bound their delivery

Callers could lose an answer over 128 KB that was ready behind a slower one: it waits within its own request, whose time ended together with that of the request before it. A caller that reads nothing held the process up to 2 s beyond the limit of the stop, since the delivery of a whole answer cannot be cancelled; it was killed without its last log lines. Change: a request whose answer has begun lasts until the last connections are closed, and no delivery or wait for a body lasts longer than the stop.

--- a/src/dotterelstand/request/answerforwarder.py
+++ b/src/dotterelstand/request/answerforwarder.py
@@ -12,6 +12,7 @@
 from dotterelstand.request.answerhead import AnswerHead
 from dotterelstand.request.fields import HeaderFields
 from dotterelstand.request.head import returned_headers
+from dotterelstand.request.stopplan import StopPlan
 
 # Encoded bytes are buffered and sent to the caller once there are at least this many.
 SEND_BUFFER_BYTES = 65536
@@ -36,6 +37,7 @@
         "_max_recorded_bytes",
         "_on_progress",
         "_recorded_body",
+        "_stop_plan",
         "_target",
         "complete",
     )
@@ -47,7 +49,9 @@
         max_recorded_bytes: int,
         on_progress: Callable[[], None],
         fields: HeaderFields,
+        stop_plan: StopPlan,
     ) -> None:
+        self._stop_plan = stop_plan
         self._fields = fields
         self._caller = caller
         self._target = target
@@ -76,6 +80,8 @@
         data = self._caller.encode_head(
             head.status, returned_headers(head.headers, self._fields), ResultCode.ANSWERED
         )
+        # A stopping daemon gives an answer that has begun more time.
+        self._on_progress()
         try:
             if body:
                 data += self._caller.encode_body(body)
@@ -83,7 +89,8 @@
                 return await self._stream_answer(data, self._target.poll())
             # The deadline must not cut off an answer that is already complete.
             with trio.CancelScope(shield=True) as scope:
-                scope.deadline = trio.current_time() + DELIVERY_TIMEOUT_S
+                limit = trio.current_time() + DELIVERY_TIMEOUT_S
+                scope.deadline = min(limit, self._stop_plan.last_connection_s)
                 await self._send(data + self._caller.encode_end())
                 return ResultCode.ANSWERED
             return ResultCode.CALLER_LEFT
--- a/src/dotterelstand/request/exchange.py
+++ b/src/dotterelstand/request/exchange.py
@@ -19,13 +19,13 @@
 from dotterelstand.request.hedging import has_usable_answer, run_with_hedge
 from dotterelstand.request.keyed import KeyedRun
 from dotterelstand.request.policy import (
-    SLOW_ANSWER_MULTIPLE,
     RetryDecision,
     RetryInputs,
     ServicePolicy,
     can_finish,
     decide_retry,
     hedge_delay_s,
+    latest_start_s,
 )
 from dotterelstand.request.suspicion import RequestSuspicion
 from dotterelstand.version.model import Document, Route, Service
@@ -181,13 +181,9 @@
         classes = self._document.classes
         last = len(classes) - 1
         klass = classes.index(self._route.klass) if self._route.klass in classes else last
-        start_by: float | None = None
-        if self._route.latency_objective_s is not None:
-            # An attempt that starts after this time and is slow misses the latency objective.
-            median_s = self._policy.latency.median_s
-            start_by = (
-                self._began_s + self._route.latency_objective_s - SLOW_ANSWER_MULTIPLE * median_s
-            )
+        start_by = latest_start_s(
+            self._began_s, self._route.latency_objective_s, self._policy.latency
+        )
         call = SlotCall(klass, self._head.tenant, self._scope.deadline, excluded, no_wait, start_by)
         if self._body.complete:
             return await self._context.slots.acquire(self._service, call)
@@ -313,7 +309,12 @@
         assert attempt.answer is not None
         limit = self._context.limits.max_recorded_bytes if self._keyed is not None else 0
         forwarder = AnswerForwarder(
-            self._caller, attempt.connection, limit, self._extend_deadline, self._head.fields
+            self._caller,
+            attempt.connection,
+            limit,
+            self._extend_deadline,
+            self._head.fields,
+            self._context.stop_plan,
         )
         try:
             code = await forwarder.run(attempt.answer)
@@ -353,7 +354,8 @@
     def _extend_deadline(self) -> None:
         """Extend the deadline on progress; `deadline_s` limits the time without progress."""
         limit_s = self._route.deadline_s
-        latest = min(self._latest_deadline, self._context.stop_plan.last_answer_s)
+        stop_s = self._context.stop_plan.request_end_s(self._caller.answer_started)
+        latest = min(self._latest_deadline, stop_s)
         deadline = min(latest, trio.current_time() + limit_s)
         # Setting a deadline costs more than forwarding a piece of a body, so skip small changes.
         if abs(deadline - self._scope.deadline) > limit_s * MIN_DEADLINE_STEP:
@@ -361,7 +363,8 @@
 
     def _apply_stop(self) -> None:
         """End the request before the process does, so that its caller gets an answer."""
-        self._scope.deadline = min(self._scope.deadline, self._context.stop_plan.last_answer_s)
+        stop_s = self._context.stop_plan.request_end_s(self._caller.answer_started)
+        self._scope.deadline = min(self._scope.deadline, stop_s)
 
     def _remaining_s(self) -> float:
         return self._scope.deadline - trio.current_time()
@@ -390,4 +393,8 @@
         ran = self._may_have_run()
         if self._caller.disconnected:
             return ResultCode.CALLER_LEFT if ran else ResultCode.CALLER_GONE
-        return ResultCode.DEADLINE_PASSED if ran else ResultCode.DEADLINE_TOO_SHORT
+        if ran:
+            return ResultCode.DEADLINE_PASSED
+        if self._context.stop_plan.last_answer_s < self._latest_deadline:
+            return ResultCode.HOST_STOPPING
+        return ResultCode.DEADLINE_TOO_SHORT
--- a/src/dotterelstand/request/policy.py
+++ b/src/dotterelstand/request/policy.py
@@ -187,6 +187,15 @@
     return RetryDecision.RETRY
 
 
+def latest_start_s(
+    began_s: float, objective_s: float | None, latency: LatencyQuantiles
+) -> float | None:
+    """Time after which an attempt that turns out slow misses the latency objective, if any."""
+    if objective_s is None:
+        return None
+    return began_s + objective_s - SLOW_ANSWER_MULTIPLE * latency.median_s
+
+
 def can_finish(remaining_s: float, latency: LatencyQuantiles) -> bool:
     """Whether an attempt of median duration fits into the remaining time."""
     return remaining_s > max(latency.median_s, 0.001)
--- a/src/dotterelstand/request/stopplan.py
+++ b/src/dotterelstand/request/stopplan.py
@@ -39,6 +39,10 @@
         """Time at which the last connections are closed; infinite without a limited stop."""
         return self._time_at(LAST_CONNECTION_SHARE)
 
+    def request_end_s(self, answer_started: bool) -> float:
+        """Time at which a request must have ended; later if its answer only has to be sent."""
+        return self.last_connection_s if answer_started else self.last_answer_s
+
     def begin(self, now: float) -> None:
         """Begin the stop."""
         self._began_s = now
--- a/src/dotterelstand/request/suspicion.py
+++ b/src/dotterelstand/request/suspicion.py
@@ -70,7 +70,8 @@
     async def _record_strike(self, target: str) -> None:
         # The deadline or a disconnecting caller must not cancel the strike.
         with trio.CancelScope(shield=True) as scope:
-            scope.deadline = trio.current_time() + STRIKE_BODY_WAIT_S
+            limit = trio.current_time() + STRIKE_BODY_WAIT_S
+            scope.deadline = min(limit, self._context.stop_plan.last_answer_s)
             try:
                 await self._body.fill()
             except BodyError:
--- a/tests/test_stop_limit.py
+++ b/tests/test_stop_limit.py
@@ -1,10 +1,12 @@
 """A planned stop whose process the platform ends after a time."""
 
 import math
+from collections.abc import Callable
 
 import pytest
 import trio
 import trio.testing
+from platform_standin import Instance
 from platform_support import PlatformFleet, run_on_platform
 from support import read_answer
 
@@ -112,7 +114,7 @@
             for stream in streams:
                 answer = await read_answer(stream, "POST")
                 codes.append((answer.status, int(answer.headers["dotterelstand-result"])))
-        waited = [code for code in codes if code[0] == 503]
+        waited = [code for code in codes if code == (503, Result.HOST_STOPPING)]
         assert waited and len(waited) + len(fleet.runs()) == len(streams)
 
     run_on_platform(scenario, instances=1, stop_limit_s=STOP_LIMIT_S)
@@ -156,3 +158,51 @@
         assert (await read_answer(stream, "POST")).status == 504
 
     run_on_platform(scenario, stop_limit_s=STOP_LIMIT_S)
+
+
+@pytest.mark.parametrize("body_bytes", [60_000, 300_000])
+def test_whole_answer_behind_a_slow_one_is_delivered_at_the_end_of_a_stop(body_bytes: int) -> None:
+    """Guards against an answer that is ready and is cut off with the request before it.
+
+    Answers over `MAX_UNSENT_BYTES` wait within their request for the earlier ones.
+    """
+
+    async def scenario(fleet: PlatformFleet) -> None:
+        for instance in fleet.instances:
+            instance.service_time_s = 5.0
+        stream = await fleet.stream()
+        await stream.send_all(fleet.request(deadline_ms=4000))
+        await trio.sleep(0.2)
+        for instance in fleet.instances:
+            instance.service_time_s = 0.005
+            instance.answer = _with_body(instance, body_bytes)  # type: ignore[method-assign]
+        await stream.send_all(fleet.request(deadline_ms=4000))
+        await trio.sleep(0.2)
+        fleet.daemon.stop()
+        answers = [await read_answer(stream) for _ in range(2)]
+        statuses = [(answer.status, answer.complete, len(answer.body)) for answer in answers]
+        assert statuses[1] == (200, True, body_bytes)
+
+    run_on_platform(scenario, stop_limit_s=STOP_LIMIT_S)
+
+
+def _with_body(instance: Instance, body_bytes: int) -> Callable[..., bytes]:
+    usual = instance.answer
+    return lambda headers, body=b"x" * body_bytes, **changes: usual(headers, body, **changes)
+
+
+def test_caller_that_reads_nothing_does_not_hold_the_process() -> None:
+    """Guards against a delivery that nothing cancels and that outlives the stop's limit."""
+
+    async def scenario(fleet: PlatformFleet) -> None:
+        for instance in fleet.instances:
+            instance.answer = _with_body(instance, 60_000)  # type: ignore[method-assign]
+        stream = await fleet.stream()
+        fleet.daemon.stop()
+        await trio.sleep(0.8)
+        for _ in range(6):
+            await stream.send_all(fleet.request(deadline_ms=500))
+        await trio.sleep(STOP_LIMIT_S - 0.8)
+        assert fleet.daemon.frontend.open_connections == 0
+
+    run_on_platform(scenario, stop_limit_s=STOP_LIMIT_S)
