Tell other hosts of a leaving target by name, and pin the mark to a start

Change: the message is the former one, and its receiver takes the start that it knows of the target. Marks are set only for services that changed, by the index of names. An answer that names another target does not count. Measured: tests/test_announced_leaving.py; the case of another target failed before.

--- a/src/dotterelstand/connection/wire.py
+++ b/src/dotterelstand/connection/wire.py
@@ -287,16 +287,11 @@
 
 
 class TargetLeaving(Message):
-    """Notice that a target is draining and must get no new requests.
+    """Notice that a target is draining and must get no new requests."""
 
-    It concerns only the given incarnation of the target, or each one if that is 0.
-    """
-
-    __slots__ = ("target", "target_incarnation")
+    __slots__ = ("target",)
     TYPE = 17
-    OPTIONAL = 1
     target: str
-    target_incarnation: int
 
 
 class LiftQuarantine(Message):
--- a/src/dotterelstand/process/selection/dispatcher.py
+++ b/src/dotterelstand/process/selection/dispatcher.py
@@ -291,10 +291,14 @@
         table, position = self._table_positions[target]
         return table.targets[position].usable
 
+    def incarnation_of(self, name: str) -> int:
+        """Incarnation of a target, 0 if it is unknown."""
+        table, position = self._positions_by_name.get(name, (self._local, None))
+        return 0 if position is None else table.targets[position].incarnation
+
     def _apply_to_target(self, name: str, change) -> None:  # type: ignore[no-untyped-def]
-        for table, position in self._table_positions:
-            if table.targets[position].name == name:
-                change(table, position)
+        if name in self._positions_by_name:
+            change(*self._positions_by_name[name])
 
     def _set_service(self, service: Service) -> None:
         self.service = service
--- a/src/dotterelstand/process/selection/servicestate.py
+++ b/src/dotterelstand/process/selection/servicestate.py
@@ -101,12 +101,18 @@
         """Number of calls in the queues of both dispatchers."""
         return self.regional.queued_calls + self.local.queued_calls
 
-    def update_service(self, service: Service, now: float) -> None:
-        """Apply a new version of the service."""
-        if service is not self.service:
-            self.service = service
-            self.local.replace_service(service, now)
-            self.regional.replace_service(service, now)
+    def update_service(self, service: Service, now: float) -> bool:
+        """Apply a new version of the service; False if it is the same."""
+        if service is self.service:
+            return False
+        self.service = service
+        self.local.replace_service(service, now)
+        self.regional.replace_service(service, now)
+        return True
+
+    def incarnation_of(self, target: str) -> int:
+        """Incarnation of a target of the service, 0 if it is unknown."""
+        return self.local.incarnation_of(target)
 
     def cancel_wait(self, key: CallKey, now: float) -> None:
         """Remove a waiting call from the queues."""
--- a/src/dotterelstand/process/selection/servicestates.py
+++ b/src/dotterelstand/process/selection/servicestates.py
@@ -34,7 +34,7 @@
         self._random = rng
         self._states: dict[str, ServiceState] = {}
         self._active: dict[str, ServiceState] = {}
-        # Incarnation of each leaving target, 0 for any.
+        # Incarnation of each leaving target, 0 until this host knows one.
         self._leaving: dict[str, int] = {}
         self._region_only_classes: frozenset[int] = frozenset()
 
@@ -75,9 +75,9 @@
             del self._states[state.service.name]
             self._active.pop(state.service.name, None)
         for name, state in self._states.items():
-            state.update_service(document.services[name], now)
-            # A target that comes back under its former incarnation is still leaving.
-            self._mark_leaving_targets(state)
+            if state.update_service(document.services[name], now):
+                # A target that comes back under its former incarnation is still leaving.
+                self._mark_leaving_targets(state)
         if len(services) <= MAX_EAGER_SERVICES:
             for service in services:
                 self.activate(service)
@@ -107,13 +107,15 @@
     def mark_leaving(self, target: str, incarnation: int = 0) -> bool:
         """Give a target no new work; True if it was not leaving before.
 
-        An incarnation of 0 stands for any; otherwise it is the time of the target's start, and the
-        latest counts.
+        The incarnation is the time of the target's start, and the latest counts. 0 stands for the
+        one that this host knows, since other hosts tell only the name.
         """
+        if not incarnation:
+            incarnation = max((s.incarnation_of(target) for s in self._states.values()), default=0)
         known = self._leaving.get(target)
         if known is not None and (known == 0 or 0 < incarnation <= known):
             return False
-        while len(self._leaving) >= MAX_LEAVING_TARGETS:
+        while known is None and len(self._leaving) >= MAX_LEAVING_TARGETS:
             del self._leaving[next(iter(self._leaving))]
         self._leaving[target] = incarnation
         for state in self._states.values():
@@ -143,4 +145,5 @@
     def _mark_leaving_targets(self, state: ServiceState) -> None:
         for target in state.service.targets if self._leaving else ():
             if self.is_leaving(target):
+                self._leaving[target.name] = target.incarnation
                 state.mark_leaving(target.name, target.incarnation)
--- a/src/dotterelstand/process/selection/slots.py
+++ b/src/dotterelstand/process/selection/slots.py
@@ -123,11 +123,11 @@
     def target_leaving(self, target: str, incarnation: int = 0) -> None:
         """Mark a target as leaving, after it or the host list reported so; notify other hosts.
 
-        An incarnation of 0 stands for any.
+        An incarnation of 0 stands for the one that this host knows.
         """
         if self._core.services.mark_leaving(target, incarnation):
             log(Event.TARGET_LEAVING, target=target, source=self._mesh.host)
-            self._mesh.broadcast(TargetLeaving(target, incarnation))
+            self._mesh.broadcast(TargetLeaving(target))
 
     def target_returned(self, target: str) -> None:
         """Let a leaving target take new work again after the host list shows it as live."""
@@ -175,7 +175,7 @@
             self._core.record_slowdown(message.service, index, percent / 100, now)
 
     def _on_leaving(self, sender: str, message: TargetLeaving) -> None:
-        if self._core.services.mark_leaving(message.target, message.target_incarnation):
+        if self._core.services.mark_leaving(message.target):
             log(Event.TARGET_LEAVING, target=message.target, source=sender)
             if self._mesh.is_overlay:
                 self._mesh.broadcast(message)
--- a/src/dotterelstand/request/attempt.py
+++ b/src/dotterelstand/request/attempt.py
@@ -285,8 +285,7 @@
         self.answer = await self._receive_matching_head()
         self.time_to_head_s = trio.current_time() - self._began_s
         self._silence_scope.deadline = math.inf
-        if self.answer.announces_draining():
-            self._report_leaving()
+        self._note_leaving(self.answer)
         if not self.answer.is_unaltered() or self.answer.has_two_lengths():
             self.failure = ResultCode.BAD_ANSWER
         elif self.answer.claims_not_run() and not self._setup.idempotent:
@@ -303,18 +302,18 @@
             answer = AnswerHead(event.status_code, headers, head.fields)
             if answer.matches_request(head.request_id):
                 return answer
-            # The address may have belonged to another target when the answer's request was sent.
-            identity = answer.value(head.fields.identity)
-            if answer.announces_draining() and identity == self.target.encode("latin-1", "replace"):
-                self._report_leaving()
+            self._note_leaving(answer)
             answered_id = answer.value(head.fields.request_id) or b""
             self.skipped.append(answered_id.decode("latin-1")[:MAX_ID_CHARACTERS])
             await self.connection.skip_answer()
         raise h11.RemoteProtocolError("no answer to this request")
 
-    def _report_leaving(self) -> None:
+    def _note_leaving(self, answer: AnswerHead) -> None:
+        """Report a target that says that it leaves; another one may answer at its address."""
         target = self._grant.target
-        self._setup.leaving_targets.target_leaving(target.name, target.incarnation)
+        identity = answer.value(self._setup.head.fields.identity)
+        if answer.announces_draining() and identity in (None, target.name.encode("latin-1")):
+            self._setup.leaving_targets.target_leaving(target.name, target.incarnation)
 
     async def _receive_final_head(self) -> AnswerEvent:
         """Receive the next answer head, skipping a bounded number of interim answers."""
--- a/tests/test_announced_leaving.py
+++ b/tests/test_announced_leaving.py
@@ -121,6 +121,18 @@
     run_on_platform(scenario, instances=2)
 
 
+def test_announcement_of_another_target_at_the_address_does_not_count() -> None:
+    """Guards against a target without work because its successor or predecessor leaves."""
+
+    async def scenario(fleet: PlatformFleet) -> None:
+        instance = fleet.instances[0]
+        changes = {"X-Dotterelstand-Instance-Id": "i-other", "status": "421 Other"}
+        await _leave(fleet, _announcing(instance, "Server-Leaving", **changes))
+        assert await _calls_that_reach(fleet, instance) > 0
+
+    run_on_platform(scenario, entries=2)
+
+
 def test_requests_are_refused_at_once_when_all_targets_are_leaving() -> None:
     """Guards against requests that wait for a target until their deadline."""
 
