--- a/tests/test_stop_limit.py
+++ b/tests/test_stop_limit.py
@@ -192,17 +192,22 @@
 
 
 def test_caller_that_reads_nothing_does_not_hold_the_process() -> None:
-    """Guards against a delivery that nothing cancels and that outlives the stop's limit."""
+    """Guards against a delivery that nothing cancels and that outlives the stop's limit.
+
+    Two answers fill what the caller's connection holds unread, and the third becomes ready shortly
+    before the end of the stop.
+    """
 
     async def scenario(fleet: PlatformFleet) -> None:
-        for instance in fleet.instances:
-            instance.answer = _with_body(instance, 60_000)  # type: ignore[method-assign]
+        instance = fleet.instances[0]
+        instance.answer = _with_body(instance, 60_000)  # type: ignore[method-assign]
         stream = await fleet.stream()
+        for service_time_s in (0.005, 0.005, 1.3):
+            instance.service_time_s = service_time_s
+            await stream.send_all(fleet.request("POST", "/b/1", b"x", deadline_ms=4000))
+            await trio.sleep(0.1)
         fleet.daemon.stop()
-        await trio.sleep(0.8)
-        for _ in range(6):
-            await stream.send_all(fleet.request(deadline_ms=500))
-        await trio.sleep(STOP_LIMIT_S - 0.8)
+        await trio.sleep(STOP_LIMIT_S)
         assert fleet.daemon.frontend.open_connections == 0
 
-    run_on_platform(scenario, stop_limit_s=STOP_LIMIT_S)
+    run_on_platform(scenario, instances=1, stop_limit_s=STOP_LIMIT_S)
