Let the soak of processes use addresses of instances again

An address of an instance that left may get an instance of another service, while connections through a proxy stay open. The new fault lets one take over address and connections at once or up to 0.5 s after its predecessor left the store; the judge names a request that ran at another service.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -6,7 +6,7 @@
 
 import trio
 
-from soak.hosts import ProcessFleet, ProcessHost
+from soak.hosts import INSTANCES_PER_SERVICE, ProcessFleet, ProcessHost
 from soak.instances import SoakInstance
 
 
@@ -278,6 +278,19 @@
     instance.crash()
 
 
+async def address_reused(context: FaultContext) -> None:
+    """Replace an instance by one of another service, at its address and on its connections."""
+    instance = context.choose_instance()
+    if instance is None:
+        return
+    instance.ending = True
+    await context.fleet.add_instance(instance.service)
+    context.fleet.store.remove("servers", instance.name)
+    await trio.sleep(context.rng.choice([0.0, 0.05, 0.5]))
+    others = sorted(set(INSTANCES_PER_SERVICE) - {instance.service})
+    context.fleet.add_successor(instance, context.rng.choice(others))
+
+
 FAULTS: tuple[FaultFunction, ...] = (
     host_killed,
     host_stopped,
@@ -295,6 +308,7 @@
     instance_misbehaves,
     instance_crashes,
     instance_leaves,
+    address_reused,
 )
 
 # Faults of runs by hand only: a SIGHUP in the first milliseconds of a process is a known failure,
--- a/tests/soak/hosts.py
+++ b/tests/soak/hosts.py
@@ -1,9 +1,7 @@
 """Entry hosts as separate processes, the store and the instances, on loopback addresses."""
 
 import errno
-import json
 import os
-import re
 import signal
 import subprocess
 import sys
@@ -18,6 +16,7 @@
 from dotterelstand.standin.httpd import HttpAnswer, HttpRequest, serve_http
 from soak.instances import SoakInstance
 from soak.proxy import LoopbackProxy
+from soak.template import render
 
 # Folder of a module that ends a process with its parent.
 GUARD_FOLDER = Path(__file__).parent / "guard"
@@ -199,6 +198,21 @@
         self.register(instance)
         return instance
 
+    def add_successor(self, instance: SoakInstance, service: str) -> None:
+        """Register an instance of another service that serves the address of one that left.
+
+        No other fault chooses it, since its connections are those of its predecessor.
+        """
+        self._instance_count += 1
+        successor = SoakInstance(
+            f"i-{self._instance_count}", service, instance.address, INSTANCE_PORT, self.seed
+        )
+        successor.ending = True
+        instance.successor = successor
+        self.instances[successor.name] = successor
+        self.instance_proxies[successor.name] = self.instance_proxies[instance.name]
+        self.register(successor)
+
     def register(self, instance: SoakInstance, **status: Any) -> None:
         """Write the registration of an instance to the store."""
         proxy = self.instance_proxies[instance.name]
@@ -350,33 +364,3 @@
             self.unexpected_exits.append(f"{host.incarnation_id}: ended with code {code}")
         host.lost = True
         host.ended.set()
-
-
-def render(template: str, fields: dict[str, Any]) -> str:
-    """Replace the placeholders of a template; supports only what the project's template uses."""
-
-    def section(match: re.Match[str]) -> str:
-        if isinstance(fields[match[1]], bool):
-            return match[2] if fields[match[1]] else ""
-        items = list(fields[match[1]].items())
-        parts = [
-            match[2]
-            .replace("{{@}}", key)
-            .replace("{{.}}", value)
-            .replace("{{,}}", "," if number < len(items) - 1 else "")
-            for number, (key, value) in enumerate(items)
-        ]
-        return "".join(parts)
-
-    def value(match: re.Match[str]) -> str:
-        result: Any = fields
-        for name in match[1].split("."):
-            result = result[int(name)] if isinstance(result, list) else result[name]
-        return result if isinstance(result, str) else json.dumps(result)
-
-    def inverted_section(match: re.Match[str]) -> str:
-        return "" if fields[match[1]] else match[2]
-
-    text = re.sub(r"\{\{#(\w+)\}\}(.*?)\{\{/\1\}\}", section, template, flags=re.S)
-    text = re.sub(r"\{\{\^(\w+)\}\}(.*?)\{\{/\1\}\}", inverted_section, text, flags=re.S)
-    return re.sub(r"\{\{([\w.]+)\}\}", value, text)
--- a/tests/soak/instances.py
+++ b/tests/soak/instances.py
@@ -56,7 +56,8 @@
     `health_fails` makes the health check answer 503. With `repeats_answers`, some answers come
     again where the next one on their connection is expected, and with `answers_early` uploads are
     answered before their body is read, which begins a while later. `malformed` describes bytes
-    that were no request. A `receive_buffer_bytes` of 0 leaves the size to the system.
+    that were no request. A `receive_buffer_bytes` of 0 leaves the size to the system. A `successor`
+    serves the address from now on, also the connections that are open.
     """
 
     def __init__(self, name: str, service: str, address: str, port: int, seed: int) -> None:
@@ -76,6 +77,7 @@
         self.repeats_answers = False
         self.answers_early = False
         self.receive_buffer_bytes = 0
+        self.successor: SoakInstance | None = None
         self.malformed: list[str] = []
         self._random = random.Random(f"{seed}/{name}")
         self._slots = trio.CapacityLimiter(2)
@@ -97,7 +99,11 @@
         repeated = rest = b""
         try:
             async with stream:
-                while (served := await self._serve_one(stream, repeated, rest)) is not None:
+                while True:
+                    serving = self.successor or self
+                    served = await serving._serve_one(stream, repeated, rest)
+                    if served is None:
+                        return
                     answer, rest = served
                     repeats = self.repeats_answers and self._random.random() < REPEATED_SHARE
                     repeated = answer if repeats else b""
@@ -122,6 +128,18 @@
             if isinstance(head, h11.ConnectionClosed):
                 return None
             connection.receive_data(bytes(await stream.receive_some(65536)))
+        if self.successor is not None:
+            # It took the address over while this instance waited for the request.
+            return await self.successor._answer_one(stream, connection, head, repeated)
+        return await self._answer_one(stream, connection, head, repeated)
+
+    async def _answer_one(
+        self,
+        stream: trio.SocketStream,
+        connection: h11.Connection,
+        head: h11.Request,
+        repeated: bytes,
+    ) -> tuple[bytes, bytes]:
         headers = {name.decode(): value.decode() for name, value in head.headers}
         path = head.target.decode()
         run: InstanceRun | None = None
--- a/tests/soak/mutated.py
+++ b/tests/soak/mutated.py
@@ -17,9 +17,9 @@
 from dotterelstand.process.frontend import CallerFrontend
 from dotterelstand.process.peering import ranking
 from dotterelstand.process.run import run_daemon
-from dotterelstand.request import exchange
+from dotterelstand.request import attempt, exchange
 from dotterelstand.request.exchange import Exchange
-from dotterelstand.request.head import Headers
+from dotterelstand.request.head import Headers, RequestHead
 from dotterelstand.request.policy import RetryDecision, RetryInputs, ServicePolicy, decide_retry
 from dotterelstand.request.stopplan import StopPlan
 
@@ -107,6 +107,17 @@
     set_attribute(CallerRequest, "on_disconnect", ignored)
 
 
+def omit_target_names(set_attribute: SetAttribute) -> None:
+    """Send requests without the name of their target."""
+    forwarded_headers = attempt.forwarded_headers
+
+    def forward(head: RequestHead, remaining_s: float, target: str) -> Headers:
+        headers = forwarded_headers(head, remaining_s, target)
+        return [field for field in headers if field[0] != head.fields.target]
+
+    set_attribute(attempt, "forwarded_headers", forward)
+
+
 def change_paths(set_attribute: SetAttribute) -> None:
     """Send some requests on with a path that the caller did not send."""
     send = TargetConnection.send_request
@@ -169,6 +180,7 @@
         outlast_the_stop,
         reuse_before_the_end_is_sent,
         complete_broken_uploads,
+        omit_target_names,
         change_paths,
         ignore_newer_versions,
         ignore_leaving_targets,
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -14,7 +14,7 @@
 from soak import faults
 from soak.callers import PlatformCallers
 from soak.faults import FaultContext, run_faults
-from soak.hosts import ProcessFleet, ProcessHost
+from soak.hosts import REQUEST_KINDS, ProcessFleet, ProcessHost
 from soak.keptcallers import KeptCallers, find_rule_violations
 from soak.uploads import UploadCallers, find_changed_uploads
 
@@ -77,6 +77,7 @@
             report.violations += find_rule_violations(fleet, kept_callers.requests)
             report.violations += find_changed_uploads(fleet, uploads.uploads)
             report.violations += _find_late_requests(fleet, callers)
+            report.violations += _find_misplaced_runs(fleet)
             report.violations += [
                 Violation("daemon ended", text) for text in fleet.unexpected_exits
             ]
@@ -142,6 +143,19 @@
     return found
 
 
+def _find_misplaced_runs(fleet: ProcessFleet) -> list[Violation]:
+    """Find requests that ran at an instance of a service to which no route leads them."""
+    found = []
+    for instance in fleet.instances.values():
+        for run in instance.runs:
+            # Every other path is a route to the lookups.
+            kind = REQUEST_KINDS.get(run.path.split("/")[1], REQUEST_KINDS["prices"])
+            if instance.service != kind[0]:
+                detail = f"{run.path} ran at {instance.name} of {instance.service}"
+                found.append(Violation("other service", detail))
+    return found
+
+
 async def _check_recovery(fleet: ProcessFleet, callers: PlatformCallers) -> list[Violation]:
     violations = []
     fleet.accept_configuration()
--- a/tests/test_process_soak.py
+++ b/tests/test_process_soak.py
@@ -102,6 +102,7 @@
         ("change_paths", (faults.configurations,), "unasked"),
         ("reuse_before_the_end_is_sent", (faults.uploads_answered_early,), "unasked"),
         ("complete_broken_uploads", (faults.configurations,), "unasked"),
+        ("omit_target_names", (faults.address_reused,), "other service"),
         ("call_lost_not_run", CRASHES, "not run"),
         ("ignore_newer_versions", (faults.configurations,), "in force everywhere"),
         ("ignore_leaving_targets", (faults.instance_leaves,), "no work for leaving targets"),
