Leave answers that are read slowly to the system when a daemon stops

Callers saw answers of more than 64 KB reset 5.6 s after a SIGTERM, before their time limit, although the target had sent them whole.

Cause: such an answer is in flight until its last bytes are in the socket, and trio limits the unsent bytes of a socket to 16 KB. A caller that reads slowly keeps it in flight until the limit of the stop ends it. Ruled out: the time limits of the requests, which were 0.8 s later. Change: a stop enlarges the send buffers of the caller connections to 1 MB, as far as the system allows; it delivers them after the process has ended. Measured: test_answer_that_is_read_slowly_outlasts_a_stopping_process failed before (TooSlowError). Answers over their own time limit are still reset (3003).

--- a/src/dotterelstand/connection/caller.py
+++ b/src/dotterelstand/connection/caller.py
@@ -9,6 +9,7 @@
 from dotterelstand.codes import Result as ResultCode
 from dotterelstand.connection.callerrequest import CallerRequest
 from dotterelstand.connection.headcheck import check_raw_head, find_head_end
+from dotterelstand.connection.network import enlarge_send_buffer
 from dotterelstand.connection.target import READ_BYTES, abort_now, close_now, has_hung_up, has_input
 from dotterelstand.request.fields import DEFAULT_FIELDS, HeaderFields
 from dotterelstand.request.head import RequestHead, read_head
@@ -217,8 +218,12 @@
             await self._stream.send_all(data)
 
     def begin_stop(self) -> None:
-        """Announce the close with the next answer, and limit the time of requests in flight."""
+        """Announce the close with the next answer, and limit the time of requests in flight.
+
+        Answers that are read slowly go to the send buffer, which outlasts the process.
+        """
         self.closing = True
+        enlarge_send_buffer(self._stream)
         for request in self._serving:
             if request.on_stop is not None:
                 request.on_stop()
--- a/src/dotterelstand/connection/network.py
+++ b/src/dotterelstand/connection/network.py
@@ -16,6 +16,8 @@
 KEEPALIVE_PROBES = 2
 # Milliseconds after which unacknowledged bytes end a connection; allows two retransmissions.
 TCP_USER_TIMEOUT_MS = 3000
+# Size of an enlarged send buffer in bytes; the system may limit it to less.
+LARGE_SEND_BUFFER_BYTES = 1_048_576
 
 StreamHandler = Callable[[trio.abc.Stream], Awaitable[None]]
 
@@ -53,6 +55,17 @@
     stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
 
 
+def enlarge_send_buffer(stream: trio.abc.AsyncResource) -> None:
+    """Let the system hold more unsent bytes, which it delivers even after the process has ended."""
+    if isinstance(stream, trio.SSLStream):
+        enlarge_send_buffer(stream.transport_stream)
+    elif isinstance(stream, trio.SocketStream) and stream.socket.fileno() >= 0:
+        if stream.getsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF) < LARGE_SEND_BUFFER_BYTES:
+            stream.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, LARGE_SEND_BUFFER_BYTES)
+        # `trio` sets it to 16 KB, beyond which a sender waits for the caller.
+        stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, LARGE_SEND_BUFFER_BYTES)
+
+
 class TcpListener:
     """A listener on a TCP port."""
 
--- a/tests/test_port_close.py
+++ b/tests/test_port_close.py
@@ -18,6 +18,8 @@
 
 # Time after the begin of a stop at which a daemon of `platform_support` closes its port.
 GRACE_S = 1.0
+# Less than a send buffer that the system allows without further settings.
+SLOW_ANSWER_BYTES = 200_000
 LIMITS = CallerLimits(CallerBounds(16384, 1024, 1.0, 1.0), 1.0, 1.0)
 REQUEST = b"GET /a/1 HTTP/1.1\r\nHost: x\r\n\r\n"
 
@@ -131,6 +133,34 @@
     assert isinstance(found[0], CallerRequest)
 
 
+def test_answer_that_is_read_slowly_outlasts_a_stopping_process() -> None:
+    """Guards against an answer that is cut off since its caller reads it until the process ends.
+
+    Process soak, fault `answers_last_at_a_stop`.
+    """
+    answer = bytes(SLOW_ANSWER_BYTES)
+
+    async def main() -> None:
+        listener = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        caller = socket.socket()
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8192)
+        caller.connect(listener[0].socket.getsockname())
+        stream = await listener[0].accept()
+        connection = CallerConnection(stream, LIMITS)
+        connection.begin_stop()
+        with trio.fail_after(1.0):
+            await connection.send(answer)
+        connection.close()
+        with caller:
+            received = 0
+            while data := caller.recv(65536):
+                received += len(data)
+        assert received == len(answer)
+        await listener[0].aclose()
+
+    trio.run(main)
+
+
 def test_request_that_arrives_at_the_idle_limit_is_served() -> None:
     """Guards against closing a connection as idle whose request waits in the socket.
 
