--- a/tests/soak/hosts.py
+++ b/tests/soak/hosts.py
@@ -2,6 +2,7 @@
 
 import errno
 import os
+import re
 import signal
 import subprocess
 import sys
