Let the soak of processes play stops with late requests and slow answers

No run had played requests at the moment a stopping host closes its port, callers behind paths with delay and loss, targets that pause in mid-answer, callers that read slowly, hosts of one zone stopped within a second beside changes, or a peer lost during a stop.

The other mutations were not run again.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -8,6 +8,7 @@
 
 from soak.hosts import ProcessFleet, ProcessHost
 from soak.instances import SoakInstance
+from soak.keptcallers import KeptCallers
 
 
 class FaultContext:
@@ -17,6 +18,7 @@
         self.fleet = fleet
         self.rng = rng
         self.running: list[str] = []
+        self.kept_callers: KeptCallers | None = None
 
     def choose_host(self) -> ProcessHost | None:
         """Choose a running host that is not stopping; returns None if there is none."""
@@ -31,6 +33,8 @@
 
 # Time in seconds after which a fault that has not ended shows a process that does not stop.
 FAULT_LIMIT_S = 60.0
+# Longest time in seconds during which a fault of an instance or of its path affects requests.
+INSTANCE_FAULT_S = 6.0
 
 FaultFunction = Callable[[FaultContext], Awaitable[None]]
 
@@ -201,6 +205,7 @@
         return
     proxy = context.fleet.instance_proxies[instance.name]
     mode = context.rng.choice(["reset", "delay", "silence", "cut_answers"])
+    context.fleet.add_fault_interval(instance.name, INSTANCE_FAULT_S)
     if mode == "reset":
         for _ in range(context.rng.randint(1, 4)):
             proxy.reset()
@@ -233,6 +238,7 @@
         ]
     )
     setattr(instance, name, value)
+    context.fleet.add_fault_interval(instance.name, INSTANCE_FAULT_S)
     await trio.sleep(context.rng.uniform(0.5, 5))
     setattr(instance, name, normal)
 
@@ -247,6 +253,7 @@
 async def crash(context: FaultContext, instance: SoakInstance) -> None:
     """Crash an instance and start it again after 0.3 to 3 s."""
     instance.ending = True
+    context.fleet.add_fault_interval(instance.name, INSTANCE_FAULT_S)
     instance.crash()
     await trio.sleep(context.rng.uniform(0.3, 3))
     await context.fleet.restart_instance(instance)
@@ -265,6 +272,7 @@
     await trio.sleep(context.rng.uniform(4, 6))
     context.fleet.store.remove("servers", instance.name)
     await trio.sleep(1.0)
+    context.fleet.add_fault_interval(instance.name, INSTANCE_FAULT_S)
     instance.crash()
 
 
--- a/tests/soak/hosts.py
+++ b/tests/soak/hosts.py
@@ -97,6 +97,10 @@
         self.instances: dict[str, SoakInstance] = {}
         self.store_proxies: dict[str, LoopbackProxy] = {}
         self.instance_proxies: dict[str, LoopbackProxy] = {}
+        # Between some of the callers and each host.
+        self.caller_proxies: dict[str, LoopbackProxy] = {}
+        # Rate in bytes per second at which kept connections are read; 0 is unlimited.
+        self.read_rate = 0
         # Arguments of the interpreter before the path of the settings file.
         self.program = ["-m", "dotterelstand.process.main"]
         self.unexpected_exits: list[str] = []
@@ -227,6 +231,9 @@
             )
             self.store_proxies[name] = proxy
             await self._nursery.start(proxy.run)
+            proxy = LoopbackProxy(self._address(5, index), CALLER_PORT, address, CALLER_PORT)
+            self.caller_proxies[name] = proxy
+            await self._nursery.start(proxy.run)
         settings = self.folder / f"{name}.toml"
         settings.write_text(self.settings(host))
         host.process = await trio.lowlevel.open_process(
--- a/tests/soak/mutated.py
+++ b/tests/soak/mutated.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable
 from typing import Any
 
+import trio
+
 from dotterelstand.codes import Result as ResultCode
 from dotterelstand.connection.caller import CallerConnection
 from dotterelstand.connection.callerrequest import CallerRequest
@@ -76,6 +78,15 @@
     set_attribute(StopPlan, "_time_at", lambda self, share: math.inf)
 
 
+def give_up_at_stop(set_attribute: SetAttribute) -> None:
+    """Answer the requests in flight as unknown when a graceful stop begins."""
+
+    def end_now(self: Exchange) -> None:
+        self._scope.deadline = trio.current_time()
+
+    set_attribute(Exchange, "_apply_stop", end_now)
+
+
 def change_paths(set_attribute: SetAttribute) -> None:
     """Send some requests on with a path that the caller did not send."""
     send = TargetConnection.send_request
@@ -136,6 +147,7 @@
         cut_at_stop,
         announce_close_out_of_order,
         outlast_the_stop,
+        give_up_at_stop,
         change_paths,
         ignore_newer_versions,
         ignore_leaving_targets,
--- a/tests/test_process_soak.py
+++ b/tests/test_process_soak.py
@@ -99,6 +99,7 @@
         ("cut_at_stop", (busy_host_stops,), "planned stop"),
         ("announce_close_out_of_order", (faults.signals_in_series,), "no answer"),
         ("outlast_the_stop", (faults.hosts_stopped_while_targets_are_slow,), "no answer"),
+        ("give_up_at_stop", (busy_host_stops,), "broken off"),
         ("change_paths", (faults.configurations,), "unasked"),
         ("call_lost_not_run", CRASHES, "not run"),
         ("ignore_newer_versions", (faults.configurations,), "in force everywhere"),
