--- a/tests/soak/instances.py
+++ b/tests/soak/instances.py
@@ -23,22 +23,38 @@
 BREAK_POINTS = ("head", "interim", "body", "work")
 # Longest wait of an instance that has answered an upload early, before it reads on.
 MAX_EARLY_WAIT_S = 0.3
+# Length in bytes up to which a daemon holds an answer with a length until it is complete.
+MAX_WHOLE_BYTES = 65536
 
 
 class InstanceRun:
     """Record of one execution; `state` is "began", "done" or "crashed".
 
     `digest` is that of the body, or empty if it has not been read completely; `body_bytes` and
-    `received` describe what has been read so far.
+    `received` describe what has been read so far. `ended` is the time at which the whole answer
+    was sent, or infinite.
     """
 
-    __slots__ = ("began", "body_bytes", "digest", "id", "path", "received", "state")
+    __slots__ = (
+        "began",
+        "body_bytes",
+        "digest",
+        "ended",
+        "id",
+        "path",
+        "received",
+        "state",
+        "streamed",
+    )
 
     def __init__(self, path: str, request_id: str, began: float) -> None:
         self.path = path
         self.id = request_id
         self.digest = ""
         self.began = began
+        self.ended = math.inf
+        # Whether the answer is one that a daemon may pass on before it is complete.
+        self.streamed = False
         self.body_bytes = 0
         self.received = hashlib.sha256()
         self.state = "began"
@@ -62,9 +78,12 @@
     again where the next one on their connection is expected, and with `answers_early` uploads are
     answered before their body is read, which begins a while later. With `rejects_checks` health
     checks are rejected like requests. With `breaks_off` some requests end with a closed or reset
-    connection, and idle connections are closed after `idle_timeout_s`. `malformed` describes bytes
-    that were no request. A `receive_buffer_bytes` of 0 leaves the size to the system. A `successor`
-    serves the address from now on, also the connections that are open.
+    connection, and idle connections are closed after `idle_timeout_s`. Answers to kept connections
+    have one of `answer_bytes` more bytes, pause for `answer_pause_s` in the middle, and some of
+    them are chunked with `chunks_answers`. A `receive_buffer_bytes` of 0 leaves the size to the
+    system. A `successor` serves the address from now on, also the connections that are open.
+    `malformed` describes bytes that were no request, and `arrived` holds the ids of the requests
+    that were received, whether they ran or not.
     """
 
     def __init__(self, name: str, service: str, address: str, port: int, seed: int) -> None:
@@ -88,7 +107,11 @@
         self.idle_timeout_s = math.inf
         self.receive_buffer_bytes = 0
         self.successor: SoakInstance | None = None
+        self.answer_bytes: tuple[int, ...] = ()
+        self.answer_pause_s = 0.0
+        self.chunks_answers = False
         self.malformed: list[str] = []
+        self.arrived: set[str] = set()
         self._random = random.Random(f"{seed}/{name}")
         self._slots = trio.CapacityLimiter(2)
         self._scopes: set[trio.CancelScope] = set()
@@ -157,6 +180,7 @@
         headers = {name.decode(): value.decode() for name, value in head.headers}
         path = head.target.decode()
         run: InstanceRun | None = None
+        self.arrived.add(headers.get("x-dotterelstand-request-id", ""))
         if self.breaks_off and path != "/health" and self._random.random() < BROKEN_OFF_SHARE:
             if headers.get("x-dotterelstand-target-instance", self.name) == self.name:
                 self._begin(path, headers)
@@ -169,6 +193,7 @@
             run.state = "done"
             answer = self._answer(200, headers, b"{}")
             await stream.send_all(repeated + answer)
+            run.ended = trio.current_time()
             await trio.sleep(self._random.uniform(0.0, MAX_EARLY_WAIT_S))
         body = b""
         while not isinstance(event := connection.next_event(), h11.EndOfMessage):
@@ -179,8 +204,15 @@
             else:
                 connection.receive_data(bytes(await stream.receive_some(65536)))
         if run is None:
-            answer = await self._decide(path, headers, body)
-            await stream.send_all(repeated + answer)
+            answer, run = await self._decide(path, headers, body)
+            if run is not None and run.kept and self.answer_pause_s:
+                await stream.send_all(repeated + answer[: len(answer) // 2])
+                await trio.sleep(self.answer_pause_s)
+                await stream.send_all(answer[len(answer) // 2 :])
+            else:
+                await stream.send_all(repeated + answer)
+            if run is not None:
+                run.ended = trio.current_time()
         else:
             run.digest = run.received.hexdigest()
         return answer, bytes(connection.trailing_data[0])
@@ -198,16 +230,18 @@
         if self._random.random() < 0.5:
             abort_now(stream)
 
-    async def _decide(self, path: str, headers: dict[str, str], body: bytes) -> bytes:
-        """Run a request or refuse it; returns the answer."""
+    async def _decide(
+        self, path: str, headers: dict[str, str], body: bytes
+    ) -> tuple[bytes, InstanceRun | None]:
+        """Run a request or refuse it; returns the answer, and the run if there was one."""
         full = self._slots.statistics().tasks_waiting >= 4
         if path == "/health" and not full and not self.rejects_checks:
             is_unhealthy = self.draining_since is not None or self.health_fails
-            return self._answer(503 if is_unhealthy else 200, headers, b"")
+            return self._answer(503 if is_unhealthy else 200, headers, b""), None
         if headers.get("x-dotterelstand-target-instance", self.name) != self.name:
-            return self._answer(421, headers, b"")
+            return self._answer(421, headers, b""), None
         if self.refuses or full or path == "/health":
-            return self._answer(503, headers, b"", not_run=True)
+            return self._answer(503, headers, b"", not_run=True), None
         async with self._slots:
             return await self._execute(path, headers, body)
 
@@ -216,7 +250,9 @@
         self.runs.append(run)
         return run
 
-    async def _execute(self, path: str, headers: dict[str, str], body: bytes) -> bytes:
+    async def _execute(
+        self, path: str, headers: dict[str, str], body: bytes
+    ) -> tuple[bytes, InstanceRun]:
         run = self._begin(path, headers)
         run.receive(body)
         run.digest = run.received.hexdigest()
@@ -228,17 +264,26 @@
             self._random.expovariate(1 / self.mean_service_s) * self.service_time_percent / 100
         )
         if self.fails:
-            return self._answer(500, headers, b"")
+            return self._answer(500, headers, b""), run
         run.state = "done"
         values = json.dumps({"path": path, "bytes": len(body)}).encode()
-        return self._answer(200, headers, values)
+        if run.kept and self.answer_bytes:
+            values += bytes(self._random.choice(self.answer_bytes))
+        chunked = run.kept and self.chunks_answers and self._random.random() < 0.5
+        run.streamed = chunked or len(values) > MAX_WHOLE_BYTES
+        return self._answer(200, headers, values, chunked=chunked), run
 
     def _answer(
-        self, status: int, headers: dict[str, str], body: bytes, not_run: bool = False
+        self,
+        status: int,
+        headers: dict[str, str],
+        body: bytes,
+        not_run: bool = False,
+        chunked: bool = False,
     ) -> bytes:
         used = self._slots.borrowed_tokens
         fields = [
-            ("content-length", str(len(body))),
+            ("transfer-encoding", "chunked") if chunked else ("content-length", str(len(body))),
             ("x-dotterelstand-server-signature", uuid.uuid5(uuid.NAMESPACE_OID, self.name).hex),
             ("x-dotterelstand-instance-id", self.name),
             ("x-dotterelstand-server-load", f"{used},0,2,{self.service_time_percent}"),
@@ -248,5 +293,9 @@
             fields.append((name, headers[name]))
         if not_run:
             fields.append(("x-dotterelstand-not-executed", "1"))
+        if chunked:
+            half = len(body) // 2
+            pieces = [part for part in (body[:half], body[half:]) if part]
+            body = b"".join(b"%x\r\n%b\r\n" % (len(part), part) for part in pieces) + b"0\r\n\r\n"
         lines = [f"HTTP/1.1 {status} X", *(f"{name}: {value}" for name, value in fields)]
         return "\r\n".join([*lines, "", ""]).encode() + body
--- a/tests/soak/mutated.py
+++ b/tests/soak/mutated.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 import h11
+import trio
 
 from dotterelstand.codes import Result as ResultCode
 from dotterelstand.connection.caller import CallerConnection
@@ -118,6 +119,15 @@
     set_attribute(attempt, "forwarded_headers", forward)
 
 
+def give_up_at_stop(set_attribute: SetAttribute) -> None:
+    """Answer the requests in flight as unknown when a graceful stop begins."""
+
+    def end_now(self: Exchange) -> None:
+        self._scope.deadline = trio.current_time()
+
+    set_attribute(Exchange, "_apply_stop", end_now)
+
+
 def change_paths(set_attribute: SetAttribute) -> None:
     """Send some requests on with a path that the caller did not send."""
     send = TargetConnection.send_request
@@ -181,6 +191,7 @@
         reuse_before_the_end_is_sent,
         complete_broken_uploads,
         omit_target_names,
+        give_up_at_stop,
         change_paths,
         ignore_newer_versions,
         ignore_leaving_targets,
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -10,12 +10,14 @@
 import trio
 
 from dotterelstand.bench.soakjudge import Violation, find_violations
+from dotterelstand.events import Event
 from dotterelstand.standin.virtual import seeded_random
-from soak import faults
+from soak import faults, stopfaults
 from soak.callers import PlatformCallers
 from soak.faults import FaultContext, run_faults
 from soak.hosts import REQUEST_KINDS, ProcessFleet, ProcessHost
-from soak.keptcallers import KeptCallers, find_rule_violations
+from soak.keptcallers import KeptCallers
+from soak.keptjudge import count_crossed, find_rule_violations
 from soak.uploads import UploadCallers, find_changed_uploads
 
 HOSTS_PER_REGION = 2
@@ -39,6 +41,8 @@
         self.requests = 0
         self.kept_requests = 0
         self.uploads = 0
+        # Requests of kept connections that met the end of theirs, and that no instance got.
+        self.crossed = 0
         self.answered = 0
         self.injected_faults: list[str] = []
         self.violations: list[Violation] = []
@@ -66,6 +70,7 @@
                 uploads = UploadCallers(fleet, seeded_random(seed, "uploads"))
                 calling.start_soon(uploads.run, UPLOAD_CALLERS, seconds)
                 context = FaultContext(fleet, seeded_random(seed, "faults"))
+                context.kept_callers = kept_callers
                 report.injected_faults = await run_faults(context, seconds)
                 report.violations += [
                     Violation("fault did not end", name) for name in context.running
@@ -81,8 +86,10 @@
             report.violations += [
                 Violation("daemon ended", text) for text in fleet.unexpected_exits
             ]
+            report.violations += _find_broken_invariants(folder)
             report.kept_requests = len(kept_callers.requests)
             report.uploads = len(uploads.uploads)
+            report.crossed = count_crossed(fleet, kept_callers.requests)
             report.requests = len(callers.requests)
             report.answered = sum(request.answered for request in callers.requests)
         nursery.cancel_scope.cancel()
@@ -156,6 +163,16 @@
     return found
 
 
+def _find_broken_invariants(folder: Path) -> list[Violation]:
+    """Find the daemons that logged an unexpected error, which ends a connection without answer."""
+    return [
+        Violation("invariant in a daemon", f"{path.name}: {line}")
+        for path in sorted(folder.glob("*.log"))
+        for line in path.read_text(encoding="utf-8").splitlines()
+        if f'"event":{Event.INVARIANT_BROKEN:d},' in line.replace(" ", "")
+    ]
+
+
 async def _check_recovery(fleet: ProcessFleet, callers: PlatformCallers) -> list[Violation]:
     violations = []
     fleet.accept_configuration()
@@ -196,7 +213,7 @@
     each region, at most 20. The logs of a run with violations are kept.
     """
     if only:
-        known = faults.FAULTS + faults.FAULTS_BY_HAND
+        known = faults.FAULTS + faults.FAULTS_BY_HAND + stopfaults.FAULTS_BY_HAND
         faults.FAULTS = tuple(item for item in known if item.__name__.startswith(only))
     failed = trio.run(_run_many, seed, seeds, seconds, at_once, hosts)
     sys.exit(1 if failed else 0)
@@ -212,7 +229,8 @@
             folder = Path(tempfile.mkdtemp(prefix=f"soak-{number}-"))
             report = await run_soak(number, seconds, folder, hosts_per_region=hosts)
         print(f"seed {number}: {report.requests} requests, {report.answered} answered,", end=" ")
-        print(f"{report.kept_requests} on kept connections, {report.uploads} uploads,", end=" ")
+        print(f"{report.kept_requests} on kept connections,", end=" ")
+        print(f"{report.crossed} of them crossed a close, {report.uploads} uploads,", end=" ")
         print(
             f"{len(report.injected_faults)} faults, {len(report.violations)} violations", flush=True
         )
--- a/tests/test_process_soak.py
+++ b/tests/test_process_soak.py
@@ -99,6 +99,7 @@
         ("cut_at_stop", (busy_host_stops,), "planned stop"),
         ("announce_close_out_of_order", (faults.signals_in_series,), "no answer"),
         ("outlast_the_stop", (faults.hosts_stopped_while_targets_are_slow,), "no answer"),
+        ("give_up_at_stop", (busy_host_stops,), "broken off"),
         ("change_paths", (faults.configurations,), "unasked"),
         ("reuse_before_the_end_is_sent", (faults.uploads_answered_early,), "unasked"),
         ("complete_broken_uploads", (faults.configurations,), "unasked"),
