--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -1,6 +1,5 @@
 """Faults from outside the daemons: signals, network, instances, store and configurations."""
 
-import math
 import random
 import signal
 from collections.abc import Awaitable, Callable
@@ -244,56 +243,6 @@
     setattr(instance, name, normal)
 
 
-async def instances_repeat_rejections(context: FaultContext) -> None:
-    """Let all instances of a service repeat answers, reject health checks and refuse in turns."""
-    first = context.choose_instance()
-    if first is None:
-        return
-    instances = [item for item in context.fleet.registered() if item.service == first.service]
-    for instance in instances:
-        instance.repeats_answers = instance.rejects_checks = True
-        instance.service_time_percent = 300
-    for _ in range(context.rng.randint(10, 20)):
-        for instance in instances:
-            instance.refuses = context.rng.random() < 0.3
-        await trio.sleep(context.rng.uniform(0.05, 0.3))
-    for instance in instances:
-        instance.repeats_answers = instance.rejects_checks = instance.refuses = False
-        instance.service_time_percent = 100
-
-
-async def instances_break_off(context: FaultContext) -> None:
-    """Let the instances of a service end connections within requests and soon after them."""
-    first = context.choose_instance()
-    if first is None:
-        return
-    instances = [item for item in context.fleet.registered() if item.service == first.service]
-    for instance in instances:
-        instance.breaks_off = True
-        instance.idle_timeout_s = context.rng.uniform(0.005, 0.1)
-    await trio.sleep(context.rng.uniform(0.5, 5))
-    for instance in instances:
-        instance.breaks_off = False
-        instance.idle_timeout_s = math.inf
-
-
-async def addresses_listed_twice(context: FaultContext) -> None:
-    """List the addresses of a service's instances under a second name, as after a restart."""
-    first = context.choose_instance()
-    if first is None:
-        return
-    fleet = context.fleet
-    instances = [item for item in fleet.registered() if item.service == first.service]
-    prefix = f"former-{context.rng.randrange(1_000_000)}-"
-    for instance in instances:
-        instance.repeats_answers = True
-        fleet.store.put("servers", prefix + instance.name, fleet.entry(instance))
-    await trio.sleep(context.rng.uniform(1.0, 4.0))
-    for instance in instances:
-        instance.repeats_answers = False
-        fleet.store.remove("servers", prefix + instance.name)
-
-
 async def uploads_answered_early(context: FaultContext) -> None:
     """Let all instances answer uploads before they read them."""
     instances = context.fleet.registered()
@@ -372,13 +321,10 @@
 
 # Faults of runs by hand only: a SIGHUP in the first milliseconds of a process is a known failure,
 # Faults of runs by hand only: a SIGHUP in the first milliseconds of a process is a known failure,
-# and services of which all targets are slow, refuse or answer early hide other faults.
+# and services of which all targets are slow or answer early hide other faults.
 FAULTS_BY_HAND: tuple[FaultFunction, ...] = (
     signals_in_series,
     hosts_stopped_while_targets_are_slow,
-    instances_repeat_rejections,
-    instances_break_off,
-    addresses_listed_twice,
     uploads_answered_early,
 )
 
--- /dev/null
+++ b/tests/soak/instancefaults.py
@@ -0,0 +1,65 @@
+"""Faults of all instances of a service: rejections, broken connections, addresses listed twice."""
+
+import math
+
+import trio
+
+from soak.faults import FaultContext, FaultFunction
+
+
+async def instances_repeat_rejections(context: FaultContext) -> None:
+    """Let all instances of a service repeat answers, reject health checks and refuse in turns."""
+    first = context.choose_instance()
+    if first is None:
+        return
+    instances = [item for item in context.fleet.registered() if item.service == first.service]
+    for instance in instances:
+        instance.repeats_answers = instance.rejects_checks = True
+        instance.service_time_percent = 300
+    for _ in range(context.rng.randint(10, 20)):
+        for instance in instances:
+            instance.refuses = context.rng.random() < 0.3
+        await trio.sleep(context.rng.uniform(0.05, 0.3))
+    for instance in instances:
+        instance.repeats_answers = instance.rejects_checks = instance.refuses = False
+        instance.service_time_percent = 100
+
+
+async def instances_break_off(context: FaultContext) -> None:
+    """Let the instances of a service end connections within requests and soon after them."""
+    first = context.choose_instance()
+    if first is None:
+        return
+    instances = [item for item in context.fleet.registered() if item.service == first.service]
+    for instance in instances:
+        instance.breaks_off = True
+        instance.idle_timeout_s = context.rng.uniform(0.005, 0.1)
+    await trio.sleep(context.rng.uniform(0.5, 5))
+    for instance in instances:
+        instance.breaks_off = False
+        instance.idle_timeout_s = math.inf
+
+
+async def addresses_listed_twice(context: FaultContext) -> None:
+    """List the addresses of a service's instances under a second name, as after a restart."""
+    first = context.choose_instance()
+    if first is None:
+        return
+    fleet = context.fleet
+    instances = [item for item in fleet.registered() if item.service == first.service]
+    prefix = f"former-{context.rng.randrange(1_000_000)}-"
+    for instance in instances:
+        instance.repeats_answers = True
+        fleet.store.put("servers", prefix + instance.name, fleet.entry(instance))
+    await trio.sleep(context.rng.uniform(1.0, 4.0))
+    for instance in instances:
+        instance.repeats_answers = False
+        fleet.store.remove("servers", prefix + instance.name)
+
+
+# Services of which all targets refuse hide other faults.
+FAULTS_BY_HAND: tuple[FaultFunction, ...] = (
+    instances_repeat_rejections,
+    instances_break_off,
+    addresses_listed_twice,
+)
