Send nothing on a link that the other end has closed

Cause: the writer of a link that has just sent a message runs once more after the reader has read the other end's close and before it is cancelled; with another message waiting it sent on a closing connection. Change: the writer ends when the link is not open any more.

--- a/src/dotterelstand/connection/peer.py
+++ b/src/dotterelstand/connection/peer.py
@@ -197,12 +197,15 @@
         while True:
             await self._flush()
             self._wake = trio.Event()
-            if self._queue and not self._retiring:
-                self._protocol.send_binary(self._next_frame())
-                continue
-            if self._retiring and self._protocol.state is State.OPEN:
+            if self._protocol.state is not State.OPEN:
+                # One end has closed the link. A writer that was woken before is not cancelled yet.
+                return
+            if self._retiring:
                 self._protocol.send_close()
                 continue
+            if self._queue:
+                self._protocol.send_binary(self._next_frame())
+                continue
             await self._wake.wait()
 
     def _next_frame(self) -> bytes:
