Compare a target's name as it is sent when an answer announces a leave

A name that does not fit into the header's encoding raised an error in the request; names are sent with replacements (forwarded_headers). Found by reading the change again; no test of its own. Measured: tests/test_announced_leaving.py and tests/test_layers.py, 231 passed; mypy and ruff clean.

--- a/src/dotterelstand/request/attempt.py
+++ b/src/dotterelstand/request/attempt.py
@@ -312,7 +312,10 @@
         """Report a target that says that it leaves; another one may answer at its address."""
         target = self._grant.target
         identity = answer.value(self._setup.head.fields.identity)
-        if answer.announces_draining() and identity in (None, target.name.encode("latin-1")):
+        if answer.announces_draining() and identity in (
+            None,
+            target.name.encode("latin-1", "replace"),
+        ):
             self._setup.leaving_targets.target_leaving(target.name, target.incarnation)
 
     async def _receive_final_head(self) -> AnswerEvent:
