Judge requests without a ready host apart from unanswered ones

Cause: requests of callers whose region had no ready host count as not answered. Ruled out: refusals or lost answers. The rest of the unanswered are attempts on hosts that closed their port or were killed.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -1,20 +1,31 @@
 """Callers that follow the platform's rules for repeating requests."""
 
+import random
 import uuid
 
 import trio
 
 from dotterelstand.bench.soakcallers import AttemptResult, Callers, Request
+from dotterelstand.bench.soakfleet import EntryHost, SoakFleet
 from dotterelstand.codes import Execution
 
 # Statuses that guarantee that the request did not run and will not run later.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 DEADLINE_MS = 4000
+# Time within which a configuration must be in force on a host without a fault.
+MAX_APPLY_S = 2.0
 
 
 class PlatformCallers(Callers):
     """Repeats lookups after any failure, and others only if the status rules out that they ran."""
 
+    __slots__ = ("unready",)
+
+    def __init__(self, fleet: SoakFleet, nursery: trio.Nursery, rng: random.Random) -> None:
+        super().__init__(fleet, nursery, rng)
+        # Hosts without a fault that were not ready when no host of their region was.
+        self.unready: set[str] = set()
+
     def may_retry(self, request: Request, result: AttemptResult) -> bool:
         """Whether a request may be sent again without the risk of a second execution."""
         return request.kind == "prices" or result.status in NOT_RUN_STATUSES
@@ -26,6 +37,22 @@
             ("x-dotterelstand-deadline-ms", str(DEADLINE_MS)),
         ]
 
+    def _choose_host(self, region: int) -> EntryHost | None:
+        host = super()._choose_host(region)
+        if host is None:
+            self.unready |= self._find_unready(region)
+        return host
+
+    def _find_unready(self, region: int) -> set[str]:
+        now = trio.current_time()
+        return {
+            host.incarnation_id
+            for host in self._fleet.running_hosts()
+            if host.region == region
+            and host.stop_began_at is None
+            and self._fleet.is_fault_free(host.name, now - MAX_APPLY_S, now)
+        }
+
     async def _attempt(self, request: Request, host) -> AttemptResult:  # type: ignore[no-untyped-def]
         result = await super()._attempt(request, host)
         if result.status in NOT_RUN_STATUSES:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -319,7 +319,6 @@
     address_reused,
 )
 
-# Faults of runs by hand only: a SIGHUP in the first milliseconds of a process is a known failure,
 # Faults of runs by hand only: a SIGHUP in the first milliseconds of a process is a known failure,
 # and services of which all targets are slow or answer early hide other faults.
 FAULTS_BY_HAND: tuple[FaultFunction, ...] = (
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -13,7 +13,7 @@
 from dotterelstand.events import Event
 from dotterelstand.standin.virtual import seeded_random
 from soak import faults, instancefaults, stopfaults
-from soak.callers import PlatformCallers
+from soak.callers import MAX_APPLY_S, PlatformCallers
 from soak.faults import FaultContext, run_faults
 from soak.hosts import REQUEST_KINDS, ProcessFleet, ProcessHost
 from soak.keptcallers import KeptCallers
@@ -24,9 +24,7 @@
 RATE_PER_S = 25.0
 KEPT_CALLERS = 12
 UPLOAD_CALLERS = 6
-# Time within which a stored configuration must be in force on every host, and time after the
-# start of a drain from which the instance must get no more requests.
-MAX_APPLY_S = 2.0
+# Time after the start of a drain from which the instance must get no more requests.
 DRAIN_GRACE_S = 2.0
 PROBE_INTERVAL_S = 0.5
 RECOVERY_S = 15.0
@@ -44,6 +42,8 @@
         # Requests of kept connections that met the end of theirs, and that no instance got.
         self.crossed = 0
         self.answered = 0
+        # Requests without an attempt, since no host of their region was ready.
+        self.unsent = 0
         self.injected_faults: list[str] = []
         self.violations: list[Violation] = []
 
@@ -87,11 +87,13 @@
                 Violation("daemon ended", text) for text in fleet.unexpected_exits
             ]
             report.violations += _find_broken_invariants(folder)
+            report.violations += [Violation("not ready", name) for name in callers.unready]
             report.kept_requests = len(kept_callers.requests)
             report.uploads = len(uploads.uploads)
             report.crossed = count_crossed(fleet, kept_callers.requests)
             report.requests = len(callers.requests)
             report.answered = sum(request.answered for request in callers.requests)
+            report.unsent = sum(not request.attempts for request in callers.requests)
         nursery.cancel_scope.cancel()
     return report
 
@@ -230,6 +232,7 @@
             folder = Path(tempfile.mkdtemp(prefix=f"soak-{number}-"))
             report = await run_soak(number, seconds, folder, hosts_per_region=hosts)
         print(f"seed {number}: {report.requests} requests, {report.answered} answered,", end=" ")
+        print(f"{report.unsent} while no host was ready,", end=" ")
         print(f"{report.kept_requests} on kept connections,", end=" ")
         print(f"{report.crossed} of them crossed a close, {report.uploads} uploads,", end=" ")
         print(
--- a/tests/test_soak_judge.py
+++ b/tests/test_soak_judge.py
@@ -1,12 +1,27 @@
 """Checks that the soak's judge makes of the results of requests."""
 
+import random
+from pathlib import Path
+
 import pytest
+import trio
+import trio.testing
+from soak.callers import PlatformCallers
+from soak.hosts import ProcessFleet, ProcessHost
 from soak.instances import InstanceRun
 
 from dotterelstand.bench.soakcallers import BODY_BYTES, AttemptResult, Request
 from dotterelstand.bench.soakjudge import find_violations
 
 
+class FirstRegion(random.Random):
+    """Random source that draws the first region."""
+
+    def randrange(self, *limits: int) -> int:
+        """Return 0."""
+        return 0
+
+
 class JudgedTarget:
     """Target that has run one request."""
 
@@ -54,3 +69,42 @@
     request.attempts.append(result)
     found = find_violations(JudgedFleet("/prices/1"), [request])
     assert [item.guarantee for item in found] == ([] if is_own else ["own answer"])
+
+
+@pytest.mark.parametrize(
+    ("fault", "is_violation"),
+    [
+        (None, True),
+        ("store", False),
+        ("own", False),
+        ("other host", True),
+        ("stop", False),
+        ("end", False),
+        ("ready", False),
+    ],
+)
+def test_host_without_a_fault_that_is_not_ready_is_a_violation(
+    tmp_path: Path, fault: str | None, is_violation: bool
+) -> None:
+    """Guards against a run that passes although its daemons do not become ready again."""
+    unready = trio.run(find_unready_while_calling, tmp_path, fault)
+    assert unready == ({"entry-0-0/1"} if is_violation else set())
+
+
+async def find_unready_while_calling(folder: Path, fault: str | None) -> set[str]:
+    """Return the hosts that one request to the only region with a host finds to be unready."""
+    async with trio.open_nursery() as nursery:
+        fleet = ProcessFleet(1, nursery, folder)
+        host = fleet.hosts["entry-0-0"] = ProcessHost("entry-0-0", 0, "127.0.0.1", 1)
+        affected = {"store": "", "own": "entry-0-0", "other host": "entry-1-0"}
+        if fault in affected:
+            fleet.add_fault_interval(affected[fault], 1.0)
+        host.stop_began_at = 0.0 if fault == "stop" else None
+        host.lost = fault == "end"
+        if fault == "ready":
+            host.ready.set()
+        callers = PlatformCallers(fleet, nursery, FirstRegion())
+        callers.send("artwork", "/artwork/1")
+        await trio.testing.wait_all_tasks_blocked()
+        nursery.cancel_scope.cancel()
+    return callers.unready
