End a link, not the daemon, when a peer's message cannot be handled

Ruled out: a general net around all tasks. A link that ends is a loss of messages, for which every part is made, since hosts and links may be lost at any time; that does not hold for other tasks. Change: such a link ends with event 190 (name "peer link") and counter peers.faults, a second after the error, so that an error that comes back with the next link cannot open links without pause. Measured: tests/test_peers.py, both cases of test_a_message_that_a_part_cannot_handle_ends_its_link_only failed before with KeyError out of Peers.run, none now.

--- a/src/dotterelstand/process/peering/peers.py
+++ b/src/dotterelstand/process/peering/peers.py
@@ -19,10 +19,12 @@
 )
 from dotterelstand.connection.wire import Beat, Goodbye, Hello, Message
 from dotterelstand.events import Event, log
+from dotterelstand.process.peering import linkreports
 from dotterelstand.process.peering.dialling import DialScheduler
 from dotterelstand.process.peering.membership import ListedHost, Membership
 from dotterelstand.process.peering.mesh import Member
 from dotterelstand.process.peering.overlay import update_roles
+from dotterelstand.process.telemetry.invariant import leaf_errors
 from dotterelstand.process.telemetry.metrics import Metrics
 from dotterelstand.settings import Settings
 
@@ -30,6 +32,8 @@
 
 # Size in bits of the random number that distinguishes the runs of a daemon under one host name.
 INCARNATION_BITS = 53
+# Seconds between an unexpected error of a link and its end.
+FAULT_PAUSE_S = 1.0
 
 
 class Peers:
@@ -154,8 +158,7 @@
 
     def region_of(self, host: str) -> str | None:
         """Region of a linked host, or None without a link."""
-        link = self._links.get(host)
-        return self._region_of(link) if link is not None else None
+        return linkreports.region_of(self._links[host]) if host in self._links else None
 
     def send(self, host: str, message: Message) -> bool:
         """Queue a message for a host; False if there is no link or its queue is full."""
@@ -247,6 +250,10 @@
             if isinstance(error, LinkError) and "malformed" in str(error):
                 log(Event.PEER_MALFORMED, peer="", reason=str(error))
             return False
+        except Exception as error:
+            linkreports.note_fault(self._metrics, link, [error])
+            self._unregister_link(link)
+            return False
 
     async def _accept_hello(self, link: PeerLink) -> bool:
         # The accepting side sends its hello only after it has accepted the link, so that the
@@ -291,18 +298,23 @@
         return True
 
     async def _run_link(self, link: PeerLink) -> None:
-        peer = link.peer
-        self._dispatch(peer, link.hello)  # type: ignore[arg-type]
         try:
+            self._dispatch(link.peer, link.hello)  # type: ignore[arg-type]
             await link.run(lambda message: self._receive(link, message))
+        except* Exception as group:
+            linkreports.note_fault(self._metrics, link, leaf_errors(group))
+            # Both ends keep the link meanwhile, since they would open the next one at once.
+            await trio.sleep(FAULT_PAUSE_S)
         finally:
-            self._count_bytes(link)
-            if self._links.get(peer) is link:
-                del self._links[peer]
-                self._changed.set()
-                malformed = "malformed" in link.close_reason
-                event = Event.PEER_MALFORMED if malformed else Event.PEER_LOST
-                log(event, peer=peer, reason=link.close_reason)
+            linkreports.count_bytes(self._metrics, link, self.region)
+            self._unregister_link(link)
+
+    def _unregister_link(self, link: PeerLink) -> None:
+        """Remove a link unless another one has replaced it."""
+        if link.hello is not None and self._links.get(link.peer) is link:
+            del self._links[link.peer]
+            self._changed.set()
+            linkreports.log_end(link)
 
     def _receive(self, link: PeerLink, message: Message) -> None:
         assert link.hello is not None
@@ -337,17 +349,6 @@
         self._metrics.count(f"peers.message_bytes.{scope}.{kind}", len(data))
         return True
 
-    def _count_bytes(self, link: PeerLink) -> None:
-        """Add the byte counts of a link to the metrics, and reset them."""
-        scope = "local" if self._region_of(link) == self.region else "other"
-        self._metrics.count(f"peers.sent_bytes.{scope}", link.sent_bytes)
-        self._metrics.count(f"peers.received_bytes.{scope}", link.received_bytes)
-        link.sent_bytes = link.received_bytes = 0
-
-    def _region_of(self, link: PeerLink) -> str:
-        assert link.hello is not None
-        return link.hello.region
-
     def _make_beat(self) -> Beat:
         own = next(member for member in self.members() if member.host == self.host)
         return Beat(own.leaving, self.document_version)
@@ -362,7 +363,7 @@
             )
             self._overflows = self._membership.overflows
             for link in tuple(self._links.values()):
-                self._count_bytes(link)
+                linkreports.count_bytes(self._metrics, link, self.region)
                 if now - link.last_received_s > self._silence_timeout_s:
                     link.close("silent")
             # The jitter spreads the heartbeats of hosts that started together.
--- a/src/dotterelstand/process/run.py
+++ b/src/dotterelstand/process/run.py
@@ -18,6 +18,7 @@
 from dotterelstand.logoutput import LogOutput, use_json_lines
 from dotterelstand.process.daemon import Daemon
 from dotterelstand.process.settingsfile import SettingsFile, read_at_start
+from dotterelstand.process.telemetry.invariant import leaf_errors
 from dotterelstand.settings import Settings, SettingsError, load_settings
 
 # Number of new objects after which the garbage collector collects the youngest generation.
@@ -61,14 +62,6 @@
         output.write_pending()
 
 
-def leaf_errors(group: BaseExceptionGroup) -> list[BaseException]:
-    """Errors in nested exception groups, in order."""
-    errors: list[BaseException] = []
-    for error in group.exceptions:
-        errors.extend(leaf_errors(error) if isinstance(error, BaseExceptionGroup) else [error])
-    return errors
-
-
 def _load(path: Path) -> Result[tuple[Settings, Certificates], list[SettingsError]]:
     settings = load_settings(path)
     return settings.bind(
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -3,7 +3,13 @@
 import pytest
 import trio
 
-from dotterelstand.connection.wire import Announce, StrikeConfirmed, TargetLeaving
+from dotterelstand.connection.wire import (
+    Announce,
+    Hello,
+    Message,
+    StrikeConfirmed,
+    TargetLeaving,
+)
 from dotterelstand.process.peering.membership import ListedHost
 from dotterelstand.process.peering.overlay import HUBS_PER_REGION, choose_hubs, choose_peers
 from dotterelstand.standin.entryfleet import Fleet
@@ -189,3 +195,54 @@
 def test_a_large_fleet_passes_announcements_on_after_it_lost_half_of_its_hosts() -> None:
     """Guards against strikes that reach the hubs only, since few hosts are live."""
     run_virtual(_lose_most_hosts, 1, seed=1)
+
+
+class BrokenPart:
+    """Raises an error for each message of a type that it receives while `broken` is set."""
+
+    def __init__(self) -> None:
+        self.broken = True
+        self.received = 0
+
+    def handle(self, sender: str, message: Message) -> None:
+        """Count a message, or raise `KeyError`."""
+        self.received += 1
+        if self.broken:
+            raise KeyError(sender)
+
+
+async def _break_part(seed: int, kind: type[Message], message: Message | None) -> None:
+    async with trio.open_nursery() as nursery:
+        fleet = Fleet(nursery, 3, seed)
+        part = BrokenPart()
+        await fleet.start_all()
+        await trio.sleep(2)
+        broken, other = fleet.peers["entry-00"], fleet.peers["entry-01"]
+        broken.subscribe(kind, part.handle)
+        if message is None:
+            fleet.crash("entry-01")
+            other = await fleet.start("entry-01")
+        else:
+            other.send("entry-00", message)
+        await trio.sleep(4)
+        assert 1 <= part.received <= 8
+        part.broken = False
+        await trio.sleep(4)
+        assert broken.linked() == ("entry-01", "entry-02")
+        assert broken.metrics.value("peers.faults") >= 1
+        received = part.received
+        if message is not None:
+            assert other.send("entry-00", message)
+            await trio.sleep(0.1)
+            assert part.received == received + 1
+        nursery.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize(
+    ("kind", "message"), [(TargetLeaving, TargetLeaving("t-1")), (Hello, None)]
+)
+def test_a_message_that_a_part_cannot_handle_ends_its_link_only(
+    kind: type[Message], message: Message | None
+) -> None:
+    """Guards against a daemon that ends since one of its parts raises for a message of a peer."""
+    run_virtual(_break_part, 1, kind, message, seed=1)
