Bound request ids in log lines

A caller's request id went whole into each line about its request, up to the length of a head (12,000 bytes in the case of a review); only the total of the log is bounded, so such callers pushed out other lines. Ruled out: the paths and the ids of skipped answers, which are bounded. Change: ids are cut to the 64 characters that ids of skipped answers have had, in one module for both.

--- a/src/dotterelstand/request/accesslog.py
+++ b/src/dotterelstand/request/accesslog.py
@@ -6,6 +6,7 @@
 from dotterelstand.codes import Result as ResultCode
 from dotterelstand.events import Event, log
 from dotterelstand.request.interfaces import Counters
+from dotterelstand.request.logfields import logged_path
 from dotterelstand.request.trail import DecisionTrail
 from dotterelstand.request.undelivered import UndeliveredAnswer
 from dotterelstand.version.model import Route
@@ -18,7 +19,6 @@
 MAX_SAMPLED_LINES_PER_S = 5
 # Maximum number of answers per second that are logged as not delivered.
 MAX_UNDELIVERED_LINES_PER_S = 20
-MAX_PATH_CHARACTERS = 200
 
 
 class RequestSummary:
@@ -97,7 +97,7 @@
             id=summary.trail.request_id,
             code=int(code),
             outcome=code.name.lower(),
-            path=path[:MAX_PATH_CHARACTERS],
+            path=logged_path(path),
             service="" if route is None else route.service,
             route_class="" if route is None else route.klass,
             document=summary.document,
@@ -124,7 +124,7 @@
             log(
                 Event.ANSWER_UNDELIVERED,
                 id=answer.request_id,
-                path=answer.path[:MAX_PATH_CHARACTERS],
+                path=logged_path(answer.path),
                 cause=answer.cause,
                 state=answer.state,
                 sent_bytes=answer.sent_bytes,
--- a/src/dotterelstand/request/attempt.py
+++ b/src/dotterelstand/request/attempt.py
@@ -21,6 +21,7 @@
 from dotterelstand.request.fields import parse_load_report
 from dotterelstand.request.head import Headers, RequestHead, forwarded_headers
 from dotterelstand.request.interfaces import LeavingTargets, Slots
+from dotterelstand.request.logfields import logged_id
 from dotterelstand.request.policy import FAILING_STATUSES
 from dotterelstand.version.model import Service
 
@@ -34,8 +35,6 @@
 MAX_SINGLE_SEND_BYTES = 16384
 # An attempt fails after it has skipped this many late answers to earlier requests.
 MAX_SKIPPED_ANSWERS = 4
-# Maximum number of characters that are kept of the request id of another answer.
-MAX_ID_CHARACTERS = 64
 # Maximum number of interim (1xx) answers before the final one.
 MAX_INTERIM_ANSWERS = 16
 _CONNECTION_ERRORS = (trio.BrokenResourceError, trio.ClosedResourceError)
@@ -303,8 +302,7 @@
             if answer.matches_request(head.request_id):
                 return answer
             self._note_leaving(answer)
-            answered_id = answer.value(head.fields.request_id) or b""
-            self.skipped.append(answered_id.decode("latin-1")[:MAX_ID_CHARACTERS])
+            self.skipped.append(logged_id(answer.value(head.fields.request_id)))
             await self.connection.skip_answer()
         raise h11.RemoteProtocolError("no answer to this request")
 
--- a/src/dotterelstand/request/trail.py
+++ b/src/dotterelstand/request/trail.py
@@ -8,6 +8,7 @@
 from dotterelstand.events import Event, log
 from dotterelstand.process.selection.outcome import SlotGrant
 from dotterelstand.request.attempt import Attempt
+from dotterelstand.request.logfields import logged_id
 from dotterelstand.request.policy import RetryDecision, RetryInputs
 
 # Maximum number of decisions kept for one request. The limit on attempts keeps requests below it.
@@ -31,7 +32,7 @@
     __slots__ = ("_attempts", "_began_s", "_decisions", "_ended", "request_id", "skipped_answers")
 
     def __init__(self, request_id: bytes | None) -> None:
-        self.request_id = "" if request_id is None else request_id.decode("latin-1")
+        self.request_id = logged_id(request_id)
         self._began_s = trio.current_time()
         self._decisions: list[_LoggedDecision] = []
         self._attempts: list[Attempt] = []
--- a/src/dotterelstand/request/undelivered.py
+++ b/src/dotterelstand/request/undelivered.py
@@ -7,6 +7,7 @@
 
 from dotterelstand.connection.caller import CallerConnection
 from dotterelstand.connection.callerrequest import CallerRequest
+from dotterelstand.request.logfields import logged_id
 from dotterelstand.request.stopplan import StopPlan
 
 # Maximum number of requests of one connection that are recorded; 8 are served at the same time.
@@ -65,8 +66,8 @@
 
 def _describe(request: CallerRequest, cause: str, state: str) -> UndeliveredAnswer:
     head = request.head
-    request_id = b"" if head is None or head.request_id is None else head.request_id
-    answer = UndeliveredAnswer(cause, request_id.decode("latin-1"), state, request.sent_bytes)
+    request_id = logged_id(None if head is None else head.request_id)
+    answer = UndeliveredAnswer(cause, request_id, state, request.sent_bytes)
     answer.path = "" if head is None else head.path
     answer.write_decisions = request.write_decisions
     return answer
@@ -74,4 +75,4 @@
 
 def _read_ids(data: bytes, id_field: bytes) -> list[str]:
     pattern = rb"(?im)^" + re.escape(id_field) + rb":[ \t]*([^\r\n]+)"
-    return [value.strip().decode("latin-1") for value in re.findall(pattern, data)]
+    return [logged_id(value.strip()) for value in re.findall(pattern, data)]
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -151,6 +151,31 @@
     assert lines.events_of(request_id) == events
 
 
+@pytest.mark.parametrize("break_off", [False, True])
+def test_long_ids_and_paths_of_callers_are_shortened_in_the_log(break_off: bool) -> None:
+    """Guards against log lines of many kilobytes for a request that its caller made so long."""
+
+    async def scenario(fleet: PlatformFleet) -> None:
+        for instance in fleet.instances:
+            instance.service_time_s = 5.0
+        stream = await fleet.stream()
+        request = fleet.request(path="/a/" + "p" * 3000)
+        await stream.send_all(request.replace(b"q1", b"q" * 3000))
+        await trio.sleep(0.5)
+        if not break_off:
+            await read_answer(stream, "GET")
+        stream.close()
+        await trio.sleep(0.5)
+
+    with EventCollector() as lines:
+        run_on_platform(scenario)
+    written = [line for line in lines.events if "id" in line]
+    ends = {Event.REQUEST_ENDED, Event.ANSWER_UNDELIVERED}
+    assert ends & {line["event"] for line in written}
+    assert {line["id"] for line in written} == {"q" * 64}
+    assert {line["path"] for line in written if "path" in line} == {"/a/" + "p" * 197}
+
+
 def test_an_answered_attempt_is_logged_as_sent() -> None:
     """Guards against logging `sent=False` for an answered attempt on a reusable connection."""
 
