Keep the daemon running after an unexpected error in a health probe

Probes run in the daemon's own nursery, so any error that nobody foresaw in one of them ended the process, as for links. Ruled out: the other work for single peers, targets and callers. Errors of callers' connections, links, and pages of the control, readiness and metrics ports are contained already.

--- a/src/dotterelstand/process/frontend.py
+++ b/src/dotterelstand/process/frontend.py
@@ -10,6 +10,7 @@
 from dotterelstand.connection.network import Listener
 from dotterelstand.connection.target import close_now
 from dotterelstand.events import Event, log
+from dotterelstand.process.telemetry.invariant import leaf_errors, log_fault
 from dotterelstand.request.accesslog import AccessLog, RequestSummary
 from dotterelstand.request.context import RequestContext
 from dotterelstand.request.exchange import Exchange
@@ -285,8 +286,7 @@
 
     def _log_fault(self, group: BaseExceptionGroup) -> None:
         self._context.metrics.count("requests.faults")
-        errors = [repr(error) for error in group.exceptions]
-        log(Event.INVARIANT_BROKEN, name="request", detail=errors)
+        log_fault("request", leaf_errors(group))
 
 
 def _find_route(document: Document, head: RequestHead) -> Route | None:
--- a/src/dotterelstand/process/peering/linkreports.py
+++ b/src/dotterelstand/process/peering/linkreports.py
@@ -2,6 +2,7 @@
 
 from dotterelstand.connection.peer import PeerLink
 from dotterelstand.events import Event, log
+from dotterelstand.process.telemetry.invariant import log_fault
 from dotterelstand.process.telemetry.metrics import Metrics
 
 
@@ -27,7 +28,7 @@
     link.close("unexpected error")
     metrics.count("peers.faults")
     peer = link.hello.host if link.hello is not None else ""
-    log(Event.INVARIANT_BROKEN, name="peer link", peer=peer, detail=list(map(repr, errors)))
+    log_fault("peer link", errors, peer=peer)
 
 
 def log_end(link: PeerLink) -> None:
--- a/src/dotterelstand/process/run.py
+++ b/src/dotterelstand/process/run.py
@@ -18,7 +18,7 @@
 from dotterelstand.logoutput import LogOutput, use_json_lines
 from dotterelstand.process.daemon import Daemon
 from dotterelstand.process.settingsfile import SettingsFile, read_at_start
-from dotterelstand.process.telemetry.invariant import leaf_errors
+from dotterelstand.process.telemetry.invariant import leaf_errors, log_fault
 from dotterelstand.settings import Settings, SettingsError, load_settings
 
 # Number of new objects after which the garbage collector collects the youngest generation.
@@ -53,7 +53,7 @@
             print(f"dotterelstandd: {error}", file=sys.stderr)
         sys.exit(ExitCode.PORT_UNAVAILABLE)
     except* Exception as group:
-        log(Event.INVARIANT_BROKEN, name="daemon", detail=list(map(repr, leaf_errors(group))))
+        log_fault("daemon", leaf_errors(group))
         raise
     finally:
         for number in STOP_SIGNALS:
--- a/src/dotterelstand/process/selection/healthprobe.py
+++ b/src/dotterelstand/process/selection/healthprobe.py
@@ -12,6 +12,7 @@
 from dotterelstand.process.selection.measure import MeasureBudget
 from dotterelstand.process.selection.probeschedule import ProbeSchedule
 from dotterelstand.process.selection.rendezvous import DispatcherMap
+from dotterelstand.process.telemetry.invariant import log_fault
 from dotterelstand.request.fields import (
     HeaderFields,
     LoadReport,
@@ -193,6 +194,9 @@
                     pass
                 except (ConnectionLimitError, h11.ProtocolError):
                     pass
+                except Exception as error:
+                    # To the dispatcher, such a probe is one without an answer.
+                    log_fault("health probe", [error], target=target.name)
         finally:
             self._in_progress.discard(target.name)
         values = {bytes(name): bytes(value) for name, value in head.headers} if head else {}
--- a/src/dotterelstand/process/telemetry/invariant.py
+++ b/src/dotterelstand/process/telemetry/invariant.py
@@ -14,6 +14,11 @@
         raise InvariantError(f"{name}: {detail}")
 
 
+def log_fault(name: str, errors: list[BaseException], **detail: object) -> None:
+    """Log unexpected errors that end one operation and not the daemon."""
+    log(Event.INVARIANT_BROKEN, name=name, detail=list(map(repr, errors)), **detail)
+
+
 def leaf_errors(group: BaseExceptionGroup) -> list[BaseException]:
     """Errors in nested exception groups, in order."""
     errors: list[BaseException] = []
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -5,6 +5,10 @@
 from platform_standin import configuration, route
 from platform_support import PlatformFleet, run_on_platform
 from support import read_answer
+from support_logs import EventCollector
+
+from dotterelstand.connection.pool import TargetPool
+from dotterelstand.events import Event
 
 
 def test_a_lookup_reaches_its_target_with_identity_and_deadline() -> None:
@@ -371,3 +375,26 @@
         assert len(fleet.runs()) == 2
 
     run_on_platform(scenario, health_interval_s=0.05)
+
+
+def test_a_health_probe_that_fails_unexpectedly_leaves_the_daemon_running(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a daemon that ends since a target's health answer has an unforeseen effect."""
+
+    async def acquire(*_: object) -> None:
+        raise KeyError("connection")
+
+    async def scenario(fleet: PlatformFleet) -> None:
+        assert (await fleet.call()).status == 200
+        monkeypatch.setattr(TargetPool, "acquire", acquire)
+        await trio.sleep(1.0)
+        monkeypatch.undo()
+        await trio.sleep(5.0)
+        assert (await fleet.call()).status == 200
+
+    with EventCollector() as lines:
+        run_on_platform(scenario, health_interval_s=0.1)
+    faults = lines.lines_of(Event.INVARIANT_BROKEN)
+    assert {line["name"] for line in faults} == {"health probe"}
+    assert {line["target"] for line in faults} <= {"i-0", "i-1", "i-2"}
