Say workspace for a group of callers

No behaviour changes. How: names, comments and documentation strings were replaced by token; strings were read one by one. What leaves the process keeps its name, since callers, documents, dashboards and scripts use it: the header Dotterelstand-Tenant, the key `tenants`, the label and JSON field `tenant`, `--by_tenant` and the key of load plans. Messages between hosts carry values by position.

--- a/src/dotterelstand/cli/histogram.py
+++ b/src/dotterelstand/cli/histogram.py
@@ -25,18 +25,18 @@
 
 
 def merge_pages(
-    pages: list[object], service: str, by_tenant: bool
+    pages: list[object], service: str, by_workspace: bool
 ) -> Result[dict[SeriesKey, HdrHistogram], ToolError]:
-    """Merge histograms over all hosts, per service and class (and tenant), in microseconds."""
+    """Merge histograms over all hosts, per service and class (and workspace), in microseconds."""
     try:
         merged = merge_series([parse_series(page) for page in pages])
     except ValueError as error:
         return Failure(ToolError(ExitCode.HOST_REFUSED, str(error)))
     chosen: dict[SeriesKey, HdrHistogram] = {}
-    for (name, klass, tenant), histogram in sorted(merged.items()):
+    for (name, klass, workspace), histogram in sorted(merged.items()):
         if service and name != service:
             continue
-        key = (name, klass, tenant if by_tenant else "all")
+        key = (name, klass, workspace if by_workspace else "all")
         chosen.setdefault(key, new_histogram()).add(histogram)
     return Success(chosen)
 
@@ -44,8 +44,8 @@
 def histogram_rows(histograms: dict[SeriesKey, HdrHistogram]) -> list[Row]:
     """Return one row per series with its count and quantiles in milliseconds."""
     rows = []
-    for (service, klass, tenant), histogram in histograms.items():
-        row: Row = {"service": service, "class": klass, "tenant": tenant}
+    for (service, klass, workspace), histogram in histograms.items():
+        row: Row = {"service": service, "class": klass, "tenant": workspace}
         row["requests"] = histogram.get_total_count()
         for quantile in QUANTILES:
             row[f"p{quantile:g}_ms"] = histogram.get_value_at_percentile(quantile) / 1000
@@ -66,8 +66,8 @@
     # The x axis is 1 / (1 - quantile) on a logarithmic scale, which stretches the tail as in HDR
     # plots.
     steps = [1 - 10 ** (-index / 20) for index in range(81)]
-    for (service, klass, tenant), histogram in histograms.items():
-        label = " / ".join(part for part in (service, klass, tenant) if part != "all")
+    for (service, klass, workspace), histogram in histograms.items():
+        label = " / ".join(part for part in (service, klass, workspace) if part != "all")
         values = [histogram.get_value_at_percentile(100 * step) / 1000 for step in steps]
         axes.plot([1 / (1 - step) for step in steps], values, label=label)
     axes.set_xscale("log")
--- a/src/dotterelstand/cli/main.py
+++ b/src/dotterelstand/cli/main.py
@@ -94,7 +94,7 @@
 
         Args:
             service: only this service
-            by_tenant: show each tenant separately
+            by_tenant: show each workspace separately
             plot: PNG file to write
         """
         answers = trio.run(self._context.client().read_all, "histograms")
--- a/src/dotterelstand/connection/wire.py
+++ b/src/dotterelstand/connection/wire.py
@@ -107,9 +107,10 @@
 class Acquire(Message):
     """Request to the dispatcher of a service for one slot.
 
-    `service` is the index in the sorted service names of the document; `need` packs class, tenant
-    and deadline (`process/selection/slotcodec.py`). To meet the route's latency objective, the
-    attempt must start within `within_ms` milliseconds; 0 if the route has no objective.
+    `service` is the index in the sorted service names of the document; `need` packs class,
+    workspace and deadline (`process/selection/slotcodec.py`). To meet the route's latency
+    objective, the attempt must start within `within_ms` milliseconds; 0 if the route has no
+    objective.
     """
 
     __slots__ = ("call", "need", "service", "within_ms")
--- a/src/dotterelstand/process/daemon.py
+++ b/src/dotterelstand/process/daemon.py
@@ -235,7 +235,7 @@
     def _apply(self, document: Document) -> None:
         was_ready = self.frontend.is_ready
         self.frontend.document = document
-        self.metrics.limit_tenants(document.tenants)
+        self.metrics.limit_workspaces(document.workspaces)
         self.broker.apply(document)
         if not was_ready:
             self._log_ready()
--- a/src/dotterelstand/process/frontend.py
+++ b/src/dotterelstand/process/frontend.py
@@ -188,7 +188,7 @@
         if document is None or route is None:
             code = _routing_failure(document, head)
             number = 0 if document is None else document.number
-            summary = RequestSummary(None, head.tenant, head.request_id, number)
+            summary = RequestSummary(None, head.workspace, head.request_id, number)
         else:
             exchange = Exchange(request, head, document, route, self._context)
             summary = exchange.summary
--- a/src/dotterelstand/process/operation/pages.py
+++ b/src/dotterelstand/process/operation/pages.py
@@ -102,7 +102,7 @@
             {
                 "service": series.service,
                 "class": series.klass,
-                "tenant": series.tenant,
+                "tenant": series.workspace,
                 "encoded": series.encoded,
             }
         )
--- a/src/dotterelstand/process/selection/grantserver.py
+++ b/src/dotterelstand/process/selection/grantserver.py
@@ -74,7 +74,7 @@
         call = WaitingCall(
             key,
             requirements.klass,
-            requirements.tenant,
+            requirements.workspace,
             now,
             now + remaining_s,
             zone=zone,
--- a/src/dotterelstand/process/selection/outcome.py
+++ b/src/dotterelstand/process/selection/outcome.py
@@ -32,12 +32,12 @@
     late even if it ends before the deadline.
     """
 
-    __slots__ = ("deadline", "excluded", "klass", "no_wait", "start_by", "tenant")
+    __slots__ = ("deadline", "excluded", "klass", "no_wait", "start_by", "workspace")
 
     def __init__(
         self,
         klass: int,
-        tenant: str,
+        workspace: str,
         deadline: float,
         excluded: frozenset[str] = frozenset(),
         no_wait: bool = False,
@@ -46,7 +46,7 @@
         self.no_wait = no_wait
         self.start_by = start_by
         self.klass = klass
-        self.tenant = tenant
+        self.workspace = workspace
         self.deadline = deadline
         self.excluded = excluded
 
--- a/src/dotterelstand/process/selection/queue.py
+++ b/src/dotterelstand/process/selection/queue.py
@@ -22,7 +22,7 @@
         "klass",
         "no_wait",
         "start_by",
-        "tenant",
+        "workspace",
         "zone",
     )
 
@@ -30,7 +30,7 @@
         self,
         key: CallKey,
         klass: int,
-        tenant: int,
+        workspace: int,
         arrived_at: float,
         deadline: float,
         excluded: frozenset[str] = frozenset(),
@@ -41,7 +41,7 @@
         self.start_by: float | None = None
         self.key = key
         self.klass = klass
-        self.tenant = tenant
+        self.workspace = workspace
         self.arrived_at = arrived_at
         self.deadline = deadline
         self.excluded = excluded
@@ -49,51 +49,51 @@
 
 
 class _ClassLane:
-    """Waiting calls of one class, either those on time or the late ones, round robin by tenant."""
+    """Waiting calls of one class, on time or late, round robin by workspace."""
 
-    __slots__ = ("size", "tenants")
+    __slots__ = ("size", "workspaces")
 
     def __init__(self) -> None:
-        self.tenants: OrderedDict[int, OrderedDict[CallKey, WaitingCall]] = OrderedDict()
+        self.workspaces: OrderedDict[int, OrderedDict[CallKey, WaitingCall]] = OrderedDict()
         self.size = 0
 
     def add(self, call: WaitingCall) -> None:
-        self.tenants.setdefault(call.tenant, OrderedDict())[call.key] = call
+        self.workspaces.setdefault(call.workspace, OrderedDict())[call.key] = call
         self.size += 1
 
     def pop(self, newest: bool = False) -> WaitingCall:
-        """Remove and return the oldest or newest call of the next tenant."""
-        tenant, calls = next(iter(self.tenants.items()))
+        """Remove and return the oldest or newest call of the next workspace."""
+        workspace, calls = next(iter(self.workspaces.items()))
         _, call = calls.popitem(last=newest)
         if calls:
-            self.tenants.move_to_end(tenant)
+            self.workspaces.move_to_end(workspace)
         else:
-            del self.tenants[tenant]
+            del self.workspaces[workspace]
         self.size -= 1
         return call
 
     def remove(self, call: WaitingCall) -> None:
-        calls = self.tenants[call.tenant]
+        calls = self.workspaces[call.workspace]
         del calls[call.key]
         if not calls:
-            del self.tenants[call.tenant]
+            del self.workspaces[call.workspace]
         self.size -= 1
 
 
 class CallQueue:
-    """Queue of calls, served in class order and round robin over the tenants of a class.
+    """Queue of calls, served in class order and round robin over the workspaces of a class.
 
     `push` and `remove` are O(classes).
     """
 
     __slots__ = (
         "_calls",
-        "_calls_by_tenant",
+        "_calls_by_workspace",
         "_capacity",
         "_lane_of",
         "_lanes",
         "_largest_size",
-        "_tenants_by_size",
+        "_workspaces_by_size",
     )
 
     def __init__(self, capacity: int, classes: int) -> None:
@@ -102,9 +102,9 @@
         self._lanes = [_ClassLane() for _ in range(2 * classes)]
         self._lane_of: dict[CallKey, int] = {}
         self._calls: dict[CallKey, WaitingCall] = {}
-        self._calls_by_tenant: dict[int, OrderedDict[CallKey, WaitingCall]] = {}
-        # Tenants by number of waiting calls, to find the one with the most calls without a scan.
-        self._tenants_by_size: dict[int, OrderedDict[int, None]] = {}
+        self._calls_by_workspace: dict[int, OrderedDict[CallKey, WaitingCall]] = {}
+        # Workspaces by number of waiting calls, to find the one with the most calls without a scan.
+        self._workspaces_by_size: dict[int, OrderedDict[int, None]] = {}
         self._largest_size = 0
 
     def __len__(self) -> int:
@@ -134,7 +134,7 @@
         """Add a call; if the queue was full, evict a call and return it.
 
         Evicts the longest-waiting late call of the lowest class or, if no call is late, the newest
-        call of the tenant with the most waiting calls.
+        call of the workspace with the most waiting calls.
         """
         assert call.key not in self._calls, call.key
         # The capacity may have been reduced below the number of calls that wait already.
@@ -147,10 +147,10 @@
                 late = lane.pop()
                 self._discard(late)
                 return late
-        tenant = next(iter(self._tenants_by_size[self._largest_size]))
-        if len(self._calls_by_tenant[call.tenant]) == self._largest_size:
-            tenant = call.tenant
-        newest = next(reversed(self._calls_by_tenant[tenant].values()))
+        workspace = next(iter(self._workspaces_by_size[self._largest_size]))
+        if len(self._calls_by_workspace[call.workspace]) == self._largest_size:
+            workspace = call.workspace
+        newest = next(reversed(self._calls_by_workspace[workspace].values()))
         self._lanes[self._lane_of[newest.key]].remove(newest)
         self._discard(newest)
         assert len(self._calls) <= bound
@@ -194,7 +194,7 @@
     def _move_late_calls(self, number: int, now: float) -> None:
         """Move the calls that can no longer start on time to the class's late lane."""
         lane = self._lanes[number]
-        late = [call for calls in lane.tenants.values() for call in calls.values()]
+        late = [call for calls in lane.workspaces.values() for call in calls.values()]
         for call in late:
             if call.start_by is not None and call.start_by < now:
                 lane.remove(call)
@@ -205,26 +205,26 @@
         self._lanes[2 * call.klass].add(call)
         self._lane_of[call.key] = 2 * call.klass
         self._calls[call.key] = call
-        calls = self._calls_by_tenant.setdefault(call.tenant, OrderedDict())
-        self._resize(call.tenant, len(calls), len(calls) + 1)
+        calls = self._calls_by_workspace.setdefault(call.workspace, OrderedDict())
+        self._resize(call.workspace, len(calls), len(calls) + 1)
         calls[call.key] = call
 
     def _discard(self, call: WaitingCall) -> None:
         del self._calls[call.key], self._lane_of[call.key]
-        calls = self._calls_by_tenant[call.tenant]
-        self._resize(call.tenant, len(calls), len(calls) - 1)
+        calls = self._calls_by_workspace[call.workspace]
+        self._resize(call.workspace, len(calls), len(calls) - 1)
         del calls[call.key]
         if not calls:
-            del self._calls_by_tenant[call.tenant]
+            del self._calls_by_workspace[call.workspace]
 
-    def _resize(self, tenant: int, old: int, new: int) -> None:
+    def _resize(self, workspace: int, old: int, new: int) -> None:
         if old:
-            del self._tenants_by_size[old][tenant]
-            if not self._tenants_by_size[old]:
-                del self._tenants_by_size[old]
+            del self._workspaces_by_size[old][workspace]
+            if not self._workspaces_by_size[old]:
+                del self._workspaces_by_size[old]
         if new:
-            self._tenants_by_size.setdefault(new, OrderedDict())[tenant] = None
+            self._workspaces_by_size.setdefault(new, OrderedDict())[workspace] = None
         self._largest_size = max(self._largest_size, new)
-        # A tenant's number of calls changes by one, so the largest number falls by at most one.
-        if self._largest_size and self._largest_size not in self._tenants_by_size:
+        # A workspace's number of calls changes by one, so the largest number falls by at most one.
+        if self._largest_size and self._largest_size not in self._workspaces_by_size:
             self._largest_size -= 1
--- a/src/dotterelstand/process/selection/slotcodec.py
+++ b/src/dotterelstand/process/selection/slotcodec.py
@@ -7,7 +7,7 @@
 from dotterelstand.process.selection.outcome import AttemptOutcome
 
 MAX_CLASSES = 8
-MAX_TENANTS = 1024
+MAX_WORKSPACES = 1024
 MAX_REMAINING_MS = 65535
 # Number of duration codes, in steps of factor sqrt(2): 0 is 0.5 ms or less, 23 is 1.4 s or more.
 DURATION_CODES = 24
@@ -15,43 +15,45 @@
 
 
 def pack_requirements(
-    klass: int, tenant: int, remaining_s: float | None, no_wait: bool = False
+    klass: int, workspace: int, remaining_s: float | None, no_wait: bool = False
 ) -> int:
-    """Pack class, tenant number, remaining time and whether the call must not wait for a slot.
+    """Pack class, workspace number, remaining time and whether the call must not wait for a slot.
 
     `remaining_s` is None for a distant deadline. Classes from 7 on share one number. CBOR encodes
     the result in one byte for a call with default values, and in two bytes if the call also has a
-    tenant number below 32.
+    workspace number below 32.
     """
-    assert klass >= 0 and 0 <= tenant < MAX_TENANTS, (klass, tenant)
+    assert klass >= 0 and 0 <= workspace < MAX_WORKSPACES, (klass, workspace)
     remaining_ms = 0
     if remaining_s is not None:
         remaining_ms = min(MAX_REMAINING_MS, max(1, int(remaining_s * 1000)))
     time_and_flag = remaining_ms + (MAX_REMAINING_MS + 1) * no_wait
-    return min(klass, MAX_CLASSES - 1) + MAX_CLASSES * (tenant + MAX_TENANTS * time_and_flag)
+    return min(klass, MAX_CLASSES - 1) + MAX_CLASSES * (workspace + MAX_WORKSPACES * time_and_flag)
 
 
 class SlotRequirements:
     """Unpacked requirements of an `Acquire`; `remaining_s` is None for a distant deadline."""
 
-    __slots__ = ("klass", "no_wait", "remaining_s", "tenant")
+    __slots__ = ("klass", "no_wait", "remaining_s", "workspace")
 
-    def __init__(self, klass: int, tenant: int, remaining_s: float | None, no_wait: bool) -> None:
+    def __init__(
+        self, klass: int, workspace: int, remaining_s: float | None, no_wait: bool
+    ) -> None:
         self.no_wait = no_wait
         self.klass = klass
-        self.tenant = tenant
+        self.workspace = workspace
         self.remaining_s = remaining_s
 
 
 def unpack_requirements(packed: int) -> SlotRequirements | None:
     """Unpack the result of `pack_requirements`; None if the number is out of range."""
-    if not 0 <= packed < 2 * MAX_CLASSES * MAX_TENANTS * (MAX_REMAINING_MS + 1):
+    if not 0 <= packed < 2 * MAX_CLASSES * MAX_WORKSPACES * (MAX_REMAINING_MS + 1):
         return None
     rest, klass = divmod(packed, MAX_CLASSES)
-    time_and_flag, tenant = divmod(rest, MAX_TENANTS)
+    time_and_flag, workspace = divmod(rest, MAX_WORKSPACES)
     no_wait, remaining_ms = divmod(time_and_flag, MAX_REMAINING_MS + 1)
     return SlotRequirements(
-        klass, tenant, remaining_ms / 1000 if remaining_ms else None, bool(no_wait)
+        klass, workspace, remaining_ms / 1000 if remaining_ms else None, bool(no_wait)
     )
 
 
--- a/src/dotterelstand/process/selection/slotcore.py
+++ b/src/dotterelstand/process/selection/slotcore.py
@@ -16,7 +16,7 @@
 from dotterelstand.process.selection.rendezvous import DispatcherMap
 from dotterelstand.process.selection.servicestate import ServiceState
 from dotterelstand.process.selection.servicestates import ServiceStates
-from dotterelstand.process.selection.slotcodec import MAX_TENANTS, pack_result, refusal_code
+from dotterelstand.process.selection.slotcodec import MAX_WORKSPACES, pack_result, refusal_code
 from dotterelstand.process.selection.slotcounters import GrantServerCounters, SlotCounters
 from dotterelstand.process.selection.targethealth import SLOW_THRESHOLD
 from dotterelstand.process.selection.ticket import (
@@ -53,10 +53,10 @@
         "_queued_notices_sent_at",
         "_service_numbers",
         "_states",
-        "_tenants",
         "_tickets",
         "_tuning",
         "_waiting_states",
+        "_workspaces",
     )
 
     def __init__(self, mesh: BudgetedMesh, tuning: SelectionTuning, rng: random.Random) -> None:
@@ -68,7 +68,7 @@
         self._tickets = TicketTable()
         self._dispatchers = DispatcherMap()
         self._service_numbers: dict[str, int] = {}
-        self._tenants: dict[str, int] = {}
+        self._workspaces: dict[str, int] = {}
         self._counters = SlotCounters()
         self._queued_notices_sent_at = 0.0
         # States of the services with queued calls, by name.
@@ -98,7 +98,9 @@
         """Apply a new version of the document."""
         names = sorted(document.services)
         self._service_numbers = {name: index for index, name in enumerate(names)}
-        self._tenants = {name: number + 1 for number, name in enumerate(sorted(document.tenants))}
+        self._workspaces = {
+            name: number + 1 for number, name in enumerate(sorted(document.workspaces))
+        }
         services = [document.services[name] for name in names]
         removed = self._states.apply(document, services, now)
         self._grant_server.apply(services)
@@ -320,8 +322,8 @@
         index = self._service_numbers.get(ticket.service.name)
         if index is None:
             return False
-        tenant = self._tenant_number(ticket.call.tenant)
-        acquire = make_acquire(ticket, index, tenant, state.local.table.typical_s, now)
+        workspace = self._workspace_number(ticket.call.workspace)
+        acquire = make_acquire(ticket, index, workspace, state.local.table.typical_s, now)
         if not self._mesh.send(dispatcher, acquire, now, opens_call=True):
             self._counters.ask_failed += 1
             return False
@@ -339,8 +341,8 @@
     def _entry(self, ticket: Ticket, now: float) -> WaitingCall:
         """Queue entry for a ticket."""
         host = self._mesh.host
-        tenant = self._tenant_number(ticket.call.tenant)
-        return make_waiting_call(ticket, host, self._mesh.zone(host), tenant, now)
+        workspace = self._workspace_number(ticket.call.workspace)
+        return make_waiting_call(ticket, host, self._mesh.zone(host), workspace, now)
 
     def _grant_ticket(
         self, ticket: Ticket, state: ServiceState, target: int, granted: TicketState, now: float
@@ -381,9 +383,9 @@
         if not ticket.queue_confirmed_until:
             state.answer_time.update(now - ticket.requested_at)
 
-    def _tenant_number(self, name: str) -> int:
-        """Number of a tenant; tenants that are not in the document share number 0."""
-        return self._tenants.get(name, 0) % MAX_TENANTS
+    def _workspace_number(self, name: str) -> int:
+        """Number of a workspace; workspaces that are not in the document share number 0."""
+        return self._workspaces.get(name, 0) % MAX_WORKSPACES
 
     def _check_members(self, now: float) -> None:
         members = self._mesh.members()
--- a/src/dotterelstand/process/selection/ticket.py
+++ b/src/dotterelstand/process/selection/ticket.py
@@ -73,30 +73,32 @@
 
 
 def make_acquire(
-    ticket: Ticket, service: int, tenant: int, typical_s: float, now: float
+    ticket: Ticket, service: int, workspace: int, typical_s: float, now: float
 ) -> Acquire:
-    """Build the request for a ticket's slot; `service` and `tenant` are numbers in messages.
+    """Build the request for a ticket's slot; `service` and `workspace` are numbers in messages.
 
     `typical_s` is the typical duration of the service's calls in seconds.
     """
     call = ticket.call
     remaining_s = call.deadline - now
     urgent = remaining_s < URGENT_MULTIPLE * typical_s
-    need = pack_requirements(call.klass, tenant, remaining_s if urgent else None, call.no_wait)
+    need = pack_requirements(call.klass, workspace, remaining_s if urgent else None, call.no_wait)
     within_ms = 0 if call.start_by is None else max(1, int((call.start_by - now) * 1000))
     return Acquire(ticket.number, need, service, within_ms)
 
 
-def make_waiting_call(ticket: Ticket, host: str, zone: str, tenant: int, now: float) -> WaitingCall:
+def make_waiting_call(
+    ticket: Ticket, host: str, zone: str, workspace: int, now: float
+) -> WaitingCall:
     """Build the queue entry for a ticket of a host in an availability zone.
 
-    `tenant` is the number of the tenant in messages.
+    `workspace` is the number of the workspace in messages.
     """
     call = ticket.call
     waiting = WaitingCall(
         (host, ticket.number),
         min(call.klass, MAX_CLASSES - 1),
-        tenant,
+        workspace,
         now,
         call.deadline,
         call.excluded,
--- a/src/dotterelstand/process/telemetry/metrics.py
+++ b/src/dotterelstand/process/telemetry/metrics.py
@@ -11,26 +11,26 @@
 MAX_LATENCY_US = 120_000_000
 # Significant digits; with two, a series takes about 22 kB and quantiles err by at most 1%.
 LATENCY_DIGITS = 2
-# Service, class and tenant of the series that collects the latencies of all further combinations
+# Service, class and workspace of the series that collects the latencies of all further combinations
 # once `metrics.max_series` is reached.
 OVERFLOW = ("overflow", "overflow", "overflow")
 
-# Tenant label of requests without a tenant, and of tenants that are not in the document.
-DEFAULT_TENANT = "default"
-OTHER_TENANT = "other"
+# Workspace label of requests without a workspace, and of workspaces that are not in the document.
+DEFAULT_WORKSPACE = "default"
+OTHER_WORKSPACE = "other"
 
 SeriesKey = tuple[str, str, str]
 
 
 class Series:
-    """Encoded latency histogram in microseconds of one service, class and tenant."""
+    """Encoded latency histogram in microseconds of one service, class and workspace."""
 
-    __slots__ = ("encoded", "klass", "service", "tenant")
+    __slots__ = ("encoded", "klass", "service", "workspace")
 
-    def __init__(self, service: str, klass: str, tenant: str, encoded: str) -> None:
+    def __init__(self, service: str, klass: str, workspace: str, encoded: str) -> None:
         self.service = service
         self.klass = klass
-        self.tenant = tenant
+        self.workspace = workspace
         self.encoded = encoded
 
 
@@ -88,7 +88,7 @@
         "_series",
         "_sink",
         "_sources",
-        "_tenants",
+        "_workspaces",
     )
 
     def __init__(self, max_series: int, sink: StatsdSink | None = None) -> None:
@@ -99,7 +99,7 @@
         self._flushed_counters: dict[str, int] = {}
         self._sources: list[Callable[[], dict[str, int]]] = []
         self._series: dict[SeriesKey, HdrHistogram] = {}
-        self._tenants: Container[str] | None = None
+        self._workspaces: Container[str] | None = None
 
     def __enter__(self) -> "Metrics":
         return self
@@ -118,13 +118,13 @@
         """Include counters that a component keeps itself; their names must be unique."""
         self._sources.append(read)
 
-    def limit_tenants(self, tenants: Container[str]) -> None:
-        """Keep separate series for these tenants only; all other names share one series.
+    def limit_workspaces(self, workspaces: Container[str]) -> None:
+        """Keep separate series for these workspaces only; all other names share one series.
 
         Callers choose the names, so without this limit a caller that sends a new name with each
-        request would use up the series of all tenants.
+        request would use up the series of all workspaces.
         """
-        self._tenants = tenants
+        self._workspaces = workspaces
 
     def count(self, name: str, amount: int = 1) -> None:
         """Increase a counter; docs/counters.md lists the names."""
@@ -134,11 +134,15 @@
             return
         self._counters[name] = self._counters.get(name, 0) + amount
 
-    def record_latency(self, service: str, klass: str, tenant: str, seconds: float) -> None:
+    def record_latency(self, service: str, klass: str, workspace: str, seconds: float) -> None:
         """Record the duration of one request."""
-        if self._tenants is not None and tenant not in self._tenants and tenant != DEFAULT_TENANT:
-            tenant = OTHER_TENANT
-        key = (service, klass, tenant)
+        if (
+            self._workspaces is not None
+            and workspace not in self._workspaces
+            and workspace != DEFAULT_WORKSPACE
+        ):
+            workspace = OTHER_WORKSPACE
+        key = (service, klass, workspace)
         histogram = self._series.get(key)
         if histogram is None:
             histogram = self._add_series(key)
@@ -158,7 +162,7 @@
             yield Series(*key, histogram.encode().decode("ascii"))
 
     def histograms(self) -> list[tuple[SeriesKey, HdrHistogram]]:
-        """Latencies in microseconds by service, class and tenant."""
+        """Latencies in microseconds by service, class and workspace."""
         return list(self._series.items())
 
     def monotonic_counters(self) -> dict[str, int]:
@@ -223,7 +227,7 @@
     merged: dict[SeriesKey, HdrHistogram] = {}
     for series in snapshots:
         for item in series:
-            key = (item.service, item.klass, item.tenant)
+            key = (item.service, item.klass, item.workspace)
             histogram = merged.setdefault(key, new_histogram())
             histogram.add(_decode(item.encoded))
     return merged
--- a/src/dotterelstand/request/accesslog.py
+++ b/src/dotterelstand/request/accesslog.py
@@ -27,13 +27,13 @@
     `document` is the number of the document version that routed the request.
     """
 
-    __slots__ = ("_began", "_tenant", "document", "route", "trail")
+    __slots__ = ("_began", "_workspace", "document", "route", "trail")
 
     def __init__(
-        self, route: Route | None, tenant: str, request_id: bytes | None, document: int
+        self, route: Route | None, workspace: str, request_id: bytes | None, document: int
     ) -> None:
         self.route = route
-        self._tenant = tenant
+        self._workspace = workspace
         self._began = trio.current_time()
         self.document = document
         self.trail = DecisionTrail(request_id)
@@ -56,7 +56,7 @@
             metrics.count("requests.skipped_answers", self.trail.skipped_answers)
         if self.route is not None and code.run is Execution.RAN:
             route = self.route
-            metrics.record_latency(route.service, route.klass, self._tenant, self.duration_s)
+            metrics.record_latency(route.service, route.klass, self._workspace, self.duration_s)
 
 
 class AccessLog:
--- a/src/dotterelstand/request/exchange.py
+++ b/src/dotterelstand/request/exchange.py
@@ -93,7 +93,7 @@
             context.leaving_targets,
             route.idempotent,
         )
-        self.summary = RequestSummary(route, head.tenant, head.request_id, document.number)
+        self.summary = RequestSummary(route, head.workspace, head.request_id, document.number)
         self._trail = self.summary.trail
 
     async def run(self) -> ResultCode:
@@ -181,10 +181,9 @@
         classes = self._document.classes
         last = len(classes) - 1
         klass = classes.index(self._route.klass) if self._route.klass in classes else last
-        start_by = latest_start_s(
-            self._began_s, self._route.latency_objective_s, self._policy.latency
-        )
-        call = SlotCall(klass, self._head.tenant, self._scope.deadline, excluded, no_wait, start_by)
+        objective_s, workspace = self._route.latency_objective_s, self._head.workspace
+        start_by = latest_start_s(self._began_s, objective_s, self._policy.latency)
+        call = SlotCall(klass, workspace, self._scope.deadline, excluded, no_wait, start_by)
         if self._body.complete:
             return await self._context.slots.acquire(self._service, call)
         return await self._acquire_while_reading(call)
--- a/src/dotterelstand/request/head.py
+++ b/src/dotterelstand/request/head.py
@@ -10,11 +10,11 @@
 from dotterelstand.request.fields import DEFAULT_FIELDS, RESULT_HEADER, RUN_HEADER, HeaderFields
 from dotterelstand.version.model import route_host
 
-TENANT_HEADER = b"dotterelstand-tenant"
+WORKSPACE_HEADER = b"dotterelstand-tenant"
 KEY_HEADER = b"idempotency-key"
 
 MAX_KEY_BYTES = 255
-MAX_TENANT_BYTES = 64
+MAX_WORKSPACE_BYTES = 64
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -54,7 +54,7 @@
         "path",
         "request_id",
         "route_path",
-        "tenant",
+        "workspace",
     )
 
     def __init__(
@@ -63,7 +63,7 @@
         path: str,
         headers: Headers,
         key: bytes | None,
-        tenant: str,
+        workspace: str,
         deadline_s: float | None,
         fields: HeaderFields = DEFAULT_FIELDS,
     ) -> None:
@@ -72,7 +72,7 @@
         self.route_path = decode_unreserved(path)
         self.headers = headers
         self.key = key
-        self.tenant = tenant
+        self.workspace = workspace
         self.deadline_s = deadline_s
         self.fields = fields
         values = dict(headers)
@@ -133,7 +133,9 @@
     values = dict(headers)
     if names.count(KEY_HEADER) > 1 or len(values.get(KEY_HEADER, b"")) > MAX_KEY_BYTES:
         return Failure(ResultCode.BAD_REQUEST)
-    tenant = values.get(TENANT_HEADER, b"")[:MAX_TENANT_BYTES].decode("latin-1") or "default"
+    workspace = (
+        values.get(WORKSPACE_HEADER, b"")[:MAX_WORKSPACE_BYTES].decode("latin-1") or "default"
+    )
     deadline_s: float | None = None
     if fields.deadline in values:
         text = values[fields.deadline]
@@ -148,7 +150,7 @@
         target.decode("latin-1"),
         headers,
         values.get(KEY_HEADER),
-        tenant,
+        workspace,
         deadline_s,
         fields,
     )
--- a/src/dotterelstand/request/interfaces.py
+++ b/src/dotterelstand/request/interfaces.py
@@ -90,5 +90,5 @@
     def count(self, name: str, amount: int = 1) -> None:
         """Add to a counter."""
 
-    def record_latency(self, service: str, klass: str, tenant: str, seconds: float) -> None:
-        """Add a duration to the histogram of a service, class and tenant."""
+    def record_latency(self, service: str, klass: str, workspace: str, seconds: float) -> None:
+        """Add a duration to the histogram of a service, class and workspace."""
--- a/src/dotterelstand/standin/load.py
+++ b/src/dotterelstand/standin/load.py
@@ -89,8 +89,8 @@
 
     async def _send(self, request: PlannedRequest, attempt: int) -> LoadAnswer:
         headers = []
-        if request.tenant:
-            headers.append(("dotterelstand-tenant", request.tenant))
+        if request.workspace:
+            headers.append(("dotterelstand-tenant", request.workspace))
         if request.kind.keyed:
             headers.append(("idempotency-key", f"key-{request.request_id}"))
         if request.kind.deadline_ms:
--- a/src/dotterelstand/standin/loadplan.py
+++ b/src/dotterelstand/standin/loadplan.py
@@ -29,7 +29,7 @@
         "path",
         "service",
         "share",
-        "tenants",
+        "workspaces",
     )
 
     def __init__(self, values: dict[str, Any]) -> None:
@@ -43,13 +43,13 @@
         low, high = values.get("body_bytes", [0, 0])
         self.body_bytes = (int(low), int(high))
         self.deadline_ms = int(values.get("deadline_ms", 0))
-        self.tenants = [str(tenant) for tenant in values.get("tenants", [])]
+        self.workspaces = [str(workspace) for workspace in values.get("tenants", [])]
 
 
 class PlannedRequest:
     """One request; `at_s` is its planned time in seconds from the start of the run."""
 
-    __slots__ = ("at_s", "body_bytes", "entry", "kind", "request_id", "tenant")
+    __slots__ = ("at_s", "body_bytes", "entry", "kind", "request_id", "workspace")
 
     def __init__(
         self,
@@ -57,14 +57,14 @@
         request_id: str,
         kind: RequestKind,
         body_bytes: int,
-        tenant: str,
+        workspace: str,
         entry: int,
     ) -> None:
         self.at_s = at_s
         self.request_id = request_id
         self.kind = kind
         self.body_bytes = body_bytes
-        self.tenant = tenant
+        self.workspace = workspace
         self.entry = entry
 
     @property
@@ -95,9 +95,9 @@
         while at_s < self._seconds:
             (kind,) = rng.choices(self._kinds, shares)
             body_bytes = rng.randint(*kind.body_bytes)
-            tenant = rng.choice(kind.tenants) if kind.tenants else ""
+            workspace = rng.choice(kind.workspaces) if kind.workspaces else ""
             entry = rng.randrange(self._entries)
-            yield PlannedRequest(at_s, f"{self._seed}-{index}", kind, body_bytes, tenant, entry)
+            yield PlannedRequest(at_s, f"{self._seed}-{index}", kind, body_bytes, workspace, entry)
             at_s += rng.expovariate(self._rate)
             index += 1
 
--- a/src/dotterelstand/version/check.py
+++ b/src/dotterelstand/version/check.py
@@ -47,13 +47,13 @@
         "routes",
         "services",
         "targets",
-        "tenants",
+        "workspaces",
     )
 
     def __init__(self) -> None:
         self.services: dict[str, tuple[str, Service]] = {}
         self.route_sections: dict[tuple[str, str], str] = {}
-        self.tenants: dict[str, tuple[str, float]] = {}
+        self.workspaces: dict[str, tuple[str, float]] = {}
         self.targets: dict[str, tuple[str, Target]] = {}
         self.classes: tuple[str, ...] = ()
         self.classes_section = ""
@@ -149,7 +149,7 @@
     _join_classes(state, section, errors)
     _join_services(state, section, errors)
     _join_routes(state, section, errors)
-    _join_tenants(state, section, errors)
+    _join_workspaces(state, section, errors)
     state.add_errors(errors)
 
 
@@ -211,11 +211,11 @@
             state.route_sections[key] = section.name
 
 
-def _join_tenants(state: _JoinState, section: ParsedSection, errors: SectionErrors) -> None:
-    for name, weight in section.tenants.items():
-        other_section, _ = state.tenants.setdefault(name, (section.name, weight))
+def _join_workspaces(state: _JoinState, section: ParsedSection, errors: SectionErrors) -> None:
+    for name, weight in section.workspaces.items():
+        other_section, _ = state.workspaces.setdefault(name, (section.name, weight))
         if other_section != section.name:
-            allowed = "only one section may give a tenant's weight"
+            allowed = "only one section may give a workspace's weight"
             errors.add(DUPLICATE, f"tenants.{name}", weight, allowed, other_section)
 
 
@@ -271,7 +271,7 @@
         {name: service for name, (_, service) in state.services.items()},
         tuple(state.routes),
         state.classes,
-        {name: weight for name, (_, weight) in state.tenants.items()},
+        {name: weight for name, (_, weight) in state.workspaces.items()},
         {name: section.owner for name, section in sections.items()},
         state.index,
     )
--- a/src/dotterelstand/version/model.py
+++ b/src/dotterelstand/version/model.py
@@ -272,7 +272,7 @@
         "routes",
         "sections",
         "services",
-        "tenants",
+        "workspaces",
     )
 
     def __init__(
@@ -282,7 +282,7 @@
         services: dict[str, Service],
         routes: tuple[Route, ...],
         classes: tuple[str, ...],
-        tenants: Mapping[str, float],
+        workspaces: Mapping[str, float],
         owners: Mapping[str, str] | None = None,
         index: RouteIndex | None = None,
         bulk_classes: frozenset[str] = frozenset(),
@@ -295,7 +295,7 @@
         self.services = services
         self.routes = routes
         self.classes = classes
-        self.tenants = tenants
+        self.workspaces = workspaces
         self.owners = owners or {}
         self._index = index or RouteIndex(routes)
 
--- a/src/dotterelstand/version/section.py
+++ b/src/dotterelstand/version/section.py
@@ -34,7 +34,7 @@
 MAX_SECTION_BYTES = 1_000_000
 METHODS = frozenset({"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"})
 MAX_CLASSES = 16
-MAX_TENANTS = 1024
+MAX_WORKSPACES = 1024
 MAX_SLOTS = 1024
 
 _SERVICE_FIELDS = (
@@ -70,7 +70,7 @@
 class ParsedSection:
     """Parsed content of one section; `classes` is empty unless the section defines classes."""
 
-    __slots__ = ("classes", "name", "owner", "routes", "services", "tenants")
+    __slots__ = ("classes", "name", "owner", "routes", "services", "workspaces")
 
     def __init__(
         self,
@@ -79,14 +79,14 @@
         services: dict[str, Service],
         routes: tuple[Route, ...],
         classes: tuple[str, ...],
-        tenants: dict[str, float],
+        workspaces: dict[str, float],
     ) -> None:
         self.name = name
         self.owner = owner
         self.services = services
         self.routes = routes
         self.classes = classes
-        self.tenants = tenants
+        self.workspaces = workspaces
 
 
 def parse_section(
@@ -117,7 +117,7 @@
         _read_services(table.get("services", {}), strict, errors),
         _read_routes(table.get("routes", []), errors),
         _read_classes(table, errors),
-        _read_tenants(table.get("tenants", {}), errors),
+        _read_workspaces(table.get("tenants", {}), errors),
     )
     return Failure(errors.found) if errors.found else Success(section)
 
@@ -263,24 +263,24 @@
     return tuple(values)
 
 
-def _read_tenants(values: object, errors: SectionErrors) -> dict[str, float]:
+def _read_workspaces(values: object, errors: SectionErrors) -> dict[str, float]:
     if not isinstance(values, dict):
         errors.add(WRONG_TYPE, "tenants", values, "must be a table of names and weights")
         return {}
-    if len(values) > MAX_TENANTS:
-        errors.add(TOO_LARGE, "tenants", len(values), f"at most {MAX_TENANTS} tenants")
+    if len(values) > MAX_WORKSPACES:
+        errors.add(TOO_LARGE, "tenants", len(values), f"at most {MAX_WORKSPACES} workspaces")
         return {}
-    tenants = {}
+    workspaces = {}
     weight = Field("", float, check=in_range(0.01, 1000))
     for name, value in values.items():
         if not 1 <= len(name) <= 64:
             errors.add(OUT_OF_RANGE, "tenants", name, "names have 1 to 64 characters")
-        # The characters are not checked: requests name their tenant in a header, which carries only
-        # printable Latin characters.
+        # The characters are not checked: requests name their workspace in a header, which
+        # carries only printable Latin characters.
         fields = read_table({name: value}, (_with_name(weight, name),), "tenants", errors)
         if fields is not None:
-            tenants[name] = fields[name]
-    return tenants
+            workspaces[name] = fields[name]
+    return workspaces
 
 
 def _with_name(field: Field, name: str) -> Field:
--- a/tests/selection_helpers.py
+++ b/tests/selection_helpers.py
@@ -20,9 +20,9 @@
     return Service(name, members, 240, False, 0.1, 4, 1.0)
 
 
-def make_document(*services: Service, tenants: frozenset[str] = frozenset()) -> Document:
+def make_document(*services: Service, workspaces: frozenset[str] = frozenset()) -> Document:
     """Document with these services and no routes."""
-    return Document(1, {}, {s.name: s for s in services}, (), ("high", "low"), tenants)
+    return Document(1, {}, {s.name: s for s in services}, (), ("high", "low"), workspaces)
 
 
 class FakeMeshes:
--- a/tests/test_measure.py
+++ b/tests/test_measure.py
@@ -64,13 +64,13 @@
 
 
 @pytest.mark.parametrize("klass", [0, 1, 7])
-@pytest.mark.parametrize("tenant", [0, 31, 1023])
+@pytest.mark.parametrize("workspace", [0, 31, 1023])
 @pytest.mark.parametrize("remaining_s", [None, 0.001, 0.05, 60.0])
-def test_need_survives_packing(klass: int, tenant: int, remaining_s: float | None) -> None:
-    """Guards against a call that is queued with a wrong class, tenant or deadline."""
-    need = unpack_requirements(pack_requirements(klass, tenant, remaining_s))
+def test_need_survives_packing(klass: int, workspace: int, remaining_s: float | None) -> None:
+    """Guards against a call that is queued with a wrong class, workspace or deadline."""
+    need = unpack_requirements(pack_requirements(klass, workspace, remaining_s))
     assert need is not None
-    assert (need.klass, need.tenant, need.remaining_s) == (klass, tenant, remaining_s)
+    assert (need.klass, need.workspace, need.remaining_s) == (klass, workspace, remaining_s)
 
 
 @pytest.mark.parametrize("kind", list(AttemptOutcome))
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -19,7 +19,7 @@
 
 
 def test_series_stay_within_bound() -> None:
-    """Guards against unbounded memory use when callers send ever new tenant names."""
+    """Guards against unbounded memory use when callers send ever new workspace names."""
     metrics = Metrics(max_series=4)
     for index in range(100):
         metrics.record_latency("quote", "bulk", f"tenant-{index}", 0.001)
@@ -30,14 +30,14 @@
     assert len(metrics.snapshot().counters) == 4
 
 
-def test_invented_tenants_share_a_series() -> None:
-    """Guards against a caller whose invented tenant names push known tenants into the overflow."""
+def test_invented_workspaces_share_a_series() -> None:
+    """Guards against a caller whose invented workspace names crowd out the known ones."""
     metrics = Metrics(max_series=4)
-    metrics.limit_tenants({"harbour": 1.0})
+    metrics.limit_workspaces({"harbour": 1.0})
     for index in range(100):
         metrics.record_latency("quote", "bulk", f"invented-{index}", 0.001)
-    for tenant in ("harbour", "default"):
-        metrics.record_latency("quote", "bulk", tenant, 0.001)
+    for workspace in ("harbour", "default"):
+        metrics.record_latency("quote", "bulk", workspace, 0.001)
     counts = {
         key[2]: item.total_count for key, item in merge_series([list(metrics.series())]).items()
     }
--- a/tests/test_queue.py
+++ b/tests/test_queue.py
@@ -1,4 +1,4 @@
-"""The queue serves calls in class order and fairly to tenants, and stays bounded."""
+"""The queue serves calls in class order and fairly to workspaces, and stays bounded."""
 
 import random
 
@@ -7,8 +7,8 @@
 from dotterelstand.process.selection.queue import CallQueue, WaitingCall
 
 
-def _call(number: int, klass: int = 0, tenant: int = 0) -> WaitingCall:
-    return WaitingCall(("h", number), klass, tenant, 0.0, 10.0)
+def _call(number: int, klass: int = 0, workspace: int = 0) -> WaitingCall:
+    return WaitingCall(("h", number), klass, workspace, 0.0, 10.0)
 
 
 def _pop_all(queue: CallQueue) -> list[int]:
@@ -21,7 +21,7 @@
 @pytest.mark.parametrize(
     ("calls", "order"),
     [
-        # (class, tenant) of calls 0, 1, 2, ...
+        # (class, workspace) of calls 0, 1, 2, ...
         ([(0, 0), (0, 0), (0, 0)], [0, 1, 2]),
         ([(1, 0), (0, 0), (1, 0)], [1, 0, 2]),
         ([(0, 1), (0, 1), (0, 1), (0, 2)], [0, 3, 1, 2]),
@@ -30,17 +30,17 @@
     ],
 )
 def test_order(calls: list[tuple[int, int]], order: list[int]) -> None:
-    """Guards against calls delayed by another tenant's many calls or by calls of a lower class."""
+    """Guards against calls delayed by many calls of another workspace or by a lower class."""
     queue = CallQueue(10, 2)
-    for number, (klass, tenant) in enumerate(calls):
-        assert queue.push(_call(number, klass, tenant)) is None
+    for number, (klass, workspace) in enumerate(calls):
+        assert queue.push(_call(number, klass, workspace)) is None
     assert _pop_all(queue) == order
 
 
 @pytest.mark.parametrize(
-    ("tenants", "evicted"),
+    ("workspaces", "evicted"),
     [
-        # Tenants of the waiting calls 0, 1 and 2, then of the new call 3.
+        # Workspaces of the waiting calls 0, 1 and 2, then of the new call 3.
         ([1, 1, 2, 2], 3),
         ([1, 1, 2, 1], 3),
         ([1, 2, 2, 1], 3),
@@ -48,10 +48,12 @@
         ([2, 1, 1, 3], 2),
     ],
 )
-def test_full_queue_takes_newest_of_largest_tenant(tenants: list[int], evicted: int) -> None:
-    """Guards against a tenant that floods the queue and evicts the calls of others."""
+def test_full_queue_takes_newest_of_largest_workspace(workspaces: list[int], evicted: int) -> None:
+    """Guards against a workspace that floods the queue and evicts the calls of others."""
     queue = CallQueue(3, 1)
-    results = [queue.push(_call(number, 0, tenant)) for number, tenant in enumerate(tenants)]
+    results = [
+        queue.push(_call(number, 0, workspace)) for number, workspace in enumerate(workspaces)
+    ]
     assert results[:3] == [None] * 3
     assert results[3] is not None and results[3].key[1] == evicted
     assert len(queue) == 3
@@ -70,9 +72,9 @@
             waiting[number] = call
             evicted = queue.push(call)
             if evicted is not None:
-                sizes = [sum(c.tenant == t for c in waiting.values()) for t in range(4)]
-                assert sizes[evicted.tenant] == max(sizes)
-                same = [n for n, c in waiting.items() if c.tenant == evicted.tenant]
+                sizes = [sum(c.workspace == t for c in waiting.values()) for t in range(4)]
+                assert sizes[evicted.workspace] == max(sizes)
+                same = [n for n, c in waiting.items() if c.workspace == evicted.workspace]
                 assert evicted.key[1] == max(same)
                 del waiting[evicted.key[1]]
         elif action < 0.9:
--- a/tests/test_tool.py
+++ b/tests/test_tool.py
@@ -16,8 +16,8 @@
 def _registry() -> ControlRegistry:
     registry = ControlRegistry()
     metrics = Metrics(8)
-    for tenant in ("a", "b"):
-        metrics.record_latency("quote", "interactive", tenant, 0.002)
+    for workspace in ("a", "b"):
+        metrics.record_latency("quote", "interactive", workspace, 0.002)
     registry.provide("status", lambda: {"host": "entry-1", "ready": True, "document": 7})
     targets = [{"service": name, "target": f"{name}-01"} for name in ("quote", "orders")]
     registry.provide("targets", lambda: targets)
