Skip answers with an id when the request has none

On a platform whose targets echo ids, a request without an id was answered with any answer, also with a late one that named another request. Ruled out: requests with an id, which take only answers that bear it. Change: an answer with an id does not belong to a request without one. Measured: test_a_late_answer_to_another_request_is_skipped[False] got the body of the other answer before, its own now.

--- a/src/dotterelstand/request/answerhead.py
+++ b/src/dotterelstand/request/answerhead.py
@@ -45,12 +45,13 @@
     def matches_request(self, request_id: bytes | None) -> bool:
         """Whether the answer belongs to a request.
 
-        A missing id is a match only if targets need not send it (see `HeaderFields`).
+        A missing id is a match only if targets need not send it (see `HeaderFields`). If they do,
+        an answer with an id does not belong to a request without one.
         """
         answered_id = self.value(self._fields.request_id)
-        if answered_id is None and not self._fields.echoes_request_id:
-            return True
-        return request_id in (None, answered_id)
+        if self._fields.echoes_request_id:
+            return (answered_id or None) == (request_id or None)
+        return answered_id is None or request_id in (None, answered_id)
 
     def announces_draining(self) -> bool:
         """Whether the target says that it is draining."""
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -256,7 +256,7 @@
         self.requests.append(headers)
         answer = self.answers.pop(0) if self.answers else self.answer
         if getattr(answer, "runs", True):
-            self.runs.append(headers["x-dotterelstand-request-id"])
+            self.runs.append(headers.get("x-dotterelstand-request-id", ""))
         await trio.sleep(self.service_time_s)
         data = answer(headers)
         if isinstance(data, EndlessAnswer):
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -53,8 +53,12 @@
     run_on_platform(scenario)
 
 
-def test_a_late_answer_to_another_request_is_skipped() -> None:
-    """Guards against relaying a late answer to an earlier request, and against failing on it."""
+@pytest.mark.parametrize("names_itself", [True, False])
+def test_a_late_answer_to_another_request_is_skipped(names_itself: bool) -> None:
+    """Guards against relaying a late answer to an earlier request, and against failing on it.
+
+    A request without an id cannot get an answer with one.
+    """
 
     async def scenario(fleet: PlatformFleet) -> None:
         instance = fleet.instances[0]
@@ -62,7 +66,12 @@
             lambda headers: instance.answer({"x-dotterelstand-request-id": "old"}, b"stray")
             + instance.answer(headers)
         ]
-        answer = await fleet.call("POST", "/b/1", b"order")
+        request = fleet.request("POST", "/b/1", b"order")
+        if not names_itself:
+            request = request.replace(b"X-Dotterelstand-Request-Id: q1\r\n", b"")
+        stream = await fleet.stream()
+        await stream.send_all(request)
+        answer = await read_answer(stream, "POST")
         assert (answer.status, answer.body) == (200, b"whole body")
 
     run_on_platform(scenario, instances=1)
