Count an address that cannot be encoded as unreachable

A daemon ended by itself (event 190, name "daemon") when the platform's objects listed a host with an address such as "entry..internal", with a label of more than 63 characters or with a port beyond 64 bits; all hosts that read the object would end at once. A request to a target with such an address ended without an answer. Found by reading, not seen with users. Cause: TcpNetwork.connect says that it raises OSError, but Python's encoding of the address raises UnicodeError and that of the port OverflowError. The dialling of links catches OSError; contains only errors behind it. Ruled out: null characters, blanks, port -1, 0 and 70000, which give OSError. Change: such an error is an OSError, as for other addresses without a host. That a request was lost was not run; the error of its attempt was.

--- a/src/dotterelstand/connection/network.py
+++ b/src/dotterelstand/connection/network.py
@@ -137,7 +137,11 @@
 
     async def connect(self, address: str, port: int) -> trio.abc.Stream:
         """Open a TCP stream to a numeric address; raises `OSError`."""
-        stream = await trio.open_tcp_stream(address, port)
+        try:
+            stream = await trio.open_tcp_stream(address, port)
+        except (ValueError, OverflowError) as error:
+            # Python cannot encode every address or port for the system.
+            raise OSError(f"{address!r}:{port}: {error}") from error
         enable_keepalive(stream)
         return stream
 
