Leave out objects whose numbers no float holds

All daemons ended by themselves (event 190, name "daemon") when a target or a route in the store had a number such as 10**400. With an infinite time limit of a route ("timeoutS": 1e999) every request to it ended without an answer. Found by reading, not seen with users. Cause: _require_number checked the minimum only; float() of such an integer raises OverflowError, which no caller expects. Ruled out: integers of 71 bits for slots, attempts and the start time, and an infinite warm-up, which ended nothing. Change: such a number is a format error as others: event 323, and the object is left out. Measured: tests/test_unusable_objects.py, 3 failed before (OverflowError out of the daemon twice, status 0 once), 3 pass now.

--- a/src/dotterelstand/platform/decode.py
+++ b/src/dotterelstand/platform/decode.py
@@ -1,5 +1,6 @@
 """Converts the platform's objects to the types of the load balancer."""
 
+import sys
 from typing import Any
 
 from returns.result import Failure, Result, Success
@@ -215,6 +216,11 @@
 
 def _require_number(table: dict[str, Any], name: str, minimum: float) -> float:
     value = table.get(name)
-    if not isinstance(value, int | float) or isinstance(value, bool) or not value >= minimum:
+    # JSON also has infinite numbers and integers of any length, which no `float` holds.
+    if (
+        not isinstance(value, int | float)
+        or isinstance(value, bool)
+        or not minimum <= value <= sys.float_info.max
+    ):
         raise FormatError(f"{name}: found {value!r:.80}, not a number from {minimum}")
     return float(value)
--- /dev/null
+++ b/tests/test_unusable_objects.py
@@ -0,0 +1,42 @@
+"""Objects of the platform with values that no part of a daemon can use."""
+
+import pytest
+import trio
+from platform_standin import configuration, route, server_entry
+from platform_support import PlatformFleet, run_on_platform
+from support_logs import EventCollector
+
+from dotterelstand.events import Event
+
+# JSON limits neither the digits of a number nor its exponent; the latter gives an infinite one.
+LONG_NUMBER = 10**400
+INFINITE = float("inf")
+TARGET = "10.1.0.9:80"
+
+UNUSABLE = {
+    "target's number": ("servers", "i-9", server_entry("s", TARGET, warmupLeftS=LONG_NUMBER)),
+    "route's number": ("config", "main", configuration(8, route("s", timeoutS=LONG_NUMBER))),
+    "route's infinite number": ("config", "main", configuration(8, route("s", timeoutS=INFINITE))),
+}
+
+
+@pytest.mark.parametrize("case", UNUSABLE)
+def test_object_with_an_unusable_value_is_left_out(case: str) -> None:
+    """Guards against daemons that all end, or follow no other object, since one cannot be used."""
+    kind, name, spec = UNUSABLE[case]
+
+    async def scenario(fleet: PlatformFleet) -> None:
+        fleet.store.put(kind, name, spec)
+        await trio.sleep(5.0)
+        for _ in range(10):
+            assert (await fleet.call()).status == 200
+        fleet.register(0, state="draining")
+        await trio.sleep(5.0)
+        runs = len(fleet.instances[0].runs)
+        for _ in range(10):
+            assert (await fleet.call()).status == 200
+        assert len(fleet.instances[0].runs) == runs
+
+    with EventCollector() as lines:
+        run_on_platform(scenario, health_interval_s=0.1)
+    assert lines.lines_of(Event.OBJECT_UNREADABLE)
