Leave out objects whose names are not valid Unicode

All daemons ended by themselves (event 190, name "daemon") when the store had a target, a service or a host of the region whose name held half of a surrogate pair, which JSON can escape. Found by reading, not seen with users. Cause: parts of a daemon encode the names as UTF-8, for hashes and messages, and none expects that to fail. Ruled out: such text in the zone, service or address of a target and in the prefix or host of a route, which ended nothing. Change: such a name is a format error: event 323, and the object is left out. Measured: tests/test_unusable_objects.py, 3 of 6 failed before with UnicodeEncodeError out of the daemon, 6 pass now.

--- a/src/dotterelstand/platform/decode.py
+++ b/src/dotterelstand/platform/decode.py
@@ -42,7 +42,7 @@
         _require_integer(status, "sequence", 0)
         return Success(
             RegisteredTarget(
-                name,
+                _check_name(name),
                 _require_text(info, "service"),
                 address,
                 port,
@@ -64,7 +64,7 @@
         entry = _require_table(spec, "spec")
         return Success(
             ListedHost(
-                name,
+                _check_name(name),
                 _require_text(entry, "address"),
                 _require_integer(entry, "port", 1),
                 False,
@@ -165,7 +165,9 @@
 
 def _parse_service(name: str, fields: dict[str, Any]) -> ServiceSpec:
     return ServiceSpec(
-        name, _require_text(fields, "healthPath"), _require_integer(fields, "maxConns", 1)
+        _check_name(name),
+        _require_text(fields, "healthPath"),
+        _require_integer(fields, "maxConns", 1),
     )
 
 
@@ -194,6 +196,13 @@
     return address, int(port)
 
 
+def _check_name(name: str) -> str:
+    # JSON may escape half of a surrogate pair alone.
+    if not name.isascii() and name != name.encode(errors="replace").decode():
+        raise FormatError(f"name {name!r:.80}: not valid Unicode")
+    return name
+
+
 def _require_table(value: object, name: str) -> dict[str, Any]:
     if not isinstance(value, dict):
         raise FormatError(f"{name}: found {value!r:.80}, not a table")
--- a/tests/test_unusable_objects.py
+++ b/tests/test_unusable_objects.py
@@ -11,12 +11,18 @@
 # JSON limits neither the digits of a number nor its exponent; the latter gives an infinite one.
 LONG_NUMBER = 10**400
 INFINITE = float("inf")
+# JSON may escape half of a surrogate pair alone; the text that results cannot be encoded.
+SURROGATE = "\ud800"
 TARGET = "10.1.0.9:80"
+HOST = {"address": "10.0.9.9", "port": 7540, "region": "local", "availability_zone": "local-1"}
 
 UNUSABLE = {
     "target's number": ("servers", "i-9", server_entry("s", TARGET, warmupLeftS=LONG_NUMBER)),
     "route's number": ("config", "main", configuration(8, route("s", timeoutS=LONG_NUMBER))),
     "route's infinite number": ("config", "main", configuration(8, route("s", timeoutS=INFINITE))),
+    "target's name": ("servers", f"i{SURROGATE}", server_entry("s", TARGET)),
+    "service's name": ("config", "main", configuration(8, services=("s", f"t{SURROGATE}"))),
+    "host's name": ("dotterelstand-hosts-local", f"h{SURROGATE}", HOST | {"capacity": 1.0}),
 }
 
 
