Keep the daemon running when a page ends with a name that cannot be encoded

A daemon ended by itself with UnicodeEncodeError when a page of a list ended with an object whose name is not valid Unicode: the query for the next page was built outside of the handling of unreadable pages. Measured: test_page_that_ends_with_an_unusable_name_leaves_the_daemon_running failed before, passes now.

--- a/src/dotterelstand/platform/client.py
+++ b/src/dotterelstand/platform/client.py
@@ -71,7 +71,7 @@
         items: list[Any] = []
         last_name, revision = "", 0
         for _ in range(MAX_PAGES):
-            query = f"?after={quote(last_name, safe='')}" if last_name else ""
+            query = f"?after={last_name}" if last_name else ""
             path = f"{OBJECTS_PATH}/{collection}{query}"
             answer = await self._call("GET", path, None, self._timeout_s)
             page = answer.bind(lambda response: _parse_body(response.body))
@@ -88,7 +88,7 @@
                         return _build_listing(kind, items, revision, answer.unwrap().body)
                     whole = json.dumps({"items": items, "currentRev": revision})
                     return _build_listing(kind, items, revision, whole.encode())
-                last_name = str(items[-1]["metadata"]["name"])
+                last_name = quote(str(items[-1]["metadata"]["name"]), safe="")
             except (KeyError, TypeError, ValueError, IndexError) as error:
                 return Failure(PlatformError(UNREADABLE, repr(error)))
         return Failure(PlatformError(UNREADABLE, f"more than {MAX_PAGES} pages"))
--- a/tests/test_unusable_objects.py
+++ b/tests/test_unusable_objects.py
@@ -2,7 +2,7 @@
 
 import pytest
 import trio
-from platform_standin import configuration, route, server_entry
+from platform_standin import PAGE_OBJECTS, configuration, route, server_entry
 from platform_support import PlatformFleet, run_on_platform
 from support_logs import EventCollector
 
@@ -46,3 +46,18 @@
     with EventCollector() as lines:
         run_on_platform(scenario, health_interval_s=0.1)
     assert lines.lines_of(Event.OBJECT_UNREADABLE)
+
+
+def test_page_that_ends_with_an_unusable_name_leaves_the_daemon_running() -> None:
+    """Guards against a daemon that ends since it cannot ask for the page behind such a name."""
+
+    async def scenario(fleet: PlatformFleet) -> None:
+        for index in range(PAGE_OBJECTS - len(fleet.instances) - 1):
+            fleet.store.put("servers", f"j-{index}", {})
+        for name in (f"k{SURROGATE}", f"l{SURROGATE}"):
+            fleet.store.put("servers", name, {})
+        fleet.start_daemon(1)
+        await trio.sleep(5.0)
+        assert (await fleet.call()).status == 200
+
+    run_on_platform(scenario)
