--- a/src/dotterelstand/platform/decode.py
+++ b/src/dotterelstand/platform/decode.py
@@ -1,5 +1,7 @@
 """Converts the platform's objects to the types of the load balancer."""
 
+import re
+import sys
 from typing import Any
 
 from returns.result import Failure, Result, Success
@@ -18,6 +20,7 @@
 BULK_TYPE = "upload"
 TARGET_STATES = ("ready", "draining")
 VERSION_DIGITS = 8
+PORT = re.compile("[0-9]{1,5}")
 # A shorter timeout would close connections before a request can arrive.
 MIN_TIMEOUT_S = 0.001
 
@@ -41,7 +44,7 @@
         _require_integer(status, "sequence", 0)
         return Success(
             RegisteredTarget(
-                name,
+                _check_name(name),
                 _require_text(info, "service"),
                 address,
                 port,
@@ -63,7 +66,7 @@
         entry = _require_table(spec, "spec")
         return Success(
             ListedHost(
-                name,
+                _check_name(name),
                 _require_text(entry, "address"),
                 _require_integer(entry, "port", 1),
                 False,
@@ -164,7 +167,9 @@
 
 def _parse_service(name: str, fields: dict[str, Any]) -> ServiceSpec:
     return ServiceSpec(
-        name, _require_text(fields, "healthPath"), _require_integer(fields, "maxConns", 1)
+        _check_name(name),
+        _require_text(fields, "healthPath"),
+        _require_integer(fields, "maxConns", 1),
     )
 
 
@@ -188,11 +193,19 @@
 
 def _parse_address(text: str) -> tuple[str, int]:
     address, _, port = text.rpartition(":")
-    if not address or not port.isdigit() or not 0 < int(port) < 65536:
+    # `int` refuses some digits, and more than 4,300 of them.
+    if not address or not PORT.fullmatch(port) or not 0 < int(port) < 65536:
         raise FormatError(f"address {text!r}")
     return address, int(port)
 
 
+def _check_name(name: str) -> str:
+    # JSON may escape half of a surrogate pair alone.
+    if not name.isascii() and name != name.encode(errors="replace").decode():
+        raise FormatError(f"name {name!r:.80}: not valid Unicode")
+    return name
+
+
 def _require_table(value: object, name: str) -> dict[str, Any]:
     if not isinstance(value, dict):
         raise FormatError(f"{name}: found {value!r:.80}, not a table")
@@ -215,6 +228,11 @@
 
 def _require_number(table: dict[str, Any], name: str, minimum: float) -> float:
     value = table.get(name)
-    if not isinstance(value, int | float) or isinstance(value, bool) or not value >= minimum:
+    # JSON also has infinite numbers and integers of any length, which no `float` holds.
+    if (
+        not isinstance(value, int | float)
+        or isinstance(value, bool)
+        or not minimum <= value <= sys.float_info.max
+    ):
         raise FormatError(f"{name}: found {value!r:.80}, not a number from {minimum}")
     return float(value)
