Forget a link that is lost before its hello is answered

A host whose connection broke between its hello and the answer stayed linked at the host that accepted it. Messages to it were queued on the dead connection, the link was never closed as silent since nothing ran it, and the host was not dialled again; only a new link from its side ended that. Callers did not see it: a slot that is not granted is chosen locally after a timeout, and changes are read from the store.

Cause: the accepting side registers the link before it sends its hello, and a failure of that send left the registration. Unexpected errors removed it already. Ruled out: the dialling side, which registers last.

The new test in tests/test_peer_links.py failed before (the host was in `linked()`) and passes now. Found by reading, while links between hosts were broken in the soak of processes; no run of the soak has shown it.

--- a/src/dotterelstand/process/peering/peers.py
+++ b/src/dotterelstand/process/peering/peers.py
@@ -249,11 +249,11 @@
             self._metrics.count("peers.open_failures")
             if isinstance(error, LinkError) and "malformed" in str(error):
                 log(Event.PEER_MALFORMED, peer="", reason=str(error))
-            return False
+            link.close("failed while it was opened")
         except Exception as error:
             linkreports.note_fault(self._metrics, link, [error])
-            self._unregister_link(link)
-            return False
+        self._unregister_link(link)
+        return False
 
     async def _accept_hello(self, link: PeerLink) -> bool:
         # The accepting side sends its hello only after it has accepted the link, so that the
--- a/tests/test_peer_links.py
+++ b/tests/test_peer_links.py
@@ -6,7 +6,9 @@
 
 from dotterelstand.connection.codec import encode_message
 from dotterelstand.connection.peer import LinkLimits, accepting_link, dialling_link
-from dotterelstand.connection.wire import Beat
+from dotterelstand.connection.wire import Beat, Hello
+from dotterelstand.standin.entryfleet import Fleet
+from dotterelstand.standin.virtual import run_virtual
 
 LIMITS = LinkLimits(65536, 100, 65536)
 MESSAGE = encode_message(Beat(1, False))
@@ -38,3 +40,32 @@
         assert len(accepting.take_queue()) == waiting
 
     trio.run(main)
+
+
+async def _leave_behind_the_hello(seed: int) -> None:
+    async with trio.open_nursery() as nursery:
+        fleet = Fleet(nursery, 2, seed)
+        host = await fleet.start("entry-00")
+        dialling_stream, accepting_stream = memory_stream_pair()
+        nursery.start_soon(host._serve_stream, accepting_stream)
+        link = dialling_link(dialling_stream, "127.0.0.1:1", LIMITS)
+        await link.perform_handshake()
+        await link.send_now(encode_message(Hello("", "z", 1, "entry-01", 1, 1, "kumasi")))
+        dialling_stream.send_stream.close()
+        dialling_stream.receive_stream.close()
+        await trio.sleep(0.1)
+        assert host.metrics.value("peers.open_failures") == 1
+        assert host.linked() == ()
+        # The host dials the address of the host list again, since it has no link.
+        await fleet.start("entry-01")
+        await trio.sleep(5)
+        assert host.linked() == ("entry-01",)
+        nursery.cancel_scope.cancel()
+
+
+def test_a_peer_that_leaves_behind_its_hello_is_not_linked() -> None:
+    """Guards against a dead link that takes all messages to a peer and is never closed.
+
+    A connection may be reset between the hello of the host that dials and the answer to it.
+    """
+    run_virtual(_leave_behind_the_hello, 1, seed=1)
