Find long request ids in traces

Since log lines hold the first 64 characters of an id, and `dotterelstand explain` looked for the whole one.

--- a/src/dotterelstand/cli/explain.py
+++ b/src/dotterelstand/cli/explain.py
@@ -11,6 +11,7 @@
 from dotterelstand.codes import Result as ResultCode
 from dotterelstand.events import Event
 from dotterelstand.exits import ExitCode, ToolError
+from dotterelstand.request.logfields import MAX_ID_CHARACTERS
 
 # A state change of a request's host is shown if it happened at most this number of seconds before
 # the request ended.
@@ -80,7 +81,8 @@
 
 def find_trace(logs: LogLines, request_id: str) -> RequestTrace | None:
     """Return the trace of a request, or None if no line has its id."""
-    lines = [line for line in logs.lines if line.get("id") == request_id]
+    written_id = request_id[:MAX_ID_CHARACTERS]
+    lines = [line for line in logs.lines if line.get("id") == written_id]
     if not lines:
         return None
     lines.sort(key=lambda line: (_host(line), line["clock_s"], line.get("after_ms", float("inf"))))
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -70,6 +70,17 @@
     assert words in out + err
 
 
+def test_long_id_is_found_by_what_log_lines_hold_of_it(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """Guards against a trace that misses all lines of an id that they have cut."""
+    path = tmp_path / "entry-1.log"
+    path.write_text(_line(200, 10.0, id="q" * 64, code=2004, duration_ms=1.0, attempts=0) + "\n")
+    code, out, _ = run_command(capsys, "explain", "q" * 3000, str(path))
+    assert code == ExitCode.OK
+    assert "2004" in out
+
+
 @pytest.mark.parametrize(
     ("fields", "words"),
     [
