Count a store's unusable answers as unreadable

A revision like 1e999 raised OverflowError and deeply nested JSON RecursionError, both of which ended every daemon that read the answer. Ruled out: other decoders of the store's answers, which catch ValueError and are given bodies of known depth by the daemons themselves. Change: one list of errors for all decoders of the platform's client.

--- a/src/dotterelstand/platform/client.py
+++ b/src/dotterelstand/platform/client.py
@@ -47,6 +47,8 @@
 MAX_WATCH_MS = 30_000
 # Maximum number of pages of a listing; the store returns about 500 objects per page.
 MAX_PAGES = 200
+# Errors of JSON that is malformed, too deep, or has other fields or numbers than expected.
+DECODE_ERRORS = (KeyError, IndexError, TypeError, ValueError, OverflowError, RecursionError)
 
 
 class PlatformClient:
@@ -89,7 +91,7 @@
                     whole = json.dumps({"items": items, "currentRev": revision})
                     return _build_listing(kind, items, revision, whole.encode())
                 last_name = quote(str(items[-1]["metadata"]["name"]), safe="")
-            except (KeyError, TypeError, ValueError, IndexError) as error:
+            except DECODE_ERRORS as error:
                 return Failure(PlatformError(UNREADABLE, repr(error)))
         return Failure(PlatformError(UNREADABLE, f"more than {MAX_PAGES} pages"))
 
@@ -101,7 +103,7 @@
         try:
             body = read.unwrap()
             return _build_listing(kind, list(body["items"]), int(body["currentRev"]), encoded)
-        except (KeyError, TypeError, ValueError) as error:
+        except DECODE_ERRORS as error:
             return Failure(PlatformError(UNREADABLE, repr(error)))
 
     def merge_changes(
@@ -110,14 +112,14 @@
         """Apply the responses of watches to the response of a list call."""
         try:
             return Success(merge_changes(encoded_list, changes, revision))
-        except (KeyError, TypeError, ValueError) as error:
+        except DECODE_ERRORS as error:
             return Failure(PlatformError(UNREADABLE, repr(error)))
 
     def diff_lists(self, old: bytes, new: bytes) -> Result[bytes, PlatformError]:
         """Build the response of a watch that leads from one list to a later one."""
         try:
             return Success(diff_lists(old, new))
-        except (KeyError, TypeError, ValueError) as error:
+        except DECODE_ERRORS as error:
             return Failure(PlatformError(UNREADABLE, repr(error)))
 
     async def watch(
@@ -141,7 +143,7 @@
                 for event in body["events"]
             ]
             return Success(Listing(events, int(body["currentRev"]), encoded))
-        except (KeyError, TypeError, ValueError) as error:
+        except DECODE_ERRORS as error:
             return Failure(PlatformError(UNREADABLE, repr(error)))
 
     async def check(self) -> Result[None, PlatformError]:
@@ -208,7 +210,7 @@
 def _parse_body(encoded: bytes) -> Result[dict[str, Any], PlatformError]:
     try:
         body = json.loads(encoded)
-    except ValueError as error:
+    except DECODE_ERRORS as error:
         return Failure(PlatformError(UNREADABLE, str(error)))
     if not isinstance(body, dict):
         return Failure(PlatformError(UNREADABLE, "not an object"))
--- a/tests/test_snapshots.py
+++ b/tests/test_snapshots.py
@@ -7,6 +7,7 @@
 import trio
 from platform_standin import configuration, route
 from platform_support import PlatformFleet, run_on_platform
+from returns.pipeline import is_successful
 
 from dotterelstand.connection.wire import Message, Snapshot
 from dotterelstand.platform.client import PlatformClient
@@ -209,3 +210,19 @@
     hub.server.request("h", Kind.TARGETS, 7)
     assert hub.sent_lists() == [("h", 0, None)]
     assert "object_unreadable" in caplog.text
+
+
+@pytest.mark.parametrize(
+    ("encoded", "merges"),
+    [
+        # A merged list has the revision of the last change.
+        (b'{"items": [], "events": [], "currentRev": 1e999}', True),
+        (b'{"items": 1, "events": 1, "currentRev": 1}', False),
+        (b"[" * 100_000, False),
+    ],
+)
+def test_unusable_answer_of_the_store_is_a_failure(encoded: bytes, merges: bool) -> None:
+    """Guards against a daemon that ends since the store or a relay answers with such a body."""
+    assert not is_successful(CODEC.parse_list(Kind.TARGETS, encoded))
+    assert not is_successful(CODEC.parse_changes(Kind.TARGETS, encoded))
+    assert is_successful(CODEC.merge_changes(encoded, [encoded], 1)) is merges
