Print how late a soak of processes and its daemons run

Cause: store, instances, proxies and callers are one process, and nothing said whether it, or a daemon, had been held up. Change: each run measures the wake-ups of its own process every 50 ms, and every 250 ms whether a daemon is ready to run and gets less than a tenth of a core. It prints the most, its own share of a core and the number of late periods, and beside violations the longest periods with the time in logs. No check is changed. Tests: a wait that ends, one that lasts until the end, a daemon with half a core, an idle one, and a run that is held up itself.

--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -18,6 +18,7 @@
 from soak.hosts import REQUEST_KINDS, ProcessFleet, ProcessHost
 from soak.keptcallers import KeptCallers
 from soak.keptjudge import count_crossed, find_rule_violations
+from soak.lateness import Lateness
 from soak.uploads import UploadCallers, find_changed_uploads
 
 HOSTS_PER_REGION = 2
@@ -46,6 +47,7 @@
         self.unsent = 0
         self.injected_faults: list[str] = []
         self.violations: list[Violation] = []
+        self.lateness = Lateness()
 
 
 async def run_soak(
@@ -60,6 +62,7 @@
     async with trio.open_nursery() as nursery:
         with ProcessFleet(seed, nursery, folder) as fleet:
             fleet.program = program or fleet.program
+            nursery.start_soon(report.lateness.run, fleet)
             await fleet.start(hosts_per_region)
             async with trio.open_nursery() as calling:
                 callers = PlatformCallers(fleet, calling, seeded_random(seed, "callers"))
@@ -235,6 +238,9 @@
         print(f"{report.unsent} while no host was ready,", end=" ")
         print(f"{report.kept_requests} on kept connections,", end=" ")
         print(f"{report.crossed} of them crossed a close, {report.uploads} uploads,", end=" ")
+        late = report.lateness
+        print(f"soak late by up to {late.longest_s:.2f} s with {late.cpu_share:.2f}", end=" ")
+        print(f"of a core, {len(late.periods)} late periods,", end=" ")
         print(
             f"{len(report.injected_faults)} faults, {len(report.violations)} violations", flush=True
         )
@@ -242,6 +248,7 @@
             failed = True
             for violation in report.violations[:20]:
                 print(f"  {violation}")
+            print(f"  late: {late.describe()}")
             print(f"  faults: {', '.join(report.injected_faults)}\n  logs: {folder}", flush=True)
         else:
             shutil.rmtree(folder)
--- a/tests/test_process_soak.py
+++ b/tests/test_process_soak.py
@@ -8,12 +8,13 @@
 
 import pytest
 import trio
-from soak import faults, run
+from soak import faults, lateness, run
 from soak.faults import FaultContext, FaultFunction
 from soak.hosts import FAULT_GRACE_S, guarded_environment
 
 from dotterelstand.process.peering.mesh import Member
 from dotterelstand.process.peering.ranking import RELAY_KEY, rank_hosts
+from dotterelstand.standin.virtual import run_virtual
 
 MUTATED = str(Path(__file__).parent / "soak" / "mutated.py")
 SECONDS = 12.0
@@ -155,6 +156,73 @@
     assert "fault did not end" in {violation.guarantee for violation in report.violations}
 
 
+class _Host:
+    """Daemon of which only the name is known."""
+
+    incarnation_id = "entry-0-0/1"
+
+
+class _Fleet:
+    """Fleet of one daemon that is always running."""
+
+    def running_hosts(self) -> list[_Host]:
+        """Return the daemon."""
+        return [_Host()]
+
+
+@pytest.mark.parametrize(
+    ("cpu_times", "late"),
+    [
+        # Ready to run without a processor for seven samples, then idle.
+        ([1.0, *[5.0] * 8, None], ["entry-0-0/1 1.75"]),
+        # Ready to run without a processor until the end.
+        ([None, *[5.0] * 9], ["entry-0-0/1 2.00"]),
+        # Too short a wait, then a daemon that gets half a core.
+        ([5.0, 5.0, 5.125, 5.25, 5.375, 5.5, 5.625, 5.75, 5.875, 6.0], []),
+        # Idle whenever it is looked at.
+        ([None] * 10, []),
+    ],
+)
+def test_waits_of_daemons_for_a_processor_are_recorded(
+    cpu_times: list[float | None], late: list[str], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against waits of a busy machine that are taken for faults of a daemon, or hidden."""
+    samples = iter(cpu_times)
+    monkeypatch.setattr(lateness, "find_cpu_time", lambda host: next(samples))
+
+    async def main() -> list[str]:
+        measured = lateness.Lateness()
+        with trio.move_on_after((len(cpu_times) - 0.5) * lateness.SAMPLE_S):
+            await measured.run(_Fleet())
+        return [f"{who} {late_s:.2f}" for _, late_s, who in measured.periods]
+
+    assert run_virtual(main, seed=1) == late
+
+
+def test_a_run_that_is_held_up_says_so() -> None:
+    """Guards against violations of a soak that ran late itself being taken for the daemons'."""
+
+    async def main() -> lateness.Lateness:
+        measured = lateness.Lateness()
+        with trio.move_on_after(0.5):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(measured.run, _Fleet())
+                await trio.sleep(0.1)
+                _hold_up(0.3)
+        return measured
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(lateness, "find_cpu_time", lambda host: None)
+        measured = trio.run(main)
+    assert measured.longest_s >= 0.2
+    assert [who for _, _, who in measured.periods][:1] == ["soak"]
+
+
+def _hold_up(seconds: float) -> None:
+    """Hold the whole process up, as a busy machine does."""
+    time.sleep(seconds)
+
+
 @pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGKILL])
 def test_what_a_run_starts_ends_with_it(number: signal.Signals) -> None:
     """Guards against daemons of a killed run that hold their addresses and make later runs fail.
