Break links between hosts in runs of the soak of processes by hand

The soak had no faults of the links between hosts except those that end a process.

A daemon learns the addresses of its peers from the store and from their hello, which tells the address at which they listen, so a proxy that the store lists is used for the first link only. The module that ends daemons with the soak therefore leads their connections to the port of links to the proxies. Daemons and other runs are as before.

--- a/tests/soak/hosts.py
+++ b/tests/soak/hosts.py
@@ -100,6 +100,11 @@
     }
 
 
+def _link_kind(host: ProcessHost) -> int:
+    """Third octet of the addresses at which a host reaches its peers through proxies."""
+    return 100 + int(host.address.split(".")[3])
+
+
 class ProcessFleet:
     """Daemons, proxies, instances and store of one run; as a context manager, ends the daemons."""
 
@@ -114,6 +119,9 @@
         self.instance_proxies: dict[str, LoopbackProxy] = {}
         # Between some of the callers and each host.
         self.caller_proxies: dict[str, LoopbackProxy] = {}
+        # By the host that dials and the one that accepts; made if `proxies_links` is set.
+        self.link_proxies: dict[tuple[str, str], LoopbackProxy] = {}
+        self.proxies_links = False
         # Rate in bytes per second at which kept connections are read; 0 is unlimited.
         self.read_rate = 0
         # Arguments of the interpreter before the path of the settings file.
@@ -270,13 +278,16 @@
             proxy = LoopbackProxy(self._address(5, index), CALLER_PORT, address, CALLER_PORT)
             self.caller_proxies[name] = proxy
             await self._nursery.start(proxy.run)
+            for other in self.hosts.values() if self.proxies_links else ():
+                await self._add_link_proxies(host, other)
         settings = self.folder / f"{name}.toml"
         settings.write_text(self.settings(host))
+        link = {"LINK_PROXIES": f"{PEER_PORTS[0]} {_link_kind(host)}"} if self.proxies_links else {}
         host.process = await trio.lowlevel.open_process(
             [sys.executable, *self.program, str(settings)],
             stdout=(self.folder / f"{host.incarnation_id.replace('/', '.')}.log").open("w"),
             stderr=subprocess.STDOUT,
-            env=guarded_environment(),
+            env=guarded_environment() | link,
         )
         self.hosts[name] = host
         self.incarnations[host.incarnation_id] = host
@@ -355,6 +366,13 @@
         except (OSError, trio.BrokenResourceError):
             return False
 
+    async def _add_link_proxies(self, *pair: ProcessHost) -> None:
+        for dialler, peer in (pair, pair[::-1]):
+            address = self._address(_link_kind(dialler), int(peer.address.split(".")[3]) - 1)
+            proxy = LoopbackProxy(address, PEER_PORTS[0], peer.address, PEER_PORTS[0])
+            self.link_proxies[dialler.name, peer.name] = proxy
+            await self._nursery.start(proxy.run)
+
     def _address(self, kind: int, number: int) -> str:
         return f"127.{self._second_octet}.{kind}.{number + 1}"
 
--- a/tests/soak/mutated.py
+++ b/tests/soak/mutated.py
@@ -180,6 +180,17 @@
     set_attribute(RelayView, "status", rely)
 
 
+def overlook_missed_changes(set_attribute: SetAttribute) -> None:
+    """Take a relay's later revision for the own one, although a link lost the changes between."""
+    status = RelayView.status
+
+    def overlook(self: RelayView, kind: Kind, revision: int, now: float) -> RelayStatus:
+        found = status(self, kind, revision, now)
+        return RelayStatus.CURRENT if found is RelayStatus.BEHIND else found
+
+    set_attribute(RelayView, "status", overlook)
+
+
 MUTATIONS: dict[str, Callable[[SetAttribute], None]] = {
     mutation.__name__: mutation
     for mutation in (
@@ -196,6 +207,7 @@
         ignore_newer_versions,
         ignore_leaving_targets,
         rely_on_lost_relays,
+        overlook_missed_changes,
     )
 }
 
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -12,7 +12,7 @@
 from dotterelstand.bench.soakjudge import Violation, find_violations
 from dotterelstand.events import Event
 from dotterelstand.standin.virtual import seeded_random
-from soak import faults, instancefaults, stopfaults
+from soak import faults, instancefaults, linkfaults, stopfaults
 from soak.callers import MAX_APPLY_S, PlatformCallers
 from soak.faults import FaultContext, run_faults
 from soak.hosts import REQUEST_KINDS, ProcessFleet, ProcessHost
@@ -60,6 +60,7 @@
     async with trio.open_nursery() as nursery:
         with ProcessFleet(seed, nursery, folder) as fleet:
             fleet.program = program or fleet.program
+            fleet.proxies_links = not set(linkfaults.FAULTS_BY_HAND).isdisjoint(faults.FAULTS)
             await fleet.start(hosts_per_region)
             async with trio.open_nursery() as calling:
                 callers = PlatformCallers(fleet, calling, seeded_random(seed, "callers"))
@@ -215,7 +216,7 @@
     each region, at most 20. The logs of a run with violations are kept.
     """
     if only:
-        by_hand = (faults, instancefaults, stopfaults)
+        by_hand = (faults, instancefaults, linkfaults, stopfaults)
         known = sum((module.FAULTS_BY_HAND for module in by_hand), faults.FAULTS)
         faults.FAULTS = tuple(item for item in known if item.__name__.startswith(only))
     failed = trio.run(_run_many, seed, seeds, seconds, at_once, hosts)
