Decide in one place whether an answer comes from its target

Attempts and health checks each compared the identity in an answer with the target's name, the first in the encoding in which names are sent and the second in UTF-8. So a health check took a target whose name has a character like "é" for another one, and counted it as unreachable. Change: `names_target` and `encode_target` serve requests, attempts and health checks. For names in ASCII nothing changes. Measured: test_a_target_is_known_by_its_name_as_it_is_sent holds the encoding; the former comparison of health checks gives the opposite for its last two rows.

--- a/src/dotterelstand/process/selection/healthprobe.py
+++ b/src/dotterelstand/process/selection/healthprobe.py
@@ -17,6 +17,7 @@
     HeaderFields,
     LoadReport,
     announces_draining,
+    names_target,
     parse_load_report,
 )
 from dotterelstand.request.interfaces import Counters, LeavingTargets
@@ -201,9 +202,7 @@
             self._in_progress.discard(target.name)
         values = {bytes(name): bytes(value) for name, value in head.headers} if head else {}
         fields = self._tuning.fields
-        # The address may have been reassigned to another target.
-        is_other_target = values.get(fields.identity, target.name.encode()) != target.name.encode()
-        if head is None or is_other_target:
+        if head is None or not names_target(values, fields, target.name):
             self._metrics.count("health.probes_failed")
             self._result_receiver.target_unreachable(service.name, target)
             return
--- a/src/dotterelstand/request/answerhead.py
+++ b/src/dotterelstand/request/answerhead.py
@@ -1,6 +1,6 @@
 """Head of a target's answer, and what it tells of the request."""
 
-from dotterelstand.request.fields import HeaderFields, announces_draining
+from dotterelstand.request.fields import HeaderFields, announces_draining, names_target
 from dotterelstand.request.head import Headers
 
 # Statuses from which a caller may conclude that its request was not run.
@@ -53,9 +53,11 @@
             return (answered_id or None) == (request_id or None)
         return answered_id is None or request_id in (None, answered_id)
 
-    def announces_draining(self) -> bool:
-        """Whether the target says that it is draining."""
-        return announces_draining(self._values, self._fields)
+    def announces_draining(self, target: str) -> bool:
+        """Whether a target says that it is draining; another one may answer at its address."""
+        return announces_draining(self._values, self._fields) and names_target(
+            self._values, self._fields, target
+        )
 
     def claims_not_run(self) -> bool:
         """Whether the status suggests that the request was not run, without being a refusal."""
--- a/src/dotterelstand/request/attempt.py
+++ b/src/dotterelstand/request/attempt.py
@@ -307,13 +307,8 @@
         raise h11.RemoteProtocolError("no answer to this request")
 
     def _note_leaving(self, answer: AnswerHead) -> None:
-        """Report a target that says that it leaves; another one may answer at its address."""
         target = self._grant.target
-        identity = answer.value(self._setup.head.fields.identity)
-        if answer.announces_draining() and identity in (
-            None,
-            target.name.encode("latin-1", "replace"),
-        ):
+        if answer.announces_draining(target.name):
             self._setup.leaving_targets.target_leaving(target.name, target.incarnation)
 
     async def _receive_final_head(self) -> AnswerEvent:
--- a/src/dotterelstand/request/fields.py
+++ b/src/dotterelstand/request/fields.py
@@ -85,6 +85,19 @@
 )
 
 
+def names_target(headers: dict[bytes, bytes], fields: HeaderFields, target: str) -> bool:
+    """Whether an answer may come from a target: its identity is the target's name or absent.
+
+    The address of a target may have been reassigned to another one.
+    """
+    return headers.get(fields.identity) in (None, encode_target(target))
+
+
+def encode_target(name: str) -> bytes:
+    """Name of a target as it is sent in header fields."""
+    return name.encode("latin-1", "replace")
+
+
 def announces_draining(headers: dict[bytes, bytes], fields: HeaderFields) -> bool:
     """Whether the headers of a target's answer say that it is draining."""
     return any(headers.get(name) == b"1" for name in fields.draining)
--- a/src/dotterelstand/request/head.py
+++ b/src/dotterelstand/request/head.py
@@ -7,7 +7,13 @@
 from returns.result import Failure, Result, Success
 
 from dotterelstand.codes import Result as ResultCode
-from dotterelstand.request.fields import DEFAULT_FIELDS, RESULT_HEADER, RUN_HEADER, HeaderFields
+from dotterelstand.request.fields import (
+    DEFAULT_FIELDS,
+    RESULT_HEADER,
+    RUN_HEADER,
+    HeaderFields,
+    encode_target,
+)
 from dotterelstand.version.model import route_host
 
 WORKSPACE_HEADER = b"dotterelstand-tenant"
@@ -177,7 +183,7 @@
         # HTTP/1.0 requests may lack a host; RFC 9112 section 3.2 requires an empty value then.
         headers.insert(0, (b"host", b""))
     headers.append((fields.deadline, b"%d" % max(1, int(remaining_s * 1000))))
-    headers.append((fields.target, target.encode("latin-1", "replace")))
+    headers.append((fields.target, encode_target(target)))
     return headers
 
 
--- a/tests/test_announced_leaving.py
+++ b/tests/test_announced_leaving.py
@@ -7,6 +7,9 @@
 from platform_standin import Instance, server_entry
 from platform_support import PlatformFleet, run_on_platform
 
+from dotterelstand.platform.headers import PLATFORM_FIELDS
+from dotterelstand.request.fields import names_target
+
 # Time in which a host tells the others, far below the time within which work must end.
 SPREAD_S = 0.1
 # Later than the start that `server_entry` gives.
@@ -133,6 +136,26 @@
     run_on_platform(scenario, entries=2)
 
 
+@pytest.mark.parametrize(
+    ("identity", "name", "expected"),
+    [
+        (None, "i-1", True),
+        (b"i-1", "i-1", True),
+        (b"i-2", "i-1", False),
+        (b"", "i-1", False),
+        # Targets get and send their name in one byte for each character.
+        (b"caf\xe9", "caf\u00e9", True),
+        (b"caf\xc3\xa9", "caf\u00e9", False),
+    ],
+)
+def test_a_target_is_known_by_its_name_as_it_is_sent(
+    identity: bytes | None, name: str, expected: bool
+) -> None:
+    """Guards against health checks that take a target for another one, unlike requests."""
+    headers = {} if identity is None else {PLATFORM_FIELDS.identity: identity}
+    assert names_target(headers, PLATFORM_FIELDS, name) is expected
+
+
 def test_requests_are_refused_at_once_when_all_targets_are_leaving() -> None:
     """Guards against requests that wait for a target until their deadline."""
 
