Remove a detour and a repeated line of the last changes

The frontend put a single error into a group only to have it flattened again, and two methods of an exchange asked the stop plan the same. The text of `log_fault` denied that it also reports the end of the daemon. No behaviour changes.

--- a/src/dotterelstand/process/frontend.py
+++ b/src/dotterelstand/process/frontend.py
@@ -132,13 +132,13 @@
             pass
         except* Exception as group:
             failed = True
-            self._log_fault(group)
+            self._note_fault(leaf_errors(group))
         finally:
             self._connections.discard(connection)
             try:
                 self._note_undelivered(connection, failed)
             except Exception as error:
-                self._log_fault(ExceptionGroup("undelivered answers", [error]))
+                self._note_fault([error])
             if not connection.aborted:
                 connection.close()
 
@@ -284,9 +284,9 @@
             context.metrics.count(f"requests.undelivered.{answer.cause}")
         self._access_log.write_undelivered(answers, context.stop_plan.began_s)
 
-    def _log_fault(self, group: BaseExceptionGroup) -> None:
+    def _note_fault(self, errors: list[BaseException]) -> None:
         self._context.metrics.count("requests.faults")
-        log_fault("request", leaf_errors(group))
+        log_fault("request", errors)
 
 
 def _find_route(document: Document, head: RequestHead) -> Route | None:
--- a/src/dotterelstand/process/telemetry/invariant.py
+++ b/src/dotterelstand/process/telemetry/invariant.py
@@ -1,4 +1,4 @@
-"""Invariant checks that are always enabled, unlike `assert`, and errors that none foresaw."""
+"""Invariant checks that are always enabled, unlike `assert`, and reports of unexpected errors."""
 
 from dotterelstand.events import Event, log
 
@@ -15,7 +15,7 @@
 
 
 def log_fault(name: str, errors: list[BaseException], **detail: object) -> None:
-    """Log unexpected errors that end one operation and not the daemon."""
+    """Log the unexpected errors that ended what `name` says, with further fields in `detail`."""
     log(Event.INVARIANT_BROKEN, name=name, detail=list(map(repr, errors)), **detail)
 
 
--- a/src/dotterelstand/request/exchange.py
+++ b/src/dotterelstand/request/exchange.py
@@ -353,8 +353,7 @@
     def _extend_deadline(self) -> None:
         """Extend the deadline on progress; `deadline_s` limits the time without progress."""
         limit_s = self._route.deadline_s
-        stop_s = self._context.stop_plan.request_end_s(self._caller.answer_started)
-        latest = min(self._latest_deadline, stop_s)
+        latest = min(self._latest_deadline, self._stop_end_s())
         deadline = min(latest, trio.current_time() + limit_s)
         # Setting a deadline costs more than forwarding a piece of a body, so skip small changes.
         if abs(deadline - self._scope.deadline) > limit_s * MIN_DEADLINE_STEP:
@@ -362,8 +361,10 @@
 
     def _apply_stop(self) -> None:
         """End the request before the process does, so that its caller gets an answer."""
-        stop_s = self._context.stop_plan.request_end_s(self._caller.answer_started)
-        self._scope.deadline = min(self._scope.deadline, stop_s)
+        self._scope.deadline = min(self._scope.deadline, self._stop_end_s())
+
+    def _stop_end_s(self) -> float:
+        return self._context.stop_plan.request_end_s(self._caller.answer_started)
 
     def _remaining_s(self) -> float:
         return self._scope.deadline - trio.current_time()
