Share what tests and the soak of processes wrote twice

Instances of the stand-in answer early by an attribute in place of two copies of the same task; the scenarios of a stop within an answer, of a hidden request, of a replaced instance and of the instances of a service have one function each; resets use `abort_now`, of which the soak had two more versions; and how late a sleep ends is measured in one place. No assertion and no bound changes.

--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -223,6 +223,8 @@
         self.requests: list[dict[str, str]] = []
         self.answers: list[Any] = []
         self.repeats_answers = False
+        # Whether requests are answered before their body, which is not read.
+        self.answers_early = False
         # Answers that come again, by connection.
         self._late: dict[Any, bytes] = {}
         self.service_time_s = 0.005
@@ -248,6 +250,9 @@
             elif isinstance(event, h11.Request):
                 headers = {name.decode(): value.decode() for name, value in event.headers}
                 path = event.target.decode()
+                if self.answers_early:
+                    await stream.send_all(self.answer(headers))
+                    await trio.sleep_forever()
             elif isinstance(event, h11.ConnectionClosed):
                 return False
         if path == "/health":
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -25,6 +25,12 @@
         hosts = [host for host in self.fleet.running_hosts() if host.stop_began_at is None]
         return self.rng.choice(hosts) if hosts else None
 
+    def choose_service(self) -> list[SoakInstance]:
+        """Choose the registered instances of one service; empty if there are none."""
+        first = self.choose_instance()
+        instances = self.fleet.registered() if first is not None else []
+        return [item for item in instances if item.service == first.service]
+
     def choose_instance(self) -> SoakInstance | None:
         """Choose a registered instance; returns None if there is none."""
         instances = self.fleet.registered()
@@ -270,13 +276,20 @@
     instance.ending = False
 
 
+async def _begin_replacement(context: FaultContext) -> SoakInstance | None:
+    """Choose an instance that is to end, and start another one for it; None if there is none."""
+    instance = context.choose_instance()
+    if instance is not None:
+        instance.ending = True
+        await context.fleet.add_instance(instance.service)
+    return instance
+
+
 async def instance_leaves(context: FaultContext) -> None:
     """Drain and remove an instance after its replacement has started."""
-    instance = context.choose_instance()
+    instance = await _begin_replacement(context)
     if instance is None:
         return
-    instance.ending = True
-    await context.fleet.add_instance(instance.service)
     context.fleet.register(instance, state="draining")
     instance.draining_since = trio.current_time()
     await trio.sleep(context.rng.uniform(4, 6))
@@ -288,11 +301,9 @@
 
 async def address_reused(context: FaultContext) -> None:
     """Replace an instance by one of another service, at its address and on its connections."""
-    instance = context.choose_instance()
+    instance = await _begin_replacement(context)
     if instance is None:
         return
-    instance.ending = True
-    await context.fleet.add_instance(instance.service)
     context.fleet.store.remove("servers", instance.name)
     await trio.sleep(context.rng.choice([0.0, 0.05, 0.5]))
     others = sorted(set(INSTANCES_PER_SERVICE) - {instance.service})
--- a/tests/soak/instancefaults.py
+++ b/tests/soak/instancefaults.py
@@ -9,10 +9,7 @@
 
 async def instances_repeat_rejections(context: FaultContext) -> None:
     """Let all instances of a service repeat answers, reject health checks and refuse in turns."""
-    first = context.choose_instance()
-    if first is None:
-        return
-    instances = [item for item in context.fleet.registered() if item.service == first.service]
+    instances = context.choose_service()
     for instance in instances:
         instance.repeats_answers = instance.rejects_checks = True
         instance.service_time_percent = 300
@@ -27,10 +24,7 @@
 
 async def instances_break_off(context: FaultContext) -> None:
     """Let the instances of a service end connections within requests and soon after them."""
-    first = context.choose_instance()
-    if first is None:
-        return
-    instances = [item for item in context.fleet.registered() if item.service == first.service]
+    instances = context.choose_service()
     for instance in instances:
         instance.breaks_off = True
         instance.idle_timeout_s = context.rng.uniform(0.005, 0.1)
@@ -42,11 +36,7 @@
 
 async def addresses_listed_twice(context: FaultContext) -> None:
     """List the addresses of a service's instances under a second name, as after a restart."""
-    first = context.choose_instance()
-    if first is None:
-        return
-    fleet = context.fleet
-    instances = [item for item in fleet.registered() if item.service == first.service]
+    fleet, instances = context.fleet, context.choose_service()
     prefix = f"former-{context.rng.randrange(1_000_000)}-"
     for instance in instances:
         instance.repeats_answers = True
--- a/tests/soak/keptcallers.py
+++ b/tests/soak/keptcallers.py
@@ -9,6 +9,7 @@
 
 from soak.hosts import CALLER_PORT, ProcessFleet, ProcessHost
 from soak.instances import KEPT_QUERY
+from soak.lateness import measure_wake_up
 
 # Both within and beyond the time that is left when a stopping host closes its port.
 DEADLINES_MS = (1500, 4000)
@@ -127,10 +128,9 @@
     async def _note_delays(self, end: float) -> None:
         """Note how late this process runs, since that looks like a late end of a connection."""
         while trio.current_time() < end + ANSWER_TIMEOUT_S:
-            due_at = trio.current_time() + DELAY_CHECK_S
-            await trio.sleep_until(due_at)
+            late_s = await measure_wake_up(DELAY_CHECK_S)
             for request in self._open:
-                request.own_delay_s += trio.current_time() - due_at
+                request.own_delay_s += late_s
 
     async def _call(self, number: int, end: float) -> None:
         while trio.current_time() < end:
--- a/tests/soak/lateness.py
+++ b/tests/soak/lateness.py
@@ -65,12 +65,10 @@
 
     async def _watch_itself(self) -> None:
         while True:
-            due_at = trio.current_time() + CHECK_S
-            await trio.sleep_until(due_at)
-            late_s = trio.current_time() - due_at
+            late_s = await measure_wake_up(CHECK_S)
             self.longest_s = max(self.longest_s, late_s)
             if late_s >= MIN_LATE_S:
-                self.periods.append((due_at, late_s, "soak"))
+                self.periods.append((trio.current_time() - late_s, late_s, "soak"))
 
     async def _watch_hosts(self, fleet: ProcessFleet) -> None:
         """Sample the daemons; a wait between two samples is that of a process ready at both."""
@@ -103,6 +101,13 @@
         ]
 
 
+async def measure_wake_up(seconds: float) -> float:
+    """Sleep, and return by how many seconds this process woke up too late."""
+    due_at = trio.current_time() + seconds
+    await trio.sleep_until(due_at)
+    return trio.current_time() - due_at
+
+
 def find_cpu_time(host: ProcessHost) -> float | None:
     """CPU time in seconds that a daemon has used if it runs or is ready to; None otherwise."""
     assert host.process is not None
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -1,11 +1,11 @@
 """Loopback TCP proxy that can delay, reset, silence or cut its connections."""
 
 import random
-import struct
 
 import trio
 
-SO_LINGER_ZERO = struct.pack("ii", 1, 0)
+from dotterelstand.connection.target import abort_now
+
 CHUNK_BYTES = 65536
 # Time in seconds until lost bytes are sent again.
 RESEND_S = 0.2
@@ -89,13 +89,13 @@
     async def _serve(self, client: trio.SocketStream) -> None:
         if self.refuses:
             self._note_connected(client, False)
-            _abort(client)
+            abort_now(client)
             return
         try:
             server = await trio.open_tcp_stream(*self._server_address)
         except OSError:
             self._note_connected(client, False)
-            _abort(client)
+            abort_now(client)
             return
         self._note_connected(client, True)
         connection = _ProxiedConnection(client, server)
@@ -115,7 +115,7 @@
                 if clean:
                     stream.socket.close()
                 else:
-                    _abort(stream)
+                    abort_now(stream)
 
     def _note_connected(self, client: trio.SocketStream, connected: bool) -> None:
         try:
@@ -146,11 +146,3 @@
                 await sink.send_eof()
                 return
             await sink.send_all(data)
-
-
-def _abort(stream: trio.SocketStream) -> None:
-    try:
-        stream.socket.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_LINGER, SO_LINGER_ZERO)
-    except OSError:
-        pass
-    stream.socket.close()
--- a/tests/soak/uploads.py
+++ b/tests/soak/uploads.py
@@ -2,13 +2,13 @@
 
 import hashlib
 import random
-import struct
 import uuid
 
 import h11
 import trio
 
 from dotterelstand.bench.soakjudge import Violation
+from dotterelstand.connection.target import abort_now
 from soak.callers import DEADLINE_MS, NOT_RUN_STATUSES
 from soak.hosts import CALLER_PORT, ProcessFleet, ProcessHost
 from soak.instances import UPLOAD_QUERY, InstanceRun
@@ -29,7 +29,6 @@
     b"0\r\n\nGET /prices/hidden%b HTTP/1.1\r\nhost: entry\r\n"
     b"x-dotterelstand-request-id: %b\r\n\r\n"
 )
-LINGER_ZERO = struct.pack("ii", 1, 0)
 
 
 class Upload:
@@ -139,7 +138,7 @@
     async def _break_off(self, stream: trio.SocketStream, how: str) -> None:
         if how == "reset":
             # Sent bytes that have not arrived are lost, too.
-            stream.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_LINGER, LINGER_ZERO)
+            abort_now(stream)
             return
         if how == "half-close":
             await stream.send_eof()
--- a/tests/test_closing_connections.py
+++ b/tests/test_closing_connections.py
@@ -1,6 +1,5 @@
 """Caller connections that end: while the daemon stops, and after an answer that closes them."""
 
-import h11
 import pytest
 import trio
 from platform_support import PlatformFleet, run_on_platform
@@ -99,16 +98,7 @@
 
     async def scenario(fleet: PlatformFleet) -> None:
         for instance in fleet.instances:
-
-            async def answer_early(stream, connection, instance=instance) -> bool:  # type: ignore[no-untyped-def]
-                while not isinstance(event := connection.next_event(), h11.Request):
-                    connection.receive_data(bytes(await stream.receive_some(65536)))
-                headers = {name.decode(): value.decode() for name, value in event.headers}
-                await stream.send_all(instance.answer(headers))
-                await trio.sleep_forever()
-                return False
-
-            instance._serve_next = answer_early  # type: ignore[method-assign]
+            instance.answers_early = True
         stream = await fleet.stream()
         whole = fleet.request("POST", "/u/1", b"x" * 600_000)
         await stream.send_all(whole[:550_000])
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -7,7 +7,6 @@
 from pathlib import Path
 from typing import Any
 
-import h11
 import pytest
 import trio
 from platform_support import PlatformFleet, run_on_platform
@@ -245,16 +244,7 @@
     async def scenario(fleet: PlatformFleet) -> int:
         instance = fleet.instances[0]
 
-        async def answer_early(stream: Any, connection: Any) -> bool:
-            while not isinstance(event := connection.next_event(), h11.Request):
-                connection.receive_data(bytes(await stream.receive_some(65536)))
-            headers = {name.decode(): value.decode() for name, value in event.headers}
-            await stream.send_all(instance.answer(headers))
-            await trio.sleep_forever()
-            return False
-
-        if early:
-            instance._serve_next = answer_early  # type: ignore[method-assign]
+        instance.answers_early = early
         stream = await fleet.stream()
         whole = fleet.request("POST", "/u/1", b"x" * 600_000)
         await stream.send_all(whole[:-50_000] if early else whole)
--- a/tests/test_unaltered_requests.py
+++ b/tests/test_unaltered_requests.py
@@ -126,6 +126,18 @@
     return data + (state.send(h11.EndOfMessage()) or b"")
 
 
+async def send_hidden(fleet: Fleet, end: bytes, together: bool) -> trio.abc.Stream:
+    """Send a chunked body with an end and `HIDDEN` behind it, together or byte by byte."""
+    stream = await fleet.stream()
+    data = CHUNKED + b"5\r\nabcde\r\n" + end + HIDDEN
+    pieces = [data] if together else [data[i : i + 1] for i in range(len(data))]
+    for piece in pieces:
+        await stream.send_all(piece)
+        await trio.sleep(0.001)
+    await trio.sleep(1)
+    return stream
+
+
 @pytest.mark.parametrize("together", [True, False])
 @pytest.mark.parametrize("end", LENIENT_ENDS)
 def test_request_behind_an_ambiguous_end_of_a_body_does_not_run(end: bytes, together: bool) -> None:
@@ -135,13 +147,7 @@
     """
 
     async def scenario(fleet: Fleet) -> None:
-        stream = await fleet.stream()
-        data = CHUNKED + b"5\r\nabcde\r\n" + end + HIDDEN
-        pieces = [data] if together else [data[i : i + 1] for i in range(len(data))]
-        for piece in pieces:
-            await stream.send_all(piece)
-            await trio.sleep(0.001)
-        await trio.sleep(1)
+        stream = await send_hidden(fleet, end, together)
         assert fleet.runs("/lookup/hidden") == []
         assert fleet.runs("/lookup/1") == []
         stream.close()
@@ -157,13 +163,7 @@
     """Guards against a check of the end of bodies that refuses valid ones."""
 
     async def scenario(fleet: Fleet) -> None:
-        stream = await fleet.stream()
-        data = CHUNKED + b"5\r\nabcde\r\n" + end + HIDDEN
-        pieces = [data] if together else [data[i : i + 1] for i in range(len(data))]
-        for piece in pieces:
-            await stream.send_all(piece)
-            await trio.sleep(0.001)
-        await trio.sleep(1)
+        stream = await send_hidden(fleet, end, together)
         assert fleet.runs("/lookup/1") == ["done"]
         assert fleet.runs("/lookup/hidden") == ["done"]
         stream.close()
--- a/tests/test_undelivered_answers.py
+++ b/tests/test_undelivered_answers.py
@@ -91,12 +91,17 @@
     await trio.sleep(0.1)
 
 
-async def _behind_the_end_of_the_grace_period(fleet: PlatformFleet) -> None:
+async def _stop_within_an_answer(fleet: PlatformFleet) -> trio.abc.Stream:
     _answer_all(fleet, LONG_BODY)
     stream = await fleet.stream()
     await stream.send_all(fleet.request(deadline_ms=30_000))
     await trio.sleep(0.2)
     fleet.daemon.stop()
+    return stream
+
+
+async def _behind_the_end_of_the_grace_period(fleet: PlatformFleet) -> None:
+    stream = await _stop_within_an_answer(fleet)
     await trio.sleep(1.1)
     await read_answer(stream)
     await trio.sleep(0.01)
@@ -107,11 +112,7 @@
 
 
 async def _begun_in_the_grace_period(fleet: PlatformFleet) -> None:
-    _answer_all(fleet, LONG_BODY)
-    stream = await fleet.stream()
-    await stream.send_all(fleet.request(deadline_ms=30_000))
-    await trio.sleep(0.2)
-    fleet.daemon.stop()
+    stream = await _stop_within_an_answer(fleet)
     request = fleet.request(deadline_ms=50)
     await stream.send_all(request[:-2])
     await trio.sleep(1.1)
@@ -135,11 +136,7 @@
 
 
 async def _streams_until_the_last_answer(fleet: PlatformFleet) -> None:
-    _answer_all(fleet, LONG_BODY)
-    stream = await fleet.stream()
-    await stream.send_all(fleet.request(deadline_ms=30_000))
-    await trio.sleep(0.2)
-    fleet.daemon.stop()
+    await _stop_within_an_answer(fleet)
     await trio.sleep(STOP_LIMIT_S)
 
 
