--- a/src/dotterelstand/platform/decode.py
+++ b/src/dotterelstand/platform/decode.py
@@ -13,6 +13,13 @@
 )
 from dotterelstand.process.peering.membership import ListedHost
 from dotterelstand.version.model import CallerBounds, Route, Share
+from dotterelstand.version.workspace import (
+    Workspace,
+    WorkspaceIndex,
+    digest_key,
+    join_class,
+    split_class,
+)
 
 # Requests on routes of this type may run more than once. Requests on routes of any other type, even
 # an unknown one, run at most once.
@@ -100,6 +107,7 @@
             raise FormatError("resources: not a list")
         routes: list[Route] = []
         services: dict[str, ServiceSpec] = {}
+        workspaces: list[Workspace] = []
         bounds: CallerBounds | None = None
         for resource in resources:
             item = _require_table(resource, "resources")
@@ -110,9 +118,11 @@
                 routes.append(_parse_route(fields))
             elif kind == "services":
                 services[str(name)] = _parse_service(str(name), fields)
+            elif kind == "tenants":
+                workspaces.append(_parse_workspace(str(name), fields))
             elif kind == "limits":
                 bounds = _parse_caller_bounds(fields)
-        return Success(_build_configuration(number, routes, services, bounds))
+        return Success(_build_configuration(number, routes, services, workspaces, bounds))
     except FormatError as error:
         return Failure(str(error))
 
@@ -121,15 +131,39 @@
     number: int,
     routes: list[Route],
     services: dict[str, ServiceSpec],
+    workspaces: list[Workspace],
     bounds: CallerBounds | None,
 ) -> Configuration:
     for route in routes:
         for service in [share.service for share in route.split] or [route.service]:
             if service not in services:
                 raise FormatError(f"{route.host}{route.prefix}: service {service!r} is missing")
-    classes = tuple(sorted({route.klass for route in routes}))
+    names = {route.klass for route in routes}
+    # Keyed requests are in the class of their workspace's priority and their route's type.
+    types = {split_class(route.klass)[1] for route in routes if not route.public}
+    names |= {
+        join_class(workspace.priority, kind)
+        for workspace in workspaces
+        if workspace.priority is not None
+        for kind in types
+    }
+    classes = tuple(sorted(names))
     bulk_classes = frozenset(name for name in classes if name.endswith(BULK_TYPE))
-    return Configuration(number, tuple(routes), services, classes, bulk_classes, bounds)
+    access = _index_workspaces(workspaces) if workspaces else None
+    return Configuration(number, tuple(routes), services, classes, bulk_classes, bounds, access)
+
+
+def _index_workspaces(workspaces: list[Workspace]) -> WorkspaceIndex:
+    names: set[str] = set()
+    digests: set[bytes] = set()
+    for workspace in workspaces:
+        if workspace.name in names:
+            raise FormatError(f"tenants {workspace.name!r:.80}: two with this name")
+        if not digests.isdisjoint(workspace.key_digests):
+            raise FormatError(f"tenants {workspace.name!r:.80}: a key of another tenant")
+        names.add(workspace.name)
+        digests |= workspace.key_digests
+    return WorkspaceIndex(workspaces)
 
 
 def _parse_route(fields: dict[str, Any]) -> Route:
@@ -147,8 +181,7 @@
     timeout_s = _require_number(fields, "timeoutS", 0.0)
     if timeout_s <= 0:
         raise FormatError(f"timeoutS {timeout_s!r}")
-    # A class name begins with the priority, so that classes sort by priority; 0 is the highest.
-    klass = f"{_require_integer(fields, 'priority', 0):03d}-{kind}"
+    klass = join_class(_require_integer(fields, "priority", 0), kind)
     return Route(
         prefix,
         frozenset(),
@@ -162,14 +195,43 @@
         attempts=_require_integer(fields, "attempts", 1),
         latency_objective_s=_require_number(fields, "targetLatencyS", 0.0) or None,
         split=split,
+        public=_optional_flag(fields, "public"),
+        allowed_regions=_optional_texts(fields, "allowedRegions"),
+    )
+
+
+def _parse_workspace(name: str, fields: dict[str, Any]) -> Workspace:
+    if not name:
+        raise FormatError("tenants: no name")
+    keys = _optional_texts(fields, "apiKeys")
+    priority = None
+    if fields.get("priority") is not None:
+        priority = _require_integer(fields, "priority", 0)
+    return Workspace(
+        _check_name(name),
+        frozenset(digest_key(_encode_key(key)) for key in keys),
+        priority,
+        _optional_number(fields, "ratePerS"),
+        _optional_number(fields, "burst"),
+        _optional_texts(fields, "allowedRegions"),
     )
 
 
+def _encode_key(key: str) -> bytes:
+    try:
+        return key.encode("ascii")
+    except UnicodeEncodeError:
+        # The message must not contain the key.
+        raise FormatError("apiKeys: a key with a character that is not ASCII") from None
+
+
 def _parse_service(name: str, fields: dict[str, Any]) -> ServiceSpec:
     return ServiceSpec(
         _check_name(name),
         _require_text(fields, "healthPath"),
         _require_integer(fields, "maxConns", 1),
+        _optional_number(fields, "warmupS"),
+        _optional_number(fields, "warmupPerS"),
     )
 
 
@@ -236,3 +298,24 @@
     ):
         raise FormatError(f"{name}: found {value!r:.80}, not a number from {minimum}")
     return float(value)
+
+
+def _optional_number(table: dict[str, Any], name: str) -> float:
+    return 0.0 if table.get(name) is None else _require_number(table, name, 0.0)
+
+
+def _optional_flag(table: dict[str, Any], name: str) -> bool:
+    value = table.get(name, False)
+    if not isinstance(value, bool):
+        raise FormatError(f"{name}: found {value!r:.80}, not true or false")
+    return value
+
+
+def _optional_texts(table: dict[str, Any], name: str) -> frozenset[str]:
+    values = table.get(name) or ()
+    if not isinstance(values, list | tuple) or not all(
+        isinstance(value, str) and value for value in values
+    ):
+        # The values may be keys, which must not be shown.
+        raise FormatError(f"{name}: not a list of non-empty strings")
+    return frozenset(values)
--- a/src/dotterelstand/process/discovery/catalogue.py
+++ b/src/dotterelstand/process/discovery/catalogue.py
@@ -176,18 +176,23 @@
                 self._service_defaults.max_queue_per_slot,
                 self._service_defaults.silence_timeout_s,
                 health_path=spec.health_path,
+                warmup_s=spec.warmup_s,
+                warmup_per_s=spec.warmup_per_s,
             )
             for name, spec in configuration.services.items()
         }
+        access = configuration.access
         return Document(
             configuration.number,
             {},
             services,
             configuration.routes,
             configuration.classes,
-            {},
+            dict.fromkeys(access.names(), 1.0) if access is not None else {},
             bulk_classes=configuration.bulk_classes,
             caller_bounds=configuration.caller_bounds,
+            access=access,
+            regions=tuple(sorted(set(self._regions.values()))),
         )
 
     def _upsert(self, entry: Entry[RegisteredTarget], now: float) -> None:
--- a/src/dotterelstand/process/discovery/registry.py
+++ b/src/dotterelstand/process/discovery/registry.py
@@ -9,6 +9,7 @@
 from dotterelstand.errors import CodedError
 from dotterelstand.process.peering.membership import ListedHost
 from dotterelstand.version.model import CallerBounds, Route
+from dotterelstand.version.workspace import WorkspaceIndex
 
 T = TypeVar("T")
 
@@ -87,11 +88,23 @@
 
 
 class ServiceSpec:
-    """Configuration of a service; `connections` is the connection limit of each target."""
+    """Configuration of a service; `connections` is the connection limit of each target.
 
-    __slots__ = ("connections", "health_path", "name")
+    `warmup_s` and `warmup_per_s` are as in `Service`.
+    """
+
+    __slots__ = ("connections", "health_path", "name", "warmup_per_s", "warmup_s")
 
-    def __init__(self, name: str, health_path: str, connections: int) -> None:
+    def __init__(
+        self,
+        name: str,
+        health_path: str,
+        connections: int,
+        warmup_s: float = 0.0,
+        warmup_per_s: float = 0.0,
+    ) -> None:
+        self.warmup_s = warmup_s
+        self.warmup_per_s = warmup_per_s
         self.name = name
         self.health_path = health_path
         self.connections = connections
@@ -100,10 +113,19 @@
 class Configuration:
     """One complete accepted configuration; `bulk_classes` names the classes of large requests.
 
-    `caller_bounds` is None if the limits on callers come from the settings.
+    `caller_bounds` is None if the limits on callers come from the settings, and `access` if
+    requests need no key.
     """
 
-    __slots__ = ("bulk_classes", "caller_bounds", "classes", "number", "routes", "services")
+    __slots__ = (
+        "access",
+        "bulk_classes",
+        "caller_bounds",
+        "classes",
+        "number",
+        "routes",
+        "services",
+    )
 
     def __init__(
         self,
@@ -113,7 +135,9 @@
         classes: tuple[str, ...],
         bulk_classes: frozenset[str],
         caller_bounds: CallerBounds | None = None,
+        access: WorkspaceIndex | None = None,
     ) -> None:
+        self.access = access
         self.caller_bounds = caller_bounds
         self.number = number
         self.routes = routes
--- a/src/dotterelstand/process/selection/dispatcher.py
+++ b/src/dotterelstand/process/selection/dispatcher.py
@@ -9,6 +9,7 @@
 from dotterelstand.process.selection.slotcodec import MAX_CLASSES
 from dotterelstand.process.selection.slotcounters import DispatcherCounters
 from dotterelstand.process.selection.slotindex import NO_TARGETS
+from dotterelstand.process.selection.targettables import TargetTables
 from dotterelstand.process.selection.tuning import SelectionTuning
 from dotterelstand.request.fields import LoadReport
 from dotterelstand.version.model import Service
@@ -50,13 +51,9 @@
         "_chooser",
         "_grants",
         "_hold_s",
-        "_local",
-        "_positions_by_name",
         "_queue",
         "_region",
-        "_remote",
-        "_table_positions",
-        "_target_indexes",
+        "_tables",
         "_tuning",
         "calls",
         "counters",
@@ -78,7 +75,7 @@
         self.calls = 0
         # Numbers of the classes whose calls are never sent to another region.
         self.region_only_classes: frozenset[int] = frozenset()
-        self._set_service(service)
+        self._tables = self._make_tables(service)
 
     @property
     def queued_calls(self) -> int:
@@ -93,26 +90,25 @@
     @property
     def table(self) -> HealthTable:
         """Targets of this region, or all targets if the region has none."""
-        return self._local
+        return self._tables.local
 
     @property
     def tables(self) -> tuple[HealthTable, HealthTable]:
         """Targets of this region, and those of other regions."""
-        return self._local, self._remote
+        return self._tables.local, self._tables.remote
 
     def replace_service(self, service: Service, now: float) -> None:
         """Apply a new version of the service; new targets start with one slot if so configured."""
-        tables = (self._local, self._remote)
-        self._set_service(service)
-        self._local.copy_state(tables[0])
-        self._remote.copy_state(tables[1])
+        tables = self._make_tables(service)
+        tables.copy_state(self._tables)
+        self._tables = tables
         indexes = {target.name: index for index, target in enumerate(service.targets)}
         for grant in self._grants.all():
             index = indexes.get(grant.target)
             if index is None:
                 self._grants.remove(grant.key)
                 continue
-            grant.table, grant.position = self._table_positions[index]
+            grant.table, grant.position = tables.at(index)
             grant.table.start(grant.position)
 
     def submit(self, call: WaitingCall, now: float) -> list[Decision]:
@@ -122,10 +118,10 @@
         decisions = self.advance(now)
         slow_position: int | None = None
         if not len(self._queue):
-            position = self._choose_for(call, self._local, now)
+            position = self._choose_for(call, self._tables.local, now)
             if position is not None:
-                if not self._local.targets[position].slow:
-                    return [*decisions, self._grant(call.key, self._local, position, now)]
+                if not self._tables.local.targets[position].slow:
+                    return [*decisions, self._grant(call.key, self._tables.local, position, now)]
                 slow_position = position
         if call.no_wait:
             return [*decisions, Refused(call.key, ResultCode.OVERLOADED)]
@@ -135,10 +131,10 @@
         if spilled is not None:
             return [*decisions, spilled]
         if slow_position is not None and not self._should_wait_for_normal(call, now):
-            return [*decisions, self._grant(call.key, self._local, slow_position, now)]
+            return [*decisions, self._grant(call.key, self._tables.local, slow_position, now)]
         if not self._eligible_count(call):
             return [*decisions, Refused(call.key, ResultCode.NO_TARGET)]
-        if remaining_s < wait_s + self._local.typical_s:
+        if remaining_s < wait_s + self._tables.local.typical_s:
             self.counters.deadline_refused += 1
             return [*decisions, Refused(call.key, ResultCode.DEADLINE_TOO_SHORT)]
         self.counters.waited += 1
@@ -151,7 +147,7 @@
     def record_grant(self, key: CallKey, target: int, now: float) -> None:
         """Record the grant of a target's slot by another dispatcher."""
         self._discard_stale(key, now)
-        table, position = self._table_positions[target]
+        table, position = self._tables.at(target)
         self._grant(key, table, position, now)
 
     def finish(
@@ -180,21 +176,23 @@
         """Process timers, refuse calls close to their deadline and serve the queue."""
         self.advance_health(now)
         decisions: list[Decision] = []
-        for late in self._queue.pop_expiring(now + MIN_REMAINING_MULTIPLE * self._local.typical_s):
+        for late in self._queue.pop_expiring(
+            now + MIN_REMAINING_MULTIPLE * self._tables.local.typical_s
+        ):
             # An early refusal leaves the caller time to retry elsewhere.
             self.counters.deadline_refused += 1
             decisions.append(Refused(late.key, ResultCode.DEADLINE_TOO_SHORT))
         skipped: list[WaitingCall] = []
         while len(self._queue):
             if (
-                self._local.usable_count
-                and self._chooser.choose(self._local, NO_TARGETS, now) is None
+                self._tables.local.usable_count
+                and self._chooser.choose(self._tables.local, NO_TARGETS, now) is None
             ):
                 break
             call = self._queue.pop(now)
             assert call is not None
-            position = self._choose_for(call, self._local, now)
-            if position is not None and self._local.targets[position].slow:
+            position = self._choose_for(call, self._tables.local, now)
+            if position is not None and self._tables.local.targets[position].slow:
                 if self._should_wait_for_normal(call, now):
                     skipped.append(call)
                     continue
@@ -221,8 +219,8 @@
 
     def advance_health(self, now: float) -> None:
         """Process the health timers and expire old grants."""
-        self._local.advance(now)
-        self._remote.advance(now)
+        self._tables.local.advance(now)
+        self._tables.remote.advance(now)
         while (grant := self._grants.pop_expired(now - self._tuning.grant_life_s)) is not None:
             grant.table.finish(grant.position, AttemptOutcome.CANCELLED, 0.0, now)
             self.counters.expired += 1
@@ -256,12 +254,12 @@
 
     def record_load(self, target: int, report: LoadReport, now: float) -> None:
         """Record a load report."""
-        table, position = self._table_positions[target]
+        table, position = self._tables.at(target)
         table.record_load(position, report, now)
 
     def slowdown(self, target: int) -> float:
         """Slowdown of a target that is slow, otherwise 0."""
-        table, position = self._table_positions[target]
+        table, position = self._tables.at(target)
         health = table.targets[position]
         return health.slowdown if health.slow else 0.0
 
@@ -271,99 +269,78 @@
 
     def record_slowdown(self, target: int, slowdown: float, now: float) -> None:
         """Record a target's slowdown."""
-        table, position = self._table_positions[target]
+        table, position = self._tables.at(target)
         table.record_slowdown(position, slowdown, now)
 
     def record_unreachable(self, target: int, now: float) -> None:
         """Count an unanswered health probe as a failure."""
-        table, position = self._table_positions[target]
+        table, position = self._tables.at(target)
         table.record_unreachable(position, now)
 
     def target_snapshot(self, target: int, now: float) -> TargetSnapshot:
         """Current load of a target, stored with a grant to explain the choice."""
-        table, position = self._table_positions[target]
+        table, position = self._tables.at(target)
         health = table.targets[position]
         age_s = now - health.reported_at if health.reported_at else None
         return TargetSnapshot(health.in_flight, health.slowdown, age_s)
 
     def is_usable(self, target: int) -> bool:
         """Whether a target may receive new work."""
-        table, position = self._table_positions[target]
+        table, position = self._tables.at(target)
         return table.targets[position].usable
 
     def incarnation_of(self, name: str) -> int:
         """Incarnation of a target, 0 if it is unknown."""
-        table, position = self._positions_by_name.get(name, (self._local, None))
-        return 0 if position is None else table.targets[position].incarnation
+        found = self._tables.find(name)
+        return 0 if found is None else found[0].targets[found[1]].incarnation
 
     def _apply_to_target(self, name: str, change) -> None:  # type: ignore[no-untyped-def]
-        if name in self._positions_by_name:
-            change(*self._positions_by_name[name])
+        found = self._tables.find(name)
+        if found is not None:
+            change(*found)
 
-    def _set_service(self, service: Service) -> None:
+    def _make_tables(self, service: Service) -> TargetTables:
         self.service = service
-        local = [target for target in service.targets if target.region == self._region]
-        remote = [target for target in service.targets if target.region != self._region]
-        if not local:
-            local, remote = remote, []
-        self._local = HealthTable(local, self._tuning)
-        self._remote = HealthTable(remote, self._tuning, remote=True)
-        positions = {target.name: (self._local, position) for position, target in enumerate(local)}
-        positions.update(
-            (target.name, (self._remote, position)) for position, target in enumerate(remote)
-        )
-        self._positions_by_name = positions
-        self._table_positions = [positions[target.name] for target in service.targets]
-        indexes = {target.name: index for index, target in enumerate(service.targets)}
-        self._target_indexes = {
-            id(self._local): [indexes[target.name] for target in local],
-            id(self._remote): [indexes[target.name] for target in remote],
-        }
-        slots = sum(target.slots for target in local)
+        slots = sum(target.slots for target in service.targets if target.region == self._region)
+        slots = slots or sum(target.slots for target in service.targets)
         self._queue.capacity = service.max_queue_per_slot * slots
+        return TargetTables(service, self._region, self._tuning)
 
     def _choose_for(self, call: WaitingCall, table: HealthTable, now: float) -> int | None:
-        return self._chooser.choose(table, self._excluded_positions(call, table), now, call.zone)
-
-    def _excluded_positions(self, call: WaitingCall, table: HealthTable) -> frozenset[int]:
-        """Positions in a table of the targets that the call excludes and that the service has."""
-        if not call.excluded:
-            return NO_TARGETS
-        known = self._positions_by_name
-        positions = (known[name] for name in call.excluded if name in known)
-        return frozenset(position for other, position in positions if other is table)
+        return self._chooser.choose(
+            table, self._tables.excluded_positions(call.excluded, table), now, call.zone
+        )
 
     def _eligible_count(self, call: WaitingCall) -> int:
         """Number of usable targets of the region that the call does not exclude."""
-        excluded = self._excluded_positions(call, self._local)
-        return self._local.usable_count - sum(
-            self._local.targets[position].usable for position in excluded
-        )
+        local = self._tables.local
+        excluded = self._tables.excluded_positions(call.excluded, local)
+        return local.usable_count - sum(local.targets[position].usable for position in excluded)
 
     def _grant(self, key: CallKey, table: HealthTable, position: int, now: float) -> Granted:
         self._grants.add(OpenGrant(key, table, position, now))
         table.start(position)
         self.counters.granted += 1
-        return Granted(key, self._target_indexes[id(table)][position])
+        return Granted(key, self._tables.index_of(table, position))
 
     def _decide_queued(self, call: WaitingCall, position: int | None, now: float) -> Decision:
         if position is None:
             return Refused(call.key, ResultCode.NO_TARGET)
-        if call.deadline - now < self._local.typical_s:
+        if call.deadline - now < self._tables.local.typical_s:
             self.counters.deadline_refused += 1
             return Refused(call.key, ResultCode.DEADLINE_TOO_SHORT)
-        return self._grant(call.key, self._local, position, now)
+        return self._grant(call.key, self._tables.local, position, now)
 
     def _expected_wait_s(self, klass: int) -> float:
-        slots = max(1, self._local.total_allowance)
-        hold_s = self._hold_s or self._local.typical_s
+        slots = max(1, self._tables.local.total_allowance)
+        hold_s = self._hold_s or self._tables.local.typical_s
         return (self._queue.count_ahead(klass) + 1) * hold_s / slots
 
     def _should_wait_for_normal(self, call: WaitingCall, now: float) -> bool:
         """Whether a call should wait for a normal target when only slow ones are open."""
-        if self._local.slow_count >= self._local.usable_count:
+        if self._tables.local.slow_count >= self._tables.local.usable_count:
             return False
-        return now - call.arrived_at < min(self._local.typical_s, (call.deadline - now) / 4)
+        return now - call.arrived_at < min(self._tables.local.typical_s, (call.deadline - now) / 4)
 
     def _try_spillover(
         self, call: WaitingCall, wait_s: float, remaining_s: float, now: float
@@ -379,13 +356,13 @@
             allowed_s = max(cross_region_cost_s, call.start_by - now)
         if self._eligible_count(call) and wait_s <= allowed_s and not is_full:
             return None
-        if remaining_s < cross_region_cost_s + self._local.typical_s:
+        if remaining_s < cross_region_cost_s + self._tables.local.typical_s:
             return None
-        position = self._choose_for(call, self._remote, now)
-        if position is None or self._remote.targets[position].slow:
+        position = self._choose_for(call, self._tables.remote, now)
+        if position is None or self._tables.remote.targets[position].slow:
             return None
         self.counters.spilled += 1
-        return self._grant(call.key, self._remote, position, now)
+        return self._grant(call.key, self._tables.remote, position, now)
 
     def _discard_stale(self, key: CallKey, now: float) -> None:
         """Discard an older call with the same key, whose release message was lost."""
--- a/src/dotterelstand/request/context.py
+++ b/src/dotterelstand/request/context.py
@@ -4,7 +4,15 @@
 
 from dotterelstand.connection.pool import TargetPool
 from dotterelstand.request.fields import DEFAULT_FIELDS, HeaderFields
-from dotterelstand.request.interfaces import Counters, Journal, LeavingTargets, Slots, Suspects
+from dotterelstand.request.interfaces import (
+    Counters,
+    Freshness,
+    Journal,
+    LeavingTargets,
+    Quota,
+    Slots,
+    Suspects,
+)
 from dotterelstand.request.policy import ServicePolicy
 from dotterelstand.request.retryreserve import RetryReserve
 from dotterelstand.request.split import TrafficSplits
@@ -34,18 +42,24 @@
 
 
 class RequestContext:
-    """Dependencies of request handling: pool, slots, journal, quarantine, metrics."""
+    """Dependencies of request handling: pool, slots, journal, quarantine, metrics.
+
+    `freshness` is None if keys need no proof that the document is current, and `quota` if no
+    quota is enforced.
+    """
 
     __slots__ = (
         "_policies",
         "_retry_reserve",
         "_traffic_splits",
         "fields",
+        "freshness",
         "journal",
         "leaving_targets",
         "limits",
         "metrics",
         "pool",
+        "quota",
         "slots",
         "stop_plan",
         "suspects",
@@ -63,7 +77,11 @@
         fields: HeaderFields = DEFAULT_FIELDS,
         retry_reserve: RetryReserve | None = None,
         stop_plan: StopPlan | None = None,
+        freshness: Freshness | None = None,
+        quota: Quota | None = None,
     ) -> None:
+        self.freshness = freshness
+        self.quota = quota
         self._retry_reserve = retry_reserve
         self.stop_plan = stop_plan or StopPlan()
         self.fields = fields
--- a/src/dotterelstand/request/interfaces.py
+++ b/src/dotterelstand/request/interfaces.py
@@ -8,6 +8,7 @@
 from dotterelstand.process.idempotency.journalcall import CallOutcome, Go, Recorded, Refused
 from dotterelstand.process.selection.outcome import SlotCall, SlotGrant, SlotOutcome
 from dotterelstand.version.model import Service, Target
+from dotterelstand.version.workspace import Workspace
 
 
 class Slots(Protocol):
@@ -89,6 +90,26 @@
         """Report the end of an admitted run."""
 
 
+class Freshness(Protocol):
+    """Proof that the document in force is current, without which no key of it may be trusted."""
+
+    def is_proven(self) -> bool:
+        """Whether this host may run a request on a key of the document in force now."""
+
+
+class Quota(Protocol):
+    """Limits on the requests of each workspace on all entry hosts together."""
+
+    def admit(self, workspace: Workspace) -> float | None:
+        """Charge one request to a workspace.
+
+        Returns None if it may run, otherwise the seconds after which its caller may retry.
+        """
+
+    def refund(self, workspace: Workspace) -> None:
+        """Undo the charge for a request that did not run."""
+
+
 class Counters(Protocol):
     """Counters and latency histograms."""
 
--- a/src/dotterelstand/version/model.py
+++ b/src/dotterelstand/version/model.py
@@ -4,6 +4,8 @@
 
 import xxhash
 
+from dotterelstand.version.workspace import ANY_REGION, WorkspaceIndex
+
 # Size of a target's index in bits; 32 bits take at most five bytes in a message.
 INDEX_BITS = 32
 # Routes with more path segments are rejected, which bounds the cost of a lookup.
@@ -85,7 +87,11 @@
 
 
 class Service:
-    """Named group of targets with its limits; targets report their load at `health_path`."""
+    """Named group of targets with its limits; targets report their load at `health_path`.
+
+    A target is cold for `warmup_s` seconds after its start and then tolerates at most
+    `warmup_per_s` requests per second from all entry hosts together; 0 means no limit.
+    """
 
     __slots__ = (
         "_positions",
@@ -98,6 +104,8 @@
         "retry_share",
         "silence_timeout_s",
         "targets",
+        "warmup_per_s",
+        "warmup_s",
     )
 
     def __init__(
@@ -111,7 +119,11 @@
         silence_timeout_s: float,
         measuring_weight: float = 1.0,
         health_path: str = "/health",
+        warmup_s: float = 0.0,
+        warmup_per_s: float = 0.0,
     ) -> None:
+        self.warmup_s = warmup_s
+        self.warmup_per_s = warmup_per_s
         self.name = name
         self.targets = targets
         self.connections = connections
@@ -146,10 +158,12 @@
     `timeout_s`, unless None, limits the time to the end of the answer. `attempts` is the maximum
     number of attempts at targets per request; None uses the setting. `latency_objective_s` is the
     latency objective, or None. `split`, unless empty, divides the requests among services in place
-    of `service`.
+    of `service`. Requests on a `public` route need no key of a workspace. Requests may only be
+    sent to targets in `allowed_regions`, unless that is empty.
     """
 
     __slots__ = (
+        "allowed_regions",
         "attempts",
         "deadline_s",
         "host",
@@ -159,6 +173,7 @@
         "latency_objective_s",
         "methods",
         "prefix",
+        "public",
         "service",
         "split",
         "timeout_s",
@@ -179,7 +194,11 @@
         attempts: int | None = None,
         latency_objective_s: float | None = None,
         split: tuple[Share, ...] = (),
+        public: bool = False,
+        allowed_regions: frozenset[str] = ANY_REGION,
     ) -> None:
+        self.public = public
+        self.allowed_regions = allowed_regions
         self.host = route_host(host)
         self.timeout_s = timeout_s
         self.attempts = attempts
@@ -259,16 +278,21 @@
 
     `sections` maps section names to digests and `owners` maps them to teams. `classes` is in order
     of priority, highest first. Requests of the `bulk_classes` are too large to be sent to another
-    region. `caller_bounds`, unless None, overrides the limits in the settings.
+    region. `caller_bounds`, unless None, overrides the limits in the settings. With `access`,
+    requests need the key of a workspace unless their route is public. The targets in
+    `evacuated_zones` get no requests. `regions` are the regions of the platform, sorted.
     """
 
     __slots__ = (
         "_index",
+        "access",
         "bulk_classes",
         "caller_bounds",
         "classes",
+        "evacuated_zones",
         "number",
         "owners",
+        "regions",
         "routes",
         "sections",
         "services",
@@ -287,7 +311,13 @@
         index: RouteIndex | None = None,
         bulk_classes: frozenset[str] = frozenset(),
         caller_bounds: CallerBounds | None = None,
+        access: WorkspaceIndex | None = None,
+        evacuated_zones: frozenset[str] = frozenset(),
+        regions: tuple[str, ...] = (),
     ) -> None:
+        self.access = access
+        self.evacuated_zones = evacuated_zones
+        self.regions = regions
         self.bulk_classes = bulk_classes
         self.caller_bounds = caller_bounds
         self.number = number
