--- a/src/dotterelstand/connection/callerrequest.py
+++ b/src/dotterelstand/connection/callerrequest.py
@@ -65,6 +65,7 @@
         "limit_s",
         "on_disconnect",
         "on_stop",
+        "retry_after_s",
         "sent_bytes",
         "write_decisions",
     )
@@ -104,6 +105,9 @@
         self.ended = trio.Event()
         self.on_disconnect: Callable[[], object] | None = None
         self.on_stop: Callable[[], object] | None = None
+        # Seconds after which the caller may retry if the request is refused; None for the default
+        # of the result code.
+        self.retry_after_s: float | None = None
         # Logs the decisions on the request, which is done if its answer is not delivered.
         self.write_decisions: Callable[[], object] | None = None
 
@@ -277,7 +281,9 @@
         """Send an error answer that dotterelstand itself generates."""
         headers: Headers = [(b"content-type", b"text/plain")]
         if code.retry_after_s is not None:
-            headers.append((b"retry-after", f"{code.retry_after_s:g}".encode()))
+            own = self.retry_after_s
+            after_s = code.retry_after_s if own is None else round(own, 3)
+            headers.append((b"retry-after", f"{after_s:g}".encode()))
         body = f"{code:d} {code.name.lower()}\n".encode()
         await self.answer(code.http_status, headers, body, code)
 
