--- a/src/dotterelstand/process/discovery/platformfeed.py
+++ b/src/dotterelstand/process/discovery/platformfeed.py
@@ -217,15 +217,20 @@
 
         Of two hosts that start together, at least one finds the other in its first list, since
         each registers before it reads. Hosts that start later open links by themselves, so a large
-        fleet reads its list rarely.
+        fleet reads its list rarely. A host that starts again is still listed and does not register.
         """
         registered = False
         while True:
+            listed = None
+            if not registered and not self._watch_settings.bootstrap_wait_s:
+                listed = await self._list_region(self._own_host().region)
+                registered = listed is not None and _is_listed(self._own_host(), listed)
+                listed = listed if registered else None
             if not registered:
                 registered = is_successful(await self._platform.register_host(self._own_host()))
                 if registered:
                     await trio.sleep(self._watch_settings.bootstrap_wait_s)
-            hosts = await self._read_hosts() if registered else None
+            hosts = await self._read_hosts(listed) if registered else None
             if hosts is None:
                 self.host_list_attempted.set()
                 await self._backoff.sleep()
@@ -238,13 +243,15 @@
             with trio.move_on_after(interval_s * max(1.0, len(hosts) / FULL_MESH_HOSTS)):
                 await self._wait_became_hub()
 
-    async def _read_hosts(self) -> list[ListedHost] | None:
+    async def _read_hosts(self, listed: list[ListedHost] | None) -> list[ListedHost] | None:
         """Entry hosts that this host may need a link to; None if the store did not answer.
 
+        `listed` are the hosts of its region if they have just been read.
+
         Of a fleet with hubs, only the hubs need the hosts of other regions.
         """
         own = self._own_host()
-        hosts = await self._list_region(own.region)
+        hosts = await self._list_region(own.region) if listed is None else listed
         if hosts is None:
             return None
         hubs = choose_hubs([own, *(host for host in hosts if host.host != own.host)])
@@ -317,6 +324,16 @@
                 self.publish()
 
 
+def _is_listed(own: ListedHost, hosts: list[ListedHost]) -> bool:
+    """Whether the list has this host as it would register itself."""
+    return any(
+        (item.address, item.port, item.availability_zone, item.capacity)
+        == (own.address, own.port, own.availability_zone, own.capacity)
+        for item in hosts
+        if item.host == own.host
+    )
+
+
 def _target_entries(entries: list[Entry[Item]]) -> list[Entry[RegisteredTarget]]:
     return [
         Entry(
--- a/src/dotterelstand/process/discovery/relayedplatform.py
+++ b/src/dotterelstand/process/discovery/relayedplatform.py
@@ -27,18 +27,14 @@
     PlatformError,
     relayed_kind,
 )
-from dotterelstand.process.discovery.relayview import (
-    RELAY_STATE_TTL_S,
-    RelayedChanges,
-    RelayStatus,
-    RelayView,
-)
+from dotterelstand.process.discovery.relayview import RelayedChanges, RelayStatus, RelayView
 from dotterelstand.process.discovery.snapshotrequests import SnapshotRequests, is_hub
 from dotterelstand.process.discovery.snapshots import (
     SnapshotServer,
     merge_relayed,
     relayed_changes,
 )
+from dotterelstand.process.discovery.storechecks import CHECK_INTERVAL_S, StoreChecks
 from dotterelstand.process.peering.membership import ListedHost
 from dotterelstand.process.peering.mesh import Mesh
 from dotterelstand.process.peering.ranking import RELAY_KEY, choose_relays, rank_hosts
@@ -48,10 +44,6 @@
 # the loss of a single relay would make dozens of hosts call the store.
 RELAYS_IN_MESH = 1
 RELAYS_IN_OVERLAY = 2
-# Seconds between two store checks of a relay, and the timeout of a check. Their sum is less than
-# `RELAY_STATE_TTL_S`, so that a relay's report does not expire before its next one.
-CHECK_INTERVAL_S = 0.5
-CHECK_TIMEOUT_S = 0.6
 # A host that is not a relay waits at most this number of seconds before it calls the store again,
 # while neither it nor the relays reach the store. The wait ends early when a relay reaches the
 # store, or when no relay's report is valid any more.
@@ -69,6 +61,7 @@
     """
 
     __slots__ = (
+        "_checks",
         "_failed_kinds",
         "_hosts_read",
         "_hub_linked",
@@ -85,7 +78,6 @@
         "_role_known",
         "_snapshot_requests",
         "_snapshots",
-        "_store_failed_until",
         "_was_relay",
         "_watch_pauses_s",
         "_watches",
@@ -100,6 +92,7 @@
         rng: random.Random,
     ) -> None:
         self._platform = platform
+        self._checks = StoreChecks(platform, metrics)
         self._mesh = mesh
         self._metrics = metrics
         # Delay in seconds between a watch that returned changes and the next one, so that changes
@@ -120,8 +113,6 @@
         # Kinds for which `watch` has already failed in this outage of the store. It fails once for
         # each outage, and after that watches the store itself.
         self._outage_reported: set[Kind] = set()
-        # Until this time in seconds, this host does not take the place of other relays.
-        self._store_failed_until = 0.0
         self._was_relay = False
         self._relying_on_relays = True
         self._snapshots = SnapshotServer(platform, self._relay_view, mesh.send)
@@ -138,10 +129,21 @@
         ranked = rank_hosts(RELAY_KEY, self._mesh.members(), self._mesh.region)
         now = trio.current_time()
         failing = {host for host in ranked if self._relay_view.reports_failure(host, now)}
-        if now < self._store_failed_until:
+        if self._checks.is_failing(now):
             failing.add(self._mesh.host)
         return self._mesh.host in choose_relays(ranked, count, failing)
 
+    @property
+    def _reads_store(self) -> bool:
+        """Whether this host watches the store itself.
+
+        A relay that the store refuses uses the changes from other relays, if they reach it: each
+        refused call costs as much as an answered one.
+        """
+        now = trio.current_time()
+        others_reach_store = self._relay_view.reports_expire_at(now) > now
+        return self.is_relay and not (self._checks.is_failing(now) and others_reach_store)
+
     async def list(self, kind: Kind) -> Result[Listing[Item], PlatformError]:
         """List all objects of a relayed kind, from a hub or from the store."""
         self._snapshots.begin_read(kind)
@@ -176,12 +178,16 @@
 
     async def _list(self, kind: Kind) -> Result[Listing[Item], PlatformError]:
         await self._role_known.wait()
-        if kind in self._failed_kinds and not self.is_relay:
-            await self._await_retry()
+        if kind in self._failed_kinds:
+            if not self.is_relay:
+                await self._await_retry()
+            elif self._reads_store and self._checks.is_failing(trio.current_time()):
+                # A refused list costs ten times as much as a check.
+                await self._checks.wait_until_answered()
         encoded = None
         if not self._relay_view.is_store_unreachable(trio.current_time()):
             # While relays don't reach the store, only a call of this host shows whether it does.
-            encoded = await self._snapshot_requests.request(kind)
+            encoded = await self._snapshot_requests.request(kind, self._reads_store)
         if encoded is not None:
             listing = self._platform.parse_list(kind, encoded)
             if is_successful(listing):
@@ -206,7 +212,7 @@
         while True:
             consecutive = self._relay_view.changes_after(kind, revision)
             status = self._relay_view.status(kind, revision, trio.current_time())
-            if not self.is_relay:
+            if not self._reads_store:
                 self._update_reliance(kind, status)
                 if consecutive:
                     return self._use_relayed(kind, consecutive)
@@ -245,13 +251,8 @@
                 await self._check_store()
 
     async def _check_store(self) -> None:
-        answers = False
-        with trio.move_on_after(CHECK_TIMEOUT_S):
-            answers = is_successful(await self._platform.check())
-        self._metrics.count("platform.checks")
+        answers = await self._checks.check()
         if not answers:
-            self._metrics.count("platform.checks_failed")
-            self._store_failed_until = trio.current_time() + RELAY_STATE_TTL_S
             # A watch over a lost connection would wait until the kernel detects the loss.
             for scope in self._watches.values():
                 scope.cancel()
@@ -300,7 +301,7 @@
 
     def _is_relayed(self, kind: Kind, revision: int) -> bool:
         status = self._relay_view.status(kind, revision, trio.current_time())
-        return status in (RelayStatus.CURRENT, RelayStatus.BEHIND) and not self.is_relay
+        return status in (RelayStatus.CURRENT, RelayStatus.BEHIND) and not self._reads_store
 
     async def _wait_for_relay_update(self) -> None:
         """Wait for a relay's message, a change of this host's role, or expiry of all reports."""
--- a/src/dotterelstand/process/discovery/snapshotrequests.py
+++ b/src/dotterelstand/process/discovery/snapshotrequests.py
@@ -36,12 +36,15 @@
         self._received: dict[Kind, Snapshot] = {}
         mesh.subscribe(Snapshot, self._on_snapshot)
 
-    async def request(self, kind: Kind) -> bytes | None:
-        """List of a kind as sent by the store; None if no hub has it or they were just asked."""
+    async def request(self, kind: Kind, reads_store: bool = True) -> bytes | None:
+        """List of a kind as sent by the store; None if no hub has it or they were just asked.
+
+        A host that does not read the store itself may get the list from any hub.
+        """
         if trio.current_time() < self._next_at[kind]:
             return None
         self._next_at[kind] = trio.current_time() + PAUSE_S
-        for host in self._hubs_to_ask()[:ATTEMPTS]:
+        for host in self._hubs_to_ask(reads_store)[:ATTEMPTS]:
             self._received.pop(kind, None)
             if not self._mesh.send(host, SnapshotRequest(RELAYED_KINDS.index(kind))):
                 continue
@@ -59,7 +62,7 @@
             log(Event.OBJECT_UNREADABLE, kind=kind.value, name="", reason=str(encoded.failure()))
         return None
 
-    def _hubs_to_ask(self) -> Sequence[str]:
+    def _hubs_to_ask(self, reads_store: bool) -> Sequence[str]:
         """Hubs of the region, in the order in which this host asks them.
 
         A hub asks the hubs that rank before it as a relay, so the first relay asks none. All lists
@@ -70,6 +73,8 @@
         if not is_hub(self._mesh):
             return rank_hosts(own, members, region)
         ranked = rank_hosts(RELAY_KEY, members, region)
+        if not reads_store:
+            return [host for host in ranked if host != own]
         return ranked[: ranked.index(own)] if own in ranked else ranked
 
     def _on_snapshot(self, sender: str, message: Snapshot) -> None:
