--- a/src/dotterelstand/codes.py
+++ b/src/dotterelstand/codes.py
@@ -2,6 +2,9 @@
 
 from enum import Enum, IntEnum
 
+# Seconds after which a caller may retry a request that a target rejected.
+TARGET_RETRY_S = 0.1
+
 
 class Execution(Enum):
     """Whether a request ran, as reported to its caller."""
@@ -63,11 +66,14 @@
         return _HTTP_STATUS.get(self, 503 if self.run is Execution.NOT_RUN else 502)
 
     @property
-    def retry_after_s(self) -> int | None:
+    def retry_after_s(self) -> float | None:
         """Seconds after which a caller may retry, or None if a retry would not help."""
         if self is Result.HOST_STOPPING:
             # Another host can serve the request now.
             return 0
+        if self is Result.TARGET_REFUSED:
+            # Another target may accept the request.
+            return TARGET_RETRY_S
         return 1 if self in _TEMPORARY else None
 
 
--- a/src/dotterelstand/connection/wire.py
+++ b/src/dotterelstand/connection/wire.py
@@ -147,12 +147,17 @@
 
 
 class Refuse(Message):
-    """Refusal of a call by the dispatcher, with a result code."""
+    """Refusal of a call by the dispatcher, with a result code.
 
-    __slots__ = ("call", "code")
+    The caller may retry after `retry_ms` milliseconds; 0 stands for the default of the code.
+    """
+
+    __slots__ = ("call", "code", "retry_ms")
     TYPE = 10
+    OPTIONAL = 1
     call: int
     code: int
+    retry_ms: int
 
 
 class Queued(Message):
--- a/src/dotterelstand/process/selection/dispatcher.py
+++ b/src/dotterelstand/process/selection/dispatcher.py
@@ -2,10 +2,12 @@
 
 from dotterelstand.codes import Result as ResultCode
 from dotterelstand.process.selection.balancer import Chooser
+from dotterelstand.process.selection.decisions import Decision, Granted, Refused
 from dotterelstand.process.selection.grants import GrantTable, OpenGrant
 from dotterelstand.process.selection.health import HealthTable
 from dotterelstand.process.selection.outcome import AttemptOutcome, TargetSnapshot
 from dotterelstand.process.selection.queue import CallKey, CallQueue, WaitingCall
+from dotterelstand.process.selection.returnschedule import ReturnSchedule
 from dotterelstand.process.selection.slotcodec import MAX_CLASSES
 from dotterelstand.process.selection.slotcounters import DispatcherCounters
 from dotterelstand.process.selection.slotindex import NO_TARGETS
@@ -21,29 +23,6 @@
 MIN_REMAINING_MULTIPLE = 1.5
 
 
-class Granted:
-    """Grant of a slot; `target` is an index into the service's targets."""
-
-    __slots__ = ("key", "target")
-
-    def __init__(self, key: CallKey, target: int) -> None:
-        self.key = key
-        self.target = target
-
-
-class Refused:
-    """Refusal of a slot, with its result code."""
-
-    __slots__ = ("code", "key")
-
-    def __init__(self, key: CallKey, code: ResultCode) -> None:
-        self.key = key
-        self.code = code
-
-
-Decision = Granted | Refused
-
-
 class Dispatcher:
     """Grants slots of one service and queues calls; its state may be lost at any time."""
 
@@ -53,6 +32,7 @@
         "_hold_s",
         "_queue",
         "_region",
+        "_returns",
         "_tables",
         "_tuning",
         "calls",
@@ -69,6 +49,7 @@
         self._chooser = chooser
         self._grants = GrantTable()
         self._hold_s = 0.0
+        self._returns = ReturnSchedule()
         self._queue = CallQueue(0, MAX_CLASSES)
         self.counters = DispatcherCounters()
         # Number of calls submitted so far.
@@ -116,33 +97,33 @@
         self.calls += 1
         self._discard_stale(call.key, now)
         decisions = self.advance(now)
-        slow_position: int | None = None
+        impaired_position: int | None = None
         if not len(self._queue):
             position = self._choose_for(call, self._tables.local, now)
             if position is not None:
-                if not self._tables.local.targets[position].slow:
+                if not self._tables.local.targets[position].impaired:
                     return [*decisions, self._grant(call.key, self._tables.local, position, now)]
-                slow_position = position
+                impaired_position = position
         if call.no_wait:
             return [*decisions, Refused(call.key, ResultCode.OVERLOADED)]
         wait_s = self._expected_wait_s(call.klass)
         remaining_s = call.deadline - now
-        spilled = self._try_spillover(call, wait_s, remaining_s, now)
+        spilled = self._try_spillover(call, wait_s, remaining_s, now, impaired_position)
         if spilled is not None:
             return [*decisions, spilled]
-        if slow_position is not None and not self._should_wait_for_normal(call, now):
-            return [*decisions, self._grant(call.key, self._tables.local, slow_position, now)]
+        if impaired_position is not None and not self._should_wait_for_normal(call, now):
+            return [*decisions, self._grant(call.key, self._tables.local, impaired_position, now)]
         if not self._eligible_count(call):
             return [*decisions, Refused(call.key, ResultCode.NO_TARGET)]
         if remaining_s < wait_s + self._tables.local.typical_s:
             self.counters.deadline_refused += 1
-            return [*decisions, Refused(call.key, ResultCode.DEADLINE_TOO_SHORT)]
+            return [*decisions, self._refuse(call, ResultCode.DEADLINE_TOO_SHORT, now)]
         self.counters.waited += 1
         evicted = self._queue.push(call)
         if evicted is None:
             return decisions
         self.counters.queue_refused += 1
-        return [*decisions, Refused(evicted.key, ResultCode.OVERLOADED)]
+        return [*decisions, self._refuse(evicted, ResultCode.OVERLOADED, now)]
 
     def record_grant(self, key: CallKey, target: int, now: float) -> None:
         """Record the grant of a target's slot by another dispatcher."""
@@ -181,7 +162,7 @@
         ):
             # An early refusal leaves the caller time to retry elsewhere.
             self.counters.deadline_refused += 1
-            decisions.append(Refused(late.key, ResultCode.DEADLINE_TOO_SHORT))
+            decisions.append(self._refuse(late, ResultCode.DEADLINE_TOO_SHORT, now))
         skipped: list[WaitingCall] = []
         while len(self._queue):
             if (
@@ -192,7 +173,7 @@
             call = self._queue.pop(now)
             assert call is not None
             position = self._choose_for(call, self._tables.local, now)
-            if position is not None and self._tables.local.targets[position].slow:
+            if position is not None and self._tables.local.targets[position].impaired:
                 if self._should_wait_for_normal(call, now):
                     skipped.append(call)
                     continue
@@ -206,7 +187,7 @@
             if evicted is not None:
                 # The queue's capacity was reduced while the calls waited.
                 self.counters.queue_refused += 1
-                decisions.append(Refused(evicted.key, ResultCode.OVERLOADED))
+                decisions.append(self._refuse(evicted, ResultCode.OVERLOADED, now))
         return decisions
 
     def refuse_all(self) -> list[Decision]:
@@ -328,24 +309,42 @@
             return Refused(call.key, ResultCode.NO_TARGET)
         if call.deadline - now < self._tables.local.typical_s:
             self.counters.deadline_refused += 1
-            return Refused(call.key, ResultCode.DEADLINE_TOO_SHORT)
+            return self._refuse(call, ResultCode.DEADLINE_TOO_SHORT, now)
         return self._grant(call.key, self._tables.local, position, now)
 
-    def _expected_wait_s(self, klass: int) -> float:
-        slots = max(1, self._tables.local.total_allowance)
+    def _refuse(self, call: WaitingCall, code: ResultCode, now: float) -> Refused:
+        """Refuse a call for lack of slots, with a time at which one is expected to be free."""
+        wait_s = self._expected_wait_s(call.klass)
+        return Refused(call.key, code, self._returns.reserve(now, wait_s, self._slot_interval_s()))
+
+    def _slot_interval_s(self) -> float:
+        """Mean time in seconds between two slots that become free while all are in use."""
         hold_s = self._hold_s or self._tables.local.typical_s
-        return (self._queue.count_ahead(klass) + 1) * hold_s / slots
+        return hold_s / max(1, self._tables.local.total_allowance)
+
+    def _expected_wait_s(self, klass: int) -> float:
+        return (self._queue.count_ahead(klass) + 1) * self._slot_interval_s()
 
     def _should_wait_for_normal(self, call: WaitingCall, now: float) -> bool:
-        """Whether a call should wait for a normal target when only slow ones are open."""
-        if self._tables.local.slow_count >= self._tables.local.usable_count:
+        """Whether a call should wait for a normal target when only impaired ones are open."""
+        local = self._tables.local
+        if local.impaired_count >= local.usable_count:
             return False
-        return now - call.arrived_at < min(self._tables.local.typical_s, (call.deadline - now) / 4)
+        limit_s = min(local.typical_s, (call.deadline - now) / 4)
+        if call.start_by is not None and local.rejecting_count:
+            # An attempt that is rejected takes one of the request's few attempts.
+            limit_s = max(limit_s, (call.start_by - call.arrived_at) / 2)
+        return now - call.arrived_at < limit_s
 
     def _try_spillover(
-        self, call: WaitingCall, wait_s: float, remaining_s: float, now: float
+        self,
+        call: WaitingCall,
+        wait_s: float,
+        remaining_s: float,
+        now: float,
+        impaired_position: int | None,
     ) -> Granted | None:
-        """Grant a slot in another region if that costs less than waiting in this region."""
+        """Grant a slot in another region if that costs less than this region's best target."""
         if call.klass in self.region_only_classes:
             return None
         cross_region_cost_s = self._tuning.cross_region_cost_s
@@ -354,12 +353,16 @@
         allowed_s = cross_region_cost_s
         if call.start_by is not None:
             allowed_s = max(cross_region_cost_s, call.start_by - now)
-        if self._eligible_count(call) and wait_s <= allowed_s and not is_full:
+        rejects = (
+            impaired_position is not None
+            and self._tables.local.targets[impaired_position].rejecting
+        )
+        if self._eligible_count(call) and wait_s <= allowed_s and not is_full and not rejects:
             return None
         if remaining_s < cross_region_cost_s + self._tables.local.typical_s:
             return None
         position = self._choose_for(call, self._tables.remote, now)
-        if position is None or self._tables.remote.targets[position].slow:
+        if position is None or self._tables.remote.targets[position].impaired:
             return None
         self.counters.spilled += 1
         return self._grant(call.key, self._tables.remote, position, now)
--- a/src/dotterelstand/process/selection/grantserver.py
+++ b/src/dotterelstand/process/selection/grantserver.py
@@ -2,7 +2,7 @@
 
 from dotterelstand.connection.wire import Acquire, Grant, Paces, Queued, Refuse, Release
 from dotterelstand.process.selection.budgetedmesh import BudgetedMesh
-from dotterelstand.process.selection.dispatcher import Decision, Granted
+from dotterelstand.process.selection.decisions import Decision, Granted
 from dotterelstand.process.selection.outcome import AttemptOutcome
 from dotterelstand.process.selection.queue import WaitingCall
 from dotterelstand.process.selection.servicestate import ServiceState
@@ -137,7 +137,8 @@
             self._calls.get(host, {}).pop(number, None)
             return state.regional.finish(decision.key, AttemptOutcome.CANCELLED, 0.0, None, now)
         self._calls.get(host, {}).pop(number, None)
-        if self._mesh.send(host, Refuse(number, int(decision.code)), now):
+        retry_ms = round(1000 * (decision.retry_after_s or 0.0))
+        if self._mesh.send(host, Refuse(number, int(decision.code), retry_ms), now):
             self.counters.refusals_sent += 1
         else:
             self.counters.answers_unsent += 1
--- a/src/dotterelstand/process/selection/health.py
+++ b/src/dotterelstand/process/selection/health.py
@@ -99,9 +99,14 @@
             self._update_index(position)
 
     @property
-    def slow_count(self) -> int:
-        """Number of usable targets that are slow."""
-        return sum(1 for target in self.targets if target.slow and target.usable)
+    def impaired_count(self) -> int:
+        """Number of usable targets that are slow or reject many requests."""
+        return sum(1 for target in self.targets if target.impaired and target.usable)
+
+    @property
+    def rejecting_count(self) -> int:
+        """Number of usable targets that reject many requests."""
+        return sum(1 for target in self.targets if target.rejecting and target.usable)
 
     def in_zone(self, zone: str) -> AbstractSet[int]:
         """Positions of the targets in an availability zone."""
@@ -115,9 +120,15 @@
     def finish(self, position: int, outcome: AttemptOutcome, duration_s: float, now: float) -> None:
         """Count the end of an attempt and update the target's health from its outcome."""
         target = self.targets[position]
-        if outcome.is_failure and duration_s < self.typical_s and target.usable:
+        if (
+            outcome.is_failure
+            and duration_s < self.typical_s
+            and target.usable
+            and not target.rejecting
+        ):
             # A fast failure occupies its slot for the typical duration, so that a target which
-            # rejects requests does not look idle.
+            # fails requests does not look idle. A target that is known to reject requests is ranked
+            # last instead, and its free slots serve what the others have no room for.
             heapq.heappush(
                 self._timers,
                 (now + self.typical_s - duration_s, position, TimerKind.HOLD_ENDS.value),
@@ -126,7 +137,13 @@
             target.in_flight -= 1
         assert target.in_flight >= 0, "more attempts ended than started"
         if outcome is AttemptOutcome.OK:
+            target.record_rejection(False, now)
             self._record_success(position, duration_s, now)
+        elif outcome is AttemptOutcome.REFUSED:
+            # The target is alive and told at once that it did not run the request.
+            target.record_rejection(True, now)
+            timer = (target.rejecting_until, position, TimerKind.REJECTING_ENDS.value)
+            heapq.heappush(self._timers, timer)
         elif outcome.is_failure:
             self._record_failure(position, now)
         self._update_index(position)
@@ -185,8 +202,7 @@
             excess = target.excess_requests * 0.5 ** (
                 (now - target.reported_at) / REPORT_HALF_LIFE_S
             )
-        penalty = target.slowdown - 1 if target.slow else 0.0
-        return (target.in_flight + excess) / target.allowance + penalty
+        return (target.in_flight + excess) / target.allowance + target.penalty
 
     def mark_leaving(self, position: int, incarnation: int = 0) -> None:
         """Give the target no new work until `mark_returned`; 0 stands for each incarnation."""
@@ -197,7 +213,7 @@
     def mark_returned(self, position: int) -> None:
         """Let a leaving target take new work again, starting with one slot."""
         if self.targets[position].leaving:
-            self._update_target(position, _mark_returned_cold)
+            self._update_target(position, TargetHealth.return_cold)
 
     def mark_cold(self, position: int) -> None:
         """Start a new target with one slot."""
@@ -219,8 +235,12 @@
                 if target.slow and target.slow_until <= now:
                     target.slowdown = 1.0
                     self._update_index(position)
+            elif kind == TimerKind.REJECTING_ENDS.value:
+                if target.rejection_rate and target.rejecting_until <= now:
+                    target.rejection_rate = 0.0
+                    self._update_index(position)
             elif target.ejected_until is not None:
-                self._update_target(position, lambda target: _end_ejection(target, now))
+                self._update_target(position, lambda target: target.end_ejection(now))
                 self.changes.append(HealthChange(target.name, None))
 
     def next_timer(self) -> float | None:
@@ -240,6 +260,11 @@
             target.failure_rate, target.duration_s = previous.failure_rate, previous.duration_s
             target.ejections = previous.ejections
             target.slowdown, target.slow_until = previous.slowdown, previous.slow_until
+            target.rejection_rate = previous.rejection_rate
+            target.rejecting_until = previous.rejecting_until
+            if target.rejection_rate:
+                timer = (target.rejecting_until, position, TimerKind.REJECTING_ENDS.value)
+                heapq.heappush(self._timers, timer)
             if target.slow:
                 heapq.heappush(
                     self._timers, (target.slow_until, position, TimerKind.SLOWNESS_ENDS.value)
@@ -294,7 +319,7 @@
         target.successes += 1
         if target.successes >= self._tuning.successes_per_slot:
             target.successes = 0
-            self._update_target(position, _add_slot)
+            self._update_target(position, TargetHealth.add_slot)
 
     def _reset_ejections(self, target: TargetHealth, now: float) -> None:
         if target.ejections:
@@ -354,24 +379,5 @@
         if target.allowance == target.slots:
             limit = self._tuning.useful_slots(target.slots)
             limit += math.ceil(self._lookahead_per_slot * target.slots)
-        penalty = target.slowdown - 1 if target.slow else 0.0
         occupied = target.in_flight + target.other_requests
-        self.index.update(position, occupied, target.allowance, limit, penalty)
-
-
-def _mark_returned_cold(target: TargetHealth) -> None:
-    target.leaving = False
-    target.make_cold()
-
-
-def _end_ejection(target: TargetHealth, now: float) -> None:
-    target.ejected_until = None
-    target.ejection_ended_at = now
-    target.probation = True
-    target.failure_rate = 0.0
-    target.duration_s = 0.0
-    target.make_cold()
-
-
-def _add_slot(target: TargetHealth) -> None:
-    target.allowance += 1
+        self.index.update(position, occupied, target.allowance, limit, target.penalty)
--- a/src/dotterelstand/process/selection/outcome.py
+++ b/src/dotterelstand/process/selection/outcome.py
@@ -29,10 +29,19 @@
     `klass` is the index of the class in the document; class 0 is served first. A `no_wait` call
     gets a slot only if no other call is queued and a target that is not slow has a free slot;
     otherwise it is refused. An attempt that starts after `start_by` (seconds; None: no limit) is
-    late even if it ends before the deadline.
+    late even if it ends before the deadline. If the call is refused, `retry_after_s` is the time
+    in seconds after which its caller may retry; None for the default of the result code.
     """
 
-    __slots__ = ("deadline", "excluded", "klass", "no_wait", "start_by", "workspace")
+    __slots__ = (
+        "deadline",
+        "excluded",
+        "klass",
+        "no_wait",
+        "retry_after_s",
+        "start_by",
+        "workspace",
+    )
 
     def __init__(
         self,
@@ -45,6 +54,7 @@
     ) -> None:
         self.no_wait = no_wait
         self.start_by = start_by
+        self.retry_after_s: float | None = None
         self.klass = klass
         self.workspace = workspace
         self.deadline = deadline
--- a/src/dotterelstand/process/selection/slotcore.py
+++ b/src/dotterelstand/process/selection/slotcore.py
@@ -8,10 +8,10 @@
 from dotterelstand.connection.wire import Acquire, Grant, Queued, Refuse, Release
 from dotterelstand.process.peering.mesh import Member
 from dotterelstand.process.selection.budgetedmesh import BudgetedMesh
-from dotterelstand.process.selection.dispatcher import Decision, Granted
+from dotterelstand.process.selection.decisions import Decision, Granted
 from dotterelstand.process.selection.grantserver import GrantServer
 from dotterelstand.process.selection.measure import MeasureBudget
-from dotterelstand.process.selection.outcome import AttemptOutcome, SlotCall, SlotGrant, SlotOutcome
+from dotterelstand.process.selection.outcome import AttemptOutcome, SlotCall, SlotOutcome
 from dotterelstand.process.selection.queue import WaitingCall
 from dotterelstand.process.selection.rendezvous import DispatcherMap
 from dotterelstand.process.selection.servicestate import ServiceState
@@ -24,6 +24,7 @@
     TicketState,
     TicketTable,
     make_acquire,
+    make_grant,
     make_waiting_call,
 )
 from dotterelstand.process.selection.tuning import SelectionTuning
@@ -214,6 +215,7 @@
             self._choose_locally(ticket, state, now)
             return
         self._tickets.end(ticket)
+        ticket.call.retry_after_s = message.retry_ms / 1000 or None
         self._refuse(ticket, code)
 
     def on_queued(self, sender: str, message: Queued, now: float) -> None:
@@ -309,6 +311,7 @@
     def _decide(self, ticket: Ticket, state: ServiceState, decision: Decision, now: float) -> None:
         if not isinstance(decision, Granted):
             self._tickets.end(ticket)
+            ticket.call.retry_after_s = decision.retry_after_s
             self._refuse(ticket, decision.code)
         elif ticket.state is TicketState.QUEUED_REGIONAL:
             state.local.record_grant(decision.key, decision.target, now)
@@ -350,16 +353,8 @@
         # Look `target` up in the version in force; the call's service may be of an older version.
         service = state.service
         ticket.state = granted
-        granter = {TicketState.GRANTED_REMOTE: ticket.dispatcher, TicketState.GRANTED_LOCAL: ""}
-        ticket.grant = SlotGrant(
-            service.name,
-            service.targets[target],
-            target,
-            ticket.dispatcher,
-            ticket.number,
-            granter.get(granted, self._mesh.host),
-            state.local.target_snapshot(target, now),
-        )
+        snapshot = state.local.target_snapshot(target, now)
+        ticket.grant = make_grant(ticket, service, target, self._mesh.host, snapshot)
         ticket.resolve(ticket)
 
     def _refuse(self, ticket: Ticket, code: ResultCode) -> Ticket:
--- a/src/dotterelstand/process/selection/targethealth.py
+++ b/src/dotterelstand/process/selection/targethealth.py
@@ -3,6 +3,16 @@
 import math
 from enum import Enum
 
+# Weight of the newest outcome in the share of rejected requests; three rejections in a row make a
+# target count as rejecting.
+REJECTION_WEIGHT = 0.25
+# Share of rejected requests from which a target counts as rejecting, and the seconds after its last
+# rejection for which it does. A rejection costs a round trip and a retry, so that such a target is
+# used only while no other has a free slot; after this time it gets requests again.
+REJECTING_THRESHOLD = 0.3
+REJECTING_TTL_S = 1.0
+# Share above which the rank does not get worse.
+MAX_REJECTION_RATE = 0.9
 # Slowdown from which a target counts as slow: work takes at least twice the usual time.
 SLOW_THRESHOLD = 2.0
 
@@ -24,13 +34,15 @@
     HOLD_ENDS = 2
     SLOWNESS_ENDS = 3
     OTHERS_FORGOTTEN = 4
+    REJECTING_ENDS = 5
 
 
 class TargetHealth:
     """State of one target; `allowance` is the number of its slots that may be used now.
 
     `slowdown` is the factor by which work takes longer than usual. A slow target counts as normal
-    again at `slow_until`.
+    again at `slow_until`. `rejection_rate` is the recent share of requests that the target rejected
+    without running them, until `rejecting_until`.
     """
 
     __slots__ = (
@@ -47,6 +59,8 @@
         "name",
         "other_requests",
         "probation",
+        "rejecting_until",
+        "rejection_rate",
         "reported_at",
         "slots",
         "slow_until",
@@ -74,12 +88,39 @@
         self.other_requests = 0
         self.slowdown = 1.0
         self.slow_until = -math.inf
+        self.rejection_rate = 0.0
+        self.rejecting_until = -math.inf
 
     @property
     def slow(self) -> bool:
         """Whether work takes at least `SLOW_THRESHOLD` times as long as usual."""
         return self.slowdown >= SLOW_THRESHOLD
 
+    @property
+    def rejecting(self) -> bool:
+        """Whether the target rejects a share of at least `REJECTING_THRESHOLD` of its requests."""
+        return self.rejection_rate >= REJECTING_THRESHOLD
+
+    @property
+    def impaired(self) -> bool:
+        """Whether another target serves a request better if one has a free slot."""
+        return self.slow or self.rejecting
+
+    @property
+    def penalty(self) -> float:
+        """Additional occupancy, as a share of all slots, with which the target is ranked."""
+        penalty = self.slowdown - 1 if self.slow else 0.0
+        if self.rejecting:
+            # Expected number of further attempts of a request that is sent to this target.
+            penalty += self.rejection_rate / (1 - min(self.rejection_rate, MAX_REJECTION_RATE))
+        return penalty
+
+    def record_rejection(self, rejected: bool, now: float) -> None:
+        """Update the share of rejected requests with an outcome."""
+        self.rejection_rate += REJECTION_WEIGHT * (rejected - self.rejection_rate)
+        if rejected:
+            self.rejecting_until = now + REJECTING_TTL_S
+
     @property
     def usable(self) -> bool:
         """Whether the target may receive new work."""
@@ -89,3 +130,21 @@
         """Reduce the target to one slot; successes add slots again."""
         self.allowance = 1
         self.successes = 0
+
+    def add_slot(self) -> None:
+        """Let a cold target use one more slot."""
+        self.allowance += 1
+
+    def return_cold(self) -> None:
+        """Let a leaving target take new work again, starting with one slot."""
+        self.leaving = False
+        self.make_cold()
+
+    def end_ejection(self, now: float) -> None:
+        """Put an ejected target back in use on probation, starting with one slot."""
+        self.ejected_until = None
+        self.ejection_ended_at = now
+        self.probation = True
+        self.failure_rate = 0.0
+        self.duration_s = 0.0
+        self.make_cold()
--- a/src/dotterelstand/process/selection/ticket.py
+++ b/src/dotterelstand/process/selection/ticket.py
@@ -6,7 +6,7 @@
 
 from dotterelstand.codes import Result as ResultCode
 from dotterelstand.connection.wire import Acquire
-from dotterelstand.process.selection.outcome import SlotCall, SlotGrant
+from dotterelstand.process.selection.outcome import SlotCall, SlotGrant, TargetSnapshot
 from dotterelstand.process.selection.queue import WaitingCall
 from dotterelstand.process.selection.slotcodec import MAX_CLASSES, pack_requirements
 from dotterelstand.version.model import Service
@@ -109,6 +109,25 @@
     return waiting
 
 
+def make_grant(
+    ticket: Ticket, service: Service, target: int, host: str, snapshot: TargetSnapshot
+) -> SlotGrant:
+    """Build the grant of a slot to a ticket whose state names the granter.
+
+    `target` is an index into the targets of `service`, the version in force, and `host` this host.
+    """
+    granters = {TicketState.GRANTED_REMOTE: ticket.dispatcher, TicketState.GRANTED_LOCAL: ""}
+    return SlotGrant(
+        service.name,
+        service.targets[target],
+        target,
+        ticket.dispatcher,
+        ticket.number,
+        granters.get(ticket.state, host),
+        snapshot,
+    )
+
+
 class TicketTable:
     """Table of open tickets; reuses the lowest number, as CBOR encodes small ones in one byte."""
 
--- a/src/dotterelstand/request/exchange.py
+++ b/src/dotterelstand/request/exchange.py
@@ -196,8 +196,12 @@
         start_by = latest_start_s(self._began_s, objective_s, self._policy.latency)
         call = SlotCall(klass, workspace, self._scope.deadline, excluded, no_wait, start_by)
         if self._body.complete:
-            return await self._context.slots.acquire(self._service, call)
-        return await acquire_while_reading(self._context.slots, self._service, call, self._body)
+            grant = await self._context.slots.acquire(self._service, call)
+        else:
+            slots = self._context.slots
+            grant = await acquire_while_reading(slots, self._service, call, self._body)
+        self._caller.retry_after_s = call.retry_after_s
+        return grant
 
     def _slot_pause_s(self, refusal: ResultCode, pauses: int) -> float | None:
         """Seconds until a retry asks for a slot again, or None."""
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -9,7 +9,8 @@
 
 from dotterelstand.codes import Result as ResultCode
 from dotterelstand.process.selection.balancer import LeastOccupied, TwoChoices
-from dotterelstand.process.selection.dispatcher import Decision, Dispatcher, Granted, Refused
+from dotterelstand.process.selection.decisions import Decision, Granted, Refused
+from dotterelstand.process.selection.dispatcher import Dispatcher
 from dotterelstand.process.selection.outcome import AttemptOutcome
 from dotterelstand.process.selection.queue import WaitingCall
 from dotterelstand.process.selection.tuning import SelectionTuning
