--- a/src/dotterelstand/process/selection/health.py
+++ b/src/dotterelstand/process/selection/health.py
@@ -236,8 +236,8 @@
                     target.slowdown = 1.0
                     self._update_index(position)
             elif kind == TimerKind.REJECTING_ENDS.value:
-                if target.rejection_rate and target.rejecting_until <= now:
-                    target.rejection_rate = 0.0
+                if target.rejecting and target.rejecting_until <= now:
+                    target.end_rejecting()
                     self._update_index(position)
             elif target.ejected_until is not None:
                 self._update_target(position, lambda target: target.end_ejection(now))
@@ -262,6 +262,7 @@
             target.slowdown, target.slow_until = previous.slowdown, previous.slow_until
             target.rejection_rate = previous.rejection_rate
             target.rejecting_until = previous.rejecting_until
+            target.rejecting_s = previous.rejecting_s
             if target.rejection_rate:
                 timer = (target.rejecting_until, position, TimerKind.REJECTING_ENDS.value)
                 heapq.heappush(self._timers, timer)
--- a/src/dotterelstand/process/selection/targethealth.py
+++ b/src/dotterelstand/process/selection/targethealth.py
@@ -6,11 +6,17 @@
 # Weight of the newest outcome in the share of rejected requests; three rejections in a row make a
 # target count as rejecting.
 REJECTION_WEIGHT = 0.25
-# Share of rejected requests from which a target counts as rejecting, and the seconds after its last
-# rejection for which it does. A rejection costs a round trip and a retry, so that such a target is
-# used only while no other has a free slot; after this time it gets requests again.
+# Share of rejected requests from which a target counts as rejecting. A rejection costs a round trip
+# and a retry, so such a target is used only while no other has a free slot.
 REJECTING_THRESHOLD = 0.3
-REJECTING_TTL_S = 1.0
+# Seconds after its last rejection after which a target gets requests again, which shows whether it
+# still rejects them; twice as long each time that it does, up to the maximum.
+REJECTING_MIN_S = 1.0
+REJECTING_MAX_S = 4.0
+# Share to which a target returns after that time. The next rejection exceeds the threshold again.
+RETURN_REJECTION_RATE = 0.25
+# Share below which the target is no longer known to have rejected requests.
+FORGOTTEN_REJECTION_RATE = 0.05
 # Share above which the rank does not get worse.
 MAX_REJECTION_RATE = 0.9
 # Slowdown from which a target counts as slow: work takes at least twice the usual time.
@@ -42,7 +48,8 @@
 
     `slowdown` is the factor by which work takes longer than usual. A slow target counts as normal
     again at `slow_until`. `rejection_rate` is the recent share of requests that the target rejected
-    without running them, until `rejecting_until`.
+    without running them; it is reduced at `rejecting_until`, `rejecting_s` seconds after the last
+    rejection.
     """
 
     __slots__ = (
@@ -59,6 +66,7 @@
         "name",
         "other_requests",
         "probation",
+        "rejecting_s",
         "rejecting_until",
         "rejection_rate",
         "reported_at",
@@ -89,6 +97,7 @@
         self.slowdown = 1.0
         self.slow_until = -math.inf
         self.rejection_rate = 0.0
+        self.rejecting_s = 0.0
         self.rejecting_until = -math.inf
 
     @property
@@ -117,9 +126,18 @@
 
     def record_rejection(self, rejected: bool, now: float) -> None:
         """Update the share of rejected requests with an outcome."""
+        was_rejecting = self.rejecting
         self.rejection_rate += REJECTION_WEIGHT * (rejected - self.rejection_rate)
         if rejected:
-            self.rejecting_until = now + REJECTING_TTL_S
+            if self.rejecting and not was_rejecting:
+                self.rejecting_s = min(REJECTING_MAX_S, 2 * self.rejecting_s) or REJECTING_MIN_S
+            self.rejecting_until = now + (self.rejecting_s or REJECTING_MIN_S)
+        elif self.rejection_rate < FORGOTTEN_REJECTION_RATE:
+            self.rejection_rate = self.rejecting_s = 0.0
+
+    def end_rejecting(self) -> None:
+        """Let a target that rejected requests get some again."""
+        self.rejection_rate = min(self.rejection_rate, RETURN_REJECTION_RATE)
 
     @property
     def usable(self) -> bool:
