--- a/src/dotterelstand/bench/relays.py
+++ b/src/dotterelstand/bench/relays.py
@@ -72,7 +72,9 @@
         """Return a body that stands for one change."""
         return Success(new)
 
-    async def list_hosts(self, region: str) -> Result[Listing[Item], PlatformError]:
+    async def list_hosts(
+        self, region: str, stale_ok: bool = False
+    ) -> Result[Listing[Item], PlatformError]:
         """Return an empty list; the fleet maintains the host list."""
         return Success(Listing([], self._store.revision))
 
--- a/src/dotterelstand/platform/client.py
+++ b/src/dotterelstand/platform/client.py
@@ -65,15 +65,22 @@
         """List all objects of a kind, with the revision of the first page."""
         return await self._list(kind, KIND_NAMES[kind])
 
-    async def list_hosts(self, region: str) -> Result[Listing[Item], PlatformError]:
-        """List the entry hosts of a region."""
-        return await self._list(Kind.HOSTS, _hosts_kind(region))
+    async def list_hosts(
+        self, region: str, stale_ok: bool = False
+    ) -> Result[Listing[Item], PlatformError]:
+        """List the entry hosts of a region; a list that may be stale costs a tenth."""
+        return await self._list(Kind.HOSTS, _hosts_kind(region), stale_ok)
 
-    async def _list(self, kind: Kind, collection: str) -> Result[Listing[Item], PlatformError]:
+    async def _list(
+        self, kind: Kind, collection: str, stale_ok: bool = False
+    ) -> Result[Listing[Item], PlatformError]:
         items: list[Any] = []
         last_name, revision = "", 0
         for _ in range(MAX_PAGES):
-            query = f"?after={last_name}" if last_name else ""
+            options = ["staleOk=1"] if stale_ok else []
+            if last_name:
+                options.append(f"after={last_name}")
+            query = "?" + "&".join(options) if options else ""
             path = f"{OBJECTS_PATH}/{collection}{query}"
             answer = await self._call("GET", path, None, self._timeout_s)
             page = answer.bind(lambda response: _parse_body(response.body))
--- a/src/dotterelstand/process/discovery/platformfeed.py
+++ b/src/dotterelstand/process/discovery/platformfeed.py
@@ -24,9 +24,10 @@
 
 # Delay in seconds before the next call to a platform that doesn't answer; it doubles up to the
 # maximum. A host must be up to date 3 s after an outage of the platform, and the grace period of
-# lapsed targets takes 2.2 s of that.
+# lapsed targets takes 2.2 s of that. Hosts that follow relays hear of the end of an outage from
+# them, and relays from their checks, so only a host without links waits this long.
 RETRY_MIN_S = 0.1
-RETRY_MAX_S = 0.4
+RETRY_MAX_S = 1.0
 
 
 class WatchSettings:
@@ -219,22 +220,26 @@
         each registers before it reads. Hosts that start later open links by themselves, so a large
         fleet reads its list rarely. A host that starts again is still listed and does not register.
         """
-        registered = False
+        registered = has_read = False
         while True:
             listed = None
             if not registered and not self._watch_settings.bootstrap_wait_s:
-                listed = await self._list_region(self._own_host().region)
+                listed = await self._list_region(self._own_host().region, stale_ok=True)
                 registered = listed is not None and _is_listed(self._own_host(), listed)
                 listed = listed if registered else None
             if not registered:
                 registered = is_successful(await self._platform.register_host(self._own_host()))
                 if registered:
                     await trio.sleep(self._watch_settings.bootstrap_wait_s)
-            hosts = await self._read_hosts(listed) if registered else None
+            # Hosts that start together have to see each other; later, a stale list is enough,
+            # since hosts that start open the links themselves.
+            stale_ok = has_read or listed is not None
+            hosts = await self._read_hosts(listed, stale_ok) if registered else None
             if hosts is None:
                 self.host_list_attempted.set()
                 await self._backoff.sleep()
                 continue
+            has_read = True
             self._backoff.reset()
             self._update_hosts(hosts)
             self.host_list_attempted.set()
@@ -243,7 +248,9 @@
             with trio.move_on_after(interval_s * max(1.0, len(hosts) / FULL_MESH_HOSTS)):
                 await self._wait_became_hub()
 
-    async def _read_hosts(self, listed: list[ListedHost] | None) -> list[ListedHost] | None:
+    async def _read_hosts(
+        self, listed: list[ListedHost] | None, stale_ok: bool
+    ) -> list[ListedHost] | None:
         """Entry hosts that this host may need a link to; None if the store did not answer.
 
         `listed` are the hosts of its region if they have just been read.
@@ -251,21 +258,21 @@
         Of a fleet with hubs, only the hubs need the hosts of other regions.
         """
         own = self._own_host()
-        hosts = await self._list_region(own.region) if listed is None else listed
+        hosts = await self._list_region(own.region, stale_ok) if listed is None else listed
         if hosts is None:
             return None
         hubs = choose_hubs([own, *(host for host in hosts if host.host != own.host)])
         if len(hosts) > FULL_MESH_HOSTS and own.host not in hubs:
             return hosts
         for region in self._watch_settings.regions:
-            others = await self._list_region(region) if region != own.region else []
+            others = await self._list_region(region, stale_ok) if region != own.region else []
             if others is None:
                 return None
             hosts += others
         return hosts
 
-    async def _list_region(self, region: str) -> list[ListedHost] | None:
-        listing = await self._platform.list_hosts(region)
+    async def _list_region(self, region: str, stale_ok: bool) -> list[ListedHost] | None:
+        listing = await self._platform.list_hosts(region, stale_ok)
         if not is_successful(listing):
             return None
         entries = listing.unwrap().entries
--- a/src/dotterelstand/process/discovery/registry.py
+++ b/src/dotterelstand/process/discovery/registry.py
@@ -193,8 +193,10 @@
     async def list(self, kind: Kind) -> Result[Listing[Item], PlatformError]:
         """List all objects of a kind."""
 
-    async def list_hosts(self, region: str) -> Result[Listing[Item], PlatformError]:
-        """List the entry hosts of a region."""
+    async def list_hosts(
+        self, region: str, stale_ok: bool = False
+    ) -> Result[Listing[Item], PlatformError]:
+        """List the entry hosts of a region; a list that may be stale costs less."""
 
     async def watch(
         self, kind: Kind, revision: int, wait_s: float
--- a/src/dotterelstand/process/discovery/relayedplatform.py
+++ b/src/dotterelstand/process/discovery/relayedplatform.py
@@ -165,12 +165,14 @@
         self._send_state(True)
         return listing
 
-    async def list_hosts(self, region: str) -> Result[Listing[Item], PlatformError]:
+    async def list_hosts(
+        self, region: str, stale_ok: bool = False
+    ) -> Result[Listing[Item], PlatformError]:
         """List the entry hosts of a region, from the store."""
         if Kind.HOSTS in self._failed_kinds and not self.is_relay:
             await self._await_retry()
         self._failed_kinds.discard(Kind.HOSTS)
-        listing = await self._platform.list_hosts(region)
+        listing = await self._platform.list_hosts(region, stale_ok)
         if not is_successful(listing):
             self._failed_kinds.add(Kind.HOSTS)
         self._hosts_read.set()
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -235,7 +235,9 @@
     def diff_lists(self, old: bytes, new: bytes) -> Result[bytes, PlatformError]:
         return Success(new)
 
-    async def list_hosts(self, region: str) -> Result[Listing[Item], PlatformError]:
+    async def list_hosts(
+        self, region: str, stale_ok: bool = False
+    ) -> Result[Listing[Item], PlatformError]:
         return Success(Listing([], 5))
 
     def parse_list(self, kind: Kind, encoded: bytes) -> Result[Listing[Item], PlatformError]:
