--- a/src/dotterelstand/codes.py
+++ b/src/dotterelstand/codes.py
@@ -4,6 +4,9 @@
 
 # Seconds after which a caller may retry a request that a target rejected.
 TARGET_RETRY_S = 0.1
+# Seconds after which a caller may retry on a host that lacked a proof of its document: a proof
+# comes from a peer within a fraction of a second.
+PROOF_RETRY_S = 0.2
 
 
 class Execution(Enum):
@@ -74,6 +77,8 @@
         if self is Result.TARGET_REFUSED:
             # Another target may accept the request.
             return TARGET_RETRY_S
+        if self is Result.CONFIGURATION_UNPROVEN:
+            return PROOF_RETRY_S
         return 1 if self in _TEMPORARY else None
 
 
@@ -110,7 +115,6 @@
         Result.KEY_RUNNING,
         Result.TOO_MANY_CONNECTIONS,
         Result.QUOTA_EXCEEDED,
-        Result.CONFIGURATION_UNPROVEN,
         Result.HOST_MEMORY_FULL,
     }
 )
--- a/src/dotterelstand/connection/callerrequest.py
+++ b/src/dotterelstand/connection/callerrequest.py
@@ -284,6 +284,9 @@
             own = self.retry_after_s
             after_s = code.retry_after_s if own is None else round(own, 3)
             headers.append((b"retry-after", f"{after_s:g}".encode()))
+        if code is ResultCode.UNAUTHORIZED:
+            # Required by RFC 9110 section 15.5.2.
+            headers.append((b"www-authenticate", b"Token"))
         body = f"{code:d} {code.name.lower()}\n".encode()
         await self.answer(code.http_status, headers, body, code)
 
--- a/src/dotterelstand/process/frontend.py
+++ b/src/dotterelstand/process/frontend.py
@@ -1,6 +1,7 @@
 """Accepts connections of callers, serves their requests and stops gracefully."""
 
 import trio
+from returns.pipeline import is_successful
 
 from dotterelstand.codes import Execution
 from dotterelstand.codes import Result as ResultCode
@@ -11,6 +12,7 @@
 from dotterelstand.connection.target import close_now
 from dotterelstand.events import Event, log
 from dotterelstand.process.telemetry.invariant import leaf_errors, log_fault
+from dotterelstand.request.access import admit_request
 from dotterelstand.request.accesslog import AccessLog, RequestSummary
 from dotterelstand.request.context import RequestContext
 from dotterelstand.request.exchange import Exchange
@@ -203,14 +205,34 @@
             number = 0 if document is None else document.number
             summary = RequestSummary(None, head.workspace, head.request_id, number)
         else:
-            exchange = Exchange(request, head, document, route, self._context)
-            summary = exchange.summary
-            request.write_decisions = summary.trail.write
-            code = await exchange.run()
+            summary, code = await self._serve_routed(request, head, document, route)
         await self._finish_answer(request, code)
         summary.count(self._context.metrics, code)
         self._access_log.write(code, head.path, summary)
 
+    async def _serve_routed(
+        self, request: CallerRequest, head: RequestHead, document: Document, route: Route
+    ) -> tuple[RequestSummary, ResultCode]:
+        """Serve a request that a route matches, if its key and its workspace's quota permit it."""
+        context = self._context
+        admitted = admit_request(document, route, head, lambda: self._document, context.freshness)
+        if not is_successful(admitted):
+            summary = RequestSummary(route, head.workspace, head.request_id, document.number)
+            return summary, admitted.failure()
+        guard = admitted.unwrap()
+        exchange = Exchange(request, head, document, route, context, guard)
+        request.write_decisions = exchange.summary.trail.write
+        quota, workspace = context.quota, guard.workspace
+        if quota is None or workspace is None:
+            return exchange.summary, await exchange.run()
+        request.retry_after_s = quota.admit(workspace)
+        if request.retry_after_s is not None:
+            return exchange.summary, ResultCode.QUOTA_EXCEEDED
+        code = await exchange.run()
+        if code.run is Execution.NOT_RUN:
+            quota.refund(workspace)
+        return exchange.summary, code
+
     async def _finish_answer(self, request: CallerRequest, code: ResultCode) -> None:
         """Send an error answer if none has started, or abort an incomplete answer."""
         if request.answer_started:
--- /dev/null
+++ b/src/dotterelstand/request/access.py
@@ -0,0 +1,213 @@
+"""Authorization of requests by the keys of workspaces; does no I/O and reads no clock."""
+
+import re
+from collections.abc import Callable
+
+from returns.pipeline import is_successful
+from returns.result import Failure, Result, Success
+
+from dotterelstand.codes import Result as ResultCode
+from dotterelstand.request.head import AUTHORIZATION, RequestHead, restrict_head
+from dotterelstand.request.interfaces import Freshness
+from dotterelstand.version.model import Document, Route
+from dotterelstand.version.workspace import (
+    Workspace,
+    digest_key,
+    join_class,
+    join_regions,
+    split_class,
+)
+
+# Credentials of 1 to 256 visible ASCII characters; names of schemes have no case (RFC 9110 section
+# 11.1).
+_CREDENTIALS = re.compile(rb"token +([!-~]{1,256})", re.IGNORECASE)
+
+
+def key_digest(head: RequestHead) -> bytes | None:
+    """Digest of the key that a head carries; None without exactly one well-formed key."""
+    values = [value for name, value in head.headers if name == AUTHORIZATION]
+    match = _CREDENTIALS.fullmatch(values[0]) if len(values) == 1 else None
+    return None if match is None else digest_key(match.group(1))
+
+
+def authorize(
+    document: Document, route: Route, head: RequestHead
+) -> Result[Workspace | None, ResultCode]:
+    """Find the workspace of a request; fails with `UNAUTHORIZED`.
+
+    It is None for a public route and for a document without workspaces.
+    """
+    return _find_workspace(document, route, key_digest(head))
+
+
+def _find_workspace(
+    document: Document, route: Route, digest: bytes | None
+) -> Result[Workspace | None, ResultCode]:
+    if document.access is None or route.public:
+        return Success(None)
+    workspace = None if digest is None else document.access.find(digest)
+    return Failure(ResultCode.UNAUTHORIZED) if workspace is None else Success(workspace)
+
+
+def _is_proven(freshness: Freshness | None) -> bool:
+    return freshness is None or freshness.is_proven()
+
+
+def request_class(route: Route, workspace: Workspace | None) -> str:
+    """Class of a request: the priority of its workspace takes precedence over its route's."""
+    if workspace is None or workspace.priority is None:
+        return route.klass
+    return join_class(workspace.priority, split_class(route.klass)[1])
+
+
+def class_number(document: Document, klass: str) -> int:
+    """Number of a class in a document; the lowest class if the document lacks it."""
+    classes = document.classes
+    return classes.index(klass) if klass in classes else len(classes) - 1
+
+
+class AccessGuard:
+    """Permission of one request to be sent, by the document in force at each check.
+
+    Holds the digest of the request's key, never the key. `refusal` is the result of the last check
+    that failed.
+    """
+
+    __slots__ = (
+        "_arrival",
+        "_current",
+        "_digest",
+        "_freshness",
+        "_host",
+        "_method",
+        "_path",
+        "_regions",
+        "_route",
+        "_seen",
+        "_standing",
+        "refusal",
+        "workspace",
+    )
+
+    def __init__(
+        self,
+        arrival: Document,
+        route: Route,
+        head: RequestHead,
+        digest: bytes | None,
+        workspace: Workspace | None,
+        current: Callable[[], Document | None],
+        freshness: Freshness | None,
+    ) -> None:
+        self._arrival = self._seen = arrival
+        self._route = route
+        self._path, self._method, self._host = head.route_path, head.method, head.host
+        self._digest = digest
+        self._current = current
+        self._freshness = freshness
+        self.workspace = workspace
+        self.refusal: ResultCode | None = None
+        # Refusal by the document last seen, whatever the proof of it.
+        self._standing: ResultCode | None = None
+        self._regions = self._allowed_regions(route, workspace)
+
+    @property
+    def regions(self) -> frozenset[str]:
+        """Regions to whose targets the request may be sent; empty for any.
+
+        Valid only after a check that succeeded.
+        """
+        return self._regions or frozenset()
+
+    @property
+    def klass(self) -> str:
+        """Class of the request."""
+        return request_class(self._route, self.workspace)
+
+    def check(self, region: str | None = None) -> ResultCode | None:
+        """Refuse the request, or permit to send it now (None) to a target of a region.
+
+        A region of None stands for each of `regions`.
+        """
+        document = self._current() or self._seen
+        if document.access is not self._seen.access or document.routes is not self._seen.routes:
+            self._apply(document)
+        self._seen = document
+        code = self._standing
+        if self.workspace is not None and not _is_proven(self._freshness):
+            code = ResultCode.CONFIGURATION_UNPROVEN
+        if code is None and not self._allows(region):
+            code = ResultCode.NO_TARGET
+        if code is not None:
+            self.refusal = code
+        return code
+
+    def _allows(self, region: str | None) -> bool:
+        if self._regions is None:
+            return False
+        return region is None or not self._regions or region in self._regions
+
+    def _apply(self, document: Document) -> None:
+        """Decide by a document that came after the request."""
+        route = document.find_route(self._path, self._method, self._host) or self._route
+        found = _find_workspace(document, route, self._digest)
+        self._standing = self._compare(document, found)
+        workspace = found.unwrap() if is_successful(found) else None
+        self._regions = self._allowed_regions(route, workspace or self.workspace)
+
+    def _compare(
+        self, document: Document, found: Result[Workspace | None, ResultCode]
+    ) -> ResultCode | None:
+        """Refusal of a request whose workspace is no longer the one at its arrival.
+
+        Its quota, class, queue and headers are those of its workspace at arrival. If it now belongs
+        to another one or to none, the caller has to send it again, which is safe as it did not run.
+        """
+        if (self._arrival.access is None) is not (document.access is None):
+            same = self.workspace is None and document.access is None
+            return None if same else ResultCode.CONFIGURATION_UNPROVEN
+        if document.access is None:
+            return None
+        if self.workspace is None:
+            known = is_successful(found) and found.unwrap() is None
+            return None if known else ResultCode.CONFIGURATION_UNPROVEN
+        if not is_successful(found):
+            return found.failure()
+        # On a route that became public the key decides as before: it may have been removed.
+        owner = None if self._digest is None else document.access.find(self._digest)
+        same = owner is not None and owner.name == self.workspace.name
+        return None if same else ResultCode.CONFIGURATION_UNPROVEN
+
+    @staticmethod
+    def _allowed_regions(route: Route, workspace: Workspace | None) -> frozenset[str] | None:
+        allowed = frozenset() if workspace is None else workspace.allowed_regions
+        return join_regions(route.allowed_regions, allowed)
+
+
+def admit_request(
+    document: Document,
+    route: Route,
+    head: RequestHead,
+    current: Callable[[], Document | None],
+    freshness: Freshness | None,
+) -> Result[AccessGuard, ResultCode]:
+    """Authorize a request at its arrival, and remove its key from its head.
+
+    Fails with `UNAUTHORIZED`, or with `CONFIGURATION_UNPROVEN` without a proof that the document is
+    current: an unknown key may have been added, and a known one removed.
+    """
+    digest = None if document.access is None else key_digest(head)
+    found = _find_workspace(document, route, digest)
+    workspace = found.unwrap() if is_successful(found) else None
+    if document.access is not None:
+        restrict_head(head, None if workspace is None else workspace.name)
+    if not is_successful(found):
+        # A request without a key is refused by each version of the document.
+        if digest is not None and not _is_proven(freshness):
+            return Failure(ResultCode.CONFIGURATION_UNPROVEN)
+        return Failure(found.failure())
+    guard = AccessGuard(document, route, head, digest, workspace, current, freshness)
+    code = guard.check()
+    if code in (ResultCode.UNAUTHORIZED, ResultCode.CONFIGURATION_UNPROVEN):
+        return Failure(code)
+    return Success(guard)
--- a/src/dotterelstand/request/accesslog.py
+++ b/src/dotterelstand/request/accesslog.py
@@ -5,11 +5,13 @@
 from dotterelstand.codes import Execution
 from dotterelstand.codes import Result as ResultCode
 from dotterelstand.events import Event, log
+from dotterelstand.request.access import request_class
 from dotterelstand.request.interfaces import Counters
 from dotterelstand.request.logfields import logged_path
 from dotterelstand.request.trail import DecisionTrail
 from dotterelstand.request.undelivered import UndeliveredAnswer
 from dotterelstand.version.model import Route
+from dotterelstand.version.workspace import Workspace
 
 # Maximum number of requests per second whose decisions are logged, since writing a line takes about
 # 60 us. The limits are, in this order, for requests without an answer, for late or retried
@@ -26,16 +28,25 @@
 class RequestSummary:
     """Attributes of one request for its counters and its log lines.
 
-    `document` is the number of the document version that routed the request.
+    `klass` is its class, and `document` the number of the document version that routed it.
+    `workspace` is the workspace whose key it has, None without one.
     """
 
-    __slots__ = ("_began", "_workspace", "document", "route", "trail")
+    __slots__ = ("_began", "_label", "document", "klass", "route", "trail", "workspace")
 
     def __init__(
-        self, route: Route | None, workspace: str, request_id: bytes | None, document: int
+        self,
+        route: Route | None,
+        label: str,
+        request_id: bytes | None,
+        document: int,
+        workspace: Workspace | None = None,
     ) -> None:
         self.route = route
-        self._workspace = workspace
+        self.workspace = None if workspace is None else workspace.name
+        self.klass = "" if route is None else request_class(route, workspace)
+        # Workspace in the metrics.
+        self._label = label
         self._began = trio.current_time()
         self.document = document
         self.trail = DecisionTrail(request_id)
@@ -58,7 +69,7 @@
             metrics.count("requests.skipped_answers", self.trail.skipped_answers)
         if self.route is not None and code.run is Execution.RAN:
             route = self.route
-            metrics.record_latency(route.service, route.klass, self._workspace, self.duration_s)
+            metrics.record_latency(route.service, self.klass, self._label, self.duration_s)
 
 
 class AccessLog:
@@ -103,7 +114,8 @@
             outcome=code.name.lower(),
             path=logged_path(path),
             service="" if route is None else route.service,
-            route_class="" if route is None else route.klass,
+            route_class=summary.klass,
+            workspace=summary.workspace,
             document=summary.document,
             attempts=summary.trail.attempts,
             duration_ms=round(summary.duration_s * 1000, 1),
--- a/src/dotterelstand/request/attempt.py
+++ b/src/dotterelstand/request/attempt.py
@@ -16,6 +16,7 @@
 )
 from dotterelstand.connection.target import AnswerEvent, TargetConnection
 from dotterelstand.process.selection.outcome import AttemptOutcome, SlotGrant, SlotOutcome
+from dotterelstand.request.access import AccessGuard
 from dotterelstand.request.answerhead import AnswerHead
 from dotterelstand.request.body import RequestBody
 from dotterelstand.request.fields import parse_load_report
@@ -29,6 +30,10 @@
     ResultCode.CONNECT_FAILED: AttemptOutcome.CONNECT_FAILED,
     ResultCode.OVERLOADED: AttemptOutcome.CANCELLED,
     ResultCode.TARGET_SILENT: AttemptOutcome.TIMED_OUT,
+    # Refusals by the guard, of which the target knows nothing.
+    ResultCode.UNAUTHORIZED: AttemptOutcome.CANCELLED,
+    ResultCode.CONFIGURATION_UNPROVEN: AttemptOutcome.CANCELLED,
+    ResultCode.NO_TARGET: AttemptOutcome.CANCELLED,
 }
 # A body up to this length is sent in one call before the answer is read. A longer body is sent
 # while the answer is awaited, since a target that answers early may stop reading the body.
@@ -48,6 +53,7 @@
 
     __slots__ = (
         "body",
+        "guard",
         "head",
         "idempotent",
         "leaving_targets",
@@ -66,7 +72,9 @@
         slots: Slots,
         leaving_targets: LeavingTargets,
         idempotent: bool,
+        guard: AccessGuard,
     ) -> None:
+        self.guard = guard
         self.head = head
         self.body = body
         self.service = service
@@ -188,6 +196,10 @@
         """Send the request and wait for the answer head; sets `answer` or `failure`."""
         if not await self._connect():
             return
+        # No other task runs between this check and the call that sends the first byte.
+        self.failure = self._setup.guard.check(self._grant.target.region)
+        if self.failure is not None:
+            return
         body = self._setup.body
         single_send = body.complete and body.is_fully_held and body.length <= MAX_SINGLE_SEND_BYTES
         try:
--- a/src/dotterelstand/request/exchange.py
+++ b/src/dotterelstand/request/exchange.py
@@ -11,6 +11,7 @@
 from dotterelstand.codes import Result as ResultCode
 from dotterelstand.connection.callerrequest import BodyError, CallerRequest
 from dotterelstand.process.selection.outcome import AttemptOutcome, SlotCall, SlotGrant
+from dotterelstand.request.access import AccessGuard, class_number
 from dotterelstand.request.accesslog import RequestSummary
 from dotterelstand.request.answerforwarder import AnswerForwarder
 from dotterelstand.request.attempt import MAX_SINGLE_SEND_BYTES, Attempt, AttemptSetup
@@ -47,6 +48,7 @@
         "_caller",
         "_context",
         "_document",
+        "_guard",
         "_head",
         "_keyed",
         "_latest_deadline",
@@ -67,7 +69,9 @@
         document: Document,
         route: Route,
         context: RequestContext,
+        guard: AccessGuard,
     ) -> None:
+        self._guard = guard
         self._caller = caller
         self._head = head
         self._document = document
@@ -84,9 +88,8 @@
         limit_s = math.inf if head.deadline_s is None else head.deadline_s
         if route.timeout_s is not None:
             limit_s = min(limit_s, route.timeout_s)
-        self._latest_deadline = caller.limit_s = self._began_s + limit_s
-        if route.timeout_s is not None:
             caller.last_limit_s = self._began_s + route.timeout_s
+        self._latest_deadline = caller.limit_s = self._began_s + limit_s
         self._setup = AttemptSetup(
             head,
             self._body,
@@ -95,8 +98,11 @@
             context.slots,
             context.leaving_targets,
             route.idempotent,
+            guard,
+        )
+        self.summary = RequestSummary(
+            route, head.workspace, head.request_id, document.number, guard.workspace
         )
-        self.summary = RequestSummary(route, head.workspace, head.request_id, document.number)
         self._trail = self.summary.trail
 
     async def run(self) -> ResultCode:
@@ -155,6 +161,8 @@
                 return self._overall_code(last or ResultCode.QUARANTINED)
             attempt = await self._next_attempt()
             if isinstance(attempt, ResultCode):
+                if self._guard.refusal is not None:
+                    return self._overall_code(self._guard.refusal)
                 pause_s = self._slot_pause_s(attempt, pauses)
                 if pause_s is None:
                     return self._overall_code(last or attempt)
@@ -171,6 +179,10 @@
     async def _next_attempt(self, no_wait: bool = False) -> Attempt | ResultCode:
         if not can_finish(self._remaining_s(), self._policy.latency):
             return ResultCode.DEADLINE_TOO_SHORT
+        refusal = self._guard.check()
+        if refusal is not None:
+            self._caller.retry_after_s = None
+            return refusal
         excluded = frozenset(attempt.target for attempt in self._attempts)
         lost = self._suspicion.targets_to_avoid(self._service)
         grant = await self._acquire_slot(excluded | lost, no_wait)
@@ -189,17 +201,12 @@
     async def _acquire_slot(
         self, excluded: frozenset[str], no_wait: bool
     ) -> Result[SlotGrant, ResultCode]:
-        classes = self._document.classes
-        last = len(classes) - 1
-        klass = classes.index(self._route.klass) if self._route.klass in classes else last
+        klass = class_number(self._document, self._guard.klass)
         objective_s, workspace = self._route.latency_objective_s, self._head.workspace
         start_by = latest_start_s(self._began_s, objective_s, self._policy.latency)
         call = SlotCall(klass, workspace, self._scope.deadline, excluded, no_wait, start_by)
-        if self._body.complete:
-            grant = await self._context.slots.acquire(self._service, call)
-        else:
-            slots = self._context.slots
-            grant = await acquire_while_reading(slots, self._service, call, self._body)
+        slots = self._context.slots
+        grant = await acquire_while_reading(slots, self._service, call, self._body)
         self._caller.retry_after_s = call.retry_after_s
         return grant
 
@@ -274,14 +281,15 @@
             or code is ResultCode.CALLER_LEFT
         ):
             return code, False
-        if self._decide_retry() is RetryDecision.RETRY:
+        refusal = self._guard.refusal
+        if refusal is None and self._decide_retry() is RetryDecision.RETRY:
             attempt.end(attempt.outcome())
             return code, True
         if attempt.failure is None and attempt.answer and not attempt.answer.is_refusal():
             # The error answer of the target tells the caller more than a generated one.
             return await self._forward_answer(attempt), False
         attempt.end(attempt.outcome())
-        return self._overall_code(code), False
+        return self._overall_code(refusal or code), False
 
     async def _failure_code(self, attempt: Attempt) -> ResultCode:
         await self._suspicion.record_strikes(self._attempts, self._scope.deadline)
--- a/src/dotterelstand/request/fields.py
+++ b/src/dotterelstand/request/fields.py
@@ -30,7 +30,8 @@
 
     A target reports that it did not run a request by one of `not_run_statuses`, or by the header
     `not_run` with the value `not_run_value` (any value if that is empty). With `echoes_request_id`,
-    each answer to a request with an id carries that id.
+    each answer to a request with an id carries that id. `workspace` carries the name of the
+    workspace whose key a request has.
     """
 
     __slots__ = (
@@ -45,6 +46,7 @@
         "request_id",
         "signature",
         "target",
+        "workspace",
     )
 
     def __init__(
@@ -60,7 +62,9 @@
         signature: bytes = b"",
         identity: bytes = b"",
         echoes_request_id: bool = False,
+        workspace: bytes = b"",
     ) -> None:
+        self.workspace = workspace
         self.echoes_request_id = echoes_request_id
         self.identity = identity
         self.request_id = request_id
@@ -98,6 +102,14 @@
     return name.encode("latin-1", "replace")
 
 
+def encode_workspace(name: str) -> bytes:
+    """Name of a workspace as it is sent in header fields.
+
+    Unlike that of a target, it must stay distinct from all others.
+    """
+    return name.encode()
+
+
 def announces_draining(headers: dict[bytes, bytes], fields: HeaderFields) -> bool:
     """Whether the headers of a target's answer say that it is draining."""
     return any(headers.get(name) == b"1" for name in fields.draining)
--- a/src/dotterelstand/request/head.py
+++ b/src/dotterelstand/request/head.py
@@ -14,11 +14,15 @@
     RUN_HEADER,
     HeaderFields,
     encode_target,
+    encode_workspace,
 )
 from dotterelstand.version.model import route_host
 
 WORKSPACE_HEADER = b"dotterelstand-tenant"
 KEY_HEADER = b"idempotency-key"
+AUTHORIZATION = b"authorization"
+# Workspace of requests that name none.
+NO_WORKSPACE = "default"
 
 MAX_KEY_BYTES = 255
 MAX_WORKSPACE_BYTES = 64
@@ -48,12 +52,17 @@
 
 
 class RequestHead:
-    """Validated request head; `arrived_s` is a time of the monotonic clock in seconds."""
+    """Validated request head; `arrived_s` is a time of the monotonic clock in seconds.
+
+    `workspace` labels the request in queues, metrics and log lines. If it was found by a key,
+    `has_key` is set, and the target gets its name.
+    """
 
     __slots__ = (
         "arrived_s",
         "deadline_s",
         "fields",
+        "has_key",
         "headers",
         "host",
         "key",
@@ -86,6 +95,7 @@
         self.host = route_host(values.get(b"host", b"").decode("latin-1"))
         self.request_id = values.get(fields.request_id)
         self.arrived_s: float | None = None
+        self.has_key = False
 
     def declared_length(self) -> int | None:
         """Value of Content-Length in bytes, or None without that header."""
@@ -141,7 +151,7 @@
     if names.count(KEY_HEADER) > 1 or len(values.get(KEY_HEADER, b"")) > MAX_KEY_BYTES:
         return Failure(ResultCode.BAD_REQUEST)
     workspace = (
-        values.get(WORKSPACE_HEADER, b"")[:MAX_WORKSPACE_BYTES].decode("latin-1") or "default"
+        values.get(WORKSPACE_HEADER, b"")[:MAX_WORKSPACE_BYTES].decode("latin-1") or NO_WORKSPACE
     )
     deadline_s: float | None = None
     if fields.deadline in values:
@@ -166,6 +176,17 @@
     return Success(head)
 
 
+def restrict_head(head: RequestHead, workspace: str | None) -> None:
+    """Remove the key, and all that a caller says of its workspace, which `workspace` replaces.
+
+    None stands for a request that needs no key.
+    """
+    dropped = {AUTHORIZATION, head.fields.workspace}
+    head.headers = [field for field in head.headers if field[0] not in dropped]
+    head.workspace = NO_WORKSPACE if workspace is None else workspace
+    head.has_key = workspace is not None
+
+
 def forwarded_headers(head: RequestHead, remaining_s: float, target: str) -> Headers:
     """Headers of the request to a target, with the target's name and the remaining time added."""
     fields = head.fields
@@ -185,6 +206,8 @@
         headers.insert(0, (b"host", b""))
     headers.append((fields.deadline, b"%d" % max(1, int(remaining_s * 1000))))
     headers.append((fields.target, encode_target(target)))
+    if head.has_key and fields.workspace:
+        headers.append((fields.workspace, encode_workspace(head.workspace)))
     return headers
 
 
--- a/src/dotterelstand/request/slotwait.py
+++ b/src/dotterelstand/request/slotwait.py
@@ -17,10 +17,12 @@
 async def acquire_while_reading(
     slots: Slots, service: Service, call: SlotCall, body: RequestBody
 ) -> Result[SlotGrant, ResultCode]:
-    """Get a slot, and read the body while waiting for it.
+    """Get a slot, and read the rest of the body while waiting for it.
 
     A caller that leaves is noticed only when what it has sent is read. Raises `BodyError`.
     """
+    if body.complete:
+        return await slots.acquire(service, call)
     grant: Result[SlotGrant, ResultCode] | None = None
     error: BodyError | None = None
 
