--- a/src/dotterelstand/connection/wire.py
+++ b/src/dotterelstand/connection/wire.py
@@ -110,16 +110,18 @@
     `service` is the index in the sorted service names of the document; `need` packs class,
     workspace and deadline (`process/selection/slotcodec.py`). To meet the route's latency
     objective, the attempt must start within `within_ms` milliseconds; 0 if the route has no
-    objective.
+    objective. `within_regions` is a bit mask over the sorted regions of the document; 0 permits
+    any.
     """
 
-    __slots__ = ("call", "need", "service", "within_ms")
+    __slots__ = ("call", "need", "service", "within_ms", "within_regions")
     TYPE = 7
-    OPTIONAL = 2
+    OPTIONAL = 3
     call: int
     need: int
     service: int
     within_ms: int
+    within_regions: int
 
 
 class Grant(Message):
--- a/src/dotterelstand/process/frontend.py
+++ b/src/dotterelstand/process/frontend.py
@@ -18,6 +18,7 @@
 from dotterelstand.request.exchange import Exchange
 from dotterelstand.request.head import RequestHead
 from dotterelstand.request.undelivered import find_undelivered
+from dotterelstand.request.unknownregions import log_unknown_regions
 from dotterelstand.version.model import Document, Route
 
 # Maximum number of refused connections that are sent an error answer at the same time; further ones
@@ -75,6 +76,9 @@
 
     @document.setter
     def document(self, document: Document | None) -> None:
+        number = 0 if self._document is None else self._document.number
+        if document is not None and document.number != number:
+            log_unknown_regions(document)
         self._document = document
         self._limits.apply_bounds(None if document is None else document.caller_bounds)
 
--- a/src/dotterelstand/process/selection/dispatcher.py
+++ b/src/dotterelstand/process/selection/dispatcher.py
@@ -5,6 +5,7 @@
 from dotterelstand.process.selection.decisions import Decision, Granted, Refused
 from dotterelstand.process.selection.grants import GrantTable, OpenGrant
 from dotterelstand.process.selection.health import HealthTable
+from dotterelstand.process.selection.homequeues import HomeQueues
 from dotterelstand.process.selection.outcome import AttemptOutcome, TargetSnapshot
 from dotterelstand.process.selection.queue import CallKey, CallQueue, WaitingCall
 from dotterelstand.process.selection.returnschedule import ReturnSchedule
@@ -30,7 +31,7 @@
         "_chooser",
         "_grants",
         "_hold_s",
-        "_queue",
+        "_queues",
         "_region",
         "_returns",
         "_tables",
@@ -50,7 +51,7 @@
         self._grants = GrantTable()
         self._hold_s = 0.0
         self._returns = ReturnSchedule()
-        self._queue = CallQueue(0, MAX_CLASSES)
+        self._queues = HomeQueues(MAX_CLASSES)
         self.counters = DispatcherCounters()
         # Number of calls submitted so far.
         self.calls = 0
@@ -61,7 +62,7 @@
     @property
     def queued_calls(self) -> int:
         """Number of calls in the queue."""
-        return len(self._queue)
+        return len(self._queues)
 
     @property
     def open_grants(self) -> int:
@@ -98,28 +99,30 @@
         self._discard_stale(call.key, now)
         decisions = self.advance(now)
         impaired_position: int | None = None
-        if not len(self._queue):
-            position = self._choose_for(call, self._tables.local, now)
+        home, queue = self._tables.home(call.regions), self._queues.of(call, self._tables)
+        # Calls that still wait for other regions after `advance` can't use a slot that is open now.
+        if not len(queue) or queue is self._queues.away:
+            position = self._choose_for(call, home, now)
             if position is not None:
-                if not self._tables.local.targets[position].impaired:
-                    return [*decisions, self._grant(call.key, self._tables.local, position, now)]
+                if not home.targets[position].impaired:
+                    return [*decisions, self._grant(call.key, home, position, now)]
                 impaired_position = position
         if call.no_wait:
             return [*decisions, Refused(call.key, ResultCode.OVERLOADED)]
-        wait_s = self._expected_wait_s(call.klass)
+        wait_s = self._expected_wait_s(call)
         remaining_s = call.deadline - now
         spilled = self._try_spillover(call, wait_s, remaining_s, now, impaired_position)
         if spilled is not None:
             return [*decisions, spilled]
         if impaired_position is not None and not self._should_wait_for_normal(call, now):
-            return [*decisions, self._grant(call.key, self._tables.local, impaired_position, now)]
+            return [*decisions, self._grant(call.key, home, impaired_position, now)]
         if not self._eligible_count(call):
             return [*decisions, Refused(call.key, ResultCode.NO_TARGET)]
-        if remaining_s < wait_s + self._tables.local.typical_s:
+        if remaining_s < wait_s + home.typical_s:
             self.counters.deadline_refused += 1
             return [*decisions, self._refuse(call, ResultCode.DEADLINE_TOO_SHORT, now)]
         self.counters.waited += 1
-        evicted = self._queue.push(call)
+        evicted = queue.push(call)
         if evicted is None:
             return decisions
         self.counters.queue_refused += 1
@@ -140,7 +143,7 @@
         now: float,
     ) -> list[Decision]:
         """End a call's grant or its wait in the queue; returns decisions on other waiting calls."""
-        if self._queue.remove(key) is not None:
+        if self._queues.remove(key) is not None:
             return []
         grant = self._grants.remove(key)
         if grant is None:
@@ -156,24 +159,28 @@
     def advance(self, now: float) -> list[Decision]:
         """Process timers, refuse calls close to their deadline and serve the queue."""
         self.advance_health(now)
+        decisions = self._serve(self._queues.near, self._tables.local, now)
+        if len(self._queues.away):
+            decisions += self._serve(self._queues.away, self._tables.remote, now)
+        return decisions
+
+    def _serve(self, queue: CallQueue, table: HealthTable, now: float) -> list[Decision]:
+        """Serve a queue with the targets of a table."""
         decisions: list[Decision] = []
-        for late in self._queue.pop_expiring(
-            now + MIN_REMAINING_MULTIPLE * self._tables.local.typical_s
-        ):
+        for late in queue.pop_expiring(now + MIN_REMAINING_MULTIPLE * table.typical_s):
             # An early refusal leaves the caller time to retry elsewhere.
             self.counters.deadline_refused += 1
             decisions.append(self._refuse(late, ResultCode.DEADLINE_TOO_SHORT, now))
         skipped: list[WaitingCall] = []
-        while len(self._queue):
-            if (
-                self._tables.local.usable_count
-                and self._chooser.choose(self._tables.local, NO_TARGETS, now) is None
-            ):
+        while len(queue):
+            if table.usable_count and self._chooser.choose(table, NO_TARGETS, now) is None:
                 break
-            call = self._queue.pop(now)
+            call = queue.pop(now)
             assert call is not None
-            position = self._choose_for(call, self._tables.local, now)
-            if position is not None and self._tables.local.targets[position].impaired:
+            # The service may have changed since the call was queued, and with it the call's table.
+            home = self._tables.home(call.regions)
+            position = self._choose_for(call, home, now)
+            if position is not None and home.targets[position].impaired:
                 if self._should_wait_for_normal(call, now):
                     skipped.append(call)
                     continue
@@ -183,7 +190,7 @@
             else:
                 decisions.append(self._decide_queued(call, position, now))
         for call in skipped:
-            evicted = self._queue.push(call)
+            evicted = self._queues.of(call, self._tables).push(call)
             if evicted is not None:
                 # The queue's capacity was reduced while the calls waited.
                 self.counters.queue_refused += 1
@@ -193,8 +200,8 @@
     def refuse_all(self) -> list[Decision]:
         """Refuse all calls in the queue, after the service has left the document."""
         decisions: list[Decision] = []
-        for key in self._queue.keys():
-            self._queue.remove(key)
+        for key in self._queues.keys():
+            self._queues.remove(key)
             decisions.append(Refused(key, ResultCode.NO_TARGET))
         return decisions
 
@@ -212,7 +219,7 @@
             grant = self._grants.remove(key)
             assert grant is not None
             grant.table.finish(grant.position, AttemptOutcome.CANCELLED, 0.0, now)
-        self._queue.remove_host(host)
+        self._queues.remove_host(host)
         return self.advance(now)
 
     def mark_leaving(self, name: str, incarnation: int = 0) -> None:
@@ -227,11 +234,11 @@
 
     def is_queued(self, key: CallKey) -> bool:
         """Whether a call is in the queue."""
-        return key in self._queue
+        return key in self._queues
 
     def queued_keys(self) -> list[CallKey]:
         """Keys of the calls in the queue."""
-        return self._queue.keys()
+        return self._queues.keys()
 
     def record_load(self, target: int, report: LoadReport, now: float) -> None:
         """Record a load report."""
@@ -284,19 +291,19 @@
         self.service = service
         slots = sum(target.slots for target in service.targets if target.region == self._region)
         slots = slots or sum(target.slots for target in service.targets)
-        self._queue.capacity = service.max_queue_per_slot * slots
-        return TargetTables(service, self._region, self._tuning)
+        tables = TargetTables(service, self._region, self._tuning)
+        self._queues.resize(slots, tables, service.max_queue_per_slot)
+        return tables
 
     def _choose_for(self, call: WaitingCall, table: HealthTable, now: float) -> int | None:
-        return self._chooser.choose(
-            table, self._tables.excluded_positions(call.excluded, table), now, call.zone
-        )
+        excluded = self._tables.excluded_positions(call.excluded, table, call.regions)
+        return self._chooser.choose(table, excluded, now, call.zone)
 
     def _eligible_count(self, call: WaitingCall) -> int:
-        """Number of usable targets of the region that the call does not exclude."""
-        local = self._tables.local
-        excluded = self._tables.excluded_positions(call.excluded, local)
-        return local.usable_count - sum(local.targets[position].usable for position in excluded)
+        """Number of usable targets that the call waits for and does not exclude."""
+        home = self._tables.home(call.regions)
+        excluded = self._tables.excluded_positions(call.excluded, home, call.regions)
+        return home.usable_count - sum(home.targets[position].usable for position in excluded)
 
     def _grant(self, key: CallKey, table: HealthTable, position: int, now: float) -> Granted:
         self._grants.add(OpenGrant(key, table, position, now))
@@ -307,31 +314,35 @@
     def _decide_queued(self, call: WaitingCall, position: int | None, now: float) -> Decision:
         if position is None:
             return Refused(call.key, ResultCode.NO_TARGET)
-        if call.deadline - now < self._tables.local.typical_s:
+        home = self._tables.home(call.regions)
+        if call.deadline - now < home.typical_s:
             self.counters.deadline_refused += 1
             return self._refuse(call, ResultCode.DEADLINE_TOO_SHORT, now)
-        return self._grant(call.key, self._tables.local, position, now)
+        return self._grant(call.key, home, position, now)
 
     def _refuse(self, call: WaitingCall, code: ResultCode, now: float) -> Refused:
         """Refuse a call for lack of slots, with a time at which one is expected to be free."""
-        wait_s = self._expected_wait_s(call.klass)
-        return Refused(call.key, code, self._returns.reserve(now, wait_s, self._slot_interval_s()))
+        interval_s = self._slot_interval_s(call)
+        wait_s = self._expected_wait_s(call)
+        return Refused(call.key, code, self._returns.reserve(now, wait_s, interval_s))
 
-    def _slot_interval_s(self) -> float:
+    def _slot_interval_s(self, call: WaitingCall) -> float:
         """Mean time in seconds between two slots that become free while all are in use."""
-        hold_s = self._hold_s or self._tables.local.typical_s
-        return hold_s / max(1, self._tables.local.total_allowance)
+        home = self._tables.home(call.regions)
+        hold_s = self._hold_s or home.typical_s
+        return hold_s / max(1, home.total_allowance * self._tables.share(call.regions, home))
 
-    def _expected_wait_s(self, klass: int) -> float:
-        return (self._queue.count_ahead(klass) + 1) * self._slot_interval_s()
+    def _expected_wait_s(self, call: WaitingCall) -> float:
+        ahead = self._queues.of(call, self._tables).count_ahead(call.klass)
+        return (ahead + 1) * self._slot_interval_s(call)
 
     def _should_wait_for_normal(self, call: WaitingCall, now: float) -> bool:
         """Whether a call should wait for a normal target when only impaired ones are open."""
-        local = self._tables.local
-        if local.impaired_count >= local.usable_count:
+        home = self._tables.home(call.regions)
+        if home.impaired_count >= home.usable_count:
             return False
-        limit_s = min(local.typical_s, (call.deadline - now) / 4)
-        if call.start_by is not None and local.rejecting_count:
+        limit_s = min(home.typical_s, (call.deadline - now) / 4)
+        if call.start_by is not None and home.rejecting_count:
             # An attempt that is rejected takes one of the request's few attempts.
             limit_s = max(limit_s, (call.start_by - call.arrived_at) / 2)
         return now - call.arrived_at < limit_s
@@ -348,7 +359,7 @@
         if call.klass in self.region_only_classes:
             return None
         cross_region_cost_s = self._tuning.cross_region_cost_s
-        is_full = len(self._queue) >= self._queue.capacity
+        is_full = len(self._queues.near) >= self._queues.near.capacity
         # A call that can wait in this region and still start on time is not sent to another region.
         allowed_s = cross_region_cost_s
         if call.start_by is not None:
@@ -369,7 +380,7 @@
 
     def _discard_stale(self, key: CallKey, now: float) -> None:
         """Discard an older call with the same key, whose release message was lost."""
-        self._queue.remove(key)
+        self._queues.remove(key)
         grant = self._grants.remove(key)
         if grant is not None:
             grant.table.finish(grant.position, AttemptOutcome.CANCELLED, 0.0, now)
--- a/src/dotterelstand/process/selection/grantserver.py
+++ b/src/dotterelstand/process/selection/grantserver.py
@@ -1,12 +1,17 @@
 """Grants slots to other entry hosts, for the services that this host dispatches."""
 
+from dotterelstand.codes import Result as ResultCode
 from dotterelstand.connection.wire import Acquire, Grant, Paces, Queued, Refuse, Release
 from dotterelstand.process.selection.budgetedmesh import BudgetedMesh
-from dotterelstand.process.selection.decisions import Decision, Granted
+from dotterelstand.process.selection.decisions import Decision, Granted, Refused
 from dotterelstand.process.selection.outcome import AttemptOutcome
 from dotterelstand.process.selection.queue import WaitingCall
 from dotterelstand.process.selection.servicestate import ServiceState
-from dotterelstand.process.selection.slotcodec import unpack_requirements, unpack_result
+from dotterelstand.process.selection.slotcodec import (
+    unpack_regions,
+    unpack_requirements,
+    unpack_result,
+)
 from dotterelstand.process.selection.slotcounters import GrantServerCounters
 from dotterelstand.process.selection.tuning import SelectionTuning
 from dotterelstand.version.model import Service
@@ -15,20 +20,23 @@
 class GrantServer:
     """Handles slot requests from other hosts and tracks the calls that wait for or hold a slot."""
 
-    __slots__ = ("_calls", "_mesh", "_numbers", "_services", "_tuning", "counters")
+    __slots__ = ("_calls", "_mesh", "_numbers", "_services", "_tuning", "counters", "regions")
 
     def __init__(self, mesh: BudgetedMesh, tuning: SelectionTuning) -> None:
         self._mesh = mesh
         self._tuning = tuning
         self._services: list[Service] = []
+        # Regions of the document, which number the bits of masks in messages.
+        self.regions: tuple[str, ...] = ()
         # Numbers of the services in messages, by name.
         self._numbers: dict[str, int] = {}
         # Service state by host and call number; a host uses numbers below `max_calls`.
         self._calls: dict[str, dict[int, ServiceState]] = {}
         self.counters = GrantServerCounters()
 
-    def apply(self, services: list[Service]) -> None:
+    def apply(self, services: list[Service], regions: tuple[str, ...]) -> None:
         """Apply a new version of the document; `services` are sorted by name."""
+        self.regions = regions
         self._services = services
         self._numbers = {service.name: number for number, service in enumerate(services)}
 
@@ -65,6 +73,11 @@
             return []
         key = (host, message.call)
         self._calls.setdefault(host, {})[message.call] = state
+        regions = unpack_regions(message.within_regions, self.regions)
+        if regions is None:
+            # The host chooses a target itself; an older call with this number has ended.
+            ended = state.regional.finish(key, AttemptOutcome.CANCELLED, 0.0, None, now)
+            return [*ended, Refused(key, ResultCode.NO_TARGET)]
         remaining_s = (
             requirements.remaining_s
             if requirements.remaining_s is not None
@@ -82,6 +95,7 @@
         )
         if message.within_ms:
             call.start_by = now + message.within_ms / 1000
+        call.regions = regions
         decisions = state.regional.submit(call, now)
         if state.regional.is_queued(key):
             self._mesh.send(host, Queued([message.call]), now)
--- a/src/dotterelstand/process/selection/outcome.py
+++ b/src/dotterelstand/process/selection/outcome.py
@@ -5,6 +5,7 @@
 
 from dotterelstand.request.fields import LoadReport
 from dotterelstand.version.model import Target
+from dotterelstand.version.workspace import ANY_REGION
 
 
 class AttemptOutcome(IntEnum):
@@ -29,8 +30,9 @@
     `klass` is the index of the class in the document; class 0 is served first. A `no_wait` call
     gets a slot only if no other call is queued and a target that is not slow has a free slot;
     otherwise it is refused. An attempt that starts after `start_by` (seconds; None: no limit) is
-    late even if it ends before the deadline. If the call is refused, `retry_after_s` is the time
-    in seconds after which its caller may retry; None for the default of the result code.
+    late even if it ends before the deadline. Only targets in `regions` may run the call, unless
+    that is empty. If the call is refused, `retry_after_s` is the time in seconds after which its
+    caller may retry; None for the default of the result code.
     """
 
     __slots__ = (
@@ -38,6 +40,7 @@
         "excluded",
         "klass",
         "no_wait",
+        "regions",
         "retry_after_s",
         "start_by",
         "workspace",
@@ -51,7 +54,9 @@
         excluded: frozenset[str] = frozenset(),
         no_wait: bool = False,
         start_by: float | None = None,
+        regions: frozenset[str] = ANY_REGION,
     ) -> None:
+        self.regions = regions
         self.no_wait = no_wait
         self.start_by = start_by
         self.retry_after_s: float | None = None
@@ -60,6 +65,11 @@
         self.deadline = deadline
         self.excluded = excluded
 
+    def accepts(self, target: Target) -> bool:
+        """Whether a target may run the call."""
+        allowed = not self.regions or target.region in self.regions
+        return allowed and target.name not in self.excluded
+
 
 class SlotOutcome:
     """Outcome of a granted attempt: duration in seconds and the load that the answer reported."""
--- a/src/dotterelstand/process/selection/queue.py
+++ b/src/dotterelstand/process/selection/queue.py
@@ -2,6 +2,8 @@
 
 from collections import OrderedDict
 
+from dotterelstand.version.workspace import ANY_REGION
+
 CallKey = tuple[str, int]
 
 
@@ -10,8 +12,8 @@
 
     `key` is the requesting host and its call number, `zone` that host's availability zone.
     `excluded` holds names of targets, since positions change while the call waits. A `no_wait`
-    call is never queued. A call that starts after `start_by` is late even if it ends
-    before its deadline.
+    call is never queued. Only targets in `regions` may run the call, unless that is empty. A call
+    that starts after `start_by` is late even if it ends before its deadline.
     """
 
     __slots__ = (
@@ -21,6 +23,7 @@
         "key",
         "klass",
         "no_wait",
+        "regions",
         "start_by",
         "workspace",
         "zone",
@@ -39,6 +42,7 @@
     ) -> None:
         self.no_wait = no_wait
         self.start_by: float | None = None
+        self.regions: frozenset[str] = ANY_REGION
         self.key = key
         self.klass = klass
         self.workspace = workspace
--- a/src/dotterelstand/process/selection/slotcodec.py
+++ b/src/dotterelstand/process/selection/slotcodec.py
@@ -5,12 +5,15 @@
 from dotterelstand.codes import Execution
 from dotterelstand.codes import Result as ResultCode
 from dotterelstand.process.selection.outcome import AttemptOutcome
+from dotterelstand.version.workspace import ANY_REGION
 
 MAX_CLASSES = 8
 MAX_WORKSPACES = 1024
 MAX_REMAINING_MS = 65535
 # Number of duration codes, in steps of factor sqrt(2): 0 is 0.5 ms or less, 23 is 1.4 s or more.
 DURATION_CODES = 24
+# Number of regions that a bit mask can name.
+MAX_REGIONS = 32
 MIN_DURATION_S = 0.0005
 
 
@@ -57,6 +60,28 @@
     )
 
 
+def pack_regions(regions: frozenset[str], known: tuple[str, ...]) -> int | None:
+    """Bit mask of regions over the regions of a document, 0 for any.
+
+    None if it can name none of them: a mask of 0 would permit all.
+    """
+    if not regions:
+        return 0
+    bits = (1 << bit for bit, name in enumerate(known[:MAX_REGIONS]) if name in regions)
+    return sum(bits) or None
+
+
+def unpack_regions(mask: int, known: tuple[str, ...]) -> frozenset[str] | None:
+    """Regions of the result of `pack_regions`.
+
+    None if the mask names a region that this host does not know, so that the two hosts have
+    different regions and a bit may stand for different ones.
+    """
+    if not 0 <= mask < 1 << min(len(known), MAX_REGIONS):
+        return None if mask else ANY_REGION
+    return frozenset(name for bit, name in enumerate(known) if mask >> bit & 1)
+
+
 def pack_result(outcome: AttemptOutcome, duration_s: float) -> int:
     """Pack outcome and duration; a success takes one byte."""
     code = 0
--- a/src/dotterelstand/process/selection/slotcore.py
+++ b/src/dotterelstand/process/selection/slotcore.py
@@ -104,7 +104,7 @@
         }
         services = [document.services[name] for name in names]
         removed = self._states.apply(document, services, now)
-        self._grant_server.apply(services)
+        self._grant_server.apply(services, document.regions)
         for state in removed:
             # A decision on a call that waits here would come from a state that nobody advances.
             self._deliver(state, state.regional.refuse_all() + state.local.refuse_all(), now)
@@ -326,8 +326,9 @@
         if index is None:
             return False
         workspace = self._workspace_number(ticket.call.workspace)
-        acquire = make_acquire(ticket, index, workspace, state.local.table.typical_s, now)
-        if not self._mesh.send(dispatcher, acquire, now, opens_call=True):
+        regions, typical_s = self._grant_server.regions, state.local.table.typical_s
+        acquire = make_acquire(ticket, index, workspace, regions, typical_s, now)
+        if acquire is None or not self._mesh.send(dispatcher, acquire, now, opens_call=True):
             self._counters.ask_failed += 1
             return False
         self._counters.asked += 1
@@ -365,7 +366,7 @@
 
     def _is_unusable(self, ticket: Ticket, target: int, state: ServiceState) -> bool:
         item = state.service.targets[target]
-        return item.name in ticket.call.excluded or self._states.is_leaving(item)
+        return not ticket.call.accepts(item) or self._states.is_leaving(item)
 
     def _send_release(
         self, ticket: Ticket, outcome: AttemptOutcome, duration_s: float, now: float
--- a/src/dotterelstand/process/selection/targettables.py
+++ b/src/dotterelstand/process/selection/targettables.py
@@ -5,16 +5,34 @@
 from dotterelstand.process.selection.tuning import SelectionTuning
 from dotterelstand.version.model import Service
 
+# Maximum number of sets of regions whose positions are kept; a document uses few of them.
+MAX_REGION_SETS = 64
+
 
 class TargetTables:
     """Tables of the targets of this region and of the other regions.
 
     `local` holds all targets if this region has none. Lives as long as one version of the service.
+    Sets of regions are as in `SlotCall`.
     """
 
-    __slots__ = ("_by_index", "_by_name", "_indexes", "local", "remote")
+    __slots__ = (
+        "_by_index",
+        "_by_name",
+        "_indexes",
+        "_outside",
+        "_region",
+        "_regions",
+        "local",
+        "remote",
+    )
 
     def __init__(self, service: Service, region: str, tuning: SelectionTuning) -> None:
+        self._region = region
+        # Region of each target by its name.
+        self._regions = {target.name: target.region for target in service.targets}
+        # Positions outside of a set of regions in the local and the remote table.
+        self._outside: dict[tuple[frozenset[str], bool], frozenset[int]] = {}
         local = [target for target in service.targets if target.region == region]
         remote = [target for target in service.targets if target.region != region]
         if not local:
@@ -50,9 +68,38 @@
         """Index in the service of the target at a position of a table."""
         return self._indexes[id(table)][position]
 
-    def excluded_positions(self, names: frozenset[str], table: HealthTable) -> frozenset[int]:
-        """Positions in a table of the targets with these names, as far as the service has them."""
+    def home(self, regions: frozenset[str]) -> HealthTable:
+        """Table whose targets a call waits for: of this region, unless the regions exclude it."""
+        if not regions or self._region in regions or not self.remote.targets:
+            return self.local
+        return self.remote
+
+    def share(self, regions: frozenset[str], table: HealthTable) -> float:
+        """Share of a table's targets that are in the regions."""
+        outside = len(self._positions_outside(regions, table))
+        return 1 - outside / len(table.targets) if outside else 1.0
+
+    def excluded_positions(
+        self, names: frozenset[str], table: HealthTable, regions: frozenset[str]
+    ) -> frozenset[int]:
+        """Positions in a table of the targets with these names, or outside of the regions."""
+        outside = self._positions_outside(regions, table)
         if not names:
-            return NO_TARGETS
+            return outside
         found = (self._by_name[name] for name in names if name in self._by_name)
-        return frozenset(position for other, position in found if other is table)
+        return outside.union(position for other, position in found if other is table)
+
+    def _positions_outside(self, regions: frozenset[str], table: HealthTable) -> frozenset[int]:
+        if not regions:
+            return NO_TARGETS
+        key = (regions, table is self.local)
+        found = self._outside.get(key)
+        if found is None:
+            if len(self._outside) >= MAX_REGION_SETS:
+                self._outside.clear()
+            found = self._outside[key] = frozenset(
+                position
+                for position, target in enumerate(table.targets)
+                if self._regions[target.name] not in regions
+            )
+        return found
--- a/src/dotterelstand/process/selection/ticket.py
+++ b/src/dotterelstand/process/selection/ticket.py
@@ -8,7 +8,7 @@
 from dotterelstand.connection.wire import Acquire
 from dotterelstand.process.selection.outcome import SlotCall, SlotGrant, TargetSnapshot
 from dotterelstand.process.selection.queue import WaitingCall
-from dotterelstand.process.selection.slotcodec import MAX_CLASSES, pack_requirements
+from dotterelstand.process.selection.slotcodec import MAX_CLASSES, pack_regions, pack_requirements
 from dotterelstand.version.model import Service
 
 # A slot request carries its deadline only if the remaining time is below this multiple of the
@@ -73,18 +73,27 @@
 
 
 def make_acquire(
-    ticket: Ticket, service: int, workspace: int, typical_s: float, now: float
-) -> Acquire:
+    ticket: Ticket,
+    service: int,
+    workspace: int,
+    regions: tuple[str, ...],
+    typical_s: float,
+    now: float,
+) -> Acquire | None:
     """Build the request for a ticket's slot; `service` and `workspace` are numbers in messages.
 
-    `typical_s` is the typical duration of the service's calls in seconds.
+    `regions` are those of the document and `typical_s` is the typical duration of the service's
+    calls in seconds. None if a message can name none of the call's regions.
     """
     call = ticket.call
+    mask = pack_regions(call.regions, regions)
+    if mask is None:
+        return None
     remaining_s = call.deadline - now
     urgent = remaining_s < URGENT_MULTIPLE * typical_s
     need = pack_requirements(call.klass, workspace, remaining_s if urgent else None, call.no_wait)
     within_ms = 0 if call.start_by is None else max(1, int((call.start_by - now) * 1000))
-    return Acquire(ticket.number, need, service, within_ms)
+    return Acquire(ticket.number, need, service, within_ms, mask)
 
 
 def make_waiting_call(
@@ -106,6 +115,7 @@
         call.no_wait,
     )
     waiting.start_by = call.start_by
+    waiting.regions = call.regions
     return waiting
 
 
--- a/src/dotterelstand/request/exchange.py
+++ b/src/dotterelstand/request/exchange.py
@@ -205,6 +205,7 @@
         objective_s, workspace = self._route.latency_objective_s, self._head.workspace
         start_by = latest_start_s(self._began_s, objective_s, self._policy.latency)
         call = SlotCall(klass, workspace, self._scope.deadline, excluded, no_wait, start_by)
+        call.regions = self._guard.regions
         slots = self._context.slots
         grant = await acquire_while_reading(slots, self._service, call, self._body)
         self._caller.retry_after_s = call.retry_after_s
--- a/tests/platform_support.py
+++ b/tests/platform_support.py
@@ -122,8 +122,12 @@
         body: bytes = b"",
         deadline_ms: int = 1000,
         chunked: bool = False,
+        key: str = "",
     ) -> bytes:
-        """Return the bytes of a request with a new id; `chunked` sends the body as one chunk."""
+        """Return the bytes of a request with a new id; `chunked` sends the body as one chunk.
+
+        `key` is the key of a workspace, if there is one.
+        """
         self._requests += 1
         lines = [
             f"{method} {path} HTTP/1.1",
@@ -131,6 +135,8 @@
             f"X-Dotterelstand-Request-Id: q{self._requests}",
             f"X-Dotterelstand-Deadline-Ms: {deadline_ms}",
         ]
+        if key:
+            lines.append(f"Authorization: Token {key}")
         if body and chunked:
             lines.append("Transfer-Encoding: chunked")
             body = b"%x\r\n" % len(body) + body + b"\r\n0\r\n\r\n"
@@ -145,11 +151,12 @@
         body: bytes = b"",
         entry: int = 0,
         deadline_ms: int = 1000,
+        key: str = "",
     ) -> Answer:
         """Send one request over a new connection and read its answer."""
         stream = await self.stream(entry)
         try:
-            await stream.send_all(self.request(method, path, body, deadline_ms))
+            await stream.send_all(self.request(method, path, body, deadline_ms, key=key))
             return await read_answer(stream, method)
         finally:
             stream.close()
--- a/tests/test_access.py
+++ b/tests/test_access.py
@@ -11,8 +11,10 @@
 from platform_support import PlatformFleet, run_on_platform
 from returns.pipeline import is_successful
 from support import Answer, read_answer
+from support_logs import EventCollector
 
 from dotterelstand.codes import Result
+from dotterelstand.events import Event
 from dotterelstand.platform.headers import PLATFORM_FIELDS
 from dotterelstand.request.access import AccessGuard, admit_request, request_class
 from dotterelstand.request.head import RequestHead, read_head
@@ -186,7 +188,7 @@
     ],
 )
 def test_targets_get_the_workspace_and_never_the_key(
-    path: str, key: str, code: int, name: str | None, capfd: pytest.CaptureFixture[str]
+    path: str, key: str, code: int, name: str | None
 ) -> None:
     """Guards against keys in requests to targets, metrics or log lines, and forged workspaces."""
 
@@ -202,8 +204,11 @@
         assert labels == ("" if code != 1000 else name or "default")
         assert key not in json.dumps(fleet.daemon.metrics.counters())
 
-    run_on_platform(scenario, instances=1)
-    assert key not in "".join(capfd.readouterr())
+    with EventCollector() as collector:
+        run_on_platform(scenario, instances=1)
+    assert key not in str(collector.events)
+    ended = [line for line in collector.events if line["event"] == Event.REQUEST_ENDED]
+    assert [line["workspace"] for line in ended] == [None] * (code != 1000)
 
 
 def test_a_quota_is_charged_once_and_refunded_once() -> None:
--- a/tests/test_frames.py
+++ b/tests/test_frames.py
@@ -77,10 +77,11 @@
 @pytest.mark.parametrize(
     ("message", "wire"),
     [
-        (Acquire(3, 1, 2, 40), [7, 3, 1, 2, 40]),
-        (Acquire(3, 1, 2, 0), [7, 3, 1, 2]),
-        (Acquire(3, 0, 0, 0), [7, 3, 0]),
-        (Acquire(0, 0, 0, 5), [7, 0, 0, 0, 5]),
+        (Acquire(3, 1, 2, 40, 0), [7, 3, 1, 2, 40]),
+        (Acquire(3, 1, 2, 0, 0), [7, 3, 1, 2]),
+        (Acquire(3, 0, 0, 0, 0), [7, 3, 0]),
+        (Acquire(0, 0, 0, 5, 0), [7, 0, 0, 0, 5]),
+        (Acquire(0, 0, 0, 0, 6), [7, 0, 0, 0, 0, 6]),
     ],
 )
 def test_only_trailing_optional_fields_are_left_out(message: Message, wire: list[int]) -> None:
@@ -92,7 +93,7 @@
     assert decode_messages(several).unwrap() == [message, message]
 
 
-@pytest.mark.parametrize("items", [[7, 3], [7, 3, 0, 0, 0, 0], [2, True], [7]])
+@pytest.mark.parametrize("items", [[7, 3], [7, 3, 0, 0, 0, 0, 0], [2, True], [7]])
 def test_a_field_that_is_not_optional_must_be_sent(items: list[object]) -> None:
     """Guards against decoding missing required fields as zero."""
     assert not is_successful(decode_messages(cbor2.dumps(items)))
--- a/tests/test_measure.py
+++ b/tests/test_measure.py
@@ -58,7 +58,7 @@
 @pytest.mark.parametrize("mask", [False, True])
 def test_model_counts_frames_as_websockets_does(mask: bool) -> None:
     """Guards against byte counts that omit the WebSocket framing."""
-    payload = encode_message(Acquire(3, pack_requirements(0, 0, None), 2, 0))
+    payload = encode_message(Acquire(3, pack_requirements(0, 0, None), 2, 0, 0))
     size = len(Frame(Opcode.BINARY, payload).serialize(mask=mask))
     assert size == len(payload) + HEADER_BYTES + (MASK_BYTES if mask else 0)
 
