--- a/src/dotterelstand/cli/explain.py
+++ b/src/dotterelstand/cli/explain.py
@@ -210,6 +210,7 @@
         " {remaining_ms} ms left"
     ),
     Event.SLOT_REFUSED: "no target: {code}; excluded: {excluded}; {remaining_ms} ms left",
+    Event.ACCESS_REFUSED: "not permitted: {reason}",
     Event.ATTEMPT_ENDED: (
         "attempt {attempt} at {target} ended: status {status}, failure {failure}, refused by the"
         " target: {refused}, sent: {sent}"
@@ -224,7 +225,7 @@
     ),
     Event.REQUEST_ENDED: (
         "ended with {code} after {duration_ms} ms and {attempts} attempts; {service},"
-        " {route_class}, document {document}"
+        " {route_class}, document {document}, workspace {workspace}"
     ),
     Event.REQUEST_ANSWERED: (
         "answered ({code}) after {duration_ms} ms and {attempts} attempts; late: {late}; {service},"
--- a/src/dotterelstand/platform/decode.py
+++ b/src/dotterelstand/platform/decode.py
@@ -28,6 +28,7 @@
 TARGET_STATES = ("ready", "draining")
 VERSION_DIGITS = 8
 PORT = re.compile("[0-9]{1,5}")
+_CONTROL = re.compile(r"[\x00-\x1f\x7f]")
 # A shorter timeout would close connections before a request can arrive.
 MIN_TIMEOUT_S = 0.001
 
@@ -201,8 +202,9 @@
 
 
 def _parse_workspace(name: str, fields: dict[str, Any]) -> Workspace:
-    if not name:
-        raise FormatError("tenants: no name")
+    if not name or name != name.strip(" ") or _CONTROL.search(name):
+        # The name is the value of a header field, which must reach the target as it is.
+        raise FormatError(f"tenants {name!r:.80}: not a name")
     keys = _optional_texts(fields, "apiKeys")
     priority = None
     if fields.get("priority") is not None:
@@ -270,7 +272,8 @@
 
 def _require_table(value: object, name: str) -> dict[str, Any]:
     if not isinstance(value, dict):
-        raise FormatError(f"{name}: found {value!r:.80}, not a table")
+        # The value may contain keys, which must not be shown.
+        raise FormatError(f"{name}: found a {type(value).__name__}, not a table")
     return value
 
 
--- a/src/dotterelstand/process/frontend.py
+++ b/src/dotterelstand/process/frontend.py
@@ -222,19 +222,22 @@
         admitted = admit_request(document, route, head, lambda: self._document, context.freshness)
         if not is_successful(admitted):
             summary = RequestSummary(route, head.workspace, head.request_id, document.number)
-            return summary, admitted.failure()
+            summary.trail.note_access(admitted.failure().reason.value)
+            return summary, admitted.failure().code
         guard = admitted.unwrap()
         exchange = Exchange(request, head, document, route, context, guard)
         request.write_decisions = exchange.summary.trail.write
-        quota, workspace = context.quota, guard.workspace
-        if quota is None or workspace is None:
-            return exchange.summary, await exchange.run()
-        request.retry_after_s = quota.admit(workspace)
-        if request.retry_after_s is not None:
-            return exchange.summary, ResultCode.QUOTA_EXCEEDED
+        workspace = guard.workspace
+        quota = None if workspace is None else context.quota
+        if quota is not None and workspace is not None:
+            request.retry_after_s = quota.admit(workspace)
+            if request.retry_after_s is not None:
+                return exchange.summary, ResultCode.QUOTA_EXCEEDED
         code = await exchange.run()
-        if code.run is Execution.NOT_RUN:
+        if quota is not None and workspace is not None and code.run is Execution.NOT_RUN:
             quota.refund(workspace)
+        if guard.refusal is not None:
+            exchange.summary.trail.note_access(guard.refusal.reason.value)
         return exchange.summary, code
 
     async def _finish_answer(self, request: CallerRequest, code: ResultCode) -> None:
--- a/src/dotterelstand/request/access.py
+++ b/src/dotterelstand/request/access.py
@@ -2,6 +2,7 @@
 
 import re
 from collections.abc import Callable
+from enum import Enum
 
 from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
@@ -31,18 +32,12 @@
 
 
 def authorize(
-    document: Document, route: Route, head: RequestHead
+    document: Document, route: Route, digest: bytes | None
 ) -> Result[Workspace | None, ResultCode]:
-    """Find the workspace of a request; fails with `UNAUTHORIZED`.
+    """Find the workspace of a request by the result of `key_digest`; fails with `UNAUTHORIZED`.
 
     It is None for a public route and for a document without workspaces.
     """
-    return _find_workspace(document, route, key_digest(head))
-
-
-def _find_workspace(
-    document: Document, route: Route, digest: bytes | None
-) -> Result[Workspace | None, ResultCode]:
     if document.access is None or route.public:
         return Success(None)
     workspace = None if digest is None else document.access.find(digest)
@@ -66,11 +61,43 @@
     return classes.index(klass) if klass in classes else len(classes) - 1
 
 
+class RefusalReason(Enum):
+    """Reason for which a request is not permitted, as it is logged."""
+
+    NO_KEY = "no_key"
+    # Several fields, another scheme, or a key of a wrong length or with other characters.
+    MALFORMED = "malformed"
+    UNKNOWN_KEY = "unknown_key"
+    UNPROVEN = "unproven"
+    # The document changed while the request waited.
+    KEY_REMOVED = "key_removed"
+    WORKSPACE_CHANGED = "workspace_changed"
+    # No region is allowed by route and workspace, or not the one of the target any more.
+    REGION = "region"
+
+
+class AccessRefusal:
+    """Refusal of a request by the rules on keys and regions."""
+
+    __slots__ = ("code", "reason")
+
+    def __init__(self, code: ResultCode, reason: RefusalReason) -> None:
+        self.code = code
+        self.reason = reason
+
+
+_UNPROVEN = AccessRefusal(ResultCode.CONFIGURATION_UNPROVEN, RefusalReason.UNPROVEN)
+_REMOVED = AccessRefusal(ResultCode.UNAUTHORIZED, RefusalReason.KEY_REMOVED)
+# The request did not run, so that its caller may send it again at once.
+_CHANGED = AccessRefusal(ResultCode.CONFIGURATION_UNPROVEN, RefusalReason.WORKSPACE_CHANGED)
+_REGION = AccessRefusal(ResultCode.NO_TARGET, RefusalReason.REGION)
+
+
 class AccessGuard:
     """Permission of one request to be sent, by the document in force at each check.
 
-    Holds the digest of the request's key, never the key. `refusal` is the result of the last check
-    that failed.
+    Holds the digest of the request's key, never the key. `refusal` is that of the last check that
+    failed.
     """
 
     __slots__ = (
@@ -106,9 +133,9 @@
         self._current = current
         self._freshness = freshness
         self.workspace = workspace
-        self.refusal: ResultCode | None = None
+        self.refusal: AccessRefusal | None = None
         # Refusal by the document last seen, whatever the proof of it.
-        self._standing: ResultCode | None = None
+        self._standing: AccessRefusal | None = None
         self._regions = self._allowed_regions(route, workspace)
 
     @property
@@ -133,14 +160,15 @@
         if document.access is not self._seen.access or document.routes is not self._seen.routes:
             self._apply(document)
         self._seen = document
-        code = self._standing
+        refusal = self._standing
         if self.workspace is not None and not _is_proven(self._freshness):
-            code = ResultCode.CONFIGURATION_UNPROVEN
-        if code is None and not self._allows(region):
-            code = ResultCode.NO_TARGET
-        if code is not None:
-            self.refusal = code
-        return code
+            refusal = _UNPROVEN
+        if refusal is None and not self._allows(region):
+            refusal = _REGION
+        if refusal is None:
+            return None
+        self.refusal = refusal
+        return refusal.code
 
     def _allows(self, region: str | None) -> bool:
         if self._regions is None:
@@ -150,14 +178,14 @@
     def _apply(self, document: Document) -> None:
         """Decide by a document that came after the request."""
         route = document.find_route(self._path, self._method, self._host) or self._route
-        found = _find_workspace(document, route, self._digest)
+        found = authorize(document, route, self._digest)
         self._standing = self._compare(document, found)
         workspace = found.unwrap() if is_successful(found) else None
         self._regions = self._allowed_regions(route, workspace or self.workspace)
 
     def _compare(
         self, document: Document, found: Result[Workspace | None, ResultCode]
-    ) -> ResultCode | None:
+    ) -> AccessRefusal | None:
         """Refusal of a request whose workspace is no longer the one at its arrival.
 
         Its quota, class, queue and headers are those of its workspace at arrival. If it now belongs
@@ -165,18 +193,18 @@
         """
         if (self._arrival.access is None) is not (document.access is None):
             same = self.workspace is None and document.access is None
-            return None if same else ResultCode.CONFIGURATION_UNPROVEN
+            return None if same else _CHANGED
         if document.access is None:
             return None
         if self.workspace is None:
             known = is_successful(found) and found.unwrap() is None
-            return None if known else ResultCode.CONFIGURATION_UNPROVEN
+            return None if known else _CHANGED
         if not is_successful(found):
-            return found.failure()
+            return _REMOVED
         # On a route that became public the key decides as before: it may have been removed.
         owner = None if self._digest is None else document.access.find(self._digest)
         same = owner is not None and owner.name == self.workspace.name
-        return None if same else ResultCode.CONFIGURATION_UNPROVEN
+        return None if same else _CHANGED
 
     @staticmethod
     def _allowed_regions(route: Route, workspace: Workspace | None) -> frozenset[str] | None:
@@ -190,24 +218,32 @@
     head: RequestHead,
     current: Callable[[], Document | None],
     freshness: Freshness | None,
-) -> Result[AccessGuard, ResultCode]:
+) -> Result[AccessGuard, AccessRefusal]:
     """Authorize a request at its arrival, and remove its key from its head.
 
     Fails with `UNAUTHORIZED`, or with `CONFIGURATION_UNPROVEN` without a proof that the document is
     current: an unknown key may have been added, and a known one removed.
     """
     digest = None if document.access is None else key_digest(head)
-    found = _find_workspace(document, route, digest)
-    workspace = found.unwrap() if is_successful(found) else None
-    if document.access is not None:
-        restrict_head(head, None if workspace is None else workspace.name)
+    found = authorize(document, route, digest)
     if not is_successful(found):
+        refusal = AccessRefusal(found.failure(), _refusal_reason(head, digest))
+        restrict_head(head, None)
         # A request without a key is refused by each version of the document.
-        if digest is not None and not _is_proven(freshness):
-            return Failure(ResultCode.CONFIGURATION_UNPROVEN)
-        return Failure(found.failure())
+        unproven = digest is not None and not _is_proven(freshness)
+        return Failure(_UNPROVEN if unproven else refusal)
+    workspace = found.unwrap()
+    if document.access is not None:
+        restrict_head(head, None if workspace is None else workspace.name)
     guard = AccessGuard(document, route, head, digest, workspace, current, freshness)
-    code = guard.check()
-    if code in (ResultCode.UNAUTHORIZED, ResultCode.CONFIGURATION_UNPROVEN):
-        return Failure(code)
+    if guard.check() is ResultCode.CONFIGURATION_UNPROVEN:
+        return Failure(_UNPROVEN)
     return Success(guard)
+
+
+def _refusal_reason(head: RequestHead, digest: bytes | None) -> RefusalReason:
+    """Reason for which a request on a route that needs a key is refused."""
+    if digest is not None:
+        return RefusalReason.UNKNOWN_KEY
+    present = any(name == AUTHORIZATION for name, _ in head.headers)
+    return RefusalReason.MALFORMED if present else RefusalReason.NO_KEY
--- a/src/dotterelstand/request/exchange.py
+++ b/src/dotterelstand/request/exchange.py
@@ -162,7 +162,7 @@
             attempt = await self._next_attempt()
             if isinstance(attempt, ResultCode):
                 if self._guard.refusal is not None:
-                    return self._overall_code(self._guard.refusal)
+                    return self._overall_code(self._guard.refusal.code)
                 pause_s = self._slot_pause_s(attempt, pauses)
                 if pause_s is None:
                     return self._overall_code(last or attempt)
@@ -290,7 +290,7 @@
             # The error answer of the target tells the caller more than a generated one.
             return await self._forward_answer(attempt), False
         attempt.end(attempt.outcome())
-        return self._overall_code(refusal or code), False
+        return self._overall_code(refusal.code if refusal else code), False
 
     async def _failure_code(self, attempt: Attempt) -> ResultCode:
         await self._suspicion.record_strikes(self._attempts, self._scope.deadline)
--- a/src/dotterelstand/request/trail.py
+++ b/src/dotterelstand/request/trail.py
@@ -79,6 +79,10 @@
             remaining_ms=_ms(remaining_s),
         )
 
+    def note_access(self, reason: str) -> None:
+        """Record why the request was not permitted."""
+        self.note(Event.ACCESS_REFUSED, reason=reason)
+
     def note_quarantined(self, fingerprint: bytes) -> None:
         """Record that the request was not admitted, since it may crash targets."""
         self.note(
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -165,6 +165,12 @@
     return {"resourceType": "routes", "metadata": {"name": f"r{prefix}"}, "spec": spec}
 
 
+def tenant(name: str, *keys: str, **changes: Any) -> dict[str, Any]:
+    """Return the resource of a workspace; `changes` replace or add fields of its spec."""
+    spec = {"apiKeys": list(keys), "priority": 0, **changes}
+    return {"resourceType": "tenants", "metadata": {"name": name}, "spec": spec}
+
+
 def configuration(version: int, *resources: dict[str, Any], services: tuple[str, ...] = ("s",)):  # type: ignore[no-untyped-def]
     """Return a configuration with the resources, the services and limits."""
     spec = {"healthPath": "/health", "maxConns": 240, "protocol": "h1", "tls": False}
--- a/tests/test_access.py
+++ b/tests/test_access.py
@@ -7,7 +7,7 @@
 import h11
 import pytest
 import trio
-from platform_standin import configuration, route
+from platform_standin import configuration, route, tenant
 from platform_support import PlatformFleet, run_on_platform
 from returns.pipeline import is_successful
 from support import Answer, read_answer
@@ -97,7 +97,7 @@
     document, head = _document(_workspaces(one=(ONE,), two=(TWO,))), _head(*authorization)
     admitted = admit_request(document, KEYED, head, lambda: document, _Freshness(proven))
     if isinstance(expected, Result):
-        assert admitted.failure() is expected
+        assert admitted.failure().code is expected
     else:
         assert admitted.unwrap().workspace.name == head.workspace == expected  # type: ignore
         assert request_class(KEYED, admitted.unwrap().workspace) == "000-safe"
@@ -146,7 +146,8 @@
     guard = _admit(before, before.routes[0], lambda: current[0])
     assert guard.check() is None
     current[0] = _document(access, (at_path(then),))
-    assert (guard.check(), guard.refusal) == (expected, expected)
+    assert guard.check() is expected
+    assert (guard.refusal is None) == (expected is None)
 
 
 def _admit(document: Document, route: Route, current: Callable[[], Document]) -> AccessGuard:
@@ -155,12 +156,6 @@
     return admitted.unwrap()
 
 
-def tenant(name: str, *keys: str, **fields: Any) -> dict[str, Any]:
-    """Resource of a workspace with keys."""
-    spec = {"apiKeys": list(keys), "priority": 0, **fields}
-    return {"resourceType": "tenants", "metadata": {"name": name}, "spec": spec}
-
-
 async def _apply(fleet: PlatformFleet, version: int, *workspaces: dict[str, Any]) -> None:
     routes = (route("s"), route("s", "/p/", public=True), route("s", "/b/", "unsafe"))
     fleet.store.put("config", "main", configuration(version, *routes, *workspaces))
@@ -209,6 +204,8 @@
     assert key not in str(collector.events)
     ended = [line for line in collector.events if line["event"] == Event.REQUEST_ENDED]
     assert [line["workspace"] for line in ended] == [None] * (code != 1000)
+    refused = [line for line in collector.events if line["event"] == Event.ACCESS_REFUSED]
+    assert [line["reason"] for line in refused] == ["unknown_key"] * (code == 2022)
 
 
 def test_a_quota_is_charged_once_and_refunded_once() -> None:
@@ -278,3 +275,33 @@
         assert state is not None and (state.regional.open_grants, state.queued_calls) == (0, 0)
 
     run_on_platform(scenario, instances=1)
+
+
+@pytest.mark.parametrize(("proven", "runs", "code"), [(True, 2, 1000), (False, 1, 3003)])
+def test_no_hedged_attempt_is_sent_without_a_proof(proven: bool, runs: int, code: int) -> None:
+    """Guards against a hedged attempt on a key that may have been removed since the first."""
+
+    async def scenario(fleet: PlatformFleet) -> None:
+        freshness = fleet.daemon.frontend._context.freshness = _Freshness()
+        await _apply(fleet, 8, tenant("t", "secret-1"))
+        for instance in fleet.instances:
+            instance.service_time_s = 0.05
+        for _ in range(30):
+            await _call(fleet)
+        for instance in fleet.instances:
+            instance.runs.clear()
+            instance.service_time_s = 5.0
+
+        async def slow_down() -> None:
+            await trio.sleep(0.02)
+            freshness.proven = proven
+            for instance in fleet.instances:
+                instance.service_time_s = 0.05
+                if instance.runs:
+                    instance.service_time_percent = 400
+
+        fleet.nursery.start_soon(slow_down)
+        answer = await fleet.call(key="secret-1", deadline_ms=1000)
+        assert (answer.code, len(fleet.runs())) == (code, runs)
+
+    run_on_platform(scenario, health_interval_s=0.05)
--- a/tests/test_regions.py
+++ b/tests/test_regions.py
@@ -4,12 +4,11 @@
 
 import pytest
 import trio
-from platform_standin import configuration, route
+from platform_standin import configuration, route, tenant
 from platform_support import PlatformFleet, run_on_platform
 from returns.pipeline import is_successful
 from selection_helpers import FakeMeshes, make_service
 from support_logs import EventCollector
-from test_access import tenant
 
 from dotterelstand.codes import Result as ResultCode
 from dotterelstand.connection.wire import Acquire, Refuse
--- a/tests/test_unusable_objects.py
+++ b/tests/test_unusable_objects.py
@@ -1,8 +1,10 @@
 """Objects of the platform with values that no part of a daemon can use."""
 
+from typing import Any
+
 import pytest
 import trio
-from platform_standin import PAGE_OBJECTS, configuration, route, server_entry
+from platform_standin import PAGE_OBJECTS, configuration, route, server_entry, tenant
 from platform_support import PlatformFleet, run_on_platform
 from support_logs import EventCollector
 
@@ -27,6 +29,28 @@
     "target's long port": ("servers", "i-9", server_entry("s", "10.1.0.9:" + "9" * 5000)),
 }
 
+SECRET = "secret-key"
+# Resources of workspaces that make a configuration unusable.
+WORKSPACES: dict[str, tuple[dict[str, Any], ...]] = {
+    "key of two": (tenant("a", SECRET), tenant("b", "other", SECRET)),
+    "name of two": (tenant("a", SECRET), tenant("a", "other")),
+    "no name": (tenant("", SECRET),),
+    "name with a line break": (tenant("a\r\nx: y", SECRET),),
+    "name that ends with a space": (tenant("a ", SECRET),),
+    "negative rate": (tenant("a", SECRET, ratePerS=-1),),
+    "negative burst": (tenant("a", SECRET, burst=-0.5),),
+    "negative priority": (tenant("a", SECRET, priority=-1),),
+    "key that is not ASCII": (tenant("a", SECRET + "\u00e9"),),
+    "keys that are no list": (tenant("a", apiKeys=SECRET),),
+    "regions that are no names": (tenant("a", SECRET, allowedRegions=[1]),),
+    "spec that is no table": ({**tenant("a"), "spec": [SECRET]},),
+    "resource that is no table": ([SECRET],),  # type: ignore[dict-item]
+}
+UNUSABLE |= {
+    case: ("config", "main", configuration(8, route("s"), *resources))
+    for case, resources in WORKSPACES.items()
+}
+
 
 @pytest.mark.parametrize("case", UNUSABLE)
 def test_object_with_an_unusable_value_is_left_out(case: str) -> None:
@@ -48,6 +72,7 @@
     with EventCollector() as lines:
         run_on_platform(scenario, health_interval_s=0.1)
     assert lines.lines_of(Event.OBJECT_UNREADABLE)
+    assert SECRET not in str(lines.events), "a key was logged"
 
 
 def test_page_that_ends_with_an_unusable_name_leaves_the_daemon_running() -> None:
