--- a/src/dotterelstand/process/frontend.py
+++ b/src/dotterelstand/process/frontend.py
@@ -1,6 +1,7 @@
 """Accepts connections of callers, serves their requests and stops gracefully."""
 
 import trio
+from returns.pipeline import is_successful
 
 from dotterelstand.codes import Execution
 from dotterelstand.codes import Result as ResultCode
@@ -11,11 +12,13 @@
 from dotterelstand.connection.target import close_now
 from dotterelstand.events import Event, log
 from dotterelstand.process.telemetry.invariant import leaf_errors, log_fault
+from dotterelstand.request.access import admit_request
 from dotterelstand.request.accesslog import AccessLog, RequestSummary
 from dotterelstand.request.context import RequestContext
 from dotterelstand.request.exchange import Exchange
 from dotterelstand.request.head import RequestHead
 from dotterelstand.request.undelivered import find_undelivered
+from dotterelstand.request.unknownregions import log_unknown_regions
 from dotterelstand.version.model import Document, Route
 
 # Maximum number of refused connections that are sent an error answer at the same time; further ones
@@ -73,6 +76,9 @@
 
     @document.setter
     def document(self, document: Document | None) -> None:
+        number = 0 if self._document is None else self._document.number
+        if document is not None and document.number != number:
+            log_unknown_regions(document)
         self._document = document
         self._limits.apply_bounds(None if document is None else document.caller_bounds)
 
@@ -203,14 +209,37 @@
             number = 0 if document is None else document.number
             summary = RequestSummary(None, head.workspace, head.request_id, number)
         else:
-            exchange = Exchange(request, head, document, route, self._context)
-            summary = exchange.summary
-            request.write_decisions = summary.trail.write
-            code = await exchange.run()
+            summary, code = await self._serve_routed(request, head, document, route)
         await self._finish_answer(request, code)
         summary.count(self._context.metrics, code)
         self._access_log.write(code, head.path, summary)
 
+    async def _serve_routed(
+        self, request: CallerRequest, head: RequestHead, document: Document, route: Route
+    ) -> tuple[RequestSummary, ResultCode]:
+        """Serve a request that a route matches, if its key and its workspace's quota permit it."""
+        context = self._context
+        admitted = admit_request(document, route, head, lambda: self._document, context.freshness)
+        if not is_successful(admitted):
+            summary = RequestSummary(route, head.workspace, head.request_id, document.number)
+            summary.trail.note_access(admitted.failure().reason.value)
+            return summary, admitted.failure().code
+        guard = admitted.unwrap()
+        exchange = Exchange(request, head, document, route, context, guard)
+        request.write_decisions = exchange.summary.trail.write
+        workspace = guard.workspace
+        quota = None if workspace is None else context.quota
+        if quota is not None and workspace is not None:
+            request.retry_after_s = quota.admit(workspace)
+            if request.retry_after_s is not None:
+                return exchange.summary, ResultCode.QUOTA_EXCEEDED
+        code = await exchange.run()
+        if quota is not None and workspace is not None and code.run is Execution.NOT_RUN:
+            quota.refund(workspace)
+        if guard.refusal is not None:
+            exchange.summary.trail.note_access(guard.refusal.reason.value)
+        return exchange.summary, code
+
     async def _finish_answer(self, request: CallerRequest, code: ResultCode) -> None:
         """Send an error answer if none has started, or abort an incomplete answer."""
         if request.answer_started:
