--- a/src/dotterelstand/codes.py
+++ b/src/dotterelstand/codes.py
@@ -3,7 +3,7 @@
 from enum import Enum, IntEnum
 
 # Seconds after which a caller may retry a request that a target rejected.
-TARGET_RETRY_S = 0.1
+TARGET_RETRY_S = 0.02
 # Seconds after which a caller may retry on a host that lacked a proof of its document: a proof
 # comes from a peer within a fraction of a second.
 PROOF_RETRY_S = 0.2
