--- a/src/dotterelstand/process/frontend.py
+++ b/src/dotterelstand/process/frontend.py
@@ -221,9 +221,12 @@
         context = self._context
         admitted = admit_request(document, route, head, lambda: self._document, context.freshness)
         if not is_successful(admitted):
-            summary = RequestSummary(route, head.workspace, head.request_id, document.number)
-            summary.trail.note_access(admitted.failure().reason.value)
-            return summary, admitted.failure().code
+            refusal = admitted.failure()
+            summary = RequestSummary(
+                route, head.workspace, head.request_id, document.number, refusal.workspace
+            )
+            summary.trail.note_access(refusal.reason.value)
+            return summary, refusal.code
         guard = admitted.unwrap()
         exchange = Exchange(request, head, document, route, context, guard)
         request.write_decisions = exchange.summary.trail.write
--- a/src/dotterelstand/request/access.py
+++ b/src/dotterelstand/request/access.py
@@ -10,7 +10,7 @@
 from dotterelstand.codes import Result as ResultCode
 from dotterelstand.request.head import AUTHORIZATION, RequestHead, restrict_head
 from dotterelstand.request.interfaces import Freshness
-from dotterelstand.version.model import Document, Route
+from dotterelstand.version.model import Document, Route, Service
 from dotterelstand.version.workspace import (
     Workspace,
     digest_key,
@@ -77,12 +77,15 @@
 
 
 class AccessRefusal:
-    """Refusal of a request by the rules on keys and regions."""
+    """Refusal of a request by the rules on keys and regions, and its workspace, if known."""
 
-    __slots__ = ("code", "reason")
+    __slots__ = ("code", "reason", "workspace")
 
-    def __init__(self, code: ResultCode, reason: RefusalReason) -> None:
+    def __init__(
+        self, code: ResultCode, reason: RefusalReason, workspace: Workspace | None = None
+    ) -> None:
         self.code = code
+        self.workspace = workspace
         self.reason = reason
 
 
@@ -151,6 +154,11 @@
         """Class of the request."""
         return request_class(self._route, self.workspace)
 
+    def allowed_targets(self, service: Service) -> set[str]:
+        """Names of the targets of a service to which the request may be sent."""
+        targets, regions = service.targets, self.regions
+        return {target.name for target in targets if not regions or target.region in regions}
+
     def check(self, region: str | None = None) -> ResultCode | None:
         """Refuse the request, or permit to send it now (None) to a target of a region.
 
@@ -236,8 +244,9 @@
     if document.access is not None:
         restrict_head(head, None if workspace is None else workspace.name)
     guard = AccessGuard(document, route, head, digest, workspace, current, freshness)
-    if guard.check() is ResultCode.CONFIGURATION_UNPROVEN:
-        return Failure(_UNPROVEN)
+    code = guard.check()
+    if code is ResultCode.CONFIGURATION_UNPROVEN:
+        return Failure(AccessRefusal(code, RefusalReason.UNPROVEN, workspace))
     return Success(guard)
 
 
--- a/src/dotterelstand/request/exchange.py
+++ b/src/dotterelstand/request/exchange.py
@@ -213,7 +213,7 @@
 
     def _slot_pause_s(self, refusal: ResultCode, pauses: int) -> float | None:
         """Seconds until a retry asks for a slot again, or None."""
-        names = {target.name for target in self._service.targets}
+        names = self._guard.allowed_targets(self._service)
         if not self._may_have_run() or names <= {attempt.target for attempt in self._attempts}:
             return None
         return slot_pause_s(refusal, pauses, self._remaining_s(), self._policy.latency)
