--- a/src/dotterelstand/events.py
+++ b/src/dotterelstand/events.py
@@ -87,6 +87,8 @@
     DISPATCHER_ANSWERS = 505
     MEASURE_BUDGET_SPENT = 506
     TARGET_CHANGED = 507
+    TARGET_COLD = 510
+    TARGET_WARM = 511
 
 
 _WARNINGS = frozenset(
--- a/src/dotterelstand/platform/headers.py
+++ b/src/dotterelstand/platform/headers.py
@@ -16,4 +16,5 @@
     identity=b"x-dotterelstand-instance-id",
     # An answer without an id is a late one to a health check, which has no id.
     echoes_request_id=True,
+    warmup=b"x-dotterelstand-warmup-ms",
 )
--- a/src/dotterelstand/process/discovery/catalogue.py
+++ b/src/dotterelstand/process/discovery/catalogue.py
@@ -238,4 +238,5 @@
         target.availability_zone,
         target.slots,
         target.started_ms,
+        target.warmup_s,
     )
--- a/src/dotterelstand/process/selection/dispatcher.py
+++ b/src/dotterelstand/process/selection/dispatcher.py
@@ -95,6 +95,7 @@
     def submit(self, call: WaitingCall, now: float) -> list[Decision]:
         """Grant the call a slot, queue it or refuse it; a full queue evicts and refuses a call."""
         self.calls += 1
+        self._tables.local.warmup.begin_call(now)
         self._discard_stale(call.key, now)
         decisions = self.advance(now)
         impaired_position: int | None = None
@@ -300,6 +301,7 @@
 
     def _grant(self, key: CallKey, table: HealthTable, position: int, now: float) -> Granted:
         self._grants.add(OpenGrant(key, table, position, now))
+        table.warmup.spend(position, now)
         table.start(position)
         self.counters.granted += 1
         return Granted(key, self._tables.index_of(table, position))
@@ -319,8 +321,11 @@
 
     def _slot_interval_s(self) -> float:
         """Mean time in seconds between two slots that become free while all are in use."""
-        hold_s = self._hold_s or self._tables.local.typical_s
-        return hold_s / max(1, self._tables.local.total_allowance)
+        local = self._tables.local
+        hold_s = self._hold_s or local.typical_s
+        if paced_per_s := local.warmup.paced_per_s:
+            return 1 / (paced_per_s + local.total_allowance / hold_s)
+        return hold_s / max(1, local.total_allowance)
 
     def _expected_wait_s(self, klass: int) -> float:
         return (self._queue.count_ahead(klass) + 1) * self._slot_interval_s()
--- a/src/dotterelstand/process/selection/health.py
+++ b/src/dotterelstand/process/selection/health.py
@@ -9,6 +9,7 @@
 from dotterelstand.process.selection.slotindex import NO_TARGETS, SlotIndex
 from dotterelstand.process.selection.targethealth import HealthChange, TargetHealth, TimerKind
 from dotterelstand.process.selection.tuning import SelectionTuning
+from dotterelstand.process.selection.warmup import Warmup, WarmupLimit
 from dotterelstand.request.fields import LoadReport
 from dotterelstand.version.model import Target
 
@@ -66,10 +67,16 @@
         "total_allowance",
         "typical_s",
         "usable_count",
+        "warmup",
     )
 
     def __init__(
-        self, targets: list[Target], tuning: SelectionTuning, *, remote: bool = False
+        self,
+        targets: list[Target],
+        tuning: SelectionTuning,
+        *,
+        remote: bool = False,
+        limit: WarmupLimit | None = None,
     ) -> None:
         self._tuning = tuning
         self._lookahead_per_slot = 0.0 if remote else tuning.lookahead_per_slot
@@ -88,14 +95,15 @@
         # Heap of pending timers, as (time, position, value of the `TimerKind`).
         self._timers: list[tuple[float, int, int]] = []
         self._ejected = 0
-        self.usable_count = len(self.targets)
-        self.total_allowance = sum(target.slots for target in self.targets)
+        self.usable_count = self.total_allowance = 0
         self.typical_s = INITIAL_TYPICAL_DURATION_S
         self._duration_samples = 0
         self._mean_other_requests = 0.0
         self.ejections = 0
         self.changes: deque[HealthChange] = deque(maxlen=MAX_CHANGES)
-        for position in range(len(self.targets)):
+        self.warmup = Warmup(targets, self.targets, limit or WarmupLimit(), self._update_target)
+        for position, health in enumerate(self.targets):
+            self._add_to_totals(health, 1)
             self._update_index(position)
 
     @property
@@ -221,6 +229,7 @@
 
     def advance(self, now: float) -> None:
         """Process the timers that are due at `now`."""
+        self.warmup.advance(now)
         while self._timers and self._timers[0][0] <= now:
             _, position, kind = heapq.heappop(self._timers)
             target = self.targets[position]
@@ -276,10 +285,14 @@
             if previous.ejected_until is not None:
                 self._eject_until(position, previous.ejected_until)
             self._update_index(position)
+        self.warmup.copy_state(old.warmup)
 
     def _record_success(self, position: int, duration_s: float, now: float) -> None:
         target = self.targets[position]
         target.failure_rate *= 1 - FAILURE_WEIGHT
+        if target.cold:
+            # Its durations are no measure of its health.
+            return
         if target.probation and duration_s > self._tuning.slow_factor * self.typical_s:
             self._eject(position, now)
             return
@@ -366,13 +379,14 @@
     def _add_to_totals(self, target: TargetHealth, sign: int) -> None:
         if target.usable:
             self.usable_count += sign
-            self.total_allowance += sign * target.allowance
+            # The rate of requests to a cold target does not depend on its slots.
+            self.total_allowance += 0 if target.cold else sign * target.allowance
         if target.ejected_until is not None:
             self._ejected += sign
 
     def _update_index(self, position: int) -> None:
         target = self.targets[position]
-        if not target.usable:
+        if not target.usable or target.paused:
             self.index.remove(position)
             return
         limit = target.allowance
--- a/src/dotterelstand/process/selection/healthprobe.py
+++ b/src/dotterelstand/process/selection/healthprobe.py
@@ -19,6 +19,7 @@
     announces_draining,
     names_target,
     parse_load_report,
+    parse_warmup,
 )
 from dotterelstand.request.interfaces import Counters, LeavingTargets
 from dotterelstand.version.model import Document, Service, Target
@@ -45,6 +46,9 @@
     def target_load(self, service: str, target: Target, report: LoadReport) -> None:
         """Record the load that a target reported."""
 
+    def target_warmup(self, service: str, target: Target, remaining_s: float) -> None:
+        """Record the remaining warm-up time that a target reported."""
+
     def target_unreachable(self, service: str, target: Target) -> None:
         """Record that a target did not answer."""
 
@@ -210,6 +214,11 @@
         if announced or (self._tuning.drains_on_503 and head.status_code == 503):
             self._metrics.count("health.draining_seen")
             self._leaving.target_leaving(target.name, target.incarnation)
+        remaining_s = parse_warmup(values.get(fields.warmup)) if fields.warmup else None
+        if service.warmup_per_s and remaining_s is not None:
+            if remaining_s:
+                self._metrics.count("health.cold_seen")
+            self._result_receiver.target_warmup(service.name, target, remaining_s)
         report = parse_load_report(values.get(fields.load))
         if report is not None:
             self._result_receiver.target_load(service.name, target, report)
--- a/src/dotterelstand/process/selection/servicestate.py
+++ b/src/dotterelstand/process/selection/servicestate.py
@@ -3,7 +3,7 @@
 from dotterelstand.process.selection.dispatcher import Dispatcher
 from dotterelstand.process.selection.outcome import AttemptOutcome
 from dotterelstand.process.selection.queue import CallKey
-from dotterelstand.version.model import Service
+from dotterelstand.version.model import Service, Target
 
 # Smoothing of the dispatcher's answer time, as in RFC 6298 for round-trip times.
 MEAN_WEIGHT = 0.125
@@ -124,6 +124,18 @@
         """Never send calls of these classes to other regions."""
         self.local.region_only_classes = self.regional.region_only_classes = classes
 
+    def set_paces_cold(self, paces: bool, now: float) -> None:
+        """Set whether this host sends requests to cold targets while it is the dispatcher."""
+        self.regional.table.warmup.set_paces(paces, now)
+
+    def record_warmup(self, target: Target, remaining_s: float, now: float) -> bool:
+        """Record the remaining warm-up time of a target of this region.
+
+        Returns True if the target turned cold or warm.
+        """
+        self.local.table.warmup.report(target, remaining_s, now)
+        return self.regional.table.warmup.report(target, remaining_s, now)
+
     def mark_leaving(self, target: str, incarnation: int) -> None:
         """Give a target no new work."""
         self.local.mark_leaving(target, incarnation)
--- a/src/dotterelstand/process/selection/servicestates.py
+++ b/src/dotterelstand/process/selection/servicestates.py
@@ -21,6 +21,7 @@
     __slots__ = (
         "_active",
         "_leaving",
+        "_paces_cold",
         "_random",
         "_region",
         "_region_only_classes",
@@ -37,6 +38,7 @@
         # Incarnation of each leaving target, 0 until this host knows one.
         self._leaving: dict[str, int] = {}
         self._region_only_classes: frozenset[int] = frozenset()
+        self._paces_cold = False
 
     def all(self) -> list[ServiceState]:
         """States of all services in use."""
@@ -87,6 +89,10 @@
         )
         for state in self._states.values():
             state.restrict_to_region(self._region_only_classes)
+            state.set_paces_cold(self._paces_cold, now)
+            for dispatcher in (state.regional, state.local):
+                # Warm-up times of new targets begin now.
+                dispatcher.advance_health(now)
         return removed
 
     def find_target(self, service: str, index: int) -> tuple[ServiceState | None, int | None]:
@@ -100,6 +106,17 @@
         if state is not None and position is not None:
             state.regional.record_unreachable(position, now)
 
+    def record_warmup(self, service: str, target: Target, remaining_s: float, now: float) -> bool:
+        """Record a target's remaining warm-up time; True if it turned cold or warm."""
+        state = self._states.get(service)
+        return state is not None and state.record_warmup(target, remaining_s, now)
+
+    def set_paces_cold(self, paces: bool, now: float) -> None:
+        """Set whether this host, as a dispatcher, sends requests to cold targets."""
+        self._paces_cold = paces
+        for state in self._states.values():
+            state.set_paces_cold(paces, now)
+
     def is_leaving(self, target: Target) -> bool:
         """Whether a target takes no new work."""
         return self._leaving.get(target.name) in (0, target.incarnation)
@@ -139,6 +156,8 @@
             self._tuning.answer_grace_s,
         )
         self._mark_leaving_targets(state)
+        # The time does not matter, since no target has a bucket yet.
+        state.set_paces_cold(self._paces_cold, 0.0)
         state.restrict_to_region(self._region_only_classes)
         return state
 
--- a/src/dotterelstand/process/selection/slotcore.py
+++ b/src/dotterelstand/process/selection/slotcore.py
@@ -28,6 +28,7 @@
     make_waiting_call,
 )
 from dotterelstand.process.selection.tuning import SelectionTuning
+from dotterelstand.process.selection.warmup import paces_cold_targets
 from dotterelstand.request.fields import LoadReport
 from dotterelstand.version.model import Document, Service, Target
 
@@ -388,6 +389,7 @@
             return
         self._last_members = members
         live = {member.host for member in members}
+        self._states.set_paces_cold(paces_cold_targets(members, self._mesh.host), now)
         for host in self._grant_server.hosts() - live:
             for state in self._states.all():
                 self._deliver(state, state.regional.drop_host(host, now), now)
--- a/src/dotterelstand/process/selection/slots.py
+++ b/src/dotterelstand/process/selection/slots.py
@@ -142,6 +142,13 @@
         """Record that a target of the region did not answer a health probe."""
         self._core.services.record_unreachable(service, target, trio.current_time())
 
+    def target_warmup(self, service: str, target: Target, remaining_s: float) -> None:
+        """Record the remaining warm-up time that a target of the region reported."""
+        now = trio.current_time()
+        if self._core.services.record_warmup(service, target, remaining_s, now):
+            event = Event.TARGET_COLD if remaining_s > 0 else Event.TARGET_WARM
+            log(event, target=target.name, service=service, seconds=remaining_s)
+
     async def run(self) -> None:
         """Process timers and log changes, until cancelled."""
         selection_log = SelectionLog(self._core)
--- a/src/dotterelstand/process/selection/targethealth.py
+++ b/src/dotterelstand/process/selection/targethealth.py
@@ -42,11 +42,13 @@
 
     `slowdown` is the factor by which work takes longer than usual. A slow target counts as normal
     again at `slow_until`. `rejection_rate` is the recent share of requests that the target rejected
-    without running them, until `rejecting_until`.
+    without running them, until `rejecting_until`. A `cold` target is `withheld` from this host, or
+    `paused` until it may get its next request (see `Warmup`).
     """
 
     __slots__ = (
         "allowance",
+        "cold",
         "duration_s",
         "ejected_until",
         "ejection_ended_at",
@@ -58,6 +60,7 @@
         "leaving",
         "name",
         "other_requests",
+        "paused",
         "probation",
         "rejecting_until",
         "rejection_rate",
@@ -66,6 +69,7 @@
         "slow_until",
         "slowdown",
         "successes",
+        "withheld",
     )
 
     def __init__(self, name: str, slots: int, incarnation: int = 0) -> None:
@@ -90,6 +94,9 @@
         self.slow_until = -math.inf
         self.rejection_rate = 0.0
         self.rejecting_until = -math.inf
+        self.cold = False
+        self.withheld = False
+        self.paused = False
 
     @property
     def slow(self) -> bool:
@@ -124,7 +131,7 @@
     @property
     def usable(self) -> bool:
         """Whether the target may receive new work."""
-        return not self.leaving and self.ejected_until is None
+        return not self.leaving and not self.withheld and self.ejected_until is None
 
     def make_cold(self) -> None:
         """Reduce the target to one slot; successes add slots again."""
@@ -140,6 +147,19 @@
         self.leaving = False
         self.make_cold()
 
+    def set_cold(self, withheld: bool, paused: bool) -> None:
+        """Mark the target as cold."""
+        self.cold, self.withheld, self.paused = True, withheld, paused
+
+    def set_warm(self) -> None:
+        """Mark the target as warm."""
+        self.cold = self.withheld = self.paused = False
+
+    def return_warm(self) -> None:
+        """Mark a cold target as warm, starting with one slot."""
+        self.set_warm()
+        self.make_cold()
+
     def end_ejection(self, now: float) -> None:
         """Put an ejected target back in use on probation, starting with one slot."""
         self.ejected_until = None
--- a/src/dotterelstand/process/selection/targettables.py
+++ b/src/dotterelstand/process/selection/targettables.py
@@ -3,6 +3,7 @@
 from dotterelstand.process.selection.health import HealthTable
 from dotterelstand.process.selection.slotindex import NO_TARGETS
 from dotterelstand.process.selection.tuning import SelectionTuning
+from dotterelstand.process.selection.warmup import limit_of
 from dotterelstand.version.model import Service
 
 
@@ -17,10 +18,12 @@
     def __init__(self, service: Service, region: str, tuning: SelectionTuning) -> None:
         local = [target for target in service.targets if target.region == region]
         remote = [target for target in service.targets if target.region != region]
+        local_limit = limit_of(service, False if local else None)
+        remote_limit = limit_of(service, None)
         if not local:
             local, remote = remote, []
-        self.local = HealthTable(local, tuning)
-        self.remote = HealthTable(remote, tuning, remote=True)
+        self.local = HealthTable(local, tuning, limit=local_limit)
+        self.remote = HealthTable(remote, tuning, remote=True, limit=remote_limit)
         self._by_name = {
             target.name: (table, position)
             for table, targets in ((self.local, local), (self.remote, remote))
--- a/src/dotterelstand/request/fields.py
+++ b/src/dotterelstand/request/fields.py
@@ -30,7 +30,8 @@
 
     A target reports that it did not run a request by one of `not_run_statuses`, or by the header
     `not_run` with the value `not_run_value` (any value if that is empty). With `echoes_request_id`,
-    each answer to a request with an id carries that id.
+    each answer to a request with an id carries that id. A health answer carries in `warmup` the
+    milliseconds for which the target is still cold, 0 if it is warm.
     """
 
     __slots__ = (
@@ -45,6 +46,7 @@
         "request_id",
         "signature",
         "target",
+        "warmup",
     )
 
     def __init__(
@@ -60,7 +62,9 @@
         signature: bytes = b"",
         identity: bytes = b"",
         echoes_request_id: bool = False,
+        warmup: bytes = b"",
     ) -> None:
+        self.warmup = warmup
         self.echoes_request_id = echoes_request_id
         self.identity = identity
         self.request_id = request_id
@@ -103,6 +107,13 @@
     return any(headers.get(name) == b"1" for name in fields.draining)
 
 
+def parse_warmup(value: bytes | None) -> float | None:
+    """Parse a remaining warm-up time; returns seconds, or None if it is absent or malformed."""
+    if value is None or not value.strip().isdigit() or len(value.strip()) > MAX_LOAD_DIGITS:
+        return None
+    return int(value) / 1000
+
+
 def parse_load_report(value: bytes | None) -> LoadReport | None:
     """Parse a load report header; None if it is absent or malformed.
 
--- a/src/dotterelstand/version/model.py
+++ b/src/dotterelstand/version/model.py
@@ -52,7 +52,8 @@
 
     `index` identifies the target within its service in messages. It is a hash of the name, so
     hosts with different versions of the document use the same index for a target. `incarnation`
-    is different after each restart of a target under the same name; 0 if unknown.
+    is different after each restart of a target under the same name; 0 if unknown. `warmup_s` is the
+    remaining warm-up time in seconds that the target last announced.
     """
 
     __slots__ = (
@@ -64,6 +65,7 @@
         "port",
         "region",
         "slots",
+        "warmup_s",
     )
 
     def __init__(
@@ -75,7 +77,9 @@
         availability_zone: str,
         slots: int,
         incarnation: int = 0,
+        warmup_s: float = 0.0,
     ) -> None:
+        self.warmup_s = warmup_s
         self.incarnation = incarnation
         self.name = name
         self.address = address
