--- a/src/dotterelstand/connection/wire.py
+++ b/src/dotterelstand/connection/wire.py
@@ -184,7 +184,7 @@
 class StoreChanges(Message):
     """Changes to one kind of platform objects after revision `since`, as sent by the store.
 
-    `kind` is an index in `RELAYED_KINDS` of `process/discovery/registry.py`; `encoded` is
+    `kind` is an index in `ALL_RELAYED_KINDS` of `process/discovery/registry.py`; `encoded` is
     compressed.
     """
 
@@ -215,7 +215,10 @@
 
 
 class StoreState(Message):
-    """Whether the store answers the sender, and the sender's revision of each relayed kind."""
+    """Whether the store answers the sender, and the sender's revisions of relayed kinds.
+
+    The number of revisions tells the kinds, see `revisions_by_kind`.
+    """
 
     __slots__ = ("answers", "revisions")
     TYPE = 29
--- a/src/dotterelstand/events.py
+++ b/src/dotterelstand/events.py
@@ -89,6 +89,9 @@
     TARGET_CHANGED = 507
     TARGET_COLD = 510
     TARGET_WARM = 511
+    ZONE_EVACUATED = 512
+    ZONE_RETURNED = 513
+    ZONE_UNKNOWN = 514
 
 
 _WARNINGS = frozenset(
@@ -118,6 +121,7 @@
         Event.TARGET_EJECTED,
         Event.DISPATCHER_SILENT,
         Event.MEASURE_BUDGET_SPENT,
+        Event.ZONE_UNKNOWN,
     }
 )
 
--- a/src/dotterelstand/platform/client.py
+++ b/src/dotterelstand/platform/client.py
@@ -22,6 +22,7 @@
     UNANSWERED,
     UNREADABLE,
     Entry,
+    Evacuation,
     Item,
     Kind,
     Listing,
@@ -39,7 +40,11 @@
 # Name of an object that never exists. Reading it returns the smallest possible response.
 ABSENT_NAME = "check"
 # Names of the object kinds in the store that the platform defines.
-KIND_NAMES = {Kind.CONFIGURATION: "config", Kind.TARGETS: "servers"}
+KIND_NAMES = {
+    Kind.CONFIGURATION: "config",
+    Kind.TARGETS: "servers",
+    Kind.EVACUATIONS: "evacuations",
+}
 # Beginning of the names of dotterelstand's own kinds: one for the entry hosts of each region, since
 # most hosts need only those of their region.
 HOSTS_KIND_PREFIX = "dotterelstand-hosts-"
@@ -229,6 +234,9 @@
         result = parse_target(name, item.get("spec"))
     elif kind is Kind.HOSTS:
         result = parse_host(name, item.get("spec"))
+    elif kind is Kind.EVACUATIONS:
+        # The object has an effect by its existence, whatever it contains.
+        return Entry(name, Evacuation(name))
     elif name != CONFIGURATION_NAME:
         return Entry(name, None)
     else:
--- a/src/dotterelstand/process/discovery/catalogue.py
+++ b/src/dotterelstand/process/discovery/catalogue.py
@@ -3,6 +3,7 @@
 from collections import Counter, deque
 from enum import Enum
 
+from dotterelstand.process.discovery.evacuations import Evacuations
 from dotterelstand.process.discovery.registry import Configuration, Entry, RegisteredTarget
 from dotterelstand.version.model import Document, Service, Target
 
@@ -65,12 +66,13 @@
 
     A configuration is replaced only by one with a higher number. Targets whose registration
     disappears during an outage of the platform are kept for a grace period, so that they can
-    register again.
+    register again. With `evacuations`, there is no document before these have been read.
     """
 
     __slots__ = (
         "_available_since",
         "_configuration",
+        "_evacuations",
         "_lapsed",
         "_platform_unavailable",
         "_regions",
@@ -79,7 +81,13 @@
         "changes",
     )
 
-    def __init__(self, regions: dict[str, str], service_defaults: ServiceDefaults) -> None:
+    def __init__(
+        self,
+        regions: dict[str, str],
+        service_defaults: ServiceDefaults,
+        evacuations: Evacuations | None = None,
+    ) -> None:
+        self._evacuations = evacuations
         self._regions = regions
         self._service_defaults = service_defaults
         self._configuration: Configuration | None = None
@@ -100,6 +108,11 @@
         """Configuration in force."""
         return self._configuration
 
+    @property
+    def zones(self) -> frozenset[str]:
+        """Availability zones that the settings name."""
+        return frozenset(self._regions)
+
     def update_defaults(self, regions: dict[str, str], service_defaults: ServiceDefaults) -> None:
         """Replace the regions and service defaults from which the next document is built."""
         self._regions = regions
@@ -115,11 +128,19 @@
             self._platform_unavailable = False
             self._available_since = now
 
+    def mark_store_restored(self, now: float) -> None:
+        """Record that the store was restored from a copy, before its lists are applied."""
+        if self._evacuations is not None:
+            self._evacuations.mark_store_restored(now)
+
     def update_configuration(self, configuration: Configuration) -> bool:
         """Put a configuration in force; False if it isn't newer than the current one."""
         if configuration.number <= self.number:
             return False
         self._configuration = configuration
+        if self._evacuations is not None:
+            services = configuration.services.values()
+            self._evacuations.warmup_s = max((spec.warmup_s for spec in services), default=0.0)
         return True
 
     def replace_targets(self, entries: list[Entry[RegisteredTarget]], now: float) -> None:
@@ -158,14 +179,22 @@
 
     def document(self) -> Document | None:
         """Build the document in force; None before the first configuration."""
-        configuration = self._configuration
-        if configuration is None:
+        configuration, evacuations = self._configuration, self._evacuations
+        if configuration is None or (evacuations is not None and not evacuations.read):
             return None
+        evacuated = evacuations.zones & self.zones if evacuations else frozenset()
+        returned = evacuations.returned if evacuations else frozenset()
         members: dict[str, list[Target]] = {name: [] for name in configuration.services}
         for target in self._targets.values():
             region = self._regions.get(target.availability_zone)
-            if target.service in members and region is not None and not target.draining:
-                members[target.service].append(_make_target(target, region))
+            if target.service not in members or region is None or target.draining:
+                continue
+            zone, warmup_s = target.availability_zone, target.warmup_s
+            if zone in returned:
+                # The targets were not in use, and may have become cold.
+                warmup_s = max(warmup_s, configuration.services[target.service].warmup_s)
+            if zone not in evacuated:
+                members[target.service].append(_make_target(target, region, warmup_s))
         services = {
             name: Service(
                 name,
@@ -192,6 +221,7 @@
             bulk_classes=configuration.bulk_classes,
             caller_bounds=configuration.caller_bounds,
             access=access,
+            evacuated_zones=evacuated,
             regions=tuple(sorted(set(self._regions.values()))),
         )
 
@@ -229,7 +259,7 @@
         self.changes.append(TargetChange(kind, target))
 
 
-def _make_target(target: RegisteredTarget, region: str) -> Target:
+def _make_target(target: RegisteredTarget, region: str, warmup_s: float) -> Target:
     return Target(
         target.name,
         target.address,
@@ -238,5 +268,5 @@
         target.availability_zone,
         target.slots,
         target.started_ms,
-        target.warmup_s,
+        warmup_s,
     )
--- a/src/dotterelstand/process/discovery/objectadapter.py
+++ b/src/dotterelstand/process/discovery/objectadapter.py
@@ -6,6 +6,8 @@
 import trio
 
 from dotterelstand.process.discovery.catalogue import Catalogue, ServiceDefaults
+from dotterelstand.process.discovery.evacuationfeed import EvacuationFeed
+from dotterelstand.process.discovery.evacuations import Evacuations
 from dotterelstand.process.discovery.platformfeed import PlatformFeed, WatchSettings
 from dotterelstand.process.discovery.registry import Kind, Platform
 from dotterelstand.process.discovery.relayedplatform import RelayedPlatform
@@ -20,7 +22,7 @@
 class ObjectStoreAdapter:
     """Implements `PlatformAdapter` over a `Platform`; has no keyed routes and so no journal."""
 
-    __slots__ = ("_catalogue", "_feed", "_relayed_platform")
+    __slots__ = ("_catalogue", "_evacuation_feed", "_feed", "_relayed_platform")
 
     def __init__(
         self,
@@ -30,7 +32,10 @@
         rng: random.Random,
         apply: Callable[[Document], None],
     ) -> None:
-        self._catalogue = Catalogue(parse_regions(settings), _service_defaults(settings))
+        evacuations = Evacuations() if settings.flag("evacuation", "enabled") else None
+        self._catalogue = Catalogue(
+            parse_regions(settings), _service_defaults(settings), evacuations
+        )
 
         def own_host() -> ListedHost:
             return ListedHost(
@@ -56,6 +61,17 @@
             peers.update_host_list,
             peers.wait_became_hub,
         )
+        self._evacuation_feed: EvacuationFeed | None = None
+        if evacuations is not None:
+            self._evacuation_feed = EvacuationFeed(
+                self._relayed_platform,
+                self._catalogue,
+                evacuations,
+                settings.number("store", "watch_wait_s"),
+                rng,
+                self._feed.publish,
+                peers.metrics,
+            )
 
     @property
     def number(self) -> int:
@@ -94,6 +110,8 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._relayed_platform.run)
             nursery.start_soon(self._feed.run)
+            if self._evacuation_feed is not None:
+                nursery.start_soon(self._evacuation_feed.run)
 
     async def stop(self) -> None:
         """Do nothing: there is no pending state to flush."""
@@ -125,7 +143,11 @@
 
 
 def _watch_pauses(settings: Settings) -> dict[Kind, float]:
-    return {
+    """Pause of each kind of object that is followed."""
+    pauses_s = {
         Kind.TARGETS: settings.number("store", "targets_pause_s"),
         Kind.CONFIGURATION: settings.number("store", "document_pause_s"),
     }
+    if settings.flag("evacuation", "enabled"):
+        pauses_s[Kind.EVACUATIONS] = settings.number("store", "document_pause_s")
+    return pauses_s
--- a/src/dotterelstand/process/discovery/registry.py
+++ b/src/dotterelstand/process/discovery/registry.py
@@ -34,15 +34,37 @@
     CONFIGURATION = "configuration"
     TARGETS = "targets"
     HOSTS = "hosts"
+    EVACUATIONS = "evacuations"
 
 
-# Kinds whose changes a relay forwards to the other entry hosts of its region.
+# Kinds whose changes a relay always forwards to the other entry hosts of its region.
 RELAYED_KINDS = (Kind.CONFIGURATION, Kind.TARGETS)
+# The former, and those that are followed only if the settings say so.
+ALL_RELAYED_KINDS = (*RELAYED_KINDS, Kind.EVACUATIONS)
+# Kinds whose revisions a `StoreState` contains, by their number. A host of an older version ignores
+# a `StoreState` that does not have two revisions, so that evacuations have a message of their own.
+_STATE_KINDS = {len(RELAYED_KINDS): RELAYED_KINDS, 1: (Kind.EVACUATIONS,)}
 
 
 def relayed_kind(number: int) -> Kind | None:
     """Kind with this number in messages, or None if there is none."""
-    return RELAYED_KINDS[number] if 0 <= number < len(RELAYED_KINDS) else None
+    return ALL_RELAYED_KINDS[number] if 0 <= number < len(ALL_RELAYED_KINDS) else None
+
+
+def split_revisions(known: dict[Kind, int]) -> list[list[int]]:
+    """Revisions of the followed kinds, in the order and number in which messages contain them."""
+    groups = [kinds for kinds in _STATE_KINDS.values() if known.keys() >= set(kinds)]
+    return [[known[kind] for kind in kinds] for kinds in groups]
+
+
+def revisions_by_kind(revisions: list[int]) -> dict[Kind, int]:
+    """Revisions in a message by their kinds; empty if their number is unknown."""
+    return dict(zip(_STATE_KINDS.get(len(revisions), ()), revisions, strict=False))
+
+
+def relayed_number(kind: Kind) -> int:
+    """Number of a relayed kind in messages."""
+    return ALL_RELAYED_KINDS.index(kind)
 
 
 class RegisteredTarget:
@@ -146,7 +168,16 @@
         self.bulk_classes = bulk_classes
 
 
-Item = RegisteredTarget | Configuration | ListedHost
+class Evacuation:
+    """Order to send no requests to the targets of an availability zone."""
+
+    __slots__ = ("zone",)
+
+    def __init__(self, zone: str) -> None:
+        self.zone = zone
+
+
+Item = RegisteredTarget | Configuration | ListedHost | Evacuation
 
 
 class Entry(Generic[T]):
--- a/src/dotterelstand/process/discovery/relayedplatform.py
+++ b/src/dotterelstand/process/discovery/relayedplatform.py
@@ -18,7 +18,6 @@
 from dotterelstand.events import Event, log
 from dotterelstand.process.discovery.registry import (
     HISTORY_LOST,
-    RELAYED_KINDS,
     UNANSWERED,
     Item,
     Kind,
@@ -26,6 +25,9 @@
     Platform,
     PlatformError,
     relayed_kind,
+    relayed_number,
+    revisions_by_kind,
+    split_revisions,
 )
 from dotterelstand.process.discovery.relayview import RelayedChanges, RelayStatus, RelayView
 from dotterelstand.process.discovery.snapshotrequests import SnapshotRequests, is_hub
@@ -95,18 +97,18 @@
         self._checks = StoreChecks(platform, metrics)
         self._mesh = mesh
         self._metrics = metrics
-        # Delay in seconds between a watch that returned changes and the next one, so that changes
-        # in quick succession are read in one batch.
+        # For each kind that is followed, the delay in seconds between a watch that returned changes
+        # and the next one, so that changes in quick succession are read in one batch.
         self._watch_pauses_s = watch_pauses_s
         self._rng = rng
         self._relay_view = RelayView(trio.current_time())
         self._relay_update = trio.Event()
         # Revision of the last change that this host has received.
-        self._known_revisions = dict.fromkeys(RELAYED_KINDS, 0)
+        self._known_revisions = dict.fromkeys(watch_pauses_s, 0)
         self._hosts_read = trio.Event()
         self._hub_linked = False
         self._role_known = trio.Event()
-        self._next_watch_at = dict.fromkeys(RELAYED_KINDS, 0.0)
+        self._next_watch_at = dict.fromkeys(watch_pauses_s, 0.0)
         self._watches: dict[Kind, trio.CancelScope] = {}
         # Kinds whose last call to the store failed.
         self._failed_kinds: set[Kind] = set()
@@ -332,7 +334,7 @@
         since, self._known_revisions[kind] = self._known_revisions[kind], listing.revision
         if is_hub(self._mesh):
             changes = StoreChanges(
-                zlib.compress(listing.encoded), RELAYED_KINDS.index(kind), since, listing.revision
+                zlib.compress(listing.encoded), relayed_number(kind), since, listing.revision
             )
             self._share_changes(kind, changes)
             self._send_state(True)
@@ -348,9 +350,9 @@
     def _send_state(self, answers: bool) -> None:
         """If this host is a relay, tell its region whether the store answers, and the revisions."""
         if self.is_relay and all(self._known_revisions.values()):
-            revisions = [self._known_revisions[kind] for kind in RELAYED_KINDS]
-            watched = self._failed_kinds.isdisjoint(RELAYED_KINDS)
-            self._send_to_region(StoreState(answers and watched, revisions))
+            answers = answers and self._failed_kinds.isdisjoint(self._known_revisions)
+            for revisions in split_revisions(self._known_revisions):
+                self._send_to_region(StoreState(answers, revisions))
 
     def _send_to_region(self, message: Message) -> None:
         for member in self._mesh.members():
@@ -364,7 +366,7 @@
 
     def _on_snapshot_request(self, sender: str, message: SnapshotRequest) -> None:
         if (kind := relayed_kind(message.kind)) is not None:
-            self._snapshots.request(sender, kind, self._known_revisions[kind])
+            self._snapshots.request(sender, kind, self._known_revisions.get(kind, 0))
 
     def _on_changes(self, sender: str, message: StoreChanges) -> None:
         kind = relayed_kind(message.kind)
@@ -374,17 +376,16 @@
             self._notify()
 
     def _on_state(self, sender: str, message: StoreState) -> None:
-        if len(message.revisions) != len(RELAYED_KINDS):
-            return
-        revisions = dict(zip(RELAYED_KINDS, message.revisions, strict=True))
-        self._relay_view.update_state(sender, message.answers, revisions, trio.current_time())
-        self._notify()
+        if revisions := revisions_by_kind(message.revisions):
+            self._relay_view.update_state(sender, message.answers, revisions, trio.current_time())
+            self._notify()
 
     def _update_reliance(self, kind: Kind, status: RelayStatus) -> None:
         if status in (RelayStatus.CURRENT, RelayStatus.BEHIND):
             self._outage_reported.discard(kind)
         relied = status not in (RelayStatus.LOST, RelayStatus.SILENT)
-        if relied != self._relying_on_relays:
+        # A relay that does not follow evacuations may be relied on for the other kinds.
+        if relied != self._relying_on_relays and kind is not Kind.EVACUATIONS:
             self._relying_on_relays = relied
             log(
                 Event.RELAYS_RELIED_ON if relied else Event.RELAYS_NOT_RELIED_ON,
--- a/src/dotterelstand/process/discovery/relayview.py
+++ b/src/dotterelstand/process/discovery/relayview.py
@@ -3,7 +3,7 @@
 from collections import deque
 from enum import Enum
 
-from dotterelstand.process.discovery.registry import RELAYED_KINDS, Kind
+from dotterelstand.process.discovery.registry import ALL_RELAYED_KINDS, Kind
 
 # Seconds for which a relay's report on the store stays valid. A change must be in force 2 s after
 # the store accepted it, even if the relay lost contact with the store just before.
@@ -57,12 +57,12 @@
         self._states: dict[str, _RelayState] = {}
         self.await_reports(now)
         self._changes: dict[Kind, deque[RelayedChanges]] = {
-            kind: deque(maxlen=MAX_CHANGES) for kind in RELAYED_KINDS
+            kind: deque(maxlen=MAX_CHANGES) for kind in ALL_RELAYED_KINDS
         }
 
     def await_reports(self, now: float) -> None:
         """Let a starting host wait for the relays before it watches the store."""
-        self.update_state("", True, dict.fromkeys(RELAYED_KINDS, 0), now)
+        self.update_state("", True, dict.fromkeys(ALL_RELAYED_KINDS, 0), now)
 
     def add_changes(self, kind: Kind, changes: RelayedChanges) -> None:
         """Store changes received from a relay."""
@@ -71,10 +71,13 @@
     def update_state(
         self, relay: str, store_answers: bool, revisions: dict[Kind, int], now: float
     ) -> None:
-        """Store the report of a relay."""
+        """Store the report of a relay on some kinds; its revisions of the others stay valid."""
         self._states = {
             host: state for host, state in self._states.items() if state.expires_at > now
         }
+        previous = self._states.get(relay)
+        if previous is not None:
+            revisions = {**previous.revisions, **revisions}
         self._states[relay] = _RelayState(store_answers, revisions, now + RELAY_STATE_TTL_S)
 
     def changes_after(self, kind: Kind, revision: int) -> list[RelayedChanges]:
@@ -108,7 +111,7 @@
         reliable = [
             state
             for state in self._states.values()
-            if state.store_answers and state.expires_at > now
+            if state.store_answers and state.expires_at > now and kind in state.revisions
         ]
         if not reliable:
             return RelayStatus.SILENT
--- a/src/dotterelstand/process/discovery/snapshotrequests.py
+++ b/src/dotterelstand/process/discovery/snapshotrequests.py
@@ -8,7 +8,12 @@
 
 from dotterelstand.connection.wire import Snapshot, SnapshotRequest
 from dotterelstand.events import Event, log
-from dotterelstand.process.discovery.registry import RELAYED_KINDS, Kind, relayed_kind
+from dotterelstand.process.discovery.registry import (
+    ALL_RELAYED_KINDS,
+    Kind,
+    relayed_kind,
+    relayed_number,
+)
 from dotterelstand.process.discovery.snapshots import decompress
 from dotterelstand.process.peering.mesh import Mesh
 from dotterelstand.process.peering.ranking import RELAY_KEY, rank_hosts
@@ -32,7 +37,7 @@
         self._mesh = mesh
         self._metrics = metrics
         self._arrived = trio.Event()
-        self._next_at = dict.fromkeys(RELAYED_KINDS, -math.inf)
+        self._next_at = dict.fromkeys(ALL_RELAYED_KINDS, -math.inf)
         self._received: dict[Kind, Snapshot] = {}
         mesh.subscribe(Snapshot, self._on_snapshot)
 
@@ -46,7 +51,7 @@
         self._next_at[kind] = trio.current_time() + PAUSE_S
         for host in self._hubs_to_ask(reads_store)[:ATTEMPTS]:
             self._received.pop(kind, None)
-            if not self._mesh.send(host, SnapshotRequest(RELAYED_KINDS.index(kind))):
+            if not self._mesh.send(host, SnapshotRequest(relayed_number(kind))):
                 continue
             self._metrics.count("platform.snapshots_requested")
             with trio.move_on_after(TIMEOUT_S):
--- a/src/dotterelstand/process/discovery/snapshots.py
+++ b/src/dotterelstand/process/discovery/snapshots.py
@@ -12,7 +12,7 @@
 from dotterelstand.connection.wire import Message, Snapshot, StoreChanges
 from dotterelstand.events import Event, log
 from dotterelstand.process.discovery.registry import (
-    RELAYED_KINDS,
+    ALL_RELAYED_KINDS,
     UNANSWERED,
     Entry,
     Item,
@@ -21,6 +21,7 @@
     Listing,
     Platform,
     PlatformError,
+    relayed_number,
 )
 from dotterelstand.process.discovery.relayview import MAX_CHANGES, RelayedChanges, RelayView
 
@@ -58,7 +59,7 @@
         self._lists: dict[Kind, _StoredList] = {}
         self._valid: set[Kind] = set()
         self._reading: set[Kind] = set()
-        self._waiting: dict[Kind, set[str]] = {kind: set() for kind in RELAYED_KINDS}
+        self._waiting: dict[Kind, set[str]] = {kind: set() for kind in ALL_RELAYED_KINDS}
 
     def begin_read(self, kind: Kind) -> None:
         """Let requests wait until `store` or `drop`."""
@@ -80,7 +81,7 @@
                 lambda old_encoded: self._codec.diff_lists(old_encoded, encoded)
             )
             if is_successful(events):
-                number, compressed = RELAYED_KINDS.index(kind), zlib.compress(events.unwrap())
+                number, compressed = relayed_number(kind), zlib.compress(events.unwrap())
                 changes = StoreChanges(compressed, number, old.revision, revision)
             else:
                 _log_unreadable(kind, events.failure())
@@ -110,7 +111,7 @@
         if kind not in self._valid and kind in self._reading:
             self._waiting[kind].add(host)
             return
-        number = RELAYED_KINDS.index(kind)
+        number = relayed_number(kind)
         if kind in self._valid:
             self._advance(kind)
             stored = self._lists[kind]
--- a/src/dotterelstand/process/selection/servicestate.py
+++ b/src/dotterelstand/process/selection/servicestate.py
@@ -131,7 +131,7 @@
     def record_warmup(self, target: Target, remaining_s: float, now: float) -> bool:
         """Record the remaining warm-up time of a target of this region.
 
-        Returns True if the target turned cold or warm.
+        Returns True if the target's report turned cold or warm.
         """
         self.local.table.warmup.report(target, remaining_s, now)
         return self.regional.table.warmup.report(target, remaining_s, now)
--- a/src/dotterelstand/process/selection/servicestates.py
+++ b/src/dotterelstand/process/selection/servicestates.py
@@ -107,7 +107,7 @@
             state.regional.record_unreachable(position, now)
 
     def record_warmup(self, service: str, target: Target, remaining_s: float, now: float) -> bool:
-        """Record a target's remaining warm-up time; True if it turned cold or warm."""
+        """Record a target's remaining warm-up time; True if its report turned cold or warm."""
         state = self._states.get(service)
         return state is not None and state.record_warmup(target, remaining_s, now)
 
--- a/src/dotterelstand/process/selection/warmup.py
+++ b/src/dotterelstand/process/selection/warmup.py
@@ -55,6 +55,7 @@
         "_listed_s",
         "_paces",
         "_positions",
+        "_reported",
         "_targets",
         "_timers",
         "_undated",
@@ -80,6 +81,8 @@
         self._undated: dict[int, float] = {}
         # Heap of the times at which a bucket gets a token or a target is warm, with the position.
         self._timers: list[tuple[float, int]] = []
+        # Positions of the targets whose last report said that they are cold.
+        self._reported: set[int] = set()
         self._called_at = float("-inf")
         for position, seconds in enumerate(self._listed_s):
             if seconds > 0 and self._interval_s:
@@ -113,7 +116,7 @@
         return self._timers[0][0] if self._timers else None
 
     def report(self, reporter: Target, remaining_s: float, now: float) -> bool:
-        """Record the remaining warm-up time from a target; True if it turned cold or warm.
+        """Record a target's remaining warm-up time; True if its report turned cold or warm.
 
         A report of another incarnation than the one in use is ignored.
         """
@@ -123,12 +126,16 @@
         if self._targets[position].incarnation != reporter.incarnation:
             return False
         was_cold = position in self._cold or position in self._undated
+        was_reported = position in self._reported
         self._undated.pop(position, None)
         if remaining_s > 0:
+            self._reported.add(position)
             self._mark(position, now + remaining_s, now)
-        elif was_cold:
-            self._end(position)
-        return was_cold != (remaining_s > 0)
+        else:
+            self._reported.discard(position)
+            if was_cold:
+                self._end(position)
+        return was_reported != (remaining_s > 0)
 
     def begin_call(self, now: float) -> None:
         """Empty the buckets if this host has not dispatched a call recently."""
@@ -162,6 +169,8 @@
             before = old._positions.get(target.name)
             if before is None or old._targets[before].incarnation != target.incarnation:
                 continue
+            if before in old._reported:
+                self._reported.add(position)
             known = self._interval_s and old._interval_s
             if not known or self._listed_s[position] > old._listed_s[before]:
                 continue
--- a/src/dotterelstand/settings_rules.py
+++ b/src/dotterelstand/settings_rules.py
@@ -218,6 +218,7 @@
         "max_waiting_calls": Range(1, 10_000),
         "max_idle_connections": Range(0, 1000),
     },
+    "evacuation": {"enabled": BOOLEAN},
     "document": {
         "watchers_per_region": Range(1, 16),
         "fetch_timeout_s": Range(0.1, 30),
--- a/tests/platform_support.py
+++ b/tests/platform_support.py
@@ -17,7 +17,7 @@
 SETTINGS = """
 [host]
 name = "entry-{index}"
-regions = ["local-1=local"]
+regions = ["local-1=local", "local-2=local"]
 [listen]
 address = "{address}"
 stop_limit_s = {stop_limit_s}
@@ -43,6 +43,7 @@
 [metrics]
 served = true
 address = "{address}"
+{extra}
 """
 
 
@@ -56,6 +57,7 @@
         entries: int = 1,
         health_interval_s: float = 0.0,
         stop_limit_s: float = 0.0,
+        extra: str = "",
     ) -> None:
         self.network = FakeNetwork(lambda one, other: LATENCY_S)
         self.store = MetadataStore()
@@ -65,6 +67,8 @@
         self._seed = seed
         self._health_interval_s = health_interval_s
         self._stop_limit_s = stop_limit_s
+        # Further sections of the settings.
+        self._extra = extra
         self._requests = 0
 
     @property
@@ -96,6 +100,7 @@
             platform=PLATFORM,
             health_interval_s=self._health_interval_s,
             stop_limit_s=self._stop_limit_s,
+            extra=self._extra,
         )
         daemon = Daemon(
             parse_settings(text, "test").unwrap(),
--- a/tests/test_deploy_template.py
+++ b/tests/test_deploy_template.py
@@ -33,3 +33,12 @@
     text = render(TEMPLATE.read_text(encoding="utf-8"), FIELDS | {"bounds": BOUNDS | given})
     settings = parse_settings(text, "deploy").unwrap()
     assert settings.number("listen", "stop_limit_s") == limit_s
+
+
+@pytest.mark.parametrize(("given", "enabled"), [({"evacuateS": 5}, True), ({}, False)])
+def test_evacuations_are_followed_if_the_platform_names_a_time(
+    given: dict[str, int], enabled: bool
+) -> None:
+    """Guards against store calls for evacuations on a platform without them, and the reverse."""
+    text = render(TEMPLATE.read_text(encoding="utf-8"), FIELDS | {"bounds": BOUNDS | given})
+    assert parse_settings(text, "deploy").unwrap().flag("evacuation", "enabled") is enabled
