--- a/src/dotterelstand/process/selection/health.py
+++ b/src/dotterelstand/process/selection/health.py
@@ -252,10 +252,6 @@
                 self._update_target(position, lambda target: target.end_ejection(now))
                 self.changes.append(HealthChange(target.name, None))
 
-    def next_timer(self) -> float | None:
-        """Time of the next timer in seconds, or None."""
-        return self._timers[0][0] if self._timers else None
-
     def copy_state(self, old: "HealthTable") -> None:
         """Copy the state of targets with the same names and incarnations from another table."""
         old_targets = {target.name: target for target in old.targets}
--- a/src/dotterelstand/process/selection/healthprobe.py
+++ b/src/dotterelstand/process/selection/healthprobe.py
@@ -135,11 +135,15 @@
             return
         async with trio.open_nursery() as nursery:
             while True:
+                members = self._mesh.members()
                 await self._update_assignments()
                 until = trio.current_time() + ASSIGNMENT_CHECK_S
                 while trio.current_time() < until:
                     self._start_due_probes(nursery)
                     await trio.sleep_until(min(until, self._next_step_at()))
+                    if self._mesh.members() is not members:
+                        # This host may be the dispatcher of another service now.
+                        break
 
     def _start_due_probes(self, nursery: trio.Nursery) -> None:
         now = trio.current_time()
@@ -181,11 +185,13 @@
             if previous is not None and previous.service is service:
                 assignments[service.name] = previous
                 continue
-            schedule = (
-                previous.schedule
-                if previous is not None
-                else ProbeSchedule(self._tuning.interval_s, calls, trio.current_time())
-            )
+            if previous is not None:
+                schedule = previous.schedule
+            else:
+                schedule = ProbeSchedule(self._tuning.interval_s, calls, trio.current_time())
+                if service.warmup_per_s:
+                    # Only the former dispatcher knew which targets turned cold again.
+                    schedule.make_due()
             assignments[service.name] = _Assignment(service, region, schedule)
         self._assignments = assignments
 
--- a/src/dotterelstand/process/selection/probeschedule.py
+++ b/src/dotterelstand/process/selection/probeschedule.py
@@ -45,6 +45,10 @@
         enough_s = targets / (PROBES_PER_CALL * self._rate)
         return max(self._min_interval_s, min(MAX_BUSY_INTERVAL_S, enough_s))
 
+    def make_due(self) -> None:
+        """Let the next step start a probe of every target."""
+        self._credit = math.inf
+
     def step(self, targets: list[Target], calls: int, now: float) -> list[Target]:
         """Targets to probe at `now`; `calls` is the number of the service's calls so far."""
         elapsed_s = now - self._stepped_at
--- a/tests/test_probe_schedule.py
+++ b/tests/test_probe_schedule.py
@@ -82,3 +82,12 @@
     schedule = ProbeSchedule(MIN_INTERVAL_S, 0, 0.0)
     schedule.step(_targets(50), 100, 1.0)
     assert len(schedule.step(_targets(count), 200, 2.0)) <= count
+
+
+def test_a_new_dispatcher_probes_all_targets_at_once() -> None:
+    """Guards against a dispatcher that uses targets which turned cold before it took over."""
+    schedule = ProbeSchedule(MIN_INTERVAL_S, 0, 0.0)
+    schedule.make_due()
+    assert schedule.next_step_at(6, 0.0) == STEP_S
+    assert len(schedule.step(_targets(6), 0, STEP_S)) == 6
+    assert not schedule.step(_targets(6), 0, 2 * STEP_S)
