--- a/src/dotterelstand/events.py
+++ b/src/dotterelstand/events.py
@@ -89,6 +89,11 @@
     DISPATCHER_ANSWERS = 505
     MEASURE_BUDGET_SPENT = 506
     TARGET_CHANGED = 507
+    TARGET_COLD = 510
+    TARGET_WARM = 511
+    ZONE_EVACUATED = 512
+    ZONE_RETURNED = 513
+    ZONE_UNKNOWN = 514
 
 
 _WARNINGS = frozenset(
@@ -119,6 +124,7 @@
         Event.TARGET_EJECTED,
         Event.DISPATCHER_SILENT,
         Event.MEASURE_BUDGET_SPENT,
+        Event.ZONE_UNKNOWN,
     }
 )
 
--- a/src/dotterelstand/platform/headers.py
+++ b/src/dotterelstand/platform/headers.py
@@ -17,4 +17,5 @@
     # An answer without an id is a late one to a health check, which has no id.
     echoes_request_id=True,
     workspace=b"x-dotterelstand-tenant",
+    warmup=b"x-dotterelstand-warmup-ms",
 )
--- a/src/dotterelstand/process/selection/dispatcher.py
+++ b/src/dotterelstand/process/selection/dispatcher.py
@@ -96,6 +96,7 @@
     def submit(self, call: WaitingCall, now: float) -> list[Decision]:
         """Grant the call a slot, queue it or refuse it; a full queue evicts and refuses a call."""
         self.calls += 1
+        self._tables.local.warmup.begin_call(now)
         self._discard_stale(call.key, now)
         decisions = self.advance(now)
         impaired_position: int | None = None
@@ -307,6 +308,7 @@
 
     def _grant(self, key: CallKey, table: HealthTable, position: int, now: float) -> Granted:
         self._grants.add(OpenGrant(key, table, position, now))
+        table.warmup.spend(position, now)
         table.start(position)
         self.counters.granted += 1
         return Granted(key, self._tables.index_of(table, position))
@@ -330,7 +332,10 @@
         """Mean time in seconds between two slots that become free while all are in use."""
         home = self._tables.home(call.regions)
         hold_s = self._hold_s or home.typical_s
-        return hold_s / max(1, home.total_allowance * self._tables.share(call.regions, home))
+        slots = home.total_allowance * self._tables.share(call.regions, home)
+        if paced_per_s := home.warmup.paced_per_s:
+            return 1 / (paced_per_s + slots / hold_s)
+        return hold_s / max(1, slots)
 
     def _expected_wait_s(self, call: WaitingCall) -> float:
         ahead = self._queues.of(call, self._tables).count_ahead(call.klass)
