--- a/src/dotterelstand/process/daemon.py
+++ b/src/dotterelstand/process/daemon.py
@@ -1,6 +1,7 @@
 """The entry daemon: creates its components and runs their tasks."""
 
 import random
+from collections.abc import Callable
 
 import trio
 
@@ -11,6 +12,7 @@
 from dotterelstand.platform.build import build_platform, platform_fields
 from dotterelstand.process.discovery.objectadapter import ObjectStoreAdapter
 from dotterelstand.process.discovery.platformadapter import PlatformAdapter
+from dotterelstand.process.discovery.proofs import elapsed_s
 from dotterelstand.process.frontend import CallerFrontend
 from dotterelstand.process.limits import (
     caller_limits,
@@ -50,6 +52,7 @@
 
     __slots__ = (
         "_certificates",
+        "_clock",
         "_control",
         "_metrics_port",
         "_network",
@@ -77,8 +80,10 @@
         network: Network,
         rng: random.Random,
         certificates: Certificates | None = None,
+        clock: Callable[[], float] = elapsed_s,
     ) -> None:
         self._settings = settings
+        self._clock = clock
         self._network = network
         self._stopping = trio.Event()
         self.metrics: Metrics = build_metrics(settings)
@@ -201,7 +206,7 @@
         settings, network = self._settings, self._network
         if self._uses_object_protocol:
             platform = build_platform(settings, network)
-            return ObjectStoreAdapter(settings, platform, self.peers, rng, self._apply)
+            return ObjectStoreAdapter(settings, platform, self.peers, rng, self._apply, self._clock)
         # Journal and sections take 1.5 MB, which a daemon of the other protocol need not load.
         from dotterelstand.process.discovery.nativeadapter import NativeAdapter
 
@@ -222,6 +227,7 @@
             fields,
             retry_reserve(settings, self.peers, rng),
             StopPlan(settings.number("listen", "stop_limit_s")),
+            freshness=self.platform_adapter.freshness,
         )
         return CallerFrontend(
             context,
--- a/src/dotterelstand/process/discovery/nativeadapter.py
+++ b/src/dotterelstand/process/discovery/nativeadapter.py
@@ -60,6 +60,11 @@
         """Journal of keyed requests."""
         return self._journal
 
+    @property
+    def freshness(self) -> None:
+        """None, since documents of this store have no keys."""
+        return None
+
     @property
     def host_list_attempted(self) -> trio.Event:
         """Set after the first attempt to read the host list."""
--- a/src/dotterelstand/process/discovery/objectadapter.py
+++ b/src/dotterelstand/process/discovery/objectadapter.py
@@ -6,21 +6,37 @@
 import trio
 
 from dotterelstand.process.discovery.catalogue import Catalogue, ServiceDefaults
+from dotterelstand.process.discovery.freshness import ProofLedger
 from dotterelstand.process.discovery.platformfeed import PlatformFeed, WatchSettings
+from dotterelstand.process.discovery.proofs import HostProofs
+from dotterelstand.process.discovery.proofsource import ProofSource
 from dotterelstand.process.discovery.registry import Kind, Platform
 from dotterelstand.process.discovery.relayedplatform import RelayedPlatform
 from dotterelstand.process.operation.control import ControlRegistry
 from dotterelstand.process.peering.membership import ListedHost
 from dotterelstand.process.peering.peers import Peers
 from dotterelstand.process.telemetry.metrics import Metrics
+from dotterelstand.request.interfaces import Freshness
 from dotterelstand.settings import Settings
 from dotterelstand.version.model import Document
 
+# Longest interval of proofs as a share of the revocation limit. The rest is for asking other hubs
+# and the store if the first call fails.
+INTERVAL_SHARE = 0.3
+
 
 class ObjectStoreAdapter:
     """Implements `PlatformAdapter` over a `Platform`; has no keyed routes and so no journal."""
 
-    __slots__ = ("_catalogue", "_feed", "_relayed_platform")
+    __slots__ = (
+        "_apply",
+        "_catalogue",
+        "_feed",
+        "_peers",
+        "_proof_source",
+        "_proofs",
+        "_relayed_platform",
+    )
 
     def __init__(
         self,
@@ -29,7 +45,12 @@
         peers: Peers,
         rng: random.Random,
         apply: Callable[[Document], None],
+        clock: Callable[[], float],
     ) -> None:
+        self._apply = apply
+        self._peers = peers
+        self._proofs: HostProofs | None = None
+        self._proof_source: ProofSource | None = None
         self._catalogue = Catalogue(parse_regions(settings), _service_defaults(settings))
 
         def own_host() -> ListedHost:
@@ -43,16 +64,33 @@
                 peers.capacity,
             )
 
+        limit_s = settings.number("access", "revocation_limit_s")
+        ledger = ProofLedger(limit_s)
+        interval_s = min(settings.number("access", "proof_interval_s"), INTERVAL_SHARE * limit_s)
+        strict = settings.flag("access", "strict_revocation")
+        if strict:
+            self._proof_source = ProofSource(platform, ledger, peers.metrics, interval_s, clock)
         self._relayed_platform = RelayedPlatform(
-            platform, peers, peers.metrics, _watch_pauses(settings), rng
+            platform, peers, peers.metrics, _watch_pauses(settings), rng, self._proof_source
         )
+        if strict:
+            self._proofs = HostProofs(
+                peers,
+                peers.metrics,
+                ledger,
+                self._relayed_platform.prove,
+                lambda: self._relayed_platform.is_restored,
+                interval_s,
+                clock,
+                rng,
+            )
         self._feed = PlatformFeed(
             self._relayed_platform,
             self._catalogue,
             own_host,
             _watch_settings(settings),
             rng,
-            apply,
+            self._apply_document,
             peers.update_host_list,
             peers.wait_became_hub,
         )
@@ -67,6 +105,11 @@
         """None, since no route of this platform uses idempotency keys."""
         return None
 
+    @property
+    def freshness(self) -> Freshness | None:
+        """Proof that the document in force is current, with `access.strict_revocation`."""
+        return self._proofs
+
     @property
     def host_list_attempted(self) -> trio.Event:
         """Set after the first attempt to read the list of entry hosts."""
@@ -78,7 +121,10 @@
         return self._relayed_platform.is_relay
 
     def register(self, registry: ControlRegistry, metrics: Metrics) -> None:
-        """Register nothing: this platform has no control pages of its own."""
+        """Register the readiness check for a proof; there are no control pages."""
+        if self._proofs is not None:
+            proofs = self._proofs
+            registry.add_check("proof", lambda: proofs.is_ready)
 
     def reload(self, settings: Settings, changed: list[str]) -> list[str]:
         """Apply changed service defaults and regions of availability zones."""
@@ -94,10 +140,20 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._relayed_platform.run)
             nursery.start_soon(self._feed.run)
+            if self._proofs is not None:
+                nursery.start_soon(self._proofs.run)
 
     async def stop(self) -> None:
         """Do nothing: there is no pending state to flush."""
 
+    def _apply_document(self, document: Document) -> None:
+        self._apply(document)
+        if self._proofs is not None and self._proof_source is not None:
+            keyed = document.access is not None
+            self._proof_source.keyed = keyed
+            self._proofs.apply(document.number, keyed)
+            self._peers.document_version = document.number
+
 
 def parse_regions(settings: Settings) -> dict[str, str]:
     """Region of each availability zone, from "zone=region" items in the settings."""
--- a/src/dotterelstand/process/discovery/platformadapter.py
+++ b/src/dotterelstand/process/discovery/platformadapter.py
@@ -6,7 +6,7 @@
 
 from dotterelstand.process.operation.control import ControlRegistry
 from dotterelstand.process.telemetry.metrics import Metrics
-from dotterelstand.request.interfaces import Journal
+from dotterelstand.request.interfaces import Freshness, Journal
 from dotterelstand.settings import Settings
 
 
@@ -21,6 +21,10 @@
     def journal(self) -> Journal | None:
         """Journal of keyed requests, None if no route uses idempotency keys."""
 
+    @property
+    def freshness(self) -> Freshness | None:
+        """Proof that the document in force is current, None if no key needs one."""
+
     @property
     def host_list_attempted(self) -> trio.Event:
         """Set after the first attempt to read the list of entry hosts."""
--- a/src/dotterelstand/process/discovery/registry.py
+++ b/src/dotterelstand/process/discovery/registry.py
@@ -40,6 +40,18 @@
 RELAYED_KINDS = (Kind.CONFIGURATION, Kind.TARGETS)
 
 
+# Revisions contain the era of the store in their high bits. The era increases when the store is
+# restored from a copy and assigns revisions again, so that later revisions remain larger. A store
+# that does not tell its era has era 0.
+ERA_SHIFT = 40
+FIRST_ERA = 1
+
+
+def era_of(revision: int) -> int:
+    """Era of the store in which it assigned a revision."""
+    return revision >> ERA_SHIFT
+
+
 def relayed_kind(number: int) -> Kind | None:
     """Kind with this number in messages, or None if there is none."""
     return RELAYED_KINDS[number] if 0 <= number < len(RELAYED_KINDS) else None
--- a/src/dotterelstand/process/discovery/relayedplatform.py
+++ b/src/dotterelstand/process/discovery/relayedplatform.py
@@ -16,7 +16,9 @@
     StoreState,
 )
 from dotterelstand.events import Event, log
+from dotterelstand.process.discovery.proofsource import ProofSource
 from dotterelstand.process.discovery.registry import (
+    FIRST_ERA,
     HISTORY_LOST,
     RELAYED_KINDS,
     UNANSWERED,
@@ -25,8 +27,10 @@
     Listing,
     Platform,
     PlatformError,
+    era_of,
     relayed_kind,
 )
+from dotterelstand.process.discovery.relayrole import RelayRole
 from dotterelstand.process.discovery.relayview import RelayedChanges, RelayStatus, RelayView
 from dotterelstand.process.discovery.snapshotrequests import SnapshotRequests, is_hub
 from dotterelstand.process.discovery.snapshots import (
@@ -34,16 +38,17 @@
     merge_relayed,
     relayed_changes,
 )
-from dotterelstand.process.discovery.storechecks import CHECK_INTERVAL_S, StoreChecks
+from dotterelstand.process.discovery.storechecks import (
+    CHECK_INTERVAL_S,
+    CHECK_TIMEOUT_S,
+    StoreChecks,
+)
+from dotterelstand.process.discovery.storewatches import StoreWatches
 from dotterelstand.process.peering.membership import ListedHost
 from dotterelstand.process.peering.mesh import Mesh
-from dotterelstand.process.peering.ranking import RELAY_KEY, choose_relays, rank_hosts
+from dotterelstand.process.peering.ranking import RELAY_KEY, rank_hosts
 from dotterelstand.process.telemetry.metrics import Metrics
 
-# Number of relays of a region, in a full mesh and in a larger fleet. A larger fleet has two, since
-# the loss of a single relay would make dozens of hosts call the store.
-RELAYS_IN_MESH = 1
-RELAYS_IN_OVERLAY = 2
 # A host that is not a relay waits at most this number of seconds before it calls the store again,
 # while neither it nor the relays reach the store. The wait ends early when a relay reaches the
 # store, or when no relay's report is valid any more.
@@ -68,18 +73,17 @@
         "_known_revisions",
         "_mesh",
         "_metrics",
-        "_next_watch_at",
         "_outage_reported",
         "_platform",
+        "_proofs",
         "_relay_update",
         "_relay_view",
-        "_relying_on_relays",
         "_rng",
+        "_role",
         "_role_known",
         "_snapshot_requests",
         "_snapshots",
         "_was_relay",
-        "_watch_pauses_s",
         "_watches",
     )
 
@@ -90,31 +94,29 @@
         metrics: Metrics,
         watch_pauses_s: dict[Kind, float],
         rng: random.Random,
+        proofs: ProofSource | None = None,
     ) -> None:
         self._platform = platform
         self._checks = StoreChecks(platform, metrics)
         self._mesh = mesh
         self._metrics = metrics
-        # Delay in seconds between a watch that returned changes and the next one, so that changes
-        # in quick succession are read in one batch.
-        self._watch_pauses_s = watch_pauses_s
+        self._watches = StoreWatches(platform, metrics, watch_pauses_s)
         self._rng = rng
         self._relay_view = RelayView(trio.current_time())
+        self._role = RelayRole(mesh, self._relay_view, self._checks)
+        self._proofs = proofs
         self._relay_update = trio.Event()
         # Revision of the last change that this host has received.
         self._known_revisions = dict.fromkeys(RELAYED_KINDS, 0)
         self._hosts_read = trio.Event()
         self._hub_linked = False
         self._role_known = trio.Event()
-        self._next_watch_at = dict.fromkeys(RELAYED_KINDS, 0.0)
-        self._watches: dict[Kind, trio.CancelScope] = {}
         # Kinds whose last call to the store failed.
         self._failed_kinds: set[Kind] = set()
         # Kinds for which `watch` has already failed in this outage of the store. It fails once for
         # each outage, and after that watches the store itself.
         self._outage_reported: set[Kind] = set()
         self._was_relay = False
-        self._relying_on_relays = True
         self._snapshots = SnapshotServer(platform, self._relay_view, mesh.send)
         self._snapshot_requests = SnapshotRequests(mesh, metrics)
         mesh.subscribe(Hello, self._on_hello)
@@ -125,24 +127,12 @@
     @property
     def is_relay(self) -> bool:
         """Whether this host watches the store for its region."""
-        count = RELAYS_IN_OVERLAY if self._mesh.is_overlay else RELAYS_IN_MESH
-        ranked = rank_hosts(RELAY_KEY, self._mesh.members(), self._mesh.region)
-        now = trio.current_time()
-        failing = {host for host in ranked if self._relay_view.reports_failure(host, now)}
-        if self._checks.is_failing(now):
-            failing.add(self._mesh.host)
-        return self._mesh.host in choose_relays(ranked, count, failing)
+        return self._role.is_relay
 
     @property
-    def _reads_store(self) -> bool:
-        """Whether this host watches the store itself.
-
-        A relay that the store refuses uses the changes from other relays, if they reach it: each
-        refused call costs as much as an answered one.
-        """
-        now = trio.current_time()
-        others_reach_store = self._relay_view.reports_expire_at(now) > now
-        return self.is_relay and not (self._checks.is_failing(now) and others_reach_store)
+    def is_restored(self) -> bool:
+        """Whether the store was restored from a copy, as far as its revisions tell."""
+        return era_of(self._known_revisions[Kind.CONFIGURATION]) > FIRST_ERA
 
     async def list(self, kind: Kind) -> Result[Listing[Item], PlatformError]:
         """List all objects of a relayed kind, from a hub or from the store."""
@@ -153,7 +143,7 @@
             self._failed_kinds.add(kind)
             return listing
         self._failed_kinds.discard(kind)
-        self._known_revisions[kind] = listing.unwrap().revision
+        self._note(kind, listing.unwrap())
         if is_hub(self._mesh):
             changes = self._snapshots.store(
                 kind, listing.unwrap().revision, listing.unwrap().encoded
@@ -181,18 +171,20 @@
         if kind in self._failed_kinds:
             if not self.is_relay:
                 await self._await_retry()
-            elif self._reads_store and self._checks.is_failing(trio.current_time()):
+            elif self._role.reads_store and self._checks.is_failing(trio.current_time()):
                 # A refused list costs ten times as much as a check.
                 await self._checks.wait_until_answered()
         encoded = None
         if not self._relay_view.is_store_unreachable(trio.current_time()):
             # While relays don't reach the store, only a call of this host shows whether it does.
-            encoded = await self._snapshot_requests.request(kind, self._reads_store)
+            encoded = await self._snapshot_requests.request(kind, self._role.reads_store)
         if encoded is not None:
             listing = self._platform.parse_list(kind, encoded)
             if is_successful(listing):
                 return listing
             log(Event.OBJECT_UNREADABLE, kind=kind.value, name="", reason=str(listing.failure()))
+        if kind is Kind.CONFIGURATION and self._proofs is not None:
+            return await self._proofs.list()
         return await self._platform.list(kind)
 
     async def _find_role(self) -> None:
@@ -212,7 +204,7 @@
         while True:
             consecutive = self._relay_view.changes_after(kind, revision)
             status = self._relay_view.status(kind, revision, trio.current_time())
-            if not self._reads_store:
+            if not self._role.reads_store:
                 self._update_reliance(kind, status)
                 if consecutive:
                     return self._use_relayed(kind, consecutive)
@@ -250,35 +242,30 @@
             if self._was_relay:
                 await self._check_store()
 
+    async def prove(self) -> None:
+        """Ask the store for a proof of the configuration, if this host has one."""
+        revision = self._known_revisions[Kind.CONFIGURATION]
+        if self._proofs is not None and revision:
+            with trio.move_on_after(CHECK_TIMEOUT_S):
+                await self._proofs.prove(revision)
+
     async def _check_store(self) -> None:
-        answers = await self._checks.check()
+        call = None
+        if self._proofs is not None and self._role.proves:
+            call = self._proofs.due_call(self._known_revisions[Kind.CONFIGURATION])
+        answers = await self._checks.check(call)
         if not answers:
-            # A watch over a lost connection would wait until the kernel detects the loss.
-            for scope in self._watches.values():
-                scope.cancel()
+            self._watches.cancel()
         self._send_state(answers)
 
     async def _watch_store(
         self, kind: Kind, revision: int, wait_s: float
     ) -> Result[Listing[Item], PlatformError]:
-        await trio.sleep_until(self._next_watch_at[kind])
-        self._metrics.count("platform.watches")
-        with trio.CancelScope() as scope:
-            self._watches[kind] = scope
-            try:
-                result = await self._platform.watch(kind, revision, wait_s)
-            finally:
-                del self._watches[kind]
-        if scope.cancelled_caught:
-            error = PlatformError(
-                UNANSWERED, "cancelled the watch because the store did not answer a check"
-            )
-            result = Failure(error)
+        result = await self._watches.watch(kind, revision, wait_s)
         if not is_successful(result):
             self._failed_kinds.add(kind)
             self._snapshots.drop(kind)
         elif result.unwrap().entries:
-            self._next_watch_at[kind] = trio.current_time() + self._watch_pauses_s[kind]
             self._forward_changes(kind, result.unwrap())
         return result
 
@@ -301,7 +288,7 @@
 
     def _is_relayed(self, kind: Kind, revision: int) -> bool:
         status = self._relay_view.status(kind, revision, trio.current_time())
-        return status in (RelayStatus.CURRENT, RelayStatus.BEHIND) and not self._reads_store
+        return status in (RelayStatus.CURRENT, RelayStatus.BEHIND) and not self._role.reads_store
 
     async def _wait_for_relay_update(self) -> None:
         """Wait for a relay's message, a change of this host's role, or expiry of all reports."""
@@ -324,12 +311,19 @@
         merged = merge_relayed(self._platform, kind, consecutive)
         if is_successful(merged):
             self._metrics.count("platform.shared_changes_used", len(consecutive))
-            self._known_revisions[kind] = merged.unwrap().revision
+            self._note(kind, merged.unwrap())
         return merged
 
+    def _note(self, kind: Kind, listing: Listing[Item]) -> None:
+        """Keep the revision of a list or of changes that this host received."""
+        self._known_revisions[kind] = listing.revision
+        if kind is Kind.CONFIGURATION and self._proofs is not None:
+            self._proofs.note(listing)
+
     def _forward_changes(self, kind: Kind, listing: Listing[Item]) -> None:
         """Send changes from the store to the hosts of the region, if this host is a relay."""
-        since, self._known_revisions[kind] = self._known_revisions[kind], listing.revision
+        since = self._known_revisions[kind]
+        self._note(kind, listing)
         if is_hub(self._mesh):
             changes = StoreChanges(
                 zlib.compress(listing.encoded), RELAYED_KINDS.index(kind), since, listing.revision
@@ -383,14 +377,7 @@
     def _update_reliance(self, kind: Kind, status: RelayStatus) -> None:
         if status in (RelayStatus.CURRENT, RelayStatus.BEHIND):
             self._outage_reported.discard(kind)
-        relied = status not in (RelayStatus.LOST, RelayStatus.SILENT)
-        if relied != self._relying_on_relays:
-            self._relying_on_relays = relied
-            log(
-                Event.RELAYS_RELIED_ON if relied else Event.RELAYS_NOT_RELIED_ON,
-                kind=kind.value,
-                standing=status.value,
-            )
+        self._role.note_status(kind, status)
 
     def _notify(self) -> None:
         self._relay_update.set()
--- a/src/dotterelstand/process/discovery/storechecks.py
+++ b/src/dotterelstand/process/discovery/storechecks.py
@@ -1,11 +1,13 @@
 """Periodic checks by a relay whether the platform's store answers it."""
 
 import math
+from collections.abc import Awaitable, Callable
 
 import trio
 from returns.pipeline import is_successful
+from returns.result import Result
 
-from dotterelstand.process.discovery.registry import Platform
+from dotterelstand.process.discovery.registry import Platform, PlatformError
 from dotterelstand.process.discovery.relayview import RELAY_STATE_TTL_S
 from dotterelstand.process.telemetry.metrics import Metrics
 
@@ -17,6 +19,9 @@
 MAX_WAIT_S = 2.0
 
 
+CheckCall = Callable[[], Awaitable[Result[bool, PlatformError]]]
+
+
 class StoreChecks:
     """Makes the checks of one host and keeps their results."""
 
@@ -32,11 +37,17 @@
         """Whether a check failed recently, so that other hosts take this relay's place."""
         return now < self._failed_until
 
-    async def check(self) -> bool:
-        """Check whether the store answers, with the cheapest call of its protocol."""
+    async def check(self, call: CheckCall | None = None) -> bool:
+        """Check whether the store answers, with the cheapest call of its protocol or with `call`.
+
+        The result of `call` is whether the open watches are sound.
+        """
         answers = False
         with trio.move_on_after(CHECK_TIMEOUT_S):
-            answers = is_successful(await self._platform.check())
+            if call is None:
+                answers = is_successful(await self._platform.check())
+            else:
+                answers = (await call()).value_or(False)
         self._metrics.count("platform.checks")
         if answers:
             self._answered.set()
--- a/src/dotterelstand/settings.py
+++ b/src/dotterelstand/settings.py
@@ -7,7 +7,8 @@
 
 from returns.result import Failure, Result, Success
 
-from dotterelstand.settings_rules import RULES, find_conflicts
+from dotterelstand.settings_conflicts import find_conflicts
+from dotterelstand.settings_rules import RULES
 
 # Environment variable that names the settings file of a command without `--settings`.
 SETTINGS_VARIABLE = "DOTTERELSTAND_SETTINGS"
--- a/src/dotterelstand/settings_rules.py
+++ b/src/dotterelstand/settings_rules.py
@@ -1,7 +1,6 @@
-"""Rules for the value of every settings key, and checks of keys against each other."""
+"""Rules for the value of every settings key."""
 
 import ipaddress
-import operator
 import re
 from collections.abc import Callable
 from typing import Any, Protocol
@@ -225,6 +224,11 @@
         "max_cached_sections": Range(16, 65536),
         "max_cached_bytes": Range(MIB, 1024 * MIB),
     },
+    "access": {
+        "strict_revocation": BOOLEAN,
+        "revocation_limit_s": Range(1, 600),
+        "proof_interval_s": Range(0.5, 60),
+    },
     "targets": {
         "connect_timeout_s": Range(0.01, 30),
         "idle_timeout_s": Range(0.1, 600),
@@ -324,70 +328,3 @@
         "peer_authority": TEXT,
     },
 }
-
-
-class Conflict:
-    """Settings key whose value contradicts that of another key."""
-
-    __slots__ = ("allowed", "key")
-
-    def __init__(self, key: str, allowed: str) -> None:
-        self.key = key
-        self.allowed = allowed
-
-
-def find_conflicts(values: Values) -> list[Conflict]:
-    """Return every key that contradicts another; each value must already satisfy its own rule."""
-    conflicts = [
-        Conflict(key, f"{relation} {other_key}")
-        for key, relation, other_key, is_satisfied in _COMPARISONS
-        if not is_satisfied(_get(values, key), _get(values, other_key))
-    ]
-    conflicts.extend(_find_port_conflicts(values))
-    for group in (("caller_certificate", "caller_key"), _PEER_TLS):
-        missing = [key for key in group if not values["tls"][key]]
-        if 0 < len(missing) < len(group):
-            names = ", ".join(f"tls.{key}" for key in group)
-            conflicts.append(
-                Conflict(f"tls.{missing[0]}", f"{names} are set together or not at all")
-            )
-    return conflicts
-
-
-def _find_port_conflicts(values: Values) -> list[Conflict]:
-    used: dict[tuple[str, int], str] = {}
-    conflicts = []
-    sections = ["listen", "peers", "control"]
-    if values["readiness"]["enabled"]:
-        sections.append("readiness")
-    if values["metrics"]["served"]:
-        sections.append("metrics")
-    for section in sections:
-        address = (values[section]["address"], values[section]["port"])
-        if address in used:
-            allowed = f"a port that differs from {used[address]}.port"
-            conflicts.append(Conflict(f"{section}.port", allowed))
-        elif address[1] != 0:
-            used[address] = section
-    return conflicts
-
-
-def _get(values: Values, key: str) -> Any:
-    section, _, name = key.partition(".")
-    return values[section][name]
-
-
-_PEER_TLS = ("peer_certificate", "peer_key", "peer_authority")
-
-# Key, relation in words, other key, and the condition that must hold.
-_COMPARISONS: list[tuple[str, str, str, Callable[[Any, Any], bool]]] = [
-    # A single lost heartbeat must not make a live host appear dead.
-    ("peers.suspect_after_s", "at least twice", "peers.heartbeat_s", lambda a, b: a >= 2 * b),
-    # The lease must outlast a slow but successful update of the journal head; otherwise the owner
-    # of the partition would seem to be lost.
-    ("journal.lease_s", "more than", "store.timeout_s", lambda a, b: a > b),
-    ("journal.writes_per_s", "at most", "store.writes_per_s", operator.le),
-    ("measure.cross_region_bytes_per_s", "at most", "measure.bytes_per_s", operator.le),
-    ("measure.cross_region_calls_per_s", "at most", "measure.calls_per_s", operator.le),
-    ("listen.stop_limit_s", "0 or more than", "listen.close_grace_s", lambda a, b: not a or a > b),
-]
--- a/tests/platform_support.py
+++ b/tests/platform_support.py
@@ -56,7 +56,9 @@
         entries: int = 1,
         health_interval_s: float = 0.0,
         stop_limit_s: float = 0.0,
+        settings: str = "",
     ) -> None:
+        self._settings = settings
         self.network = FakeNetwork(lambda one, other: LATENCY_S)
         self.store = MetadataStore()
         self.instances = [Instance(f"i-{index}") for index in range(instances)]
@@ -98,9 +100,10 @@
             stop_limit_s=self._stop_limit_s,
         )
         daemon = Daemon(
-            parse_settings(text, "test").unwrap(),
+            parse_settings(text + self._settings, "test").unwrap(),
             self.network.at(address),
             seeded_random(self._seed, f"daemon {index}"),
+            clock=trio.current_time,
         )
         self.daemons.append(daemon)
         self.nursery.start_soon(daemon.run)
--- a/tests/test_deploy_template.py
+++ b/tests/test_deploy_template.py
@@ -33,3 +33,21 @@
     text = render(TEMPLATE.read_text(encoding="utf-8"), FIELDS | {"bounds": BOUNDS | given})
     settings = parse_settings(text, "deploy").unwrap()
     assert settings.number("listen", "stop_limit_s") == limit_s
+
+
+@pytest.mark.parametrize(
+    ("given", "strict", "limit_s"),
+    [
+        ({"strictRevocation": True, "revokeS": 6}, True, 6.0),
+        ({"strictRevocation": False, "revokeS": 6}, False, 5.0),
+        ({}, False, 5.0),
+    ],
+)
+def test_strict_revocation_may_be_left_out(
+    given: dict[str, Any], strict: bool, limit_s: float
+) -> None:
+    """Guards against proofs that are required, or left out, against the platform's bounds."""
+    text = render(TEMPLATE.read_text(encoding="utf-8"), FIELDS | {"bounds": BOUNDS | given})
+    settings = parse_settings(text, "deploy").unwrap()
+    assert settings.flag("access", "strict_revocation") is strict
+    assert settings.number("access", "revocation_limit_s") == limit_s
--- /dev/null
+++ b/tests/test_strict_revocation.py
@@ -0,0 +1,67 @@
+"""Entry hosts on the platform's stand-in with and without `access.strict_revocation`."""
+
+from typing import Any
+
+import pytest
+import trio
+from platform_standin import configuration, route
+from platform_support import PlatformFleet, run_on_platform
+
+STRICT = "[access]\nstrict_revocation = true\n"
+PROOF_WATCH = "waitMs=1"
+MESSAGES = ("peers.received.ProofRequest", "peers.received.Proof")
+
+
+def _keyed(version: int, *keys: str) -> Any:
+    workspace = {"resourceType": "tenants", "metadata": {"name": "w"}, "spec": {"apiKeys": keys}}
+    return configuration(version, route("s"), workspace)
+
+
+def _proven(fleet: PlatformFleet) -> list[bool]:
+    proofs = [daemon.platform_adapter.freshness for daemon in fleet.daemons]
+    return [proof is not None and proof.is_proven() for proof in proofs]
+
+
+def _count(fleet: PlatformFleet) -> int:
+    messages = sum(daemon.metrics.value(name) for daemon in fleet.daemons for name in MESSAGES)
+    return messages + sum(PROOF_WATCH in call for call in fleet.store.calls)
+
+
+@pytest.mark.parametrize(
+    ("settings", "keyed", "spends"),
+    [("", True, False), (STRICT, False, False), (STRICT, True, True)],
+)
+def test_proofs_cost_nothing_unless_they_are_asked_for(
+    settings: str, keyed: bool, spends: bool
+) -> None:
+    """Guards against messages and store calls for a deployment without strict revocation."""
+
+    async def scenario(fleet: PlatformFleet) -> None:
+        if keyed:
+            fleet.store.put("config", "main", _keyed(8, "k" * 20))
+        await trio.sleep(10.0)
+        assert bool(_count(fleet)) is spends
+        assert not any(daemon.registry.failing_checks() for daemon in fleet.daemons)
+
+    run_on_platform(scenario, entries=3, settings=settings)
+
+
+def test_hosts_are_ready_only_with_a_proof() -> None:
+    """Guards against new callers at hosts that refuse all keyed requests."""
+
+    async def scenario(fleet: PlatformFleet) -> None:
+        fleet.store.put("config", "main", _keyed(8, "k" * 20))
+        await trio.sleep(3.0)
+        assert _proven(fleet) == [True] * 3
+        fleet.store.put("config", "main", _keyed(9))
+        await trio.sleep(3.0)
+        assert _proven(fleet) == [True] * 3
+        fleet.store.status = 503
+        await trio.sleep(5.0)
+        assert _proven(fleet) == [False] * 3
+        assert [daemon.registry.failing_checks() for daemon in fleet.daemons] == [["proof"]] * 3
+        fleet.store.status = 0
+        await trio.sleep(4.0)
+        assert _proven(fleet) == [True] * 3
+
+    run_on_platform(scenario, entries=3, settings=STRICT)
