--- a/src/dotterelstand/events.py
+++ b/src/dotterelstand/events.py
@@ -71,6 +71,9 @@
 
     PROOF_LOST = 340
     PROOF_HELD = 341
+    STORE_ERA_CHANGED = 342
+    STORE_ERA_UNREADABLE = 343
+    STORE_ERA_LOWER = 344
 
     STORE_UNAVAILABLE = 400
     STORE_AVAILABLE = 401
@@ -112,6 +115,9 @@
         Event.WATCH_FAILED,
         Event.CERTIFICATES_INVALID,
         Event.PROOF_LOST,
+        Event.STORE_ERA_CHANGED,
+        Event.STORE_ERA_UNREADABLE,
+        Event.STORE_ERA_LOWER,
         Event.STORE_UNAVAILABLE,
         Event.LEASE_LOST,
         Event.JOURNAL_UNREADABLE,
--- a/src/dotterelstand/platform/client.py
+++ b/src/dotterelstand/platform/client.py
@@ -13,6 +13,7 @@
 from dotterelstand.connection.network import Network
 from dotterelstand.events import Event, log
 from dotterelstand.platform.decode import encode_host, parse_configuration, parse_host, parse_target
+from dotterelstand.platform.era import ERA_HEADER, StoreEra, remove_era
 from dotterelstand.platform.lists import diff_lists, merge_changes
 from dotterelstand.process.discovery.registry import (
     EXISTS,
@@ -26,6 +27,7 @@
     Kind,
     Listing,
     PlatformError,
+    era_of,
 )
 from dotterelstand.process.peering.membership import ListedHost
 from dotterelstand.process.storage.storeconnection import (
@@ -54,11 +56,13 @@
 class PlatformClient:
     """Implements `Platform` over HTTP; each watch uses a separate connection."""
 
-    __slots__ = ("_connections", "_timeout_s", "calls")
+    __slots__ = ("_connections", "_era", "_open_watches", "_timeout_s", "calls")
 
     def __init__(self, address: str, port: int, network: Network, timeout_s: float) -> None:
         self._connections = StoreConnections(address, port, network, len(Kind) + 1)
         self._timeout_s = timeout_s
+        self._era = StoreEra()
+        self._open_watches: set[trio.CancelScope] = set()
         self.calls = 0
 
     async def list(self, kind: Kind) -> Result[Listing[Item], PlatformError]:
@@ -71,7 +75,7 @@
 
     async def _list(self, kind: Kind, collection: str) -> Result[Listing[Item], PlatformError]:
         items: list[Any] = []
-        last_name, revision = "", 0
+        last_name, revision, era = "", 0, -1
         for _ in range(MAX_PAGES):
             query = f"?after={last_name}" if last_name else ""
             path = f"{OBJECTS_PATH}/{collection}{query}"
@@ -84,9 +88,12 @@
                 items += list(body["items"])
                 # The listing may miss changes that are made while its pages are read. A watch
                 # from the revision of the first page reports them.
-                revision = revision or int(body["currentRev"])
+                if era not in (-1, self._era.current):
+                    return Failure(_lost_history("the store was restored between two pages"))
+                era = self._era.current
+                revision = revision or self._era.add_to(int(body["currentRev"]))
                 if not body["hasMore"]:
-                    if len(items) == len(body["items"]):
+                    if not era and len(items) == len(body["items"]):
                         return _build_listing(kind, items, revision, answer.unwrap().body)
                     whole = json.dumps({"items": items, "currentRev": revision})
                     return _build_listing(kind, items, revision, whole.encode())
@@ -102,7 +109,11 @@
             return Failure(read.failure())
         try:
             body = read.unwrap()
-            return _build_listing(kind, list(body["items"]), int(body["currentRev"]), encoded)
+            revision = int(body["currentRev"])
+            if era_of(revision) < self._era.current:
+                return Failure(_lost_history("a list of an earlier era of the store"))
+            self._era.adopt(era_of(revision))
+            return _build_listing(kind, list(body["items"]), revision, encoded)
         except DECODE_ERRORS as error:
             return Failure(PlatformError(UNREADABLE, repr(error)))
 
@@ -125,14 +136,36 @@
     async def watch(
         self, kind: Kind, revision: int, wait_s: float
     ) -> Result[Listing[Item], PlatformError]:
-        """Wait for changes after a revision; fails with `HISTORY_LOST` if they were dropped."""
+        """Wait for changes after a revision; fails with `HISTORY_LOST` if they were dropped.
+
+        A watch from a revision of an earlier era fails without a call, and an open one when the
+        era increases, since the store has assigned its revisions again.
+        """
+        self._era.adopt(era_of(revision))
+        if era_of(revision) != self._era.current:
+            return Failure(_lost_history("a revision of an earlier era of the store"))
         wait_ms = min(MAX_WATCH_MS, int(wait_s * 1000))
-        path = f"{OBJECTS_PATH}/{KIND_NAMES[kind]}?watch={revision}&waitMs={wait_ms}"
-        answer = await self._call("GET", path, None, wait_ms / 1000 + self._timeout_s)
-        return answer.bind(lambda response: self.parse_changes(kind, response.body))
+        path = f"{OBJECTS_PATH}/{KIND_NAMES[kind]}?watch={remove_era(revision)}&waitMs={wait_ms}"
+        with trio.CancelScope() as scope:
+            self._open_watches.add(scope)
+            try:
+                answer = await self._call("GET", path, None, wait_ms / 1000 + self._timeout_s)
+            finally:
+                self._open_watches.discard(scope)
+        if scope.cancelled_caught or era_of(revision) != self._era.current:
+            return Failure(_lost_history("the store was restored from a copy"))
+        changes = answer.bind(lambda response: self.parse_changes(kind, response.body))
+        return changes.bind(self._with_era)
+
+    def _with_era(self, changes: Listing[Item]) -> Result[Listing[Item], PlatformError]:
+        try:
+            revision = self._era.add_to(changes.revision)
+        except ValueError as error:
+            return Failure(PlatformError(UNREADABLE, repr(error)))
+        return Success(Listing(changes.entries, revision, changes.encoded))
 
     def parse_changes(self, kind: Kind, encoded: bytes) -> Result[Listing[Item], PlatformError]:
-        """Parse the changes in the response body of a watch."""
+        """Parse the changes in the response body of a watch; their revision has no era."""
         read = _parse_body(encoded)
         if not is_successful(read):
             return Failure(read.failure())
@@ -173,6 +206,7 @@
     ) -> Result[StoreAnswer, PlatformError]:
         data = b"" if body is None else json.dumps(body).encode()
         self.calls += 1
+        era = self._era.current
         connection: StoreConnection | None = None
         try:
             with trio.fail_after(timeout_s):
@@ -184,9 +218,18 @@
         finally:
             if connection is not None:
                 self._connections.release(connection)
+        if not self._era.observe(answer.headers.get(ERA_HEADER), era):
+            return Failure(_lost_history("a response of an earlier era of the store"))
+        if self._era.current != era:
+            for scope in self._open_watches:
+                scope.cancel()
         return _parse_status(answer)
 
 
+def _lost_history(reason: str) -> PlatformError:
+    return PlatformError(HISTORY_LOST, reason)
+
+
 def _hosts_kind(region: str) -> str:
     """Name of the object kind of a region's entry hosts."""
     return quote(f"{HOSTS_KIND_PREFIX}{region}", safe="")
--- a/src/dotterelstand/process/discovery/catalogue.py
+++ b/src/dotterelstand/process/discovery/catalogue.py
@@ -1,6 +1,6 @@
 """Derives the targets and the configuration in force from the platform's lists."""
 
-from collections import Counter, deque
+from collections import Counter, OrderedDict, deque
 from enum import Enum
 
 from dotterelstand.process.discovery.registry import Configuration, Entry, RegisteredTarget
@@ -22,6 +22,10 @@
 # Maximum number of target changes kept until they are logged; the oldest are dropped. The initial
 # list of targets may exceed it, since its entries need not be logged.
 MAX_CHANGES = 64
+# Seconds for which the departure of a target is remembered, in case that the store is restored from
+# a copy in which it is still listed, and the maximum number of departures.
+DEPARTURE_KEPT_S = 30.0
+MAX_DEPARTURES = 512
 
 
 class ChangeKind(Enum):
@@ -71,6 +75,8 @@
     __slots__ = (
         "_available_since",
         "_configuration",
+        "_departures",
+        "_excluded",
         "_lapsed",
         "_platform_unavailable",
         "_regions",
@@ -86,6 +92,10 @@
         self._targets: dict[str, RegisteredTarget] = {}
         # Expiry time of each target that is still in use after its registration disappeared.
         self._lapsed: dict[str, float] = {}
+        # Start in Unix milliseconds, and time of departure, of targets that left.
+        self._departures: OrderedDict[str, tuple[int, float]] = OrderedDict()
+        # Start of targets that left before the store was restored from a copy.
+        self._excluded: dict[str, int] = {}
         self._platform_unavailable = False
         self._available_since = float("-inf")
         self.changes: deque[TargetChange] = deque(maxlen=MAX_CHANGES)
@@ -115,6 +125,23 @@
             self._platform_unavailable = False
             self._available_since = now
 
+    def mark_restored(self, now: float) -> None:
+        """Record that the store was restored from a copy that may be seconds old.
+
+        Targets that are missing in it are kept for the grace period. Targets that are known to
+        have left, or to be draining, stay out of use until a later start of theirs is listed.
+        """
+        self._available_since = now
+        for name, (started_ms, departed_at) in self._departures.items():
+            if now - departed_at <= DEPARTURE_KEPT_S:
+                self._excluded[name] = started_ms
+        for target in self._targets.values():
+            if target.draining:
+                self._excluded[target.name] = target.started_ms
+        self._departures.clear()
+        while len(self._excluded) > 2 * MAX_DEPARTURES:
+            del self._excluded[next(iter(self._excluded))]
+
     def update_configuration(self, configuration: Configuration) -> bool:
         """Put a configuration in force; False if it isn't newer than the current one."""
         if configuration.number <= self.number:
@@ -130,7 +157,7 @@
         lost = Counter(target.service for target in missing)
         for target in missing:
             if lost[target.service] < MIN_LOST_SHARE * known[target.service]:
-                self._remove(target)
+                self._remove(target, now)
             else:
                 self._handle_removal(target.name, now)
         for entry in entries:
@@ -199,6 +226,10 @@
         if entry.item is None:
             self._handle_removal(entry.name, now)
             return
+        if entry.item.started_ms <= self._excluded.get(entry.name, -1):
+            return
+        self._excluded.pop(entry.name, None)
+        self._departures.pop(entry.name, None)
         self._lapsed.pop(entry.name, None)
         before = self._targets.get(entry.name)
         self._targets[entry.name] = entry.item
@@ -218,9 +249,12 @@
             self._lapsed[name] = max(now, self._available_since) + LAPSED_GRACE_S
             self._record_change(ChangeKind.LAPSED, target)
         else:
-            self._remove(target)
+            self._remove(target, now)
 
-    def _remove(self, target: RegisteredTarget) -> None:
+    def _remove(self, target: RegisteredTarget, now: float) -> None:
+        self._departures[target.name] = (target.started_ms, now)
+        if len(self._departures) > MAX_DEPARTURES:
+            self._departures.popitem(last=False)
         self._lapsed.pop(target.name, None)
         del self._targets[target.name]
         self._record_change(ChangeKind.GONE, target)
--- a/src/dotterelstand/process/discovery/platformfeed.py
+++ b/src/dotterelstand/process/discovery/platformfeed.py
@@ -17,6 +17,7 @@
     ObjectLists,
     PlatformError,
     RegisteredTarget,
+    era_of,
 )
 from dotterelstand.process.peering.membership import ListedHost
 from dotterelstand.process.peering.overlay import FULL_MESH_HOSTS, choose_hubs
@@ -27,6 +28,9 @@
 # lapsed targets takes 2.2 s of that.
 RETRY_MIN_S = 0.1
 RETRY_MAX_S = 0.4
+# Longest delay in seconds of a host that reads its host list since the store was restored, so that
+# not all hosts call at once.
+RESTORED_DELAY_S = 1.0
 
 
 class WatchSettings:
@@ -78,6 +82,7 @@
         "_available",
         "_backoff",
         "_kind",
+        "_note_revision",
         "_on_changes",
         "_on_list",
         "_on_unavailable",
@@ -94,6 +99,7 @@
         on_list: Callable[[list[Entry[Item]]], None],
         on_changes: Callable[[list[Entry[Item]]], None],
         on_unavailable: Callable[[], None],
+        note_revision: Callable[[int], None] = lambda revision: None,
     ) -> None:
         self._platform = platform
         self._kind = kind
@@ -102,6 +108,8 @@
         self._on_list = on_list
         self._on_changes = on_changes
         self._on_unavailable = on_unavailable
+        # Gets the revision of a list or of changes before they are applied.
+        self._note_revision = note_revision
         self._available = True
 
     async def run(self) -> None:
@@ -113,6 +121,7 @@
                 await self._backoff.sleep()
                 continue
             self._mark_available()
+            self._note_revision(listing.unwrap().revision)
             self._on_list(listing.unwrap().entries)
             await self._watch(listing.unwrap().revision)
 
@@ -124,6 +133,7 @@
                 break
             self._mark_available()
             revision = changes.unwrap().revision
+            self._note_revision(revision)
             self._on_changes(changes.unwrap().entries)
         if changes.failure().code == HISTORY_LOST:
             log(Event.HISTORY_LOST, kind=self._kind.value, revision=revision)
@@ -152,8 +162,10 @@
         "_backoff",
         "_catalogue",
         "_changed",
+        "_era",
         "_own_host",
         "_platform",
+        "_restored",
         "_rng",
         "_update_hosts",
         "_wait_became_hub",
@@ -183,6 +195,9 @@
         self._wait_became_hub = wait_became_hub
         self._backoff = _Backoff(rng)
         self._changed = trio.Event()
+        # Era of the last revision, -1 before the first.
+        self._era = -1
+        self._restored = trio.Event()
         self.host_list_attempted = trio.Event()
 
     async def run(self) -> None:
@@ -196,6 +211,7 @@
             self._replace_targets,
             self._change_targets,
             self._catalogue.mark_platform_unavailable,
+            self._note_revision,
         )
         configuration = ListWatcher(
             self._platform,
@@ -205,12 +221,14 @@
             self._update_configuration,
             self._update_configuration,
             lambda: None,
+            self._note_revision,
         )
         async with trio.open_nursery() as nursery:
             nursery.start_soon(targets.run)
             nursery.start_soon(configuration.run)
             nursery.start_soon(self._follow_hosts)
             nursery.start_soon(self._expire)
+            nursery.start_soon(self._register_again)
 
     async def _follow_hosts(self) -> None:
         """Register this host, then read the host list periodically.
@@ -243,6 +261,31 @@
             with trio.move_on_after(interval_s * max(1.0, len(hosts) / FULL_MESH_HOSTS)):
                 await self._wait_became_hub()
 
+    def _note_revision(self, revision: int) -> None:
+        """Notice by a revision that the store was restored from a copy."""
+        if era_of(revision) > self._era:
+            if self._era >= 0:
+                self._catalogue.mark_restored(trio.current_time())
+                self._restored.set()
+            self._era = era_of(revision)
+
+    async def _register_again(self) -> None:
+        """Register this host when the store was restored from a copy without its registration."""
+        backoff = _Backoff(self._rng)
+        while True:
+            await self._restored.wait()
+            self._restored = trio.Event()
+            await trio.sleep(RESTORED_DELAY_S * self._rng.random())
+            while True:
+                listed = await self._list_region(self._own_host().region)
+                if listed is not None and _is_listed(self._own_host(), listed):
+                    break
+                if listed is not None:
+                    if is_successful(await self._platform.register_host(self._own_host())):
+                        break
+                await backoff.sleep()
+            backoff.reset()
+
     async def _read_hosts(self, listed: list[ListedHost] | None) -> list[ListedHost] | None:
         """Entry hosts that this host may need a link to; None if the store did not answer.
 
--- a/src/dotterelstand/process/storage/storeconnection.py
+++ b/src/dotterelstand/process/storage/storeconnection.py
@@ -15,11 +15,15 @@
 
 
 class StoreAnswer:
-    """Status, version and body of an answer; version 0 if there is no `etag` header."""
+    """Status, version, headers and body of an answer; version 0 if there is no `etag` header.
 
-    __slots__ = ("body", "status", "version")
+    The names of the headers are in lower case; of several with one name the last is kept.
+    """
 
-    def __init__(self, status: int, version: int, body: bytes) -> None:
+    __slots__ = ("body", "headers", "status", "version")
+
+    def __init__(self, status: int, version: int, headers: dict[bytes, bytes], body: bytes) -> None:
+        self.headers = headers
         self.status = status
         self.version = version
         self.body = body
@@ -51,20 +55,22 @@
 
     async def _receive(self) -> StoreAnswer:
         status, version, chunks = 0, 0, []
+        headers: dict[bytes, bytes] = {}
         while True:
             event = self._h11.next_event()
             if event is h11.NEED_DATA:
                 self._h11.receive_data(bytes(await self._stream.receive_some(READ_BYTES)))
             elif isinstance(event, h11.Response):
                 status = event.status_code
-                tag = dict(event.headers).get(b"etag", b"0").strip(b'"')
+                headers = dict(event.headers)
+                tag = headers.get(b"etag", b"0").strip(b'"')
                 if not tag.isdigit():
                     raise h11.RemoteProtocolError("etag is not a number")
                 version = int(tag)
             elif isinstance(event, h11.Data):
                 chunks.append(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
-                return StoreAnswer(status, version, b"".join(chunks))
+                return StoreAnswer(status, version, headers, b"".join(chunks))
             elif not isinstance(event, h11.InformationalResponse):
                 raise h11.RemoteProtocolError("connection closed before the end of the answer")
 
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -17,7 +17,8 @@
     """Objects by kind and name with revisions, watches, finalizers and faults.
 
     A nonzero `status` is the answer to every call. With `silent` calls get no answer, and with
-    `lose_write_answers` writes take effect but get no answer.
+    `lose_write_answers` writes take effect but get no answer. `era` is sent with every answer,
+    and `restore` goes back to an earlier `copy`.
     """
 
     def __init__(self) -> None:
@@ -27,6 +28,9 @@
         self.oldest_revision = 100
         self.status = 0
         self.silent = False
+        self.era: str | None = None
+        # Holds the answers that are ready, which are then sent with the era of their call.
+        self.hold: trio.Event | None = None
         self.lose_write_answers = False
         self.calls: list[str] = []
         self._changed = trio.Event()
@@ -63,8 +67,30 @@
         self.history.clear()
         self._wake()
 
+    def copy(self) -> tuple[int, dict[tuple[str, str], dict[str, Any]]]:
+        """Return a copy of the revision and the objects."""
+        return self.revision, dict(self.objects)
+
+    def restore(self, copy: tuple[int, dict[tuple[str, str], dict[str, Any]]], era: str) -> None:
+        """Go back to a copy, with another era and without history."""
+        self.revision, objects = copy
+        self.objects = dict(objects)
+        self.era = era
+        self.forget_history()
+
     async def handle(self, request: HttpRequest) -> HttpAnswer | None:
         """Answer one call; None closes the connection."""
+        era = self.era
+        answer = await self._handle(request)
+        if self.hold is not None:
+            await self.hold.wait()
+        else:
+            era = self.era
+        if answer is not None and era is not None:
+            answer.headers.append(("Store-Era", era))
+        return answer
+
+    async def _handle(self, request: HttpRequest) -> HttpAnswer | None:
         self.calls.append(f"{request.method} {request.path}")
         if self.silent:
             await trio.sleep_forever()
@@ -94,7 +120,7 @@
         events: list[dict[str, Any]] = []
         with trio.move_on_after(wait_s):
             while True:
-                if revision < self.oldest_revision:
+                if revision < self.oldest_revision or revision > self.revision:
                     return HttpAnswer(410)
                 events = [
                     {"object": {key: item[key] for key in item if key != "kind"}, "removed": gone}
--- a/tests/proof_support.py
+++ b/tests/proof_support.py
@@ -1,5 +1,6 @@
 """Entry hosts that prove their configuration to each other, over the in-memory mesh."""
 
+from collections import Counter
 from collections.abc import Sequence
 from typing import Any
 
@@ -39,7 +40,8 @@
         self.number = 7
         self.revision = 100
         self.refused: set[str] = set()
-        self.lists = 0
+        # Number of list calls by host.
+        self.lists: Counter[str] = Counter()
         self.changed = trio.Event()
 
     def change(self) -> None:
@@ -67,7 +69,7 @@
         return Listing([Entry("main", item)], revision, str(number).encode())
 
     async def list(self, kind: Kind) -> Result[Listing[Item], PlatformError]:
-        self._store.lists += 1
+        self._store.lists[self._host] += 1
         called = await self._call()
         return called.map(lambda _: self._listing(self._store.number, self._store.revision))
 
@@ -114,6 +116,7 @@
     def __init__(self, fleet: "ProofFleet", member: Member) -> None:
         self.suspended_s = 0.0
         self.metrics = Metrics(64)
+        self.number = 0
         self.mesh = fleet.network.join(member)
         platform = FakePlatform(fleet.store, member.host)
         ledger = ProofLedger(LIMIT_S)
@@ -151,6 +154,7 @@
                 for entry in listing.unwrap().entries:
                     assert isinstance(entry.item, Configuration)
                     self.source.keyed = True
+                    self.number = max(self.number, entry.item.number)
                     self.proofs.apply(entry.item.number, True)
                 revision = listing.unwrap().revision
                 listing = await self.relayed.watch(Kind.CONFIGURATION, revision, 10.0)
@@ -207,4 +211,4 @@
 def counters(fleet: ProofFleet) -> dict[str, Any]:
     """Counters of messages and calls for proofs."""
     names = ("platform.proof_requests", "platform.proof_calls", "platform.checks")
-    return {name: fleet.total(name) for name in names} | {"lists": fleet.store.lists}
+    return {name: fleet.total(name) for name in names} | {"lists": fleet.store.lists.total()}
--- a/tests/test_platform_names.py
+++ b/tests/test_platform_names.py
@@ -21,6 +21,7 @@
     "warmupLeftS",
     "warmupPerS",
     "apiKeys",
+    "store-era",
     "ratePerS",
     "allowedRegions",
     "currentRev",
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -6,6 +6,7 @@
 import trio
 from platform_standin import configuration, route
 from platform_support import PlatformFleet, run_on_platform
+from proof_support import ProofFleet
 from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 from support import PLATFORM, entry_address
@@ -312,3 +313,45 @@
 ) -> None:
     """Guards against a region that reads the store host by host since it refuses its relays."""
     assert choose_relays(list("abcdef"), 2, failing) == expected
+
+
+async def _refused_relay() -> None:
+    async with trio.open_nursery() as nursery:
+        fleet = ProofFleet(12, 1)
+        await fleet.start(nursery)
+        relay = fleet.prover("r0")
+        fleet.store.refused.add(relay)
+        # The other hubs know of the refusal after a check.
+        await trio.sleep(2.0)
+        lists = fleet.store.lists[relay]
+        for _ in range(5):
+            fleet.store.change()
+            await trio.sleep(IN_FORCE_S)
+            assert {host.number for host in fleet.hosts.values()} == {fleet.store.number}
+        assert fleet.hosts[relay].relayed.is_relay
+        assert fleet.store.lists[relay] == lists
+        nursery.cancel_scope.cancel()
+
+
+def test_refused_relay_uses_the_changes_of_another_relay() -> None:
+    """Guards against refused list calls, which are billed, and against a relay left behind."""
+    run_virtual(_refused_relay, seed=1)
+
+
+@pytest.mark.parametrize(("still_listed", "writes"), [(True, 0), (False, 1)])
+def test_restarted_host_registers_only_if_it_is_not_listed(still_listed: bool, writes: int) -> None:
+    """Guards against billed writes that change nothing when all hosts restart."""
+
+    async def scenario(fleet: PlatformFleet) -> None:
+        fleet.daemons.pop(1).stop()
+        await trio.sleep(3.0)
+        if not still_listed:
+            fleet.store.remove("dotterelstand-hosts-local", "entry-1")
+        calls = len(fleet.store.calls)
+        fleet.start_daemon(1)
+        await trio.sleep(3.0)
+        made = [call for call in fleet.store.calls[calls:] if call.startswith(("POST", "PUT"))]
+        assert len(made) == writes
+        assert ("dotterelstand-hosts-local", "entry-1") in fleet.store.objects
+
+    run_on_platform(scenario, entries=3)
--- a/tests/test_strict_revocation.py
+++ b/tests/test_strict_revocation.py
@@ -65,3 +65,22 @@
         assert _proven(fleet) == [True] * 3
 
     run_on_platform(scenario, entries=3, settings=STRICT)
+
+
+@pytest.mark.parametrize(
+    ("era", "peers", "proven"), [("1", 0, True), ("2", 0, False), ("2", 2, True)]
+)
+def test_host_that_starts_on_a_restored_store(era: str, peers: int, proven: bool) -> None:
+    """Guards against a key whose removal the store lost before a host without peers started."""
+
+    async def scenario(fleet: PlatformFleet) -> None:
+        fleet.store.era = era
+        fleet.store.put("config", "main", _keyed(8, "k" * 20))
+        await trio.sleep(4.0)
+        fleet.start_daemon(peers)
+        await trio.sleep(2.5)
+        assert _proven(fleet) == [True] * peers + [proven]
+        await trio.sleep(2.0)
+        assert _proven(fleet) == [True] * (peers + 1)
+
+    run_on_platform(scenario, entries=peers, settings=STRICT)
