--- a/src/dotterelstand/process/discovery/platformfeed.py
+++ b/src/dotterelstand/process/discovery/platformfeed.py
@@ -8,14 +8,13 @@
 
 from dotterelstand.events import Event, log
 from dotterelstand.process.discovery.catalogue import Catalogue
+from dotterelstand.process.discovery.listwatcher import Backoff, ListWatcher
 from dotterelstand.process.discovery.registry import (
-    HISTORY_LOST,
     Configuration,
     Entry,
     Item,
     Kind,
     ObjectLists,
-    PlatformError,
     RegisteredTarget,
     era_of,
 )
@@ -23,13 +22,11 @@
 from dotterelstand.process.peering.overlay import FULL_MESH_HOSTS, choose_hubs
 from dotterelstand.version.model import Document
 
-# Delay in seconds before the next call to a platform that doesn't answer; it doubles up to the
-# maximum. A host must be up to date 3 s after an outage of the platform, and the grace period of
-# lapsed targets takes 2.2 s of that.
-RETRY_MIN_S = 0.1
-RETRY_MAX_S = 0.4
-# Longest delay in seconds of a host that reads its host list since the store was restored, so that
-# not all hosts call at once.
+# A store may be restored from a copy that is seconds old, so a host that registered longer ago is
+# in the copy and need not call the store.
+RECENTLY_S = 60.0
+# Longest delay in seconds before a recently registered host reads its host list again, so that not
+# all hosts call at once.
 RESTORED_DELAY_S = 1.0
 
 
@@ -51,109 +48,6 @@
         self.regions = regions
 
 
-class _Backoff:
-    """Exponential back-off with jitter between failed calls."""
-
-    __slots__ = ("_pause_s", "_rng")
-
-    def __init__(self, rng: random.Random) -> None:
-        self._rng = rng
-        self._pause_s = RETRY_MIN_S
-
-    def reset(self) -> None:
-        """Restart the back-off after a successful call."""
-        self._pause_s = RETRY_MIN_S
-
-    async def sleep(self) -> None:
-        """Wait before the next call."""
-        await trio.sleep(self._pause_s * self._rng.uniform(0.5, 1.0))
-        self._pause_s = min(RETRY_MAX_S, 2 * self._pause_s)
-
-
-class ListWatcher:
-    """Keeps one list up to date: reads it, watches it, and reads it again after a failed watch.
-
-    `on_list` gets a complete list, `on_changes` gets later changes, and `on_unavailable` is called
-    when a list cannot be read. A failed watch alone does not mean that the platform is unavailable:
-    the platform may end a watch, and a relay may have lost the platform while this host reaches it.
-    """
-
-    __slots__ = (
-        "_available",
-        "_backoff",
-        "_kind",
-        "_note_revision",
-        "_on_changes",
-        "_on_list",
-        "_on_unavailable",
-        "_platform",
-        "_watch_s",
-    )
-
-    def __init__(
-        self,
-        platform: ObjectLists,
-        kind: Kind,
-        watch_s: float,
-        rng: random.Random,
-        on_list: Callable[[list[Entry[Item]]], None],
-        on_changes: Callable[[list[Entry[Item]]], None],
-        on_unavailable: Callable[[], None],
-        note_revision: Callable[[int], None] = lambda revision: None,
-    ) -> None:
-        self._platform = platform
-        self._kind = kind
-        self._watch_s = watch_s
-        self._backoff = _Backoff(rng)
-        self._on_list = on_list
-        self._on_changes = on_changes
-        self._on_unavailable = on_unavailable
-        # Gets the revision of a list or of changes before they are applied.
-        self._note_revision = note_revision
-        self._available = True
-
-    async def run(self) -> None:
-        """Keep the list up to date until cancelled."""
-        while True:
-            listing = await self._platform.list(self._kind)
-            if not is_successful(listing):
-                self._mark_unavailable(listing.failure())
-                await self._backoff.sleep()
-                continue
-            self._mark_available()
-            self._note_revision(listing.unwrap().revision)
-            self._on_list(listing.unwrap().entries)
-            await self._watch(listing.unwrap().revision)
-
-    async def _watch(self, revision: int) -> None:
-        """Watch from a revision until a watch fails; `run` then reads the whole list again."""
-        while True:
-            changes = await self._platform.watch(self._kind, revision, self._watch_s)
-            if not is_successful(changes):
-                break
-            self._mark_available()
-            revision = changes.unwrap().revision
-            self._note_revision(revision)
-            self._on_changes(changes.unwrap().entries)
-        if changes.failure().code == HISTORY_LOST:
-            log(Event.HISTORY_LOST, kind=self._kind.value, revision=revision)
-        else:
-            log(Event.WATCH_FAILED, kind=self._kind.value, error=str(changes.failure()))
-            await self._backoff.sleep()
-
-    def _mark_available(self) -> None:
-        self._backoff.reset()
-        if not self._available:
-            self._available = True
-            log(Event.PLATFORM_AVAILABLE, kind=self._kind.value)
-
-    def _mark_unavailable(self, error: PlatformError) -> None:
-        self._on_unavailable()
-        if self._available:
-            self._available = False
-            log(Event.PLATFORM_UNAVAILABLE, kind=self._kind.value, error=str(error))
-
-
 class PlatformFeed:
     """Calls `apply` with each new document, and `update_hosts` with each list of entry hosts."""
 
@@ -165,6 +59,7 @@
         "_era",
         "_own_host",
         "_platform",
+        "_registered_s",
         "_restored",
         "_rng",
         "_update_hosts",
@@ -193,11 +88,13 @@
         self._update_hosts = update_hosts
         # Waits until this host becomes a hub.
         self._wait_became_hub = wait_became_hub
-        self._backoff = _Backoff(rng)
+        self._backoff = Backoff(rng)
         self._changed = trio.Event()
         # Era of the last revision, -1 before the first.
         self._era = -1
         self._restored = trio.Event()
+        # Time at which this host registered or found itself listed.
+        self._registered_s = 0.0
         self.host_list_attempted = trio.Event()
 
     async def run(self) -> None:
@@ -248,6 +145,7 @@
                 registered = is_successful(await self._platform.register_host(self._own_host()))
                 if registered:
                     await trio.sleep(self._watch_settings.bootstrap_wait_s)
+                self._registered_s = trio.current_time()
             hosts = await self._read_hosts(listed) if registered else None
             if hosts is None:
                 self.host_list_attempted.set()
@@ -256,6 +154,8 @@
             self._backoff.reset()
             self._update_hosts(hosts)
             self.host_list_attempted.set()
+            # The store may have been restored from a copy without this host.
+            registered = any(item.host == self._own_host().host for item in hosts)
             interval_s = self._watch_settings.hosts_interval_s * self._rng.uniform(0.8, 1.2)
             # A host that becomes a hub needs the hosts of all regions.
             with trio.move_on_after(interval_s * max(1.0, len(hosts) / FULL_MESH_HOSTS)):
@@ -271,10 +171,12 @@
 
     async def _register_again(self) -> None:
         """Register this host when the store was restored from a copy without its registration."""
-        backoff = _Backoff(self._rng)
+        backoff = Backoff(self._rng)
         while True:
             await self._restored.wait()
             self._restored = trio.Event()
+            if trio.current_time() - self._registered_s > RECENTLY_S:
+                continue
             await trio.sleep(RESTORED_DELAY_S * self._rng.random())
             while True:
                 listed = await self._list_region(self._own_host().region)
--- a/tests/test_platform_feed.py
+++ b/tests/test_platform_feed.py
@@ -6,7 +6,7 @@
 import trio
 from returns.result import Failure, Result, Success
 
-from dotterelstand.process.discovery.platformfeed import ListWatcher
+from dotterelstand.process.discovery.listwatcher import ListWatcher
 from dotterelstand.process.discovery.registry import (
     HISTORY_LOST,
     REFUSED,
