--- a/src/dotterelstand/process/discovery/proofs.py
+++ b/src/dotterelstand/process/discovery/proofs.py
@@ -27,14 +27,19 @@
 MAX_WITHOUT_PROOF = 2
 # Hubs of other regions that a hub asks in one round.
 MAX_OTHER_REGIONS = 2
-# Shortest and longest pause in seconds after a round without a later proof.
+# Shortest pause in seconds after a round without a later proof, and the longest ones while the last
+# proof still counts and afterwards.
 MIN_PAUSE_S = 0.2
 MAX_PAUSE_S = 0.8
+MAX_PAUSE_UNPROVEN_S = 1.6
 # A host calls the store itself once its proof is older than this number of intervals, after a
-# random time of at most `MAX_STORE_DELAY_S`, and then at random intervals.
+# random time of at most `MAX_STORE_DELAY_S`. The pause after a call without a proof is at least
+# `MIN_STORE_PAUSE_S` and doubles up to `MAX_STORE_PAUSE_S`, since refused calls are billed and the
+# relays notice first when the store answers again.
 STORE_INTERVALS = 2.0
 MAX_STORE_DELAY_S = 0.8
-STORE_PAUSE_S = (2.0, 3.0)
+MIN_STORE_PAUSE_S = 2.0
+MAX_STORE_PAUSE_S = 8.0
 # Maximum number of requests whose answers may still arrive.
 MAX_OPEN_REQUESTS = 8
 
@@ -65,6 +70,7 @@
         "_prove",
         "_rng",
         "_store_call_at",
+        "_store_pause_s",
         "_trust",
         "_was_proven",
     )
@@ -98,6 +104,7 @@
         self._answered = trio.Event()
         self._pause_s = MIN_PAUSE_S
         self._store_call_at: float | None = None
+        self._store_pause_s = MIN_STORE_PAUSE_S
         mesh.subscribe(ProofRequest, self._on_request)
         mesh.subscribe(Proof, self._on_proof)
         mesh.subscribe(Beat, self._on_beat)
@@ -133,12 +140,14 @@
                 self._report()
                 await trio.sleep(wait_s)
             elif await self._renew():
-                self._pause_s, self._store_call_at = MIN_PAUSE_S, None
+                self._pause_s, self._store_pause_s = MIN_PAUSE_S, MIN_STORE_PAUSE_S
+                self._store_call_at = None
             else:
                 self._report()
                 with trio.move_on_after(self._pause_s * self._rng.uniform(0.5, 1.0)):
                     await self._changed.wait()
-                self._pause_s = min(MAX_PAUSE_S, 2 * self._pause_s)
+                longest_s = MAX_PAUSE_S if self.is_proven() else MAX_PAUSE_UNPROVEN_S
+                self._pause_s = min(longest_s, 2 * self._pause_s)
 
     async def _renew(self) -> bool:
         """Ask the hubs, then call the store if the proof is old; whether there is a recent one."""
@@ -167,7 +176,8 @@
         if self._store_call_at is None:
             self._store_call_at = now + self._rng.uniform(0.0, MAX_STORE_DELAY_S)
         if now >= self._store_call_at:
-            self._store_call_at = now + self._rng.uniform(*STORE_PAUSE_S)
+            self._store_call_at = now + self._store_pause_s * self._rng.uniform(1.0, 1.5)
+            self._store_pause_s = min(MAX_STORE_PAUSE_S, 2 * self._store_pause_s)
             await self._prove()
 
     def _is_recent(self) -> bool:
--- a/src/dotterelstand/process/discovery/relayedplatform.py
+++ b/src/dotterelstand/process/discovery/relayedplatform.py
@@ -251,7 +251,8 @@
 
     async def _check_store(self) -> None:
         call = None
-        if self._proofs is not None and self._role.proves:
+        # After a failure, a check at a tenth of the price shows first whether the store answers.
+        if self._proofs is not None and self._role.proves and not self._checks.last_failed:
             call = self._proofs.due_call(self._known_revisions[Kind.CONFIGURATION])
         answers = await self._checks.check(call)
         if not answers:
--- a/src/dotterelstand/process/discovery/storechecks.py
+++ b/src/dotterelstand/process/discovery/storechecks.py
@@ -25,13 +25,15 @@
 class StoreChecks:
     """Makes the checks of one host and keeps their results."""
 
-    __slots__ = ("_answered", "_failed_until", "_metrics", "_platform")
+    __slots__ = ("_answered", "_failed_until", "_metrics", "_platform", "last_failed")
 
     def __init__(self, platform: Platform, metrics: Metrics) -> None:
         self._platform = platform
         self._metrics = metrics
         self._failed_until = -math.inf
         self._answered = trio.Event()
+        # Whether the last check failed, however long ago.
+        self.last_failed = False
 
     def is_failing(self, now: float) -> bool:
         """Whether a check failed recently, so that other hosts take this relay's place."""
@@ -49,6 +51,7 @@
             else:
                 answers = (await call()).value_or(False)
         self._metrics.count("platform.checks")
+        self.last_failed = not answers
         if answers:
             self._answered.set()
             self._answered = trio.Event()
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -174,7 +174,8 @@
         assert len(fleet.unproven()) == len(fleet.hosts)
         await trio.sleep(10.0)
         calls = counters(fleet)["platform.proof_calls"] - before["platform.proof_calls"]
-        assert calls <= 15 / 2 * len(fleet.hosts)
+        # Each host calls three times, and a relay once more before it knows that it is refused.
+        assert calls <= 4 * len(fleet.hosts)
         fleet.store.refused.clear()
         await trio.sleep(4.0)
         assert not fleet.unproven()
