--- a/src/dotterelstand/platform/client.py
+++ b/src/dotterelstand/platform/client.py
@@ -112,7 +112,7 @@
             revision = int(body["currentRev"])
             if era_of(revision) < self._era.current:
                 return Failure(_lost_history("a list of an earlier era of the store"))
-            self._era.adopt(era_of(revision))
+            self._adopt_era(revision)
             return _build_listing(kind, list(body["items"]), revision, encoded)
         except DECODE_ERRORS as error:
             return Failure(PlatformError(UNREADABLE, repr(error)))
@@ -141,7 +141,7 @@
         A watch from a revision of an earlier era fails without a call, and an open one when the
         era increases, since the store has assigned its revisions again.
         """
-        self._era.adopt(era_of(revision))
+        self._adopt_era(revision)
         if era_of(revision) != self._era.current:
             return Failure(_lost_history("a revision of an earlier era of the store"))
         wait_ms = min(MAX_WATCH_MS, int(wait_s * 1000))
@@ -218,12 +218,24 @@
         finally:
             if connection is not None:
                 self._connections.release(connection)
-        if not self._era.observe(answer.headers.get(ERA_HEADER), era):
+        before = self._era.current
+        usable = self._era.observe(answer.headers.get(ERA_HEADER), era)
+        self._end_watches(before)
+        if not usable:
             return Failure(_lost_history("a response of an earlier era of the store"))
+        return _parse_status(answer)
+
+    def _adopt_era(self, revision: int) -> None:
+        """Learn the era from a revision that another entry host received."""
+        before = self._era.current
+        self._era.adopt(era_of(revision))
+        self._end_watches(before)
+
+    def _end_watches(self, era: int) -> None:
+        """End the open watches if they began in `era` and it is over."""
         if self._era.current != era:
             for scope in self._open_watches:
                 scope.cancel()
-        return _parse_status(answer)
 
 
 def _lost_history(reason: str) -> PlatformError:
--- a/tests/test_store_era.py
+++ b/tests/test_store_era.py
@@ -16,7 +16,7 @@
 from dotterelstand.platform.decode import parse_target
 from dotterelstand.platform.era import StoreEra
 from dotterelstand.process.discovery.catalogue import Catalogue, ServiceDefaults
-from dotterelstand.process.discovery.registry import HISTORY_LOST, Entry, Kind, era_of
+from dotterelstand.process.discovery.registry import ERA_SHIFT, HISTORY_LOST, Entry, Kind, era_of
 from dotterelstand.standin.httpd import serve_http
 from dotterelstand.standin.network import FakeNetwork
 from dotterelstand.standin.virtual import run_virtual
@@ -109,8 +109,10 @@
     run_client(scenario)
 
 
-@pytest.mark.parametrize("call", ["list", "watch"])
-def test_late_answer_of_an_earlier_era_is_not_used(call: str) -> None:
+@pytest.mark.parametrize(
+    ("call", "told_by"), [("list", "store"), ("watch", "store"), ("watch", "host")]
+)
+def test_late_answer_of_an_earlier_era_is_not_used(call: str, told_by: str) -> None:
     """Guards against a document of the earlier era that looks newer than the restored one."""
 
     async def scenario(client: PlatformClient, store: MetadataStore) -> None:
@@ -131,7 +133,11 @@
             await trio.sleep(0.1)
             store.hold = None
             store.restore(copy, "2")
-            assert is_successful(await client.check())
+            if told_by == "store":
+                assert is_successful(await client.check())
+            else:
+                listed = b'{"items": [], "currentRev": %d}' % (2 << ERA_SHIFT)
+                assert is_successful(client.parse_list(Kind.CONFIGURATION, listed))
             await trio.sleep(0.01)
             # An open watch would otherwise wait for changes that the store has already made.
             assert bool(results) is (call == "watch")
