--- a/src/dotterelstand/process/discovery/evacuationfeed.py
+++ b/src/dotterelstand/process/discovery/evacuationfeed.py
@@ -8,7 +8,7 @@
 from dotterelstand.events import Event, log
 from dotterelstand.process.discovery.catalogue import Catalogue
 from dotterelstand.process.discovery.evacuations import Evacuations, ZoneChange
-from dotterelstand.process.discovery.platformfeed import ListWatcher
+from dotterelstand.process.discovery.listwatcher import ListWatcher
 from dotterelstand.process.discovery.registry import Entry, Item, Kind, ObjectLists
 from dotterelstand.process.telemetry.metrics import Metrics
 
--- a/tests/platform_support.py
+++ b/tests/platform_support.py
@@ -43,7 +43,6 @@
 [metrics]
 served = true
 address = "{address}"
-{extra}
 """
 
 
@@ -57,8 +56,9 @@
         entries: int = 1,
         health_interval_s: float = 0.0,
         stop_limit_s: float = 0.0,
-        extra: str = "",
+        settings: str = "",
     ) -> None:
+        self._settings = settings
         self.network = FakeNetwork(lambda one, other: LATENCY_S)
         self.store = MetadataStore()
         self.instances = [Instance(f"i-{index}") for index in range(instances)]
@@ -68,7 +68,6 @@
         self._health_interval_s = health_interval_s
         self._stop_limit_s = stop_limit_s
         # Further sections of the settings.
-        self._extra = extra
         self._requests = 0
 
     @property
@@ -100,12 +99,12 @@
             platform=PLATFORM,
             health_interval_s=self._health_interval_s,
             stop_limit_s=self._stop_limit_s,
-            extra=self._extra,
         )
         daemon = Daemon(
-            parse_settings(text, "test").unwrap(),
+            parse_settings(text + self._settings, "test").unwrap(),
             self.network.at(address),
             seeded_random(self._seed, f"daemon {index}"),
+            clock=trio.current_time,
         )
         self.daemons.append(daemon)
         self.nursery.start_soon(daemon.run)
--- a/tests/test_deploy_template.py
+++ b/tests/test_deploy_template.py
@@ -42,3 +42,21 @@
     """Guards against store calls for evacuations on a platform without them, and the reverse."""
     text = render(TEMPLATE.read_text(encoding="utf-8"), FIELDS | {"bounds": BOUNDS | given})
     assert parse_settings(text, "deploy").unwrap().flag("evacuation", "enabled") is enabled
+
+
+@pytest.mark.parametrize(
+    ("given", "strict", "limit_s"),
+    [
+        ({"strictRevocation": True, "revokeS": 6}, True, 6.0),
+        ({"strictRevocation": False, "revokeS": 6}, False, 5.0),
+        ({}, False, 5.0),
+    ],
+)
+def test_strict_revocation_may_be_left_out(
+    given: dict[str, Any], strict: bool, limit_s: float
+) -> None:
+    """Guards against proofs that are required, or left out, against the platform's bounds."""
+    text = render(TEMPLATE.read_text(encoding="utf-8"), FIELDS | {"bounds": BOUNDS | given})
+    settings = parse_settings(text, "deploy").unwrap()
+    assert settings.flag("access", "strict_revocation") is strict
+    assert settings.number("access", "revocation_limit_s") == limit_s
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -104,7 +104,7 @@
     host = _Host()
     host.replace(0.0, "local-2")
     restored_at = 10.0
-    host.catalogue.mark_store_restored(restored_at)
+    host.catalogue.mark_restored(restored_at)
     host.replace(restored_at + missing_at)
     host.evacuations.end("local-2", restored_at + missing_at)
     seen = ["local-2" not in host.targets()]
@@ -210,7 +210,7 @@
         assert len(returning.runs) > WARMUP_PER_S * 1.5 + 8
 
     with EventCollector() as lines:
-        run_on_platform(scenario, entries=5, health_interval_s=0.1, extra=ENABLED)
+        run_on_platform(scenario, entries=5, health_interval_s=0.1, settings=ENABLED)
     for event in (Event.ZONE_EVACUATED, Event.ZONE_RETURNED, Event.TARGET_WARM):
         assert lines.lines_of(event)
 
@@ -227,4 +227,4 @@
         calls = [call for call in fleet.store.calls if "evacuations" in call]
         assert len(calls) <= most_calls, calls
 
-    run_on_platform(scenario, entries=6, extra=extra)
+    run_on_platform(scenario, entries=6, settings=extra)
