--- a/src/dotterelstand/connection/caller.py
+++ b/src/dotterelstand/connection/caller.py
@@ -1,26 +1,22 @@
 """One HTTP/1.1 connection from a caller."""
 
-from collections import deque
-
-import h11
 import trio
 
 from dotterelstand.codes import Result as ResultCode
+from dotterelstand.connection.callerhead import HeadReader, ParsedHead
+from dotterelstand.connection.callerinput import CallerInput
 from dotterelstand.connection.callerlimits import MAX_LEFT_OVER_BYTES, CallerLimits
-from dotterelstand.connection.callerrequest import CallerRequest
+from dotterelstand.connection.callerrequest import (
+    CallerRequest,
+    has_begun_answer,
+    make_request,
+    serving_stage,
+)
 from dotterelstand.connection.handover import Handover
-from dotterelstand.connection.headcheck import check_raw_head, find_head_end
+from dotterelstand.connection.memorybudget import Stage
 from dotterelstand.connection.network import enlarge_send_buffer
-from dotterelstand.connection.target import READ_BYTES, abort_now, close_now, has_hung_up, has_input
+from dotterelstand.connection.target import abort_now, close_now, has_input
 from dotterelstand.request.fields import DEFAULT_FIELDS, HeaderFields
-from dotterelstand.request.head import RequestHead, parse_head
-
-# Maximum number of received bytes that are not yet consumed; beyond it, reading pauses.
-READ_AHEAD_BYTES = 65536
-# Seconds between two checks whether the caller has disconnected, while reading pauses.
-HANG_UP_CHECK_S = 0.1
-# Maximum number of bytes that are read and dropped before the connection is closed.
-MAX_LINGER_BYTES = 1_048_576
 
 
 class CallerConnection:
@@ -28,22 +24,19 @@
 
     __slots__ = (
         "_awaits_request",
-        "_buffered_bytes",
         "_closes_when_idle",
-        "_fields",
+        "_drops_input",
+        "_heads",
         "_inbox",
-        "_inbox_readers",
-        "_inbox_space",
         "_last_answered",
         "_latest_request",
-        "_left_over",
         "_limits",
+        "_lingers",
         "_output_ended",
         "_quiet",
         "_reading",
         "_serving",
         "_stream",
-        "_unparsed",
         "aborted",
         "caller_left",
         "closing",
@@ -51,6 +44,9 @@
         "ended_by",
         "handover",
         "last_received_s",
+        "memory",
+        "received_bytes",
+        "since_s",
         "undelivered",
         "unserved",
     )
@@ -60,30 +56,28 @@
     ) -> None:
         self._stream = stream
         self._limits = limits
-        self._fields = fields
-        # Received pieces with their time of arrival.
-        self._inbox: deque[tuple[float, bytes]] = deque()
-        self.last_received_s = trio.current_time()
-        self._buffered_bytes = 0
+        self.memory = limits.memory.open(self)
+        self._inbox = CallerInput(stream, self.memory)
+        self.last_received_s: float = trio.current_time()
+        self.since_s = self.last_received_s
+        self.received_bytes = 0
         self._latest_request: CallerRequest | None = None
         self._serving: set[CallerRequest] = set()
         # Request whose answer was encoded with `connection: close`; no later one is answered.
         self._last_answered: CallerRequest | None = None
-        self._output_ended = self._closes_when_idle = False
+        self._output_ended = self._closes_when_idle = self._lingers = False
         # Whether no input was left when the connection was to end, and the scope of the reads.
         self._quiet = False
         self._reading = trio.CancelScope()
-        self._unparsed = bytearray()
-        self._inbox_readers = trio.lowlevel.ParkingLot()
-        self._inbox_space = trio.lowlevel.ParkingLot()
+        self._heads = HeadReader(limits, fields, self.memory)
+        # Whether input was dropped for lack of memory, so that no more of it can be used.
+        self._drops_input = self._awaits_request = False
         self.aborted = self.closing = self.disconnected = False
         # Whether the caller had left before the connection was reset, or while bytes were sent.
         self.caller_left = False
         # Request whose answer ended the connection: it was truncated or announced the close.
         self.ended_by: CallerRequest | None = None
-        self._awaits_request = False
-        self._left_over = b""
-        self.handover = Handover()
+        self.handover: Handover = Handover()
         # Requests that ended before their answer was delivered.
         self.undelivered: list[CallerRequest] = []
         # Request that was read behind an answer that closes the connection.
@@ -114,8 +108,8 @@
         """Input at the end of the connection that belongs to requests that were not read."""
         if self._last_answered is not None and self._last_answered.ends_in_input:
             return b""
-        received = [bytes(self._unparsed), self._left_over, *(data for _, data in self._inbox)]
-        return b"".join(received)[:MAX_LEFT_OVER_BYTES]
+        received = self._heads.unparsed + self._inbox.left_over + self._inbox.data
+        return received[:MAX_LEFT_OVER_BYTES]
 
     @property
     def is_new(self) -> bool:
@@ -127,6 +121,17 @@
         """Number of requests that are being served."""
         return len(self._serving)
 
+    @property
+    def stage(self) -> Stage:
+        """What the connection is doing, for the choice of whom to refuse for lack of memory."""
+        if self.disconnected or self._lingers:
+            return Stage.ENDING
+        if self._serving:
+            return serving_stage(self._serving)
+        if self._awaits_request and not self._inbox:
+            return Stage.IDLE
+        return Stage.ENDING if self.will_close else Stage.ARRIVING
+
     @property
     def latest_limit_s(self) -> float:
         """Latest time limit of the requests that are being served."""
@@ -141,36 +146,30 @@
             # A read that was cancelled holds no input, unlike one that is about to return.
             self._reading = trio.CancelScope()
             self._quiet = not self._inbox and not has_input(self._stream)
-            self._inbox_readers.unpark_all()
+            self._inbox.readers.unpark_all()
         # A half-closed connection counts as closed, since HTTP has no other sign of a disconnect.
         self.disconnected = True
-        self._inbox_readers.unpark_all()
+        self._inbox.readers.unpark_all()
         for request in list(self._serving):
             if request.on_disconnect is not None:
                 request.on_disconnect()
 
     async def _read_until_disconnect(self) -> None:
-        while await self._wait_for_inbox_space():
+        while await self._inbox.wait_for_space():
             try:
-                data = bytes(await self._stream.receive_some(READ_BYTES))
+                # A cautious size while idle bounds what many connections read in the same moment.
+                size = self.memory.budget.read_bytes(self._awaits_request)
+                data = bytes(await self._stream.receive_some(size))
             except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
                 self.handover.note_error(error)
                 return
             if not data:
                 return
-            self._inbox.append((trio.current_time(), data))
-            self._buffered_bytes += len(data)
-            self._inbox_readers.unpark_all()
-
-    async def _wait_for_inbox_space(self) -> bool:
-        """Wait until more input may be read; False if the caller has disconnected meanwhile."""
-        while self._buffered_bytes >= READ_AHEAD_BYTES:
-            # The end of the stream is behind input that is not read now.
-            if has_hung_up(self._stream):
-                return False
-            with trio.move_on_after(HANG_UP_CHECK_S):
-                await self._inbox_space.park()
-        return True
+            now = trio.current_time()
+            if self._awaits_request and not self._inbox:
+                self.since_s, self.received_bytes = now, 0
+            self.received_bytes += len(data)
+            self._inbox.append(data, now)
 
     async def next_request(self) -> CallerRequest | ResultCode | None:
         """Next request, the code of its refusal, or None if the connection ends.
@@ -180,10 +179,12 @@
         """
         if self.will_close and not self._serving:
             return None
-        if not self._unparsed and not await self._wait_for_data():
-            return None
+        self.since_s = trio.current_time()
+        self.received_bytes = len(self._heads) + self._inbox.received_bytes
+        if not self._heads and not await self._wait_for_data():
+            return self._refusal_code()
         # Most heads arrive in one piece, and this search costs less than a cancel scope.
-        if find_head_end(self._unparsed, 0) >= 0:
+        if self._heads.has_whole_head:
             return await self._read_head()
         with trio.move_on_after(self._limits.bounds.head_timeout_s):
             return await self._read_head()
@@ -192,10 +193,13 @@
     def begin(self, request: CallerRequest) -> None:
         """Start to serve a request; `end` must follow."""
         self._serving.add(request)
+        request.hold_head()
 
     def end(self, request: CallerRequest) -> None:
         """Stop serving a request, whether it was answered or not."""
         self._serving.discard(request)
+        # An idle connection refers to the head of its last request.
+        request.release_memory(keep_head=request is self._latest_request)
         if request.is_delivered:
             # An idle connection must not keep the body and the attempts of its last request.
             request.write_decisions = None
@@ -203,7 +207,7 @@
         else:
             self.undelivered.append(request)
         request.ended.set()
-        self._inbox_readers.unpark_all()
+        self._inbox.readers.unpark_all()
 
     async def wait_for_others(self, request: CallerRequest | None) -> None:
         """Wait until all requests other than `request` have ended."""
@@ -217,7 +221,7 @@
 
     def make_unread_request(self) -> CallerRequest:
         """Make a placeholder for a request that could not be read, to send its refusal."""
-        return self._make_request(self._new_h11(), b"", None, b"")
+        return self._make_request(self._heads.unread())
 
     def closes_after(self, request: CallerRequest) -> bool:
         """Whether the answer to a request must announce that the connection closes.
@@ -235,7 +239,7 @@
 
     def push_back(self, data: bytes) -> None:
         """Keep the bytes that follow a request's body as input for the next head."""
-        self._unparsed = bytearray(data)
+        self._heads.push_back(data)
 
     async def send(self, data: bytes) -> None:
         """Send encoded bytes.
@@ -275,7 +279,7 @@
         requests ends the connection when it has asked the one that reads.
         """
         self._closes_when_idle = True
-        self._inbox_readers.unpark_all()
+        self._inbox.readers.unpark_all()
         return self.is_idle()
 
     async def end_output(self, request: CallerRequest) -> None:
@@ -294,6 +298,7 @@
         Closing a socket with unread input resets the connection, which can discard the answer.
         The caller may still send a body or pipelined requests.
         """
+        self._lingers = True
         if self.aborted or self.disconnected:
             return
         if isinstance(self._stream, trio.SocketStream):
@@ -302,17 +307,10 @@
             except trio.BrokenResourceError:
                 # The caller has reset the connection and reads nothing more.
                 return
-        dropped = 0
-        with trio.CancelScope(deadline=self.handover.last_sent_s + self._limits.linger_s):
-            while dropped < MAX_LINGER_BYTES:
-                while not self._inbox:
-                    if self.disconnected:
-                        return
-                    await self._inbox_readers.park()
-                data = self._take_input()
-                dropped += len(data)
-                if len(self._left_over) < MAX_LEFT_OVER_BYTES:
-                    self._left_over += data
+        with self.memory.lingering() as allowed, trio.CancelScope() as scope:
+            scope.deadline = self.handover.last_sent_s + self._limits.linger_s
+            if allowed:
+                await self._inbox.drop_until(lambda: self.disconnected)
 
     def abort(self, request: CallerRequest) -> None:
         """Reset the connection, so that the truncated answer to `request` cannot look complete."""
@@ -322,79 +320,81 @@
         self.aborted = self.closing = self.disconnected = True
         abort_now(self._stream)
 
+    def refuse_for_memory(self) -> None:
+        """Drop unread input, refuse requests without an answer and end the connection."""
+        stage = self.stage
+        self.closing = True
+        if stage is Stage.IDLE:
+            self.close_when_idle()
+            return
+        self._drops_input = True
+        self._inbox.clear()
+        if self._latest_request and (stage is Stage.BUSY or has_begun_answer(self._serving)):
+            self.abort(self._latest_request)
+        for request in list(self._serving):
+            request.refuse_for_memory()
+        self._inbox.readers.unpark_all()
+
+    def release_memory(self) -> None:
+        """Drop what is held when the connection has ended; its cycles are freed much later."""
+        self._inbox.clear()
+        self._heads.push_back(b"")
+        self._latest_request = None
+        self.undelivered.clear()
+        self.memory.close()
+
     def close(self) -> None:
         """Close the connection at once."""
         close_now(self._stream)
 
-    def _new_h11(self) -> h11.Connection:
-        max_bytes = self._limits.bounds.max_head_bytes
-        return h11.Connection(h11.SERVER, max_incomplete_event_size=max_bytes)
+    def _refusal_code(self) -> ResultCode | None:
+        """Code with which to refuse a request that has not arrived completely."""
+        return ResultCode.HOST_MEMORY_FULL if self._drops_input and not self._serving else None
 
     async def _wait_for_data(self) -> bool:
         if self._inbox:
-            self._unparsed += await self.receive()
+            self._heads.append(await self.receive())
             return True
         self._awaits_request = True
+        self.since_s = trio.current_time()
         while True:
             with trio.move_on_after(self._limits.bounds.idle_timeout_s):
                 data = await self.receive()
                 self._awaits_request = False
-                self._unparsed += data
+                self._heads.append(data)
                 return bool(data)
             if not self._serving:
                 self.closing = self._closes_when_idle = True
 
     async def _read_head(self) -> CallerRequest | ResultCode | None:
-        searched = 0
-        while (end := find_head_end(self._unparsed, searched)) < 0:
-            searched = len(self._unparsed)
-            if searched > self._limits.bounds.max_head_bytes:
-                return ResultCode.HEAD_TOO_LARGE
-            data = await self.receive()
-            if not data:
-                return None
-            self._unparsed += data
-        if end > self._limits.bounds.max_head_bytes:
-            return ResultCode.HEAD_TOO_LARGE
-        if not check_raw_head(bytes(self._unparsed[:end])):
-            return ResultCode.BAD_REQUEST
-        return self._parse_head()
-
-    def _parse_head(self) -> CallerRequest | ResultCode:
-        received = bytes(self._unparsed)
-        self._unparsed.clear()
-        parsed = parse_head(self._new_h11(), received, self._fields, self.max_body_bytes)
+        parsed = await self._heads.read(self.receive)
         if isinstance(parsed, ResultCode):
             return parsed
-        state, method, head = parsed
+        if parsed is None:
+            return self._refusal_code()
         # Time limits count from the arrival of the head; a pipelined head may be parsed much later.
-        head.arrived_s = self.last_received_s
-        if not head.has_body() and state.their_state is h11.SEND_BODY:
-            state.next_event()
-            self.push_back(bytes(state.trailing_data[0]))
-        return self._make_request(state, method, head, received)
-
-    def _make_request(
-        self, state: h11.Connection, method: bytes, head: RequestHead | None, received: bytes
-    ) -> CallerRequest:
-        previous_ended = self._latest_request.ended if self._latest_request is not None else None
-        self._latest_request = CallerRequest(self, state, method, head, previous_ended, received)
+        assert parsed.head is not None
+        parsed.head.arrived_s = self.last_received_s
+        return self._make_request(parsed)
+
+    def _make_request(self, parsed: ParsedHead) -> CallerRequest:
+        self._latest_request = make_request(self, parsed, self._latest_request)
         return self._latest_request
 
     async def receive(self) -> bytes:
         """Next received bytes; empty after a disconnect or if no further request is served."""
-        while not self._inbox:
+        while self._drops_input or not self._inbox:
+            if self._drops_input:
+                return b""
             if self.disconnected or (self.will_close and not self._serving):
                 return b""
             if self._closes_when_idle and self._awaits_request and not self._serving:
                 if self._quiet:
                     return b""
                 self._reading.cancel()
-            await self._inbox_readers.park()
+            await self._inbox.readers.park()
         return self._take_input()
 
     def _take_input(self) -> bytes:
-        self.last_received_s, data = self._inbox.popleft()
-        self._buffered_bytes -= len(data)
-        self._inbox_space.unpark_all()
+        self.last_received_s, data = self._inbox.take()
         return data
--- a/src/dotterelstand/connection/callerrequest.py
+++ b/src/dotterelstand/connection/callerrequest.py
@@ -1,18 +1,20 @@
 """One request on a caller connection: reading its body and sending its answer."""
 
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import TYPE_CHECKING
 
 import h11
 import trio
 
 from dotterelstand.codes import Result as ResultCode
+from dotterelstand.connection.memorybudget import HEADER_BYTES, REQUEST_BYTES, Stage
 from dotterelstand.request.fields import RESULT_HEADER, RUN_HEADER
 from dotterelstand.request.head import Headers, RequestHead
 
 if TYPE_CHECKING:
     from dotterelstand.connection.caller import CallerConnection
+    from dotterelstand.connection.callerhead import ParsedHead
 
 # Maximum number of bytes of an answer that are buffered until the answers to earlier pipelined
 # requests have been sent; beyond it, reading from the target pauses.
@@ -52,6 +54,10 @@
         "_connection",
         "_follows_unread",
         "_h11",
+        "_head_cost_bytes",
+        "_held_bytes",
+        "_in_hand_bytes",
+        "_is_chunked",
         "_method",
         "_piece",
         "_previous_ended",
@@ -60,11 +66,14 @@
         "_unsent",
         "answer_started",
         "ended",
+        "has_slot",
         "head",
         "last_limit_s",
         "limit_s",
         "on_disconnect",
+        "on_memory_full",
         "on_stop",
+        "refused_for_memory",
         "retry_after_s",
         "sent_bytes",
         "write_decisions",
@@ -78,10 +87,13 @@
         head: RequestHead | None,
         previous_ended: trio.Event | None,
         received: bytes,
+        head_bytes: int = 0,
     ) -> None:
         self._connection = connection
-        # Latest piece given to h11, which begins with the head, and the last bytes before it.
-        self._piece = received
+        self._is_chunked = head is not None and head.has_body() and head.declared_length() is None
+        # Latest piece of a chunked request given to h11, which begins with the head, and the last
+        # bytes before it.
+        self._piece = received if self._is_chunked else b""
         self._before_piece = b""
         self._ambiguous_end = False
         self._h11 = state
@@ -94,6 +106,15 @@
         )
         self.head = head
         self._unsent = b""
+        # Bytes held for this request, and those of them in the piece that is being consumed.
+        lines = received.count(b"\n", 0, head_bytes)
+        self._head_cost_bytes = head_bytes + lines * HEADER_BYTES
+        self._held_bytes = self._in_hand_bytes = 0
+        if head is not None and head.has_body():
+            self._in_hand_bytes = len(received) - head_bytes
+        # Whether a slot was granted, so that the request ends soon.
+        self.has_slot = False
+        self.refused_for_memory = False
         # Bytes of the body received so far.
         self._received_bytes = 0
         # Whether a call that sends bytes has not ended, or failed.
@@ -105,6 +126,7 @@
         self.ended = trio.Event()
         self.on_disconnect: Callable[[], object] | None = None
         self.on_stop: Callable[[], object] | None = None
+        self.on_memory_full: Callable[[], object] | None = None
         # Seconds after which the caller may retry if the request is refused; None for the default
         # of the result code.
         self.retry_after_s: float | None = None
@@ -172,11 +194,45 @@
             return "sending"
         return "waiting" if self._unsent else "delivered"
 
+    def hold(self, size: int) -> None:
+        """Count bytes that are held for this request, or no longer held if negative.
+
+        The connection, or the request, may be refused if there is not enough memory.
+        """
+        self._held_bytes += size
+        if size > 0:
+            self._connection.memory.hold(size, trio.current_time())
+        else:
+            self._connection.memory.release(-size)
+
+    def hold_head(self) -> None:
+        """Count the memory that the request takes, with its head and the piece behind it."""
+        self.hold(REQUEST_BYTES + self._head_cost_bytes + self._in_hand_bytes)
+
+    def release_memory(self, keep_head: bool = False) -> None:
+        """Hold and count nothing any more for this request, which has ended, except its head."""
+        self.hold(self._head_cost_bytes * keep_head - self._held_bytes)
+        self._piece = b""
+
+    def refuse_for_memory(self) -> None:
+        """Refuse the request unless it is whole and has a slot; end it if a target may run it."""
+        if self.has_slot and not self.ends_in_input:
+            return
+        self.refused_for_memory = True
+        if self.on_memory_full is not None:
+            self.on_memory_full()
+
+    def _hold_in_hand(self, size: int) -> None:
+        change, self._in_hand_bytes = size - self._in_hand_bytes, size
+        self.hold(change)
+
     async def next_body(self) -> bytes | None:
         """Next piece of the request body, or None at its end; raises `BodyError`."""
         if self._ambiguous_end:
             raise BodyError(ResultCode.BAD_REQUEST)
         while True:
+            if self.refused_for_memory:
+                raise BodyError(ResultCode.HOST_MEMORY_FULL)
             try:
                 event = self._h11.next_event()
             except h11.RemoteProtocolError:
@@ -189,6 +245,7 @@
             if isinstance(event, h11.EndOfMessage):
                 rest = bytes(self._h11.trailing_data[0])
                 self._check_end(len(rest))
+                self._hold_in_hand(0)
                 self._connection.push_back(rest)
                 return None
             if event is not h11.NEED_DATA:
@@ -199,19 +256,25 @@
                 with trio.CancelScope(shield=True) as scope:
                     scope.deadline = trio.current_time() + INTERIM_SEND_TIMEOUT_S
                     await self.send(self._h11.send(informational) or b"")
+            # A caller that stops here must not keep the whole piece in memory.
+            self._before_piece, self._piece = (self._before_piece + self._piece[-4:])[-4:], b""
+            self._hold_in_hand(0)
             with trio.move_on_after(self._connection.body_idle_timeout_s):
                 data = await self._connection.receive()
                 if not data:
-                    raise BodyError(ResultCode.BAD_REQUEST)
-                self._before_piece = (self._before_piece + self._piece[-4:])[-4:]
-                self._piece = data
+                    full = self.refused_for_memory
+                    code = ResultCode.HOST_MEMORY_FULL if full else ResultCode.BAD_REQUEST
+                    raise BodyError(code)
+                self._hold_in_hand(len(data))
+                if self._is_chunked:
+                    self._piece = data
                 self._h11.receive_data(data)
                 continue
             raise BodyError(ResultCode.CALLER_TOO_SLOW)
 
     def _check_end(self, unread: int) -> None:
         """Raise `BodyError` if parsers may disagree on where the chunked body ended."""
-        if self.head is None or self.head.declared_length() is not None:
+        if not self._is_chunked:
             return
         end = len(self._piece) - unread
         last = (self._before_piece + self._piece[max(0, end - 4) : end])[-4:]
@@ -249,6 +312,7 @@
         Raises `trio.BrokenResourceError` if the caller has disconnected.
         """
         self._unsent += data
+        self.hold(len(data))
         if self._previous_ended is not None and not self._previous_ended.is_set():
             # Do not wait here, or the deadline could cut off an answer that waits for earlier ones.
             if len(self._unsent) <= MAX_UNSENT_BYTES:
@@ -264,6 +328,7 @@
         self._sending = True
         await self._connection.send(data)
         self._sending = False
+        self.hold(-len(data))
         self.sent_bytes += len(data)
 
     def may_answer(self) -> bool:
@@ -302,3 +367,34 @@
         if self._follows_unread and is_framed:
             await self._connection.end_output(self)
         self._connection.abort(self)
+
+
+def make_request(
+    connection: "CallerConnection", parsed: "ParsedHead", previous: CallerRequest | None
+) -> CallerRequest:
+    """Make the request with a parsed head, behind the previous one of its connection."""
+    if previous is not None and previous.ended.is_set():
+        previous.release_memory()
+    return CallerRequest(
+        connection,
+        parsed.state,
+        parsed.method,
+        parsed.head,
+        None if previous is None else previous.ended,
+        parsed.received,
+        parsed.head_bytes,
+    )
+
+
+def serving_stage(requests: Iterable[CallerRequest]) -> Stage:
+    """Stage of a connection that serves at least one request."""
+    if any(request.ends_in_input for request in requests):
+        return Stage.ARRIVING
+    # The memory of an answer that has begun is released only by its delivery, or by a reset.
+    waits = any(not request.has_slot for request in requests) and not has_begun_answer(requests)
+    return Stage.WAITING if waits else Stage.BUSY
+
+
+def has_begun_answer(requests: Iterable[CallerRequest]) -> bool:
+    """Whether the answer to one of the requests has begun."""
+    return any(request.answer_started for request in requests)
--- a/src/dotterelstand/connection/handover.py
+++ b/src/dotterelstand/connection/handover.py
@@ -6,6 +6,7 @@
 import trio
 
 from dotterelstand.request.head import RequestHead
+from dotterelstand.request.logfields import logged_id, logged_path
 
 # Maximum number of answers of one connection that are kept; as many requests are served at once.
 MAX_ANSWERS = 8
@@ -24,13 +25,15 @@
 class HandedOverAnswer:
     """One answer, handed to the operating system at `time_s` in monotonic seconds.
 
-    `head` is that of its request, None if that could not be read.
+    `request_id` and `path` are those of its request as they are logged, which take less memory than
+    its head; empty if that could not be read.
     """
 
-    __slots__ = ("head", "sent_bytes", "time_s")
+    __slots__ = ("path", "request_id", "sent_bytes", "time_s")
 
     def __init__(self, head: RequestHead | None, sent_bytes: int, time_s: float) -> None:
-        self.head = head
+        self.request_id = logged_id(None if head is None else head.request_id)
+        self.path = "" if head is None else logged_path(head.path)
         self.sent_bytes = sent_bytes
         self.time_s = time_s
 
--- a/src/dotterelstand/events.py
+++ b/src/dotterelstand/events.py
@@ -41,6 +41,7 @@
     LOSS_JUDGED = 223
     QUARANTINE_TRIAL = 224
     ANSWER_SKIPPED = 230
+    MEMORY_FULL = 250
 
     DOCUMENT_APPLIED = 300
     DOCUMENT_REJECTED = 301
@@ -96,6 +97,7 @@
         Event.SETTINGS_READ_AGAIN,
         Event.CONTROL_FAILED,
         Event.QUARANTINE_BEGAN,
+        Event.MEMORY_FULL,
         Event.DOCUMENT_REJECTED,
         Event.DOCUMENT_UNAVAILABLE,
         Event.DOCUMENT_DAMAGED,
--- a/src/dotterelstand/process/daemon.py
+++ b/src/dotterelstand/process/daemon.py
@@ -225,7 +225,7 @@
         )
         return CallerFrontend(
             context,
-            caller_limits(settings),
+            caller_limits(settings, self.metrics),
             settings.integer("listen", "max_connections"),
             settings.integer("logs", "answered_sample"),
         )
--- a/src/dotterelstand/process/frontend.py
+++ b/src/dotterelstand/process/frontend.py
@@ -149,6 +149,7 @@
                 self._note_fault([error])
             if not connection.aborted:
                 connection.close()
+            connection.release_memory()
 
     async def _serve_requests(self, connection: CallerConnection, nursery: trio.Nursery) -> None:
         """Serve requests until the connection ends; pipelined requests may run concurrently."""
@@ -261,6 +262,8 @@
                     nursery.cancel_scope.cancel()
         except* (trio.BrokenResourceError, trio.ClosedResourceError):
             pass
+        finally:
+            connection.release_memory()
 
     async def _accept(
         self, listener: Listener, callers: trio.Nursery, accepting: trio.CancelScope
--- a/src/dotterelstand/process/limits.py
+++ b/src/dotterelstand/process/limits.py
@@ -1,19 +1,29 @@
 """Limits of connections, requests and quarantines, read from the settings."""
 
+import math
 import random
 
+import trio
+
 from dotterelstand.connection.callerlimits import CallerLimits
+from dotterelstand.connection.memorybudget import MemoryBudget
 from dotterelstand.connection.pool import PoolLimits
 from dotterelstand.process.discovery.objectadapter import parse_regions
 from dotterelstand.process.peering.peers import Peers
 from dotterelstand.process.suspects.strikes import QuarantineLimits
 from dotterelstand.process.suspects.targetchecks import CheckLimits
+from dotterelstand.process.telemetry.memoryreport import RefusalReport
 from dotterelstand.request.context import RequestLimits
+from dotterelstand.request.interfaces import Counters
 from dotterelstand.request.policy import BUDGET_WINDOW_S
 from dotterelstand.request.retryreserve import RetryReserve
 from dotterelstand.settings import Settings
 from dotterelstand.version.model import CallerBounds
 
+# Share of the host's memory that callers' connections and requests may hold. The rest is for the
+# daemon itself, which takes 40 to 70 MB, for gaps between held pieces and for the system's buffers.
+MEMORY_SHARE = 0.3
+
 
 def quarantine_limits(settings: Settings) -> QuarantineLimits:
     """Limits on strikes and quarantines."""
@@ -67,8 +77,15 @@
     )
 
 
-def caller_limits(settings: Settings) -> CallerLimits:
-    """Limits on one caller connection."""
+def memory_budget(settings: Settings, counters: Counters) -> MemoryBudget:
+    """Budget of what the connections and requests of callers hold."""
+    memory_mb = settings.integer("host", "memory_mb")
+    limit_bytes = memory_mb * 1_000_000 * MEMORY_SHARE if memory_mb else math.inf
+    return MemoryBudget(limit_bytes, RefusalReport(counters, trio.current_time))
+
+
+def caller_limits(settings: Settings, counters: Counters) -> CallerLimits:
+    """Limits on caller connections."""
     own = CallerBounds(
         settings.integer("listen", "max_head_bytes"),
         settings.integer("listen", "max_body_bytes"),
@@ -79,4 +96,5 @@
         own,
         settings.number("listen", "body_idle_timeout_s"),
         settings.number("listen", "linger_s"),
+        memory_budget(settings, counters),
     )
--- a/src/dotterelstand/request/body.py
+++ b/src/dotterelstand/request/body.py
@@ -7,17 +7,29 @@
 
 ReadPiece = Callable[[], Awaitable[bytes | None]]
 
+# Maximum length in bytes of a held piece that is returned. A piece is copied before it is sent, and
+# the copy stays in memory while the target doesn't read.
+MAX_PIECE_BYTES = 65536
+
 
 class RequestBody:
     """Request body that is read in pieces and keeps its first `limit` bytes for retries.
 
-    `read` returns the next piece, or None at the end. A lock serializes concurrent readers.
+    `read` returns the next piece, or None at the end. A lock serializes concurrent readers. `hold`
+    counts the bytes that are held.
     """
 
-    __slots__ = ("_held", "_limit", "_lock", "_read", "_unread", "complete", "length")
+    __slots__ = ("_held", "_hold", "_limit", "_lock", "_read", "_unread", "complete", "length")
 
-    def __init__(self, read: ReadPiece, has_body: bool, limit: int) -> None:
+    def __init__(
+        self,
+        read: ReadPiece,
+        has_body: bool,
+        limit: int,
+        hold: Callable[[int], None] = lambda size: None,
+    ) -> None:
         self._read = read
+        self._hold = hold
         self._limit = limit
         self._held = bytearray()
         self._unread = b""
@@ -43,12 +55,12 @@
         """
         if position < self.length:
             assert self.is_fully_held, "the part of the body already sent is no longer held"
-            return bytes(self._held[position:])
+            return self._held_piece(position)
         if self.complete or self._lock is None:
             return None
         async with self._lock:
             if position < self.length:
-                return bytes(self._held[position:])
+                return self._held_piece(position)
             return await self._read_next()
 
     async def fill(self) -> None:
@@ -56,9 +68,18 @@
         while not self.complete and self.length < self._limit:
             await self.piece_at(self.length)
 
+    def discard(self) -> None:
+        """Free the held bytes of a request that has ended, to which others may still refer."""
+        self._held = bytearray()
+        self._unread = b""
+
     def digest(self) -> bytes:
         """Digest of the held bytes; 16 bytes long."""
-        return xxhash.xxh3_128_digest(bytes(self._held))
+        return xxhash.xxh3_128_digest(self._held)
+
+    def _held_piece(self, position: int) -> bytes:
+        with memoryview(self._held) as view:
+            return bytes(view[position : position + MAX_PIECE_BYTES])
 
     async def _read_next(self) -> bytes | None:
         data, self._unread = self._unread or await self._read(), b""
@@ -70,5 +91,6 @@
             # The bytes beyond the limit are returned by the next call.
             data, self._unread = data[:room], data[room:]
             self._held += data
+            self._hold(len(data))
         self.length += len(data)
         return data
--- a/src/dotterelstand/request/exchange.py
+++ b/src/dotterelstand/request/exchange.py
@@ -75,7 +75,9 @@
         self._context = context
         self._service: Service = document.services[context.choose_service(route)]
         self._policy: ServicePolicy = context.policy(self._service)
-        self._body = RequestBody(self._read_body, head.has_body(), context.limits.held_body_bytes)
+        self._body = RequestBody(
+            self._read_body, head.has_body(), context.limits.held_body_bytes, caller.hold
+        )
         self._attempts: list[Attempt] = []
         self._suspicion = RequestSuspicion(head, self._body, context)
         self._keyed: KeyedRun | None = None
@@ -105,6 +107,7 @@
         self._extend_deadline()
         self._caller.on_disconnect = self._scope.cancel
         self._caller.on_stop = self._apply_stop
+        self._caller.on_memory_full = self._scope.cancel
         code = None
         try:
             with self._scope:
@@ -117,6 +120,7 @@
         finally:
             self._caller.on_disconnect = None
             self._caller.on_stop = None
+            self._caller.on_memory_full = None
             for attempt in self._attempts:
                 self._trail.note_end(attempt)
                 attempt.end(AttemptOutcome.CANCELLED)
@@ -126,6 +130,7 @@
             final = code if code is not None else self._interrupted_code()
             if self._keyed is not None:
                 self._keyed.finish(final)
+            self._body.discard()
         assert not (
             final.run is Execution.NOT_RUN and self._may_have_run()
         ), f"{final.name} means not run, but a byte may have been sent to a target"
@@ -183,6 +188,7 @@
         silent = any(other.failure is ResultCode.TARGET_SILENT for other in self._attempts)
         attempt = Attempt(self._setup, grant.unwrap(), self._scope.deadline, silent)
         self._attempts.append(attempt)
+        self._caller.has_slot = True
         self._trail.note_grant(attempt, grant.unwrap(), self._remaining_s())
         return attempt
 
@@ -384,6 +390,8 @@
         ran = self._may_have_run()
         if self._caller.disconnected:
             return ResultCode.CALLER_LEFT if ran else ResultCode.CALLER_GONE
+        if self._caller.refused_for_memory:
+            return ResultCode.BODY_INCOMPLETE if ran else ResultCode.HOST_MEMORY_FULL
         if ran:
             return ResultCode.DEADLINE_PASSED
         if self._context.stop_plan.last_answer_s < self._latest_deadline:
--- a/src/dotterelstand/request/undelivered.py
+++ b/src/dotterelstand/request/undelivered.py
@@ -99,8 +99,8 @@
     cause = "reset" if by_host else "caller_reset"
     found = []
     for answer in handover.answers_within_window():
-        item = UndeliveredAnswer(cause, _id_of(answer.head), "handed_over", answer.sent_bytes)
-        item.path = "" if answer.head is None else answer.head.path
+        item = UndeliveredAnswer(cause, answer.request_id, "handed_over", answer.sent_bytes)
+        item.path = answer.path
         item.handed_over_ms = round((trio.current_time() - answer.time_s) * 1000, 1)
         found.append(item)
     return found
--- a/src/dotterelstand/settings_rules.py
+++ b/src/dotterelstand/settings_rules.py
@@ -155,6 +155,7 @@
         "regions": ListRule(ZONE_REGION_PAIR, 64),
         "processors": Range(0.01, 1024),
         "processor_share": Range(0.01, 1),
+        "memory_mb": Range(0, 1_048_576),
     },
     "listen": {
         "endpoint": OPTIONAL_HOST_PORT,
--- a/tests/platform_support.py
+++ b/tests/platform_support.py
@@ -18,6 +18,7 @@
 [host]
 name = "entry-{index}"
 regions = ["local-1=local"]
+memory_mb = {memory_mb}
 [listen]
 address = "{address}"
 stop_limit_s = {stop_limit_s}
@@ -56,6 +57,7 @@
         entries: int = 1,
         health_interval_s: float = 0.0,
         stop_limit_s: float = 0.0,
+        memory_mb: int = 0,
     ) -> None:
         self.network = FakeNetwork(lambda one, other: LATENCY_S)
         self.store = MetadataStore()
@@ -65,6 +67,7 @@
         self._seed = seed
         self._health_interval_s = health_interval_s
         self._stop_limit_s = stop_limit_s
+        self._memory_mb = memory_mb
         self._requests = 0
 
     @property
@@ -96,6 +99,7 @@
             platform=PLATFORM,
             health_interval_s=self._health_interval_s,
             stop_limit_s=self._stop_limit_s,
+            memory_mb=self._memory_mb,
         )
         daemon = Daemon(
             parse_settings(text, "test").unwrap(),
--- /dev/null
+++ b/tests/test_memory_budget.py
@@ -0,0 +1,157 @@
+"""Whom a host refuses when the memory for callers is used up, and with which result."""
+
+import pytest
+import trio
+from platform_standin import EndlessAnswer, Instance
+from platform_support import PlatformFleet, run_on_platform
+from support import read_answer
+
+from dotterelstand.codes import Result
+from dotterelstand.connection.memorybudget import (
+    CONNECTION_BYTES,
+    MemoryBudget,
+    Stage,
+    choose_refused,
+)
+
+KB = 1000
+# Budget of a fleet with `memory_mb` 1: 300 KB.
+MEMORY_MB = 1
+
+
+class FakeHolder:
+    """Connection whose stage began at a time in seconds."""
+
+    def __init__(self, stage: Stage, since_s: float, received_bytes: int = 0) -> None:
+        self.stage = stage
+        self.since_s = since_s
+        self.received_bytes = received_bytes
+        self.refused = False
+
+    def refuse_for_memory(self) -> None:
+        """Record the refusal."""
+        self.refused = True
+
+
+@pytest.mark.parametrize(
+    ("first", "others"),
+    [
+        # Stage, age in seconds, bytes received, bytes held besides the connection.
+        ((Stage.IDLE, 9.0, 0, 0), [(Stage.IDLE, 6.0, 0, 0), (Stage.ARRIVING, 9.0, 1, 500 * KB)]),
+        ((Stage.ARRIVING, 2.0, 9 * KB, 9 * KB), [(Stage.ARRIVING, 2.0, 90 * KB, 90 * KB)]),
+        ((Stage.ARRIVING, 1.0, 90 * KB, 90 * KB), [(Stage.ARRIVING, 0.1, 500 * KB, 500 * KB)]),
+        ((Stage.ARRIVING, 0.1, 90 * KB, 90 * KB), [(Stage.ARRIVING, 0.2, 500 * KB, 500 * KB)]),
+        ((Stage.ARRIVING, 0.2, 90 * KB, 90 * KB), [(Stage.ARRIVING, 0.1, 9 * KB, 9 * KB)]),
+        ((Stage.WAITING, 2.0, 0, 90 * KB), [(Stage.WAITING, 0.1, 0, 9 * KB)]),
+        ((Stage.WAITING, 2.0, 0, 90 * KB), [(Stage.ARRIVING, 0.1, 9 * KB, 9 * KB)]),
+        ((Stage.IDLE, 0.1, 0, 0), [(Stage.IDLE, 4.0, 0, 0), (Stage.BUSY, 9.0, 0, 500 * KB)]),
+        ((Stage.BUSY, 0.1, 0, 90 * KB), [(Stage.ENDING, 9.0, 0, 500 * KB)]),
+    ],
+)
+def test_order_of_refusals(
+    first: tuple[Stage, float, int, int], others: list[tuple[Stage, float, int, int]]
+) -> None:
+    """Guards against refusing ordinary requests while idle or slow connections hold memory."""
+    budget, now = MemoryBudget(), 100.0
+    holders = []
+    for stage, age_s, received, held in [*others, first]:
+        holders.append(FakeHolder(stage, now - age_s, received))
+        holding = budget.open(holders[-1])
+        holding.hold(held, now)
+    holdings = list(budget._holdings)
+    assert [item.holder for item in choose_refused(holdings, now, 1.0)] == [holders[-1]]
+
+
+def test_refusals_end_when_enough_will_be_released() -> None:
+    """Guards against refusing everyone while the first ones that were refused still end."""
+    budget = MemoryBudget(20 * CONNECTION_BYTES)
+    holders = [FakeHolder(Stage.ARRIVING, 0.0, number) for number in range(10)]
+    holdings = [budget.open(holder) for holder in holders]
+    for holding in holdings:
+        holding.hold(CONNECTION_BYTES + 1000, 10.0)
+    refused = [holder.refused for holder in holders]
+    assert refused == [True, True, *[False] * 8]
+    assert not budget.has_room
+    for holding in holdings:
+        holding.close()
+        holding.release(1000)
+    assert budget.used_bytes == 0
+
+
+@pytest.mark.parametrize(
+    ("framing", "begun", "status", "code"),
+    [
+        # A short body is held before a slot is taken, a chunked one is sent on as it arrives.
+        (b"Content-Length: 400001", b"x" * 400_000, 503, Result.HOST_MEMORY_FULL),
+        (b"Transfer-Encoding: chunked", b"61a81\r\n" + b"x" * 400_000, 400, Result.BODY_INCOMPLETE),
+    ],
+)
+@pytest.mark.parametrize("path", ["/a/1", "/u/1"])
+def test_refused_uploads_tell_whether_they_may_have_run(
+    path: str, framing: bytes, begun: bytes, status: int, code: Result
+) -> None:
+    """Guards against `not run` for an upload of which a target got a part."""
+
+    async def scenario(fleet: PlatformFleet) -> None:
+        stream = await fleet.stream()
+        head = fleet.request("POST", path).replace(b"\r\n\r\n", b"\r\n" + framing + b"\r\n\r\n")
+        await stream.send_all(head)
+        with trio.move_on_after(0.4):
+            await stream.send_all(begun)
+        answer = await read_answer(stream, "POST")
+        assert (answer.status, int(answer.headers["dotterelstand-result"])) == (status, code)
+        assert answer.headers["connection"] == "close"
+        assert fleet.runs() == []
+        assert (await fleet.call("POST", path, b"x" * 10 * KB)).status == 200
+
+    run_on_platform(scenario, memory_mb=MEMORY_MB)
+
+
+def test_idle_connections_make_room_for_an_upload() -> None:
+    """Guards against refusing a caller in favour of connections without a request."""
+
+    async def scenario(fleet: PlatformFleet) -> None:
+        idle = [await fleet.stream() for _ in range(8)]
+        await trio.sleep(6.0)
+        assert (await fleet.call("POST", "/u/1", b"x" * 150 * KB)).status == 200
+        assert fleet.daemon.metrics.value("callers.memory_refused.idle") >= 4
+        for stream in idle[:4]:
+            assert await stream.receive_some(1) == b""
+
+    run_on_platform(scenario, memory_mb=MEMORY_MB)
+
+
+class LateAnswer(EndlessAnswer):
+    """Answer that is sent after a pause."""
+
+    async def send(self, stream) -> None:  # type: ignore[no-untyped-def]
+        """Send the answer; its connection cannot be used again."""
+        await trio.sleep(self.pause_s)
+        await stream.send_all(self.beginning)
+        await trio.sleep_forever()
+
+
+def test_answers_that_wait_for_an_earlier_one_are_bounded() -> None:
+    """Guards against answers without a bound behind a slow one, or cut unnoticed."""
+
+    async def scenario(fleet: PlatformFleet) -> None:
+        def answer(instance: Instance, headers: dict[str, str]) -> bytes | LateAnswer:
+            data = instance.answer(headers, b"x" * 60 * KB)
+            is_first = headers["x-dotterelstand-request-id"] == "q1"
+            return LateAnswer(data, b"", 0.5) if is_first else data
+
+        for item in fleet.instances:
+            item.answers = [lambda headers, item=item: answer(item, headers) for _ in range(20)]
+        stream = await fleet.stream()
+        await stream.send_all(b"".join(fleet.request(deadline_ms=2000) for _ in range(8)))
+        received = 0
+        with pytest.raises(trio.BrokenResourceError):
+            while data := await stream.receive_some(65536):
+                received += len(data)
+        assert received < 8 * 60 * KB
+        assert fleet.daemon.metrics.value("callers.memory_refused.busy") == 1
+        for item in fleet.instances:
+            item.answers.clear()
+        assert (await fleet.call()).status == 200
+
+    run_on_platform(scenario, memory_mb=MEMORY_MB)
