--- a/src/dotterelstand/request/answerhead.py
+++ b/src/dotterelstand/request/answerhead.py
@@ -6,6 +6,9 @@
 # Statuses from which a caller may conclude that its request was not run.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
+# Greatest status that is defined; h11 takes all of three digits and refuses others.
+MAX_STATUS = 599
+
 
 class AnswerHead:
     """Status and headers of a target's answer."""
@@ -26,6 +29,8 @@
         """Whether the target reports that it did not run the request (see `HeaderFields`)."""
         if self.status in self._fields.not_run_statuses:
             return True
+        if self.status > MAX_STATUS:
+            return False
         value = self.value(self._fields.not_run)
         if value is None:
             return False
@@ -63,7 +68,9 @@
         """Whether the status suggests that the request was not run, without being a refusal."""
         return self.status in NOT_RUN_STATUSES and not self.is_refusal()
 
-    def has_two_lengths(self) -> bool:
-        """Whether the answer has both Content-Length and Transfer-Encoding."""
+    def is_malformed(self) -> bool:
+        """Whether the status is beyond 599, or there are Content-Length and Transfer-Encoding."""
+        if self.status > MAX_STATUS:
+            return True
         length = self.value(b"content-length") is not None
         return length and self.value(b"transfer-encoding") is not None
--- a/src/dotterelstand/request/attempt.py
+++ b/src/dotterelstand/request/attempt.py
@@ -290,7 +290,7 @@
         self.time_to_head_s = trio.current_time() - self._began_s
         self._silence_scope.deadline = math.inf
         self._note_leaving(self.answer)
-        if not self.answer.is_unaltered() or self.answer.has_two_lengths():
+        if not self.answer.is_unaltered() or self.answer.is_malformed():
             self.failure = ResultCode.BAD_ANSWER
         elif self.answer.claims_not_run() and not self._setup.idempotent:
             self.failure = ResultCode.BAD_ANSWER
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -251,7 +251,10 @@
                 headers = {name.decode(): value.decode() for name, value in event.headers}
                 path = event.target.decode()
                 if self.answers_early:
-                    await stream.send_all(self.answer(headers))
+                    early: Any = self.answer(headers)
+                    if isinstance(early, EndlessAnswer):
+                        await early.send(stream)
+                    await stream.send_all(early)
                     await trio.sleep_forever()
             elif isinstance(event, h11.ConnectionClosed):
                 return False
