--- a/src/dotterelstand/connection/memorybudget.py
+++ b/src/dotterelstand/connection/memorybudget.py
@@ -24,7 +24,8 @@
 MIN_IDLE_S = 5.0
 # Time in seconds from which the rate of an upload tells whether it is slow.
 MIN_RATED_S = 0.5
-# Newer uploads that hold no more bytes than this are refused only after larger requests.
+# An upload that holds no more bytes than this, with those of its connection, is small: refusing it
+# frees little, and ordinary uploads are small.
 SMALL_BYTES = CONNECTION_BYTES + 32_768
 # Maximum number of connections that are refused for memory and at the same time given time to read
 # the refusal; further ones are closed at once.
@@ -202,9 +203,9 @@
 def choose_refused(holdings: Iterable[Holding], now: float, excess: float) -> list[Holding]:
     """Choose the connections to refuse, so that they hold at least `excess` bytes if possible.
 
-    First those that have been idle for long, then the slowest uploads, the newest large ones,
-    requests that wait to be sent to a target, small or new uploads and connections, and callers
-    that do not read their answers.
+    First those that have been idle for long, then the slowest large uploads, the newest large ones,
+    the slowest small ones, requests that wait to be sent to a target, new small uploads and new
+    connections, and callers that do not read their answers.
     """
     chosen: list[Holding] = []
     ranked = [(rank, item) for item in holdings if (rank := _rank(item, now)) is not None]
@@ -224,10 +225,11 @@
         return None
     age_s = now - holder.since_s
     if stage is Stage.IDLE:
-        return (0, -age_s) if age_s >= MIN_IDLE_S else (4, age_s)
+        return (0, -age_s) if age_s >= MIN_IDLE_S else (5, age_s)
     if stage is Stage.ARRIVING:
-        if age_s >= MIN_RATED_S:
-            return 1, holder.received_bytes / age_s
-        return (2, age_s) if holding.held_bytes > SMALL_BYTES else (4, age_s)
-    # Released soon by an answer, or by its delivery.
-    return (3 if stage is Stage.WAITING else 5), -holding.held_bytes
+        is_large, is_rated = holding.held_bytes > SMALL_BYTES, age_s >= MIN_RATED_S
+        if is_rated:
+            return 1 if is_large else 3, holder.received_bytes / age_s
+        return 2 if is_large else 5, age_s
+    # A request that waits for a slot is refused earlier than one that is about to be answered.
+    return 4 if stage is Stage.WAITING else 6, -holding.held_bytes
--- a/src/dotterelstand/process/limits.py
+++ b/src/dotterelstand/process/limits.py
@@ -79,7 +79,7 @@
 
 def memory_budget(settings: Settings, counters: Counters) -> MemoryBudget:
     """Budget of what the connections and requests of callers hold."""
-    memory_mb = settings.integer("host", "memory_mb")
+    memory_mb = settings.number("host", "memory_mb")
     limit_bytes = memory_mb * 1_000_000 * MEMORY_SHARE if memory_mb else math.inf
     return MemoryBudget(limit_bytes, RefusalReport(counters, trio.current_time))
 
