--- a/src/dotterelstand/events.py
+++ b/src/dotterelstand/events.py
@@ -43,6 +43,7 @@
     ANSWER_SKIPPED = 230
     REGIONS_UNKNOWN = 240
     ACCESS_REFUSED = 241
+    MEMORY_FULL = 250
 
     DOCUMENT_APPLIED = 300
     DOCUMENT_REJECTED = 301
@@ -110,6 +111,7 @@
         Event.CONTROL_FAILED,
         Event.QUARANTINE_BEGAN,
         Event.REGIONS_UNKNOWN,
+        Event.MEMORY_FULL,
         Event.DOCUMENT_REJECTED,
         Event.DOCUMENT_UNAVAILABLE,
         Event.DOCUMENT_DAMAGED,
--- /dev/null
+++ b/src/dotterelstand/request/endcodes.py
@@ -0,0 +1,35 @@
+"""Result codes of requests that ended without an answer of a target."""
+
+from collections.abc import Sequence
+
+from dotterelstand.codes import Execution
+from dotterelstand.codes import Result as ResultCode
+from dotterelstand.connection.callerrequest import CallerRequest
+from dotterelstand.request.attempt import Attempt
+
+
+def may_have_run(attempts: Sequence[Attempt]) -> bool:
+    """Whether a target may have run the request in one of its attempts."""
+    return any(attempt.may_have_run for attempt in attempts)
+
+
+def overall_code(code: ResultCode, attempts: Sequence[Attempt]) -> ResultCode:
+    """Result code of the request; replaces a "not run" code if an attempt may have run."""
+    if code.run is not Execution.NOT_RUN or not may_have_run(attempts):
+        return code
+    unknown = [a.failure for a in attempts if a.may_have_run and a.failure is not None]
+    return unknown[-1] if unknown else ResultCode.BAD_ANSWER
+
+
+def interrupted_code(
+    caller: CallerRequest, attempts: Sequence[Attempt], host_stops: bool
+) -> ResultCode:
+    """Result code of a request that was cancelled; `host_stops` if a stop ended it early."""
+    ran = may_have_run(attempts)
+    if caller.disconnected:
+        return ResultCode.CALLER_LEFT if ran else ResultCode.CALLER_GONE
+    if caller.refused_for_memory:
+        return ResultCode.BODY_INCOMPLETE if ran else ResultCode.HOST_MEMORY_FULL
+    if ran:
+        return ResultCode.DEADLINE_PASSED
+    return ResultCode.HOST_STOPPING if host_stops else ResultCode.DEADLINE_TOO_SHORT
--- a/src/dotterelstand/request/exchange.py
+++ b/src/dotterelstand/request/exchange.py
@@ -9,7 +9,8 @@
 
 from dotterelstand.codes import Execution
 from dotterelstand.codes import Result as ResultCode
-from dotterelstand.connection.callerrequest import BodyError, CallerRequest
+from dotterelstand.connection.bodyerror import BodyError
+from dotterelstand.connection.callerrequest import CallerRequest
 from dotterelstand.process.selection.outcome import AttemptOutcome, SlotCall, SlotGrant
 from dotterelstand.request.access import AccessGuard, class_number
 from dotterelstand.request.accesslog import RequestSummary
@@ -17,6 +18,7 @@
 from dotterelstand.request.attempt import MAX_SINGLE_SEND_BYTES, Attempt, AttemptSetup
 from dotterelstand.request.body import RequestBody
 from dotterelstand.request.context import RequestContext
+from dotterelstand.request.endcodes import interrupted_code, may_have_run, overall_code
 from dotterelstand.request.head import RequestHead, head_digest
 from dotterelstand.request.hedging import count_attempts, has_usable_answer, run_with_hedge
 from dotterelstand.request.keyed import KeyedRun
@@ -79,7 +81,9 @@
         self._context = context
         self._service: Service = document.services[context.choose_service(route)]
         self._policy: ServicePolicy = context.policy(self._service)
-        self._body = RequestBody(self._read_body, head.has_body(), context.limits.held_body_bytes)
+        self._body = RequestBody(
+            self._read_body, head.has_body(), context.limits.held_body_bytes, caller.hold
+        )
         self._attempts: list[Attempt] = []
         self._suspicion = RequestSuspicion(head, self._body, context)
         self._keyed: KeyedRun | None = None
@@ -111,6 +115,7 @@
         self._extend_deadline()
         self._caller.on_disconnect = self._scope.cancel
         self._caller.on_stop = self._apply_stop
+        self._caller.on_memory_full = self._scope.cancel
         code = None
         try:
             with self._scope:
@@ -123,6 +128,7 @@
         finally:
             self._caller.on_disconnect = None
             self._caller.on_stop = None
+            self._caller.on_memory_full = None
             for attempt in self._attempts:
                 self._trail.note_end(attempt)
                 attempt.end(AttemptOutcome.CANCELLED)
@@ -132,6 +138,7 @@
             final = code if code is not None else self._interrupted_code()
             if self._keyed is not None:
                 self._keyed.finish(final)
+            self._body.discard()
         assert not (
             final.run is Execution.NOT_RUN and self._may_have_run()
         ), f"{final.name} means not run, but a byte may have been sent to a target"
@@ -195,6 +202,7 @@
         silent = any(other.failure is ResultCode.TARGET_SILENT for other in self._attempts)
         attempt = Attempt(self._setup, grant.unwrap(), self._scope.deadline, silent)
         self._attempts.append(attempt)
+        self._caller.has_slot = True
         self._trail.note_grant(attempt, grant.unwrap(), self._remaining_s())
         return attempt
 
@@ -375,14 +383,10 @@
         return self._began_s + self._route.latency_objective_s - trio.current_time()
 
     def _may_have_run(self) -> bool:
-        return any(attempt.may_have_run for attempt in self._attempts)
+        return may_have_run(self._attempts)
 
     def _overall_code(self, code: ResultCode) -> ResultCode:
-        """Result code of the request; replaces a "not run" code if an attempt may have run."""
-        if code.run is not Execution.NOT_RUN or not self._may_have_run():
-            return code
-        unknown = [a.failure for a in self._attempts if a.may_have_run and a.failure is not None]
-        return unknown[-1] if unknown else ResultCode.BAD_ANSWER
+        return overall_code(code, self._attempts)
 
     def _body_error_code(self, code: ResultCode) -> ResultCode:
         if self._caller.disconnected:
@@ -390,11 +394,5 @@
         return ResultCode.BODY_INCOMPLETE if self._may_have_run() else code
 
     def _interrupted_code(self) -> ResultCode:
-        ran = self._may_have_run()
-        if self._caller.disconnected:
-            return ResultCode.CALLER_LEFT if ran else ResultCode.CALLER_GONE
-        if ran:
-            return ResultCode.DEADLINE_PASSED
-        if self._context.stop_plan.last_answer_s < self._latest_deadline:
-            return ResultCode.HOST_STOPPING
-        return ResultCode.DEADLINE_TOO_SHORT
+        host_stops = self._context.stop_plan.last_answer_s < self._latest_deadline
+        return interrupted_code(self._caller, self._attempts, host_stops)
--- a/src/dotterelstand/request/slotwait.py
+++ b/src/dotterelstand/request/slotwait.py
@@ -4,7 +4,7 @@
 from returns.result import Result
 
 from dotterelstand.codes import Result as ResultCode
-from dotterelstand.connection.callerrequest import BodyError
+from dotterelstand.connection.bodyerror import BodyError
 from dotterelstand.process.selection.outcome import SlotCall, SlotGrant
 from dotterelstand.request.body import RequestBody
 from dotterelstand.request.interfaces import Slots
--- a/src/dotterelstand/request/suspicion.py
+++ b/src/dotterelstand/request/suspicion.py
@@ -5,7 +5,7 @@
 import trio
 
 from dotterelstand.codes import Result as ResultCode
-from dotterelstand.connection.callerrequest import BodyError
+from dotterelstand.connection.bodyerror import BodyError
 from dotterelstand.request.attempt import Attempt
 from dotterelstand.request.body import RequestBody
 from dotterelstand.request.context import RequestContext
--- a/tests/platform_support.py
+++ b/tests/platform_support.py
@@ -18,6 +18,7 @@
 [host]
 name = "entry-{index}"
 regions = ["local-1=local", "local-2=local"]
+memory_mb = {memory_mb}
 [listen]
 address = "{address}"
 stop_limit_s = {stop_limit_s}
@@ -57,7 +58,9 @@
         health_interval_s: float = 0.0,
         stop_limit_s: float = 0.0,
         settings: str = "",
+        memory_mb: int = 0,
     ) -> None:
+        # Further sections of the settings.
         self._settings = settings
         self.network = FakeNetwork(lambda one, other: LATENCY_S)
         self.store = MetadataStore()
@@ -67,7 +70,7 @@
         self._seed = seed
         self._health_interval_s = health_interval_s
         self._stop_limit_s = stop_limit_s
-        # Further sections of the settings.
+        self._memory_mb = memory_mb
         self._requests = 0
 
     @property
@@ -99,6 +102,7 @@
             platform=PLATFORM,
             health_interval_s=self._health_interval_s,
             stop_limit_s=self._stop_limit_s,
+            memory_mb=self._memory_mb,
         )
         daemon = Daemon(
             parse_settings(text + self._settings, "test").unwrap(),
--- a/tests/soak/mutated.py
+++ b/tests/soak/mutated.py
@@ -9,8 +9,9 @@
 import trio
 
 from dotterelstand.codes import Result as ResultCode
+from dotterelstand.connection.bodyerror import BodyError
 from dotterelstand.connection.caller import CallerConnection
-from dotterelstand.connection.callerrequest import BodyError, CallerRequest
+from dotterelstand.connection.callerrequest import CallerRequest
 from dotterelstand.connection.target import TargetConnection
 from dotterelstand.process.discovery.catalogue import Catalogue
 from dotterelstand.process.discovery.registry import Configuration, Entry, Kind, RegisteredTarget
--- a/tests/test_deploy_template.py
+++ b/tests/test_deploy_template.py
@@ -60,3 +60,13 @@
     settings = parse_settings(text, "deploy").unwrap()
     assert settings.flag("access", "strict_revocation") is strict
     assert settings.number("access", "revocation_limit_s") == limit_s
+
+
+@pytest.mark.parametrize(
+    ("given", "memory_mb"), [({"memoryMb": 200}, 200), ({"memoryMb": 199.5}, 199.5), ({}, 0)]
+)
+def test_memory_of_the_host_may_be_left_out(given: dict[str, float], memory_mb: float) -> None:
+    """Guards against a host with little memory that doesn't bound what its callers send."""
+    fields = FIELDS | {"bounds": BOUNDS, "limits": FIELDS["limits"] | given}
+    settings = parse_settings(render(TEMPLATE.read_text(encoding="utf-8"), fields), "deploy")
+    assert settings.unwrap().number("host", "memory_mb") == memory_mb
