--- a/src/dotterelstand/connection/codec.py
+++ b/src/dotterelstand/connection/codec.py
@@ -5,11 +5,17 @@
 import cbor2
 from returns.result import Failure, Result, Success
 
+from dotterelstand.connection import quotawire, wire
 from dotterelstand.connection.wire import Message
 
+# Modules that define messages.
+_MODULES = (wire, quotawire)
+
 
 def _message_types() -> dict[int, type[Message]]:
-    return {kind.TYPE: kind for kind in Message.__subclasses__()}
+    found = [item for module in _MODULES for item in vars(module).values()]
+    kinds = [kind for kind in found if isinstance(kind, type) and issubclass(kind, Message)]
+    return {kind.TYPE: kind for kind in kinds if kind.TYPE}
 
 
 _TYPES = _message_types()
--- a/src/dotterelstand/process/daemon.py
+++ b/src/dotterelstand/process/daemon.py
@@ -15,6 +15,7 @@
 from dotterelstand.process.limits import (
     caller_limits,
     check_limits,
+    make_quota_service,
     pool_limits,
     quarantine_limits,
     request_limits,
@@ -26,6 +27,8 @@
 from dotterelstand.process.operation.readiness import ReadinessPort
 from dotterelstand.process.peering.introduction import await_introduction
 from dotterelstand.process.peering.peers import Peers
+from dotterelstand.process.quota.pages import register_quota
+from dotterelstand.process.quota.service import QuotaService
 from dotterelstand.process.selection.healthprobe import HealthProber, ProbeTuning
 from dotterelstand.process.selection.leavingtargets import LeavingTargetTracker
 from dotterelstand.process.selection.slots import SlotBroker, make_broker
@@ -69,6 +72,7 @@
         "pool",
         "port",
         "quarantine",
+        "quota",
     )
 
     def __init__(
@@ -99,6 +103,9 @@
         self.quarantine = QuarantineService(
             self.peers, quarantine_limits(settings), self.metrics, checks
         )
+        self.quota: QuotaService | None = make_quota_service(
+            settings, self.peers, lambda: self.frontend.introduction_done, rng
+        )
         self.frontend = self._make_frontend(fields, rng)
         self._probes = HealthProber(
             self.peers,
@@ -127,6 +134,8 @@
         self._registry.add_check("peers", lambda: self.frontend.introduction_done)
         register_quarantine(self._registry, self.quarantine)
         register_component_pages(self._registry, self.metrics, settings, self.peers, self.broker)
+        if self.quota is not None:
+            register_quota(self._registry, self.metrics, self.quota)
         self.platform_adapter.register(self._registry, self.metrics)
         self._control = ControlPort(settings, self._registry, self.metrics)
         self._readiness = ReadinessPort(settings, self._registry)
@@ -185,6 +194,8 @@
                 background.start_soon(self._flush_metrics)
                 background.start_soon(self.pool.sweep_forever)
                 background.start_soon(self._probes.run)
+                if self.quota is not None:
+                    background.start_soon(self.quota.run)
                 await self.frontend.serve_until_stopped(listener, self._stopping, grace_s)
                 await self.platform_adapter.stop()
                 await self.peers.send_goodbye()
@@ -222,6 +233,7 @@
             fields,
             retry_reserve(settings, self.peers, rng),
             StopPlan(settings.number("listen", "stop_limit_s")),
+            quota=self.quota,
         )
         return CallerFrontend(
             context,
@@ -250,5 +262,7 @@
         self.frontend.document = document
         self.metrics.limit_workspaces(document.workspaces)
         self.broker.apply(document)
+        if self.quota is not None:
+            self.quota.apply(document)
         if not was_ready:
             self._log_ready()
--- a/src/dotterelstand/process/limits.py
+++ b/src/dotterelstand/process/limits.py
@@ -1,11 +1,13 @@
 """Limits of connections, requests and quarantines, read from the settings."""
 
 import random
+from collections.abc import Callable
 
 from dotterelstand.connection.callerlimits import CallerLimits
 from dotterelstand.connection.pool import PoolLimits
 from dotterelstand.process.discovery.objectadapter import parse_regions
 from dotterelstand.process.peering.peers import Peers
+from dotterelstand.process.quota.service import QuotaService, make_quota
 from dotterelstand.process.suspects.strikes import QuarantineLimits
 from dotterelstand.process.suspects.targetchecks import CheckLimits
 from dotterelstand.request.context import RequestLimits
@@ -67,6 +69,17 @@
     )
 
 
+def make_quota_service(
+    settings: Settings, peers: Peers, is_introduced: Callable[[], bool], rng: random.Random
+) -> QuotaService | None:
+    """Enforcement of the quotas of workspaces, None if it is turned off."""
+    if not settings.flag("quota", "enabled"):
+        return None
+    regions = set(parse_regions(settings).values())
+    membership = peers.membership
+    return make_quota(peers, lambda: membership.estimate_region_sizes(regions), is_introduced, rng)
+
+
 def caller_limits(settings: Settings) -> CallerLimits:
     """Limits on one caller connection."""
     own = CallerBounds(
--- a/src/dotterelstand/process/peering/membership.py
+++ b/src/dotterelstand/process/peering/membership.py
@@ -265,13 +265,21 @@
 
         A host of a large fleet knows only its own region; other regions count like that one.
         """
-        counts = {self._own.region: 1}
-        for record in self._records.values():
-            if not record.departed:
-                counts[record.region] = counts.get(record.region, 0) + 1
+        counts = self._count_by_region()
         own = counts[self._own.region]
         return sum(counts.values()) + own * len(regions - set(counts))
 
+    def estimate_region_sizes(self, regions: set[str]) -> dict[str, int]:
+        """Number of entry hosts of each region that are not known to have left.
+
+        In a large fleet only the own region is counted; others have at least as many hosts.
+        """
+        counts = self._count_by_region()
+        if self.is_overlay:
+            own = counts[self._own.region]
+            counts = {region: max(own, counts.get(region, 0)) for region in {*counts, *regions}}
+        return counts
+
     def dial_candidates(self) -> list[ListedHost]:
         """Hosts with a known address, sorted by name; the peers to dial are chosen from these."""
         return [
@@ -289,6 +297,13 @@
             if record.port and (record.listed or not record.departed)
         ]
 
+    def _count_by_region(self) -> dict[str, int]:
+        counts = {self._own.region: 1}
+        for record in self._records.values():
+            if not record.departed:
+                counts[record.region] = counts.get(record.region, 0) + 1
+        return counts
+
     def _is_hub(self, host: str) -> bool:
         return self._hubs is None or host in self._hubs
 
--- /dev/null
+++ b/src/dotterelstand/process/quota/__init__.py
@@ -0,0 +1,1 @@
+"""Quotas of workspaces, enforced on all entry hosts together."""
--- a/src/dotterelstand/process/telemetry/counters.py
+++ b/src/dotterelstand/process/telemetry/counters.py
@@ -12,6 +12,7 @@
     "MeasureCounters": "measure",
     "OutcomeFigures": "outcomes",
     "PartitionFigures": "partition",
+    "QuotaCounters": "quota",
     "RecordFigures": "records",
     "SlotCounters": "selection",
 }
--- a/src/dotterelstand/settings_rules.py
+++ b/src/dotterelstand/settings_rules.py
@@ -271,6 +271,7 @@
         "max_queue_per_slot": Range(0, 1000),
         "silence_timeout_s": Range(0.01, 3600),
     },
+    "quota": {"enabled": BOOLEAN},
     "quarantine": {
         "window_s": Range(1, 3600),
         "quarantine_s": Range(1, 86400),
--- a/tests/platform_support.py
+++ b/tests/platform_support.py
@@ -40,6 +40,8 @@
 [requests]
 retry_min_per_s = 5.0
 held_body_bytes = 524288
+[quota]
+enabled = {quota}
 [metrics]
 served = true
 address = "{address}"
@@ -56,6 +58,7 @@
         entries: int = 1,
         health_interval_s: float = 0.0,
         stop_limit_s: float = 0.0,
+        quota: bool = False,
     ) -> None:
         self.network = FakeNetwork(lambda one, other: LATENCY_S)
         self.store = MetadataStore()
@@ -65,6 +68,7 @@
         self._seed = seed
         self._health_interval_s = health_interval_s
         self._stop_limit_s = stop_limit_s
+        self._quota = quota
         self._requests = 0
 
     @property
@@ -96,6 +100,7 @@
             platform=PLATFORM,
             health_interval_s=self._health_interval_s,
             stop_limit_s=self._stop_limit_s,
+            quota=str(self._quota).lower(),
         )
         daemon = Daemon(
             parse_settings(text, "test").unwrap(),
--- a/tests/test_deploy_template.py
+++ b/tests/test_deploy_template.py
@@ -33,3 +33,12 @@
     text = render(TEMPLATE.read_text(encoding="utf-8"), FIELDS | {"bounds": BOUNDS | given})
     settings = parse_settings(text, "deploy").unwrap()
     assert settings.number("listen", "stop_limit_s") == limit_s
+
+
+@pytest.mark.parametrize(("given", "enabled"), [({"quotaWindowS": 5}, True), ({}, False)])
+def test_quotas_are_enforced_where_the_platform_has_a_window(
+    given: dict[str, int], enabled: bool
+) -> None:
+    """Guards against quotas that are not enforced, or are in a deployment without them."""
+    text = render(TEMPLATE.read_text(encoding="utf-8"), FIELDS | {"bounds": BOUNDS | given})
+    assert parse_settings(text, "deploy").unwrap().flag("quota", "enabled") == enabled
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -17,6 +17,7 @@
 from dotterelstand.process.idempotency.journalservice import JournalFigures
 from dotterelstand.process.idempotency.journaltypes import RecordFigures
 from dotterelstand.process.idempotency.outcomes import OutcomeFigures
+from dotterelstand.process.quota.node import QuotaCounters
 from dotterelstand.process.selection.dispatcher import DispatcherCounters
 from dotterelstand.process.selection.grantserver import GrantServerCounters
 from dotterelstand.process.selection.measure import MeasureCounters
@@ -34,6 +35,7 @@
     MeasureCounters,
     OutcomeFigures,
     PartitionFigures,
+    QuotaCounters,
     RecordFigures,
     SlotCounters,
 )
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -20,6 +20,7 @@
     "selection",
     "operation",
     "suspects",
+    "quota",
     "discovery",
 )
 
