--- a/src/dotterelstand/process/quota/coordinator.py
+++ b/src/dotterelstand/process/quota/coordinator.py
@@ -33,6 +33,11 @@
 # Seconds until all collectors have reported to a new coordinator.
 GATHER_S = 0.25
 MIN_SHARE = 1e-6
+# Number of hosts up to which one host alone is a usual part of the fleet.
+SMALL_FLEET = 2
+# Seconds after which a coordinator to which no other host reports counts as cut off. Others that
+# start report within a second.
+LONE_LIMIT_S = 2.0
 # Seconds of a workspace's rate that its bucket may lack. After a fault, requests that were admitted
 # long ago may be reported together.
 MAX_DEBT_S = 2.0
@@ -113,6 +118,7 @@
     __slots__ = (
         "_buckets",
         "_is_first",
+        "_lone_since",
         "_received_at",
         "_regions",
         "_started_at",
@@ -131,6 +137,8 @@
         self._stepped_at = -math.inf
         # Whether the hosts had no coordinator before.
         self._is_first = True
+        # Time since which no other host has delegated its share, None if others do.
+        self._lone_since: float | None = None
         self.changes: list[Change] = []
         self.shares: dict[int, float] = {}
         self.hosts = 1
@@ -140,6 +148,13 @@
         """Whether collectors report here."""
         return now - self._received_at < IDLE_AFTER_S
 
+    def is_lone(self, now: float) -> bool:
+        """Whether this host is cut off from the others and must not answer itself.
+
+        Otherwise a hub that is cut off would use its part of the quotas without a time limit.
+        """
+        return self._lone_since is not None and now - self._lone_since >= LONE_LIMIT_S
+
     def add(
         self,
         region: str,
@@ -208,6 +223,10 @@
         self.hosts = max(1, sum(listed.values()))
         delegating = [item for item in self._regions.values() if item.delegated_until > now]
         self.sharing = min(self.hosts, sum(item.hosts for item in delegating))
+        if self.sharing > 1 or self.hosts <= SMALL_FLEET:
+            self._lone_since = None
+        elif self._lone_since is None:
+            self._lone_since = now
 
     def _part(self, now: float) -> float:
         """Part of the quotas that this coordinator distributes.
--- a/src/dotterelstand/process/quota/node.py
+++ b/src/dotterelstand/process/quota/node.py
@@ -200,6 +200,8 @@
         state = self.coordinator
         in_force = self.ledger.shares if self.coordinator_name else None
         state.add(region, report, self.limited, self._counts(), in_force, now)
+        if state.is_lone(now):
+            return
         shares = [round(share * SHARE_UNIT) for share in state.shares.values()]
         limits = QuotaLimits(
             self._host, 0, state.hosts, list(state.shares), 0, shares, state.sharing, False, True
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -146,6 +146,22 @@
     assert admitted <= most
 
 
+@pytest.mark.parametrize("hosts", [16, 137])
+@pytest.mark.parametrize("host", ["h1", "h14"])
+def test_a_host_that_is_cut_off_stops(hosts: int, host: str) -> None:
+    """Guards against a host that goes on without limit while others use its share, or forever."""
+    fleet = QuotaFleet(hosts, [Load(_workspace("w", 20.0), lambda now: 20.0)])
+    fleet.run(3.0)
+    fleet.cut({host})
+    fleet.run(ALONE_LIMIT_S + 8.0)
+    node = fleet.nodes[host]
+    assert node.ledger.mode(fleet.now) is Mode.EXPIRED and not node.is_able(fleet.now)
+    fleet.cut(set())
+    fleet.run(4.0)
+    assert node.ledger.mode(fleet.now) is Mode.DELEGATED and node.is_able(fleet.now)
+    assert fleet.loads[0].largest_excess() <= 0
+
+
 def _sums(follows: int, hosts: int, listed: int, admitted: int = 0) -> QuotaReport:
     return QuotaReport([admitted], [admitted], follows, hosts, listed, [KEY], 1, True)
 
