--- a/src/dotterelstand/process/quota/uplink.py
+++ b/src/dotterelstand/process/quota/uplink.py
@@ -37,6 +37,7 @@
 
     __slots__ = (
         "_answered_at",
+        "_missing_since",
         "_silent_until",
         "_unanswered_since",
         "delegated_until",
@@ -46,7 +47,9 @@
 
     def __init__(self) -> None:
         self._silent_until: dict[str, float] = {}
+        # Time of the first report that was not answered by `server`, and by any host.
         self._unanswered_since: float | None = None
+        self._missing_since: float | None = None
         self._answered_at = float("-inf")
         self.delegated_until = float("-inf")
         # Stamp of the last answer of `server`, 0 without one.
@@ -62,8 +65,8 @@
         return now - self._answered_at
 
     def is_late(self, now: float) -> bool:
-        """Whether an answer is missing."""
-        since = self._unanswered_since
+        """Whether an answer is missing, also after the choice of another host."""
+        since = self._missing_since
         return since is not None and now - since >= LATE_S
 
     def choose(self, ranked: Sequence[str], now: float) -> str | None:
@@ -87,6 +90,8 @@
         """Record that a report was sent, or could not be sent, to `server`."""
         if self._unanswered_since is None:
             self._unanswered_since = now
+        if self._missing_since is None:
+            self._missing_since = now
 
     def record_answer(self, sender: str, follows: int, stamp: int, now: float) -> bool:
         """Record an answer; False if it follows a report that is too old to count."""
@@ -96,7 +101,7 @@
         sent_at = now - max(0.0, age_s)
         if sent_at < self._answered_at:
             return False
-        self._unanswered_since = None
+        self._unanswered_since = self._missing_since = None
         self._answered_at = sent_at
         self.follows = stamp
         self.delegated_until = max(self.delegated_until, sent_at + DELEGATION_S)
