--- a/src/dotterelstand/connection/codec.py
+++ b/src/dotterelstand/connection/codec.py
@@ -5,11 +5,11 @@
 import cbor2
 from returns.result import Failure, Result, Success
 
-from dotterelstand.connection import proofwire, wire
+from dotterelstand.connection import proofwire, quotawire, wire
 from dotterelstand.connection.wire import Message
 
 # Modules that define messages.
-_MODULES = (wire, proofwire)
+_MODULES = (wire, proofwire, quotawire)
 
 
 def _message_types() -> dict[int, type[Message]]:
--- a/src/dotterelstand/process/limits.py
+++ b/src/dotterelstand/process/limits.py
@@ -2,6 +2,7 @@
 
 import math
 import random
+from collections.abc import Callable
 
 import trio
 
@@ -10,6 +11,7 @@
 from dotterelstand.connection.pool import PoolLimits
 from dotterelstand.process.discovery.objectadapter import parse_regions
 from dotterelstand.process.peering.peers import Peers
+from dotterelstand.process.quota.service import QuotaService, make_quota
 from dotterelstand.process.suspects.strikes import QuarantineLimits
 from dotterelstand.process.suspects.targetchecks import CheckLimits
 from dotterelstand.process.telemetry.memoryreport import RefusalReport
@@ -77,6 +79,17 @@
     )
 
 
+def make_quota_service(
+    settings: Settings, peers: Peers, is_introduced: Callable[[], bool], rng: random.Random
+) -> QuotaService | None:
+    """Enforcement of the quotas of workspaces, None if it is turned off."""
+    if not settings.flag("quota", "enabled"):
+        return None
+    regions = set(parse_regions(settings).values())
+    membership = peers.membership
+    return make_quota(peers, lambda: membership.estimate_region_sizes(regions), is_introduced, rng)
+
+
 def memory_budget(settings: Settings, counters: Counters) -> MemoryBudget:
     """Budget of what the connections and requests of callers hold."""
     memory_mb = settings.number("host", "memory_mb")
--- a/tests/platform_support.py
+++ b/tests/platform_support.py
@@ -41,6 +41,8 @@
 [requests]
 retry_min_per_s = 5.0
 held_body_bytes = 524288
+[quota]
+enabled = {quota}
 [metrics]
 served = true
 address = "{address}"
@@ -59,6 +61,7 @@
         stop_limit_s: float = 0.0,
         settings: str = "",
         memory_mb: int = 0,
+        quota: bool = False,
     ) -> None:
         # Further sections of the settings.
         self._settings = settings
@@ -71,6 +74,7 @@
         self._health_interval_s = health_interval_s
         self._stop_limit_s = stop_limit_s
         self._memory_mb = memory_mb
+        self._quota = quota
         self._requests = 0
 
     @property
@@ -103,6 +107,7 @@
             health_interval_s=self._health_interval_s,
             stop_limit_s=self._stop_limit_s,
             memory_mb=self._memory_mb,
+            quota=str(self._quota).lower(),
         )
         daemon = Daemon(
             parse_settings(text + self._settings, "test").unwrap(),
--- a/tests/test_deploy_template.py
+++ b/tests/test_deploy_template.py
@@ -70,3 +70,12 @@
     fields = FIELDS | {"bounds": BOUNDS, "limits": FIELDS["limits"] | given}
     settings = parse_settings(render(TEMPLATE.read_text(encoding="utf-8"), fields), "deploy")
     assert settings.unwrap().number("host", "memory_mb") == memory_mb
+
+
+@pytest.mark.parametrize(("given", "enabled"), [({"quotaWindowS": 5}, True), ({}, False)])
+def test_quotas_are_enforced_where_the_platform_has_a_window(
+    given: dict[str, int], enabled: bool
+) -> None:
+    """Guards against quotas that are not enforced, or are in a deployment without them."""
+    text = render(TEMPLATE.read_text(encoding="utf-8"), FIELDS | {"bounds": BOUNDS | given})
+    assert parse_settings(text, "deploy").unwrap().flag("quota", "enabled") == enabled
