--- a/src/dotterelstand/platform/decode.py
+++ b/src/dotterelstand/platform/decode.py
@@ -6,6 +6,7 @@
 
 from returns.result import Failure, Result, Success
 
+from dotterelstand.platform.redact import KEY_DIGESTS, KEYS
 from dotterelstand.process.discovery.registry import (
     Configuration,
     RegisteredTarget,
@@ -14,6 +15,7 @@
 from dotterelstand.process.peering.membership import ListedHost
 from dotterelstand.version.model import CallerBounds, Route, Share
 from dotterelstand.version.workspace import (
+    KEY_DIGEST_BYTES,
     Workspace,
     WorkspaceIndex,
     digest_key,
@@ -28,6 +30,7 @@
 TARGET_STATES = ("ready", "draining")
 VERSION_DIGITS = 8
 PORT = re.compile("[0-9]{1,5}")
+KEY_DIGEST = re.compile(f"[0-9a-f]{{{2 * KEY_DIGEST_BYTES}}}")
 _CONTROL = re.compile(r"[\x00-\x1f\x7f]")
 # A shorter timeout would close connections before a request can arrive.
 MIN_TIMEOUT_S = 0.001
@@ -205,13 +208,12 @@
     if not name or name != name.strip(" ") or _CONTROL.search(name):
         # The name is the value of a header field, which must reach the target as it is.
         raise FormatError(f"tenants {name!r:.80}: not a name")
-    keys = _optional_texts(fields, "apiKeys")
     priority = None
     if fields.get("priority") is not None:
         priority = _require_integer(fields, "priority", 0)
     return Workspace(
         _check_name(name),
-        frozenset(digest_key(_encode_key(key)) for key in keys),
+        _parse_key_digests(fields),
         priority,
         _optional_number(fields, "ratePerS"),
         _optional_number(fields, "burst"),
@@ -219,12 +221,20 @@
     )
 
 
-def _encode_key(key: str) -> bytes:
-    try:
-        return key.encode("ascii")
-    except UnicodeEncodeError:
-        # The message must not contain the key.
-        raise FormatError("apiKeys: a key with a character that is not ASCII") from None
+def _parse_key_digests(fields: dict[str, Any]) -> frozenset[bytes]:
+    """Digests of a workspace's keys, from the store or as another host passed them on."""
+    if KEY_DIGESTS not in fields:
+        keys = _optional_texts(fields, KEYS)
+        if not all(key.isascii() for key in keys):
+            # The message must not contain the key.
+            raise FormatError(f"{KEYS}: a key with a character that is not ASCII")
+        return frozenset(digest_key(key.encode()) for key in keys)
+    digests = fields[KEY_DIGESTS]
+    if not isinstance(digests, list) or not all(
+        isinstance(digest, str) and KEY_DIGEST.fullmatch(digest) for digest in digests
+    ):
+        raise FormatError(f"{KEY_DIGESTS}: not a list of digests")
+    return frozenset(bytes.fromhex(digest) for digest in digests)
 
 
 def _parse_service(name: str, fields: dict[str, Any]) -> ServiceSpec:
