--- a/src/dotterelstand/platform/client.py
+++ b/src/dotterelstand/platform/client.py
@@ -15,6 +15,7 @@
 from dotterelstand.platform.decode import encode_host, parse_configuration, parse_host, parse_target
 from dotterelstand.platform.era import ERA_HEADER, StoreEra, remove_era
 from dotterelstand.platform.lists import diff_lists, merge_changes
+from dotterelstand.platform.redact import hide_keys
 from dotterelstand.process.discovery.registry import (
     EXISTS,
     HISTORY_LOST,
@@ -105,7 +106,8 @@
                 era = self._era.current
                 revision = revision or self._era.add_to(int(body["currentRev"]))
                 if not body["hasMore"]:
-                    if not era and len(items) == len(body["items"]):
+                    hidden = kind is Kind.CONFIGURATION and _hide_keys(items)
+                    if not era and not hidden and len(items) == len(body["items"]):
                         return _build_listing(kind, items, revision, answer.unwrap().body)
                     whole = json.dumps({"items": items, "currentRev": revision})
                     return _build_listing(kind, items, revision, whole.encode())
@@ -166,6 +168,8 @@
                 self._open_watches.discard(scope)
         if scope.cancelled_caught or era_of(revision) != self._era.current:
             return Failure(_lost_history("the store was restored from a copy"))
+        if kind is Kind.CONFIGURATION:
+            answer = answer.map(_without_keys)
         changes = answer.bind(lambda response: self.parse_changes(kind, response.body))
         return changes.bind(self._with_era)
 
@@ -267,6 +271,22 @@
     return Success(Listing(entries, revision, encoded))
 
 
+def _hide_keys(items: list[Any]) -> bool:
+    """Replace the keys in configurations by their digests, in place; True if there were any."""
+    return any([hide_keys(item.get("spec")) for item in items if isinstance(item, dict)])
+
+
+def _without_keys(answer: StoreAnswer) -> StoreAnswer:
+    """Replace the keys in the changes of a configuration, which hosts pass on to each other."""
+    read = _parse_body(answer.body)
+    events = read.unwrap().get("events") if is_successful(read) else None
+    objects = [event.get("object") for event in events or () if isinstance(event, dict)]
+    if not _hide_keys(objects):
+        return answer
+    body = json.dumps(read.unwrap()).encode()
+    return StoreAnswer(answer.status, answer.version, answer.headers, body)
+
+
 def _parse_status(answer: StoreAnswer) -> Result[StoreAnswer, PlatformError]:
     if 200 <= answer.status < 300:
         return Success(answer)
@@ -305,5 +325,5 @@
         result = parse_configuration(item.get("spec"))
     if not is_successful(result):
         log(Event.OBJECT_UNREADABLE, kind=kind.value, name=name, reason=result.failure())
-        return Entry(name, None)
+        return Entry(name, None, unreadable=True)
     return Entry(name, result.unwrap())
--- a/src/dotterelstand/process/discovery/proofsource.py
+++ b/src/dotterelstand/process/discovery/proofsource.py
@@ -40,6 +40,7 @@
         "_platform",
         "_started_s",
         "_unapplied_from",
+        "_unreadable",
         "keyed",
     )
 
@@ -58,6 +59,8 @@
         self._clock = clock
         # Highest number among the configurations that this host has received.
         self._number = 0
+        # Whether the latest configuration cannot be read.
+        self._unreadable = False
         self._started_s = -math.inf
         # Revision from which the last call returned changes.
         self._unapplied_from = -1
@@ -66,6 +69,9 @@
     def note(self, listing: Listing[Item]) -> None:
         """Record a list of configurations, or changes to it, that this host received."""
         self._number = max([self._number, *_numbers(listing)])
+        for entry in listing.entries:
+            if entry.unreadable or isinstance(entry.item, Configuration):
+                self._unreadable = entry.unreadable
 
     async def list(self) -> Result[Listing[Item], PlatformError]:
         """List the configurations in the store, which proves the one that it has."""
@@ -103,14 +109,19 @@
         # The watch of the configuration gets the same changes. Until they are in force, a proof
         # for their number does not count.
         found = _numbers(result.unwrap())
-        if found:
+        if found and not any(entry.unreadable for entry in result.unwrap().entries):
             self._record(max(number, *found), started_s)
         missed = self._unapplied_from == revision
         self._unapplied_from = revision
         return Success(not missed)
 
     def _record(self, number: int, started_s: float) -> None:
-        if number and self._ledger.record(Proof(number, started_s), self._clock()):
+        # An unreadable configuration may have removed a key that the document in force still has.
+        if (
+            number
+            and not self._unreadable
+            and self._ledger.record(Proof(number, started_s), self._clock())
+        ):
             self._metrics.count("platform.proofs_from_store")
 
 
--- a/src/dotterelstand/process/discovery/registry.py
+++ b/src/dotterelstand/process/discovery/registry.py
@@ -193,11 +193,14 @@
 
 
 class Entry(Generic[T]):
-    """A named object; `item` is None if the object cannot be decoded or was removed."""
+    """A named object; `item` is None if the object is `unreadable`, unused or was removed."""
 
-    __slots__ = ("item", "name", "removed")
+    __slots__ = ("item", "name", "removed", "unreadable")
 
-    def __init__(self, name: str, item: T | None, removed: bool = False) -> None:
+    def __init__(
+        self, name: str, item: T | None, removed: bool = False, unreadable: bool = False
+    ) -> None:
+        self.unreadable = unreadable
         self.name = name
         self.item = item
         self.removed = removed
--- a/src/dotterelstand/process/discovery/relayedplatform.py
+++ b/src/dotterelstand/process/discovery/relayedplatform.py
@@ -73,6 +73,7 @@
         "_hosts_read",
         "_hub_linked",
         "_known_revisions",
+        "_listed",
         "_mesh",
         "_metrics",
         "_outage_reported",
@@ -115,6 +116,7 @@
         self._role_known = trio.Event()
         # Kinds whose last call to the store failed.
         self._failed_kinds: set[Kind] = set()
+        self._listed = trio.Event()
         # Kinds for which `watch` has already failed in this outage of the store. It fails once for
         # each outage, and after that watches the store itself.
         self._outage_reported: set[Kind] = set()
@@ -145,6 +147,8 @@
             self._failed_kinds.add(kind)
             return listing
         self._failed_kinds.discard(kind)
+        self._listed.set()
+        self._listed = trio.Event()
         self._note(kind, listing.unwrap())
         if is_hub(self._mesh):
             changes = self._snapshots.store(
@@ -173,7 +177,10 @@
     async def _list(self, kind: Kind) -> Result[Listing[Item], PlatformError]:
         await self._role_known.wait()
         if kind in self._failed_kinds:
-            if not self.is_relay:
+            if kind is not Kind.CONFIGURATION and Kind.CONFIGURATION in self._failed_kinds:
+                # One list shows whether the store answers again.
+                await self._await_configuration()
+            elif not self.is_relay:
                 await self._await_retry()
             elif self._role.reads_store and self._checks.is_failing(trio.current_time()):
                 # A refused list costs ten times as much as a check.
@@ -309,6 +316,12 @@
             while self._relay_view.is_store_unreachable(trio.current_time()):
                 await self._wait_for_relay_update()
 
+    async def _await_configuration(self) -> None:
+        """Wait until the configuration is listed again, at most `STORE_RETRY_S` seconds."""
+        with trio.move_on_after(STORE_RETRY_S):
+            while Kind.CONFIGURATION in self._failed_kinds:
+                await self._listed.wait()
+
     def _use_relayed(
         self, kind: Kind, consecutive: Sequence[RelayedChanges]
     ) -> Result[Listing[Item], PlatformError]:
--- a/tests/test_strict_revocation.py
+++ b/tests/test_strict_revocation.py
@@ -1,5 +1,6 @@
 """Entry hosts on the platform's stand-in with and without `access.strict_revocation`."""
 
+import zlib
 from typing import Any
 
 import pytest
@@ -7,6 +8,11 @@
 from platform_standin import configuration, route
 from platform_support import PlatformFleet, run_on_platform
 
+from dotterelstand.connection.codec import encode_message
+from dotterelstand.connection.wire import Message, Snapshot, StoreChanges
+from dotterelstand.process.peering import peers
+from dotterelstand.version.workspace import digest_key
+
 STRICT = "[access]\nstrict_revocation = true\n"
 PROOF_WATCH = "waitMs=1"
 MESSAGES = ("peers.received.ProofRequest", "peers.received.Proof")
@@ -84,3 +90,46 @@
         assert _proven(fleet) == [True] * (peers + 1)
 
     run_on_platform(scenario, entries=peers, settings=STRICT)
+
+
+@pytest.mark.parametrize("number", [9, "unreadable"])
+def test_unreadable_configuration_ends_the_proofs(number: int | str) -> None:
+    """Guards against use of a removed key because the configuration without it is unreadable."""
+
+    async def scenario(fleet: PlatformFleet) -> None:
+        fleet.store.put("config", "main", _keyed(8, "k" * 20))
+        await trio.sleep(3.0)
+        changed = _keyed(9)
+        changed["version"] = f"{number:08x}" if isinstance(number, int) else number
+        fleet.store.put("config", "main", changed)
+        await trio.sleep(6.0)
+        assert _proven(fleet) == [isinstance(number, int)] * 3
+
+    run_on_platform(scenario, entries=3, settings=STRICT)
+
+
+def test_hosts_pass_on_no_keys(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against keys in messages between hosts, which carry the configuration."""
+    key, sent = "secret-key-of-w", []
+
+    def note(message: Message) -> bytes:
+        encoded = encode_message(message)
+        if isinstance(message, StoreChanges | Snapshot) and message.encoded:
+            sent.append(zlib.decompress(message.encoded))
+        return encoded
+
+    monkeypatch.setattr(peers, "encode_message", note)
+
+    async def scenario(fleet: PlatformFleet) -> None:
+        fleet.store.put("config", "main", _keyed(8, key))
+        await trio.sleep(2.0)
+        fleet.start_daemon(3)
+        await trio.sleep(2.0)
+        for daemon in fleet.daemons:
+            document = daemon.document
+            assert document is not None and document.access is not None
+            assert document.access.find(digest_key(key.encode())) is not None
+
+    run_on_platform(scenario, entries=3)
+    carrying = [data for data in sent if b"resources" in data]
+    assert carrying and not any(key.encode() in data for data in carrying)
