--- a/src/dotterelstand/process/discovery/evacuationfeed.py
+++ b/src/dotterelstand/process/discovery/evacuationfeed.py
@@ -35,6 +35,7 @@
         rng: random.Random,
         publish: Callable[[], None],
         metrics: Metrics,
+        note_revision: Callable[[int], None],
     ) -> None:
         self._catalogue = catalogue
         self._evacuations = evacuations
@@ -49,6 +50,7 @@
             self._replace,
             self._change,
             self._on_unavailable,
+            note_revision,
         )
 
     async def run(self) -> None:
--- a/src/dotterelstand/process/discovery/freshness.py
+++ b/src/dotterelstand/process/discovery/freshness.py
@@ -7,6 +7,8 @@
 
 import math
 
+from dotterelstand.process.discovery.registry import FIRST_ERA
+
 # Share of the revocation limit after which a proof no longer counts. The rest is for the time
 # between the check of a request's proof and its first byte at a target.
 USABLE_SHARE = 0.95
@@ -59,6 +61,9 @@
         """Record a proof; False if it is not later than the latest one or lies in the future."""
         if proof.proven_s > now or (self.latest and proof.proven_s <= self.latest.proven_s):
             return False
+        if self._pending is not None and proof.number < self._pending.number:
+            # The store was restored from a copy that lacks a document which it has acknowledged.
+            return False
         if proof.number <= self._number:
             self._counted, self._pending = proof, None
         else:
@@ -79,22 +84,28 @@
 
     Such a host can't know what was written in the seconds that the store lost. It trusts proofs
     once its document is as new as those of its peers, or after a wait if it hears of no peer's.
+    A later era ends the trust until then.
     """
 
-    __slots__ = ("_highest_peer_number", "_started_s", "_trusts")
+    __slots__ = ("_era", "_highest_peer_number", "_started_s", "_trusts")
 
     def __init__(self, started_s: float) -> None:
         self._started_s = started_s
         self._highest_peer_number = 0
         self._trusts = False
+        self._era = 0
 
     def note_peer(self, number: int) -> None:
         """Record the number of the document that another host has in force."""
         self._highest_peer_number = max(self._highest_peer_number, number)
 
-    def allows(self, number: int, restored: bool, now: float) -> bool:
-        """Whether proofs count while document `number` is in force; once true, it stays true."""
+    def allows(self, number: int, era: int, now: float) -> bool:
+        """Whether proofs count while document `number` is in force; true until the next era."""
+        if era > self._era:
+            # The store may now lack a document that a peer received and this host did not.
+            self._trusts, self._era = False, era
         if not self._trusts and number:
+            restored = era > FIRST_ERA
             waited = now - self._started_s >= RESTORED_WAIT_S
             has_newest = 0 < self._highest_peer_number <= number
             self._trusts = not restored or has_newest or (not self._highest_peer_number and waited)
--- a/src/dotterelstand/process/discovery/objectadapter.py
+++ b/src/dotterelstand/process/discovery/objectadapter.py
@@ -25,6 +25,9 @@
 # Longest interval of proofs as a share of the revocation limit. The rest is for asking other hubs
 # and the store if the first call fails.
 INTERVAL_SHARE = 0.3
+# Longest wait of a watch of the evacuations, in seconds. Of a watch that the store lost, only its
+# end tells, and an evacuation must be followed within 5 s.
+EVACUATION_WATCH_S = 5.0
 
 
 class ObjectStoreAdapter:
@@ -85,7 +88,7 @@
                 peers.metrics,
                 ledger,
                 self._relayed_platform.prove,
-                lambda: self._relayed_platform.is_restored,
+                lambda: self._relayed_platform.era,
                 interval_s,
                 clock,
                 rng,
@@ -106,10 +109,11 @@
                 self._relayed_platform,
                 self._catalogue,
                 evacuations,
-                settings.number("store", "watch_wait_s"),
+                min(EVACUATION_WATCH_S, settings.number("store", "watch_wait_s")),
                 rng,
                 self._feed.publish,
                 peers.metrics,
+                self._feed.note_revision,
             )
 
     @property
--- a/src/dotterelstand/process/discovery/platformfeed.py
+++ b/src/dotterelstand/process/discovery/platformfeed.py
@@ -108,7 +108,7 @@
             self._replace_targets,
             self._change_targets,
             self._catalogue.mark_platform_unavailable,
-            self._note_revision,
+            self.note_revision,
         )
         configuration = ListWatcher(
             self._platform,
@@ -118,7 +118,7 @@
             self._update_configuration,
             self._update_configuration,
             lambda: None,
-            self._note_revision,
+            self.note_revision,
         )
         async with trio.open_nursery() as nursery:
             nursery.start_soon(targets.run)
@@ -165,7 +165,7 @@
             with trio.move_on_after(interval_s * max(1.0, len(hosts) / FULL_MESH_HOSTS)):
                 await self._wait_became_hub()
 
-    def _note_revision(self, revision: int) -> None:
+    def note_revision(self, revision: int) -> None:
         """Notice by a revision that the store was restored from a copy."""
         if era_of(revision) > self._era:
             if self._era >= 0:
--- a/src/dotterelstand/process/discovery/proofs.py
+++ b/src/dotterelstand/process/discovery/proofs.py
@@ -51,16 +51,17 @@
 
 
 class HostProofs:
-    """Implements `Freshness`; `prove` calls the store, and `is_restored` tells whether the store
-    was restored from a copy. `clock` returns seconds as for `ProofSource`.
+    """Implements `Freshness`; `prove` calls the store, and `era` tells the store's era.
+
+    `clock` returns seconds as for `ProofSource`.
     """
 
     __slots__ = (
         "_answered",
         "_changed",
         "_clock",
+        "_era",
         "_interval_s",
-        "_is_restored",
         "_keyed",
         "_ledger",
         "_mesh",
@@ -82,7 +83,7 @@
         metrics: Metrics,
         ledger: ProofLedger,
         prove: Callable[[], Awaitable[None]],
-        is_restored: Callable[[], bool],
+        era: Callable[[], int],
         interval_s: float,
         clock: Callable[[], float],
         rng: random.Random,
@@ -91,7 +92,7 @@
         self._metrics = metrics
         self._ledger = ledger
         self._prove = prove
-        self._is_restored = is_restored
+        self._era = era
         self._interval_s = interval_s
         self._clock = clock
         self._rng = rng
@@ -119,7 +120,7 @@
         """Whether this host may run a request on a key of the document in force now."""
         now = self._clock()
         return self._ledger.is_proven(now) and self._trust.allows(
-            self._ledger.number, self._is_restored(), now
+            self._ledger.number, self._era(), now
         )
 
     def apply(self, number: int, keyed: bool) -> None:
@@ -162,6 +163,11 @@
             silent += answered is False
             if without_proof >= MAX_WITHOUT_PROOF or silent >= MAX_SILENT:
                 break
+            if silent:
+                # Each silent hub takes 0.4 s; the proof must not end before the store is called.
+                await self._call_store_if_due()
+                if self._is_recent():
+                    return True
         if before == math.inf or before > STORE_INTERVALS * self._interval_s or silent:
             for host in self._hubs_of_other_regions():
                 await self._ask(host)
@@ -222,7 +228,9 @@
     def _on_request(self, sender: str, message: ProofRequest) -> None:
         latest = self._ledger.latest
         number, age_ms = 0, 0
-        if latest is not None:
+        if latest is not None and self._trust.allows(
+            self._ledger.number, self._era(), self._clock()
+        ):
             number = latest.number
             age_ms = math.ceil(1000 * (self._clock() - latest.proven_s))
         self._mesh.send(sender, Proof(age_ms, message.call, number))
--- a/src/dotterelstand/process/discovery/proofsource.py
+++ b/src/dotterelstand/process/discovery/proofsource.py
@@ -6,7 +6,7 @@
 from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
-from dotterelstand.process.discovery.freshness import Proof, ProofLedger
+from dotterelstand.process.discovery.freshness import RESTORED_WAIT_S, Proof, ProofLedger
 from dotterelstand.process.discovery.registry import (
     HISTORY_LOST,
     Configuration,
@@ -15,6 +15,7 @@
     Listing,
     Platform,
     PlatformError,
+    era_of,
 )
 from dotterelstand.process.discovery.storechecks import CHECK_INTERVAL_S, CheckCall
 from dotterelstand.process.telemetry.metrics import Metrics
@@ -33,11 +34,14 @@
 
     __slots__ = (
         "_clock",
+        "_distrusted_until_s",
+        "_era",
         "_interval_s",
         "_ledger",
         "_metrics",
         "_number",
         "_platform",
+        "_revision",
         "_started_s",
         "_unapplied_from",
         "_unreadable",
@@ -59,6 +63,11 @@
         self._clock = clock
         # Highest number among the configurations that this host has received.
         self._number = 0
+        # Latest revision up to which the configuration is known not to have changed. That of the
+        # last change may be older than the store's history.
+        self._revision = 0
+        self._era = 0
+        self._distrusted_until_s = -math.inf
         # Whether the latest configuration cannot be read.
         self._unreadable = False
         self._started_s = -math.inf
@@ -68,6 +77,11 @@
 
     def note(self, listing: Listing[Item]) -> None:
         """Record a list of configurations, or changes to it, that this host received."""
+        if (era := era_of(listing.revision)) > self._era:
+            if self._era:
+                # The store may lack a document that it has acknowledged and no host has received.
+                self._distrusted_until_s = self._clock() + RESTORED_WAIT_S
+            self._era = era
         self._number = max([self._number, *_numbers(listing)])
         for entry in listing.entries:
             if entry.unreadable or isinstance(entry.item, Configuration):
@@ -78,7 +92,10 @@
         started_s = self._clock()
         listing = await self._platform.list(Kind.CONFIGURATION)
         if is_successful(listing):
+            number = self._number
             self.note(listing.unwrap())
+            if self._number == number:
+                self._revision = max(self._revision, listing.unwrap().revision)
             self._record(self._number, started_s)
         return listing
 
@@ -95,15 +112,19 @@
         Succeeds with False if a watch misses changes that the store has had for two calls.
         """
         number = self._number
+        revision = max(revision, self._revision)
         started_s = self._started_s = self._clock()
         self._metrics.count("platform.proof_calls")
         result = await self._platform.watch(Kind.CONFIGURATION, revision, SHORTEST_WAIT_S)
         if not is_successful(result):
             if result.failure().code == HISTORY_LOST:
-                return Success(True)
+                # The store keeps only its last seconds of history, which a quiet revision outlives.
+                listing = await self.list()
+                return listing.map(lambda _: self._number == number)
             return Failure(result.failure())
         if not result.unwrap().entries:
             self._unapplied_from = -1
+            self._revision = max(revision, result.unwrap().revision)
             self._record(number, started_s)
             return Success(True)
         # The watch of the configuration gets the same changes. Until they are in force, a proof
@@ -116,6 +137,8 @@
         return Success(not missed)
 
     def _record(self, number: int, started_s: float) -> None:
+        if started_s < self._distrusted_until_s:
+            return
         # An unreadable configuration may have removed a key that the document in force still has.
         if (
             number
--- a/src/dotterelstand/process/discovery/relayedplatform.py
+++ b/src/dotterelstand/process/discovery/relayedplatform.py
@@ -18,7 +18,6 @@
 from dotterelstand.events import Event, log
 from dotterelstand.process.discovery.proofsource import ProofSource
 from dotterelstand.process.discovery.registry import (
-    FIRST_ERA,
     HISTORY_LOST,
     UNANSWERED,
     Item,
@@ -134,9 +133,9 @@
         return self._role.is_relay
 
     @property
-    def is_restored(self) -> bool:
-        """Whether the store was restored from a copy, as far as its revisions tell."""
-        return era_of(self._known_revisions[Kind.CONFIGURATION]) > FIRST_ERA
+    def era(self) -> int:
+        """Era of the store, as far as the revisions of the configuration tell."""
+        return era_of(self._known_revisions[Kind.CONFIGURATION])
 
     async def list(self, kind: Kind) -> Result[Listing[Item], PlatformError]:
         """List all objects of a relayed kind, from a hub or from the store."""
--- a/tests/proof_support.py
+++ b/tests/proof_support.py
@@ -137,7 +137,7 @@
             self.metrics,
             ledger,
             self.relayed.prove,
-            lambda: self.relayed.is_restored,
+            lambda: self.relayed.era,
             INTERVAL_S,
             self.clock,
             rng,
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -228,3 +228,23 @@
         assert len(calls) <= most_calls, calls
 
     run_on_platform(scenario, entries=6, settings=extra)
+
+
+@pytest.mark.parametrize("entries", [1, 3])
+def test_evacuation_lasts_while_the_operator_repeats_it(entries: int) -> None:
+    """Guards against requests to a zone whose evacuation a restored store has lost."""
+
+    async def scenario(fleet: PlatformFleet) -> None:
+        fleet.store.era = "1"
+        await trio.sleep(1.0)
+        copy = fleet.store.copy()
+        fleet.store.put("evacuations", "local-2", {})
+        await trio.sleep(6.0)
+        fleet.store.restore(copy, "2")
+        for _ in range(25):
+            await trio.sleep(0.1)
+            for daemon in fleet.daemons:
+                document = daemon.document
+                assert document is not None and document.evacuated_zones == {"local-2"}
+
+    run_on_platform(scenario, entries=entries, settings=ENABLED)
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -16,6 +16,7 @@
     StartTrust,
 )
 from dotterelstand.process.discovery.proofs import elapsed_s
+from dotterelstand.process.discovery.registry import FIRST_ERA
 from dotterelstand.standin.virtual import run_virtual
 
 MAX_AGE_S = 0.95 * LIMIT_S
@@ -72,7 +73,25 @@
     trust = StartTrust(0.0)
     for peer in peers:
         trust.note_peer(peer)
-    assert trust.allows(number, restored, after_s) is trusted
+    assert trust.allows(number, FIRST_ERA + restored, after_s) is trusted
+
+
+def test_a_later_era_ends_the_trust_of_a_host_that_lags() -> None:
+    """Guards against proofs of a restored store that lost a document which only a peer received."""
+    trust = StartTrust(0.0)
+    assert trust.allows(7, FIRST_ERA, 10.0)
+    trust.note_peer(8)
+    assert not trust.allows(7, FIRST_ERA + 1, 11.0)
+    assert trust.allows(8, FIRST_ERA + 1, 12.0)
+
+
+def test_a_proof_of_an_earlier_document_does_not_replace_that_of_a_later_one() -> None:
+    """Guards against a restored store that proves the document before a lost one."""
+    ledger = ProofLedger(5.0)
+    ledger.apply(7)
+    assert ledger.record(Proof(8, 3.0), 3.0)
+    assert not ledger.record(Proof(7, 6.0), 6.0)
+    assert not ledger.is_proven(6.1)
 
 
 def test_the_clock_cannot_be_set(monkeypatch: pytest.MonkeyPatch) -> None:
--- a/tests/test_strict_revocation.py
+++ b/tests/test_strict_revocation.py
@@ -10,7 +10,10 @@
 
 from dotterelstand.connection.codec import encode_message
 from dotterelstand.connection.wire import Message, Snapshot, StoreChanges
+from dotterelstand.process.discovery import objectadapter
+from dotterelstand.process.discovery.platformfeed import WatchSettings
 from dotterelstand.process.peering import peers
+from dotterelstand.settings import Settings
 from dotterelstand.version.workspace import digest_key
 
 STRICT = "[access]\nstrict_revocation = true\n"
@@ -133,3 +136,29 @@
     run_on_platform(scenario, entries=3)
     carrying = [data for data in sent if b"resources" in data]
     assert carrying and not any(key.encode() in data for data in carrying)
+
+
+def test_hosts_stay_proven_beyond_the_history_of_the_store(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against proofs that end when the last change has left the history of the store."""
+    watches = objectadapter._watch_settings
+
+    def with_short_watches(settings: Settings) -> WatchSettings:
+        found = watches(settings)
+        found.watch_s = 10.0
+        return found
+
+    monkeypatch.setattr(objectadapter, "_watch_settings", with_short_watches)
+
+    async def scenario(fleet: PlatformFleet) -> None:
+        store, marks = fleet.store, []
+        store.put("config", "main", _keyed(8, "k" * 20))
+        for second in range(60):
+            await trio.sleep(1.0)
+            store.put("other", "x", {"second": second})
+            marks.append(store.revision)
+            if len(marks) > 20:
+                store.oldest_revision = marks[-21]
+                store.history = [item for item in store.history if item[0] > marks[-21]]
+            assert second < 4 or all(_proven(fleet))
+
+    run_on_platform(scenario, entries=3, settings=STRICT)
