--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -142,7 +142,13 @@
 
     async def scenario(fleet: PlatformFleet) -> None:
         address = entry_address(1)
-        values = {"index": 1, "address": address, "platform": PLATFORM, "memory_mb": 0}
+        values = {
+            "index": 1,
+            "address": address,
+            "platform": PLATFORM,
+            "memory_mb": 0,
+            "quota": "false",
+        }
         text = SETTINGS.format(**values, health_interval_s=0.0, stop_limit_s=0.0)
         settings = parse_settings(text + tls, "test").unwrap()
         certificates = load_certificates(settings).unwrap()
