--- a/src/dotterelstand/process/discovery/catalogue.py
+++ b/src/dotterelstand/process/discovery/catalogue.py
@@ -138,7 +138,7 @@
             self._platform_unavailable = False
             self._available_since = now
 
-    def mark_restored(self, now: float) -> None:
+    def mark_store_restored(self, now: float) -> None:
         """Record that the store was restored from a copy that may be seconds old.
 
         Targets that are missing in it are kept for the grace period. Targets that are known to
--- a/src/dotterelstand/process/discovery/platformfeed.py
+++ b/src/dotterelstand/process/discovery/platformfeed.py
@@ -137,7 +137,7 @@
         each registers before it reads. Hosts that start later open links by themselves, so a large
         fleet reads its list rarely. A host that starts again is still listed and does not register.
         """
-        registered = has_read = False
+        registered = False
         while True:
             listed = None
             if not registered and not self._watch_settings.bootstrap_wait_s:
@@ -151,13 +151,13 @@
                 self._registered_s = trio.current_time()
             # Hosts that start together have to see each other; later, a stale list is enough,
             # since hosts that start open the links themselves.
-            stale_ok = has_read or listed is not None
+            stale_ok = self.has_host_list or listed is not None
             hosts = await self._read_hosts(listed, stale_ok) if registered else None
             if hosts is None:
                 self.host_list_attempted.set()
                 await self._backoff.sleep()
                 continue
-            has_read = self.has_host_list = True
+            self.has_host_list = True
             self._backoff.reset()
             self._update_hosts(hosts)
             self.host_list_attempted.set()
@@ -172,7 +172,7 @@
         """Notice by a revision that the store was restored from a copy."""
         if era_of(revision) > self._era:
             if self._era >= 0:
-                self._catalogue.mark_restored(trio.current_time())
+                self._catalogue.mark_store_restored(trio.current_time())
                 self._restored.set()
             self._era = era_of(revision)
 
--- a/src/dotterelstand/process/peering/ranking.py
+++ b/src/dotterelstand/process/peering/ranking.py
@@ -10,16 +10,18 @@
 RESERVE_RELAYS = 2
 
 
-def rank_hosts(key: str, members: tuple[Member, ...], region: str) -> list[str]:
+def rank_hosts(key: str, members: tuple[Member, ...], region: str | None = None) -> list[str]:
     """Live hubs of a region that are not leaving, in descending order of their weight for `key`.
 
+    Without a region, those of all regions.
+
     Hosts that see the same members agree on the order, and the loss of a host moves only the work
     of that host.
     """
     names = [
         member.host
         for member in members
-        if member.region == region and member.hub and not member.leaving
+        if region in (None, member.region) and member.hub and not member.leaving
     ]
 
     def weight(host: str) -> int:
--- a/src/dotterelstand/process/quota/node.py
+++ b/src/dotterelstand/process/quota/node.py
@@ -3,8 +3,6 @@
 import random
 from collections.abc import Callable, Mapping
 
-import xxhash
-
 from dotterelstand.connection.quotawire import QuotaLimits, QuotaReport
 from dotterelstand.connection.wire import Message
 from dotterelstand.process.peering.mesh import Member
@@ -238,12 +236,7 @@
             return
         self._ranked_members = members
         self._collectors = rank_hosts(QUOTA_KEY, members, self._region)
-        hubs = [item.host for item in members if item.hub and not item.leaving]
-        ranked = sorted(
-            hubs,
-            key=lambda host: xxhash.xxh3_64_intdigest(f"{QUOTA_KEY}/{host}".encode()),
-            reverse=True,
-        )
+        ranked = rank_hosts(QUOTA_KEY, members)
         # If the first two don't answer, this region is probably cut off from the others.
         self._coordinators = list(dict.fromkeys([*ranked[:2], *self._collectors, *ranked]))
 
--- a/src/dotterelstand/request/access.py
+++ b/src/dotterelstand/request/access.py
@@ -174,9 +174,7 @@
         if refusal is None and not self._allows(region):
             refusal = _REGION
         self.refusal = refusal
-        if refusal is None:
-            return None
-        return refusal.code
+        return None if refusal is None else refusal.code
 
     def _allows(self, region: str | None) -> bool:
         if self._regions is None:
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -104,7 +104,7 @@
     host = _Host()
     host.replace(0.0, "local-2")
     restored_at = 10.0
-    host.catalogue.mark_restored(restored_at)
+    host.catalogue.mark_store_restored(restored_at)
     host.replace(restored_at + missing_at)
     host.evacuations.end("local-2", restored_at + missing_at)
     seen = ["local-2" not in host.targets()]
--- a/tests/test_store_era.py
+++ b/tests/test_store_era.py
@@ -212,7 +212,7 @@
         catalogue.change_targets([Entry("a", None, removed=True)], 1.0)
     elif before == "draining":
         catalogue.change_targets([entry("a", state="draining")], 1.0)
-    catalogue.mark_restored(2.0)
+    catalogue.mark_store_restored(2.0)
     catalogue.replace_targets([entry(name) for name in listed], 2.0)
     in_use = [target.name for target in catalogue._targets.values() if not target.draining]
     assert sorted(in_use) == expected
