Receive uploads in chunks before they take a slot

Callers saw: with 300 uploads in chunks that stopped before their end, an ordinary upload to the same service was answered only 30 s later, when listen.body_idle_timeout_s ended the first ones; where routes have timeouts, it was refused.

Cause: only a body whose declared length is at most requests.held_body_bytes was received before its request asked for a slot. One in chunks took a slot with its first bytes, and kept it while nothing arrived. Change: a body without a declared length is received first as well, up to requests.held_body_bytes, which are held for retries anyway. Why it works: a caller that stops earlier holds no slot. Longer ones still do; docs/design/body-memory.md says so.

--- a/src/dotterelstand/request/exchange.py
+++ b/src/dotterelstand/request/exchange.py
@@ -148,8 +148,9 @@
         if not self._context.stop_plan.accepts(trio.current_time(), self._latest_deadline):
             return ResultCode.HOST_STOPPING
         length = self._head.declared_length()
-        if length is not None and length <= self._context.limits.held_body_bytes:
-            # Read a short body first, so that a slow caller does not occupy a slot.
+        if length is None or length <= self._context.limits.held_body_bytes:
+            # Read a short body first, so that a slow caller does not occupy a slot. A body in
+            # chunks counts as short until more of it has arrived.
             await self._body.fill()
         journal = self._context.journal
         if journal is not None and self._head.key is not None and not self._route.idempotent:
