Count the memory of a head before it is parsed

Callers saw: none directly; heads of 1,500 short lines, within max_head_bytes, took a host of 200 MB to 448 MB.

Cause: a head of 12 KB becomes 290 KB of objects when it is parsed, which were counted when its request began. All connections whose heads had arrived parsed them in the same turn of the loop, before those that were refused for it ended. A refused connection also kept its parsed head while it lingered. Ruled out: cycles; with these gone the peak was still 390 MB. Change: the memory of a request is counted first, and its head is parsed once all that is counted fits. A refused connection does not wait, since others wait for what it holds. Requests that have ended keep no headers. Why it works: no object is made before its memory is counted. Before a refused connection stopped waiting, a crowd of 400 hung the host: idle connections that were refused got a request and waited for each other; the test of it hangs without the change.

--- a/src/dotterelstand/connection/caller.py
+++ b/src/dotterelstand/connection/caller.py
@@ -194,7 +194,7 @@
     def begin(self, request: CallerRequest) -> None:
         """Start to serve a request; `end` must follow."""
         self._serving.add(request)
-        request.hold_head()
+        request.hold_piece()
 
     def end(self, request: CallerRequest) -> None:
         """Stop serving a request, whether it was answered or not."""
@@ -367,16 +367,21 @@
                 self.closing = self._closes_when_idle = True
 
     async def _read_head(self) -> CallerRequest | ResultCode | None:
-        parsed = await self._heads.read(self.receive)
-        if isinstance(parsed, ResultCode):
-            return parsed
-        if parsed is None:
-            return self._refusal_code()
+        parsed = await self._heads.read(self.receive, self._wait_for_memory)
+        if parsed is None or isinstance(parsed, ResultCode):
+            return parsed or self._refusal_code()
         # Time limits count from the arrival of the head; a pipelined head may be parsed much later.
         assert parsed.head is not None
         parsed.head.arrived_s = self.last_received_s
         return self._make_request(parsed)
 
+    async def _wait_for_memory(self) -> bool:
+        """Wait until what is counted fits in the memory; False if the connection was refused."""
+        has_room = await self._inbox.wait_for_memory(lambda: self._drops_input or self.disconnected)
+        # An idle connection that was refused may still get a request.
+        self._drops_input |= self.memory.refused and not has_room
+        return has_room and not self._drops_input
+
     def _make_request(self, parsed: ParsedHead) -> CallerRequest:
         self._latest_request = make_request(self, parsed, self._latest_request)
         return self._latest_request
--- a/src/dotterelstand/connection/callerhead.py
+++ b/src/dotterelstand/connection/callerhead.py
@@ -8,7 +8,7 @@
 from dotterelstand.codes import Result as ResultCode
 from dotterelstand.connection.callerlimits import CallerLimits
 from dotterelstand.connection.headcheck import check_raw_head, find_head_end
-from dotterelstand.connection.memorybudget import Holding
+from dotterelstand.connection.memorybudget import Holding, head_cost
 from dotterelstand.request.fields import HeaderFields
 from dotterelstand.request.head import RequestHead, parse_head
 
@@ -16,10 +16,11 @@
 class ParsedHead:
     """A valid head, the h11 state behind it, and the input that begins with it.
 
-    `head_bytes` is the length of the head in this input.
+    `head_bytes` is the length of the head in this input, and `cost_bytes` the memory that was
+    counted for the request.
     """
 
-    __slots__ = ("head", "head_bytes", "method", "received", "state")
+    __slots__ = ("cost_bytes", "head", "head_bytes", "method", "received", "state")
 
     def __init__(
         self,
@@ -28,12 +29,14 @@
         head: RequestHead | None = None,
         received: bytes = b"",
         head_bytes: int = 0,
+        cost_bytes: int = 0,
     ) -> None:
         self.state = state
         self.method = method
         self.head = head
         self.received = received
         self.head_bytes = head_bytes
+        self.cost_bytes = cost_bytes
 
 
 class HeadReader:
@@ -75,8 +78,16 @@
         """Stand-in for the head of a request that could not be read."""
         return ParsedHead(self._new_h11(), b"")
 
-    async def read(self, receive: Callable[[], Awaitable[bytes]]) -> ParsedHead | ResultCode | None:
-        """Read the next head; returns the code of its refusal, or None if the input ends before."""
+    async def read(
+        self,
+        receive: Callable[[], Awaitable[bytes]],
+        wait_for_memory: Callable[[], Awaitable[bool]],
+    ) -> ParsedHead | ResultCode | None:
+        """Read the next head; returns the code of its refusal, or None if the input ends before.
+
+        The memory of the request is counted before the head is parsed, as a head may become 40
+        times as large. None is also returned if `wait_for_memory` returns False.
+        """
         searched = 0
         while (end := find_head_end(self._unparsed, searched)) < 0:
             searched = len(self._unparsed)
@@ -90,9 +101,17 @@
             return ResultCode.HEAD_TOO_LARGE
         if not check_raw_head(bytes(self._unparsed[:end])):
             return ResultCode.BAD_REQUEST
-        return self._parse(end)
+        cost = head_cost(self._unparsed, end)
+        self._holding.hold(cost, trio.current_time())
+        if not await wait_for_memory():
+            self._holding.release(cost)
+            return None
+        parsed = self._parse(end, cost)
+        if isinstance(parsed, ResultCode):
+            self._holding.release(cost)
+        return parsed
 
-    def _parse(self, end: int) -> ParsedHead | ResultCode:
+    def _parse(self, end: int, cost: int) -> ParsedHead | ResultCode:
         received = bytes(self._unparsed)
         self.push_back(b"")
         max_body_bytes = self._limits.bounds.max_body_bytes
@@ -103,7 +122,7 @@
         if not head.has_body() and state.their_state is h11.SEND_BODY:
             state.next_event()
             self.push_back(bytes(state.trailing_data[0]))
-        return ParsedHead(state, method, head, received, end)
+        return ParsedHead(state, method, head, received, end, cost)
 
     def _new_h11(self) -> h11.Connection:
         max_bytes = self._limits.bounds.max_head_bytes
--- a/src/dotterelstand/connection/callerinput.py
+++ b/src/dotterelstand/connection/callerinput.py
@@ -106,6 +106,17 @@
             self._count_system_bytes(0)
         return True
 
+    async def wait_for_memory(self, is_ended: Callable[[], bool]) -> bool:
+        """Wait until all that is counted fits in the memory; False if the connection ends before.
+
+        Connections that were refused don't wait, since others wait for what they hold.
+        """
+        budget = self._holding.budget
+        while not (budget.has_room or self._holding.refused or is_ended()):
+            budget.on_room(self.readers.unpark_all)
+            await self.readers.park()
+        return budget.has_room
+
     def _count_system_bytes(self, size: int) -> None:
         """Count what the system has received and this process has not read."""
         self._holding.release(self._system_bytes)
--- a/src/dotterelstand/connection/callerrequest.py
+++ b/src/dotterelstand/connection/callerrequest.py
@@ -9,7 +9,7 @@
 
 from dotterelstand.codes import Result as ResultCode
 from dotterelstand.connection.bodyerror import BodyError
-from dotterelstand.connection.memorybudget import HEADER_BYTES, REQUEST_BYTES, Stage
+from dotterelstand.connection.memorybudget import Stage
 from dotterelstand.request.fields import RESULT_HEADER, RUN_HEADER
 from dotterelstand.request.head import Headers, RequestHead, release_frames
 
@@ -42,7 +42,7 @@
         "_connection",
         "_follows_unread",
         "_h11",
-        "_head_cost_bytes",
+        "_head_bytes",
         "_held_bytes",
         "_in_hand_bytes",
         "_is_chunked",
@@ -76,6 +76,7 @@
         previous_ended: trio.Event | None,
         received: bytes,
         head_bytes: int = 0,
+        cost_bytes: int = 0,
     ) -> None:
         self._connection = connection
         self._is_chunked = head is not None and head.has_body() and head.declared_length() is None
@@ -94,10 +95,11 @@
         )
         self.head = head
         self._unsent = b""
-        # Bytes held for this request, and those of them in the piece that is being consumed.
-        lines = received.count(b"\n", 0, head_bytes)
-        self._head_cost_bytes = head_bytes + lines * HEADER_BYTES
-        self._held_bytes = self._in_hand_bytes = 0
+        # Bytes held for this request, of which those of the head were counted before it was parsed,
+        # and those of them in the piece that is being consumed.
+        self._head_bytes = head_bytes
+        self._held_bytes = cost_bytes
+        self._in_hand_bytes = 0
         if head is not None and head.has_body():
             self._in_hand_bytes = len(received) - head_bytes
         # Whether a slot was granted, so that the request ends soon.
@@ -193,14 +195,19 @@
         else:
             self._connection.memory.release(-size)
 
-    def hold_head(self) -> None:
-        """Count the memory that the request takes, with its head and the piece behind it."""
-        self.hold(REQUEST_BYTES + self._head_cost_bytes + self._in_hand_bytes)
+    def hold_piece(self) -> None:
+        """Count the piece of the body behind the head."""
+        self.hold(self._in_hand_bytes)
 
     def release_memory(self, keep_head: bool = False) -> None:
-        """Hold and count nothing any more for this request, which has ended, except its head."""
-        self.hold(self._head_cost_bytes * keep_head - self._held_bytes)
+        """Hold and count nothing any more for this request, which has ended.
+
+        With `keep_head`, what is left of the head stays counted, which has no headers then.
+        """
+        self.hold(self._head_bytes * keep_head - self._held_bytes)
         self._piece = b""
+        if self.head is not None:
+            self.head.headers = []
 
     def refuse_for_memory(self) -> None:
         """Refuse the request unless it is whole and has a slot; end it if a target may run it."""
@@ -375,6 +382,7 @@
         None if previous is None else previous.ended,
         parsed.received,
         parsed.head_bytes,
+        parsed.cost_bytes,
     )
 
 
--- a/src/dotterelstand/connection/memorybudget.py
+++ b/src/dotterelstand/connection/memorybudget.py
@@ -72,6 +72,11 @@
 Report = Callable[[Stage, int], None]
 
 
+def head_cost(head: bytes | bytearray, length: int) -> int:
+    """Bytes of memory that a parsed head with its request takes; `length` is that of the head."""
+    return REQUEST_BYTES + length + head.count(b"\n", 0, length) * HEADER_BYTES
+
+
 class Holding:
     """Number of bytes that one connection holds; context manager that releases them all."""
 
@@ -124,7 +129,17 @@
 class MemoryBudget:
     """Bytes held by all connections of a process, and their limit (infinite if there is none)."""
 
-    __slots__ = ("_holdings", "_releasing_bytes", "_report", "limit_bytes", "lingers", "used_bytes")
+    __slots__ = (
+        "_holdings",
+        "_next_search_s",
+        "_on_room",
+        "_releasing_bytes",
+        "_report",
+        "ending",
+        "limit_bytes",
+        "lingers",
+        "used_bytes",
+    )
 
     def __init__(
         self, limit_bytes: float = math.inf, report: Report = lambda stage, size: None
@@ -134,6 +149,10 @@
         # In the order in which the connections were opened.
         self._holdings: dict[Holding, None] = {}
         self.used_bytes = 0
+        # Earliest time of the next search for inactive connections.
+        self._next_search_s = -math.inf
+        # Called, and forgotten, when there is room again.
+        self._on_room: dict[Callable[[], object], None] = {}
         # Part of `used_bytes` that connections hold which were refused and have not yet ended.
         self._releasing_bytes = 0
         # Number of refused connections that are given time to read their refusal.
@@ -149,6 +168,10 @@
         """Whether more input may be read."""
         return self.used_bytes <= self.limit_bytes
 
+    def on_room(self, wake: Callable[[], object]) -> None:
+        """Call `wake` once when there is room again; it must not add or subtract bytes."""
+        self._on_room[wake] = None
+
     def read_bytes(self, awaits_request: bool) -> int:
         """Maximum number of bytes to read at once.
 
@@ -182,6 +205,10 @@
         self.used_bytes -= size
         if holding.refused:
             self._releasing_bytes -= size
+        if self._on_room and self.has_room:
+            waiting, self._on_room = self._on_room, {}
+            for wake in waiting:
+                wake()
 
     def remove(self, holding: Holding) -> None:
         """Forget a connection that has ended; called by its holding."""
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -71,6 +71,66 @@
     assert [item.holder for item in choose_refused(holdings, now, 1.0)] == [holders[-1]]
 
 
+@pytest.mark.parametrize(
+    ("lines", "grants", "expected"),
+    [(10, True, True), (1000, True, True), (10, False, False), (1000, False, False)],
+)
+def test_a_head_is_parsed_when_its_memory_is_counted(
+    lines: int, grants: bool, expected: bool
+) -> None:
+    """Guards against heads that become objects before there is memory for them."""
+
+    async def main() -> None:
+        budget = MemoryBudget()
+        limits = CallerLimits(CallerBounds(65536, 10**6, 10.0, 60.0), 30.0, 1.0, budget)
+        holding = budget.open(FakeHolder(Stage.ARRIVING, 0.0))
+        reader = HeadReader(limits, DEFAULT_FIELDS, holding)
+        reader.append(b"GET / HTTP/1.1\r\nHost: x\r\n" + b"a:b\r\n" * lines + b"\r\n")
+        before = holding.held_bytes
+
+        async def wait_for_memory() -> bool:
+            assert holding.held_bytes > before + lines * 193
+            return grants
+
+        found = await reader.read(trio.sleep_forever, wait_for_memory)
+        assert isinstance(found, ParsedHead) == expected
+        assert expected or holding.held_bytes == before
+
+    trio.run(main)
+
+
+@pytest.mark.parametrize("is_refused", [True, False])
+def test_a_refused_idle_connection_does_not_wait_for_memory(is_refused: bool) -> None:
+    """Guards against refused connections that wait for the memory that they hold themselves."""
+
+    async def main() -> None:
+        budget = MemoryBudget(2 * CONNECTION_BYTES)
+        limits = CallerLimits(CallerBounds(16384, 10**6, 10.0, 60.0), 30.0, 1.0, budget)
+        one, other = trio.socket.socketpair()
+        connection = CallerConnection(trio.SocketStream(other), limits)
+        found: list[object] = []
+        ended = trio.Event()
+
+        async def serve() -> None:
+            found.append(await connection.next_request())
+            ended.set()
+
+        with trio.fail_after(30), one, other:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(connection.read_ahead)
+                nursery.start_soon(serve)
+                await trio.testing.wait_all_tasks_blocked()
+                if is_refused:
+                    connection.memory.refused = True
+                    connection.refuse_for_memory()
+                await one.send(b"GET / HTTP/1.1\r\nHost: a\r\n" + b"a:b\r\n" * 200 + b"\r\n")
+                await ended.wait()
+                nursery.cancel_scope.cancel()
+        assert found == [Result.HOST_MEMORY_FULL]
+
+    trio.run(main)
+
+
 def test_refusals_end_when_enough_will_be_released() -> None:
     """Guards against refusing everyone while the first ones that were refused still end."""
     budget = MemoryBudget(20 * CONNECTION_BYTES)
