Count the objects of each received piece of input

Callers saw: none.

Cause: bytes that arrive one by one while a request is being served are kept as pieces with their time of arrival, about 140 bytes each besides. Only their length was counted, and reading paused at 64 KB of it: 9 MB for a connection. Change: each piece counts 160 bytes more, for the budget and for the pause. Measured: tests/test_memory_budget.py: 20,000 pieces of one byte were all taken before, now about 400.

--- a/src/dotterelstand/connection/callerinput.py
+++ b/src/dotterelstand/connection/callerinput.py
@@ -12,8 +12,10 @@
 from dotterelstand.connection.memorybudget import Holding
 from dotterelstand.connection.target import has_hung_up
 
-# Maximum number of received bytes that are not yet consumed; beyond it, reading pauses.
+# Maximum number of bytes that input takes which is not yet consumed; beyond it, reading pauses.
 READ_AHEAD_BYTES = 65536
+# Bytes of memory that each received piece takes besides its bytes: objects for piece and time.
+PIECE_BYTES = 160
 # Maximum number of bytes that are read and dropped before a connection is closed.
 MAX_LINGER_BYTES = 1_048_576
 # Seconds between two checks whether the caller has disconnected, while reading pauses.
@@ -23,9 +25,9 @@
 class CallerInput:
     """Received pieces with their time of arrival.
 
-    `holding` counts them, and the bytes that the system holds while reading pauses. `left_over` is
-    the beginning of what was dropped before the connection is closed, and `readers` are the tasks
-    that wait for input.
+    `holding` counts them with their objects, and the bytes that the system holds while reading
+    pauses. `left_over` is the beginning of what was dropped before the connection is closed, and
+    `readers` are the tasks that wait for input.
     """
 
     __slots__ = (
@@ -57,18 +59,22 @@
         """All bytes."""
         return b"".join(data for _, data in self._pieces)
 
+    @property
+    def _is_full(self) -> bool:
+        return self.received_bytes + len(self._pieces) * PIECE_BYTES >= READ_AHEAD_BYTES
+
     def append(self, data: bytes, now: float) -> None:
         """Add received bytes; they are dropped if the connection is refused for lack of memory."""
         self._pieces.append((now, data))
         self.received_bytes += len(data)
-        self._holding.hold(len(data), now)
+        self._holding.hold(len(data) + PIECE_BYTES, now)
         self.readers.unpark_all()
 
     def take(self) -> tuple[float, bytes]:
         """Remove the first piece; returns its time of arrival in seconds, too."""
         arrived_s, data = self._pieces.popleft()
         self.received_bytes -= len(data)
-        self._holding.release(len(data))
+        self._holding.release(len(data) + PIECE_BYTES)
         self._space.unpark_all()
         return arrived_s, data
 
@@ -93,7 +99,7 @@
     async def wait_for_space(self) -> bool:
         """Wait until more input may be read; False if the caller has disconnected meanwhile."""
         budget = self._holding.budget
-        while self.received_bytes >= READ_AHEAD_BYTES or not budget.has_room:
+        while self._is_full or not budget.has_room:
             # The end of the stream is behind input that is not read now.
             if has_hung_up(self._stream):
                 return False
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -131,6 +131,30 @@
     trio.run(main)
 
 
+@pytest.mark.parametrize(("size", "pieces"), [(1, 20_000), (100, 2000), (16_384, 8)])
+def test_small_pieces_count_with_their_objects(size: int, pieces: int) -> None:
+    """Guards against single bytes that take a hundred times their length."""
+
+    async def main() -> None:
+        holding = MemoryBudget().open(FakeHolder(Stage.ARRIVING, 0.0))
+        (one, other), before = trio.socket.socketpair(), holding.held_bytes
+        with one, other:
+            received = CallerInput(trio.SocketStream(other), holding)
+            count, scope = 0, trio.CancelScope()
+            while count < pieces and not scope.cancelled_caught:
+                received.append(b"x" * size, 0.0)
+                count += 1
+                with trio.move_on_after(0) as scope:
+                    await received.wait_for_space()
+            assert count < pieces
+            # The objects of a piece take about 140 bytes.
+            assert holding.held_bytes - before >= count * (size + 140)
+            received.clear()
+            assert holding.held_bytes == before
+
+    trio.run(main)
+
+
 def test_refusals_end_when_enough_will_be_released() -> None:
     """Guards against refusing everyone while the first ones that were refused still end."""
     budget = MemoryBudget(20 * CONNECTION_BYTES)
