End inactive connections when there are too many, in place of refusing new ones

Cause: the number of connections was bounded by refusing each further one. Change: connections that have been idle for 5 s, or receiving a request for 0.5 s, end first, a twentieth of all at a time. Only if there is none, the new connection is refused, and they are searched ten times a second at most. Why it works: whoever holds a connection without using it loses it to whoever wants to use one; an ordinary caller's next request does not cross the close. Measured: tests/test_memory_budget.py: both cases of test_inactive_connections_do_not_shut_out_a_caller got 503 before.

--- a/src/dotterelstand/connection/memorybudget.py
+++ b/src/dotterelstand/connection/memorybudget.py
@@ -30,6 +30,12 @@
 # Maximum number of connections that are refused for memory and at the same time given time to read
 # the refusal; further ones are closed at once.
 MAX_CONCURRENT_LINGERS = 64
+# Share of the connections that are refused together when there are too many.
+INACTIVE_SHARE = 0.05
+# Time in seconds between two searches for inactive connections if there was none.
+INACTIVE_SEARCH_S = 0.1
+# Ranks in the order of refusals of connections without a request for long, and of slow uploads.
+_INACTIVE_RANKS = (0, 1, 3)
 
 
 class Stage(IntEnum):
@@ -157,6 +163,8 @@
         self._releasing_bytes = 0
         # Number of refused connections that are given time to read their refusal.
         self.lingers = 0
+        # Number of connections that were refused and have not yet ended.
+        self.ending = 0
 
     @property
     def is_limited(self) -> bool:
@@ -213,7 +221,21 @@
     def remove(self, holding: Holding) -> None:
         """Forget a connection that has ended; called by its holding."""
         self.subtract(holding, holding.held_bytes)
-        self._holdings.pop(holding, None)
+        del self._holdings[holding]
+        self.ending -= holding.refused
+
+    def refuse_inactive(self, now: float) -> None:
+        """Refuse some connections that are idle, or receive a request slowly, if there are any."""
+        if now < self._next_search_s:
+            return
+        ranked = _rank_all(self._holdings, now)
+        inactive = [pair for pair in ranked if pair[1][0] in _INACTIVE_RANKS]
+        inactive.sort(key=lambda pair: pair[1])
+        if not inactive:
+            self._next_search_s = now + INACTIVE_SEARCH_S
+        most = max(1, int(INACTIVE_SHARE * len(self._holdings)))
+        for holding, _ in inactive[:most]:
+            self._refuse(holding)
 
     def make_room(self, now: float) -> None:
         """Refuse connections if those not refused yet hold more than the limit."""
@@ -222,11 +244,17 @@
             return
         excess += (1 - REDUCED_SHARE) * self.limit_bytes
         for holding in choose_refused(self._holdings, now, excess):
-            stage, size = holding.holder.stage, holding.held_bytes
-            holding.refused = True
-            self._releasing_bytes += size
-            holding.holder.refuse_for_memory()
-            self._report(stage, size)
+            self._refuse(holding)
+
+    def _refuse(self, holding: Holding) -> None:
+        holder = holding.holder
+        assert holder is not None, "a closed holding is still counted"
+        stage, size = holder.stage, holding.held_bytes
+        holding.refused = True
+        self.ending += 1
+        self._releasing_bytes += size
+        holder.refuse_for_memory()
+        self._report(stage, size)
 
 
 def choose_refused(holdings: Iterable[Holding], now: float, excess: float) -> list[Holding]:
@@ -237,8 +265,7 @@
     connections, and callers that do not read their answers.
     """
     chosen: list[Holding] = []
-    ranked = [(rank, item) for item in holdings if (rank := _rank(item, now)) is not None]
-    for _, holding in sorted(ranked, key=lambda pair: pair[0]):
+    for holding, _ in sorted(_rank_all(holdings, now), key=lambda pair: pair[1]):
         if excess <= 0:
             break
         chosen.append(holding)
@@ -246,6 +273,11 @@
     return chosen
 
 
+def _rank_all(holdings: Iterable[Holding], now: float) -> list[tuple[Holding, tuple[int, float]]]:
+    """Connections that can be refused, with their place in the order of refusals."""
+    return [(item, rank) for item in holdings if (rank := _rank(item, now)) is not None]
+
+
 def _rank(holding: Holding, now: float) -> tuple[int, float] | None:
     """Order of refusal of a connection, the first being the lowest; None if it is ending."""
     holder = holding.holder
--- a/src/dotterelstand/process/frontend.py
+++ b/src/dotterelstand/process/frontend.py
@@ -8,6 +8,7 @@
 from dotterelstand.connection.caller import CallerConnection
 from dotterelstand.connection.callerlimits import CallerLimits
 from dotterelstand.connection.callerrequest import CallerRequest
+from dotterelstand.connection.memorybudget import MemoryBudget
 from dotterelstand.connection.network import Listener
 from dotterelstand.connection.target import close_now
 from dotterelstand.events import Event, log
@@ -69,6 +70,11 @@
         # Requests without a whole answer since the stop began, whether a line tells of them or not.
         self.undelivered_in_stop = 0
 
+    @property
+    def memory(self) -> MemoryBudget:
+        """Budget of what the connections of callers hold."""
+        return self._limits.memory
+
     @property
     def document(self) -> Document | None:
         """Document in force."""
@@ -128,7 +134,7 @@
 
     async def serve_caller(self, stream: trio.abc.Stream) -> None:
         """Serve the requests of one caller connection."""
-        if len(self._connections) >= self._max_connections:
+        if not self._has_place():
             await self._refuse_connection(stream)
             return
         connection = CallerConnection(stream, self._limits, self._context.fields)
@@ -157,6 +163,19 @@
                 connection.close()
             connection.release_memory()
 
+    def _has_place(self) -> bool:
+        """Whether one more connection may be open; makes inactive ones end if there are too many.
+
+        Else callers that hold connections without using them would shut out all others.
+        """
+        budget = self.memory
+        active = len(self._connections) - budget.ending
+        if active >= self._max_connections:
+            budget.refuse_inactive(trio.current_time())
+            active = len(self._connections) - budget.ending
+        most = self._max_connections + MAX_CONCURRENT_REFUSALS
+        return active < self._max_connections and len(self._connections) < most
+
     async def _serve_requests(self, connection: CallerConnection, nursery: trio.Nursery) -> None:
         """Serve requests until the connection ends; pipelined requests may run concurrently."""
         while True:
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -71,6 +71,30 @@
     assert [item.holder for item in choose_refused(holdings, now, 1.0)] == [holders[-1]]
 
 
+@pytest.mark.parametrize(
+    ("connections", "refused"),
+    [
+        # Stage, age in seconds, bytes received.
+        ([(Stage.IDLE, 6.0, 0), (Stage.IDLE, 9.0, 0)], [False, True]),
+        ([(Stage.ARRIVING, 1.0, 9 * KB), (Stage.ARRIVING, 1.0, 1)], [False, True]),
+        ([(Stage.ARRIVING, 1.0, 1), (Stage.IDLE, 9.0, 0)], [False, True]),
+        ([(Stage.IDLE, 1.0, 0), (Stage.ARRIVING, 0.1, 1), (Stage.BUSY, 9.0, 1)], [False] * 3),
+        ([(Stage.WAITING, 9.0, 1), (Stage.ENDING, 9.0, 1)], [False] * 2),
+    ],
+)
+def test_inactive_connections_give_way_to_new_ones(
+    connections: list[tuple[Stage, float, int]], refused: list[bool]
+) -> None:
+    """Guards against callers that hold all connections without using them."""
+    budget, now = MemoryBudget(), 100.0
+    holders = [FakeHolder(stage, now - age_s, size) for stage, age_s, size in connections]
+    for holder in holders:
+        budget.open(holder)
+    budget.refuse_inactive(now)
+    assert [holder.refused for holder in holders] == refused
+    assert budget.ending == sum(refused)
+
+
 @pytest.mark.parametrize(
     ("lines", "grants", "expected"),
     [(10, True, True), (1000, True, True), (10, False, False), (1000, False, False)],
@@ -240,6 +264,22 @@
     run_on_platform(scenario, memory_mb=MEMORY_MB)
 
 
+@pytest.mark.parametrize("begun", [b"", b"GET /a/1 HT"])
+def test_inactive_connections_do_not_shut_out_a_caller(begun: bytes) -> None:
+    """Guards against refusing callers while others hold connections without using them."""
+
+    async def scenario(fleet: PlatformFleet) -> None:
+        fleet.daemon.frontend._max_connections = 4
+        held = [await fleet.stream() for _ in range(4)]
+        await trio.sleep(6.0 if not begun else 0)
+        for stream in held:
+            await stream.send_all(begun)
+        await trio.sleep(1.0)
+        assert (await fleet.call()).status == 200
+
+    run_on_platform(scenario)
+
+
 class LateAnswer(EndlessAnswer):
     """Answer that is sent after a pause."""
 
