Count TLS and handshakes, and end the oldest handshake when there are too many

Callers saw: connections closed at once while 256 handshakes that never ended were going on.

Cause: a handshake held 37 to 51 KB that nothing counted, and a connection over TLS was counted like one without. At 256 handshakes each further one was closed, so that callers who begin handshakes and stop shut out all others. Change: handshakes hold memory in the budget and can be refused like uploads that have not begun; 32 KiB more are counted with TLS. At 256 the oldest ends. Why it works: a handshake takes few round trips, so the oldest is the one that stalls.

--- a/src/dotterelstand/connection/caller.py
+++ b/src/dotterelstand/connection/caller.py
@@ -56,7 +56,7 @@
     ) -> None:
         self._stream = stream
         self._limits = limits
-        self.memory = limits.memory.open(self)
+        self.memory = limits.memory.open(self, isinstance(stream, trio.SSLStream))
         self._inbox = CallerInput(stream, self.memory)
         self.last_received_s: float = trio.current_time()
         self.since_s = self.last_received_s
@@ -284,10 +284,7 @@
         return self.is_idle()
 
     async def end_output(self, request: CallerRequest) -> None:
-        """Give the caller time to receive what was sent, without an answer to `request` or later.
-
-        The time is limited as in `linger`.
-        """
+        """Let the caller receive what was sent, as `linger` does, but not answer `request`."""
         self.caller_left = self.caller_left or self.disconnected
         self._last_answered = self.ended_by = request
         self._output_ended = True
@@ -398,8 +395,5 @@
                     return b""
                 self._reading.cancel()
             await self._inbox.readers.park()
-        return self._take_input()
-
-    def _take_input(self) -> bytes:
         self.last_received_s, data = self._inbox.take()
         return data
--- a/src/dotterelstand/connection/memorybudget.py
+++ b/src/dotterelstand/connection/memorybudget.py
@@ -4,11 +4,14 @@
 from collections.abc import Callable, Iterable, Iterator
 from contextlib import contextmanager
 from enum import IntEnum
+from types import TracebackType
 from typing import Protocol
 
 # Bytes of memory that an open connection takes besides what it has received: tasks, h11 state and
 # buffers of the process, measured at 22 to 27 KB.
 CONNECTION_BYTES = 32_768
+# Bytes of memory that TLS takes for a connection besides: its state, buffers and records.
+TLS_BYTES = 32_768
 # Bytes of memory that a request takes besides its head and body.
 REQUEST_BYTES = 8192
 # Bytes of memory that each line of a head takes besides its text: objects for name and value.
@@ -124,6 +127,17 @@
         finally:
             budget.lingers -= counted
 
+    def __enter__(self) -> "Holding":
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        self.close()
+
     def close(self) -> None:
         """Release all bytes; later calls have no effect."""
         if not self._closed:
@@ -192,12 +206,12 @@
         room = (self.limit_bytes - self.used_bytes) // (len(self._holdings) + 1)
         return int(min(max(room, SMALL_READ_BYTES), READ_BYTES))
 
-    def open(self, holder: Holder) -> Holding:
+    def open(self, holder: Holder, has_tls: bool = False) -> Holding:
         """Count a new connection, which must be closed; refuses none."""
         holding = Holding(self, holder)
         self._holdings[holding] = None
-        holding.held_bytes = CONNECTION_BYTES
-        self.used_bytes += CONNECTION_BYTES
+        holding.held_bytes = CONNECTION_BYTES + TLS_BYTES * has_tls
+        self.used_bytes += holding.held_bytes
         return holding
 
     def add(self, holding: Holding, size: int, now: float) -> None:
--- a/src/dotterelstand/connection/tls.py
+++ b/src/dotterelstand/connection/tls.py
@@ -7,6 +7,7 @@
 from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
+from dotterelstand.connection.memorybudget import MemoryBudget, Stage
 from dotterelstand.connection.network import Listener, Network, StreamHandler
 from dotterelstand.connection.target import close_now
 from dotterelstand.events import Event, log
@@ -16,7 +17,7 @@
 CERTIFICATE_FILES = 4007
 
 HANDSHAKE_TIMEOUT_S = 5.0
-# Maximum number of concurrent handshakes of one listener; further connections are closed.
+# Maximum number of concurrent handshakes of one listener; beyond it, the oldest one is ended.
 MAX_HANDSHAKES = 256
 RELOAD_INTERVAL_S = 5.0
 
@@ -124,16 +125,49 @@
         return SettingsError(CERTIFICATE_FILES, "certificates", key, str(error), allowed)
 
 
+class _Handshake:
+    """Handshake that holds memory, and ends if it is refused."""
+
+    __slots__ = ("scope", "since_s")
+
+    def __init__(self) -> None:
+        self.scope = trio.CancelScope()
+        self.scope.deadline = self.since_s = trio.current_time()
+        self.scope.deadline += HANDSHAKE_TIMEOUT_S
+
+    @property
+    def stage(self) -> Stage:
+        """A handshake counts as a request that is being received."""
+        return Stage.ARRIVING
+
+    @property
+    def received_bytes(self) -> int:
+        """No part of a request has arrived."""
+        return 0
+
+    def refuse_for_memory(self) -> None:
+        """End the handshake, which closes its connection."""
+        self.scope.cancel()
+
+
 class TlsListener:
     """Listener for TLS streams; a failed handshake closes the connection."""
 
-    __slots__ = ("_contexts", "_counters", "_handler", "_handshakes", "_inner")
+    __slots__ = ("_contexts", "_counters", "_handler", "_handshakes", "_inner", "_memory")
 
-    def __init__(self, inner: Listener, contexts: CertificateContexts, counters: Counters) -> None:
+    def __init__(
+        self,
+        inner: Listener,
+        contexts: CertificateContexts,
+        counters: Counters,
+        memory: MemoryBudget,
+    ) -> None:
         self._inner = inner
         self._contexts = contexts
         self._counters = counters
-        self._handshakes = 0
+        self._memory = memory
+        # In the order in which they began.
+        self._handshakes: dict[_Handshake, None] = {}
         self._handler: StreamHandler | None = None
 
     @property
@@ -147,34 +181,52 @@
         await self._inner.serve(self._accept, nursery)
 
     async def _accept(self, stream: trio.abc.Stream) -> None:
-        if self._handshakes >= MAX_HANDSHAKES:
+        if len(self._handshakes) >= MAX_HANDSHAKES:
+            # Refusing the new one would let handshakes that never end shut out all callers.
             self._counters.count("tls.handshakes_refused")
-            close_now(stream)
-            return
+            oldest = next(iter(self._handshakes))
+            del self._handshakes[oldest]
+            oldest.refuse_for_memory()
         tls_stream = _wrap_tls(stream, self._contexts.server, server_side=True)
-        self._handshakes += 1
-        try:
-            with trio.fail_after(HANDSHAKE_TIMEOUT_S):
-                await tls_stream.do_handshake()
-        except (trio.BrokenResourceError, trio.ClosedResourceError, trio.TooSlowError):
+        if not await self._shake_hands(tls_stream):
             self._counters.count("tls.handshake_failures")
             close_now(stream)
             return
-        finally:
-            self._handshakes -= 1
         assert self._handler is not None
         await self._handler(tls_stream)
 
+    async def _shake_hands(self, stream: trio.SSLStream) -> bool:
+        """Perform the handshake; False if it fails, takes too long or is refused."""
+        handshake = _Handshake()
+        self._handshakes[handshake] = None
+        try:
+            with handshake.scope, self._memory.open(handshake, has_tls=True):
+                self._memory.make_room(handshake.since_s)
+                await stream.do_handshake()
+                return True
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            return False
+        finally:
+            self._handshakes.pop(handshake, None)
+        return False
+
 
 class TlsNetwork:
     """Network that wraps every stream in TLS."""
 
-    __slots__ = ("_contexts", "_counters", "_inner")
+    __slots__ = ("_contexts", "_counters", "_inner", "_memory")
 
-    def __init__(self, inner: Network, contexts: CertificateContexts, counters: Counters) -> None:
+    def __init__(
+        self,
+        inner: Network,
+        contexts: CertificateContexts,
+        counters: Counters,
+        memory: MemoryBudget | None = None,
+    ) -> None:
         self._inner = inner
         self._contexts = contexts
         self._counters = counters
+        self._memory = memory or MemoryBudget()
 
     async def connect(self, address: str, port: int) -> trio.abc.Stream:
         """Open a TLS stream; raises `OSError` if the connection or the handshake fails."""
@@ -193,7 +245,8 @@
 
     async def listen(self, address: str, port: int) -> TlsListener:
         """Open a TLS listener; raises `OSError`."""
-        return TlsListener(await self._inner.listen(address, port), self._contexts, self._counters)
+        listener = await self._inner.listen(address, port)
+        return TlsListener(listener, self._contexts, self._counters, self._memory)
 
 
 class Certificates:
@@ -207,9 +260,13 @@
         self._callers = callers
         self._peers = peers
 
-    def caller_network(self, network: Network, counters: Counters) -> Network:
-        """Network for caller connections."""
-        return network if self._callers is None else TlsNetwork(network, self._callers, counters)
+    def caller_network(
+        self, network: Network, counters: Counters, memory: MemoryBudget | None = None
+    ) -> Network:
+        """Network for caller connections, whose handshakes are counted by `memory`."""
+        if self._callers is None:
+            return network
+        return TlsNetwork(network, self._callers, counters, memory)
 
     def peer_network(self, network: Network, counters: Counters) -> Network:
         """Network for links between entry hosts."""
--- a/src/dotterelstand/process/daemon.py
+++ b/src/dotterelstand/process/daemon.py
@@ -176,7 +176,9 @@
 
     async def run(self) -> None:
         """Serve callers until `stop` is called and every request has ended."""
-        caller_network = self._certificates.caller_network(self._network, self.metrics)
+        caller_network = self._certificates.caller_network(
+            self._network, self.metrics, self.frontend.memory
+        )
         listener = await caller_network.listen(
             self._settings.text("listen", "address"), self._settings.integer("listen", "port")
         )
