Bound what callers hold also where no memory is set, and by descriptors

Callers saw: nothing; a host without host.memory_mb had no bound at all, and one whose process may open fewer descriptors than listen.max_connections ran out of them, so that it could reach no target.

Cause: 0 meant no bound; descriptors were not looked at; three tenths of the whole memory were for callers, though a daemon alone takes 40 MB, half of a host of 80 MB. Change: without the setting, the memory is the least that the system grants: the machine's, the control group's, the limits of address space and data. 35 MB are the daemon's, of the rest three tenths the callers'. Callers get at most half of the descriptors, and as many connections as their memory holds. Why it works: each limit now follows from what the process really has. On a host of 300 MB with 4,100 descriptors there are 2,000 connections as before.

--- a/src/dotterelstand/process/daemon.py
+++ b/src/dotterelstand/process/daemon.py
@@ -18,6 +18,7 @@
     caller_limits,
     check_limits,
     make_quota_service,
+    max_connections,
     pool_limits,
     quarantine_limits,
     request_limits,
@@ -243,10 +244,11 @@
             freshness=self.platform_adapter.freshness,
             quota=self.quota,
         )
+        limits = caller_limits(settings, self.metrics)
         return CallerFrontend(
             context,
-            caller_limits(settings, self.metrics),
-            settings.integer("listen", "max_connections"),
+            limits,
+            max_connections(settings, limits.memory.limit_bytes),
             settings.integer("logs", "answered_sample"),
         )
 
--- a/src/dotterelstand/process/limits.py
+++ b/src/dotterelstand/process/limits.py
@@ -1,15 +1,16 @@
 """Limits of connections, requests and quarantines, read from the settings."""
 
-import math
 import random
+import resource
 
 import trio
 
 from dotterelstand.connection.callerlimits import CallerLimits
-from dotterelstand.connection.memorybudget import MemoryBudget
+from dotterelstand.connection.memorybudget import CONNECTION_BYTES, MemoryBudget
 from dotterelstand.connection.pool import PoolLimits
 from dotterelstand.process.discovery.objectadapter import parse_regions
 from dotterelstand.process.discovery.platformadapter import PlatformAdapter
+from dotterelstand.process.machinememory import find_memory_bytes
 from dotterelstand.process.peering.peers import Peers
 from dotterelstand.process.quota.service import QuotaService, make_quota
 from dotterelstand.process.suspects.strikes import QuarantineLimits
@@ -22,9 +23,16 @@
 from dotterelstand.settings import Settings
 from dotterelstand.version.model import CallerBounds
 
-# Share of the host's memory that callers' connections and requests may hold. The rest is for the
-# daemon itself, which takes 40 to 70 MB, for gaps between held pieces and for the system's buffers.
+# Bytes of memory that a daemon takes without callers.
+OWN_BYTES = 35_000_000
+# Share of the other memory that callers' connections and requests may hold. The rest is for what a
+# daemon takes in a large fleet, for gaps between held pieces and for the system's buffers.
 MEMORY_SHARE = 0.3
+# Least number of bytes that callers may hold, enough for a few requests.
+MIN_CALLER_BYTES = 300_000
+# Share of the process's file descriptors that callers may use. The rest is for targets, other
+# hosts, the store and the other ports.
+DESCRIPTOR_SHARE = 0.5
 
 
 def quarantine_limits(settings: Settings) -> QuarantineLimits:
@@ -99,9 +107,26 @@
 
 def memory_budget(settings: Settings, counters: Counters) -> MemoryBudget:
     """Budget of what the connections and requests of callers hold."""
-    memory_mb = settings.number("host", "memory_mb")
-    limit_bytes = memory_mb * 1_000_000 * MEMORY_SHARE if memory_mb else math.inf
-    return MemoryBudget(limit_bytes, RefusalReport(counters, trio.current_time))
+    limit_bytes = (_memory_bytes(settings) - OWN_BYTES) * MEMORY_SHARE
+    report = RefusalReport(counters, trio.current_time)
+    return MemoryBudget(max(limit_bytes, MIN_CALLER_BYTES), report)
+
+
+def _memory_bytes(settings: Settings) -> float:
+    return settings.number("host", "memory_mb") * 1_000_000 or find_memory_bytes()
+
+
+def max_connections(settings: Settings, limit_bytes: float) -> int:
+    """Maximum number of caller connections.
+
+    Callers get at most half of the file descriptors, and as many connections as fit in the memory
+    that they may hold.
+    """
+    most = min(settings.integer("listen", "max_connections"), limit_bytes / CONNECTION_BYTES)
+    descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if descriptors != resource.RLIM_INFINITY:
+        most = min(most, descriptors * DESCRIPTOR_SHARE)
+    return max(1, int(most))
 
 
 def caller_limits(settings: Settings, counters: Counters) -> CallerLimits:
