Bound what the system receives before a host reads it

Callers saw: none directly; a host of 110 MB that was still starting reached 148 MB, of 80 MB with 300 uploads 98 MB.

Cause: a connection's receive buffer takes 64 KB and more before the daemon has read a byte, which the platform counts. Reading pauses when memory is used up, but the bytes beyond were counted only up to 0.1 s later, and not at all while a process starts or is stopped. Ruled out: the daemon's own memory: of 92 MB, 61 to 75 were resident. Change: the listening socket limits its connections' receive buffers to a fifth of the host's memory together, 8 to 64 KiB each; larger hosts keep the system's sizes. Why it works: connections inherit the limit before their first byte arrives.

--- a/src/dotterelstand/connection/network.py
+++ b/src/dotterelstand/connection/network.py
@@ -4,6 +4,7 @@
 import os
 import socket
 from collections.abc import Awaitable, Callable
+from functools import singledispatch
 from typing import Protocol
 
 import trio
@@ -79,6 +80,11 @@
     def __init__(self, listeners: list[trio.SocketListener]) -> None:
         self._listeners = listeners
 
+    @property
+    def listeners(self) -> list[trio.SocketListener]:
+        """Listening sockets of the port, one for each of its addresses."""
+        return self._listeners
+
     @property
     def port(self) -> int:
         """Port number that was bound."""
@@ -100,6 +106,21 @@
                 duplicate.close()
 
 
+@singledispatch
+def limit_receive_buffers(listener: object, size: int) -> None:
+    """Bound the bytes that the system receives for a new connection before it is read.
+
+    Has an effect on listeners of the operating system only.
+    """
+
+
+@limit_receive_buffers.register
+def _(listener: TcpListener, size: int) -> None:
+    for item in listener.listeners:
+        # Connections inherit it; after they are open, more may already have been received.
+        item.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
+
+
 def _duplicate(listener: trio.SocketListener) -> socket.socket:
     """Second descriptor of a listening socket, which keeps it open."""
     duplicate = socket.socket(fileno=os.dup(listener.socket.fileno()))
--- a/src/dotterelstand/connection/tls.py
+++ b/src/dotterelstand/connection/tls.py
@@ -8,7 +8,12 @@
 from returns.result import Failure, Result, Success
 
 from dotterelstand.connection.memorybudget import MemoryBudget, Stage
-from dotterelstand.connection.network import Listener, Network, StreamHandler
+from dotterelstand.connection.network import (
+    Listener,
+    Network,
+    StreamHandler,
+    limit_receive_buffers,
+)
 from dotterelstand.connection.target import close_now
 from dotterelstand.events import Event, log
 from dotterelstand.request.interfaces import Counters
@@ -170,6 +175,11 @@
         self._handshakes: dict[_Handshake, None] = {}
         self._handler: StreamHandler | None = None
 
+    @property
+    def inner(self) -> Listener:
+        """Listener whose streams are wrapped."""
+        return self._inner
+
     @property
     def port(self) -> int:
         """Port number that was bound."""
@@ -211,6 +221,11 @@
         return False
 
 
+@limit_receive_buffers.register
+def _(listener: TlsListener, size: int) -> None:
+    limit_receive_buffers(listener.inner, size)
+
+
 class TlsNetwork:
     """Network that wraps every stream in TLS."""
 
--- a/src/dotterelstand/process/daemon.py
+++ b/src/dotterelstand/process/daemon.py
@@ -5,7 +5,7 @@
 
 import trio
 
-from dotterelstand.connection.network import Network
+from dotterelstand.connection.network import Network, limit_receive_buffers
 from dotterelstand.connection.pool import TargetPool
 from dotterelstand.connection.tls import Certificates
 from dotterelstand.events import Event, log
@@ -21,6 +21,7 @@
     max_connections,
     pool_limits,
     quarantine_limits,
+    receive_buffer_bytes,
     request_limits,
     retry_reserve,
 )
@@ -183,6 +184,9 @@
         listener = await caller_network.listen(
             self._settings.text("listen", "address"), self._settings.integer("listen", "port")
         )
+        size = receive_buffer_bytes(self._settings, self.frontend.max_connections)
+        if size is not None:
+            limit_receive_buffers(listener, size)
         self.port = listener.port
         log(Event.DAEMON_STARTED, port=self.port)
         control = await self._control.listen(self._network)
--- a/src/dotterelstand/process/frontend.py
+++ b/src/dotterelstand/process/frontend.py
@@ -93,6 +93,11 @@
         """Whether callers' requests can be served."""
         return self.introduction_done and self.document is not None
 
+    @property
+    def max_connections(self) -> int:
+        """Maximum number of open caller connections."""
+        return self._max_connections
+
     @property
     def open_connections(self) -> int:
         """Number of open caller connections."""
--- a/src/dotterelstand/process/limits.py
+++ b/src/dotterelstand/process/limits.py
@@ -30,6 +30,11 @@
 MEMORY_SHARE = 0.3
 # Least number of bytes that callers may hold, enough for a few requests.
 MIN_CALLER_BYTES = 300_000
+# Share of the host's memory that the system may use for what connections of callers receive before
+# the daemon reads it, and the bounds of each connection's part in bytes.
+RECEIVE_BUFFER_SHARE = 0.2
+MIN_RECEIVE_BUFFER_BYTES = 8192
+MAX_RECEIVE_BUFFER_BYTES = 65536
 # Share of the process's file descriptors that callers may use. The rest is for targets, other
 # hosts, the store and the other ports.
 DESCRIPTOR_SHARE = 0.5
@@ -112,6 +117,14 @@
     return MemoryBudget(max(limit_bytes, MIN_CALLER_BYTES), report)
 
 
+def receive_buffer_bytes(settings: Settings, connections: int) -> int | None:
+    """Size of the system's receive buffer for each caller connection; None to leave it as it is."""
+    size = _memory_bytes(settings) * RECEIVE_BUFFER_SHARE / connections
+    if size >= MAX_RECEIVE_BUFFER_BYTES:
+        return None
+    return int(max(size, MIN_RECEIVE_BUFFER_BYTES))
+
+
 def _memory_bytes(settings: Settings) -> float:
     return settings.number("host", "memory_mb") * 1_000_000 or find_memory_bytes()
 
