Accept short frames only from a host that has not said who it is

Cause: a connection to the port for hosts may send a frame of up to peers.max_message_bytes before its hello, and 256 of them may be open. Change: the first frame has at most 4 KiB. Why it works: a hello has less than 1 KB: names, an address and numbers.

--- a/src/dotterelstand/connection/peer.py
+++ b/src/dotterelstand/connection/peer.py
@@ -26,6 +26,8 @@
 _LIBRARY_LOG = logging.getLogger("dotterelstand.websockets")
 _LIBRARY_LOG.setLevel(logging.CRITICAL + 1)
 
+# Maximum size in bytes of the first frame from a dialling host, which is not yet known.
+MAX_HELLO_BYTES = 4096
 # Number of bytes that delimit the CBOR array of indefinite length in a frame.
 FRAME_OVERHEAD_BYTES = 2
 # Seconds for which a replaced link still receives messages in transit.
@@ -169,6 +171,7 @@
         if not isinstance(message, Hello):
             raise LinkError(f"first message is {type(message).__name__}, not Hello")
         self.hello = message
+        self._protocol.max_message_size = self._limits.max_message_bytes
         return message
 
     async def run(self, handle: Callable[[Message], None]) -> None:
@@ -275,7 +278,9 @@
 
 def accepting_link(stream: trio.abc.Stream, limits: LinkLimits) -> PeerLink:
     """Create the link for a stream that another host opened."""
-    protocol = ServerProtocol(max_size=limits.max_message_bytes, logger=_LIBRARY_LOG)
+    protocol = ServerProtocol(
+        max_size=min(MAX_HELLO_BYTES, limits.max_message_bytes), logger=_LIBRARY_LOG
+    )
     return PeerLink(stream, protocol, limits)
 
 
