Close the oldest unfinished request to a small port in place of the newest

The platform saw: a host that did not answer its probes while 16 connections to the readiness port stood open, and took it out of rotation.

Cause: further connections were closed at once, for up to two seconds each time; callers who come back at once kept the port shut. Change: when a port has its most connections, the oldest one that has not sent a whole request is closed, and the new one only if there is none. Why it works: a probe sends its request with its connection.

--- a/src/dotterelstand/connection/control.py
+++ b/src/dotterelstand/connection/control.py
@@ -59,18 +59,23 @@
 class ControlConnection:
     """Connection to the control port that is closed after one request."""
 
-    __slots__ = ("_h11", "_max_body_bytes", "_stream")
+    __slots__ = ("_h11", "_max_body_bytes", "_stream", "is_read")
 
     def __init__(self, stream: trio.abc.Stream, max_body_bytes: int) -> None:
+        self.is_read = False
         self._stream = stream
         self._max_body_bytes = max_body_bytes
         self._h11 = h11.Connection(h11.SERVER)
 
-    async def serve(self, handler: ControlHandler, timeout_s: float) -> None:
-        """Answer one request; closes the connection after `timeout_s` seconds at the latest."""
+    async def serve(self, handler: ControlHandler, scope: trio.CancelScope) -> None:
+        """Answer one request, then close the connection; `scope` limits the time.
+
+        `is_read` is set as soon as the whole request has arrived.
+        """
         try:
-            with trio.move_on_after(timeout_s):
+            with scope:
                 request = await self._read()
+                self.is_read = True
                 if request is not None:
                     answer = await _answer(handler, request)
                     await self._send(answer, request.method != "HEAD")
@@ -115,7 +120,8 @@
 class ControlServer:
     """Server for one port with a bound on concurrent connections; times in seconds.
 
-    `on_refused` is called for each connection that is closed because of that bound.
+    Beyond it, the oldest connection without a whole request is closed, or the new one if there is
+    none. `on_refused` is called for each of these.
     """
 
     __slots__ = (
@@ -140,7 +146,8 @@
         self._max_body_bytes = max_body_bytes
         self._timeout_s = timeout_s
         self._on_refused = on_refused
-        self._open = 0
+        # In the order in which they were opened.
+        self._open: dict[ControlConnection, trio.CancelScope] = {}
 
     async def serve(self, listener: Listener) -> None:
         """Serve connections until cancelled."""
@@ -148,16 +155,25 @@
             await listener.serve(self._serve_stream, nursery)
 
     async def _serve_stream(self, stream: trio.abc.Stream) -> None:
-        if self._open >= self._max_connections:
+        if len(self._open) >= self._max_connections:
             self._on_refused()
-            await trio.aclose_forcefully(stream)
-            return
-        self._open += 1
+            if not self._close_oldest():
+                await trio.aclose_forcefully(stream)
+                return
+        connection = ControlConnection(stream, self._max_body_bytes)
+        scope = self._open[connection] = trio.CancelScope()
+        scope.deadline = trio.current_time() + self._timeout_s
         try:
-            connection = ControlConnection(stream, self._max_body_bytes)
-            await connection.serve(self._handler, self._timeout_s)
+            await connection.serve(self._handler, scope)
         finally:
-            self._open -= 1
+            self._open.pop(connection, None)
+
+    def _close_oldest(self) -> bool:
+        """Close the oldest connection without a whole request; False if there is none."""
+        waiting = [item for item in self._open if not item.is_read]
+        if waiting:
+            self._open.pop(waiting[0]).cancel()
+        return bool(waiting)
 
 
 async def _answer(handler: ControlHandler, request: ControlRequest) -> _EncodedAnswer:
