--- a/src/dotterelstand/process/daemon.py
+++ b/src/dotterelstand/process/daemon.py
@@ -10,6 +10,7 @@
 from dotterelstand.connection.tls import Certificates
 from dotterelstand.events import Event, log
 from dotterelstand.platform.build import build_platform, platform_fields
+from dotterelstand.process.callerpages import register_callers
 from dotterelstand.process.discovery.objectadapter import ObjectStoreAdapter
 from dotterelstand.process.discovery.platformadapter import PlatformAdapter
 from dotterelstand.process.discovery.proofs import elapsed_s
@@ -139,6 +140,7 @@
             lambda service: target_states(self.broker, service),
         )
         self._registry.add_check("peers", lambda: self.frontend.introduction_done)
+        register_callers(self._registry, self.frontend)
         register_quarantine(self._registry, self.quarantine)
         register_component_pages(self._registry, self.metrics, settings, self.peers, self.broker)
         if self.quota is not None:
