Free an ended connection over TLS at once, without the garbage collector

Callers saw: none directly; 400 callers who begin handshakes and stop, again and again, took a host of 80 MB to 196 MB.

Cause: a TLS stream of trio's refers to itself by its handshake, so that its buffers of 16 KB and more, and OpenSSL's state, stayed until the collector came. Ruled out: the number of handshakes, at most 206 fit in the budget; a received record, which is dropped with the stream. Change: the attributes of a stream are cleared when its connection has ended. Why it works: without cycles, reference counting frees all of it.

--- a/src/dotterelstand/connection/tls.py
+++ b/src/dotterelstand/connection/tls.py
@@ -198,12 +198,17 @@
             del self._handshakes[oldest]
             oldest.refuse_for_memory()
         tls_stream = _wrap_tls(stream, self._contexts.server, server_side=True)
-        if not await self._shake_hands(tls_stream):
-            self._counters.count("tls.handshake_failures")
-            close_now(stream)
-            return
-        assert self._handler is not None
-        await self._handler(tls_stream)
+        try:
+            if await self._shake_hands(tls_stream):
+                assert self._handler is not None
+                await self._handler(tls_stream)
+            else:
+                self._counters.count("tls.handshake_failures")
+                close_now(stream)
+        finally:
+            # A stream of trio's refers to itself by its handshake, and the garbage collector may
+            # come after thousands of connections.
+            vars(tls_stream).clear()
 
     async def _shake_hands(self, stream: trio.SSLStream) -> bool:
         """Perform the handshake; False if it fails, takes too long or is refused."""
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -1,15 +1,26 @@
 """TLS for callers, mutual TLS between entry hosts, and reloading of certificates."""
 
+import gc
 import ssl
 from pathlib import Path
 
 import pytest
 import trio
+import trio.testing
 import trustme
 from returns.pipeline import is_successful
 
+from dotterelstand.connection.memorybudget import MemoryBudget
+from dotterelstand.connection.network import StreamHandler
 from dotterelstand.connection.target import close_now
-from dotterelstand.connection.tls import RELOAD_INTERVAL_S, Certificates, load_certificates
+from dotterelstand.connection.tls import (
+    RELOAD_INTERVAL_S,
+    CertificateContexts,
+    CertificateFiles,
+    Certificates,
+    TlsListener,
+    load_certificates,
+)
 from dotterelstand.process.telemetry.metrics import Metrics
 from dotterelstand.standin.entryfleet import Fleet, host_settings
 from dotterelstand.standin.network import FakeNetwork
@@ -139,3 +150,62 @@
     assert is_successful(result)
     network = FakeNetwork(lambda one, other: 0.0).at("a")
     assert result.unwrap().peer_network(network, Metrics(8)) is network
+
+
+class _OneStream:
+    """Listener of a single stream."""
+
+    port = 0
+
+    def __init__(self, stream: trio.abc.Stream) -> None:
+        self._stream = stream
+
+    async def serve(self, handler: StreamHandler, nursery: trio.Nursery) -> None:
+        """Handle the stream."""
+        nursery.start_soon(handler, self._stream)
+
+
+@pytest.mark.parametrize(
+    ("sent", "leaves"),
+    [(b"", False), (b"x" * 100, False), (b"\x16\x03\x01\x3e\x80\x01" + b"x", True)],
+)
+def test_a_handshake_that_fails_leaves_no_reference_cycle(
+    sent: bytes, leaves: bool, tmp_path: Path
+) -> None:
+    """Guards against the memory of handshakes that stays for thousands of connections."""
+    values = _write(tmp_path, trustme.CA())
+    contexts = CertificateContexts(
+        CertificateFiles(host_settings("a", "tema/1", tls=values), "caller")
+    )
+    assert contexts.load() is None
+
+    async def shake_hands() -> None:
+        caller, other = trio.socket.socketpair()
+        budget = MemoryBudget()
+        listener = TlsListener(_OneStream(trio.SocketStream(other)), contexts, Metrics(9), budget)
+        async with trio.open_nursery() as nursery:
+            await listener.serve(close_now, nursery)
+            await caller.send(sent)
+            await trio.testing.wait_all_tasks_blocked()
+            for holding in list(budget._holdings):
+                holding.holder.refuse_for_memory()
+            if leaves:
+                caller.close()
+        caller.close()
+        assert budget.used_bytes == 0
+
+    async def main() -> None:
+        await shake_hands()
+        gc.collect()
+        gc.disable()
+        try:
+            await shake_hands()
+            gc.set_debug(gc.DEBUG_SAVEALL)
+            gc.collect()
+            assert [type(item).__name__ for item in gc.garbage] == []
+        finally:
+            gc.set_debug(0)
+            gc.garbage.clear()
+            gc.enable()
+
+    trio.run(main)
