Judge the size of an upload over TLS without its connection

Cause: what TLS takes made each upload over TLS count as a large one, so that new ordinary ones were refused before stalled small ones. Change: an upload is large by what it holds besides its connection.

--- a/src/dotterelstand/connection/caller.py
+++ b/src/dotterelstand/connection/caller.py
@@ -284,7 +284,7 @@
         return self.is_idle()
 
     async def end_output(self, request: CallerRequest) -> None:
-        """Let the caller receive what was sent, as `linger` does, but not answer `request`."""
+        """Let the caller receive what was sent, as in `linger`; `request` gets no answer."""
         self.caller_left = self.caller_left or self.disconnected
         self._last_answered = self.ended_by = request
         self._output_ended = True
--- a/src/dotterelstand/connection/memorybudget.py
+++ b/src/dotterelstand/connection/memorybudget.py
@@ -27,9 +27,9 @@
 MIN_IDLE_S = 5.0
 # Time in seconds from which the rate of an upload tells whether it is slow.
 MIN_RATED_S = 0.5
-# An upload that holds no more bytes than this, with those of its connection, is small: refusing it
-# frees little, and ordinary uploads are small.
-SMALL_BYTES = CONNECTION_BYTES + 32_768
+# An upload that holds no more bytes than this, besides those of its connection, is small: refusing
+# it frees little, and ordinary uploads are small.
+SMALL_BYTES = 32_768
 # Maximum number of connections that are refused for memory and at the same time given time to read
 # the refusal; further ones are closed at once.
 MAX_CONCURRENT_LINGERS = 64
@@ -89,14 +89,15 @@
 class Holding:
     """Number of bytes that one connection holds; context manager that releases them all."""
 
-    __slots__ = ("_budget", "_closed", "held_bytes", "holder", "refused")
+    __slots__ = ("_budget", "_closed", "_opened_bytes", "held_bytes", "holder", "refused")
 
-    def __init__(self, budget: "MemoryBudget", holder: Holder) -> None:
+    def __init__(self, budget: "MemoryBudget", holder: Holder, opened_bytes: int) -> None:
         self._budget = budget
         self._closed = False
         # None once the holding is closed, as the holder refers to it.
         self.holder: Holder | None = holder
-        self.held_bytes = 0
+        # Bytes that the connection takes by itself.
+        self._opened_bytes = self.held_bytes = opened_bytes
         # Whether the connection was refused for lack of memory.
         self.refused = False
 
@@ -105,6 +106,11 @@
         """Budget of all connections."""
         return self._budget
 
+    @property
+    def is_large(self) -> bool:
+        """Whether refusing the connection frees much besides the connection itself."""
+        return self.held_bytes - self._opened_bytes > SMALL_BYTES
+
     def hold(self, size: int, now: float) -> None:
         """Add a number of bytes; this may refuse connections, this one included."""
         if not self._closed:
@@ -208,9 +214,8 @@
 
     def open(self, holder: Holder, has_tls: bool = False) -> Holding:
         """Count a new connection, which must be closed; refuses none."""
-        holding = Holding(self, holder)
+        holding = Holding(self, holder, CONNECTION_BYTES + TLS_BYTES * has_tls)
         self._holdings[holding] = None
-        holding.held_bytes = CONNECTION_BYTES + TLS_BYTES * has_tls
         self.used_bytes += holding.held_bytes
         return holding
 
@@ -303,7 +308,7 @@
     if stage is Stage.IDLE:
         return (0, -age_s) if age_s >= MIN_IDLE_S else (5, age_s)
     if stage is Stage.ARRIVING:
-        is_large, is_rated = holding.held_bytes > SMALL_BYTES, age_s >= MIN_RATED_S
+        is_large, is_rated = holding.is_large, age_s >= MIN_RATED_S
         if is_rated:
             return 1 if is_large else 3, holder.received_bytes / age_s
         return 2 if is_large else 5, age_s
