--- a/tests/support.py
+++ b/tests/support.py
@@ -1,7 +1,9 @@
 """Shared helpers: a fleet of real daemons and target stand-ins over the in-memory network."""
 
+import gc
 import json
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import contextmanager
 from typing import Any
 
 import h11
@@ -36,6 +38,22 @@
 """
 
 
+@contextmanager
+def no_reference_cycles() -> Iterator[None]:
+    """Check that what ends meanwhile is freed without the garbage collector."""
+    gc.collect()
+    gc.disable()
+    try:
+        yield
+        gc.set_debug(gc.DEBUG_SAVEALL)
+        gc.collect()
+        assert [type(item).__name__ for item in gc.garbage] == []
+    finally:
+        gc.set_debug(0)
+        gc.garbage.clear()
+        gc.enable()
+
+
 class Answer:
     """Answer as a caller received it; `complete` is False if it was truncated."""
 
--- a/tests/test_released_connections.py
+++ b/tests/test_released_connections.py
@@ -1,11 +1,9 @@
 """Memory of ended connections is freed at once, not by the garbage collector much later."""
 
-import gc
-
 import pytest
 import trio
 from platform_support import PlatformFleet, run_on_platform
-from support import read_answer
+from support import no_reference_cycles, read_answer
 
 LARGE = b"Content-Length: 90000000000"
 
@@ -46,17 +44,8 @@
         for _ in range(3):
             await call(fleet)
         await trio.sleep(2)
-        gc.collect()
-        gc.disable()
-        try:
+        with no_reference_cycles():
             await call(fleet)
             await trio.sleep(2)
-            gc.set_debug(gc.DEBUG_SAVEALL)
-            gc.collect()
-            assert [type(item).__name__ for item in gc.garbage] == []
-        finally:
-            gc.set_debug(0)
-            gc.garbage.clear()
-            gc.enable()
 
     run_on_platform(scenario)
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -1,6 +1,5 @@
 """TLS for callers, mutual TLS between entry hosts, and reloading of certificates."""
 
-import gc
 import ssl
 from pathlib import Path
 
@@ -9,6 +8,7 @@
 import trio.testing
 import trustme
 from returns.pipeline import is_successful
+from support import no_reference_cycles
 
 from dotterelstand.connection.memorybudget import MemoryBudget
 from dotterelstand.connection.network import StreamHandler
@@ -196,16 +196,7 @@
 
     async def main() -> None:
         await shake_hands()
-        gc.collect()
-        gc.disable()
-        try:
+        with no_reference_cycles():
             await shake_hands()
-            gc.set_debug(gc.DEBUG_SAVEALL)
-            gc.collect()
-            assert [type(item).__name__ for item in gc.garbage] == []
-        finally:
-            gc.set_debug(0)
-            gc.garbage.clear()
-            gc.enable()
 
     trio.run(main)
