Show that an unsafe request may run twice below a safe prefix

A path that equals a safe route's prefix without its last slash is served by that route, although a shorter, unsafe prefix is the longest one that begins it (review/6).

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,65 +1,77 @@
-"""Long uploads whose instance answers at once without a length, then resets the connection.
+"""Unsafe requests for the path of a safe route's prefix without its last slash, and lost answers.
 
-Each answer breaks off behind `PART`, so no caller may get it as a complete answer. With TROUBLE=0
-the instance sends the whole body and ends the connection in an orderly way.
+`/desk/` is unsafe, `/desk/quotes/` is safe. The longest prefix that begins `/desk/quotes` is
+`/desk/`, so that `POST /desk/quotes` may run once at most. For `LOSS_S` seconds, half of the
+instances lose the answers of 30 in 100 of the requests that they ran. With TROUBLE=0 none is lost.
 """
 
 import asyncio
+import random
 import sys
+import time
+from collections import Counter
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
 import kit2  # noqa: E402
 
-UPLOADS = 30
-UPLOAD = b"u" * 400_000
-PART = b"first part of the answer, "
-REST = b"and the rest of it"
+SERVICE = "order-desk"
+LOSS_S = 6.0
+LOST_SHARE = 0.3
+PATHS = ("/desk/quotes", "/desk/orders")
+SEED = 45
 
 
 async def case(fleet: kit2.Fleet) -> int:
-    """Send uploads one after the other."""
-    routes = [kit2.route("artwork", "/art/", "upload", attempts=2)]
-    fleet.store.put("config", "main", kit2.configuration(1, routes, ["artwork"]))
+    """Send requests one after the other while answers get lost."""
+    routes = [
+        kit2.route(SERVICE, "/desk/", "unsafe", attempts=2),
+        kit2.route(SERVICE, "/desk/quotes/", "safe", attempts=2),
+    ]
+    fleet.store.put("config", "main", kit2.configuration(1, routes, [SERVICE]))
+    rng = random.Random(SEED)
+    lossy_until = 0.0
 
-    async def early(instance, request, reader, writer) -> bool:  # type: ignore[no-untyped-def]
-        fleet.record.write(f"run {request.id} at {instance.name}: answers before the body is read")
+    async def losing(instance, request, reader, writer) -> bool:  # type: ignore[no-untyped-def]
+        await instance.read_body(request, reader)
+        lost = time.monotonic() < lossy_until and rng.random() < LOST_SHARE
+        if not lost:
+            return await instance.run(request, writer)
         instance.runs.append(request.id)
-        writer.write(instance.head(request.id, Connection="close") + PART)
-        await writer.drain()
-        if not fleet.trouble:
-            await instance.read_body(request, reader)
-            writer.write(REST)
-            await writer.drain()
-            return False
-        await asyncio.sleep(0.1)
-        kit2.reset(writer)
+        fleet.record.write(f"run {request.id} at {instance.name}, answer lost: {request.path}")
+        await asyncio.sleep(instance.work_s)
         return False
 
     for number in range(4):
-        await fleet.add_instance(f"i-{number}", "artwork", handler=early, receive_buffer=8192)
+        handler = losing if number < 2 else None
+        await fleet.add_instance(f"i-{number}", SERVICE, handler=handler)
     if not await fleet.start_daemons(1):
         return kit2.NOT_RUN
-    broken = answered = 0
-    for _ in range(UPLOADS):
-        request_id = fleet.new_id()
-        async with kit2.Caller(fleet.daemons[0]) as caller:
-            await caller.send(caller.encode("POST", "/art/1", request_id, UPLOAD))
-            answer = await caller.answer()
-        if answer is None:
-            fleet.record.write(f"sent {request_id}: no answer")
-            continue
-        answered += answer.complete and answer.status == 200
-        said = f"{answer.status}, {len(answer.body)} bytes, complete: {answer.complete}"
-        fleet.record.write(f"sent {request_id}: {said}")
-        if answer.status == 200 and answer.complete and answer.body != PART + REST:
-            broken += 1
-    runs = sum(len(instance.runs) for instance in fleet.instances.values())
-    fleet.record.write(f"{UPLOADS} uploads, {runs} runs, {answered} complete 200, {broken} cut")
-    if not runs or (not fleet.trouble and not answered):
+    sent: dict[str, str] = {}
+    answered = 0
+    until = time.monotonic() + LOSS_S
+    lossy_until = until if fleet.trouble else 0.0
+    while time.monotonic() < until:
+        for path in PATHS:
+            request_id = fleet.new_id()
+            sent[request_id] = path
+            async with kit2.Caller(fleet.daemons[0]) as caller:
+                body = f"quote {request_id}".encode()
+                await caller.send(caller.encode("POST", path, request_id, body))
+                answer = await caller.answer()
+            answered += answer is not None and answer.status == 200
+            said = "no answer" if answer is None else str(answer.status)
+            fleet.record.write(f"sent {request_id} POST {path}: {said}")
+    await asyncio.sleep(1.0)
+    runs = Counter(name for item in fleet.instances.values() for name in item.runs)
+    twice = Counter(sent[name] for name, count in runs.items() if count > 1 and name in sent)
+    for path in PATHS:
+        total = sum(item == path for item in sent.values())
+        fleet.record.write(f"POST {path}: {total} sent, {twice[path]} of them ran more than once")
+    if not answered:
         return kit2.NOT_RUN
-    return kit2.BROKEN if broken else kit2.HELD
+    return kit2.BROKEN if twice else kit2.HELD
 
 
 kit2.main(case, __file__)
