Match a platform's prefixes only with paths that begin with them

Cause: RouteIndex dropped the slash at the end of a prefix and compared whole segments, which is the rule of the operators' own document, not that of the platform ("the longest pathPrefix that begins the path"). Ruled out: the retry decision (POST /desk/orders, on the same unsafe route, never ran twice).

Change: a prefix that ends with a slash matches the paths that begin with it. The check of the operators' document removes that slash, so its routes match as before. Paths are decoded only for that document; if decoding leads to another route whose requests run at most once, so does the request. RouteIndex and Route have a module of their own, and a configuration builds its index once, not at each change of a target. Why it works: the type, service, timeout and attempts of a request are those of the route that the index returns, which is now the operator's.

--- a/src/dotterelstand/platform/decode.py
+++ b/src/dotterelstand/platform/decode.py
@@ -13,7 +13,8 @@
     ServiceSpec,
 )
 from dotterelstand.process.peering.membership import ListedHost
-from dotterelstand.version.model import CallerBounds, Route, Share
+from dotterelstand.version.model import CallerBounds
+from dotterelstand.version.route import Route, Share
 from dotterelstand.version.workspace import (
     KEY_DIGEST_BYTES,
     Workspace,
--- a/src/dotterelstand/process/discovery/catalogue.py
+++ b/src/dotterelstand/process/discovery/catalogue.py
@@ -243,6 +243,7 @@
             configuration.routes,
             configuration.classes,
             dict.fromkeys(access.names(), 1.0) if access is not None else {},
+            index=configuration.index,
             bulk_classes=configuration.bulk_classes,
             caller_bounds=configuration.caller_bounds,
             access=access,
--- a/src/dotterelstand/process/discovery/registry.py
+++ b/src/dotterelstand/process/discovery/registry.py
@@ -8,7 +8,8 @@
 
 from dotterelstand.errors import CodedError
 from dotterelstand.process.peering.membership import ListedHost
-from dotterelstand.version.model import CallerBounds, Route
+from dotterelstand.version.model import CallerBounds
+from dotterelstand.version.route import Route, RouteIndex
 from dotterelstand.version.workspace import WorkspaceIndex
 
 T = TypeVar("T")
@@ -156,6 +157,7 @@
         "bulk_classes",
         "caller_bounds",
         "classes",
+        "index",
         "number",
         "routes",
         "services",
@@ -175,6 +177,8 @@
         self.caller_bounds = caller_bounds
         self.number = number
         self.routes = routes
+        # The platform compares prefixes and paths as they are.
+        self.index = RouteIndex(routes, decodes_paths=False)
         self.services = services
         self.classes = classes
         self.bulk_classes = bulk_classes
--- a/src/dotterelstand/process/frontend.py
+++ b/src/dotterelstand/process/frontend.py
@@ -20,7 +20,8 @@
 from dotterelstand.request.head import RequestHead
 from dotterelstand.request.undelivered import find_undelivered
 from dotterelstand.request.unknownregions import log_unknown_regions
-from dotterelstand.version.model import Document, Route
+from dotterelstand.version.model import Document
+from dotterelstand.version.route import Route
 
 # Maximum number of refused connections that are sent an error answer at the same time; further ones
 # are closed without an answer.
@@ -371,12 +372,12 @@
 
 
 def _find_route(document: Document, head: RequestHead) -> Route | None:
-    return document.find_route(head.route_path, head.method, head.host)
+    return document.find_route(head.path, head.method, head.host)
 
 
 def _routing_failure(document: Document | None, head: RequestHead) -> ResultCode:
     if document is None:
         return ResultCode.NO_CONFIGURATION
-    if document.allowed_methods(head.route_path, head.host):
+    if document.allowed_methods(head.path, head.host):
         return ResultCode.METHOD_NOT_ALLOWED
     return ResultCode.NO_ROUTE
--- a/src/dotterelstand/request/access.py
+++ b/src/dotterelstand/request/access.py
@@ -10,7 +10,8 @@
 from dotterelstand.codes import Result as ResultCode
 from dotterelstand.request.head import AUTHORIZATION, RequestHead, restrict_head
 from dotterelstand.request.interfaces import Freshness
-from dotterelstand.version.model import Document, Route, Service
+from dotterelstand.version.model import Document, Service
+from dotterelstand.version.route import Route
 from dotterelstand.version.workspace import (
     Workspace,
     digest_key,
@@ -131,7 +132,7 @@
     ) -> None:
         self._arrival = self._seen = arrival
         self._route = route
-        self._path, self._method, self._host = head.route_path, head.method, head.host
+        self._path, self._method, self._host = head.path, head.method, head.host
         self._digest = digest
         self._current = current
         self._freshness = freshness
--- a/src/dotterelstand/request/accesslog.py
+++ b/src/dotterelstand/request/accesslog.py
@@ -10,7 +10,7 @@
 from dotterelstand.request.logfields import logged_path
 from dotterelstand.request.trail import DecisionTrail
 from dotterelstand.request.undelivered import UndeliveredAnswer
-from dotterelstand.version.model import Route
+from dotterelstand.version.route import Route
 from dotterelstand.version.workspace import Workspace
 
 # Maximum number of requests per second whose decisions are logged, since writing a line takes about
--- a/src/dotterelstand/request/context.py
+++ b/src/dotterelstand/request/context.py
@@ -17,7 +17,8 @@
 from dotterelstand.request.retryreserve import RetryReserve
 from dotterelstand.request.split import TrafficSplits
 from dotterelstand.request.stopplan import StopPlan
-from dotterelstand.version.model import Route, Service
+from dotterelstand.version.model import Service
+from dotterelstand.version.route import Route
 
 # Maximum number of services with a retry budget and latency samples; the oldest is evicted.
 MAX_SERVICES = 3500
--- a/src/dotterelstand/request/exchange.py
+++ b/src/dotterelstand/request/exchange.py
@@ -34,7 +34,8 @@
 )
 from dotterelstand.request.slotwait import acquire_while_reading
 from dotterelstand.request.suspicion import RequestSuspicion
-from dotterelstand.version.model import Document, Route, Service
+from dotterelstand.version.model import Document, Service
+from dotterelstand.version.route import Route
 
 # Smallest change of the deadline that is applied, as a share of the route's deadline.
 MIN_DEADLINE_STEP = 0.02
--- a/src/dotterelstand/request/head.py
+++ b/src/dotterelstand/request/head.py
@@ -1,7 +1,5 @@
 """Validation of a caller's request head, and the headers that are forwarded."""
 
-import re
-
 import h11
 import xxhash
 from returns.pipeline import is_successful
@@ -16,7 +14,7 @@
     encode_target,
     encode_workspace,
 )
-from dotterelstand.version.model import route_host
+from dotterelstand.version.route import decode_unreserved, route_host
 
 WORKSPACE_HEADER = b"dotterelstand-tenant"
 KEY_HEADER = b"idempotency-key"
@@ -29,8 +27,6 @@
 
 Headers = list[tuple[bytes, bytes]]
 
-_ENCODED_UNRESERVED = re.compile("%([0-9A-Fa-f]{2})")
-
 # Hop-by-hop headers (RFC 9110 section 7.6.1) and headers that only dotterelstand may set.
 _NOT_FORWARDED = frozenset(
     {
@@ -69,7 +65,6 @@
         "method",
         "path",
         "request_id",
-        "route_path",
         "workspace",
     )
 
@@ -85,7 +80,6 @@
     ) -> None:
         self.method = method
         self.path = path
-        self.route_path = decode_unreserved(path)
         self.headers = headers
         self.key = key
         self.workspace = workspace
@@ -110,24 +104,9 @@
         )
 
 
-def decode_unreserved(path: str) -> str:
-    """Decode percent-encoded unreserved characters, which RFC 3986 treats as equivalent.
-
-    Otherwise `/%6frder` would not match the route of `/order`, and the retry rules of that route
-    would not apply.
-    """
-    return _ENCODED_UNRESERVED.sub(_decode_unreserved, path) if "%" in path else path
-
-
-def _decode_unreserved(match: re.Match[str]) -> str:
-    character = chr(int(match.group(1), 16))
-    unreserved = character.isascii() and (character.isalnum() or character in "-._~")
-    return character if unreserved else match.group(0)
-
-
-def _is_unambiguous(route_path: str) -> bool:
+def _is_unambiguous(decoded_path: str) -> bool:
     """Whether the path matches the same route after a target has normalized it."""
-    path = route_path.partition("?")[0]
+    path = decoded_path.partition("?")[0]
     if path.startswith("//") or "\\" in path or "#" in path:
         return False
     return not any(segment in (".", "..") for segment in path.split("/"))
@@ -171,7 +150,7 @@
         deadline_s,
         fields,
     )
-    if not _is_unambiguous(head.route_path):
+    if not _is_unambiguous(decode_unreserved(head.path)):
         return Failure(ResultCode.BAD_REQUEST)
     return Success(head)
 
--- a/src/dotterelstand/request/split.py
+++ b/src/dotterelstand/request/split.py
@@ -2,7 +2,7 @@
 
 from collections import OrderedDict
 
-from dotterelstand.version.model import Route, Share
+from dotterelstand.version.route import Route, Share
 
 # Maximum number of routes with round-robin state; the least recently used is evicted.
 MAX_ROUTES = 4096
--- a/src/dotterelstand/version/check.py
+++ b/src/dotterelstand/version/check.py
@@ -13,14 +13,8 @@
     TOO_LARGE,
     SectionErrors,
 )
-from dotterelstand.version.model import (
-    Document,
-    DocumentError,
-    Route,
-    RouteIndex,
-    Service,
-    Target,
-)
+from dotterelstand.version.model import Document, DocumentError, Service, Target
+from dotterelstand.version.route import Route, RouteIndex
 from dotterelstand.version.section import ParsedSection, parse_section
 
 # The fleet planned for two years ahead has 3,000 sections, 3,000 services and 26,000 targets. A
@@ -201,7 +195,7 @@
 def _join_routes(state: _JoinState, section: ParsedSection, errors: SectionErrors) -> None:
     for position, route in enumerate(section.routes):
         for method in sorted(route.methods):
-            key = (route.prefix.rstrip("/"), method)
+            key = (route.prefix, method)
             if key in state.route_sections:
                 other_section = state.route_sections[key]
                 found = f"{method} {route.prefix}"
--- a/src/dotterelstand/version/model.py
+++ b/src/dotterelstand/version/model.py
@@ -1,17 +1,14 @@
 """Data classes of the operators' document, all immutable once built."""
 
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Mapping
 
 import xxhash
 
-from dotterelstand.version.workspace import ANY_REGION, WorkspaceIndex
+from dotterelstand.version.route import Route, RouteIndex
+from dotterelstand.version.workspace import WorkspaceIndex
 
 # Size of a target's index in bits; 32 bits take at most five bytes in a message.
 INDEX_BITS = 32
-# Routes with more path segments are rejected, which bounds the cost of a lookup.
-MAX_PREFIX_SEGMENTS = 16
-# Method key of a route that accepts every method.
-ANY_METHOD = "*"
 
 
 class DocumentError:
@@ -144,79 +141,6 @@
         return self._positions.get(index)
 
 
-class Share:
-    """Service that receives a share of a route's requests, in proportion to its weight."""
-
-    __slots__ = ("service", "weight")
-
-    def __init__(self, service: str, weight: float) -> None:
-        self.service = service
-        self.weight = weight
-
-
-class Route:
-    """Rules for requests with one path prefix.
-
-    `host` is empty for any host, and `methods` for any method. `key` says whether an idempotency
-    key is "none", "optional" or "required". `deadline_s` limits the time without progress;
-    `timeout_s`, unless None, limits the time to the end of the answer. `attempts` is the maximum
-    number of attempts at targets per request; None uses the setting. `latency_objective_s` is the
-    latency objective, or None. `split`, unless empty, divides the requests among services in place
-    of `service`. Requests on a `public` route need no key of a workspace. Requests may only be
-    sent to targets in `allowed_regions`, unless that is empty.
-    """
-
-    __slots__ = (
-        "allowed_regions",
-        "attempts",
-        "deadline_s",
-        "host",
-        "idempotent",
-        "key",
-        "klass",
-        "latency_objective_s",
-        "methods",
-        "prefix",
-        "public",
-        "service",
-        "split",
-        "timeout_s",
-    )
-
-    def __init__(
-        self,
-        prefix: str,
-        methods: frozenset[str],
-        service: str,
-        idempotent: bool,
-        key: str,
-        klass: str,
-        deadline_s: float,
-        *,
-        host: str = "",
-        timeout_s: float | None = None,
-        attempts: int | None = None,
-        latency_objective_s: float | None = None,
-        split: tuple[Share, ...] = (),
-        public: bool = False,
-        allowed_regions: frozenset[str] = ANY_REGION,
-    ) -> None:
-        self.public = public
-        self.allowed_regions = allowed_regions
-        self.host = route_host(host)
-        self.timeout_s = timeout_s
-        self.attempts = attempts
-        self.latency_objective_s = latency_objective_s
-        self.split = split
-        self.prefix = prefix
-        self.methods = methods
-        self.service = service
-        self.idempotent = idempotent
-        self.key = key
-        self.klass = klass
-        self.deadline_s = deadline_s
-
-
 class CallerBounds:
     """Limits of a document on callers: sizes in bytes, times in seconds."""
 
@@ -235,48 +159,6 @@
         self.idle_timeout_s = idle_timeout_s
 
 
-class RouteIndex:
-    """Routes by host, prefix and method; a lookup costs one step per path segment."""
-
-    __slots__ = ("_depth", "_routes")
-
-    def __init__(self, routes: Iterable[Route] = ()) -> None:
-        self._routes: dict[tuple[str, str], dict[str, Route]] = {}
-        self._depth = 0
-        for route in routes:
-            self.add(route)
-
-    def add(self, route: Route) -> None:
-        """Add a route; not allowed once the document with this index is in use."""
-        prefix = route.prefix.rstrip("/")
-        methods = self._routes.setdefault((route.host, prefix), {})
-        methods.update({method: route for method in route.methods or (ANY_METHOD,)})
-        self._depth = max(self._depth, prefix.count("/") + 1)
-
-    def find(self, path: str, method: str, host: str = "") -> Route | None:
-        """Find the route with the longest prefix of whole segments that accepts the method.
-
-        Routes of the host take precedence over routes of any host.
-        """
-        for methods in self._matches(path, host):
-            route = methods.get(method) or methods.get(ANY_METHOD)
-            if route is not None:
-                return route
-        return None
-
-    def methods(self, path: str, host: str = "") -> frozenset[str]:
-        """Return the methods of all routes that match a path; empty if none matches."""
-        return frozenset(method for methods in self._matches(path, host) for method in methods)
-
-    def _matches(self, path: str, host: str) -> Iterator[dict[str, Route]]:
-        segments = path.partition("?")[0].split("/", self._depth)[: self._depth]
-        for name in (host, "") if host else ("",):
-            for length in range(len(segments), 0, -1):
-                methods = self._routes.get((name, "/".join(segments[:length])))
-                if methods is not None:
-                    yield methods
-
-
 class Document:
     """One accepted version of all sections; immutable.
 
@@ -342,11 +224,6 @@
         return self._index.methods(path, host)
 
 
-def route_host(value: str) -> str:
-    """Normalize the host of a Host header or of a route: lower case, without a port."""
-    return value.strip().lower().partition(":")[0]
-
-
 def section_digest(body: str) -> str:
     """Return the digest of a section's text."""
     return xxhash.xxh3_128_hexdigest(body.encode())
--- a/src/dotterelstand/version/section.py
+++ b/src/dotterelstand/version/section.py
@@ -22,13 +22,8 @@
     one_of,
     read_table,
 )
-from dotterelstand.version.model import (
-    MAX_PREFIX_SEGMENTS,
-    DocumentError,
-    Route,
-    Service,
-    Target,
-)
+from dotterelstand.version.model import DocumentError, Service, Target
+from dotterelstand.version.route import MAX_PREFIX_SEGMENTS, Route
 
 # The store rejects larger values.
 MAX_SECTION_BYTES = 1_000_000
@@ -238,8 +233,10 @@
 
 
 def _build_route(fields: Mapping[str, Any]) -> Route:
+    # A slash at the end makes no difference, except that of the prefix of all paths.
+    prefix = fields["prefix"].rstrip("/") or "/"
     return Route(
-        fields["prefix"],
+        prefix,
         frozenset(fields["methods"]),
         fields["service"],
         fields["idempotent"],
--- a/tests/test_access.py
+++ b/tests/test_access.py
@@ -13,7 +13,8 @@
 from dotterelstand.platform.headers import PLATFORM_FIELDS
 from dotterelstand.request.access import admit_request
 from dotterelstand.request.head import RequestHead, read_head
-from dotterelstand.version.model import Document, Route
+from dotterelstand.version.model import Document
+from dotterelstand.version.route import Route
 from dotterelstand.version.workspace import Workspace, WorkspaceIndex, digest_key
 
 ONE = "k" * 256
--- a/tests/test_document.py
+++ b/tests/test_document.py
@@ -21,7 +21,6 @@
     WRONG_TYPE,
 )
 from dotterelstand.version.manifest import parse_manifest
-from dotterelstand.version.model import Route, RouteIndex
 
 VALID_SECTION = section_text("quotes")
 
@@ -118,25 +117,35 @@
     assert (error.code, error.section, error.other_section) == (NO_SUCH_NAME, "b", "a")
 
 
+@pytest.mark.parametrize("end", ["", "/"])
 @pytest.mark.parametrize(
     ("path", "method", "prefix"),
     [
         ("/quotes/7?x=/a/b", "GET", "/quotes"),
         ("/quotes", "GET", "/quotes"),
+        ("/quotes/", "GET", "/quotes"),
+        ("/quotes?x", "GET", "/quotes"),
         ("/quotesx", "GET", "/"),
         ("/quotes/new/1", "POST", "/quotes/new"),
+        ("/quotes/new", "POST", "/quotes/new"),
         ("/quotes/new/1", "GET", "/quotes"),
+        ("/%71uotes", "GET", "/quotes"),
         ("/a/b/c/d/e", "PUT", None),
     ],
 )
-def test_longest_prefix_in_whole_segments_wins(path: str, method: str, prefix: str | None) -> None:
+def test_longest_prefix_in_whole_segments_wins(
+    path: str, method: str, prefix: str | None, end: str
+) -> None:
     """Guards against requests that are routed to the wrong service."""
-    rows = [("/", "GET"), ("/quotes/", "GET"), ("/quotes/new", "POST")]
-    routes = tuple(
-        Route(prefix, frozenset({method}), "s", True, "none", "c", 1.0) for prefix, method in rows
+    rows = [("/", "GET"), (f"/quotes{end}", "GET"), (f"/quotes/new{end}", "POST")]
+    services = VALID_SECTION.partition(ROUTES)[0]
+    routes = "".join(
+        f'{ROUTES}\nprefix = "{prefix}"\nmethods = ["{method}"]\nservice = "quotes"\n'
+        for prefix, method in rows
     )
-    found = RouteIndex(routes).find(path, method)
-    assert (found.prefix.rstrip("/") or "/" if found else None) == prefix
+    document = join_sections(1, parse_bodies({"a": services + routes}, True)[0], {}).unwrap()
+    found = document.find_route(path, method)
+    assert (found.prefix if found else None) == prefix
 
 
 def test_examples_in_the_repository_are_valid() -> None:
