Leave out objects with numbers that nothing can calculate with

Cause: the decoder took integers of any size, the health table multiplies slots by a float, and no task up to the daemon's own expects an error there. Ruled out: only catching the error where the document is applied (the daemons would follow no change while the entry stands); limiting the value (a wrong number of slots would draw all requests to its target).

Change: integers end at 2**53 - 1, other numbers are 0 or from 1e-9 to 1e12, slots and ports end at 65,535; an object with another value is left out with event 329. An object whose parsing fails unexpectedly is left out, and an unexpected error while a document is applied is logged (190) and leaves the daemon running. Classes are sorted by the number of their priority, and a trafficSplit that is no list is a malformed configuration. Why it works: no product or quotient of two values within the bounds overflows, and what is still unexpected ends neither object nor daemon.

--- a/src/dotterelstand/platform/client.py
+++ b/src/dotterelstand/platform/client.py
@@ -311,19 +311,27 @@
     name = str(item["metadata"]["name"])
     if removed:
         return Entry(name, None, removed=True)
-    result: Result[Any, str]
-    if kind is Kind.TARGETS:
-        result = parse_target(name, item.get("spec"))
-    elif kind is Kind.HOSTS:
-        result = parse_host(name, item.get("spec"))
-    elif kind is Kind.EVACUATIONS:
+    if kind is Kind.EVACUATIONS:
         # The object has an effect by its existence, whatever it contains.
         return Entry(name, Evacuation(name))
-    elif name != CONFIGURATION_NAME:
+    if kind is Kind.CONFIGURATION and name != CONFIGURATION_NAME:
         return Entry(name, None)
-    else:
-        result = parse_configuration(item.get("spec"))
+    result = _parse_spec(kind, name, item.get("spec"))
     if not is_successful(result):
         log(Event.OBJECT_UNREADABLE, kind=kind.value, name=name, reason=result.failure())
         return Entry(name, None, unreadable=True)
     return Entry(name, result.unwrap())
+
+
+def _parse_spec(kind: Kind, name: str, spec: object) -> Result[Any, str]:
+    try:
+        if kind is Kind.TARGETS:
+            return parse_target(name, spec)
+        if kind is Kind.HOSTS:
+            return parse_host(name, spec)
+        return parse_configuration(spec)
+    except Exception as error:
+        # An object that no check expects must not hide the others. The error may contain a key.
+        reason = f"unexpected {type(error).__name__}"
+        log(Event.INVARIANT_BROKEN, name="object", detail=reason, kind=kind.value)
+        return Failure(reason)
--- a/src/dotterelstand/platform/decode.py
+++ b/src/dotterelstand/platform/decode.py
@@ -1,7 +1,6 @@
 """Converts the platform's objects to the types of the load balancer."""
 
 import re
-import sys
 from typing import Any
 
 from returns.result import Failure, Result, Success
@@ -19,6 +18,7 @@
     KEY_DIGEST_BYTES,
     Workspace,
     WorkspaceIndex,
+    class_rank,
     digest_key,
     join_class,
     split_class,
@@ -35,6 +35,14 @@
 _CONTROL = re.compile(r"[\x00-\x1f\x7f]")
 # A shorter timeout would close connections before a request can arrive.
 MIN_TIMEOUT_S = 0.001
+# Larger integers are not interoperable in JSON (RFC 8259 section 6).
+MAX_INTEGER = 2**53 - 1
+# Bounds of other numbers, unless they are 0, so that no product or quotient of them is infinite.
+MIN_NUMBER = 1e-9
+MAX_NUMBER = 1e12
+# A target runs one request at a time on a connection, and a port takes no more from one host.
+MAX_SLOTS = 65_535
+MAX_PORT = 65_535
 
 
 class FormatError(Exception):
@@ -61,7 +69,7 @@
                 address,
                 port,
                 _require_text(info, "zone"),
-                _require_integer(info, "slots", 1),
+                _require_integer(info, "slots", 1, MAX_SLOTS),
                 state == "draining",
                 _require_number(status, "warmupLeftS", 0.0),
                 # Start time in Unix milliseconds; older instances do not report it.
@@ -80,7 +88,7 @@
             ListedHost(
                 _check_name(name),
                 _require_text(entry, "address"),
-                _require_integer(entry, "port", 1),
+                _require_integer(entry, "port", 1, MAX_PORT),
                 False,
                 _require_text(entry, "region"),
                 _require_text(entry, "availability_zone"),
@@ -152,7 +160,7 @@
         if workspace.priority is not None
         for kind in types
     }
-    classes = tuple(sorted(names))
+    classes = tuple(sorted(names, key=class_rank))
     bulk_classes = frozenset(name for name in classes if name.endswith(BULK_TYPE))
     access = _index_workspaces(workspaces) if workspaces else None
     return Configuration(number, tuple(routes), services, classes, bulk_classes, bounds, access)
@@ -176,12 +184,15 @@
     prefix = _require_text(fields, "pathPrefix")
     if not prefix.startswith("/") or not prefix.endswith("/"):
         raise FormatError(f"pathPrefix {prefix!r}")
+    parts = fields.get("trafficSplit") or []
+    if not isinstance(parts, list):
+        raise FormatError("trafficSplit: not a list")
     split = tuple(
         Share(
             _require_text(_require_table(part, "trafficSplit"), "service"),
             _require_number(part, "weight", 0.0),
         )
-        for part in fields.get("trafficSplit") or ()
+        for part in parts
     )
     timeout_s = _require_number(fields, "timeoutS", 0.0)
     if timeout_s <= 0:
@@ -269,7 +280,7 @@
 def _parse_address(text: str) -> tuple[str, int]:
     address, _, port = text.rpartition(":")
     # `int` refuses some digits, and more than 4,300 of them.
-    if not address or not PORT.fullmatch(port) or not 0 < int(port) < 65536:
+    if not address or not PORT.fullmatch(port) or not 0 < int(port) <= MAX_PORT:
         raise FormatError(f"address {text!r}")
     return address, int(port)
 
@@ -295,10 +306,13 @@
     return value
 
 
-def _require_integer(table: dict[str, Any], name: str, minimum: int) -> int:
+def _require_integer(
+    table: dict[str, Any], name: str, minimum: int, maximum: int = MAX_INTEGER
+) -> int:
     value = table.get(name)
-    if not isinstance(value, int) or isinstance(value, bool) or value < minimum:
-        raise FormatError(f"{name}: found {value!r:.80}, not an integer from {minimum}")
+    if not isinstance(value, int) or isinstance(value, bool) or not minimum <= value <= maximum:
+        allowed = f"not an integer from {minimum} to {maximum}"
+        raise FormatError(f"{name}: found {value!r:.80}, {allowed}")
     return value
 
 
@@ -308,9 +322,11 @@
     if (
         not isinstance(value, int | float)
         or isinstance(value, bool)
-        or not minimum <= value <= sys.float_info.max
+        or not minimum <= value <= MAX_NUMBER
+        or 0 < value < MIN_NUMBER
     ):
-        raise FormatError(f"{name}: found {value!r:.80}, not a number from {minimum}")
+        allowed = f"not a number from {minimum} to {MAX_NUMBER:g}"
+        raise FormatError(f"{name}: found {value!r:.80}, {allowed}")
     return float(value)
 
 
--- a/src/dotterelstand/process/discovery/platformfeed.py
+++ b/src/dotterelstand/process/discovery/platformfeed.py
@@ -20,6 +20,7 @@
 )
 from dotterelstand.process.peering.membership import ListedHost
 from dotterelstand.process.peering.overlay import FULL_MESH_HOSTS, choose_hubs
+from dotterelstand.process.telemetry.invariant import log_fault
 from dotterelstand.version.model import Document
 
 # A store may be restored from a copy that is seconds old, so a host that registered longer ago is
@@ -248,12 +249,19 @@
                     log(Event.DOCUMENT_OLDER, number=entry.item.number)
 
     def publish(self) -> None:
-        """Apply the document that results from the last change, and log the changes of targets."""
+        """Apply the document that results from the last change, and log the changes of targets.
+
+        An unexpected error is logged, and leaves the daemon with what was applied until the next
+        change: restarts would meet the same objects again.
+        """
         self._changed.set()
         self._log_changes()
-        document = self._catalogue.document()
-        if document is not None:
-            self._apply(document)
+        try:
+            document = self._catalogue.document()
+            if document is not None:
+                self._apply(document)
+        except Exception as error:
+            log_fault("document", [error], number=self._catalogue.number)
 
     def _log_changes(self) -> None:
         while self._catalogue.changes:
--- a/src/dotterelstand/version/workspace.py
+++ b/src/dotterelstand/version/workspace.py
@@ -86,13 +86,16 @@
 
 
 def join_class(priority: int, kind: str) -> str:
-    """Class of requests of a priority, 0 being the highest, on routes of a type.
-
-    The name begins with the priority, so that classes sort by priority.
-    """
+    """Class of requests of a priority, 0 being the highest, on routes of a type."""
     return f"{priority:03d}-{kind}"
 
 
+def class_rank(klass: str) -> tuple[int, str]:
+    """Key that sorts classes which `join_class` built, the highest priority first."""
+    priority, kind = split_class(klass)
+    return int(priority), kind
+
+
 def split_class(klass: str) -> tuple[str, str]:
     """Priority and type of a class that `join_class` built."""
     priority, _, kind = klass.partition("-")
--- a/tests/test_unusable_objects.py
+++ b/tests/test_unusable_objects.py
@@ -1,5 +1,6 @@
 """Objects of the platform with values that no part of a daemon can use."""
 
+from collections.abc import Callable
 from typing import Any
 
 import pytest
@@ -9,6 +10,8 @@
 from support_logs import EventCollector
 
 from dotterelstand.events import Event
+from dotterelstand.platform import client
+from dotterelstand.process.selection.slots import SlotBroker
 
 # JSON limits neither the digits of a number nor its exponent; the latter gives an infinite one.
 LONG_NUMBER = 10**400
@@ -52,6 +55,96 @@
 }
 
 
+# Numbers at which a calculation with them overflows, in either direction.
+EXTREME = {
+    "10**400": LONG_NUMBER,
+    "2**63": 2**63,
+    "1e308": 1e308,
+    "5e-324": 5e-324,
+}
+SPLIT = [{"service": "s", "weight": 1}]
+WARMUP = {"warmupS": 2, "warmupPerS": 5}
+
+
+def _configuration(version: int, kind: str = "", field: str = "", value: Any = 0) -> dict[str, Any]:
+    """Return a configuration with one field replaced in each resource of a kind."""
+    resources = route("s", trafficSplit=SPLIT), tenant("a", SECRET, ratePerS=1000, burst=1000)
+    spec = configuration(version, *resources)
+    for resource in spec["resources"]:
+        if resource["resourceType"] == "services":
+            resource["spec"] = {**resource["spec"], **WARMUP}
+        if resource["resourceType"] == kind:
+            resource["spec"] = {**resource["spec"], field: value}
+    return spec
+
+
+def _entry(part: str, field: str, value: Any) -> dict[str, Any]:
+    """Return the entry of an instance with one field replaced in one of its parts."""
+    entry = server_entry("s", TARGET)
+    table = entry[part] if part else entry
+    table[field] = value
+    return entry
+
+
+def _weighted(value: Any) -> list[dict[str, Any]]:
+    return [{"service": "s", "weight": value}, {"service": "s", "weight": value}]
+
+
+FIELDS = [
+    ("routes", "timeoutS"),
+    ("routes", "targetLatencyS"),
+    ("routes", "priority"),
+    ("routes", "attempts"),
+    ("routes", "trafficSplit"),
+    ("services", "maxConns"),
+    ("services", "warmupS"),
+    ("services", "warmupPerS"),
+    ("tenants", "priority"),
+    ("tenants", "ratePerS"),
+    ("tenants", "burst"),
+    ("limits", "maxHeaderBytes"),
+    ("limits", "maxBodyBytes"),
+    ("limits", "headerTimeoutS"),
+    ("limits", "idleTimeoutS"),
+    ("info", "slots"),
+    ("status", "warmupLeftS"),
+    ("status", "sequence"),
+    ("", "born"),
+    ("", "address"),
+]
+
+
+@pytest.mark.parametrize("number", EXTREME)
+@pytest.mark.parametrize(("part", "field"), FIELDS)
+def test_extreme_number_stops_nothing(part: str, field: str, number: str) -> None:
+    """Guards against daemons that all end at a number in an object of the store (review/7)."""
+    value: Any = EXTREME[number]
+    if field == "address":
+        value = f"10.1.0.9:{value}"
+    if field == "trafficSplit":
+        value = _weighted(value)
+
+    async def scenario(fleet: PlatformFleet) -> None:
+        fleet.store.put("config", "main", _configuration(8))
+        await trio.sleep(5.0)
+        assert fleet.daemon.document and fleet.daemon.document.number == 8
+        if part in ("info", "status", ""):
+            fleet.store.put("servers", "i-9", _entry(part, field, value))
+        else:
+            fleet.store.put("config", "main", _configuration(9, part, field, value))
+        for number in range(21):
+            await trio.sleep(0.1)
+            assert (await fleet.call(entry=number % 3, key=SECRET)).status == 200
+        fleet.register(0, state="draining")
+        await trio.sleep(2.0)
+        runs = len(fleet.instances[0].runs)
+        for _ in range(10):
+            assert (await fleet.call(key=SECRET)).status == 200
+        assert len(fleet.instances[0].runs) == runs
+
+    run_on_platform(scenario, entries=3, health_interval_s=0.1, quota=True)
+
+
 @pytest.mark.parametrize("case", UNUSABLE)
 def test_object_with_an_unusable_value_is_left_out(case: str) -> None:
     """Guards against daemons that all end, or follow no other object, since one cannot be used."""
@@ -75,6 +168,43 @@
     assert SECRET not in str(lines.events), "a key was logged"
 
 
+@pytest.mark.parametrize("broken", ["apply", "parse"])
+def test_unexpected_error_ends_nothing_else(broken: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against an error in one object that ends the daemon or hides the other objects."""
+    failures = []
+
+    def fail(original: Callable[..., Any], bad: Callable[..., bool]) -> Callable[..., Any]:
+        def call(*arguments: Any) -> Any:
+            if bad(*arguments):
+                failures.append(broken)
+                raise ZeroDivisionError
+            return original(*arguments)
+
+        return call
+
+    if broken == "apply":
+        bad = lambda broker, document: document.number == 8  # noqa: E731
+        monkeypatch.setattr(SlotBroker, "apply", fail(SlotBroker.apply, bad))
+    else:
+        parse = fail(client.parse_target, lambda name, spec: name == "i-9")
+        monkeypatch.setattr(client, "parse_target", parse)
+
+    async def scenario(fleet: PlatformFleet) -> None:
+        fleet.store.put("servers", "i-9", server_entry("s", TARGET))
+        fleet.store.put("config", "main", configuration(8, route("s")))
+        await trio.sleep(1.0)
+        assert (await fleet.call()).status == 200
+        fleet.store.put("config", "main", configuration(9, route("s"), route("s", "/c/")))
+        await trio.sleep(1.0)
+        for _ in range(5):
+            assert (await fleet.call(path="/c/1")).status == 200
+
+    with EventCollector() as lines:
+        run_on_platform(scenario)
+    assert failures
+    assert lines.lines_of(Event.INVARIANT_BROKEN)
+
+
 def test_page_that_ends_with_an_unusable_name_leaves_the_daemon_running() -> None:
     """Guards against a daemon that ends since it cannot ask for the page behind such a name."""
 
