Take no end of a broken connection for the end of an answer

Cause: the system gives the error of a connection to the first call that asks. If that is the write of the upload, whose error is dropped, the read of the answer gets the end of the stream, which ends an answer without a length. Ruled out: each failed write as a broken answer (a target that ends its output and then closes with the upload unread fails writes with EPIPE, and its answer is whole).

Change: TargetConnection remembers a write that failed for another reason than EPIPE; the end of its stream is then an error. The network in memory names the errors of writes as the system does. Why it works: the flag is set in the step of the write that took the error, so no read can return the end of the stream before it; EPIPE is reported only after the target's own end of the stream.

--- a/src/dotterelstand/connection/target.py
+++ b/src/dotterelstand/connection/target.py
@@ -1,5 +1,6 @@
 """One HTTP/1.1 connection to a target."""
 
+import errno
 import math
 import re
 import select
@@ -29,6 +30,7 @@
         "_h11",
         "_max_head_bytes",
         "_request",
+        "_reset_seen",
         "_sending",
         "_stream",
         "address",
@@ -49,6 +51,9 @@
         self._request: h11.Request | None = None
         # Whether bytes of the request may not have been sent yet, or only in part.
         self._sending = False
+        # Whether a write failed because the connection broke. The system reports that only once,
+        # and later reads return the end of the stream as if the target had closed it.
+        self._reset_seen = False
         self.address = address
         # Timeout from the target's Keep-Alive header, in seconds.
         self.keep_alive_timeout_s = math.inf
@@ -99,10 +104,16 @@
         return self._h11.next_event()
 
     async def receive(self) -> AnswerEvent:
-        """Wait for the next event; raises like `poll`, or `trio.BrokenResourceError`."""
+        """Wait for the next event; raises like `poll`, or `trio.BrokenResourceError`.
+
+        The end of a connection that broke is an error, as it does not end an answer.
+        """
         while (event := self._h11.next_event()) is h11.NEED_DATA:
             self._events_without_wait = 0
-            self._h11.receive_data(bytes(await self._stream.receive_some(READ_BYTES)))
+            data = bytes(await self._stream.receive_some(READ_BYTES))
+            if not data and self._reset_seen:
+                raise trio.BrokenResourceError
+            self._h11.receive_data(data)
         self._events_without_wait += 1
         if self._events_without_wait >= MAX_EVENTS_WITHOUT_WAIT:
             # One read may hold thousands of short chunks.
@@ -164,7 +175,11 @@
     async def _send(self, data: bytes) -> None:
         # h11 takes a request for complete once its last bytes are encoded.
         self._sending = True
-        await self._stream.send_all(data)
+        try:
+            await self._stream.send_all(data)
+        except trio.BrokenResourceError as error:
+            self._reset_seen |= not is_broken_pipe(error)
+            raise
         self._sending = False
 
     def _note_keep_alive_timeout(self, answer: h11.Response) -> None:
@@ -174,6 +189,11 @@
                 self.keep_alive_timeout_s = float(match.group(1))
 
 
+def is_broken_pipe(error: trio.BrokenResourceError) -> bool:
+    """Whether a write failed because the peer had ended its output before it stopped reading."""
+    return isinstance(error.__cause__, OSError) and error.__cause__.errno == errno.EPIPE
+
+
 def has_input(stream: trio.abc.AsyncResource) -> bool:
     """Whether bytes or the end of the stream can be read without waiting."""
     if isinstance(stream, trio.SocketStream):
--- a/src/dotterelstand/standin/network.py
+++ b/src/dotterelstand/standin/network.py
@@ -1,6 +1,7 @@
 """In-memory network with latency and faults, for runs in virtual time."""
 
 import contextvars
+import errno
 from collections import Counter, deque
 from collections.abc import Callable
 
@@ -62,8 +63,10 @@
             await pipe.wake.wait()
         if self._local_closed:
             raise trio.ClosedResourceError
-        if pipe.broken or (pipe.closed and not pipe.silent):
-            raise trio.BrokenResourceError
+        if pipe.broken:
+            raise trio.BrokenResourceError from ConnectionResetError(errno.ECONNRESET, "reset")
+        if pipe.closed and not pipe.silent:
+            raise trio.BrokenResourceError from BrokenPipeError(errno.EPIPE, "closed by the peer")
         if pipe.silent or not data:
             return
         pipe.chunks.append((trio.current_time() + self._latency_s, bytes(data)))
