Contain errors in one request, and leave out names no header can carry

Cause: the decoder took names that no header field can carry, and h11's LocalProtocolError, which nothing in the request expected, ended all tasks of the caller's connection. Ruled out: sending such names in another form; the target compares them.

An unexpected error in one request is logged and answered with 2026 (503, not sent) or 3010 (502, may have run); the other requests of the connection go on. A head is encoded before its request counts as sent, so that 2026 is true of a head that cannot be encoded. Why it works: the error is caught in the request's own task, whose attempts end in its finally as at any end; what was sent is known by then.

Related paths: errors at the choice of a slot, at sending, at reading the answer, at the route and at reading the next request of a connection.

--- a/src/dotterelstand/codes.py
+++ b/src/dotterelstand/codes.py
@@ -47,6 +47,7 @@
     QUOTA_EXCEEDED = 2023
     CONFIGURATION_UNPROVEN = 2024
     HOST_MEMORY_FULL = 2025
+    INTERNAL_ERROR = 2026
 
     CONNECTION_LOST = 3001
     ANSWER_TRUNCATED = 3002
@@ -57,6 +58,7 @@
     CALLER_LEFT = 3007
     BAD_ANSWER = 3008
     BODY_INCOMPLETE = 3009
+    INTERNAL_ERROR_UNKNOWN = 3010
 
     @property
     def run(self) -> Execution:
@@ -71,7 +73,7 @@
     @property
     def retry_after_s(self) -> float | None:
         """Seconds after which a caller may retry, or None if a retry would not help."""
-        if self is Result.HOST_STOPPING:
+        if self in (Result.HOST_STOPPING, Result.INTERNAL_ERROR):
             # Another host can serve the request now.
             return 0
         if self is Result.TARGET_REFUSED:
--- a/src/dotterelstand/connection/network.py
+++ b/src/dotterelstand/connection/network.py
@@ -21,6 +21,9 @@
 # Size of an enlarged send buffer in bytes; the system may limit it to less.
 LARGE_SEND_BUFFER_BYTES = 1_048_576
 
+# Errors of a stream that was lost or closed.
+CONNECTION_ERRORS = (trio.BrokenResourceError, trio.ClosedResourceError)
+
 StreamHandler = Callable[[trio.abc.Stream], Awaitable[None]]
 
 
--- a/src/dotterelstand/connection/target.py
+++ b/src/dotterelstand/connection/target.py
@@ -76,7 +76,17 @@
     ) -> None:
         """Send the head and the first bytes of the body in one call.
 
-        Raises `trio.BrokenResourceError` if the connection is lost.
+        Raises `trio.BrokenResourceError` if the connection is lost, and `h11.LocalProtocolError`
+        like `encode_request`.
+        """
+        await self.send(self.encode_request(method, path, headers, body, complete))
+
+    def encode_request(
+        self, method: str, path: str, headers: Headers, body: bytes, complete: bool
+    ) -> bytes:
+        """Encode the head and the first bytes of the body, to be sent with `send`.
+
+        Raises `h11.LocalProtocolError` if a head cannot carry one of the values.
         """
         data = self._h11.send(h11.Request(method=method, target=path, headers=headers)) or b""
         self._request = h11.Request(method=method, target="/", headers=[("host", "")])
@@ -84,17 +94,28 @@
             data += self._h11.send(h11.Data(data=body)) or b""
         if complete:
             data += self._h11.send(h11.EndOfMessage()) or b""
-        await self._send(data)
+        return data
+
+    async def send(self, data: bytes) -> None:
+        """Send encoded bytes; raises `trio.BrokenResourceError` if the connection is lost."""
+        # h11 takes a request for complete once its last bytes are encoded.
+        self._sending = True
+        try:
+            await self._stream.send_all(data)
+        except trio.BrokenResourceError as error:
+            self._reset_seen |= not is_broken_pipe(error)
+            raise
+        self._sending = False
 
     async def send_body(self, data: bytes) -> None:
         """Send one piece of the request body."""
-        await self._send(self._h11.send(h11.Data(data=data)) or b"")
+        await self.send(self._h11.send(h11.Data(data=data)) or b"")
 
     async def finish_request(self) -> None:
         """Send the end of the request."""
         data = self._h11.send(h11.EndOfMessage())
         if data:
-            await self._send(data)
+            await self.send(data)
 
     def poll(self) -> AnswerEvent:
         """Next event from data already received, or `h11.NEED_DATA`.
@@ -172,16 +193,6 @@
         """Close at once, which cancels the request at the target."""
         close_now(self._stream)
 
-    async def _send(self, data: bytes) -> None:
-        # h11 takes a request for complete once its last bytes are encoded.
-        self._sending = True
-        try:
-            await self._stream.send_all(data)
-        except trio.BrokenResourceError as error:
-            self._reset_seen |= not is_broken_pipe(error)
-            raise
-        self._sending = False
-
     def _note_keep_alive_timeout(self, answer: h11.Response) -> None:
         for name, value in answer.headers:
             match = _KEEP_ALIVE_TIMEOUT.search(value) if name == b"keep-alive" else None
--- a/src/dotterelstand/platform/decode.py
+++ b/src/dotterelstand/platform/decode.py
@@ -32,7 +32,12 @@
 VERSION_DIGITS = 8
 PORT = re.compile("[0-9]{1,5}")
 KEY_DIGEST = re.compile(f"[0-9a-f]{{{2 * KEY_DIGEST_BYTES}}}")
-_CONTROL = re.compile(r"[\x00-\x1f\x7f]")
+# What h11 sends as the value of a header field: no control characters, no space at either end.
+_FIELD_VALUE = re.compile("[\x21-\x7e\x80-\xff]([\x20-\x7e\x80-\xff]*[\x21-\x7e\x80-\xff])?")
+_PATH = re.compile("/[\x21-\x7e]*")
+# Longer names and paths would make heads that no target accepts.
+MAX_NAME_CHARS = 255
+MAX_PATH_CHARS = 2048
 # A shorter timeout would close connections before a request can arrive.
 MIN_TIMEOUT_S = 0.001
 # Larger integers are not interoperable in JSON (RFC 8259 section 6).
@@ -64,7 +69,7 @@
         _require_integer(status, "sequence", 0)
         return Success(
             RegisteredTarget(
-                _check_name(name),
+                _check_field_value(name, "name"),
                 _require_text(info, "service"),
                 address,
                 port,
@@ -217,14 +222,13 @@
 
 
 def _parse_workspace(name: str, fields: dict[str, Any]) -> Workspace:
-    if not name or name != name.strip(" ") or _CONTROL.search(name):
-        # The name is the value of a header field, which must reach the target as it is.
-        raise FormatError(f"tenants {name!r:.80}: not a name")
+    # The name is sent in UTF-8, in which bytes from 0x80 on stand for other characters.
+    _check_field_value(_check_name(name).encode().decode("latin-1"), "tenants")
     priority = None
     if fields.get("priority") is not None:
         priority = _require_integer(fields, "priority", 0)
     return Workspace(
-        _check_name(name),
+        name,
         _parse_key_digests(fields),
         priority,
         _optional_number(fields, "ratePerS"),
@@ -250,9 +254,12 @@
 
 
 def _parse_service(name: str, fields: dict[str, Any]) -> ServiceSpec:
+    path = _require_text(fields, "healthPath")
+    if not _PATH.fullmatch(path) or len(path) > MAX_PATH_CHARS:
+        raise FormatError(f"healthPath {path!r:.80}: not a path")
     return ServiceSpec(
         _check_name(name),
-        _require_text(fields, "healthPath"),
+        path,
         _require_integer(fields, "maxConns", 1),
         _optional_number(fields, "warmupS"),
         _optional_number(fields, "warmupPerS"),
@@ -292,6 +299,12 @@
     return name
 
 
+def _check_field_value(text: str, name: str) -> str:
+    if not _FIELD_VALUE.fullmatch(text) or len(text) > MAX_NAME_CHARS:
+        raise FormatError(f"{name} {text!r:.80}: not the value of a header field")
+    return text
+
+
 def _require_table(value: object, name: str) -> dict[str, Any]:
     if not isinstance(value, dict):
         # The value may contain keys, which must not be shown.
--- a/src/dotterelstand/process/frontend.py
+++ b/src/dotterelstand/process/frontend.py
@@ -9,13 +9,13 @@
 from dotterelstand.connection.callerlimits import CallerLimits
 from dotterelstand.connection.callerrequest import CallerRequest
 from dotterelstand.connection.memorybudget import MemoryBudget
-from dotterelstand.connection.network import Listener
+from dotterelstand.connection.network import CONNECTION_ERRORS, Listener
 from dotterelstand.connection.target import close_now
 from dotterelstand.events import Event, log
-from dotterelstand.process.telemetry.invariant import leaf_errors, log_fault
 from dotterelstand.request.access import admit_request
 from dotterelstand.request.accesslog import AccessLog, RequestSummary
 from dotterelstand.request.context import RequestContext
+from dotterelstand.request.endcodes import note_fault
 from dotterelstand.request.exchange import Exchange
 from dotterelstand.request.head import RequestHead
 from dotterelstand.request.undelivered import find_undelivered
@@ -151,20 +151,25 @@
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(connection.read_ahead)
-                await self._serve_requests(connection, nursery)
+                try:
+                    await self._serve_requests(connection, nursery)
+                except Exception as error:
+                    note_fault(error, self._context.metrics)
+                    failed = True
+                    await connection.wait_for_others(None)
                 nursery.cancel_scope.cancel()
-        except* (trio.BrokenResourceError, trio.ClosedResourceError):
+        except* CONNECTION_ERRORS:
             # The caller closed the connection while an answer was being sent.
             pass
         except* Exception as group:
             failed = True
-            self._note_fault(leaf_errors(group))
+            note_fault(group, self._context.metrics)
         finally:
             self._connections.discard(connection)
             try:
                 self._note_undelivered(connection, failed)
             except Exception as error:
-                self._note_fault([error])
+                note_fault(error, self._context.metrics)
             if not connection.aborted:
                 connection.close()
             connection.release_memory()
@@ -220,7 +225,12 @@
 
     async def _serve_request(self, connection: CallerConnection, request: CallerRequest) -> None:
         try:
-            await self._answer_request(request)
+            try:
+                await self._answer_request(request)
+            except Exception as error:
+                note_fault(error, self._context.metrics)
+                if not request.is_fully_answered:
+                    await self._finish_answer(request, ResultCode.INTERNAL_ERROR_UNKNOWN)
             await request.flush()
         finally:
             connection.end(request)
@@ -317,7 +327,7 @@
                     await connection.make_unread_request().refuse(code)
                     await connection.linger()
                     nursery.cancel_scope.cancel()
-        except* (trio.BrokenResourceError, trio.ClosedResourceError):
+        except* CONNECTION_ERRORS:
             pass
         finally:
             connection.release_memory()
@@ -366,10 +376,6 @@
             context.metrics.count(f"requests.undelivered.{answer.cause}")
         self._access_log.write_undelivered(answers, context.stop_plan.began_s)
 
-    def _note_fault(self, errors: list[BaseException]) -> None:
-        self._context.metrics.count("requests.faults")
-        log_fault("request", errors)
-
 
 def _find_route(document: Document, head: RequestHead) -> Route | None:
     return document.find_route(head.path, head.method, head.host)
--- a/src/dotterelstand/process/selection/healthprobe.py
+++ b/src/dotterelstand/process/selection/healthprobe.py
@@ -7,6 +7,7 @@
 import h11
 import trio
 
+from dotterelstand.connection.network import CONNECTION_ERRORS
 from dotterelstand.connection.pool import ConnectionLimitError, TargetPool
 from dotterelstand.process.peering.mesh import Mesh
 from dotterelstand.process.selection.measure import MeasureBudget
@@ -201,7 +202,7 @@
             with trio.move_on_after(PROBE_TIMEOUT_S):
                 try:
                     head = await self._request_health(service, target)
-                except (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
+                except (OSError, *CONNECTION_ERRORS):
                     pass
                 except (ConnectionLimitError, h11.ProtocolError):
                     pass
--- a/src/dotterelstand/process/suspects/targetchecks.py
+++ b/src/dotterelstand/process/suspects/targetchecks.py
@@ -5,7 +5,7 @@
 import h11
 import trio
 
-from dotterelstand.connection.network import Network
+from dotterelstand.connection.network import CONNECTION_ERRORS, Network
 from dotterelstand.connection.target import TargetConnection
 from dotterelstand.process.suspects.evidence import (
     SECOND_CONTACT_AFTER_S,
@@ -122,7 +122,7 @@
         try:
             await connection.send_request("GET", service.health_path, host, b"", True)
             head = await connection.receive()
-        except (trio.BrokenResourceError, trio.ClosedResourceError):
+        except CONNECTION_ERRORS:
             return Contact.CLOSED
         except h11.RemoteProtocolError:
             return Contact.CLOSED if connection.closed_by_target() else Contact.ANSWERED
--- a/src/dotterelstand/request/answerforwarder.py
+++ b/src/dotterelstand/request/answerforwarder.py
@@ -8,6 +8,7 @@
 
 from dotterelstand.codes import Result as ResultCode
 from dotterelstand.connection.callerrequest import CallerRequest
+from dotterelstand.connection.network import CONNECTION_ERRORS
 from dotterelstand.connection.target import MAX_EVENTS_WITHOUT_WAIT, AnswerEvent, TargetConnection
 from dotterelstand.request.answerhead import AnswerHead
 from dotterelstand.request.fields import HeaderFields
@@ -76,7 +77,7 @@
             body = await self._receive_buffered_part(head)
         except h11.RemoteProtocolError:
             return self._broken_answer_code()
-        except (trio.BrokenResourceError, trio.ClosedResourceError):
+        except CONNECTION_ERRORS:
             return ResultCode.ANSWER_TRUNCATED
         data = self._caller.encode_head(
             head.status, returned_headers(head.headers, self._fields), ResultCode.ANSWERED
@@ -97,7 +98,7 @@
             return ResultCode.CALLER_LEFT
         except h11.RemoteProtocolError:
             return self._broken_answer_code()
-        except (trio.BrokenResourceError, trio.ClosedResourceError):
+        except CONNECTION_ERRORS:
             return ResultCode.CALLER_LEFT
 
     async def _receive_buffered_part(self, head: AnswerHead) -> bytes:
@@ -151,7 +152,7 @@
                 data = b""
                 try:
                     event = await self._target.receive()
-                except (trio.BrokenResourceError, trio.ClosedResourceError):
+                except CONNECTION_ERRORS:
                     return ResultCode.ANSWER_TRUNCATED
                 continue
             else:
--- a/src/dotterelstand/request/attempt.py
+++ b/src/dotterelstand/request/attempt.py
@@ -8,6 +8,7 @@
 
 from dotterelstand.codes import Result as ResultCode
 from dotterelstand.connection.bodyerror import BodyError
+from dotterelstand.connection.network import CONNECTION_ERRORS
 from dotterelstand.connection.pool import (
     MAX_NON_IDEMPOTENT_IDLE_S,
     NEW_CONNECTION_ONLY_S,
@@ -42,7 +43,6 @@
 MAX_SKIPPED_ANSWERS = 4
 # Maximum number of interim (1xx) answers before the final one.
 MAX_INTERIM_ANSWERS = 16
-_CONNECTION_ERRORS = (trio.BrokenResourceError, trio.ClosedResourceError)
 
 
 class AttemptSetup:
@@ -213,7 +213,7 @@
                 await self._receive_head()
             if self._silence_scope.cancelled_caught:
                 self._fail_silent()
-        except _CONNECTION_ERRORS:
+        except CONNECTION_ERRORS:
             self.failure = ResultCode.CONNECTION_LOST
         except h11.RemoteProtocolError:
             lost = self.connection.closed_by_target()
@@ -234,7 +234,7 @@
             self.body_error = error.code
             if self.on_body_error is not None:
                 self.on_body_error()
-        except (*_CONNECTION_ERRORS, h11.LocalProtocolError):
+        except (*CONNECTION_ERRORS, h11.LocalProtocolError):
             # The target may have answered early; `run` handles its answer or the lost connection.
             return
 
@@ -295,9 +295,10 @@
         remaining_s = self._deadline - trio.current_time()
         head = self._setup.head
         headers = forwarded_headers(head, remaining_s, self.target)
+        encoded = self.connection.encode_request(head.method, head.path, headers, data, complete)
         # Set before the call, since a failed call may have sent some of the bytes.
         self.send_started = True
-        await self.connection.send_request(head.method, head.path, headers, data, complete)
+        await self.connection.send(encoded)
         self._sent_bytes = len(data)
         self._head_sent.set()
         if not complete:
--- a/src/dotterelstand/request/endcodes.py
+++ b/src/dotterelstand/request/endcodes.py
@@ -5,7 +5,10 @@
 from dotterelstand.codes import Execution
 from dotterelstand.codes import Result as ResultCode
 from dotterelstand.connection.callerrequest import CallerRequest
+from dotterelstand.connection.network import CONNECTION_ERRORS
+from dotterelstand.process.telemetry.invariant import log_fault, unexpected_errors
 from dotterelstand.request.attempt import Attempt
+from dotterelstand.request.interfaces import Counters
 
 
 def may_have_run(attempts: Sequence[Attempt]) -> bool:
@@ -21,6 +24,25 @@
     return unknown[-1] if unknown else ResultCode.BAD_ANSWER
 
 
+def note_fault(error: Exception, metrics: Counters) -> None:
+    """Count and log an unexpected error in the service of a request or of its connection.
+
+    Raises `error` again if it consists only of errors of the caller's connection.
+    """
+    errors = unexpected_errors(error, CONNECTION_ERRORS)
+    if not errors:
+        raise error
+    metrics.count("requests.faults")
+    log_fault("request", errors)
+
+
+def fault_code(error: Exception, attempts: Sequence[Attempt], metrics: Counters) -> ResultCode:
+    """Result code of a request after an unexpected error; raises like `note_fault`."""
+    note_fault(error, metrics)
+    ran = may_have_run(attempts)
+    return ResultCode.INTERNAL_ERROR_UNKNOWN if ran else ResultCode.INTERNAL_ERROR
+
+
 def interrupted_code(
     caller: CallerRequest, attempts: Sequence[Attempt], host_stops: bool
 ) -> ResultCode:
--- a/src/dotterelstand/request/exchange.py
+++ b/src/dotterelstand/request/exchange.py
@@ -18,7 +18,7 @@
 from dotterelstand.request.attempt import MAX_SINGLE_SEND_BYTES, Attempt, AttemptSetup
 from dotterelstand.request.body import RequestBody
 from dotterelstand.request.context import RequestContext
-from dotterelstand.request.endcodes import interrupted_code, may_have_run, overall_code
+from dotterelstand.request.endcodes import fault_code, interrupted_code, may_have_run, overall_code
 from dotterelstand.request.head import RequestHead, head_digest
 from dotterelstand.request.hedging import count_attempts, has_usable_answer, run_with_hedge
 from dotterelstand.request.keyed import KeyedRun
@@ -126,6 +126,8 @@
             code = self._interrupted_code() if code is None else code
         except BodyError as error:
             code = self._body_error_code(error.code)
+        except Exception as error:
+            code = fault_code(error, self._attempts, self._context.metrics)
         finally:
             self._caller.on_disconnect = None
             self._caller.on_stop = None
@@ -286,11 +288,8 @@
         for other in self._attempts:
             if other is attempt or other.failure is not None:
                 self._trail.note_end(other)
-        if (
-            self._caller.answer_started
-            or code.run is Execution.RAN
-            or code is ResultCode.CALLER_LEFT
-        ):
+        is_final = code.run is Execution.RAN or code is ResultCode.CALLER_LEFT
+        if is_final or self._caller.answer_started:
             return code, False
         refusal = self._guard.refusal
         if refusal is None and self._decide_retry() is RetryDecision.RETRY:
--- a/tests/test_unusable_objects.py
+++ b/tests/test_unusable_objects.py
@@ -21,12 +21,27 @@
 TARGET = "10.1.0.9:80"
 HOST = {"address": "10.0.9.9", "port": 7540, "region": "local", "availability_zone": "local-1"}
 
+
+def _with_health_path(path: str) -> dict[str, Any]:
+    """Return a configuration with another health path."""
+    spec = configuration(8, route("s"))
+    for resource in spec["resources"]:
+        if resource["resourceType"] == "services":
+            resource["spec"] = {**resource["spec"], "healthPath": path}
+    return spec
+
+
 UNUSABLE = {
     "target's number": ("servers", "i-9", server_entry("s", TARGET, warmupLeftS=LONG_NUMBER)),
     "route's number": ("config", "main", configuration(8, route("s", timeoutS=LONG_NUMBER))),
     "route's infinite number": ("config", "main", configuration(8, route("s", timeoutS=INFINITE))),
     "target's name": ("servers", f"i{SURROGATE}", server_entry("s", TARGET)),
     "service's name": ("config", "main", configuration(8, services=("s", f"t{SURROGATE}"))),
+    "health path with a space": ("config", "main", _with_health_path("/a b")),
+    "health path with a line feed": ("config", "main", _with_health_path("/a\nb: c")),
+    "health path that is not ASCII": ("config", "main", _with_health_path("/\u00e9")),
+    "health path without a slash": ("config", "main", _with_health_path("health")),
+    "long health path": ("config", "main", _with_health_path("/" * 3000)),
     "host's name": ("dotterelstand-hosts-local", f"h{SURROGATE}", HOST | {"capacity": 1.0}),
     "target's port": ("servers", "i-9", server_entry("s", "10.1.0.9:\u00b2")),
     "target's long port": ("servers", "i-9", server_entry("s", "10.1.0.9:" + "9" * 5000)),
