Decode the other objects of a list beside one that Python refuses

What callers saw: a review saw targets that drained get requests behind an entry with lists nested 2,000 deep, since no change was followed any more.

Cause: Python's JSON decoder refuses the whole answer of the store for one integer of over 4,300 digits, one value nested about 1,000 deep or one byte that is not UTF-8. Ruled out: such decoding of each text (a second pass in Python), and reading objects one by one (each call is paid for).

Change: a text that Python refuses is decoded once more with such values replaced by what no check of an object accepts; lists that hosts pass on to each other are decoded by the same function.

Tests: test_value_that_cannot_be_decoded_hides_no_other_object, 30 of 30 cases failed before, with one host and with six.

--- a/src/dotterelstand/platform/client.py
+++ b/src/dotterelstand/platform/client.py
@@ -14,6 +14,7 @@
 from dotterelstand.events import Event, log
 from dotterelstand.platform.decode import encode_host, parse_configuration, parse_host, parse_target
 from dotterelstand.platform.era import ERA_HEADER, StoreEra, remove_era
+from dotterelstand.platform.jsontext import decode_json
 from dotterelstand.platform.lists import diff_lists, merge_changes
 from dotterelstand.platform.redact import hide_keys
 from dotterelstand.process.discovery.registry import (
@@ -296,7 +297,7 @@
 
 def _parse_body(encoded: bytes) -> Result[dict[str, Any], PlatformError]:
     try:
-        body = json.loads(encoded)
+        body = decode_json(encoded)
     except DECODE_ERRORS as error:
         return Failure(PlatformError(UNREADABLE, str(error)))
     if not isinstance(body, dict):
--- a/src/dotterelstand/platform/lists.py
+++ b/src/dotterelstand/platform/lists.py
@@ -4,6 +4,8 @@
 from collections.abc import Sequence
 from typing import Any
 
+from dotterelstand.platform.jsontext import decode_json
+
 
 def merge_changes(encoded_list: bytes, changes: Sequence[bytes], revision: int) -> bytes:
     """Apply the responses of watches to the response of a list call.
@@ -12,7 +14,7 @@
     """
     items = _items_by_name(encoded_list)
     for encoded in changes:
-        for event in json.loads(encoded)["events"]:
+        for event in decode_json(encoded)["events"]:
             name = event["object"]["metadata"]["name"]
             if event["removed"]:
                 items.pop(name, None)
@@ -37,8 +39,8 @@
         for name, item in new_items.items()
         if old_items.get(name) != item
     ]
-    return json.dumps({"events": events, "currentRev": json.loads(new)["currentRev"]}).encode()
+    return json.dumps({"events": events, "currentRev": decode_json(new)["currentRev"]}).encode()
 
 
 def _items_by_name(encoded_list: bytes) -> dict[str, Any]:
-    return {item["metadata"]["name"]: item for item in json.loads(encoded_list)["items"]}
+    return {item["metadata"]["name"]: item for item in decode_json(encoded_list)["items"]}
--- a/tests/test_unusable_objects.py
+++ b/tests/test_unusable_objects.py
@@ -12,6 +12,7 @@
 from dotterelstand.events import Event
 from dotterelstand.platform import client
 from dotterelstand.process.selection.slots import SlotBroker
+from dotterelstand.standin.httpd import HttpAnswer, HttpRequest
 
 # JSON limits neither the digits of a number nor its exponent; the latter gives an infinite one.
 LONG_NUMBER = 10**400
@@ -220,6 +221,78 @@
     assert lines.lines_of(Event.INVARIANT_BROKEN)
 
 
+NESTED = 5_000
+
+
+class RawJson:
+    """JSON that Python itself cannot decode or encode, in place of marks in other JSON."""
+
+    VALUES = {
+        "long number": b"9" * 5_000,
+        "nested lists": b"[" * NESTED + b"]" * NESTED,
+        "nested tables": b'{"a":' * NESTED + b"1" + b"}" * NESTED,
+        "brackets in a text": b'["' + b"[{" * NESTED + b'\\"[", ' + b"9" * 5_000 + b"]",
+        "not UTF-8": b'"\xff\xfe"',
+    }
+
+    def __init__(self, case: str) -> None:
+        self._value = self.VALUES[case]
+
+    def insert(self, encoded: bytes) -> bytes:
+        """Replace the marks."""
+        return encoded.replace(b'"UNREADABLE"', self._value)
+
+
+@pytest.mark.parametrize("entries", [1, 6])
+@pytest.mark.parametrize("field", ["info", "slots", "other"])
+@pytest.mark.parametrize("case", RawJson.VALUES)
+def test_value_that_cannot_be_decoded_hides_no_other_object(
+    case: str, field: str, entries: int
+) -> None:
+    """Guards against a list that nobody can read, and so follows, because of one of its objects.
+
+    With several hosts, some get the list from each other.
+    """
+    raw = RawJson(case)
+
+    async def scenario(fleet: PlatformFleet) -> None:
+        answer = fleet.store._handle
+
+        async def handle(request: HttpRequest) -> HttpAnswer | None:
+            found = await answer(request)
+            return found and HttpAnswer(found.status, raw.insert(found.body), found.headers)
+
+        fleet.store._handle = handle  # type: ignore[method-assign]
+        # Ends the watches that are open.
+        fleet.store.put("servers", "j-0", {})
+        await trio.sleep(1.0)
+        entry = server_entry("s", TARGET)
+        if field == "info":
+            entry["info"] = "UNREADABLE"
+        elif field == "slots":
+            entry["info"]["slots"] = "UNREADABLE"
+        else:
+            # A field that nobody reads does not make the entry unusable.
+            entry = server_entry("s", f"10.1.0.{len(fleet.instances) - 1}:80")
+            entry["note"] = "UNREADABLE"
+        fleet.store.put("servers", "i-9" if field != "other" else "i-2", entry)
+        await trio.sleep(1.0)
+        fleet.register(0, state="draining")
+        await trio.sleep(3.0)
+        # A host that starts, and one that lost the history, read the whole list.
+        fleet.start_daemon(entries)
+        fleet.store.forget_history()
+        await trio.sleep(6.0)
+        runs = len(fleet.instances[0].runs)
+        for number in range(3 * (entries + 1)):
+            assert (await fleet.call(entry=number % (entries + 1))).status == 200
+        assert len(fleet.instances[0].runs) == runs
+        names = {target.name for target in fleet.daemon.document.services["s"].targets}  # type: ignore[union-attr]
+        assert names == {"i-1", "i-2"}
+
+    run_on_platform(scenario, entries=entries)
+
+
 def test_page_that_ends_with_an_unusable_name_leaves_the_daemon_running() -> None:
     """Guards against a daemon that ends since it cannot ask for the page behind such a name."""
 
