Let the soak list entries of another writer

The fault unusable_entries, by hand only, lists a sound instance's address under a name with a line feed, and entries with 10**400 slots, a warm-up time of 1e308 s, nested lists and plain text.

--- a/tests/soak/instancefaults.py
+++ b/tests/soak/instancefaults.py
@@ -47,9 +47,33 @@
         fleet.store.remove("servers", prefix + instance.name)
 
 
+async def unusable_entries(context: FaultContext) -> None:
+    """List entries of another writer, whose names and values cannot be used."""
+    fleet = context.fleet
+    entry = fleet.entry(context.choose_service()[0])
+    prefix = f"foreign-{context.rng.randrange(1_000_000)}"
+    nested: list[object] = []
+    for _ in range(900):
+        nested = [nested]
+    entries = {
+        f"{prefix}\n": entry,
+        f"{prefix}-slots": entry | {"info": entry["info"] | {"slots": 10**400}},
+        f"{prefix}-warm": entry | {"status": entry["status"] | {"warmupLeftS": 1e308}},
+        f"{prefix}-nested": entry | {"info": nested},
+        f"{prefix}-text": "text",
+    }
+    for name, spec in entries.items():
+        fleet.store.put("servers", name, spec)
+        await trio.sleep(context.rng.uniform(0.0, 0.5))
+    await trio.sleep(context.rng.uniform(0.5, 3.0))
+    for name in entries:
+        fleet.store.remove("servers", name)
+
+
 # Services of which all targets refuse hide other faults.
 FAULTS_BY_HAND: tuple[FaultFunction, ...] = (
     instances_repeat_rejections,
     instances_break_off,
     addresses_listed_twice,
+    unusable_entries,
 )
