--- a/tests/soak/mutated.py
+++ b/tests/soak/mutated.py
@@ -134,20 +134,20 @@
 
 def change_paths(set_attribute: SetAttribute) -> None:
     """Send some requests on with a path that the caller did not send."""
-    send = TargetConnection.send_request
+    encode = TargetConnection.encode_request
 
-    async def send_request(
+    def encode_request(
         self: TargetConnection,
         method: str,
         path: str,
         headers: Headers,
         body: bytes,
         complete: bool,
-    ) -> None:
+    ) -> bytes:
         changed = f"{path}0" if path.endswith("0") else path
-        await send(self, method, changed, headers, body, complete)
+        return encode(self, method, changed, headers, body, complete)
 
-    set_attribute(TargetConnection, "send_request", send_request)
+    set_attribute(TargetConnection, "encode_request", encode_request)
 
 
 def ignore_newer_versions(set_attribute: SetAttribute) -> None:
