--- a/tests/test_unusable_objects.py
+++ b/tests/test_unusable_objects.py
@@ -22,13 +22,20 @@
 TARGET = "10.1.0.9:80"
 HOST = {"address": "10.0.9.9", "port": 7540, "region": "local", "availability_zone": "local-1"}
 
+SECRET = "secret-key"
+SPLIT = [{"service": "s", "weight": 1}]
+WARMUP = {"warmupS": 2, "warmupPerS": 5}
+
 
-def _with_health_path(path: str) -> dict[str, Any]:
-    """Return a configuration with another health path."""
-    spec = configuration(8, route("s"))
+def _configuration(version: int, kind: str = "", field: str = "", value: Any = 0) -> dict[str, Any]:
+    """Return a configuration with one field replaced in each resource of a kind."""
+    resources = route("s", trafficSplit=SPLIT), tenant("a", SECRET, ratePerS=1000, burst=1000)
+    spec = configuration(version, *resources)
     for resource in spec["resources"]:
         if resource["resourceType"] == "services":
-            resource["spec"] = {**resource["spec"], "healthPath": path}
+            resource["spec"] = {**resource["spec"], **WARMUP}
+        if resource["resourceType"] == kind:
+            resource["spec"] = {**resource["spec"], field: value}
     return spec
 
 
@@ -38,17 +45,32 @@
     "route's infinite number": ("config", "main", configuration(8, route("s", timeoutS=INFINITE))),
     "target's name": ("servers", f"i{SURROGATE}", server_entry("s", TARGET)),
     "service's name": ("config", "main", configuration(8, services=("s", f"t{SURROGATE}"))),
-    "health path with a space": ("config", "main", _with_health_path("/a b")),
-    "health path with a line feed": ("config", "main", _with_health_path("/a\nb: c")),
-    "health path that is not ASCII": ("config", "main", _with_health_path("/\u00e9")),
-    "health path without a slash": ("config", "main", _with_health_path("health")),
-    "long health path": ("config", "main", _with_health_path("/" * 3000)),
+    "health path with a space": (
+        "config",
+        "main",
+        _configuration(8, "services", "healthPath", "/a b"),
+    ),
+    "health path with a line feed": (
+        "config",
+        "main",
+        _configuration(8, "services", "healthPath", "/a\nb: c"),
+    ),
+    "health path that is not ASCII": (
+        "config",
+        "main",
+        _configuration(8, "services", "healthPath", "/\u00e9"),
+    ),
+    "health path without a slash": (
+        "config",
+        "main",
+        _configuration(8, "services", "healthPath", "health"),
+    ),
+    "long health path": ("config", "main", _configuration(8, "services", "healthPath", "/" * 3000)),
     "host's name": ("dotterelstand-hosts-local", f"h{SURROGATE}", HOST | {"capacity": 1.0}),
     "target's port": ("servers", "i-9", server_entry("s", "10.1.0.9:\u00b2")),
     "target's long port": ("servers", "i-9", server_entry("s", "10.1.0.9:" + "9" * 5000)),
 }
 
-SECRET = "secret-key"
 # Resources of workspaces that make a configuration unusable.
 WORKSPACES: dict[str, tuple[dict[str, Any], ...]] = {
     "key of two": (tenant("a", SECRET), tenant("b", "other", SECRET)),
@@ -78,20 +100,6 @@
     "1e308": 1e308,
     "5e-324": 5e-324,
 }
-SPLIT = [{"service": "s", "weight": 1}]
-WARMUP = {"warmupS": 2, "warmupPerS": 5}
-
-
-def _configuration(version: int, kind: str = "", field: str = "", value: Any = 0) -> dict[str, Any]:
-    """Return a configuration with one field replaced in each resource of a kind."""
-    resources = route("s", trafficSplit=SPLIT), tenant("a", SECRET, ratePerS=1000, burst=1000)
-    spec = configuration(version, *resources)
-    for resource in spec["resources"]:
-        if resource["resourceType"] == "services":
-            resource["spec"] = {**resource["spec"], **WARMUP}
-        if resource["resourceType"] == kind:
-            resource["spec"] = {**resource["spec"], field: value}
-    return spec
 
 
 def _entry(part: str, field: str, value: Any) -> dict[str, Any]:
